--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -1,6 +1,6 @@
 """Runs the packages' tests and ends with one line: 'N passed, N failed'.
 
-Tests listed in KNOWN-RED.txt may fail; they are printed. Arguments name tests to run instead of all.
+Tests listed in KNOWN-RED.txt may fail; they are printed. Arguments name single tests to run.
 """
 
 import sys
