Add peers, membership, telemetry and resilience

Nodes need typed calls to each other, a view of who is live, and one place for logs, metrics and traces.

--- /dev/null
+++ b/packages/mimosapoint-node/src/mimosapoint_node/grpc_peers/client.py
@@ -0,0 +1,117 @@
+"""Calls to other nodes by grpcio's thread API."""
+
+from datetime import timedelta
+from typing import Any
+
+import grpc
+import trio
+from mimosapoint.errors import MimosapointError, PeerUnreachable
+from mimosapoint.peers import decode_reply, encode_message, message_name
+from mimosapoint.ports import Span, Telemetry
+
+from mimosapoint_node.grpc_peers.settings import DEFAULT_SETTINGS, GrpcPeersSettings, method_path
+
+__all__ = ["GrpcPeers", "TRACE_KEY"]
+
+TRACE_KEY = "traceparent"
+
+
+class GrpcPeers:
+    """Peers adapter with one channel for each peer.
+
+    :param source: id of this node, an attribute of its spans.
+    :param telemetry: where calls are told.
+    :param settings: settings of the links.
+    """
+
+    def __init__(
+        self,
+        source: str,
+        telemetry: Telemetry,
+        settings: GrpcPeersSettings = DEFAULT_SETTINGS,
+    ) -> None:
+        self._source = source
+        self._telemetry = telemetry
+        self._settings = settings
+        self._channels_by_address: dict[str, grpc.Channel] = {}
+
+    async def call(self, address: str, message: Any, timeout: timedelta) -> Any:
+        """Send a message and return the reply; see :class:`~mimosapoint.ports.Peers`."""
+        name = message_name(type(message))
+        started = trio.current_time()
+        outcome = "cancelled"
+        try:
+            with self._telemetry.span("peer-call") as span:
+                span.set("message", name)
+                span.set("source", self._source)
+                span.set("peer", address)
+                reply = await self._call(address, name, message, timeout, span)
+            outcome = "ok"
+            return reply
+        except MimosapointError as error:
+            outcome = error.code
+            raise
+        finally:
+            self._telemetry.count("peer_calls_total", message=name, outcome=outcome)
+            elapsed = trio.current_time() - started
+            self._telemetry.observe("peer_call_seconds", elapsed, message=name)
+
+    def forget(self, address: str) -> None:
+        """Close the channel of a peer that is gone."""
+        channel = self._channels_by_address.pop(address, None)
+        if channel is not None:
+            channel.close()
+
+    def close(self) -> None:
+        """Close every channel."""
+        for address in list(self._channels_by_address):
+            self.forget(address)
+
+    async def _call(
+        self, address: str, name: str, message: Any, timeout: timedelta, span: Span
+    ) -> Any:
+        data = encode_message(message)
+        self._count_bytes(name, "sent", data)
+        metadata = ((TRACE_KEY, span.context),)
+        method = self._channel(address).unary_unary(method_path(name))
+        future = method.future(data, timeout=timeout.total_seconds(), metadata=metadata)
+        await _done(future)
+        reply = _result(future, address, name)
+        self._count_bytes(name, "received", reply)
+        return decode_reply(name, reply)
+
+    def _channel(self, address: str) -> grpc.Channel:
+        channel = self._channels_by_address.get(address)
+        if channel is None:
+            channel = grpc.insecure_channel(address, self._settings.channel_options())
+            self._channels_by_address[address] = channel
+        return channel
+
+    def _count_bytes(self, name: str, direction: str, data: bytes) -> None:
+        self._telemetry.count("peer_bytes_total", len(data), message=name, direction=direction)
+
+
+async def _done(future: grpc.Future) -> None:
+    """Wait for a call; cancelling the task cancels the call."""
+    token = trio.lowlevel.current_trio_token()
+    done = trio.Event()
+
+    def wake(_: grpc.Future) -> None:
+        try:
+            token.run_sync_soon(done.set)
+        except trio.RunFinishedError:
+            pass
+
+    future.add_done_callback(wake)
+    try:
+        await done.wait()
+    except trio.Cancelled:
+        future.cancel()
+        raise
+
+
+def _result(future: grpc.Future, address: str, name: str) -> bytes:
+    code = future.code()
+    if code is not grpc.StatusCode.OK:
+        raise PeerUnreachable(f"{address} did not answer {name}: {code.name} {future.details()}")
+    return future.result()
--- /dev/null
+++ b/packages/mimosapoint-node/src/mimosapoint_node/grpc_peers/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the grpc_peers subpackage."""
--- a/packages/mimosapoint/src/mimosapoint/errors.py
+++ b/packages/mimosapoint/src/mimosapoint/errors.py
@@ -6,6 +6,7 @@
 __all__ = [
     "AnswerNotReady",
     "BadRequest",
+    "CircuitOpen",
     "CodecError",
     "CompareFailed",
     "ConfigurationInvalid",
@@ -14,6 +15,7 @@
     "IdempotencyConflict",
     "JobNotFound",
     "LeaseLost",
+    "MessageTooLarge",
     "MimosapointError",
     "NeverFits",
     "NewerFormat",
@@ -27,6 +29,7 @@
     "StaleEpoch",
     "StoreTimeout",
     "StoreUnavailable",
+    "UnknownMessage",
     "UnknownService",
     "UnknownWorkspace",
     "ValueTooLarge",
@@ -244,6 +247,24 @@
     code = "peer-unreachable"
 
 
+class UnknownMessage(MimosapointError):
+    """The peer does not serve this message; it had no effect."""
+
+    code = "unknown-message"
+
+
+class MessageTooLarge(MimosapointError):
+    """The message or its reply is over the limit between peers."""
+
+    code = "message-too-large"
+
+
+class CircuitOpen(MimosapointError):
+    """Calls to a failing dependency are suspended; the call was not sent."""
+
+    code = "circuit-open"
+
+
 class VmListUnavailable(MimosapointError):
     """The list of VMs cannot be read."""
 
--- /dev/null
+++ b/packages/mimosapoint/src/mimosapoint/membership/_table.py
@@ -0,0 +1,169 @@
+"""What this node knows of every node."""
+
+from datetime import datetime, timedelta
+from hashlib import blake2b
+
+import attrs
+
+from mimosapoint.membership.messages import NodeState
+
+__all__ = ["NodeRecord", "NodeTable"]
+
+DIGEST_BYTES = 8
+"""Length of the digest of a roster, in bytes."""
+
+
+@attrs.define
+class NodeRecord:
+    """A node as seen from here.
+
+    :param state: the newest state; its heartbeat may be out of date.
+    :param heartbeat: the highest heartbeat of this incarnation.
+    :param added_at: when the node became known.
+    :param progressed_at: when the heartbeat was last seen to rise; ``None`` before the first time.
+    :param direct: whether the node itself was heard.
+    """
+
+    state: NodeState
+    heartbeat: int
+    added_at: datetime
+    progressed_at: datetime | None = None
+    direct: bool = False
+
+    def current(self) -> NodeState:
+        """Return the state with the newest heartbeat."""
+        if self.state.heartbeat == self.heartbeat:
+            return self.state
+        return attrs.evolve(self.state, heartbeat=self.heartbeat)
+
+    def silent_since(self) -> datetime:
+        """Return when the node was last known to be running."""
+        return self.progressed_at or self.added_at
+
+
+class NodeTable:
+    """Records of other nodes and this one, merged by incarnation, heartbeat and revision.
+
+    :param own: first state of this node.
+    """
+
+    def __init__(self, own: NodeState, now: datetime) -> None:
+        self._own_id = own.id
+        self.records_by_id = {own.id: NodeRecord(own, own.heartbeat, now, now, True)}
+        self._forgotten_by_id: dict[str, tuple[int, int]] = {}
+        self._roster: str | None = None
+        self._ids: list[str] = [own.id]
+
+    @property
+    def own(self) -> NodeState:
+        """State of this node."""
+        return self.records_by_id[self._own_id].current()
+
+    @property
+    def roster(self) -> str:
+        """Digest of the known ids and incarnations."""
+        if self._roster is None:
+            self._ids = sorted(self.records_by_id)
+            lines = (f"{id}:{self.records_by_id[id].state.incarnation}" for id in self._ids)
+            text = "\n".join(lines).encode()
+            self._roster = blake2b(text, digest_size=DIGEST_BYTES).hexdigest()
+        return self._roster
+
+    def members(self) -> list[tuple[str, int]]:
+        """Return the known ids with their incarnations in the order of the roster."""
+        return [(id, self.records_by_id[id].state.incarnation) for id in self._ordered_ids()]
+
+    def heartbeats(self) -> tuple[int, ...]:
+        """Return the heartbeats in the order of the roster."""
+        return tuple(self.records_by_id[id].heartbeat for id in self._ordered_ids())
+
+    def revisions(self) -> tuple[int, ...]:
+        """Return the revisions in the order of the roster."""
+        return tuple(self.records_by_id[id].state.revision for id in self._ordered_ids())
+
+    def states(self) -> tuple[NodeState, ...]:
+        """Return every state."""
+        return tuple(record.current() for record in self.records_by_id.values())
+
+    def states_after(self, revisions: tuple[int, ...]) -> tuple[NodeState, ...]:
+        """Return the states whose revision is above the given one, in the order of the roster."""
+        records = [self.records_by_id[id] for id in self._ordered_ids()]
+        pairs = zip(records, revisions, strict=True)
+        return tuple(record.current() for record, known in pairs if record.state.revision > known)
+
+    def beat(self, now: datetime) -> None:
+        """Raise the heartbeat of this node."""
+        record = self.records_by_id[self._own_id]
+        record.heartbeat += 1
+        record.progressed_at = now
+
+    def change_own(self, **changes: object) -> None:
+        """Change the state of this node under the next revision."""
+        record = self.records_by_id[self._own_id]
+        state = record.current()
+        record.state = attrs.evolve(state, revision=state.revision + 1, **changes)
+        self._roster = None
+
+    def merge(self, state: NodeState, now: datetime) -> None:
+        """Take in a state that a peer sent."""
+        if state.id == self._own_id:
+            self._outlive(state)
+            return
+        if (state.incarnation, state.heartbeat) <= self._forgotten_by_id.get(state.id, (-1, -1)):
+            return
+        record = self.records_by_id.get(state.id)
+        if record is None:
+            self._add(NodeRecord(state, state.heartbeat, now))
+        elif state.incarnation > record.state.incarnation:
+            self._add(NodeRecord(state, state.heartbeat, now, now))
+        elif state.incarnation == record.state.incarnation:
+            self._advance(record, state, now)
+
+    def merge_heartbeat(self, id: str, incarnation: int, heartbeat: int, now: datetime) -> None:
+        """Take in a heartbeat that a peer sent."""
+        record = self.records_by_id.get(id)
+        if record is None or id == self._own_id or record.state.incarnation != incarnation:
+            return
+        if heartbeat > record.heartbeat:
+            record.heartbeat = heartbeat
+            record.progressed_at = now
+
+    def heard(self, id: str, incarnation: int, now: datetime) -> None:
+        """Note that the node itself was heard just now."""
+        record = self.records_by_id.get(id)
+        if record is not None and record.state.incarnation == incarnation:
+            record.direct = True
+            record.progressed_at = now
+
+    def forgive(self, duration: timedelta) -> None:
+        """Give every node more time, after this node itself was paused."""
+        for record in self.records_by_id.values():
+            if record.progressed_at is not None:
+                record.progressed_at += duration
+
+    def forget(self, id: str) -> None:
+        """Drop a node; only a later heartbeat brings it back."""
+        record = self.records_by_id.pop(id)
+        self._forgotten_by_id[id] = (record.state.incarnation, record.heartbeat)
+        self._roster = None
+
+    def _ordered_ids(self) -> list[str]:
+        return self._ids if self.roster else []
+
+    def _add(self, record: NodeRecord) -> None:
+        self.records_by_id[record.state.id] = record
+        self._forgotten_by_id.pop(record.state.id, None)
+        self._roster = None
+
+    def _advance(self, record: NodeRecord, state: NodeState, now: datetime) -> None:
+        if state.revision > record.state.revision:
+            record.state = state
+        if state.heartbeat > record.heartbeat:
+            record.heartbeat = state.heartbeat
+            record.progressed_at = now
+
+    def _outlive(self, state: NodeState) -> None:
+        """Outbid an earlier process of this node whose clock was ahead."""
+        own = self.own
+        if state.incarnation > own.incarnation:
+            self.change_own(incarnation=state.incarnation + 1)
--- /dev/null
+++ b/packages/mimosapoint/src/mimosapoint/membership/core.py
@@ -0,0 +1,292 @@
+"""The nodes that are live, learnt by gossip."""
+
+import random
+from collections.abc import Callable
+from datetime import datetime, timedelta
+from typing import Any
+
+import trio
+
+from mimosapoint.errors import MimosapointError, PeerUnreachable
+from mimosapoint.membership._exchange import Exchanger
+from mimosapoint.membership._table import NodeRecord, NodeTable
+from mimosapoint.membership._vm_directory import VmDirectory
+from mimosapoint.membership.configuration_link import ConfigurationLink, NoConfiguration
+from mimosapoint.membership.messages import Gossip, NodeState
+from mimosapoint.membership.settings import MembershipSettings
+from mimosapoint.model import Vm, VmKind, VmState
+from mimosapoint.peers import Dispatcher
+from mimosapoint.ports import Clock, Peers, Telemetry, VmList
+
+__all__ = ["Membership"]
+
+MILLISECOND = timedelta(milliseconds=1)
+EPOCH = datetime.fromisoformat("1970-01-01T00:00:00+00:00")
+
+AttachmentProvider = Callable[[], Any]
+"""Returns the JSON value that this node attaches now."""
+
+
+class Membership:
+    """Tells which nodes are live and carries the configuration between them.
+
+    :param node: this node; its address is where peers reach it.
+    :param vm_list: the platform's list of VMs.
+    :param peers: calls to other nodes.
+    :param dispatcher: serves the calls of other nodes.
+    :param clock: the clock.
+    :param telemetry: where changes are told.
+    :param settings: settings of the membership.
+    :param random: source of randomness.
+    :param configuration_link: holder of the configuration, if any.
+    """
+
+    def __init__(
+        self,
+        node: Vm,
+        vm_list: VmList,
+        peers: Peers,
+        dispatcher: Dispatcher,
+        clock: Clock,
+        telemetry: Telemetry,
+        settings: MembershipSettings,
+        random: random.Random,
+        configuration_link: ConfigurationLink | None = None,
+    ) -> None:
+        self._node = node
+        self._clock = clock
+        self._telemetry = telemetry
+        self._settings = settings
+        self._random = random
+        now = clock.now()
+        incarnation = (now - EPOCH) // MILLISECOND
+        own = NodeState(node.id, incarnation, 0, 0, node.zone, node.address)
+        self._table = NodeTable(own, now)
+        self._directory = VmDirectory(vm_list, clock, telemetry)
+        link = configuration_link or NoConfiguration()
+        timeout = settings.call_timeout
+        self._exchanger = Exchanger(self._table, peers, clock, link, timeout)
+        self._providers_by_name: dict[str, AttachmentProvider] = {}
+        self._view: dict[str, tuple[Vm, int]] = {}
+        self._generation = 0
+        self._changed = trio.Event()
+        self._hurry = trio.Event()
+        self._beaten_at = now
+        self._attached_at: datetime | None = None
+        self._round = 0
+        dispatcher.handle(Gossip, self._serve)
+        self._refresh_view()
+
+    async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """Gossip until cancelled."""
+        await self._directory.refresh()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._read_list)
+            nursery.start_soon(self._announce_leaving)
+            task_status.started()
+            while True:
+                self._beat()
+                for address in self._targets():
+                    nursery.start_soon(self._exchange, address)
+                await self._clock.sleep(self._settings.interval)
+
+    def alive(self, node_id: str) -> bool:
+        """Tell whether a node's heartbeat progresses; this node always lives."""
+        if node_id == self._node.id:
+            return True
+        record = self._table.records_by_id.get(node_id)
+        return record is not None and self._alive(record)
+
+    def live_nodes(self) -> dict[str, Vm]:
+        """Return the live nodes that are not leaving by id, this one included."""
+        return {id: vm for id, (vm, _) in self._refresh_view().items()}
+
+    def known_nodes(self) -> dict[str, Vm]:
+        """Return every node that the gossip or the list of VMs shows, by id."""
+        known = dict(self._directory.nodes_by_id)
+        known.update((id, self._vm(record)) for id, record in self._table.records_by_id.items())
+        return known
+
+    def endpoints(self) -> dict[str, Vm]:
+        """Return the workers of the list of VMs by id, with their state."""
+        return dict(self._directory.endpoints_by_id)
+
+    def attach(self, name: str, provider: AttachmentProvider) -> None:
+        """Add a value to what this node says of itself.
+
+        :param provider: returns the JSON value as it is now.
+        """
+        self._providers_by_name[name] = provider
+        self._attached_at = None
+
+    def refresh_attachments(self) -> None:
+        """Take the attachments as they are now rather than at the next look."""
+        self._attached_at = self._clock.now()
+        values = {name: provider() for name, provider in self._providers_by_name.items()}
+        if values != self._table.own.attachments:
+            self._table.change_own(attachments=values)
+
+    def attachment(self, node_id: str, name: str) -> Any:
+        """Return the newest value that a node attached, or ``None``."""
+        record = self._table.records_by_id.get(node_id)
+        return None if record is None else record.state.attachments.get(name)
+
+    def set_leaving(self) -> None:
+        """Tell every live node at once that this one stops as planned."""
+        if not self._table.own.leaving:
+            self._table.change_own(leaving=True)
+            self._refresh_view()
+            self._hurry.set()
+
+    async def announce(self) -> frozenset[str]:
+        """Gossip with every live node at once and return the ids of those that answered."""
+        addresses_by_id = self._live_peers()
+        limit = trio.CapacityLimiter(self._settings.announce_limit)
+        answered = set()
+
+        async def call(id: str, address: str) -> None:
+            async with limit:
+                if await self._exchange(address, anew=True):
+                    answered.add(id)
+
+        async with trio.open_nursery() as nursery:
+            for id, address in addresses_by_id.items():
+                nursery.start_soon(call, id, address)
+        return frozenset(answered)
+
+    @property
+    def generation(self) -> int:
+        """Number that rises when the live nodes or the endpoints change."""
+        return self._generation
+
+    async def wait_changed(self, after: int) -> int:
+        """Wait until the generation is above a number and return it."""
+        while self._generation <= after:
+            await self._changed.wait()
+        return self._generation
+
+    def _beat(self) -> None:
+        now = self._clock.now()
+        self._forgive_pause(now)
+        self._table.beat(now)
+        self._round += 1
+        if self._attachments_due(now):
+            self.refresh_attachments()
+        self._forget_silent(now)
+        self._refresh_view()
+        self._telemetry.gauge("members_known", len(self._table.records_by_id))
+
+    def _attachments_due(self, now: datetime) -> bool:
+        if self._attached_at is None:
+            return True
+        return now - self._attached_at >= self._settings.attachment_interval
+
+    def _forgive_pause(self, now: datetime) -> None:
+        """A node that was paused must not take the others for dead."""
+        late = now - self._beaten_at - self._settings.interval
+        self._beaten_at = now
+        if late > self._settings.dead_after / 2:
+            self._table.forgive(late)
+            self._telemetry.event("member-paused", seconds=late)
+
+    def _forget_silent(self, now: datetime) -> None:
+        for id, record in list(self._table.records_by_id.items()):
+            if id == self._node.id or id in self._directory.nodes_by_id:
+                continue
+            if now - record.silent_since() >= self._settings.forget_after:
+                self._table.forget(id)
+                self._telemetry.event("member-forgotten", member=id)
+
+    def _targets(self) -> list[str]:
+        """Return the addresses to call in this round."""
+        live = self._live_peers()
+        suspected = [
+            vm.address
+            for id, vm in self.known_nodes().items()
+            if id not in live and id != self._node.id
+        ]
+        idle = self._exchanger.idle
+        targets = self._sample([a for a in live.values() if idle(a)], self._settings.fanout)
+        wanted = self._settings.fanout - len(live)
+        if self._round % self._settings.suspect_rounds == 0:
+            wanted = max(wanted, 1)
+        return targets + self._sample([a for a in suspected if idle(a)], wanted)
+
+    def _sample(self, addresses: list[str], most: int) -> list[str]:
+        return self._random.sample(addresses, max(0, min(most, len(addresses))))
+
+    def _live_peers(self) -> dict[str, str]:
+        """Return the addresses of the other live nodes by id, leaving ones included."""
+        return {
+            id: record.state.address
+            for id, record in self._table.records_by_id.items()
+            if id != self._node.id and self._alive(record)
+        }
+
+    async def _exchange(self, address: str, anew: bool = False) -> bool:
+        try:
+            answered = await self._exchanger.exchange(address, anew)
+        except PeerUnreachable:
+            return False
+        except MimosapointError as error:
+            self._telemetry.event("gossip-failed", peer=address, code=error.code, detail=error)
+            return False
+        self._refresh_view()
+        return answered
+
+    async def _serve(self, message: Gossip) -> Any:
+        reply = self._exchanger.serve(message)
+        self._refresh_view()
+        return reply
+
+    async def _read_list(self) -> None:
+        while True:
+            await self._clock.sleep(self._settings.list_interval)
+            if await self._directory.refresh():
+                self._notify()
+
+    async def _announce_leaving(self) -> None:
+        await self._hurry.wait()
+        await self.announce()
+
+    def _alive(self, record: NodeRecord) -> bool:
+        if record.progressed_at is None:
+            return False
+        if not record.direct and record.state.id not in self._directory.nodes_by_id:
+            return False
+        return self._clock.now() - record.progressed_at < self._settings.dead_after
+
+    def _vm(self, record: NodeRecord) -> Vm:
+        state = record.state
+        leaving = state.leaving or self._directory.leaving(state.id)
+        stage = VmState.LEAVING if leaving else VmState.LIVE
+        return Vm(state.id, VmKind.ENTRY, state.zone, state.address, stage)
+
+    def _refresh_view(self) -> dict[str, tuple[Vm, int]]:
+        """Work out the live nodes and tell of changes."""
+        view = {}
+        for id, record in self._table.records_by_id.items():
+            vm = self._vm(record)
+            if vm.state is VmState.LIVE and (id == self._node.id or self._alive(record)):
+                view[id] = (vm, record.state.incarnation)
+        if view != self._view:
+            before, self._view = self._view, view
+            self._tell(before, view)
+            self._notify()
+        return view
+
+    def _tell(self, before: dict[str, tuple[Vm, int]], after: dict[str, tuple[Vm, int]]) -> None:
+        for id in after.keys() - before.keys():
+            self._telemetry.event("member-live", member=id, zone=after[id][0].zone)
+        for id in before.keys() - after.keys():
+            record = self._table.records_by_id.get(id)
+            leaving = record is not None and self._vm(record).state is VmState.LEAVING
+            name = "member-leaving" if leaving else "member-dead"
+            self._telemetry.event(name, member=id, zone=before[id][0].zone)
+        self._telemetry.count("member_changes_total")
+        self._telemetry.gauge("members_live", len(after))
+
+    def _notify(self) -> None:
+        self._generation += 1
+        self._changed.set()
+        self._changed = trio.Event()
--- /dev/null
+++ b/packages/mimosapoint/src/mimosapoint/membership/settings.py
@@ -0,0 +1,33 @@
+"""Settings of the membership."""
+
+from datetime import timedelta
+
+import attrs
+
+__all__ = ["MembershipSettings"]
+
+
+@attrs.frozen
+class MembershipSettings:
+    """Settings of the membership.
+
+    :param interval: time between two rounds of gossip.
+    :param fanout: live peers called in each round.
+    :param suspect_rounds: rounds between two calls to a peer that is not live.
+    :param dead_after: time without progress of a heartbeat after which a node is not live.
+    :param forget_after: time after which a silent node that the list lacks is dropped.
+    :param call_timeout: timeout of one call.
+    :param list_interval: time between two reads of the list of VMs.
+    :param attachment_interval: time between two looks at this node's attachments.
+    :param announce_limit: calls at once while announcing.
+    """
+
+    interval: timedelta = timedelta(milliseconds=500)
+    fanout: int = 2
+    suspect_rounds: int = 4
+    dead_after: timedelta = timedelta(seconds=3)
+    forget_after: timedelta = timedelta(seconds=30)
+    call_timeout: timedelta = timedelta(seconds=1)
+    list_interval: timedelta = timedelta(seconds=1)
+    attachment_interval: timedelta = timedelta(seconds=1)
+    announce_limit: int = 16
--- /dev/null
+++ b/packages/mimosapoint/src/mimosapoint/membership/tests/_cluster.py
@@ -0,0 +1,152 @@
+"""Nodes over an in-memory network under a mock clock."""
+
+import random
+from datetime import datetime, timedelta, timezone
+
+import trio
+
+from mimosapoint.errors import VmListUnavailable
+from mimosapoint.membership import Membership, MembershipSettings
+from mimosapoint.model import Vm, VmKind
+from mimosapoint.peers import Dispatcher, LoopbackNetwork, LoopbackPeers
+from mimosapoint.telemetry import MemoryTelemetry
+
+__all__ = ["Cluster", "FakeConfiguration", "FakeVmList", "TrioClock"]
+
+START = datetime(2026, 12, 3, tzinfo=timezone.utc)
+ZONES = ("mvd-centro", "mvd-cerro", "canelones", "maldonado")
+
+
+class TrioClock:
+    """A clock that follows trio's."""
+
+    def now(self):
+        return START + timedelta(seconds=trio.current_time())
+
+    async def sleep(self, duration):
+        await trio.sleep(duration.total_seconds())
+
+
+class FakeVmList:
+    """A list of VMs that can fail."""
+
+    def __init__(self):
+        self.vms_by_id = {}
+        self.available = True
+
+    async def vms(self):
+        if not self.available:
+            raise VmListUnavailable("down")
+        return tuple(self.vms_by_id.values())
+
+
+class FakeConfiguration:
+    """A configuration that is only a number."""
+
+    def __init__(self, clock, installed):
+        self._clock = clock
+        self._installed = installed
+        self.version = 1
+        self.confirmed_at = None
+
+    def install(self, version):
+        if version > self.version:
+            self.version = version
+            self._installed(version)
+
+    def digest(self, now):
+        if self.confirmed_at is None:
+            return self.version, None
+        return self.version, (now - self.confirmed_at).total_seconds()
+
+    def on_digest(self, version, confirmed_at):
+        if version == self.version:
+            self.confirmed_at = max(self.confirmed_at or confirmed_at, confirmed_at)
+
+    def state_bytes_since(self, version):
+        return b"%d" % self.version
+
+    def offer_bytes(self, data):
+        self.install(int(data))
+
+
+class Cluster:
+    """Starts, kills and restarts nodes."""
+
+    def __init__(self, nursery, size, seed=1, settings=None, delay=timedelta(milliseconds=1)):
+        self.nursery = nursery
+        self.clock = TrioClock()
+        self.network = LoopbackNetwork(delay)
+        self.vm_list = FakeVmList()
+        self.settings = settings or MembershipSettings()
+        self.random = random.Random(seed)
+        self.members_by_id = {}
+        self.links_by_id = {}
+        self.telemetry_by_id = {}
+        self.installed_at_by_id = {}
+        self._scopes_by_id = {}
+        for number in range(size):
+            vm = self.vm(number)
+            self.vm_list.vms_by_id[vm.id] = vm
+
+    @staticmethod
+    def vm(number):
+        zone = ZONES[number % len(ZONES)]
+        address = f"10.0.0.{number}:7000"
+        return Vm(f"node-{number:02}", VmKind.ENTRY, zone, address)
+
+    async def start_all(self):
+        for vm in list(self.vm_list.vms_by_id.values()):
+            await self.start(vm)
+
+    async def start(self, vm):
+        dispatcher = Dispatcher()
+        self.network.join(vm.address, dispatcher)
+        telemetry = MemoryTelemetry(strict=True)
+        link = FakeConfiguration(self.clock, lambda _: self._installed(vm.id))
+        member = Membership(
+            vm,
+            self.vm_list,
+            LoopbackPeers(vm.address, self.network),
+            dispatcher,
+            self.clock,
+            telemetry,
+            self.settings,
+            random.Random(self.random.random()),
+            link,
+        )
+        self.members_by_id[vm.id] = member
+        self.links_by_id[vm.id] = link
+        self.telemetry_by_id[vm.id] = telemetry
+        self._scopes_by_id[vm.id] = await self.nursery.start(self._run, member)
+        return member
+
+    def kill(self, id):
+        self._scopes_by_id.pop(id).cancel()
+        member = self.members_by_id.pop(id)
+        self.network.leave(member.known_nodes()[id].address)
+
+    async def until(self, condition, timeout=60.0):
+        """Return the seconds until the condition holds."""
+        started = trio.current_time()
+        with trio.fail_after(timeout):
+            while not condition():
+                await trio.sleep(0.05)
+        return trio.current_time() - started
+
+    async def until_agreed(self, ids, timeout=60.0):
+        """Return the seconds until every running node sees just these as live."""
+        return await self.until(lambda: self.agreed(ids), timeout)
+
+    def agreed(self, ids):
+        """Whether every running node sees just these as live."""
+        views = (set(member.live_nodes()) for member in self.members_by_id.values())
+        return all(view == set(ids) for view in views)
+
+    def _installed(self, id):
+        self.installed_at_by_id[id] = trio.current_time()
+
+    async def _run(self, member, task_status):
+        with trio.CancelScope() as scope:
+            task_status.started(scope)
+            await member.run()
--- /dev/null
+++ b/packages/mimosapoint/src/mimosapoint/resilience/circuit.py
@@ -0,0 +1,102 @@
+"""Circuit breaker: suspends calls to a dependency that fails."""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+from datetime import datetime, timedelta
+from enum import Enum
+
+from mimosapoint.errors import CircuitOpen
+from mimosapoint.ports import Clock
+
+__all__ = ["CircuitBreaker", "CircuitState"]
+
+
+class CircuitState(Enum):
+    """Whether calls go through."""
+
+    CLOSED = "closed"
+    OPEN = "open"
+    HALF_OPEN = "half-open"
+
+
+class CircuitBreaker:
+    """Opens after failures in a row and lets one trial call through after a pause.
+
+    :param clock: the clock.
+    :param threshold: failures in a row that open it.
+    :param pause: time from opening until the trial call.
+    """
+
+    def __init__(
+        self, clock: Clock, threshold: int = 5, pause: timedelta = timedelta(seconds=1)
+    ) -> None:
+        self._clock = clock
+        self._threshold = threshold
+        self._pause = pause
+        self._failures = 0
+        self._opened_at: datetime | None = None
+        self._trial = False
+
+    @property
+    def state(self) -> CircuitState:
+        """The state now."""
+        if self._opened_at is None:
+            return CircuitState.CLOSED
+        if self._clock.now() - self._opened_at < self._pause:
+            return CircuitState.OPEN
+        return CircuitState.HALF_OPEN
+
+    def check(self) -> None:
+        """Ask to make a call; the outcome is then told by one of the other methods.
+
+        :raises CircuitOpen: calls are suspended.
+        """
+        state = self.state
+        if state is CircuitState.CLOSED:
+            return
+        if state is CircuitState.OPEN or self._trial:
+            raise CircuitOpen(retry_after=self._remaining())
+        self._trial = True
+
+    def succeeded(self) -> None:
+        """Note that the dependency answered."""
+        self._failures = 0
+        self._opened_at = None
+        self._trial = False
+
+    def failed(self) -> None:
+        """Note that the dependency failed."""
+        self._failures += 1
+        if self._trial or self._failures >= self._threshold:
+            self._opened_at = self._clock.now()
+        self._trial = False
+
+    def abandoned(self) -> None:
+        """Note that the call ended without telling anything of the dependency."""
+        self._trial = False
+
+    @contextmanager
+    def guard(self, *failures: type[Exception]) -> Iterator[None]:
+        """Guard one call; only the named errors count as failures of the dependency.
+
+        :raises CircuitOpen: calls are suspended.
+        """
+        self.check()
+        try:
+            yield
+        except failures:
+            self.failed()
+            raise
+        except Exception:
+            self.succeeded()
+            raise
+        except BaseException:
+            self.abandoned()
+            raise
+        else:
+            self.succeeded()
+
+    def _remaining(self) -> timedelta:
+        if self._opened_at is None:
+            return timedelta()
+        return max(timedelta(), self._opened_at + self._pause - self._clock.now())
--- /dev/null
+++ b/packages/mimosapoint/src/mimosapoint/telemetry/__init__.py
@@ -0,0 +1,23 @@
+"""Logs, metrics and traces."""
+
+from mimosapoint.telemetry.core import METRIC_PREFIX, LogSpan, LogTelemetry
+from mimosapoint.telemetry.events import declare_event, events_by_name
+from mimosapoint.telemetry.exporter import LineExporter
+from mimosapoint.telemetry.memory import MemoryEvent, MemorySpan, MemoryTelemetry
+from mimosapoint.telemetry.metrics import Metric, MetricKind, declare_metric, metrics_by_name
+
+__all__ = [
+    "METRIC_PREFIX",
+    "LineExporter",
+    "LogSpan",
+    "LogTelemetry",
+    "MemoryEvent",
+    "MemorySpan",
+    "MemoryTelemetry",
+    "Metric",
+    "MetricKind",
+    "declare_event",
+    "declare_metric",
+    "events_by_name",
+    "metrics_by_name",
+]
--- /dev/null
+++ b/packages/mimosapoint/src/mimosapoint/telemetry/exporter.py
@@ -0,0 +1,58 @@
+"""Exporter of spans as JSON lines."""
+
+from collections.abc import Sequence
+from pathlib import Path
+
+from opentelemetry.sdk.trace import ReadableSpan, SpanProcessor
+from opentelemetry.sdk.trace.export import (
+    BatchSpanProcessor,
+    SpanExporter,
+    SpanExportResult,
+)
+
+from mimosapoint.codec import to_json
+
+__all__ = ["LineExporter", "line_processor"]
+
+NANOSECONDS = 1_000_000_000
+"""Nanoseconds in a second."""
+
+
+class LineExporter(SpanExporter):
+    """Appends one JSON line per span to a file.
+
+    :param path: the file.
+    """
+
+    def __init__(self, path: Path) -> None:
+        self._file = path.open("ab")
+
+    def export(self, spans: Sequence[ReadableSpan]) -> SpanExportResult:
+        """Write spans."""
+        self._file.writelines(to_json(_line(span)) + b"\n" for span in spans)
+        self._file.flush()
+        return SpanExportResult.SUCCESS
+
+    def shutdown(self) -> None:
+        """Close the file."""
+        self._file.close()
+
+
+def line_processor(exporter: SpanExporter) -> SpanProcessor:
+    """Return the processor that hands spans over in batches, off the event loop."""
+    return BatchSpanProcessor(exporter)
+
+
+def _line(span: ReadableSpan) -> dict[str, object]:
+    context = span.get_span_context()
+    start, end = span.start_time or 0, span.end_time or 0
+    return {
+        "name": span.name,
+        "trace": f"{context.trace_id:032x}",
+        "span": f"{context.span_id:016x}",
+        "parent": f"{span.parent.span_id:016x}" if span.parent else None,
+        "node": span.resource.attributes.get("service.instance.id"),
+        "start": start / NANOSECONDS,
+        "seconds": (end - start) / NANOSECONDS,
+        "attributes": dict(span.attributes or {}),
+    }
--- /dev/null
+++ b/packages/mimosapoint/src/mimosapoint/telemetry/memory.py
@@ -0,0 +1,118 @@
+"""Telemetry that keeps everything, for tests."""
+
+from collections import Counter
+from collections.abc import Iterator
+from contextlib import contextmanager
+from contextvars import ContextVar
+from itertools import count
+
+import attrs
+
+from mimosapoint.ports import Span
+from mimosapoint.telemetry.events import events_by_name
+from mimosapoint.telemetry.metrics import metrics_by_name
+
+__all__ = ["MemoryEvent", "MemorySpan", "MemoryTelemetry"]
+
+
+@attrs.frozen
+class MemoryEvent:
+    """A logged event.
+
+    :param name: name of the event.
+    :param fields: its fields.
+    """
+
+    name: str
+    fields: dict[str, object]
+
+
+@attrs.define
+class MemorySpan:
+    """A recorded span.
+
+    :param name: name of the hop.
+    :param trace_id: number of the trace, in hexadecimal.
+    :param span_id: number of the span, in hexadecimal.
+    :param parent: trace context of the span above; ``None`` for the first.
+    :param attributes: what the hop attached.
+    :param ended: whether the hop is over.
+    """
+
+    name: str
+    trace_id: str
+    span_id: str
+    parent: str | None = None
+    attributes: dict[str, object] = attrs.field(factory=dict)
+    ended: bool = False
+
+    @property
+    def context(self) -> str:
+        """Trace context in the form of the ``traceparent`` header."""
+        return f"00-{self.trace_id}-{self.span_id}-01"
+
+    def set(self, key: str, value: str | int | float | bool) -> None:
+        """Attach an attribute."""
+        self.attributes[key] = value
+
+
+class MemoryTelemetry:
+    """Records events, metrics and spans.
+
+    :param strict: raise on a metric or event that is not declared.
+    """
+
+    def __init__(self, strict: bool = False) -> None:
+        self._strict = strict
+        self._numbers = count(1)
+        self._current: ContextVar[str | None] = ContextVar("span", default=None)
+        self.events: list[MemoryEvent] = []
+        self.counts_by_name: Counter[str] = Counter()
+        self.counts_by_labels: Counter[tuple[str, tuple[tuple[str, str], ...]]] = Counter()
+        self.gauges_by_name: dict[str, float] = {}
+        self.observations_by_name: dict[str, list[float]] = {}
+        self.spans: list[MemorySpan] = []
+
+    def event(self, name: str, **fields: object) -> None:
+        """Record an event."""
+        self._check(name, events_by_name)
+        self.events.append(MemoryEvent(name, fields))
+
+    def count(self, name: str, amount: int = 1, **labels: str) -> None:
+        """Add to a counter."""
+        self._check(name, metrics_by_name)
+        self.counts_by_name[name] += amount
+        self.counts_by_labels[name, tuple(sorted(labels.items()))] += amount
+
+    def gauge(self, name: str, value: float, **labels: str) -> None:
+        """Set a gauge."""
+        self._check(name, metrics_by_name)
+        self.gauges_by_name[name] = value
+
+    def observe(self, name: str, value: float, **labels: str) -> None:
+        """Record an observation."""
+        self._check(name, metrics_by_name)
+        self.observations_by_name.setdefault(name, []).append(value)
+
+    @contextmanager
+    def span(self, name: str, parent: str | None = None) -> Iterator[Span]:
+        """Record a span, below the caller's or the span around it."""
+        above = parent or self._current.get()
+        number = next(self._numbers)
+        trace_id = above.split("-")[1] if above else f"{number:032x}"
+        span = MemorySpan(name, trace_id, f"{number:016x}", above)
+        self.spans.append(span)
+        token = self._current.set(span.context)
+        try:
+            yield span
+        finally:
+            self._current.reset(token)
+            span.ended = True
+
+    def names(self) -> list[str]:
+        """Return the names of the events in order."""
+        return [event.name for event in self.events]
+
+    def _check(self, name: str, declared: dict) -> None:
+        if self._strict and name not in declared:
+            raise LookupError(f"{name} is not declared")
--- /dev/null
+++ b/packages/mimosapoint/src/mimosapoint/telemetry/metrics.py
@@ -0,0 +1,93 @@
+"""Every metric: name, help, unit and labels."""
+
+from enum import Enum
+
+import attrs
+
+__all__ = ["Metric", "MetricKind", "declare_metric", "metrics_by_name"]
+
+SECONDS_BUCKETS = (0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1.0, 3.0, 10.0, 30.0, 100.0, 1000.0)
+"""Upper bounds of the buckets of histograms, in seconds."""
+
+
+class MetricKind(Enum):
+    """How values of a metric add up."""
+
+    COUNTER = "counter"
+    GAUGE = "gauge"
+    HISTOGRAM = "histogram"
+
+
+@attrs.frozen
+class Metric:
+    """A declared metric.
+
+    :param name: name without the common prefix, in snake case.
+    :param kind: how its values add up.
+    :param help: what it tells.
+    :param unit: unit of its values.
+    :param labels: names of its labels.
+    :param buckets: upper bounds of the buckets, in the unit, for a histogram.
+    """
+
+    name: str
+    kind: MetricKind
+    help: str
+    unit: str = "1"
+    labels: tuple[str, ...] = ()
+    buckets: tuple[float, ...] = SECONDS_BUCKETS
+
+
+metrics_by_name: dict[str, Metric] = {}
+
+
+def declare_metric(metric: Metric) -> Metric:
+    """Add a metric to the registry; a name is declared once.
+
+    :raises ValueError: the name has another declaration.
+    """
+    if metrics_by_name.setdefault(metric.name, metric) != metric:
+        raise ValueError(f"the metric {metric.name} is declared twice")
+    return metric
+
+
+_COUNTER = MetricKind.COUNTER
+_GAUGE = MetricKind.GAUGE
+_HISTOGRAM = MetricKind.HISTOGRAM
+
+for _metric in (
+    Metric(
+        "peer_calls_total",
+        _COUNTER,
+        "Calls to other nodes by outcome, an error code or ok.",
+        "calls",
+        ("message", "outcome"),
+    ),
+    Metric(
+        "peer_serves_total",
+        _COUNTER,
+        "Calls of other nodes that were served.",
+        "calls",
+        ("message",),
+    ),
+    Metric(
+        "peer_bytes_total",
+        _COUNTER,
+        "Bytes of messages and replies, without the transport's headers.",
+        "bytes",
+        ("message", "direction"),
+    ),
+    Metric(
+        "peer_call_seconds",
+        _HISTOGRAM,
+        "Time from sending a message to its reply.",
+        "seconds",
+        ("message",),
+    ),
+    Metric("members_live", _GAUGE, "Nodes that are live, this one included.", "nodes"),
+    Metric("members_known", _GAUGE, "Nodes that are known, live or not.", "nodes"),
+    Metric("member_changes_total", _COUNTER, "Changes of the set of live nodes.", "changes"),
+    Metric("vm_list_failures_total", _COUNTER, "Failed reads of the list of VMs.", "reads"),
+    Metric("vm_list_age_seconds", _GAUGE, "Age of the list of VMs in use.", "seconds"),
+):
+    declare_metric(_metric)
