--- /dev/null
+++ b/packages/mimosapoint/src/mimosapoint/memory/kinds.py
@@ -0,0 +1,132 @@
+"""Registry of what tasks do, chosen by their payload."""
+
+import hashlib
+import textwrap
+from collections.abc import Callable
+from typing import Any
+
+from mimosapoint.codec import decode, to_json
+from mimosapoint.errors import CodecError
+from mimosapoint.model import Resources, TaskSpec
+
+__all__ = [
+    "TaskFailure",
+    "TaskFunction",
+    "WORK_LIMIT_SECONDS",
+    "run_task",
+    "task_kind",
+    "used_resources",
+    "work_seconds",
+]
+
+WORK_LIMIT_SECONDS = 1e9
+"""Longest work of a task, in seconds."""
+
+FRAME_COLUMNS = 40
+"""Width of a frame, in characters."""
+
+TaskFunction = Callable[[TaskSpec], Any]
+"""Turns a task into its output, a JSON value."""
+
+functions_by_kind: dict[str, TaskFunction] = {}
+
+
+class TaskFailure(Exception):
+    """The task cannot give an output."""
+
+
+def task_kind(name: str) -> Callable[[TaskFunction], TaskFunction]:
+    """Register the function of a kind of task.
+
+    :param name: value of ``kind`` in the payload.
+    """
+
+    def register(function: TaskFunction) -> TaskFunction:
+        functions_by_kind[name] = function
+        return function
+
+    return register
+
+
+def run_task(spec: TaskSpec) -> Any:
+    """Return the output of a task.
+
+    :raises TaskFailure: the payload is unusable, or the task fails.
+    """
+    if not isinstance(spec.payload, dict):
+        raise TaskFailure("the payload is not an object")
+    kind = spec.payload.get("kind")
+    function = functions_by_kind.get(kind) if isinstance(kind, str) else None
+    if function is None:
+        raise TaskFailure(f"unknown kind {kind!r}")
+    try:
+        return function(spec)
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise TaskFailure(f"bad payload: {error!r}") from error
+
+
+def work_seconds(payload: Any) -> float:
+    """Return the seconds of work that a payload asks for."""
+    value = payload.get("seconds", 0) if isinstance(payload, dict) else 0
+    if not isinstance(value, int | float) or not value > 0:
+        return 0.0
+    return float(min(value, WORK_LIMIT_SECONDS))
+
+
+def used_resources(spec: TaskSpec) -> Resources:
+    """Return what a task really uses: the payload's ``uses``, or the declared shape."""
+    uses = spec.payload.get("uses") if isinstance(spec.payload, dict) else None
+    try:
+        return decode(to_json(uses), Resources) if uses else spec.shape
+    except CodecError:
+        return spec.shape
+
+
+@task_kind("echo")
+def echo(spec: TaskSpec) -> Any:
+    """Return the payload's value."""
+    return spec.payload.get("value")
+
+
+@task_kind("sleep")
+def sleep(spec: TaskSpec) -> Any:
+    """Do nothing for the payload's seconds."""
+    return {"index": spec.index}
+
+
+@task_kind("fail")
+def fail(spec: TaskSpec) -> Any:
+    """Fail after the payload's seconds."""
+    raise TaskFailure(str(spec.payload.get("detail", "asked to fail")))
+
+
+@task_kind("compose")
+def compose(spec: TaskSpec) -> Any:
+    """Render a frame of text for each screen of this task's share."""
+    screens = spec.payload["screens"][spec.index :: spec.gang]
+    return {"frames": [_frame(screen, spec.payload["text"]) for screen in screens]}
+
+
+def _frame(screen: str, text: str) -> dict[str, Any]:
+    body = textwrap.wrap(text, FRAME_COLUMNS)
+    lines = [line.center(FRAME_COLUMNS) for line in (screen[:FRAME_COLUMNS], *body)]
+    digest = hashlib.sha256("\n".join(lines).encode()).hexdigest()
+    return {"screen": screen, "lines": lines, "digest": digest}
+
+
+@task_kind("plan")
+def plan(spec: TaskSpec) -> Any:
+    """Assign this task's share of flights to its share of stands, without overlap."""
+    stands = spec.payload["stands"][spec.index :: spec.gang]
+    flights = spec.payload["flights"][spec.index :: spec.gang]
+    free_at_by_stand = {stand: float("-inf") for stand in stands}
+    assignments = []
+    unassigned = []
+    for flight in sorted(flights, key=lambda flight: (flight["arrives"], flight["id"])):
+        free = [s for s in stands if free_at_by_stand[s] <= flight["arrives"]]
+        if not free:
+            unassigned.append(flight["id"])
+            continue
+        free_at_by_stand[free[0]] = flight["departs"]
+        assignments.append({"flight": flight["id"], "stand": free[0]})
+    return {"assignments": assignments, "unassigned": unassigned}
--- /dev/null
+++ b/packages/mimosapoint/src/mimosapoint/memory/tests/test_worker.py
@@ -0,0 +1,73 @@
+"""Tests of the worker's engine beyond the contract."""
+
+from datetime import timedelta
+
+from mimosapoint.memory import MemoryWorker, TrioClock
+from mimosapoint.model import (
+    CollectRequest,
+    LeaseRequest,
+    ReserveRequest,
+    Resources,
+    StartRequest,
+    TaskSpec,
+    TaskState,
+)
+from mimosapoint.testing import TrioTestCase
+
+CAPACITY = Resources(8, 128, 256, 8)
+COMPOSE = {"kind": "compose", "screens": ["lobby", "gate", "ministry"], "text": "Storm"}
+PLAN = {
+    "kind": "plan",
+    "stands": ["A1"],
+    "flights": [
+        {"id": "MH1", "arrives": 0, "departs": 10},
+        {"id": "MH2", "arrives": 5, "departs": 20},
+        {"id": "MH3", "arrives": 10, "departs": 30},
+    ],
+}
+
+
+def spec(task_id: str, payload: object, index: int = 0, gang: int = 1) -> TaskSpec:
+    return TaskSpec(task_id, "bulletins", "desk", Resources(), index, gang, payload)
+
+
+class KindsTest(TrioTestCase):
+    mock_clock = True
+
+    async def run_payload(self, payload, index=0, gang=1):
+        clock = TrioClock()
+        worker = MemoryWorker("w1", CAPACITY, clock)
+        worker.lease(LeaseRequest("n1", "z1", 1, 60.0))
+        worker.reserve(ReserveRequest(1, (spec("j/1/0", payload, index, gang),), 5.0))
+        worker.start(StartRequest(1, ("j/1/0",)))
+        await clock.sleep(timedelta(seconds=1))
+        (output,) = worker.collect(CollectRequest(1, ("j/1/0",)))
+        return output
+
+    async def test_compose_splits_the_screens_over_the_gang(self):
+        shares = [await self.run_payload(COMPOSE, index, 2) for index in range(2)]
+        screens = [[frame["screen"] for frame in share.output["frames"]] for share in shares]
+        self.assertEqual(screens, [["lobby", "ministry"], ["gate"]])
+        self.assertIn("Storm", shares[0].output["frames"][0]["lines"][1])
+
+    async def test_plan_gives_no_stand_twice_at_one_time(self):
+        output = (await self.run_payload(PLAN)).output
+        given = [(a["flight"], a["stand"]) for a in output["assignments"]]
+        self.assertEqual(given, [("MH1", "A1"), ("MH3", "A1")])
+        self.assertEqual(output["unassigned"], ["MH2"])
+
+    async def test_unusable_payloads_fail_with_a_detail(self):
+        cases = (
+            None,
+            7,
+            {},
+            {"kind": "none"},
+            {"kind": ["x"]},
+            {"kind": "compose"},
+            {"kind": "fail"},
+        )
+        for payload in cases:
+            with self.subTest(payload=payload):
+                output = await self.run_payload(payload)
+                self.assertIs(output.state, TaskState.FAILED)
+                self.assertTrue(output.detail)
--- /dev/null
+++ b/packages/mimosapoint/src/mimosapoint/memory/vm_list.py
@@ -0,0 +1,77 @@
+"""List of VMs in memory."""
+
+from datetime import datetime, timedelta
+
+import attrs
+import trio
+
+from mimosapoint.errors import VmListUnavailable
+from mimosapoint.memory.clock import TrioClock
+from mimosapoint.memory.faults import FaultGate, Faults
+from mimosapoint.model import Vm, VmState
+from mimosapoint.ports import Clock
+
+__all__ = ["MemoryVmList"]
+
+CALL_TIMEOUT = timedelta(seconds=2)
+"""Time after which a call that waits on a fault gives up."""
+
+
+class MemoryVmList:
+    """List that shows each change after a lag.
+
+    :param clock: the clock; a :class:`~mimosapoint.memory.TrioClock` by default.
+    :param lag: time from a change until the list shows it.
+    :param faults: faults in force; none by default.
+    """
+
+    def __init__(
+        self,
+        clock: Clock | None = None,
+        lag: timedelta = timedelta(),
+        faults: Faults | None = None,
+    ):
+        self.lag = lag
+        self.faults = faults or Faults()
+        self._clock = clock or TrioClock()
+        self._gate = FaultGate(
+            self.faults, self._clock, CALL_TIMEOUT, VmListUnavailable, VmListUnavailable
+        )
+        self._vms_by_id: dict[str, Vm] = {}
+        self._versions: list[tuple[datetime, tuple[Vm, ...]]] = []
+
+    def put(self, vm: Vm) -> None:
+        """Add or replace a VM."""
+        self._vms_by_id[vm.id] = vm
+        self._changed()
+
+    def leave(self, vm_id: str) -> None:
+        """Mark a VM as leaving.
+
+        :raises KeyError: the VM is not in the list.
+        """
+        self._vms_by_id[vm_id] = attrs.evolve(self._vms_by_id[vm_id], state=VmState.LEAVING)
+        self._changed()
+
+    def remove(self, vm_id: str) -> None:
+        """Take a VM off the list.
+
+        :raises KeyError: the VM is not in the list.
+        """
+        del self._vms_by_id[vm_id]
+        self._changed()
+
+    async def vms(self) -> tuple[Vm, ...]:
+        """Return the VMs as they were before the lag."""
+        await trio.lowlevel.checkpoint()
+        await self._gate.before()
+        horizon = self._clock.now() - self.lag
+        while len(self._versions) > 1 and self._versions[1][0] <= horizon:
+            self._versions.pop(0)
+        self._gate.after()
+        shown = self._versions and self._versions[0][0] <= horizon
+        return self._versions[0][1] if shown else ()
+
+    def _changed(self) -> None:
+        vms = tuple(self._vms_by_id[key] for key in sorted(self._vms_by_id))
+        self._versions.append((self._clock.now(), vms))
--- /dev/null
+++ b/packages/mimosapoint/src/mimosapoint/memory/worker.py
@@ -0,0 +1,254 @@
+"""Engine of one worker."""
+
+from collections import OrderedDict, deque
+from collections.abc import Iterable
+from datetime import datetime, timedelta
+
+from mimosapoint.errors import StaleEpoch, WorkerRefused
+from mimosapoint.memory._task import Task
+from mimosapoint.memory.faults import Faults
+from mimosapoint.memory.history import HISTORY_LIMIT, TaskEvent, TaskEventKind
+from mimosapoint.model import (
+    CollectRequest,
+    LeaseRequest,
+    ReserveRequest,
+    Resources,
+    StartRequest,
+    StopMode,
+    StopRequest,
+    TaskOutput,
+    TaskSpec,
+    TaskState,
+    ThrottleRequest,
+    WorkerReport,
+)
+from mimosapoint.ports import Clock
+
+__all__ = ["MemoryWorker"]
+
+REMEMBERED_LIMIT = 10_000
+"""Number of ids of ended and barred tasks that a worker remembers."""
+
+USAGE_LAG = timedelta(seconds=2)
+"""Age of the usage that a worker reports."""
+
+NOTHING = Resources(slots=0, cores=0, memory_gib=0, accelerators=0)
+
+
+class MemoryWorker:
+    """A worker that brings its state up to date at each command.
+
+    :param id: id of the worker.
+    :param capacity: resources of the worker.
+    :param clock: the clock that leases and reservations lapse on.
+    :param faults: faults in force; none by default.
+    :param usage_lag: age of the usage in reports.
+    :param checkpoint_time: time that a checkpoint takes.
+    """
+
+    def __init__(
+        self,
+        id: str,
+        capacity: Resources,
+        clock: Clock,
+        faults: Faults | None = None,
+        usage_lag: timedelta = USAGE_LAG,
+        checkpoint_time: timedelta = timedelta(),
+    ):
+        self.id = id
+        self.capacity = capacity
+        self.clock = clock
+        self.faults = faults or Faults()
+        self.epoch = 0
+        self._usage_lag = usage_lag
+        self._checkpoint_time = checkpoint_time
+        self._lease_until: datetime | None = None
+        self._tasks_by_id: dict[str, Task] = {}
+        self._ran_by_id: OrderedDict[str, bool] = OrderedDict()
+        self._history: deque[TaskEvent] = deque(maxlen=HISTORY_LIMIT)
+
+    @property
+    def history(self) -> list[TaskEvent]:
+        """Everything that happened to tasks, oldest first."""
+        self._advance()
+        return list(self._history)
+
+    def lease(self, request: LeaseRequest) -> WorkerReport:
+        """Take or renew the lease.
+
+        :raises StaleEpoch: a newer holder has taken the worker.
+        """
+        now = self._advance()
+        if request.epoch < self.epoch:
+            raise StaleEpoch(self.epoch)
+        if request.epoch > self.epoch:
+            self._drop_reservations()
+        self.epoch = request.epoch
+        self._lease_until = now + timedelta(seconds=request.ttl)
+        return self._report(now)
+
+    def reserve(self, request: ReserveRequest) -> WorkerReport:
+        """Reserve room for tasks, all of them or none.
+
+        :raises WorkerRefused: no room, no lease, or a task that may not run any more.
+        """
+        now = self._enter(request.epoch)
+        self._require_lease()
+        asked = {spec.id: spec for spec in request.tasks if spec.id not in self._tasks_by_id}
+        self._require_allowed(asked.values())
+        self._require_room(asked.values())
+        until = now + timedelta(seconds=request.ttl)
+        for spec in request.tasks:
+            task = self._tasks_by_id.setdefault(spec.id, Task(spec, until))
+            task.reserved_until = until
+        return self._report(now)
+
+    def start(self, request: StartRequest) -> WorkerReport:
+        """Start reserved tasks, all of them or none.
+
+        :raises WorkerRefused: a task has no live reservation.
+        """
+        now = self._enter(request.epoch)
+        self._require_lease()
+        self._require_startable(request.tasks)
+        for task in self._known(request.tasks):
+            if task.state is TaskState.RESERVED:
+                self._start(task, now)
+        self._advance()
+        return self._report(now)
+
+    def stop(self, request: StopRequest) -> WorkerReport:
+        """Stop tasks, release reservations and bar unknown tasks from starting."""
+        now = self._enter(request.epoch)
+        for task_id in request.tasks:
+            self._stop(task_id, now, request.mode)
+        self._advance()
+        return self._report(now)
+
+    def throttle(self, request: ThrottleRequest) -> WorkerReport:
+        """Limit the share of resources that tasks get.
+
+        :raises WorkerRefused: the share is out of its range.
+        """
+        now = self._enter(request.epoch)
+        if not 0 < request.share <= 1:
+            raise WorkerRefused(f"share {request.share} is not above 0 and up to 1")
+        for task in self._known(request.tasks):
+            task.share = request.share
+        return self._report(now)
+
+    def collect(self, request: CollectRequest) -> tuple[TaskOutput, ...]:
+        """Return the output of ended tasks."""
+        self._enter(request.epoch)
+        return tuple(task.result() for task in self._known(request.tasks) if task.ended)
+
+    def acknowledge(self, request: CollectRequest) -> WorkerReport:
+        """Drop the output of ended tasks."""
+        now = self._enter(request.epoch)
+        for task in self._known(request.tasks):
+            if task.ended:
+                del self._tasks_by_id[task.spec.id]
+        return self._report(now)
+
+    def _enter(self, epoch: int) -> datetime:
+        now = self._advance()
+        if epoch < self.epoch:
+            raise StaleEpoch(self.epoch)
+        if epoch > self.epoch:
+            raise WorkerRefused(f"epoch {epoch} has not taken the lease")
+        return now
+
+    def _advance(self) -> datetime:
+        """Bring every task up to the present."""
+        now = self.clock.now()
+        for task in list(self._tasks_by_id.values()):
+            if task.state is TaskState.RUNNING:
+                self._advance_running(task, now)
+            elif task.state is TaskState.RESERVED and task.reserved_until <= now:
+                del self._tasks_by_id[task.spec.id]
+        return now
+
+    def _advance_running(self, task: Task, now: datetime) -> None:
+        ends_at = task.ends_at()
+        stops_at = self._stops_at(task)
+        if ends_at <= min(now, stops_at):
+            task.finish()
+            self._record(task, ends_at)
+        elif stops_at <= now:
+            task.keeps_progress = task.keeps_progress or task.stop_at is None
+            task.stop(stops_at)
+            self._record(task, stops_at)
+        else:
+            task.work_until(now)
+
+    def _stops_at(self, task: Task) -> datetime:
+        """Return when the task stops by command or by the end of the lease."""
+        return min(task.stop_at or self._lease_until, self._lease_until)
+
+    def _start(self, task: Task, now: datetime) -> None:
+        task.start(now)
+        self._append(task, now, TaskEventKind.STARTED)
+        self._remember(task.spec.id, ran=True)
+        if self.faults.fail_tasks:
+            task.fail("failed by a fault")
+            self._record(task, now)
+
+    def _stop(self, task_id: str, now: datetime, mode: StopMode) -> None:
+        task = self._tasks_by_id.get(task_id)
+        if task is None or task.state is TaskState.RESERVED:
+            self._tasks_by_id.pop(task_id, None)
+            self._remember(task_id, ran=False)
+        elif task.state is TaskState.RUNNING and task.stop_at is None:
+            task.keeps_progress = mode is StopMode.CHECKPOINT
+            task.stop_at = now + self._checkpoint_time if task.keeps_progress else now
+
+    def _drop_reservations(self) -> None:
+        for task in list(self._tasks_by_id.values()):
+            if task.state is TaskState.RESERVED:
+                del self._tasks_by_id[task.spec.id]
+
+    def _require_lease(self) -> None:
+        if self._lease_until is None or self._lease_until <= self.clock.now():
+            raise WorkerRefused("the lease has lapsed")
+
+    def _require_allowed(self, specs: Iterable[TaskSpec]) -> None:
+        for spec in specs:
+            if spec.id in self._ran_by_id:
+                raise WorkerRefused(f"{spec.id} has ended or is barred")
+            if not NOTHING.fits_in(spec.shape):
+                raise WorkerRefused(f"{spec.id} has a negative shape")
+
+    def _require_room(self, specs: Iterable[TaskSpec]) -> None:
+        free = self.capacity
+        for task in self._tasks_by_id.values():
+            free = free if task.ended else free - task.spec.shape
+        for spec in specs:
+            if not spec.shape.fits_in(free):
+                raise WorkerRefused(f"no room for {spec.id}")
+            free = free - spec.shape
+
+    def _require_startable(self, task_ids: Iterable[str]) -> None:
+        for task_id in task_ids:
+            if task_id not in self._tasks_by_id and not self._ran_by_id.get(task_id, False):
+                raise WorkerRefused(f"{task_id} is not reserved")
+
+    def _known(self, task_ids: Iterable[str]) -> list[Task]:
+        return [self._tasks_by_id[key] for key in task_ids if key in self._tasks_by_id]
+
+    def _remember(self, task_id: str, ran: bool) -> None:
+        self._ran_by_id[task_id] = ran or self._ran_by_id.get(task_id, False)
+        self._ran_by_id.move_to_end(task_id)
+        while len(self._ran_by_id) > REMEMBERED_LIMIT:
+            self._ran_by_id.popitem(last=False)
+
+    def _record(self, task: Task, at: datetime) -> None:
+        self._append(task, at, TaskEventKind(task.state.value))
+
+    def _append(self, task: Task, at: datetime, event: TaskEventKind) -> None:
+        spec = task.spec
+        self._history.append(TaskEvent(at, self.id, event, spec.id, self.epoch, spec.index))
+
+    def _report(self, now: datetime) -> WorkerReport:
+        tasks = self._tasks_by_id.values()
+        reports = tuple(task.report(now, self._usage_lag) for task in tasks)
+        return WorkerReport(self.id, self.capacity, reports)
--- /dev/null
+++ b/packages/mimosapoint/src/mimosapoint/memory/workers.py
@@ -0,0 +1,81 @@
+"""Commands to workers in the same process."""
+
+from collections.abc import Callable, Mapping
+from datetime import timedelta
+from typing import Any
+
+import trio
+
+from mimosapoint.errors import WorkerRefused, WorkerUnreachable
+from mimosapoint.memory.faults import FaultGate
+from mimosapoint.memory.worker import MemoryWorker
+from mimosapoint.model import (
+    CollectRequest,
+    LeaseRequest,
+    ReserveRequest,
+    StartRequest,
+    StopRequest,
+    TaskOutput,
+    ThrottleRequest,
+    WorkerReport,
+)
+
+__all__ = ["MemoryWorkers"]
+
+CALL_TIMEOUT = timedelta(seconds=2)
+"""Time after which a command that waits on a fault gives up."""
+
+
+class MemoryWorkers:
+    """Workers that are called directly.
+
+    :param workers_by_address: the workers; addresses may be added and removed at any time.
+    :param timeout: time after which a command that waits on a fault gives up.
+    """
+
+    def __init__(
+        self, workers_by_address: Mapping[str, MemoryWorker], timeout: timedelta = CALL_TIMEOUT
+    ):
+        self.workers_by_address = dict(workers_by_address)
+        self._timeout = timeout
+
+    async def lease(self, address: str, request: LeaseRequest) -> WorkerReport:
+        """Take or renew the lease."""
+        return await self._call(address, MemoryWorker.lease, request)
+
+    async def reserve(self, address: str, request: ReserveRequest) -> WorkerReport:
+        """Reserve room for tasks, all of them or none."""
+        return await self._call(address, MemoryWorker.reserve, request)
+
+    async def start(self, address: str, request: StartRequest) -> WorkerReport:
+        """Start reserved tasks."""
+        return await self._call(address, MemoryWorker.start, request)
+
+    async def stop(self, address: str, request: StopRequest) -> WorkerReport:
+        """Stop tasks, release reservations and bar unknown tasks from starting."""
+        return await self._call(address, MemoryWorker.stop, request)
+
+    async def throttle(self, address: str, request: ThrottleRequest) -> WorkerReport:
+        """Limit the share of resources that tasks get."""
+        return await self._call(address, MemoryWorker.throttle, request)
+
+    async def collect(self, address: str, request: CollectRequest) -> tuple[TaskOutput, ...]:
+        """Return the output of ended tasks."""
+        return await self._call(address, MemoryWorker.collect, request)
+
+    async def acknowledge(self, address: str, request: CollectRequest) -> WorkerReport:
+        """Let the worker drop the output of ended tasks."""
+        return await self._call(address, MemoryWorker.acknowledge, request)
+
+    async def _call(self, address: str, command: Callable[..., Any], request: Any) -> Any:
+        await trio.lowlevel.checkpoint()
+        worker = self.workers_by_address.get(address)
+        if worker is None:
+            raise WorkerUnreachable(f"no worker at {address}")
+        gate = FaultGate(
+            worker.faults, worker.clock, self._timeout, WorkerRefused, WorkerUnreachable
+        )
+        await gate.before()
+        reply = command(worker, request)
+        gate.after()
+        return reply
