Serve jobs, patches and health over HTTP

Callers and operators need one interface on every node, so the ASGI application now maps the JobApi and OperatorApi ports onto routes, with typed errors as problem+json and bounds that refuse at once.

--- /dev/null
+++ b/packages/mimosapoint-node/src/mimosapoint_node/http/_exchange.py
@@ -0,0 +1,145 @@
+"""One HTTP exchange over ASGI."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+from urllib.parse import parse_qsl
+
+import trio
+from mimosapoint.errors import BadRequest, BodyTimeout, BodyTooLarge
+
+from mimosapoint_node.http._disconnect import CallerGone
+from mimosapoint_node.http.limits import HttpLimits
+from mimosapoint_node.http.message import Reply
+
+__all__ = ["Exchange"]
+
+Receive = Callable[[], Awaitable[dict[str, Any]]]
+Send = Callable[[dict[str, Any]], Awaitable[None]]
+
+QUERY_FIELDS = 20
+"""Most parameters of a query."""
+
+
+class Exchange:
+    """Reads the parts of a request and sends the reply.
+
+    :param scope: ASGI scope of the request.
+    :param receive: ASGI receive callable.
+    :param send: ASGI send callable.
+    :param limits: bounds of the interface.
+    """
+
+    def __init__(self, scope: dict[str, Any], receive: Receive, send: Send, limits: HttpLimits):
+        self._scope = scope
+        self._receive = receive
+        self._send = send
+        self._limits = limits
+        self._ended = False
+
+    @property
+    def method(self) -> str:
+        """HTTP method."""
+        return self._scope["method"]
+
+    @property
+    def raw_path(self) -> str:
+        """Path in its percent-encoded form."""
+        raw = self._scope.get("raw_path") or self._scope["path"].encode()
+        return raw.decode("ascii", "replace")
+
+    @property
+    def path(self) -> str:
+        """Path after percent-decoding."""
+        return self._scope["path"]
+
+    def headers(self) -> dict[str, str]:
+        """Return the values by lower-case name; the first of repeated headers."""
+        values: dict[str, str] = {}
+        for name, value in self._scope["headers"]:
+            values.setdefault(name.decode("latin-1").lower(), value.decode("latin-1"))
+        return values
+
+    def query(self) -> dict[str, str]:
+        """Return the query's parameters by name.
+
+        :raises BadRequest: the query is malformed or repeats a parameter.
+        """
+        text = self._scope["query_string"].decode("latin-1")
+        try:
+            pairs = parse_qsl(
+                text, keep_blank_values=True, errors="strict", max_num_fields=QUERY_FIELDS
+            )
+        except ValueError as error:
+            raise BadRequest("the query is malformed") from error
+        values = dict(pairs)
+        if len(values) < len(pairs):
+            raise BadRequest("the query repeats a parameter")
+        return values
+
+    async def body(self) -> bytes:
+        """Return the whole body.
+
+        :raises BodyTooLarge: it is over the limit.
+        :raises BodyTimeout: it did not arrive in time.
+        :raises CallerGone: the caller has gone.
+        """
+        self._check_declared_length()
+        parts = bytearray()
+        with trio.move_on_after(self._limits.body_time.total_seconds()):
+            while not self._ended:
+                parts += await self._next_part()
+                if len(parts) > self._limits.body_bytes:
+                    raise BodyTooLarge(f"the body is over {self._limits.body_bytes} bytes")
+            return bytes(parts)
+        raise BodyTimeout("the body did not arrive in time")
+
+    async def disconnected(self) -> None:
+        """Return when the caller has gone."""
+        while (await self._receive())["type"] != "http.disconnect":
+            pass
+
+    async def reply(self, reply: Reply, trace: str | None) -> None:
+        """Send the whole reply, then discard what is left of the body."""
+        await self._send(
+            {
+                "type": "http.response.start",
+                "status": reply.status,
+                "headers": self._reply_headers(reply, trace),
+            }
+        )
+        await self._send({"type": "http.response.body", "body": reply.body})
+        await self._discard_body()
+
+    async def _next_part(self) -> bytes:
+        message = await self._receive()
+        if message["type"] == "http.disconnect":
+            self._ended = True
+            raise CallerGone
+        self._ended = not message.get("more_body", False)
+        return message.get("body", b"")
+
+    async def _discard_body(self) -> None:
+        """Read on, since parts that nobody takes would block the connection."""
+        with trio.move_on_after(self._limits.body_time.total_seconds()):
+            while not self._ended:
+                try:
+                    await self._next_part()
+                except CallerGone:
+                    return
+
+    def _check_declared_length(self) -> None:
+        text = self.headers().get("content-length", "0")
+        if text.isdigit() and int(text) > self._limits.body_bytes:
+            raise BodyTooLarge(f"the body is over {self._limits.body_bytes} bytes")
+
+    def _reply_headers(self, reply: Reply, trace: str | None) -> list[tuple[bytes, bytes]]:
+        headers = [
+            ("content-type", reply.content_type),
+            ("content-length", str(len(reply.body))),
+            *reply.headers,
+        ]
+        if trace is not None:
+            headers.append(("traceparent", trace))
+        if not self._ended and self._scope["http_version"] == "1.1":
+            headers.append(("connection", "close"))
+        return [(name.encode("ascii"), value.encode("latin-1")) for name, value in headers]
--- /dev/null
+++ b/packages/mimosapoint-node/src/mimosapoint_node/http/_patch_body.py
@@ -0,0 +1,52 @@
+"""JSON form of patches of the configuration."""
+
+from typing import Any
+
+from mimosapoint.configuration import Patch
+
+from mimosapoint_node.http._fields import Fields
+from mimosapoint_node.http._json import read_object
+
+__all__ = ["read_patch"]
+
+OPERATIONS = ("add", "copy", "move", "remove", "replace", "test")
+"""Operations of RFC 6902."""
+
+FROM_OPERATIONS = ("copy", "move")
+VALUE_OPERATIONS = ("add", "replace", "test")
+
+
+def read_patch(body: bytes) -> Patch:
+    """Return the patch that a body holds.
+
+    :raises BadRequest: there are faults; all of them are listed.
+    """
+    fields = Fields(read_object(body))
+    id = fields.name("id")
+    base = fields.integer("base", least=0)
+    operations = fields.items("operations")
+    for index, operation in enumerate(operations):
+        fields.faults.extend(_faults(f"/operations/{index}", operation))
+    fields.finish()
+    return Patch(id=id, base=base, operations=tuple(operations))
+
+
+def _faults(pointer: str, operation: Any) -> list[str]:
+    """Return what is wrong with the form of one operation."""
+    if not isinstance(operation, dict):
+        return [f"{pointer}: not an object"]
+    name = operation.get("op")
+    faults = []
+    if name not in OPERATIONS:
+        faults.append(f"{pointer}/op: not one of {', '.join(OPERATIONS)}")
+    if not _is_pointer(operation.get("path")):
+        faults.append(f"{pointer}/path: not a JSON pointer")
+    if name in FROM_OPERATIONS and not _is_pointer(operation.get("from")):
+        faults.append(f"{pointer}/from: not a JSON pointer")
+    if name in VALUE_OPERATIONS and "value" not in operation:
+        faults.append(f"{pointer}/value: missing")
+    return faults
+
+
+def _is_pointer(value: Any) -> bool:
+    return isinstance(value, str) and (value == "" or value.startswith("/"))
--- /dev/null
+++ b/packages/mimosapoint-node/src/mimosapoint_node/http/core.py
@@ -0,0 +1,139 @@
+"""The ASGI application of a node."""
+
+import traceback
+from collections.abc import Awaitable, Callable
+from contextlib import nullcontext
+from datetime import datetime
+from typing import Any
+
+from mimosapoint.errors import MimosapointError
+from mimosapoint.ports import Clock, JobApi, OperatorApi, Span, Telemetry
+
+from mimosapoint_node.http._disconnect import CallerGone
+from mimosapoint_node.http._exchange import Exchange, Receive, Send
+from mimosapoint_node.http._gate import Gate
+from mimosapoint_node.http.authentication import make_authenticator
+from mimosapoint_node.http.context import Context
+from mimosapoint_node.http.limits import HttpLimits
+from mimosapoint_node.http.message import Reply, Request
+from mimosapoint_node.http.problems import problem
+from mimosapoint_node.http.routing import Route, find_route
+
+__all__ = ["App", "make_app"]
+
+App = Callable[[dict[str, Any], Receive, Send], Awaitable[None]]
+
+NO_ROUTE = "none"
+"""Route label of requests whose path is unknown."""
+
+
+def make_app(
+    jobs: JobApi,
+    operators: OperatorApi,
+    telemetry: Telemetry,
+    limits: HttpLimits,
+    clock: Clock,
+    render_metrics: Callable[[], bytes],
+    authentication: str = "none",
+) -> App:
+    """Return the ASGI application of a node.
+
+    :param jobs: what callers may ask for.
+    :param operators: what operators may ask for.
+    :param telemetry: logs, metrics and traces.
+    :param limits: bounds of the interface.
+    :param clock: clock that request times are taken from.
+    :param render_metrics: returns the metrics page.
+    :param authentication: name of the registered authenticator.
+    :raises BadRequest: no authenticator has that name.
+    """
+    context = Context(
+        jobs=jobs,
+        operators=operators,
+        telemetry=telemetry,
+        limits=limits,
+        clock=clock,
+        render_metrics=render_metrics,
+        authenticator=make_authenticator(authentication, operators),
+        in_flight=Gate(limits.in_flight, "requests are in progress"),
+        waiting=Gate(limits.waiting, "requests wait for answers"),
+    )
+
+    async def app(scope: dict[str, Any], receive: Receive, send: Send) -> None:
+        if scope["type"] == "lifespan":
+            await _lifespan(receive, send)
+        elif scope["type"] == "http":
+            await _http(context, Exchange(scope, receive, send, limits))
+
+    return app
+
+
+async def _lifespan(receive: Receive, send: Send) -> None:
+    while True:
+        message = await receive()
+        await send({"type": f"{message['type']}.complete"})
+        if message["type"] == "lifespan.shutdown":
+            return
+
+
+async def _http(context: Context, exchange: Exchange) -> None:
+    """Answer one request within its span."""
+    began = context.clock.now()
+    parent = exchange.headers().get("traceparent")
+    with context.telemetry.span("http", parent=parent) as span:
+        try:
+            label, reply = await _answer(context, exchange, span)
+        except CallerGone:
+            span.set("http.disconnected", True)
+            context.telemetry.count("http_disconnects")
+            return
+        _record(context, span, began, label, reply)
+        await exchange.reply(reply, span.context)
+
+
+async def _answer(context: Context, exchange: Exchange, span: Span) -> tuple[str, Reply]:
+    """Return the route's label and the reply; every error becomes a problem."""
+    label = NO_ROUTE
+    try:
+        found, parameters = find_route(exchange.method, exchange.raw_path)
+        label = found.pattern
+        return label, await _handle(context, exchange, span, found, parameters)
+    except MimosapointError as error:
+        return label, problem(error)
+    except CallerGone:
+        raise
+    except Exception as error:
+        context.telemetry.event("http-error", route=label, error=repr(error), at=_place(error))
+        return label, problem(MimosapointError("an unexpected error; it is in the node's log"))
+
+
+async def _handle(
+    context: Context, exchange: Exchange, span: Span, found: Route, parameters: dict[str, str]
+) -> Reply:
+    gate = nullcontext() if found.exempt else context.in_flight.enter()
+    with gate:
+        request = Request(
+            method=exchange.method,
+            path=exchange.path,
+            query=exchange.query(),
+            headers=exchange.headers(),
+            body=await exchange.body(),
+            parameters=parameters,
+            trace=span.context,
+            disconnected=exchange.disconnected,
+        )
+        return await found.handler(context, request)
+
+
+def _record(context: Context, span: Span, began: datetime, label: str, reply: Reply) -> None:
+    seconds = (context.clock.now() - began).total_seconds()
+    span.set("http.route", label)
+    span.set("http.status", reply.status)
+    context.telemetry.count("http_requests", route=label, status=str(reply.status))
+    context.telemetry.observe("http_seconds", seconds, route=label)
+
+
+def _place(error: Exception) -> str:
+    """Return the file and line that raised the error."""
+    frames = traceback.extract_tb(error.__traceback__)
+    return f"{frames[-1].filename}:{frames[-1].lineno}" if frames else "unknown"
--- /dev/null
+++ b/packages/mimosapoint-node/src/mimosapoint_node/http/problems.py
@@ -0,0 +1,100 @@
+"""Errors as ``application/problem+json``."""
+
+import math
+from typing import Any
+
+from mimosapoint.codec import to_json
+from mimosapoint.errors import MethodNotAllowed, MimosapointError
+
+from mimosapoint_node.http.message import Reply
+
+__all__ = ["PROBLEM_TYPE", "STATUS_BY_CODE", "problem"]
+
+PROBLEM_TYPE = "application/problem+json"
+
+STATUS_BY_CODE = {
+    "answer-not-ready": 409,
+    "bad-request": 400,
+    "body-timeout": 408,
+    "body-too-large": 413,
+    "codec": 500,
+    "compare-failed": 503,
+    "configuration-invalid": 422,
+    "configuration-stale": 409,
+    "forbidden": 403,
+    "idempotency-conflict": 409,
+    "internal": 500,
+    "job-not-found": 404,
+    "lease-lost": 503,
+    "method-not-allowed": 405,
+    "never-fits": 422,
+    "newer-format": 500,
+    "not-owner": 503,
+    "outcome-unknown": 503,
+    "overloaded": 429,
+    "patch-conflict": 409,
+    "patch-not-found": 404,
+    "peer-unreachable": 503,
+    "route-not-found": 404,
+    "settings-invalid": 400,
+    "stale-epoch": 503,
+    "store-timeout": 503,
+    "store-unavailable": 503,
+    "unauthenticated": 401,
+    "unknown-service": 422,
+    "unknown-workspace": 422,
+    "value-too-large": 413,
+    "vm-list-unavailable": 503,
+    "worker-refused": 503,
+    "worker-unreachable": 503,
+}
+"""HTTP status of each error code."""
+
+UNKNOWN_EFFECT = frozenset(
+    {"outcome-unknown", "peer-unreachable", "store-timeout", "worker-unreachable"}
+)
+"""Codes of errors after which the request may have had its effect."""
+
+REPEAT_HINT = "repeat with the same Idempotency-Key or patch id"
+
+RETRY_SECONDS = 1
+"""Pause asked for, in seconds, where an error names none."""
+
+
+def problem(error: MimosapointError) -> Reply:
+    """Return the reply that tells the caller of an error."""
+    status = STATUS_BY_CODE.get(error.code, 500)
+    body: dict[str, Any] = {
+        "type": f"urn:mimosapoint:problem:{error.code}",
+        "title": error.code.replace("-", " "),
+        "status": status,
+        "code": error.code,
+        "detail": _detail(error),
+    }
+    if getattr(error, "reasons", ()):
+        body["reasons"] = error.reasons
+    if getattr(error, "current", None) is not None:
+        body["current"] = error.current
+    headers: list[tuple[str, str]] = []
+    seconds = _retry_seconds(error, status)
+    if seconds is not None:
+        body["retry_after"] = seconds
+        headers.append(("retry-after", str(seconds)))
+    if isinstance(error, MethodNotAllowed):
+        headers.append(("allow", ", ".join(error.allowed)))
+    if status == 401:
+        headers.append(("www-authenticate", "Bearer"))
+    return Reply(status, to_json(body), PROBLEM_TYPE, tuple(headers))
+
+
+def _detail(error: MimosapointError) -> str:
+    if error.code in UNKNOWN_EFFECT:
+        return f"{error.detail}; {REPEAT_HINT}"
+    return error.detail
+
+
+def _retry_seconds(error: MimosapointError, status: int) -> int | None:
+    """Return whole seconds, rounded up, or ``None`` when a repeat is useless."""
+    if error.retry_after is not None:
+        return max(1, math.ceil(error.retry_after.total_seconds()))
+    return RETRY_SECONDS if status in (429, 503) else None
--- a/packages/mimosapoint/src/mimosapoint/errors.py
+++ b/packages/mimosapoint/src/mimosapoint/errors.py
@@ -6,6 +6,8 @@
 __all__ = [
     "AnswerNotReady",
     "BadRequest",
+    "BodyTimeout",
+    "BodyTooLarge",
     "CodecError",
     "CompareFailed",
     "ConfigurationInvalid",
@@ -14,6 +16,7 @@
     "IdempotencyConflict",
     "JobNotFound",
     "LeaseLost",
+    "MethodNotAllowed",
     "MimosapointError",
     "NeverFits",
     "NewerFormat",
@@ -23,10 +26,12 @@
     "PatchConflict",
     "PatchNotFound",
     "PeerUnreachable",
+    "RouteNotFound",
     "SettingsInvalid",
     "StaleEpoch",
     "StoreTimeout",
     "StoreUnavailable",
+    "Unauthenticated",
     "UnknownService",
     "UnknownWorkspace",
     "ValueTooLarge",
@@ -260,3 +265,40 @@
     """The worker refused the command; it had no effect."""
 
     code = "worker-refused"
+
+
+class RouteNotFound(MimosapointError):
+    """The HTTP interface has no such path."""
+
+    code = "route-not-found"
+
+
+class MethodNotAllowed(MimosapointError):
+    """The path exists, but not with this method.
+
+    :param allowed: methods of the path, in alphabetical order.
+    """
+
+    code = "method-not-allowed"
+
+    def __init__(self, allowed: tuple[str, ...]):
+        super().__init__(f"allowed: {', '.join(allowed)}")
+        self.allowed = allowed
+
+
+class BodyTooLarge(MimosapointError):
+    """The body of the request is over the limit."""
+
+    code = "body-too-large"
+
+
+class BodyTimeout(MimosapointError):
+    """The body of the request did not arrive in time."""
+
+    code = "body-timeout"
+
+
+class Unauthenticated(MimosapointError):
+    """The caller has not shown who it is."""
+
+    code = "unauthenticated"
