Refuse bad input, bound connections and finish requests at shutdown

hypercorn.trio.serve has no bound on connections and one raising connection would end the whole server, so the accepting moved into serve and hypercorn handles single connections.

--- a/packages/mimosapoint-node/src/mimosapoint_node/http/_exchange.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/http/_exchange.py
@@ -19,6 +19,12 @@
 QUERY_FIELDS = 20
 """Most parameters of a query."""
 
+DISCARD_BYTES = 2**20
+"""Most bytes of an unwanted body that are read before the reply."""
+
+DISCARD_SECONDS = 1
+"""Longest time, in seconds, that is spent on them."""
+
 
 class Exchange:
     """Reads the parts of a request and sends the reply.
@@ -99,16 +105,19 @@
             pass
 
     async def reply(self, reply: Reply, trace: str | None) -> None:
-        """Send the whole reply, then discard what is left of the body."""
-        await self._send(
-            {
-                "type": "http.response.start",
-                "status": reply.status,
-                "headers": self._reply_headers(reply, trace),
-            }
-        )
-        await self._send({"type": "http.response.body", "body": reply.body})
+        """Discard what is left of the body, within bounds, and send the whole reply.
+
+        A reply that overtakes the body would make the connection close under the caller.
+        """
         await self._discard_body()
+        headers = self._reply_headers(reply, trace)
+        start = {"type": "http.response.start", "status": reply.status, "headers": headers}
+        async with trio.open_nursery() as nursery:
+            if not self._ended:
+                nursery.start_soon(self.disconnected)
+            await self._send(start)
+            await self._send({"type": "http.response.body", "body": reply.body})
+            nursery.cancel_scope.cancel()
 
     async def _next_part(self) -> bytes:
         message = await self._receive()
@@ -119,11 +128,11 @@
         return message.get("body", b"")
 
     async def _discard_body(self) -> None:
-        """Read on, since parts that nobody takes would block the connection."""
-        with trio.move_on_after(self._limits.body_time.total_seconds()):
-            while not self._ended:
+        discarded = 0
+        with trio.move_on_after(DISCARD_SECONDS):
+            while not self._ended and discarded < DISCARD_BYTES:
                 try:
-                    await self._next_part()
+                    discarded += len(await self._next_part())
                 except CallerGone:
                     return
 
--- a/packages/mimosapoint-node/src/mimosapoint_node/http/server.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/http/server.py
@@ -1,9 +1,17 @@
 """Serving of the application by hypercorn on trio."""
 
+from functools import partial
+
 import trio
+from hypercorn.app_wrappers import ASGIWrapper
 from hypercorn.config import Config
-from hypercorn.trio import serve as hypercorn_serve
+from hypercorn.trio.tcp_server import TCPServer
+from hypercorn.trio.worker_context import WorkerContext
+from hypercorn.typing import ConnectionState
+from mimosapoint.errors import Overloaded
+from mimosapoint.ports import Telemetry
 
+from mimosapoint_node.http._gate import Gate
 from mimosapoint_node.http.core import App
 from mimosapoint_node.http.limits import HttpLimits
 
@@ -18,31 +26,77 @@
     address: str,
     limits: HttpLimits,
     shutdown: trio.Event,
+    telemetry: Telemetry,
     task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serve HTTP/1.1 and HTTP/2 until the shutdown; requests in progress are then finished.
 
+    ``hypercorn.trio.serve`` has no bound on connections and ends when a connection raises, so
+    the accepting is done here and each connection is handed to hypercorn's server for one.
+
     :param app: ASGI application.
     :param address: ``IP:port``; port 0 takes a free one.
     :param limits: bounds of the interface.
     :param shutdown: set to stop.
+    :param telemetry: told of connections that fail.
     :param task_status: gets the ``IP:port`` that is bound.
     """
-    bound = _BoundAddress(task_status)
-    await hypercorn_serve(
-        app,
-        make_config(address, limits),
-        shutdown_trigger=shutdown.wait,
-        task_status=bound,
-        mode="asgi",
-    )
+    host, _, port = address.rpartition(":")
+    listeners = await trio.open_tcp_listeners(int(port), host=host, backlog=BACKLOG)
+    connections = _Connections(app, limits, telemetry)
+    async with trio.open_nursery() as connection_nursery:
+        async with trio.open_nursery() as accept_nursery:
+            accept = partial(
+                trio.serve_listeners,
+                connections.handle,
+                listeners,
+                handler_nursery=connection_nursery,
+            )
+            await accept_nursery.start(accept)
+            bound = listeners[0].socket.getsockname()
+            task_status.started(f"{bound[0]}:{bound[1]}")
+            await shutdown.wait()
+            accept_nursery.cancel_scope.cancel()
+        await connections.close_idle()
+        grace = limits.shutdown_time.total_seconds()
+        connection_nursery.cancel_scope.deadline = trio.current_time() + grace
+
+
+class _Connections:
+    """Hands each accepted connection to hypercorn.
+
+    :param app: ASGI application.
+    :param limits: bounds of the interface.
+    :param telemetry: told of connections that fail.
+    """
+
+    def __init__(self, app: App, limits: HttpLimits, telemetry: Telemetry):
+        self._app = ASGIWrapper(app)
+        self._config = _make_config(limits)
+        self._telemetry = telemetry
+        self._gate = Gate(limits.connections, "connections are open")
+        self._context = WorkerContext(None)
 
+    async def handle(self, stream: trio.SocketStream) -> None:
+        """Serve one connection until it ends; close it when there are too many."""
+        try:
+            with self._gate.enter():
+                await TCPServer(self._app, self._config, self._context, ConnectionState({}), stream)
+        except Overloaded:
+            self._telemetry.count("http_connections_refused")
+            await stream.aclose()
+        except Exception as error:
+            self._telemetry.event("http-connection-error", error=repr(error))
+            await trio.aclose_forcefully(stream)
 
-def make_config(address: str, limits: HttpLimits) -> Config:
+    async def close_idle(self) -> None:
+        """Close idle connections, and each other one after its request."""
+        await self._context.terminated.set()
+
+
+def _make_config(limits: HttpLimits) -> Config:
     """Return hypercorn's configuration."""
     config = Config()
-    config.bind = [address]
-    config.backlog = BACKLOG
     config.accesslog = None
     config.errorlog = None
     config.include_server_header = False
@@ -51,19 +105,4 @@
     config.h2_max_concurrent_streams = limits.in_flight
     config.keep_alive_timeout = limits.idle_time.total_seconds()
     config.read_timeout = (limits.wait + limits.idle_time).total_seconds()
-    config.graceful_timeout = limits.shutdown_time.total_seconds()
     return config
-
-
-class _BoundAddress:
-    """Hands hypercorn's list of URLs on as one ``IP:port``.
-
-    :param task_status: gets the address.
-    """
-
-    def __init__(self, task_status: trio.TaskStatus[str]):
-        self._task_status = task_status
-
-    def started(self, urls: list[str]) -> None:
-        """Pass the address on."""
-        self._task_status.started(urls[0].removeprefix("http://"))
--- a/packages/mimosapoint-node/src/mimosapoint_node/http/tests/fakes.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/http/tests/fakes.py
@@ -111,10 +111,15 @@
         if self.errors:
             raise self.errors.pop(0)
         self.patches.append(patch)
+        if patch.id in self.statuses_by_id:
+            return self.statuses_by_id[patch.id]
         status = PatchStatus(patch.id, True, patch.base + 1, (), ("node-1",), ())
         self.statuses_by_id[patch.id] = status
         return status
 
+    def reject(self, patch_id, reason):
+        self.statuses_by_id[patch_id] = PatchStatus(patch_id, False, 0, (reason,))
+
     async def patch_status(self, patch_id):
         if patch_id not in self.statuses_by_id:
             raise PatchNotFound(f"no patch {patch_id}")
@@ -196,7 +201,7 @@
     async def served(self) -> AsyncIterator["Fixture"]:
         async with trio.open_nursery() as nursery:
             self.address = await nursery.start(
-                serve, self.app, "127.0.0.1:0", self.limits, self.shutdown
+                serve, self.app, "127.0.0.1:0", self.limits, self.shutdown, self.telemetry
             )
             yield self
             self.shutdown.set()
--- /dev/null
+++ b/packages/mimosapoint-node/src/mimosapoint_node/http/tests/test_problems.py
@@ -0,0 +1,53 @@
+"""Tests of errors as problems."""
+
+from datetime import timedelta
+
+import orjson
+from mimosapoint import errors
+from mimosapoint.errors import ConfigurationInvalid, ConfigurationStale, MimosapointError
+from mimosapoint.testing import TrioTestCase
+
+from mimosapoint_node.http.problems import STATUS_BY_CODE, problem
+from mimosapoint_node.http.tests.fakes import Fixture, job_body, key
+
+CASES = (
+    (errors.IdempotencyConflict(), 409, None),
+    (errors.NeverFits(), 422, None),
+    (errors.UnknownWorkspace(), 422, None),
+    (errors.UnknownService(), 422, None),
+    (errors.Overloaded(retry_after=timedelta(seconds=2.1)), 429, "3"),
+    (errors.Overloaded(), 429, "1"),
+    (errors.StoreUnavailable(retry_after=timedelta(milliseconds=1)), 503, "1"),
+    (errors.OutcomeUnknown(), 503, "1"),
+    (errors.NotOwner("z"), 503, "1"),
+    (KeyError("secret"), 500, None),
+)
+
+
+class ProblemTest(TrioTestCase):
+    def test_every_error_has_a_status(self):
+        kinds = [getattr(errors, name) for name in errors.__all__]
+        self.assertEqual({kind.code for kind in kinds}, set(STATUS_BY_CODE))
+
+    async def test_errors_of_the_api_become_problems(self):
+        async with Fixture().served() as node:
+            for error, status, retry_after in CASES:
+                with self.subTest(error=error):
+                    node.jobs.error = error
+                    reply = await node.call("POST", "/v1/jobs", job_body(), key())
+                    body = orjson.loads(reply[2])
+                    self.assertEqual((status, retry_after), (reply[0], reply[1].get("retry-after")))
+                    self.assertEqual(getattr(error, "code", "internal"), body["code"])
+                    self.assertNotIn(b"secret", reply[2])
+            self.assertEqual(["http-error"], [name for name, _ in node.telemetry.events])
+            labels = {"route": "/v1/jobs", "status": "500"}
+            self.assertIn(("http_requests", labels), node.telemetry.counts)
+
+    def test_the_body_carries_what_the_error_knows(self):
+        stale = orjson.loads(problem(ConfigurationStale(9)).body)
+        self.assertEqual((409, 9), (stale["status"], stale["current"]))
+        invalid = problem(ConfigurationInvalid(reasons=("/zones/a: gone", "/x: bad")))
+        self.assertEqual(2, len(orjson.loads(invalid.body)["reasons"]))
+        unknown = orjson.loads(problem(errors.OutcomeUnknown("lost")).body)
+        self.assertIn("same Idempotency-Key", unknown["detail"])
+        self.assertEqual(500, problem(MimosapointError()).status)
--- /dev/null
+++ b/packages/mimosapoint-node/src/mimosapoint_node/http/tests/test_server.py
@@ -0,0 +1,157 @@
+"""Tests of bounds, disconnects and graceful shutdown."""
+
+from datetime import timedelta
+
+import httpcore
+import orjson
+import trio
+from mimosapoint.model import Succeeded
+from mimosapoint.testing import TrioTestCase
+
+from mimosapoint_node.http import HttpLimits
+from mimosapoint_node.http.tests.fakes import Fixture, job_body, key
+
+SHORT = timedelta(seconds=0.05)
+JOBS = ("POST", "/v1/jobs")
+
+
+async def until(condition):
+    with trio.fail_after(5):
+        while not condition():
+            await trio.sleep(0.005)
+
+
+class BoundsTest(TrioTestCase):
+    async def test_requests_over_the_bound_are_refused_at_once(self):
+        async with Fixture(HttpLimits(in_flight=1)).served() as node:
+            node.jobs.hold = trio.Event()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(node.call, *JOBS, job_body(), key())
+                await node.jobs.entered.wait()
+                status, headers, _ = await node.call("GET", "/v1/jobs?workspace=w")
+                self.assertEqual((429, "1"), (status, headers["retry-after"]))
+                for target in ("/healthz", "/readyz", "/metrics"):
+                    self.assertEqual(200, (await node.call("GET", target))[0])
+                node.jobs.hold.set()
+            self.assertEqual(200, (await node.call("GET", "/v1/jobs?workspace=w"))[0])
+
+    async def test_waits_over_the_bound_are_refused_before_the_job_is_accepted(self):
+        async with Fixture(HttpLimits(waiting=1)).served() as node:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(node.call, "POST", "/v1/jobs?wait=60", job_body(), key())
+                await node.jobs.entered.wait()
+                reply = await node.call("POST", "/v1/jobs?wait=60", job_body(), key("k2"))
+                self.assertEqual((429, 1), (reply[0], len(node.jobs.requests)))
+                self.assertEqual(202, (await node.call(*JOBS, job_body(), key("k3")))[0])
+                node.jobs.ended.set()
+
+    async def test_connections_over_the_bound_are_closed(self):
+        async with Fixture(HttpLimits(connections=1)).served() as node:
+            host, port = node.address.split(":")
+            first = await trio.open_tcp_stream(host, int(port))
+            second = await trio.open_tcp_stream(host, int(port))
+            with trio.fail_after(5):
+                self.assertEqual(b"", await second.receive_some())
+            await first.aclose()
+            await second.aclose()
+            await until(lambda: ("http_connections_refused", {}) in node.telemetry.counts)
+
+    async def test_malformed_and_slow_requests_end(self):
+        limits = HttpLimits(
+            header_bytes=2000, body_time=SHORT, idle_time=SHORT, wait=timedelta(seconds=0.1)
+        )
+        start = b"POST /v1/jobs HTTP/1.1\r\nhost: x\r\ncontent-length: 9\r\n\r\n"
+        cases = (
+            (b"GET / HTTP/1.1\r\nhost: x\r\nbig: " + b"x" * 4000, b"HTTP/1.1 431"),
+            (b"not http\r\n\r\n", b"HTTP/1.1 400"),
+            (b"GET / HTTP/1.1\r\n\r\n", b"HTTP/1.1 400"),
+            (start + b"{", b"HTTP/1.1 408"),
+            (b"GET /half", b""),
+            (b"", b""),
+            (b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + b"\0" * 9 + b"garbage", b"\0"),
+        )
+        async with Fixture(limits).served() as node:
+            for sent, wanted in cases:
+                with self.subTest(sent=sent[:30]):
+                    got = await self.raw(node, sent)
+                    self.assertEqual(wanted, got[: len(wanted)])
+                    self.assertEqual(bool(wanted), bool(got))
+            self.assertEqual(200, (await node.call("GET", "/healthz"))[0])
+
+    async def raw(self, node, sent):
+        host, port = node.address.split(":")
+        stream = await trio.open_tcp_stream(host, int(port))
+        got = b""
+        with trio.fail_after(5):
+            await stream.send_all(sent)
+            async for part in stream:
+                got += part
+        await stream.aclose()
+        return got
+
+    async def test_a_body_beyond_all_bounds_ends_only_its_connection(self):
+        async with Fixture(HttpLimits(body_bytes=1000)).served() as node:
+            for http2 in (False, True):
+                try:
+                    reply = await node.call(*JOBS, b" " * 5_000_000, key(), http2)
+                    self.assertEqual(413, reply[0])
+                except (httpcore.NetworkError, httpcore.RemoteProtocolError):
+                    pass
+                self.assertEqual(200, (await node.call("GET", "/healthz", http2=http2))[0])
+
+
+class DisconnectTest(TrioTestCase):
+    async def test_a_caller_that_leaves_cancels_the_wait_and_not_the_job(self):
+        for http2 in (False, True):
+            with self.subTest(http2=http2):
+                async with Fixture().served() as node:
+                    async with trio.open_nursery() as nursery:
+                        target = "/v1/jobs?wait=60"
+                        nursery.start_soon(node.call, "POST", target, job_body(), key(), http2)
+                        await node.jobs.entered.wait()
+                        await until(lambda: node.jobs.views_by_id)
+                        await trio.sleep(0.02)
+                        nursery.cancel_scope.cancel()
+                    await until(lambda: node.jobs.waits_cancelled == 1)
+                    reply = await node.call("GET", "/v1/jobs?workspace=w")
+                    self.assertEqual("queued", orjson.loads(reply[2])["jobs"][0]["state"])
+
+
+class ShutdownTest(TrioTestCase):
+    async def test_requests_in_progress_are_finished(self):
+        for http2 in (False, True):
+            with self.subTest(http2=http2):
+                await self.shut_down(http2)
+
+    async def shut_down(self, http2):
+        replies = []
+        async with Fixture().served() as node:
+
+            async def wait_for_answer():
+                replies.append(
+                    await node.call("POST", "/v1/jobs?wait=60", job_body(), key(), http2)
+                )
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(wait_for_answer)
+                await until(lambda: node.jobs.views_by_id)
+                node.shutdown.set()
+                await trio.sleep(0.05)
+                with self.assertRaises(httpcore.ConnectError):
+                    await node.call("GET", "/healthz")
+                self.assertEqual([], replies)
+                node.jobs.end("mvd-centro~1-a", Succeeded(("x" * 100_000,)))
+        self.assertEqual(200, replies[0][0])
+        self.assertEqual("x" * 100_000, orjson.loads(replies[0][2])["outcome"]["parts"][0])
+
+    async def test_requests_that_outlast_the_grace_are_cut_off(self):
+        with trio.fail_after(5):
+            async with Fixture(HttpLimits(shutdown_time=SHORT)).served() as node:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self.cut_off, node)
+                    await node.jobs.entered.wait()
+                    node.shutdown.set()
+
+    async def cut_off(self, node):
+        with self.assertRaises((httpcore.RemoteProtocolError, httpcore.ReadError)):
+            await node.call("POST", "/v1/jobs?wait=60", job_body(), key())
