--- a/packages/mimosapoint/src/mimosapoint/errors.py
+++ b/packages/mimosapoint/src/mimosapoint/errors.py
@@ -7,6 +7,8 @@
     "AnswerNotReady",
     "BadRequest",
     "CircuitOpen",
+    "BodyTimeout",
+    "BodyTooLarge",
     "CodecError",
     "CompareFailed",
     "ConfigurationInvalid",
@@ -16,6 +18,7 @@
     "JobNotFound",
     "LeaseLost",
     "MessageTooLarge",
+    "MethodNotAllowed",
     "MimosapointError",
     "NeverFits",
     "NewerFormat",
@@ -25,11 +28,13 @@
     "PatchConflict",
     "PatchNotFound",
     "PeerUnreachable",
+    "RouteNotFound",
     "SettingsInvalid",
     "StaleEpoch",
     "StoreTimeout",
     "StoreUnavailable",
     "UnknownMessage",
+    "Unauthenticated",
     "UnknownService",
     "UnknownWorkspace",
     "ValueTooLarge",
@@ -281,3 +286,40 @@
     """The worker refused the command; it had no effect."""
 
     code = "worker-refused"
+
+
+class RouteNotFound(MimosapointError):
+    """The HTTP interface has no such path."""
+
+    code = "route-not-found"
+
+
+class MethodNotAllowed(MimosapointError):
+    """The path exists, but not with this method.
+
+    :param allowed: methods of the path, in alphabetical order.
+    """
+
+    code = "method-not-allowed"
+
+    def __init__(self, allowed: tuple[str, ...]):
+        super().__init__(f"allowed: {', '.join(allowed)}")
+        self.allowed = allowed
+
+
+class BodyTooLarge(MimosapointError):
+    """The body of the request is over the limit."""
+
+    code = "body-too-large"
+
+
+class BodyTimeout(MimosapointError):
+    """The body of the request did not arrive in time."""
+
+    code = "body-timeout"
+
+
+class Unauthenticated(MimosapointError):
+    """The caller has not shown who it is."""
+
+    code = "unauthenticated"
