Add owners of availability zones, their job tables and the entry

Cause: a request needs a way from any node to the single writer of a zone and on to whole gangs on workers. Before: ports without a user.

--- /dev/null
+++ b/packages/mimosapoint/src/mimosapoint/entry/core.py
@@ -0,0 +1,181 @@
+"""The entry: takes callers' requests on any node and brings them to the owner of a zone."""
+
+from collections.abc import Callable
+from datetime import timedelta
+from typing import Any
+
+import attrs
+import trio
+
+from mimosapoint.configuration import Configuration
+from mimosapoint.entry.admission import check_request, find_workspace
+from mimosapoint.entry.router import ZoneRouter
+from mimosapoint.entry.settings import EntrySettings
+from mimosapoint.entry.waiters import Waiters
+from mimosapoint.errors import JobNotFound, MimosapointError, Overloaded
+from mimosapoint.jobs import (
+    CancelJob,
+    GetJob,
+    JobReply,
+    ListJobs,
+    SubmitJob,
+    WatchJob,
+    job_id_of,
+    zone_of,
+)
+from mimosapoint.model import JobRequest, JobView
+from mimosapoint.ports import Clock, Telemetry
+from mimosapoint.resilience import Deadline
+
+__all__ = ["Entry"]
+
+MOVES_FOLLOWED = 8
+FULL_RETRY_AFTER = timedelta(seconds=5)
+
+
+@attrs.frozen
+class _Undurable:
+    """An accepted job that the store does not have yet."""
+
+    message: SubmitJob
+
+
+class Entry:
+    """Serves callers; implements :class:`~mimosapoint.ports.JobApi`.
+
+    :param address: peer address of this node.
+    :param configuration: returns the version in force here.
+    :param router: brings messages to owners.
+    :param waiters: callers of this node that wait.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        configuration: Callable[[], Configuration],
+        router: ZoneRouter,
+        waiters: Waiters,
+        *,
+        clock: Clock,
+        telemetry: Telemetry,
+        settings: EntrySettings,
+    ):
+        self._address = address
+        self._configuration = configuration
+        self._router = router
+        self._waiters = waiters
+        self._clock = clock
+        self._telemetry = telemetry
+        self._settings = settings
+        self._undurable_by_job: dict[str, _Undurable] = {}
+
+    async def submit(self, request: JobRequest, trace: str | None = None) -> JobView:
+        """Accept a job; see :class:`~mimosapoint.ports.JobApi`."""
+        configuration = self._configuration()
+        check_request(configuration, request)
+        if len(self._undurable_by_job) >= self._settings.undurable_limit:
+            raise Overloaded("the store is out of reach", retry_after=FULL_RETRY_AFTER)
+        region = configuration.workspaces_by_id[request.workspace].region
+        zones = configuration.zones_of(region)
+        job_id = job_id_of(request.workspace, request.idempotency_key, zones)
+        with self._telemetry.span("entry-submit", trace) as span:
+            span.set("job", job_id)
+            message = SubmitJob(zone_of(job_id), job_id, request, span.context)
+            return await self._submit(message)
+
+    async def _submit(self, message: SubmitJob) -> JobView:
+        reply = await self._router.call(message.zone, message, self._deadline())
+        if reply.view.durable:
+            self._undurable_by_job.pop(message.job_id, None)
+        else:
+            self._undurable_by_job[message.job_id] = _Undurable(message)
+        if reply.moved_to is None:
+            return reply.view
+        return await self.job(message.request.workspace, message.job_id)
+
+    async def job(self, workspace: str, job_id: str) -> JobView:
+        """Return a job; see :class:`~mimosapoint.ports.JobApi`."""
+        find_workspace(self._configuration(), workspace)
+        reply = await self._follow(job_id, lambda zone: GetJob(zone, workspace, job_id))
+        return reply.view
+
+    async def answer(self, workspace: str, job_id: str, wait: timedelta) -> JobView:
+        """Return the job as soon as it has ended; see :class:`~mimosapoint.ports.JobApi`."""
+        find_workspace(self._configuration(), workspace)
+        deadline = Deadline.after(self._clock, wait)
+        with self._waiters.waiting(job_id) as waiter:
+            while True:
+                view = await self._watch(workspace, job_id)
+                if view.outcome is not None or deadline.expired:
+                    return view
+                pause = deadline.as_timeout(self._settings.watch_interval)
+                with trio.move_on_after(pause.total_seconds()):
+                    await waiter.ended.wait()
+                if waiter.view is not None and waiter.view.workspace == workspace:
+                    return waiter.view
+
+    async def _watch(self, workspace: str, job_id: str) -> JobView:
+        reply = await self._follow(
+            job_id, lambda zone: WatchJob(zone, workspace, job_id, self._address)
+        )
+        return reply.view
+
+    async def cancel(self, workspace: str, job_id: str) -> JobView:
+        """Cancel a job; see :class:`~mimosapoint.ports.JobApi`."""
+        find_workspace(self._configuration(), workspace)
+        deadline = self._deadline()
+        while True:
+            reply = await self._follow(job_id, lambda zone: CancelJob(zone, workspace, job_id))
+            if reply.moved_to is None:
+                return reply.view
+            if deadline.expired:
+                raise Overloaded("the job is being moved", retry_after=FULL_RETRY_AFTER)
+            await self._clock.sleep(timedelta(milliseconds=100))
+
+    async def jobs(self, workspace: str) -> tuple[JobView, ...]:
+        """Return the jobs of a workspace; see :class:`~mimosapoint.ports.JobApi`."""
+        configuration = self._configuration()
+        region = find_workspace(configuration, workspace).region
+        views: list[JobView] = []
+
+        async def ask(zone: str) -> None:
+            reply = await self._router.call(zone, ListJobs(zone, workspace), self._deadline())
+            views.extend(reply.views)
+
+        async with trio.open_nursery() as nursery:
+            for zone in configuration.zones_of(region):
+                nursery.start_soon(ask, zone)
+        return tuple(sorted(views, key=lambda view: (view.submitted_at, view.id)))
+
+    async def _follow(self, job_id: str, make: Callable[[str], Any]) -> JobReply:
+        """Ask the owner that has the record, following its moves."""
+        zone = zone_of(job_id)
+        if zone not in self._configuration().zones_by_id:
+            raise JobNotFound(f"no job {job_id}")
+        reply: JobReply | None = None
+        for _ in range(MOVES_FOLLOWED):
+            try:
+                found = await self._router.call(zone, make(zone), self._deadline())
+            except JobNotFound:
+                if reply is None:
+                    raise
+                return reply
+            reply = found
+            if reply.moved_to is None:
+                return reply
+            zone = reply.moved_to
+        return reply
+
+    def _deadline(self) -> Deadline:
+        return Deadline.after(self._clock, self._settings.request_bound)
+
+    async def run(self) -> None:
+        """Bring accepted jobs into the store for as long as it takes."""
+        while True:
+            await self._clock.sleep(self._settings.resubmit_interval)
+            for undurable in list(self._undurable_by_job.values()):
+                try:
+                    await self._submit(undurable.message)
+                except MimosapointError as error:
+                    job = undurable.message.job_id
+                    self._telemetry.event("resubmit-failed", job=job, code=error.code)
--- /dev/null
+++ b/packages/mimosapoint/src/mimosapoint/entry/router.py
@@ -0,0 +1,84 @@
+"""Routes messages to the owner of an availability zone."""
+
+from collections.abc import Callable
+from datetime import timedelta
+from random import Random
+from typing import Any
+
+from mimosapoint.errors import NotOwner, OutcomeUnknown, Overloaded, PeerUnreachable
+from mimosapoint.peers import Dispatcher, message_name
+from mimosapoint.ports import Clock, Peers, Telemetry
+from mimosapoint.resilience import Backoff, Deadline
+
+__all__ = ["ZoneRouter"]
+
+FIRST_WAIT = timedelta(milliseconds=50)
+MOST_WAIT = timedelta(milliseconds=800)
+RETRY_AFTER = timedelta(seconds=2)
+
+
+class ZoneRouter:
+    """Calls the owner of a zone, wherever it is, and tries again while ownership changes.
+
+    :param address: peer address of this node.
+    :param address_of: returns the peer address of a zone's owner, or ``None``.
+    :param call_timeout: bound of one call.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        address_of: Callable[[str], str | None],
+        peers: Peers,
+        dispatcher: Dispatcher,
+        *,
+        clock: Clock,
+        telemetry: Telemetry,
+        random: Random,
+        call_timeout: timedelta,
+    ):
+        self._address = address
+        self._address_of = address_of
+        self._peers = peers
+        self._dispatcher = dispatcher
+        self._clock = clock
+        self._telemetry = telemetry
+        self._random = random
+        self._call_timeout = call_timeout
+
+    async def call(self, zone: str, message: Any, deadline: Deadline) -> Any:
+        """Return the owner's reply.
+
+        :param message: message whose repetition is harmless.
+        :raises OutcomeUnknown: a call may have had its effect, and no reply came in time.
+        :raises Overloaded: no owner could be reached in time; there was no effect.
+        """
+        backoff = Backoff(self._random, FIRST_WAIT, MOST_WAIT)
+        doubtful = False
+        while True:
+            try:
+                return await self._call_once(zone, message, deadline)
+            except PeerUnreachable:
+                doubtful = True
+            except NotOwner:
+                self._telemetry.count("routes_missed_total", message=message_name(type(message)))
+            wait = backoff.next()
+            if deadline.remaining() <= wait:
+                raise self._give_up(zone, doubtful)
+            await self._clock.sleep(wait)
+
+    async def _call_once(self, zone: str, message: Any, deadline: Deadline) -> Any:
+        address = self._address_of(zone)
+        if address is None:
+            raise NotOwner(zone)
+        if address == self._address:
+            return await self._dispatcher.dispatch(message)
+        timeout = deadline.as_timeout(self._call_timeout)
+        return await self._peers.call(address, message, timeout)
+
+    def _give_up(self, zone: str, doubtful: bool) -> OutcomeUnknown | Overloaded:
+        if doubtful:
+            return OutcomeUnknown(
+                "repeat the request with the same idempotency key", retry_after=RETRY_AFTER
+            )
+        return Overloaded(f"no owner of {zone} can be reached", retry_after=RETRY_AFTER)
--- /dev/null
+++ b/packages/mimosapoint/src/mimosapoint/jobs/bucket.py
@@ -0,0 +1,150 @@
+"""Buckets: the parts of an availability zone's job table, each one value in the store."""
+
+from typing import Any
+
+import attrs
+import cattrs
+import orjson
+import trio
+
+from mimosapoint.codec import converter, encode
+from mimosapoint.errors import CodecError, NewerFormat
+from mimosapoint.model import JobRecord
+from mimosapoint.ports import ABSENT
+
+__all__ = ["BUCKET_FORMAT", "Bucket", "BucketHeader", "bucket_key", "decode_bucket"]
+
+BUCKET_FORMAT = 1
+"""Number of the stored form; a higher one is never overwritten."""
+
+
+@attrs.frozen
+class BucketHeader:
+    """Who wrote a bucket.
+
+    :param zone: id of the availability zone.
+    :param index: number of the bucket.
+    :param epoch: epoch of the owner that wrote it.
+    :param writer: id of the node and its incarnation.
+    :param sequence: number of the write by this writer in this epoch.
+    :param format: number of the stored form.
+    """
+
+    zone: str
+    index: int
+    epoch: int
+    writer: str
+    sequence: int
+    format: int = BUCKET_FORMAT
+
+
+def bucket_key(zone: str, index: int) -> str:
+    """Return the store key of a bucket."""
+    return f"zones/{zone}/buckets/{index:03d}"
+
+
+def _parse(data: bytes) -> dict[str, Any]:
+    """Return the stored JSON object of a known format."""
+    try:
+        value = orjson.loads(data)
+    except orjson.JSONDecodeError as error:
+        raise CodecError(f"bucket is not JSON: {error}") from error
+    if not isinstance(value, dict):
+        raise CodecError("bucket is not an object")
+    found = value.get("format", 0)
+    if isinstance(found, int) and found > BUCKET_FORMAT:
+        raise NewerFormat(found)
+    return value
+
+
+def decode_bucket(data: bytes) -> tuple[BucketHeader, list[JobRecord]]:
+    """Decode a stored bucket.
+
+    :raises NewerFormat: the bucket was written by a newer program.
+    :raises CodecError: the bytes are not a bucket.
+    """
+    value = _parse(data)
+    try:
+        header = converter.structure(value["header"], BucketHeader)
+        records = converter.structure(value["jobs"], list[JobRecord])
+    except (cattrs.BaseValidationError, KeyError, TypeError, ValueError) as error:
+        raise CodecError(f"not a bucket: {'; '.join(cattrs.transform_error(error))}") from error
+    return header, records
+
+
+class Bucket:
+    """Records of one bucket in memory, and how far the store has them.
+
+    :param zone: id of the availability zone.
+    :param index: number of the bucket.
+    """
+
+    def __init__(self, zone: str, index: int):
+        self.zone = zone
+        self.index = index
+        self.revision = ABSENT
+        self.sequence = 0
+        self.changes = 0
+        self.durable_changes = 0
+        self.size = 0
+        self._encoded_by_id: dict[str, bytes] = {}
+        self._changed = trio.Event()
+        self._durable = trio.Event()
+
+    @property
+    def key(self) -> str:
+        """Key of the bucket in the store."""
+        return bucket_key(self.zone, self.index)
+
+    def load(self, records: list[JobRecord], revision: int) -> None:
+        """Take over records that the store has."""
+        self._encoded_by_id = {record.id: encode(record) for record in records}
+        self.size = sum(map(len, self._encoded_by_id.values()))
+        self.revision = revision
+
+    def put(self, record: JobRecord) -> int:
+        """Set a record and return the number of this change."""
+        data = encode(record)
+        self.size += len(data) - len(self._encoded_by_id.get(record.id, b""))
+        self._encoded_by_id[record.id] = data
+        return self._mark_changed()
+
+    def remove(self, job_id: str) -> int:
+        """Drop a record and return the number of this change."""
+        self.size -= len(self._encoded_by_id.pop(job_id, b""))
+        return self._mark_changed()
+
+    def _mark_changed(self) -> int:
+        self.changes += 1
+        self._changed.set()
+        return self.changes
+
+    def encode(self, epoch: int, writer: str) -> bytes:
+        """Return the value to store, with the next sequence number."""
+        self.sequence += 1
+        header = BucketHeader(self.zone, self.index, epoch, writer, self.sequence)
+        fragments = [orjson.Fragment(data) for data in self._encoded_by_id.values()]
+        value = {
+            "format": BUCKET_FORMAT,
+            "header": converter.unstructure(header),
+            "jobs": fragments,
+        }
+        return orjson.dumps(value)
+
+    async def wait_changed(self) -> None:
+        """Wait until there is a change that the store does not have."""
+        while self.changes == self.durable_changes:
+            self._changed = trio.Event()
+            await self._changed.wait()
+
+    def mark_durable(self, changes: int, revision: int) -> None:
+        """Note that the store has the bucket as of a change."""
+        self.durable_changes = max(self.durable_changes, changes)
+        self.revision = revision
+        self._durable.set()
+        self._durable = trio.Event()
+
+    async def wait_durable(self, changes: int) -> None:
+        """Wait until the store has a change."""
+        while self.durable_changes < changes:
+            await self._durable.wait()
--- /dev/null
+++ b/packages/mimosapoint/src/mimosapoint/jobs/ids.py
@@ -0,0 +1,47 @@
+"""Ids of jobs: the home availability zone and a digest of the idempotency key."""
+
+import hashlib
+from collections.abc import Iterable
+
+from mimosapoint.errors import JobNotFound
+
+__all__ = ["home_zone", "job_id_of", "zone_of"]
+
+SEPARATOR = "~"
+DIGEST_BYTES = 12
+
+
+def _digest(*parts: str) -> str:
+    """Return a digest in which no two lists of parts run together."""
+    text = "\0".join(parts)
+    return hashlib.blake2b(text.encode(), digest_size=DIGEST_BYTES).hexdigest()
+
+
+def home_zone(workspace: str, key: str, zones: Iterable[str]) -> str:
+    """Return the availability zone that keeps the idempotency record, by rendezvous hashing.
+
+    :param workspace: id of the workspace.
+    :param key: idempotency key.
+    :param zones: every availability zone of the workspace's region.
+    """
+    return max(zones, key=lambda zone: _digest(zone, workspace, key))
+
+
+def job_id_of(workspace: str, key: str, zones: Iterable[str]) -> str:
+    """Return the id of the job that a workspace asks for by an idempotency key.
+
+    >>> job_id_of("editors", "k1", ["canelones"]).startswith("canelones~")
+    True
+    """
+    return f"{home_zone(workspace, key, zones)}{SEPARATOR}{_digest(workspace, key)}"
+
+
+def zone_of(job_id: str) -> str:
+    """Return the home availability zone of a job.
+
+    :raises JobNotFound: the id is malformed.
+    """
+    zone, separator, digest = job_id.partition(SEPARATOR)
+    if not (zone and separator and digest):
+        raise JobNotFound(f"no job {job_id}")
+    return zone
--- a/packages/mimosapoint/src/mimosapoint/model/__init__.py
+++ b/packages/mimosapoint/src/mimosapoint/model/__init__.py
@@ -2,6 +2,7 @@
 
 from mimosapoint.model.job import (
     Adjacency,
+    Checkpoint,
     JobClass,
     JobRecord,
     JobRequest,
@@ -31,6 +32,7 @@
 __all__ = [
     "Adjacency",
     "Cancelled",
+    "Checkpoint",
     "CollectRequest",
     "Failed",
     "JobClass",
--- a/packages/mimosapoint/src/mimosapoint/model/job.py
+++ b/packages/mimosapoint/src/mimosapoint/model/job.py
@@ -11,6 +11,7 @@
 
 __all__ = [
     "Adjacency",
+    "Checkpoint",
     "JobClass",
     "JobRecord",
     "JobRequest",
@@ -91,11 +92,25 @@
     :param attempt: number of the attempt, from 1.
     :param workers: worker of each task, ordered by task index.
     :param guarantee: id of the guarantee that the gang claims, or ``None`` when it borrows.
+    :param boots: boot id of each task's worker at the time of the placement.
     """
 
     attempt: int
     workers: tuple[str, ...]
     guarantee: str | None = None
+    boots: tuple[str, ...] = ()
+
+
+@attrs.frozen
+class Checkpoint:
+    """Saved state of one task on the platform.
+
+    :param name: platform's name of the checkpoint.
+    :param progress: seconds of work that it keeps.
+    """
+
+    name: str
+    progress: float
 
 
 @attrs.frozen
@@ -111,12 +126,15 @@
     :param ended_at: time of the end.
     :param cancel_requested: whether the caller has cancelled.
     :param stop_reason: why the owner stops a running job: ``cancel``, ``reclaim`` or ``zone-out``.
-    :param progress: seconds of work kept in the last checkpoint.
-    :param checkpoint: name of the last checkpoint on the platform.
+    :param progress: seconds of work that the last checkpoints of all tasks keep.
+    :param checkpoints: last checkpoint of each task.
     :param moves: number of moves between availability zones.
     :param moved_to: availability zone that has the record now.
+    :param moved_at: time of the last move.
+    :param adopted: whether that availability zone has confirmed the move.
     :param outcome: how the job ended.
-    :param failures: number of attempts that failed before any task started.
+    :param failures: number of attempts that failed.
+    :param ever_started: whether a task of any attempt may have started.
     """
 
     id: str
@@ -129,11 +147,14 @@
     cancel_requested: bool = False
     stop_reason: str | None = None
     progress: float = 0.0
-    checkpoint: str | None = None
+    checkpoints: tuple[Checkpoint, ...] = ()
     moves: int = 0
     moved_to: str | None = None
+    moved_at: datetime | None = None
+    adopted: bool = False
     outcome: Outcome | None = None
     failures: int = 0
+    ever_started: bool = False
 
     @property
     def live(self) -> bool:
--- a/packages/mimosapoint/src/mimosapoint/model/worker.py
+++ b/packages/mimosapoint/src/mimosapoint/model/worker.py
@@ -76,12 +76,16 @@
     :param zone: availability zone of the worker.
     :param epoch: epoch of the holder; a lower one than the worker has seen is refused.
     :param ttl: seconds after which the worker stops its tasks unless renewed.
+    :param wait: seconds to hold the reply until the report differs from the one that was seen.
+    :param seen: revision of the last report that the holder has.
     """
 
     holder: str
     zone: str
     epoch: int
     ttl: float
+    wait: float = 0.0
+    seen: int = -1
 
 
 @attrs.frozen
@@ -191,8 +195,12 @@
     :param worker: id of the worker.
     :param capacity: resources of the worker.
     :param tasks: tasks that the worker knows and that are not acknowledged.
+    :param boot: id of this run of the worker; another one means that it forgot its tasks.
+    :param revision: number of the state that is reported, rising within a boot.
     """
 
     worker: str
     capacity: Resources
     tasks: tuple[TaskReport, ...] = ()
+    boot: str = ""
+    revision: int = 0
--- /dev/null
+++ b/packages/mimosapoint/src/mimosapoint/ownership/__init__.py
@@ -0,0 +1,16 @@
+"""Which node owns which availability zone."""
+
+from mimosapoint.ownership.claim import Claimant, OwnerRecord, claim_zone, read_owner
+from mimosapoint.ownership.keeper import OwnershipKeeper
+from mimosapoint.ownership.messages import TakeZone
+from mimosapoint.ownership.settings import OwnershipSettings
+
+__all__ = [
+    "Claimant",
+    "OwnerRecord",
+    "OwnershipKeeper",
+    "OwnershipSettings",
+    "TakeZone",
+    "claim_zone",
+    "read_owner",
+]
--- /dev/null
+++ b/packages/mimosapoint/src/mimosapoint/placement/attempt.py
@@ -0,0 +1,318 @@
+"""One attempt to run a gang, from its committed placement to its end."""
+
+from datetime import timedelta
+
+import attrs
+import trio
+
+from mimosapoint.model import (
+    Cancelled,
+    Checkpoint,
+    Failed,
+    JobRecord,
+    JobState,
+    MayHaveRun,
+    Outcome,
+    StopMode,
+    Succeeded,
+    TaskOutput,
+    TaskReport,
+    TaskState,
+)
+from mimosapoint.placement.board import TaskBoard
+from mimosapoint.placement.commands import Gang, GangCommands
+from mimosapoint.placement.ledger import Ledger
+from mimosapoint.placement.permit import StartPermit
+from mimosapoint.placement.settings import OwnerSettings
+from mimosapoint.ports import Clock, Telemetry
+
+__all__ = ["Attempt"]
+
+RETRY_PAUSE = timedelta(milliseconds=100)
+CANCEL_GRACE = timedelta(0)
+KEPT_STATES = (TaskState.STOPPED, TaskState.SUCCEEDED)
+
+
+class Attempt:
+    """Runs the gang of one placed job and records how it went.
+
+    The placement is in the store before the first start is sent, and a start names the same tasks
+    on the same workers however often it is sent, also by the next owner.
+
+    :param job_id: id of a job that is placed, running or stopping.
+    :param resumed: whether an earlier owner may have sent starts.
+    :param trace: trace context of the request.
+    """
+
+    def __init__(
+        self,
+        job_id: str,
+        *,
+        ledger: Ledger,
+        commands: GangCommands,
+        board: TaskBoard,
+        permit: StartPermit,
+        clock: Clock,
+        telemetry: Telemetry,
+        settings: OwnerSettings,
+        resumed: bool = False,
+        trace: str | None = None,
+    ):
+        self._job_id = job_id
+        self._ledger = ledger
+        self._commands = commands
+        self._board = board
+        self._permit = permit
+        self._clock = clock
+        self._telemetry = telemetry
+        self._settings = settings
+        self._trace = trace
+        self._start_sent = resumed
+        self._gang = Gang.of(self.record)
+        self._stop_wanted = trio.Event()
+        self._grace = timedelta(0)
+
+    @property
+    def record(self) -> JobRecord:
+        """The job as it is now."""
+        return self._ledger.get(self._job_id)
+
+    def stop(self, reason: str, grace: timedelta) -> None:
+        """Ask for a stop; a cancellation goes before any other reason.
+
+        :param reason: ``cancel``, ``reclaim`` or ``zone-out``.
+        :param grace: time for checkpoints.
+        """
+        record = self.record
+        if not record.live:
+            return
+        if record.stop_reason is None or reason == "cancel":
+            self._ledger.put(attrs.evolve(record, stop_reason=reason))
+            self._grace = grace
+        self._stop_wanted.set()
+
+    async def run(self) -> None:
+        """Run the attempt to its end; the job is then ended or waits again."""
+        await self._board.wait_known(set(self._gang.workers))
+        if self.record.stop_reason is not None:
+            self._stop_wanted.set()
+        if self.record.state is JobState.PLACED and not await self._launch():
+            await self._withdraw()
+            return
+        await self._supervise()
+
+    async def _launch(self) -> bool:
+        """Reserve, commit and start; tell whether the whole gang was started."""
+        placed = self._ledger.latest(self._job_id)
+        if not self._same_boots():
+            return False
+        if self._start_sent and self._all_started():
+            self._mark_running()
+            return True
+        if not self._start_sent and not await self._reserve():
+            return False
+        reserved_at = self._clock.now()
+        await placed.wait_durable()
+        if not await self._permit.wait(self._settings.fresh_wait):
+            return False
+        if self._stop_wanted.is_set():
+            return False
+        if self._clock.now() - reserved_at > self._settings.reservation_ttl / 3:
+            await self._reserve()
+        return await self._start()
+
+    def _same_boots(self) -> bool:
+        """Whether every worker still has the boot that it was chosen in."""
+        boots = self.record.placement.boots
+        pairs = zip(self._gang.workers, boots)
+        return all(self._board.boot(worker) == boot for worker, boot in pairs)
+
+    def _all_started(self) -> bool:
+        """Whether an earlier owner got every task started."""
+        return all(s in (TaskState.RUNNING, TaskState.SUCCEEDED) for s in self._states())
+
+    async def _reserve(self) -> bool:
+        ttl = self._settings.reservation_ttl
+        return await self._commands.reserve(self.record, self._gang, ttl, self._trace)
+
+    async def _start(self) -> bool:
+        """Start every task, completing a gang that started in part."""
+        deadline = self._clock.now() + self._settings.start_bound
+        self._start_sent = True
+        missing = await self._commands.start(self._gang)
+        while missing and self._clock.now() < deadline and self._permit.given():
+            await self._clock.sleep(RETRY_PAUSE)
+            await self._reserve()
+            missing = await self._commands.start(self._gang)
+        if missing:
+            return False
+        self._mark_running()
+        return True
+
+    def _mark_running(self) -> None:
+        record = self.record
+        now = self._clock.now()
+        self._ledger.put(
+            attrs.evolve(record, state=JobState.RUNNING, started_at=now, ever_started=True)
+        )
+        waited = (now - record.submitted_at).total_seconds()
+        self._telemetry.observe("start_seconds", waited, job_class=record.request.job_class.value)
+        self._telemetry.event(
+            "job-started",
+            job=record.id,
+            attempt=record.placement.attempt,
+            workers=",".join(sorted(set(self._gang.workers))),
+            trace=self._trace or "",
+        )
+
+    async def _withdraw(self) -> None:
+        """Take back a gang that was not started as a whole."""
+        await self._commands.stop_surely(self._gang, StopMode.DISCARD, CANCEL_GRACE)
+        started = self._start_sent and self._any_may_have_started()
+        record = attrs.evolve(self.record, ever_started=self.record.ever_started or started)
+        self._ledger.put(record)
+        if record.cancel_requested:
+            await self._end(Cancelled(started=record.ever_started))
+        elif not started or record.request.repeatable:
+            self._requeue(kept=False)
+        else:
+            await self._end(MayHaveRun("partial-start", "the gang was not started as a whole"))
+
+    def _any_may_have_started(self) -> bool:
+        """Whether a task ran, or its worker can no longer tell."""
+        pairs = list(zip(self._gang.tasks, self._gang.workers))
+        if any(self._board.lost(worker) for _, worker in pairs):
+            return True
+        if not self._same_boots():
+            return True
+        return any(self._board.task(worker, task) is not None for task, worker in pairs)
+
+    async def _supervise(self) -> None:
+        """Wait for the end of the gang, or for a stop."""
+        while not self._over():
+            if self._stop_wanted.is_set():
+                await self._stop_gang()
+                return
+            await self._wait_change()
+        if self._all_in(TaskState.SUCCEEDED):
+            await self._finish()
+        else:
+            await self._break_off()
+
+    async def _wait_change(self) -> None:
+        """Wait until a worker reports or a stop is wanted."""
+
+        async def wait_stop(scope: trio.CancelScope) -> None:
+            await self._stop_wanted.wait()
+            scope.cancel()
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(wait_stop, nursery.cancel_scope)
+            await self._board.wait_any(set(self._gang.workers))
+            nursery.cancel_scope.cancel()
+
+    def _states(self) -> list[TaskState | None]:
+        """Return the state of each task; ``None`` for one that its worker does not know."""
+        return [report.state if report else None for report in self._reports()]
+
+    def _over(self) -> bool:
+        """Whether all tasks succeeded, or one ended otherwise or is gone."""
+        states = self._states()
+        if any(state not in (TaskState.RUNNING, TaskState.SUCCEEDED) for state in states):
+            return True
+        return self._all_in(TaskState.SUCCEEDED)
+
+    def _all_in(self, wanted: TaskState) -> bool:
+        return all(state is wanted for state in self._states())
+
+    async def _finish(self) -> None:
+        """Gather the parts of the answer and end the job."""
+        while True:
+            outputs = await self._commands.collect(self._gang)
+            if all(task in outputs for task in self._gang.tasks):
+                parts = tuple(outputs[task].output for task in self._gang.tasks)
+                await self._end(Succeeded(parts))
+                return
+            if not self._all_in(TaskState.SUCCEEDED):
+                await self._break_off()
+                return
+            await self._clock.sleep(RETRY_PAUSE)
+
+    async def _break_off(self) -> None:
+        """Stop what is left of a gang that lost or failed a task."""
+        failure = await self._failure()
+        await self._commands.stop_surely(self._gang, StopMode.CHECKPOINT, timedelta(seconds=1))
+        record = self.record
+        if record.cancel_requested:
+            await self._end(Cancelled(started=True))
+        elif self._checkpointed():
+            self._requeue(kept=True)
+        elif failure is None and not record.request.repeatable:
+            await self._end(MayHaveRun("worker-lost", "a worker of the gang was lost"))
+        elif record.request.repeatable and record.failures + 1 < self._settings.attempts_limit:
+            self._ledger.put(attrs.evolve(record, failures=record.failures + 1))
+            self._requeue(kept=False)
+        elif failure is None:
+            await self._end(Failed("worker-lost", "every attempt lost a worker"))
+        else:
+            await self._end(Failed("task-failed", failure.detail))
+
+    async def _failure(self) -> TaskOutput | None:
+        """Return the output of a failed task, if any."""
+        if TaskState.FAILED not in self._states():
+            return None
+        outputs = await self._commands.collect(self._gang)
+        failed = [out for out in outputs.values() if out.state is TaskState.FAILED]
+        return failed[0] if failed else TaskOutput("", TaskState.FAILED, None, "no detail")
+
+    def _checkpointed(self) -> bool:
+        """Whether every task stopped with a checkpoint, or succeeded."""
+        return all(
+            report is not None and report.state in KEPT_STATES and report.checkpoint
+            for report in self._reports()
+        )
+
+    def _reports(self) -> list[TaskReport | None]:
+        """Return what the workers last said of each task."""
+        pairs = zip(self._gang.tasks, self._gang.workers)
+        return [self._board.task(worker, task) for task, worker in pairs]
+
+    async def _stop_gang(self) -> None:
+        """Carry out a stop that was asked for."""
+        self._ledger.put(attrs.evolve(self.record, state=JobState.STOPPING))
+        if self.record.stop_reason == "cancel":
+            await self._commands.stop_surely(self._gang, StopMode.DISCARD, CANCEL_GRACE)
+        else:
+            await self._commands.stop_surely(self._gang, StopMode.CHECKPOINT, self._grace)
+        record = self.record
+        if self._all_in(TaskState.SUCCEEDED):
+            await self._finish()
+        elif record.cancel_requested:
+            await self._end(Cancelled(started=True))
+        elif self._checkpointed():
+            self._requeue(kept=True)
+        elif record.request.repeatable:
+            self._requeue(kept=False)
+        else:
+            await self._end(MayHaveRun("no-checkpoint", "the work was stopped without one"))
+
+    def _requeue(self, *, kept: bool) -> None:
+        """Put the job back into the queue.
+
+        :param kept: whether the work done so far is kept by checkpoints.
+        """
+        record = attrs.evolve(self.record, state=JobState.QUEUED, stop_reason=None)
+        if kept:
+            reports = self._reports()
+            record = attrs.evolve(
+                record,
+                progress=min(report.progress for report in reports),
+                checkpoints=tuple(Checkpoint(r.checkpoint, r.progress) for r in reports),
+            )
+        self._ledger.put(record)
+        self._telemetry.event("job-requeued", job=record.id, kept=kept, progress=record.progress)
+
+    async def _end(self, outcome: Outcome) -> None:
+        """Record the outcome; once it is durable the workers may forget the tasks."""
+        await self._ledger.end(self._job_id, outcome)
+        await self._commands.acknowledge(self._gang)
--- /dev/null
+++ b/packages/mimosapoint/src/mimosapoint/placement/commands.py
@@ -0,0 +1,202 @@
+"""Commands to all workers of a gang at once."""
+
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+
+import attrs
+import trio
+
+from mimosapoint.errors import MimosapointError, StaleEpoch, WorkerRefused
+from mimosapoint.model import (
+    CollectRequest,
+    JobRecord,
+    ReserveRequest,
+    StartRequest,
+    StopMode,
+    StopRequest,
+    TaskOutput,
+    TaskSpec,
+    TaskState,
+    WorkerReport,
+    task_id,
+)
+from mimosapoint.placement.board import TaskBoard
+from mimosapoint.placement.roster import Roster
+from mimosapoint.ports import Clock, Workers
+
+__all__ = ["Gang", "GangCommands"]
+
+STOPPED_STATES = (TaskState.SUCCEEDED, TaskState.FAILED, TaskState.STOPPED)
+RETRY_PAUSE = timedelta(milliseconds=200)
+
+
+@attrs.frozen
+class Gang:
+    """Tasks of one attempt.
+
+    :param tasks: id of each task, ordered by index.
+    :param workers: worker of each task, ordered by index.
+    """
+
+    tasks: tuple[str, ...]
+    workers: tuple[str, ...]
+
+    @classmethod
+    def of(cls, record: JobRecord) -> "Gang":
+        """Return the gang of the record's placement."""
+        placement = record.placement
+        indexes = range(len(placement.workers))
+        tasks = tuple(task_id(record.id, placement.attempt, index) for index in indexes)
+        return cls(tasks, placement.workers)
+
+    def tasks_by_worker(self) -> dict[str, tuple[str, ...]]:
+        """Return the ids of the tasks on each worker."""
+        by_worker: dict[str, list[str]] = {}
+        for task, worker in zip(self.tasks, self.workers):
+            by_worker.setdefault(worker, []).append(task)
+        return {worker: tuple(tasks) for worker, tasks in by_worker.items()}
+
+
+def task_specs(record: JobRecord, gang: Gang, trace: str | None) -> dict[str, list[TaskSpec]]:
+    """Return what to reserve on each worker."""
+    request = record.request
+    checkpoints = record.checkpoints or (None,) * request.gang
+    by_worker: dict[str, list[TaskSpec]] = {}
+    placed = zip(gang.tasks, gang.workers, checkpoints)
+    for index, (task, worker, checkpoint) in enumerate(placed):
+        spec = TaskSpec(
+            id=task,
+            workspace=request.workspace,
+            service=request.service,
+            shape=request.shape,
+            index=index,
+            gang=request.gang,
+            payload=request.payload,
+            checkpoint=checkpoint.name if checkpoint else None,
+            progress=checkpoint.progress if checkpoint else 0.0,
+            trace=trace,
+        )
+        by_worker.setdefault(worker, []).append(spec)
+    return by_worker
+
+
+class GangCommands:
+    """Sends each command to every worker of a gang concurrently.
+
+    :param epoch: epoch of the owner; workers refuse an older one.
+    """
+
+    def __init__(
+        self, workers: Workers, board: TaskBoard, roster: Roster, clock: Clock, epoch: int
+    ):
+        self._workers = workers
+        self._board = board
+        self._roster = roster
+        self._clock = clock
+        self._epoch = epoch
+
+    async def reserve(
+        self, record: JobRecord, gang: Gang, ttl: timedelta, trace: str | None = None
+    ) -> bool:
+        """Reserve room for the whole gang; tell whether every worker agreed."""
+        specs = task_specs(record, gang, trace)
+
+        async def call(worker: str, address: str) -> WorkerReport:
+            request = ReserveRequest(self._epoch, tuple(specs[worker]), ttl.total_seconds())
+            return await self._workers.reserve(address, request)
+
+        return not await self._on_each(set(specs), call)
+
+    async def start(self, gang: Gang) -> set[str]:
+        """Start the whole gang; return the workers that did not confirm."""
+        tasks = gang.tasks_by_worker()
+
+        async def call(worker: str, address: str) -> WorkerReport:
+            return await self._workers.start(address, StartRequest(self._epoch, tasks[worker]))
+
+        return await self._on_each(set(tasks), call)
+
+    async def stop(self, gang: Gang, mode: StopMode) -> set[str]:
+        """Stop the whole gang once; return the workers that did not confirm."""
+        tasks = gang.tasks_by_worker()
+
+        async def call(worker: str, address: str) -> WorkerReport:
+            request = StopRequest(self._epoch, tasks[worker], mode)
+            return await self._workers.stop(address, request)
+
+        waiting = {worker for worker in tasks if not self._board.lost(worker)}
+        return await self._on_each(waiting, call)
+
+    async def stop_surely(self, gang: Gang, mode: StopMode, grace: timedelta) -> None:
+        """Stop the gang until no task of it runs or can start.
+
+        :param grace: time for checkpoints, after which tasks are stopped without one.
+        """
+        deadline = self._clock.now() + grace
+        while True:
+            late = self._clock.now() >= deadline
+            missing = await self.stop(gang, StopMode.DISCARD if late else mode)
+            if not missing and self.stopped(gang):
+                return
+            await self._clock.sleep(RETRY_PAUSE)
+
+    def stopped(self, gang: Gang) -> bool:
+        """Whether each task has ended, is barred or was on a lost worker."""
+        for task, worker in zip(gang.tasks, gang.workers):
+            if self._board.lost(worker):
+                continue
+            state = self._board.state(worker, task)
+            if state is not None and state not in STOPPED_STATES:
+                return False
+        return True
+
+    async def collect(self, gang: Gang) -> dict[str, TaskOutput]:
+        """Return the outputs that the workers have, by task id."""
+        tasks = gang.tasks_by_worker()
+        outputs_by_task: dict[str, TaskOutput] = {}
+
+        async def call(worker: str, address: str) -> None:
+            request = CollectRequest(self._epoch, tasks[worker])
+            for output in await self._workers.collect(address, request):
+                outputs_by_task[output.id] = output
+
+        await self._on_each(set(tasks), call)
+        return outputs_by_task
+
+    async def acknowledge(self, gang: Gang) -> None:
+        """Let the workers drop the outputs; one that cannot be reached keeps them for a while."""
+        tasks = gang.tasks_by_worker()
+
+        async def call(worker: str, address: str) -> WorkerReport:
+            request = CollectRequest(self._epoch, tasks[worker])
+            return await self._workers.acknowledge(address, request)
+
+        await self._on_each({worker for worker in tasks if not self._board.lost(worker)}, call)
+
+    async def _on_each(
+        self, workers: set[str], call: Callable[[str, str], Awaitable[WorkerReport | None]]
+    ) -> set[str]:
+        """Call every worker concurrently; return those that did not confirm."""
+        failed: set[str] = set()
+
+        async def one(worker: str) -> None:
+            address = self._roster.address(worker)
+            if address is None:
+                failed.add(worker)
+                return
+            try:
+                report = await call(worker, address)
+            except StaleEpoch:
+                raise
+            except MimosapointError as error:
+                failed.add(worker)
+                if not isinstance(error, WorkerRefused):
+                    self._roster.fail(worker)
+                return
+            if report is not None:
+                self._board.update(worker, report)
+
+        async with trio.open_nursery() as nursery:
+            for worker in workers:
+                nursery.start_soon(one, worker)
+        return failed
--- /dev/null
+++ b/packages/mimosapoint/src/mimosapoint/placement/ledger.py
@@ -0,0 +1,119 @@
+"""Changes of job records, with their effects on the queue and on those who wait for an end."""
+
+from collections.abc import Callable
+
+import attrs
+
+from mimosapoint.jobs import Change, JobTable, view_of
+from mimosapoint.model import JobRecord, JobState, JobView, Outcome
+from mimosapoint.ports import Clock, Telemetry
+
+__all__ = ["Ledger"]
+
+
+class Ledger:
+    """The job table, the queue and the news of ended jobs.
+
+    :param table: the durable job table.
+    :param on_change: called after each change that the next decision should see.
+    :param on_ended: called with each job that has ended, once that is durable.
+    """
+
+    def __init__(
+        self,
+        table: JobTable,
+        *,
+        clock: Clock,
+        telemetry: Telemetry,
+        on_change: Callable[[], None],
+        on_ended: Callable[[JobView], None],
+    ):
+        self._table = table
+        self._clock = clock
+        self._telemetry = telemetry
+        self._on_change = on_change
+        self._on_ended = on_ended
+        self._queued_by_id: dict[str, JobRecord] = {}
+        for record in sorted(table, key=lambda record: record.submitted_at):
+            self._index(record)
+
+    @property
+    def zone(self) -> str:
+        """Availability zone of the table."""
+        return self._table.zone
+
+    def find(self, job_id: str) -> JobRecord | None:
+        """Return a record, or ``None``."""
+        return self._table.find(job_id)
+
+    def get(self, job_id: str) -> JobRecord:
+        """Return a record.
+
+        :raises JobNotFound: there is no such job.
+        """
+        return self._table.get(job_id)
+
+    def latest(self, job_id: str) -> Change:
+        """Return the newest change of the job's bucket."""
+        return self._table.latest(job_id)
+
+    def records(self) -> list[JobRecord]:
+        """Return every record."""
+        return list(self._table)
+
+    def put(self, record: JobRecord) -> Change:
+        """Set a record."""
+        change = self._table.put(record)
+        self._index(record)
+        self._on_change()
+        return change
+
+    def remove(self, job_id: str) -> None:
+        """Drop a record."""
+        self._table.remove(job_id)
+        self._queued_by_id.pop(job_id, None)
+
+    def _index(self, record: JobRecord) -> None:
+        if record.state is JobState.QUEUED:
+            self._queued_by_id[record.id] = record
+        else:
+            self._queued_by_id.pop(record.id, None)
+
+    def queued(self) -> list[JobRecord]:
+        """Return the waiting jobs, oldest first."""
+        return sorted(self._queued_by_id.values(), key=lambda record: record.submitted_at)
+
+    def queued_count(self, workspace: str | None = None) -> int:
+        """Return how many jobs wait, of one workspace or of all."""
+        if workspace is None:
+            return len(self._queued_by_id)
+        waiting = self._queued_by_id.values()
+        return sum(record.request.workspace == workspace for record in waiting)
+
+    def view(self, record: JobRecord) -> JobView:
+        """Return the job as callers see it."""
+        durable = self._table.latest(record.id).durable
+        return view_of(record, self._table.zone, durable)
+
+    async def end(self, job_id: str, outcome: Outcome) -> None:
+        """Record the outcome of a job, and tell of it when it is durable."""
+        record = attrs.evolve(
+            self.get(job_id),
+            state=JobState.ENDED,
+            ended_at=self._clock.now(),
+            stop_reason=None,
+            outcome=outcome,
+        )
+        change = self.put(record)
+        await change.wait_durable()
+        self._tell(record)
+
+    def _tell(self, record: JobRecord) -> None:
+        name = type(record.outcome).__name__
+        lasted = (record.ended_at - record.submitted_at).total_seconds()
+        self._telemetry.count("jobs_ended", outcome=name)
+        self._telemetry.observe(
+            "completion_seconds", lasted, job_class=record.request.job_class.value
+        )
+        self._telemetry.event("job-ended", job=record.id, outcome=name, seconds=round(lasted, 3))
+        self._on_ended(view_of(record, self._table.zone, True))
--- /dev/null
+++ b/packages/mimosapoint/src/mimosapoint/placement/link.py
@@ -0,0 +1,124 @@
+"""Link to one worker: renews its lease and takes in its reports."""
+
+from collections.abc import Callable
+from datetime import datetime, timedelta
+
+import attrs
+
+from mimosapoint.errors import MimosapointError, StaleEpoch, WorkerRefused, WorkerUnreachable
+from mimosapoint.model import LeaseRequest
+from mimosapoint.placement.board import TaskBoard
+from mimosapoint.placement.roster import Roster
+from mimosapoint.placement.settings import OwnerSettings
+from mimosapoint.ports import Clock, Telemetry, Workers
+
+__all__ = ["Holder", "WorkerLink"]
+
+RETRY_PAUSE = timedelta(milliseconds=500)
+
+
+@attrs.frozen
+class Holder:
+    """Who holds the workers' leases.
+
+    :param node: id of the node.
+    :param zone: id of the availability zone.
+    :param epoch: epoch of the owner.
+    """
+
+    node: str
+    zone: str
+    epoch: int
+
+
+class WorkerLink:
+    """Holds the lease on one worker.
+
+    When renewals fail for ``lost_after``, the link falls silent for so long that the worker's
+    lease has lapsed whatever became of the last renewal; only then is the worker declared lost.
+
+    :param worker: id of the worker.
+    :param on_report: called when a report has changed what the worker can take.
+    """
+
+    def __init__(
+        self,
+        worker: str,
+        holder: Holder,
+        *,
+        workers: Workers,
+        board: TaskBoard,
+        roster: Roster,
+        clock: Clock,
+        telemetry: Telemetry,
+        settings: OwnerSettings,
+        on_report: Callable[[], None],
+    ):
+        self._worker = worker
+        self._holder = holder
+        self._workers = workers
+        self._board = board
+        self._roster = roster
+        self._clock = clock
+        self._telemetry = telemetry
+        self._settings = settings
+        self._on_report = on_report
+        self._answered_at: datetime = clock.now()
+
+    async def run(self) -> None:
+        """Renew the lease until cancelled.
+
+        :raises StaleEpoch: a newer owner holds the worker.
+        """
+        while True:
+            if await self._renew():
+                await self._clock.sleep(self._settings.lease_pause)
+            elif self._clock.now() - self._answered_at < self._settings.lost_after:
+                await self._clock.sleep(RETRY_PAUSE)
+            else:
+                await self._let_lapse()
+
+    async def _renew(self) -> bool:
+        """Renew once; tell whether the worker answered."""
+        address = self._roster.address(self._worker)
+        if address is None:
+            return False
+        try:
+            report = await self._workers.lease(address, self._request())
+        except StaleEpoch:
+            raise
+        except MimosapointError as error:
+            self._note_failure(error)
+            return False
+        self._answered_at = self._clock.now()
+        was_usable = self._roster.usable(self._worker)
+        self._roster.report(self._worker, report.capacity)
+        self._board.update(self._worker, report)
+        if not was_usable:
+            self._on_report()
+        return True
+
+    def _request(self) -> LeaseRequest:
+        settings = self._settings
+        known = self._board.known(self._worker) and not self._board.lost(self._worker)
+        return LeaseRequest(
+            holder=self._holder.node,
+            zone=self._holder.zone,
+            epoch=self._holder.epoch,
+            ttl=settings.lease_ttl.total_seconds(),
+            wait=settings.lease_wait.total_seconds() if known else 0.0,
+            seen=self._board.revision(self._worker),
+        )
+
+    def _note_failure(self, error: MimosapointError) -> None:
+        if isinstance(error, WorkerUnreachable | WorkerRefused):
+            self._telemetry.count("lease_failures", zone=self._holder.zone)
+        self._roster.fail(self._worker)
+
+    async def _let_lapse(self) -> None:
+        """Wait out the lease without renewing it, then declare the worker lost."""
+        if not self._board.lost(self._worker):
+            await self._clock.sleep(self._settings.lease_ttl + self._settings.call_timeout)
+            self._board.mark_lost(self._worker)
+            self._telemetry.event("worker-lost", worker=self._worker, zone=self._holder.zone)
+        await self._clock.sleep(self._settings.lost_after)
--- /dev/null
+++ b/packages/mimosapoint/src/mimosapoint/placement/mover.py
@@ -0,0 +1,101 @@
+"""Moves waiting jobs to other availability zones."""
+
+from collections.abc import Callable
+from datetime import timedelta
+
+import attrs
+import trio
+
+from mimosapoint.errors import MimosapointError
+from mimosapoint.jobs import AdoptJob
+from mimosapoint.model import JobRecord, JobState
+from mimosapoint.placement.ledger import Ledger
+from mimosapoint.ports import Clock, Peers, Telemetry
+
+__all__ = ["Mover"]
+
+SEND_TIMEOUT = timedelta(seconds=3)
+RETRY_PAUSE = timedelta(milliseconds=300)
+SENDS_AT_ONCE = 16
+
+
+class Mover:
+    """Hands records over: first "moved" is durable here, then the other zone adopts the record.
+
+    There are never two live records. A hand-over that is cut off is sent again, also by the next
+    owner; the destination adopts each move number once.
+
+    :param address_of: returns the peer address of a zone's owner, or ``None``.
+    """
+
+    def __init__(
+        self,
+        ledger: Ledger,
+        peers: Peers,
+        *,
+        clock: Clock,
+        telemetry: Telemetry,
+        address_of: Callable[[str], str | None],
+    ):
+        self._ledger = ledger
+        self._peers = peers
+        self._clock = clock
+        self._telemetry = telemetry
+        self._address_of = address_of
+        self._limiter = trio.CapacityLimiter(SENDS_AT_ONCE)
+        self._pending: dict[str, JobRecord] = {}
+        self._ready = trio.Event()
+        for record in ledger.records():
+            if record.state is JobState.MOVED and not record.adopted:
+                self._add(record)
+
+    def _add(self, record: JobRecord) -> None:
+        self._pending[record.id] = record
+        self._ready.set()
+
+    def move(self, job_id: str, zone: str) -> None:
+        """Move a waiting job to another availability zone."""
+        record = self._ledger.get(job_id)
+        if record.state is not JobState.QUEUED or record.cancel_requested:
+            return
+        moved = attrs.evolve(
+            record,
+            state=JobState.MOVED,
+            moves=record.moves + 1,
+            moved_to=zone,
+            moved_at=self._clock.now(),
+            adopted=False,
+        )
+        self._ledger.put(moved)
+        self._telemetry.event("job-moved", job=job_id, zone=zone, moves=moved.moves)
+        self._add(moved)
+
+    async def run(self) -> None:
+        """Hand over records until cancelled."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                await self._ready.wait()
+                self._ready = trio.Event()
+                pending, self._pending = self._pending, {}
+                for record in pending.values():
+                    nursery.start_soon(self._hand_over, record)
+
+    async def _hand_over(self, record: JobRecord) -> None:
+        await self._ledger.latest(record.id).wait_durable()
+        while not await self._send(record):
+            await self._clock.sleep(RETRY_PAUSE)
+        known = self._ledger.find(record.id)
+        if known is not None and known.state is JobState.MOVED and known.moves == record.moves:
+            self._ledger.put(attrs.evolve(known, adopted=True))
+
+    async def _send(self, record: JobRecord) -> bool:
+        address = self._address_of(record.moved_to)
+        if address is None:
+            return False
+        offered = attrs.evolve(record, state=JobState.QUEUED, moved_to=None, adopted=False)
+        try:
+            async with self._limiter:
+                await self._peers.call(address, AdoptJob(record.moved_to, offered), SEND_TIMEOUT)
+        except MimosapointError:
+            return False
+        return True
