Add the configuration service, its validation and the settings

A node could name a configuration but not load, commit or follow one. The service commits a patch by one compare-and-swap of a value that holds the version and the latest verdicts, settles lost answers by reading back, and never installs a lower version.

--- a/packages/mimosapoint/src/mimosapoint/configuration/__init__.py
+++ b/packages/mimosapoint/src/mimosapoint/configuration/__init__.py
@@ -12,18 +12,34 @@
     Zone,
     ZoneMode,
 )
+from mimosapoint.configuration.homes import Home, HomeKey, homes
+from mimosapoint.configuration.loading import load_configuration, load_patch, parse_configuration
 from mimosapoint.configuration.patch import Patch, PatchStatus
+from mimosapoint.configuration.service import ConfigurationService
+from mimosapoint.configuration.state import ConfigurationState, PatchRecord
+from mimosapoint.configuration.validation import problems, warnings
 
 __all__ = [
     "Capacity",
     "Configuration",
+    "ConfigurationService",
+    "ConfigurationState",
     "Guarantee",
+    "Home",
+    "HomeKey",
     "LeavingMode",
     "Patch",
+    "PatchRecord",
     "PatchStatus",
     "Policies",
     "Service",
     "Workspace",
     "Zone",
     "ZoneMode",
+    "homes",
+    "load_configuration",
+    "load_patch",
+    "parse_configuration",
+    "problems",
+    "warnings",
 ]
--- /dev/null
+++ b/packages/mimosapoint/src/mimosapoint/configuration/_archive.py
@@ -0,0 +1,80 @@
+"""Earlier versions in the store, written behind the commit."""
+
+import trio
+
+from mimosapoint.codec import decode, encode
+from mimosapoint.configuration.document import Configuration
+from mimosapoint.errors import CompareFailed, MimosapointError, PatchNotFound
+from mimosapoint.ports.store import ABSENT, Store
+from mimosapoint.ports.telemetry import Telemetry
+
+__all__ = ["Archive", "version_key"]
+
+VERSIONS_PREFIX = "configuration/versions/"
+BACKLOG = 100
+"""Most versions that wait to be written."""
+
+
+def version_key(version: int) -> str:
+    """Return the key of an earlier version."""
+    return f"{VERSIONS_PREFIX}{version}"
+
+
+class Archive:
+    """Keeps a bounded number of earlier versions, as far as the store is up.
+
+    :param store: the platform's key-value service.
+    :param telemetry: where events go.
+    :param retention: number of earlier versions that are kept.
+    """
+
+    def __init__(self, store: Store, telemetry: Telemetry, retention: int):
+        self._store = store
+        self._telemetry = telemetry
+        self._retention = retention
+        self._sender, self._receiver = trio.open_memory_channel[Configuration](BACKLOG)
+
+    def keep(self, configuration: Configuration) -> None:
+        """Have a version written soon; it is dropped when too many wait."""
+        if self._retention == 0:
+            return
+        try:
+            self._sender.send_nowait(configuration)
+        except trio.WouldBlock:
+            self._telemetry.event("configuration-not-archived", version=configuration.version)
+
+    async def run(self) -> None:
+        """Write what waits, one version at a time."""
+        async for configuration in self._receiver:
+            try:
+                await self._write(configuration)
+                await self._prune(configuration.version - self._retention)
+            except MimosapointError as error:
+                version = configuration.version
+                self._telemetry.event(
+                    "configuration-not-archived", version=version, code=error.code
+                )
+
+    async def read(self, version: int) -> Configuration:
+        """Return an earlier version.
+
+        :raises PatchNotFound: that version is not kept.
+        """
+        entry = await self._store.get(version_key(version))
+        if entry is None:
+            raise PatchNotFound(f"version {version} is not kept")
+        return decode(entry.value, Configuration)
+
+    async def _write(self, configuration: Configuration) -> None:
+        key = version_key(configuration.version)
+        try:
+            await self._store.compare_and_swap(key, encode(configuration), ABSENT)
+        except CompareFailed:
+            pass  # an earlier write of the same version
+
+    async def _prune(self, version: int) -> None:
+        if version < 1:
+            return
+        entry = await self._store.get(version_key(version))
+        if entry is not None:
+            await self._store.delete(entry.key, entry.revision)
--- /dev/null
+++ b/packages/mimosapoint/src/mimosapoint/configuration/_room.py
@@ -0,0 +1,173 @@
+"""Free room of availability zones, by rack and worker."""
+
+from collections.abc import Iterator
+
+import attrs
+
+from mimosapoint.configuration.document import Capacity
+from mimosapoint.model import Adjacency, Resources
+
+__all__ = ["Amounts", "Demand", "DemandKey", "Place", "ZoneRoom", "amounts"]
+
+Amounts = tuple[int, int, int, int]
+"""Slots, cores, memory and accelerators; a need has at least one slot."""
+
+DemandKey = tuple[str, str, int]
+"""Workspace, guarantee and number of the instance."""
+
+
+def amounts(resources: Resources) -> Amounts:
+    """Return the amounts as a plain tuple."""
+    return resources.slots, resources.cores, resources.memory_gib, resources.accelerators
+
+
+def _times(need: Amounts, room: Amounts) -> int:
+    """Return how many times the need fits into the room."""
+    times = room[0] // need[0]
+    for have, want in ((room[1], need[1]), (room[2], need[2]), (room[3], need[3])):
+        if want and times:
+            times = min(times, have // want)
+    return times
+
+
+def _minus(room: Amounts, need: Amounts, times: int) -> Amounts:
+    return (
+        room[0] - need[0] * times,
+        room[1] - need[1] * times,
+        room[2] - need[2] * times,
+        room[3] - need[3] * times,
+    )
+
+
+@attrs.frozen
+class Demand:
+    """A gang to be placed.
+
+    :param key: what the gang is known by.
+    :param gang: number of tasks.
+    :param shape: resources of each task.
+    :param adjacency: smallest part of the platform that holds the gang.
+    :param zones: availability zones that may hold it, in order of preference.
+    """
+
+    key: DemandKey
+    gang: int
+    shape: Amounts
+    adjacency: Adjacency
+    zones: tuple[str, ...]
+
+
+@attrs.frozen
+class Place:
+    """Where a gang is held.
+
+    :param zone: the availability zone.
+    :param tasks: number of tasks by rack index and worker index.
+    """
+
+    zone: str
+    tasks: tuple[tuple[int, int, int], ...]
+
+
+class ZoneRoom:
+    """Free room of an availability zone's workers.
+
+    :param zone: id of the availability zone.
+    :param capacity: its declared capacity.
+    """
+
+    def __init__(self, zone: str, capacity: Capacity):
+        whole = amounts(capacity.worker)
+        self.zone = zone
+        self.whole = whole
+        self.free = [[whole] * capacity.workers_per_rack for _ in range(capacity.racks)]
+        self.free_accelerators = whole[3] * capacity.workers_per_rack * capacity.racks
+        self._first_by_demand: dict[tuple[int, Amounts, Adjacency], int] = {}
+
+    def find(self, demand: Demand) -> Place | None:
+        """Return the first place that holds the gang, ``None`` when there is none.
+
+        Room that was too small for a gang stays too small while gangs are only added, so the
+        search goes on where the last one for the same kind of gang ended.
+        """
+        if demand.adjacency is Adjacency.AVAILABILITY_ZONE:
+            return self._spread(demand)
+        kind = (demand.gang, demand.shape, demand.adjacency)
+        for rack in range(self._first_by_demand.get(kind, 0), len(self.free)):
+            place = self.find_in_rack(demand, rack)
+            if place is not None:
+                self._first_by_demand[kind] = rack
+                return place
+        self._first_by_demand[kind] = len(self.free)
+        return None
+
+    def find_in_rack(self, demand: Demand, rack: int) -> Place | None:
+        """Return a place for the gang within one rack."""
+        if demand.adjacency is Adjacency.WORKER:
+            return self._on_one_worker(demand, rack)
+        tasks = self._fill(demand, rack, demand.gang)
+        if sum(count for _, _, count in tasks) < demand.gang:
+            return None
+        return Place(self.zone, tuple(tasks))
+
+    def every_place(self, demand: Demand) -> Iterator[Place]:
+        """Yield a place in each rack that holds the gang, alike racks only once."""
+        if demand.adjacency is Adjacency.AVAILABILITY_ZONE:
+            spread = self._spread(demand)
+            if spread is not None:
+                yield spread
+            return
+        seen = set()
+        for rack, workers in enumerate(self.free):
+            state = tuple(workers)
+            if state in seen:
+                continue
+            seen.add(state)
+            place = self.find_in_rack(demand, rack)
+            if place is not None:
+                yield place
+
+    def take(self, place: Place, shape: Amounts) -> None:
+        """Occupy a place."""
+        for rack, worker, count in place.tasks:
+            self.free[rack][worker] = _minus(self.free[rack][worker], shape, count)
+            self.free_accelerators -= shape[3] * count
+
+    def give_back(self, place: Place, shape: Amounts) -> None:
+        """Free a place."""
+        self._first_by_demand.clear()
+        for rack, worker, count in place.tasks:
+            self.free[rack][worker] = _minus(self.free[rack][worker], shape, -count)
+            self.free_accelerators += shape[3] * count
+
+    def _on_one_worker(self, demand: Demand, rack: int) -> Place | None:
+        for worker, room in enumerate(self.free[rack]):
+            if _times(demand.shape, room) >= demand.gang:
+                return Place(self.zone, ((rack, worker, demand.gang),))
+        return None
+
+    def _fill(self, demand: Demand, rack: int, wanted: int) -> list[tuple[int, int, int]]:
+        """Return up to ``wanted`` tasks in the rack, broken workers first."""
+        tasks = []
+        workers = self.free[rack]
+        order = sorted(range(len(workers)), key=lambda index: workers[index] == self.whole)
+        for worker in order:
+            count = min(wanted, _times(demand.shape, workers[worker]))
+            if count:
+                tasks.append((rack, worker, count))
+                wanted -= count
+            if wanted == 0:
+                break
+        return sorted(tasks)
+
+    def _spread(self, demand: Demand) -> Place | None:
+        """Return a place over as many racks as it takes."""
+        tasks: list[tuple[int, int, int]] = []
+        wanted = demand.gang
+        for rack in range(len(self.free)):
+            found = self._fill(demand, rack, wanted)
+            tasks.extend(found)
+            wanted -= sum(count for _, _, count in found)
+            if wanted == 0:
+                return Place(self.zone, tuple(tasks))
+        return None
--- a/packages/mimosapoint/src/mimosapoint/configuration/document.py
+++ b/packages/mimosapoint/src/mimosapoint/configuration/document.py
@@ -1,9 +1,11 @@
 """The configuration document: what operators decide, as one numbered value."""
 
 from enum import Enum
+from typing import Any
 
 import attrs
 
+from mimosapoint.codec.rules import RULE_KEY, Rule, between, identifier
 from mimosapoint.model import Adjacency, JobClass, Resources
 
 __all__ = [
@@ -19,6 +21,22 @@
 ]
 
 
+GANG_MAX = 1_024
+"""Most tasks of a gang."""
+RACKS_MAX = 1_000
+"""Most racks of an availability zone, and most workers of a rack."""
+INSTANCES_MAX = 1_000
+"""Most gangs of one guarantee."""
+GRACE_MAX = 3_600
+"""Longest grace, in seconds."""
+QUEUE_LIMIT_MAX = 100_000
+"""Most jobs of a workspace that may wait."""
+
+
+def _ruled(rule: Rule, default: Any = attrs.NOTHING) -> Any:
+    return attrs.field(default=default, metadata={RULE_KEY: rule})
+
+
 class ZoneMode(Enum):
     """Whether tasks may start in an availability zone."""
 
@@ -42,8 +60,8 @@
     :param worker: resources of each worker.
     """
 
-    racks: int
-    workers_per_rack: int
+    racks: int = _ruled(between(1, RACKS_MAX))
+    workers_per_rack: int = _ruled(between(1, RACKS_MAX))
     worker: Resources
 
 
@@ -57,7 +75,7 @@
     :param leaving: what becomes of running work when the zone goes out.
     """
 
-    region: str
+    region: str = _ruled(identifier())
     capacity: Capacity
     mode: ZoneMode = ZoneMode.IN_SERVICE
     leaving: LeavingMode = LeavingMode.CHECKPOINT_AND_MOVE
@@ -75,11 +93,11 @@
     :param zones: availability zones that may hold it; empty means every zone of the region.
     """
 
-    id: str
-    gang: int
+    id: str = _ruled(identifier())
+    gang: int = _ruled(between(1, GANG_MAX))
     shape: Resources
     adjacency: Adjacency = Adjacency.RACK
-    count: int = 1
+    count: int = _ruled(between(1, INSTANCES_MAX), 1)
     zones: tuple[str, ...] = ()
 
 
@@ -107,11 +125,11 @@
     :param services_by_id: its services.
     """
 
-    region: str
+    region: str = _ruled(identifier())
     guarantees: tuple[Guarantee, ...] = ()
     may_borrow: bool = True
-    grace: float = 5.0
-    queue_limit: int = 1000
+    grace: float = _ruled(between(0, GRACE_MAX), 5.0)
+    queue_limit: int = _ruled(between(0, QUEUE_LIMIT_MAX), 1000)
     services_by_id: dict[str, Service] = attrs.field(factory=dict)
 
 
--- /dev/null
+++ b/packages/mimosapoint/src/mimosapoint/configuration/service.py
@@ -0,0 +1,279 @@
+"""A node's configuration: the version in force, how fresh it is, and how it changes."""
+
+from collections.abc import Callable
+from datetime import datetime, timedelta
+from random import Random
+
+import trio
+
+from mimosapoint.configuration._archive import Archive
+from mimosapoint.configuration._commit import CONFIGURATION_KEY, Committer
+from mimosapoint.configuration.document import Configuration
+from mimosapoint.configuration.patch import Patch, PatchStatus
+from mimosapoint.configuration.state import (
+    FORMAT,
+    ConfigurationState,
+    PatchRecord,
+    decode_state,
+    encode_state,
+)
+from mimosapoint.errors import (
+    MimosapointError,
+    PatchNotFound,
+    StoreUnavailable,
+)
+from mimosapoint.ports.clock import Clock
+from mimosapoint.ports.store import ABSENT, Entry, Store
+from mimosapoint.ports.telemetry import Telemetry
+from mimosapoint.settings.sections import ConfigurationSettings
+
+__all__ = ["ConfigurationService"]
+
+POLL_JITTER = 0.5
+"""Largest share by which a poll comes later than its due time."""
+BACKOFF_DOUBLINGS = 10
+"""Number of failed reads after which the bound of the pause stops growing."""
+
+EMPTY = ConfigurationState(FORMAT, 0, Configuration())
+
+
+class ConfigurationService:
+    """Holds the newest version that this node knows of.
+
+    :param node_id: id of the node.
+    :param store: the platform's key-value service.
+    :param clock: clock of the node.
+    :param telemetry: where events go.
+    :param settings: freshness bound, polling and retention.
+    :param random: source of jitter.
+    """
+
+    def __init__(
+        self,
+        node_id: str,
+        store: Store,
+        clock: Clock,
+        telemetry: Telemetry,
+        settings: ConfigurationSettings,
+        random: Random | None = None,
+    ):
+        self.node_id = node_id
+        self.state = EMPTY
+        self.confirmed_at: datetime | None = None
+        self._store = store
+        self._clock = clock
+        self._telemetry = telemetry
+        self._settings = settings
+        self._random = random or Random(node_id)
+        self._known_version = 0
+        self._failures = 0
+        self._wake = trio.Event()
+        self._installed = trio.Event()
+        self._callbacks: list[Callable[[Configuration], None]] = []
+        self._checked_at = clock.now()
+        self._poll_age = settings.poll_after
+        self._archive = Archive(store, telemetry, settings.versions_kept)
+        self._committer = Committer(store, clock, settings, self)
+        self._applying = trio.Lock()
+
+    @property
+    def current(self) -> Configuration:
+        """The newest version that this node knows; version 0 before the first load."""
+        return self.state.configuration
+
+    def fresh(self, now: datetime) -> bool:
+        """Tell whether no version newer than ``current`` can be older than the bound.
+
+        :param now: the time by this node's clock.
+        """
+        if self.current.version == 0 or self.confirmed_at is None:
+            return False
+        if self._known_version > self.current.version:
+            return False
+        return now - self.confirmed_at <= self._settings.freshness_bound
+
+    def on_install(self, callback: Callable[[Configuration], None]) -> None:
+        """Call back with every version that comes into force here."""
+        self._callbacks.append(callback)
+
+    async def wait_for(self, version: int, timeout: timedelta) -> bool:
+        """Wait until the version or a higher one is in force here.
+
+        :returns: whether it is.
+        """
+        with trio.move_on_after(timeout.total_seconds()):
+            while self.current.version < version:
+                await self._installed.wait()
+        return self.current.version >= version
+
+    def offer(self, state: ConfigurationState, confirmed_at: datetime | None = None) -> bool:
+        """Install a peer's state if it is newer.
+
+        :param confirmed_at: time by this node's clock at which the peer's version was current.
+        :returns: whether a higher version came into force.
+        """
+        version = state.configuration.version
+        installed = self._install(state)
+        if confirmed_at is not None:
+            self.relay(version, confirmed_at)
+        return installed
+
+    def relay(self, version: int, confirmed_at: datetime) -> None:
+        """Take a peer's knowledge that a version was the current one.
+
+        :param confirmed_at: time by this node's clock, no later than the real one.
+        """
+        if version > max(self.current.version, self._known_version):
+            self._known_version = version
+            self._wake.set()
+        elif version == self.current.version:
+            self._confirm(confirmed_at)
+
+    async def run(self, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED) -> None:
+        """Load the configuration, then follow it; started once the store has answered."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._archive.run)
+            while not await self._read():
+                await self._pause(self._backoff())
+            task_status.started()
+            while True:
+                await self._pause(self._until_poll())
+                if self._until_poll() <= timedelta() and not await self._read():
+                    await self._pause(self._backoff())
+
+    async def bootstrap(self, configuration: Configuration) -> bool:
+        """Create version 1 in a store that has no configuration yet.
+
+        :returns: whether this call created it.
+        :raises ConfigurationInvalid: the configuration has problems.
+        """
+        async with self._applying:
+            return await self._committer.bootstrap(configuration)
+
+    async def apply(self, patch: Patch) -> PatchStatus:
+        """Commit a patch, or return the verdict that its id got before.
+
+        :raises ConfigurationStale: the base is not the current version.
+        :raises ConfigurationInvalid: the result would be invalid; every reason is listed.
+        :raises PatchConflict: the id was used before with another content.
+        :raises OutcomeUnknown: the store does not tell whether the write took effect.
+        :raises StoreUnavailable: the store is out; the patch had no effect.
+        """
+        async with self._applying:
+            return await self._committer.apply(patch)
+
+    async def verdict(self, patch_id: str) -> PatchStatus:
+        """Return what became of a patch.
+
+        :raises PatchNotFound: no such patch is kept.
+        """
+        if self.state.record(patch_id) is None:
+            await self._read()
+        record = self.state.record(patch_id)
+        if record is None:
+            raise PatchNotFound(f"no patch {patch_id} is kept")
+        return record.status()
+
+    def history(self) -> tuple[PatchRecord, ...]:
+        """Return the latest verdicts, oldest first."""
+        return self.state.patches
+
+    async def version_at(self, version: int) -> Configuration:
+        """Return the current version or an earlier one.
+
+        :raises PatchNotFound: that version is not kept.
+        """
+        if version == self.current.version:
+            return self.current
+        return await self._archive.read(version)
+
+    def _install(self, state: ConfigurationState) -> bool:
+        if state.order <= self.state.order:
+            return False
+        rises = state.configuration.version > self.current.version
+        self.state = state
+        if rises:
+            self._announce()
+        return rises
+
+    def _announce(self) -> None:
+        version = self.current.version
+        self._telemetry.event("configuration-installed", version=version)
+        self._telemetry.gauge("configuration_version", version)
+        self._installed.set()
+        self._installed = trio.Event()
+        for callback in self._callbacks:
+            callback(self.current)
+
+    def _confirm(self, at: datetime) -> None:
+        at = min(at, self._clock.now())
+        if self.confirmed_at is None or at > self.confirmed_at:
+            self.confirmed_at = at
+
+    async def take(self, entry: Entry | None, sent_at: datetime) -> ConfigurationState:
+        """Take what the store held at some time after a read was sent.
+
+        :returns: the stored state.
+        :raises NewerFormat: a newer program wrote it.
+        :raises StoreUnavailable: the store has lost or hides a version that was in force.
+        """
+        stored = EMPTY if entry is None else decode_state(entry.value)
+        if stored.configuration.version < self.current.version:
+            await self._restore(entry, stored)
+        self._install(stored)
+        self._confirm(sent_at)
+        return stored
+
+    def committed(self, state: ConfigurationState, sent_at: datetime) -> None:
+        """Take a state that this node has written."""
+        previous = self.current
+        if self._install(state) and previous.version > 0:
+            self._archive.keep(previous)
+        self._confirm(sent_at)
+
+    async def _restore(self, entry: Entry | None, stored: ConfigurationState) -> None:
+        """Write the version in force over an older one, so that it never reverts.
+
+        :raises StoreUnavailable: always, since the store is behind.
+        """
+        version = self.current.version
+        behind = stored.configuration.version
+        self._telemetry.event("configuration-store-behind", stored=behind, current=version)
+        expected = ABSENT if entry is None else entry.revision
+        await self._store.compare_and_swap(CONFIGURATION_KEY, encode_state(self.state), expected)
+        self._telemetry.event("configuration-restored", version=version)
+        raise StoreUnavailable(f"the store held version {behind}; version {version} is in force")
+
+    async def _read(self) -> bool:
+        """Read the store once; return whether it answered with the newest version."""
+        self._wake = trio.Event()
+        self._checked_at = self._clock.now()
+        share = 1 + POLL_JITTER * self._random.random()
+        self._poll_age = self._settings.poll_after * share
+        try:
+            entry = await self._store.get(CONFIGURATION_KEY)
+            await self.take(entry, self._checked_at)
+        except MimosapointError as error:
+            self._failures += 1
+            self._telemetry.event("configuration-read-failed", code=error.code)
+            return False
+        self._failures = 0
+        return self._known_version <= self.current.version
+
+    def _backoff(self) -> timedelta:
+        """Return a random pause whose bound doubles with each failed read."""
+        growth = 2 ** min(self._failures, BACKOFF_DOUBLINGS)
+        bound = min(self._settings.retry_max, self._settings.retry_min * growth)
+        return bound * self._random.random()
+
+    def _until_poll(self) -> timedelta:
+        """Return the time left until this node reads the store itself."""
+        if self._known_version > self.current.version:
+            return timedelta()
+        latest = max(self._checked_at, self.confirmed_at or self._checked_at)
+        return latest + self._poll_age - self._clock.now()
+
+    async def _pause(self, duration: timedelta) -> None:
+        """Wait for the duration, or until a peer knows a higher version."""
+        with trio.move_on_after(max(0.0, duration.total_seconds())):
+            await self._wake.wait()
--- /dev/null
+++ b/packages/mimosapoint/src/mimosapoint/configuration/tests/test_service.py
@@ -0,0 +1,293 @@
+"""Tests of the configuration service over an in-memory store."""
+
+from datetime import timedelta
+
+import trio
+
+from mimosapoint.configuration import ConfigurationService, ConfigurationState, Patch
+from mimosapoint.configuration.state import FORMAT, decode_state, encode_state
+from mimosapoint.configuration.tests._fakes import Events, FakeStore, TrioClock
+from mimosapoint.configuration.tests._sites import rack_gang, site
+from mimosapoint.errors import (
+    ConfigurationInvalid,
+    ConfigurationStale,
+    NewerFormat,
+    OutcomeUnknown,
+    PatchConflict,
+    PatchNotFound,
+    StoreUnavailable,
+)
+from mimosapoint.ports.store import Entry
+from mimosapoint.settings import ConfigurationSettings
+from mimosapoint.testing import TrioTestCase
+
+KEY = "configuration"
+SECOND = timedelta(seconds=1)
+FIRST_READ = ("get", "none")
+"""Lets the read that precedes a write pass."""
+
+
+def zone_mode(id, base, mode="out", zone="a"):
+    operation = {"op": "replace", "path": f"/zones/{zone}/mode", "value": mode}
+    return Patch(id, base, (operation,))
+
+
+def impossible(id, base):
+    operation = {"op": "replace", "path": "/workspaces/desk/guarantees/0/count", "value": 9}
+    return Patch(id, base, (operation,))
+
+
+class ServiceCase(TrioTestCase):
+    mock_clock = True
+
+    def setUp(self):
+        self.store = FakeStore()
+        self.clock = TrioClock()
+        self.telemetry = Events()
+
+    def node(self, id="n1", **settings):
+        made = ConfigurationSettings(**settings)
+        return ConfigurationService(id, self.store, self.clock, self.telemetry, made)
+
+    async def started(self, nursery, id="n1", **settings):
+        service = self.node(id, **settings)
+        if KEY not in self.store.entries_by_key:
+            await service.bootstrap(site(rack_gang("g", 8)))
+        await nursery.start(service.run)
+        return service
+
+
+class PatchTest(ServiceCase):
+    async def test_an_accepted_patch_makes_the_next_version(self):
+        service = self.node()
+        await service.bootstrap(site(rack_gang("g", 8)))
+        status = await service.apply(zone_mode("p1", 1))
+        self.assertEqual((status.accepted, status.version), (True, 2))
+        self.assertEqual(service.current.zones_by_id["a"].mode.value, "out")
+
+    async def test_a_repeated_id_gets_its_first_verdict(self):
+        service = self.node()
+        await service.bootstrap(site(rack_gang("g", 8)))
+        first = await service.apply(zone_mode("p1", 1))
+        await service.apply(zone_mode("p2", 2, "in-service"))
+        self.assertEqual(await service.apply(zone_mode("p1", 1)), first)
+        self.assertEqual(service.current.version, 3)
+        with self.assertRaises(PatchConflict):
+            await service.apply(zone_mode("p1", 3))
+
+    async def test_a_rejection_is_repeated_although_the_version_has_moved_on(self):
+        service = self.node()
+        await service.bootstrap(site(rack_gang("g", 8)))
+        with self.assertRaises(ConfigurationInvalid) as first:
+            await service.apply(impossible("p1", 1))
+        await service.apply(zone_mode("p2", 1))
+        with self.assertRaises(ConfigurationInvalid) as second:
+            await service.apply(impossible("p1", 1))
+        self.assertEqual(first.exception.reasons, second.exception.reasons)
+        self.assertFalse((await service.verdict("p1")).accepted)
+
+    async def test_of_racing_operators_one_wins_and_the_others_learn_the_version(self):
+        nodes = [self.node(f"n{number}") for number in range(6)]
+        await nodes[0].bootstrap(site(rack_gang("g", 8)))
+        outcomes = []
+
+        async def operate(number):
+            patch = zone_mode(f"p{number}", 1, zone="ab"[number % 2])
+            try:
+                outcomes.append((await nodes[number].apply(patch)).version)
+            except ConfigurationStale as error:
+                outcomes.append(-error.current)
+
+        async with trio.open_nursery() as nursery:
+            for number in range(len(nodes)):
+                nursery.start_soon(operate, number)
+        self.assertEqual(sorted(outcomes), [-2, -2, -2, -2, -2, 2])
+
+    async def test_the_same_patch_through_two_nodes_takes_effect_once(self):
+        nodes = [self.node("n1"), self.node("n2")]
+        await nodes[0].bootstrap(site(rack_gang("g", 8)))
+        versions = []
+
+        async def operate(node):
+            versions.append((await node.apply(zone_mode("p", 1))).version)
+
+        async with trio.open_nursery() as nursery:
+            for node in nodes:
+                nursery.start_soon(operate, node)
+        self.assertEqual(versions, [2, 2])
+
+    async def test_faults_of_the_write_leave_one_true_verdict(self):
+        cases = (
+            [("cas", "lost-answer")],
+            [("cas", "lost-request")],
+            [("cas", "lost-answer"), ("get", "refused"), ("get", "lost-request")],
+            [("cas", "lost-request"), ("cas", "lost-answer")],
+            [("cas", "lost-request"), ("cas", "refused")],
+        )
+        for faults in cases:
+            with self.subTest(faults=faults):
+                self.store = FakeStore()
+                service = self.node()
+                await service.bootstrap(site(rack_gang("g", 8)))
+                self.store.faults = [FIRST_READ, *faults]
+                status = await service.apply(zone_mode("p1", 1))
+                self.assertEqual(status.version, 2)
+                stored = decode_state(self.store.entries_by_key[KEY].value)
+                self.assertEqual([record.id for record in stored.patches], ["p1"])
+
+    async def test_an_outage_is_told_truthfully(self):
+        cases = (
+            ([("get", "refused")], StoreUnavailable),
+            ([("get", "lost-answer")], StoreUnavailable),
+            ([("cas", "refused")], StoreUnavailable),
+            ([FIRST_READ, ("cas", "lost-answer"), *[("get", "refused")] * 999], OutcomeUnknown),
+        )
+        for faults, expected in cases:
+            with self.subTest(faults=faults[:2]):
+                self.store = FakeStore()
+                service = self.node()
+                await service.bootstrap(site(rack_gang("g", 8)))
+                self.store.faults = faults
+                with self.assertRaises(expected):
+                    await service.apply(zone_mode("p1", 1))
+                took_effect = decode_state(self.store.entries_by_key[KEY].value).patches != ()
+                self.assertEqual(took_effect, expected is OutcomeUnknown)
+
+    async def test_a_newer_format_is_never_overwritten(self):
+        state = ConfigurationState(FORMAT + 1, 1, site(rack_gang("g", 8), version=1))
+        self.store.entries_by_key[KEY] = Entry(KEY, encode_state(state), 1)
+        service = self.node()
+        with self.assertRaises(NewerFormat):
+            await service.apply(zone_mode("p1", 1))
+        with self.assertRaises(NewerFormat):
+            await service.bootstrap(site())
+        self.assertEqual(self.store.entries_by_key[KEY].revision, 1)
+
+
+class FreshnessTest(ServiceCase):
+    async def test_a_started_node_stays_fresh_while_the_store_answers(self):
+        async with trio.open_nursery() as nursery:
+            service = await self.started(nursery)
+            for _ in range(100):
+                await trio.sleep(0.1)
+                self.assertTrue(service.fresh(self.clock.now()))
+            nursery.cancel_scope.cancel()
+
+    async def test_a_node_is_not_fresh_after_an_outage_or_a_pause(self):
+        async with trio.open_nursery() as nursery:
+            service = await self.started(nursery)
+            self.store.out = True
+            await trio.sleep(2)
+            self.assertFalse(service.fresh(self.clock.now()))
+            self.store.out = False
+            await trio.sleep(3)
+            self.assertTrue(service.fresh(self.clock.now()))
+            self.clock.paused += timedelta(seconds=5)
+            self.assertFalse(service.fresh(self.clock.now()))
+            nursery.cancel_scope.cancel()
+
+    async def test_relayed_confirmations_spare_reads(self):
+        async with trio.open_nursery() as nursery:
+            service = await self.started(nursery)
+            before = len(self.store.calls)
+            for _ in range(100):
+                await trio.sleep(0.1)
+                service.relay(1, self.clock.now())
+            self.assertEqual(len(self.store.calls), before)
+            nursery.cancel_scope.cancel()
+
+    async def test_a_relayed_higher_version_stops_starts_and_is_read_at_once(self):
+        async with trio.open_nursery() as nursery:
+            service = await self.started(nursery)
+            await self.node("n2").apply(zone_mode("p1", 1))
+            service.relay(2, self.clock.now())
+            self.assertFalse(service.fresh(self.clock.now()))
+            self.assertTrue(await service.wait_for(2, timedelta(seconds=0.1)))
+            self.assertTrue(service.fresh(self.clock.now()))
+            nursery.cancel_scope.cancel()
+
+    async def test_a_confirmation_from_the_future_counts_as_of_now(self):
+        async with trio.open_nursery() as nursery:
+            service = await self.started(nursery)
+            service.relay(1, self.clock.now() + 60 * SECOND)
+            self.assertLessEqual(service.confirmed_at, self.clock.now())
+            nursery.cancel_scope.cancel()
+
+    async def test_the_empty_version_is_never_fresh(self):
+        service = self.node()
+        with trio.move_on_after(1):
+            await service.run()
+        self.assertFalse(service.fresh(self.clock.now()))
+
+
+class InstallTest(ServiceCase):
+    async def test_versions_never_fall(self):
+        async with trio.open_nursery() as nursery:
+            service = await self.started(nursery)
+            old = self.store.entries_by_key[KEY]
+            seen = []
+            service.on_install(lambda configuration: seen.append(configuration.version))
+            await service.apply(zone_mode("p1", 1))
+            newest = service.state
+            self.assertFalse(service.offer(decode_state(old.value), self.clock.now()))
+            self.store.entries_by_key[KEY] = Entry(KEY, old.value, 99)
+            self.store.revision = 99
+            await trio.sleep(3)
+            self.assertEqual(service.state, newest)
+            self.assertEqual(decode_state(self.store.entries_by_key[KEY].value), newest)
+            self.assertEqual(seen, [2])
+            nursery.cancel_scope.cancel()
+
+    async def test_a_peer_spreads_a_version_while_the_store_is_out(self):
+        async with trio.open_nursery() as nursery:
+            first = await self.started(nursery, "n1")
+            second = await self.started(nursery, "n2")
+            await first.apply(zone_mode("p1", 1))
+            self.store.out = True
+            self.assertTrue(second.offer(first.state, first.confirmed_at))
+            self.assertFalse(second.offer(first.state, first.confirmed_at))
+            self.assertEqual(second.current, first.current)
+            self.assertTrue((await second.verdict("p1")).accepted)
+            nursery.cancel_scope.cancel()
+
+    async def test_a_node_starts_once_the_store_is_back(self):
+        await self.node("n0").bootstrap(site(rack_gang("g", 8)))
+        self.store.out = True
+        service = self.node()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(service.run)
+            await trio.sleep(30)
+            self.assertEqual(service.current.version, 0)
+            self.store.out = False
+            self.assertTrue(await service.wait_for(1, 5 * SECOND))
+            nursery.cancel_scope.cancel()
+
+    async def test_waiting_ends_with_the_timeout(self):
+        service = self.node()
+        self.assertFalse(await service.wait_for(1, SECOND))
+
+
+class ArchiveTest(ServiceCase):
+    async def test_a_bounded_number_of_earlier_versions_is_kept(self):
+        async with trio.open_nursery() as nursery:
+            service = await self.started(nursery, versions_kept=2)
+            for number in range(1, 5):
+                mode = "out" if number % 2 else "in-service"
+                await service.apply(zone_mode(f"p{number}", number, mode))
+                await trio.sleep(0.1)
+            for version, mode in ((3, "in-service"), (4, "out"), (5, "in-service")):
+                kept = await service.version_at(version)
+                self.assertEqual(kept.zones_by_id["a"].mode.value, mode)
+            for version in (1, 2, 6):
+                with self.subTest(version=version), self.assertRaises(PatchNotFound):
+                    await service.version_at(version)
+            nursery.cancel_scope.cancel()
+
+    async def test_the_log_of_verdicts_is_bounded(self):
+        service = self.node(patch_log=2)
+        await service.bootstrap(site(rack_gang("g", 8)))
+        for number in range(1, 4):
+            await service.apply(zone_mode(f"p{number}", number))
+        self.assertEqual([record.id for record in service.history()], ["p2", "p3"])
+        with self.assertRaises(PatchNotFound):
+            await service.verdict("p1")
--- /dev/null
+++ b/packages/mimosapoint/src/mimosapoint/settings/__init__.py
@@ -0,0 +1,29 @@
+"""Settings of one node: a YAML file, typed and checked as a whole."""
+
+from mimosapoint.settings.load import load_settings, parse_settings
+from mimosapoint.settings.node import NodeSettings
+from mimosapoint.settings.reference import SettingReference, settings_reference
+from mimosapoint.settings.sections import (
+    ConfigurationSettings,
+    LimitSettings,
+    OwnerSettings,
+    PeerSettings,
+    StoreSettings,
+    TelemetrySettings,
+    WorkerSettings,
+)
+
+__all__ = [
+    "ConfigurationSettings",
+    "LimitSettings",
+    "NodeSettings",
+    "OwnerSettings",
+    "PeerSettings",
+    "SettingReference",
+    "StoreSettings",
+    "TelemetrySettings",
+    "WorkerSettings",
+    "load_settings",
+    "parse_settings",
+    "settings_reference",
+]
--- /dev/null
+++ b/packages/mimosapoint/src/mimosapoint/settings/reference.py
@@ -0,0 +1,64 @@
+"""List of every setting, to print or to make pages from."""
+
+from collections.abc import Iterator
+from datetime import timedelta
+from typing import Any
+
+import attrs
+
+from mimosapoint.codec.strict import document_key
+from mimosapoint.settings._item import METADATA_DOC, rule_of
+from mimosapoint.settings.node import NodeSettings
+
+__all__ = ["SettingReference", "settings_reference"]
+
+UNITS_BY_SUFFIX = {"_seconds": "seconds", "_bytes": "bytes", "_per_second": "per second"}
+
+
+@attrs.frozen
+class SettingReference:
+    """One setting.
+
+    :param key: path of the setting, its parts joined by dots.
+    :param type: name of the type of its value.
+    :param unit: unit of its value; empty when it has none.
+    :param default: value when it is not named; ``None`` when it is required.
+    :param allowed: the allowed values.
+    :param doc: what it does.
+    """
+
+    key: str
+    type: str
+    unit: str
+    default: Any
+    allowed: str
+    doc: str
+
+
+def _unit(key: str) -> str:
+    return next((unit for end, unit in UNITS_BY_SUFFIX.items() if key.endswith(end)), "")
+
+
+def _default(field: attrs.Attribute) -> Any:
+    if field.default is attrs.NOTHING:
+        return None
+    if isinstance(field.default, timedelta):
+        return field.default.total_seconds()
+    return field.default
+
+
+def _reference(kind: type, path: tuple[str, ...] = ()) -> Iterator[SettingReference]:
+    for field in attrs.fields(attrs.resolve_types(kind)):
+        key = ".".join((*path, document_key(field)))
+        rule = rule_of(field)
+        if rule is None:
+            yield from _reference(field.type, (*path, field.name))
+            continue
+        type_name = "number" if field.type in (timedelta, float) else field.type.__name__
+        doc = field.metadata[METADATA_DOC]
+        yield SettingReference(key, type_name, _unit(key), _default(field), rule.allowed, doc)
+
+
+def settings_reference() -> list[SettingReference]:
+    """Return every setting in the order of the file."""
+    return list(_reference(NodeSettings))
--- /dev/null
+++ b/packages/mimosapoint/src/mimosapoint/settings/sections.py
@@ -0,0 +1,127 @@
+"""Groups of settings, one for each part of a node."""
+
+from datetime import timedelta
+
+import attrs
+
+from mimosapoint.settings._item import between, item, one_of
+
+__all__ = [
+    "ConfigurationSettings",
+    "LimitSettings",
+    "OwnerSettings",
+    "PeerSettings",
+    "StoreSettings",
+    "TelemetrySettings",
+    "WorkerSettings",
+]
+
+
+def _seconds(value: float) -> timedelta:
+    return timedelta(seconds=value)
+
+
+@attrs.frozen
+class LimitSettings:
+    """Bounds on what callers may ask of one node."""
+
+    body_bytes: int = item("Largest request body.", between(1, 16_000_000), 1_000_000)
+    header_bytes: int = item("Largest request head.", between(256, 65_536), 16_384)
+    connections: int = item("Most open connections of callers.", between(1, 100_000), 2_000)
+    in_flight_requests: int = item("Most requests served at once.", between(1, 100_000), 1_000)
+    waiting_answers: int = item(
+        "Most callers that wait for an answer at once.", between(1, 100_000), 1_500
+    )
+
+
+@attrs.frozen
+class ConfigurationSettings:
+    """How a node follows the configuration."""
+
+    freshness_bound: timedelta = item(
+        "Age of the last confirmation beyond which no task starts.",
+        between(0.1, 3),
+        _seconds(1.5),
+    )
+    poll_after: timedelta = item(
+        "Age of the last confirmation at which the node reads the store itself.",
+        between(0.01, 3),
+        _seconds(0.6),
+    )
+    retry_min: timedelta = item(
+        "Longest first pause after a failed read of the store.", between(0.01, 10), _seconds(0.1)
+    )
+    retry_max: timedelta = item(
+        "Longest pause after repeated failed reads of the store.", between(0.01, 60), _seconds(2)
+    )
+    settle_timeout: timedelta = item(
+        "How long a patch whose write got no answer is looked for in the store.",
+        between(0.1, 60),
+        _seconds(5),
+    )
+    patch_log: int = item("Verdicts on patches that are kept.", between(1, 1_000), 100)
+    versions_kept: int = item("Earlier versions that are kept.", between(0, 10_000), 50)
+
+
+@attrs.frozen
+class OwnerSettings:
+    """How the owner of an availability zone works."""
+
+    buckets: int = item("Values that the job table is spread over.", between(1, 256), 16)
+    commit_interval: timedelta = item(
+        "How long transitions gather before one write.", between(0.001, 1), _seconds(0.02)
+    )
+    reservation_ttl: timedelta = item(
+        "Time after which an unused reservation on a worker lapses.",
+        between(0.1, 3),
+        _seconds(1.5),
+    )
+    ended_retention: timedelta = item(
+        "How long ended jobs are kept.", between(1, 604_800), _seconds(3_600)
+    )
+
+
+@attrs.frozen
+class WorkerSettings:
+    """How a node deals with workers."""
+
+    lease_ttl: timedelta = item(
+        "Time after which a worker without renewal stops its tasks.", between(1, 300), _seconds(15)
+    )
+    call_timeout: timedelta = item(
+        "Time given to a worker to answer.", between(0.05, 30), _seconds(2)
+    )
+
+
+@attrs.frozen
+class PeerSettings:
+    """How nodes talk to each other."""
+
+    heartbeat_interval: timedelta = item(
+        "Pause between heartbeats to a peer.", between(0.05, 10), _seconds(0.5)
+    )
+    call_timeout: timedelta = item(
+        "Time given to a peer to answer.", between(0.05, 30), _seconds(1)
+    )
+
+
+@attrs.frozen
+class StoreSettings:
+    """How a node uses the platform's key-value service."""
+
+    writes_per_second: float = item(
+        "Most writes that one node sends each second.", between(1, 1_000), 25.0
+    )
+    call_timeout: timedelta = item(
+        "Time given to the service to answer.", between(0.05, 30), _seconds(1)
+    )
+
+
+@attrs.frozen
+class TelemetrySettings:
+    """Logs and traces."""
+
+    log_level: str = item(
+        "Least severe log lines to write.", one_of("debug", "info", "warning", "error"), "info"
+    )
+    trace_exporter: str = item("Where spans go.", one_of("none", "log"), "none")
