Serve the platform's stand-ins over HTTP and reach them from the node

A node needs real sockets to the store, the workers and the VM list. The stand-ins put the in-memory adapters behind HTTP/1.1, the node's adapters turn replies back into typed errors: not connected means no effect, anything broken later is doubtful.

--- /dev/null
+++ b/packages/mimosapoint-node/src/mimosapoint_node/platform/__init__.py
@@ -0,0 +1,7 @@
+"""Adapters of the platform's HTTP interfaces."""
+
+from mimosapoint_node.platform.store import HttpStore
+from mimosapoint_node.platform.vm_list import HttpVmList
+from mimosapoint_node.platform.workers import HttpWorkers
+
+__all__ = ["HttpStore", "HttpVmList", "HttpWorkers"]
--- /dev/null
+++ b/packages/mimosapoint-node/src/mimosapoint_node/platform/store.py
@@ -0,0 +1,127 @@
+"""The platform's key-value service over HTTP."""
+
+from datetime import timedelta
+
+from mimosapoint.codec import encode
+from mimosapoint.errors import (
+    CompareFailed,
+    LeaseLost,
+    StoreTimeout,
+    StoreUnavailable,
+    ValueTooLarge,
+)
+from mimosapoint.platform import Entries, LeaseGrant, LeaseTtl, Problem, Written
+from mimosapoint.ports import VALUE_LIMIT_BYTES, Entry, Telemetry
+
+from mimosapoint_node.platform._client import (
+    CALL_TIMEOUT,
+    CONNECT_TIMEOUT,
+    Client,
+    Reply,
+    url_of,
+)
+
+__all__ = ["HttpStore"]
+
+NOT_FOUND = 404
+NO_CONTENT = (204,)
+KEY_ABSENT = "key-absent"
+"""Code of the problem that tells of an absent key."""
+
+KNOWN_ERRORS = frozenset({CompareFailed, LeaseLost, ValueTooLarge})
+
+
+class HttpStore:
+    """Store behind an HTTP address.
+
+    :param address: ``IP:port`` of the service.
+    :param telemetry: counts every call by kind as ``store_calls``.
+    :param timeout: time that a call may take, a watch's own wait not counted.
+    :param connect_timeout: time that a new connection may take.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        telemetry: Telemetry,
+        timeout: timedelta = CALL_TIMEOUT,
+        connect_timeout: timedelta = CONNECT_TIMEOUT,
+    ):
+        self._address = address
+        self._telemetry = telemetry
+        self._client = Client(
+            StoreUnavailable, StoreTimeout, KNOWN_ERRORS, timeout, connect_timeout
+        )
+
+    async def get(self, key: str) -> Entry | None:
+        """Return the current entry, or ``None`` when the key is absent."""
+        self._count("get")
+        url = url_of(self._address, "keys", key)
+        reply = await self._client.call("GET", url, accepted=(200, NOT_FOUND))
+        if reply.status == NOT_FOUND:
+            return self._absent(reply)
+        revision = self._client.check(lambda: int(reply.headers[b"x-revision"]))
+        return Entry(key, reply.body, revision)
+
+    async def scan(self, prefix: str) -> list[Entry]:
+        """Return the entries whose key begins with the prefix, ordered by key."""
+        self._count("scan")
+        reply = await self._client.call("GET", url_of(self._address, "entries", prefix=prefix))
+        return self._entries(reply)
+
+    async def compare_and_swap(
+        self, key: str, value: bytes, expected: int, lease: str | None = None
+    ) -> int:
+        """Write the value if the stored revision is the expected one."""
+        if len(value) > VALUE_LIMIT_BYTES:
+            raise ValueTooLarge(f"{len(value)} bytes are over {VALUE_LIMIT_BYTES}")
+        self._count("compare_and_swap")
+        url = url_of(self._address, "keys", key, expected=expected, lease=lease or "")
+        reply = await self._client.call("PUT", url, value)
+        return self._client.read(reply, Written).revision
+
+    async def delete(self, key: str, expected: int) -> None:
+        """Remove the key if the stored revision is the expected one."""
+        self._count("delete")
+        url = url_of(self._address, "keys", key, expected=expected)
+        await self._client.call("DELETE", url, accepted=NO_CONTENT)
+
+    async def grant_lease(self, ttl: timedelta) -> str:
+        """Return the id of a new lease."""
+        self._count("grant_lease")
+        body = encode(LeaseTtl(ttl.total_seconds()))
+        reply = await self._client.call("POST", url_of(self._address, "leases"), body)
+        return self._client.read(reply, LeaseGrant).lease
+
+    async def renew_lease(self, lease: str) -> None:
+        """Renew the lease for its time to live."""
+        self._count("renew_lease")
+        url = url_of(self._address, "leases", lease, "renew")
+        await self._client.call("POST", url, accepted=NO_CONTENT)
+
+    async def watch(self, prefix: str, after: int, timeout: timedelta) -> list[Entry]:
+        """Wait until an entry under the prefix has a revision above ``after``."""
+        self._count("watch")
+        seconds = timeout.total_seconds()
+        url = url_of(self._address, "watch", prefix=prefix, after=after, timeout=seconds)
+        return self._entries(await self._client.call("GET", url, extra_time=timeout))
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._client.close()
+
+    def _count(self, kind: str) -> None:
+        self._telemetry.count("store_calls", kind=kind)
+
+    def _absent(self, reply: Reply) -> None:
+        """Take "not found" for an absent key only when the store says so.
+
+        :raises StoreTimeout: the reply tells of something else.
+        """
+        problem = self._client.read(reply, Problem)
+        if problem.code != KEY_ABSENT:
+            raise StoreTimeout(f"unusable reply: {problem.code}")
+
+    def _entries(self, reply: Reply) -> list[Entry]:
+        message = self._client.read(reply, Entries)
+        return self._client.check(lambda: [item.entry() for item in message.entries])
--- /dev/null
+++ b/packages/mimosapoint-node/src/mimosapoint_node/platform/vm_list.py
@@ -0,0 +1,51 @@
+"""The platform's list of VMs over HTTP."""
+
+from datetime import timedelta
+
+from mimosapoint.errors import VmListUnavailable
+from mimosapoint.model import Vm
+from mimosapoint.platform import VmTable
+from mimosapoint.ports import Telemetry
+
+from mimosapoint_node.platform._client import CALL_TIMEOUT, CONNECT_TIMEOUT, Client, url_of
+
+__all__ = ["HttpVmList"]
+
+
+class HttpVmList:
+    """List of VMs behind an HTTP address.
+
+    :param address: ``IP:port`` of the service.
+    :param telemetry: counts every call as ``vm_list_calls``.
+    :param timeout: time that a call may take.
+    :param connect_timeout: time that a new connection may take.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        telemetry: Telemetry,
+        timeout: timedelta = CALL_TIMEOUT,
+        connect_timeout: timedelta = CONNECT_TIMEOUT,
+    ):
+        self._url = url_of(address, "vms")
+        self._telemetry = telemetry
+        self._client = Client(
+            VmListUnavailable,
+            VmListUnavailable,
+            timeout=timeout,
+            connect_timeout=connect_timeout,
+        )
+
+    async def vms(self) -> tuple[Vm, ...]:
+        """Return the VMs.
+
+        :raises VmListUnavailable: the list cannot be read.
+        """
+        self._telemetry.count("vm_list_calls")
+        reply = await self._client.call("GET", self._url)
+        return self._client.read(reply, VmTable).vms
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._client.close()
--- /dev/null
+++ b/packages/mimosapoint-node/src/mimosapoint_node/platform/workers.py
@@ -0,0 +1,102 @@
+"""Commands to workers over HTTP."""
+
+from datetime import timedelta
+from typing import Any
+
+from mimosapoint.codec import encode
+from mimosapoint.errors import StaleEpoch, WorkerRefused, WorkerUnreachable
+from mimosapoint.model import (
+    CollectRequest,
+    LeaseRequest,
+    ReserveRequest,
+    StartRequest,
+    StopRequest,
+    TaskOutput,
+    ThrottleRequest,
+    WorkerReport,
+)
+from mimosapoint.platform import Outputs
+from mimosapoint.ports import Telemetry
+
+from mimosapoint_node.platform._client import (
+    CALL_TIMEOUT,
+    CONNECT_TIMEOUT,
+    Client,
+    Reply,
+    url_of,
+)
+
+__all__ = ["HttpWorkers"]
+
+KNOWN_ERRORS = frozenset({StaleEpoch, WorkerRefused})
+
+CONNECTIONS = 1024
+"""Number of connections that are kept to workers at most."""
+
+
+class HttpWorkers:
+    """Workers behind HTTP addresses.
+
+    :param telemetry: counts every command by kind as ``worker_calls``.
+    :param timeout: time that a command may take.
+    :param connect_timeout: time that a new connection may take.
+    :param connections: number of connections that are kept at most.
+    """
+
+    def __init__(
+        self,
+        telemetry: Telemetry,
+        timeout: timedelta = CALL_TIMEOUT,
+        connect_timeout: timedelta = CONNECT_TIMEOUT,
+        connections: int = CONNECTIONS,
+    ):
+        self._telemetry = telemetry
+        self._client = Client(
+            WorkerUnreachable,
+            WorkerUnreachable,
+            KNOWN_ERRORS,
+            timeout,
+            connect_timeout,
+            connections,
+        )
+
+    async def lease(self, address: str, request: LeaseRequest) -> WorkerReport:
+        """Take or renew the lease."""
+        return await self._command(address, "lease", request)
+
+    async def reserve(self, address: str, request: ReserveRequest) -> WorkerReport:
+        """Reserve room for tasks, all of them or none."""
+        return await self._command(address, "reserve", request)
+
+    async def start(self, address: str, request: StartRequest) -> WorkerReport:
+        """Start reserved tasks."""
+        return await self._command(address, "start", request)
+
+    async def stop(self, address: str, request: StopRequest) -> WorkerReport:
+        """Stop tasks, release reservations and bar unknown tasks from starting."""
+        return await self._command(address, "stop", request)
+
+    async def throttle(self, address: str, request: ThrottleRequest) -> WorkerReport:
+        """Limit the share of resources that tasks get."""
+        return await self._command(address, "throttle", request)
+
+    async def collect(self, address: str, request: CollectRequest) -> tuple[TaskOutput, ...]:
+        """Return the output of ended tasks."""
+        reply = await self._send(address, "collect", request)
+        return self._client.read(reply, Outputs).outputs
+
+    async def acknowledge(self, address: str, request: CollectRequest) -> WorkerReport:
+        """Let the worker drop the output of ended tasks."""
+        return await self._command(address, "acknowledge", request)
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._client.close()
+
+    async def _command(self, address: str, name: str, request: Any) -> WorkerReport:
+        reply = await self._send(address, name, request)
+        return self._client.read(reply, WorkerReport)
+
+    async def _send(self, address: str, name: str, request: Any) -> Reply:
+        self._telemetry.count("worker_calls", kind=name)
+        return await self._client.call("POST", url_of(address, name), encode(request))
--- /dev/null
+++ b/packages/mimosapoint-standins/src/mimosapoint_standins/__main__.py
@@ -0,0 +1,81 @@
+"""Command line of the stand-ins."""
+
+import signal
+from datetime import timedelta
+
+import fire
+import trio
+from mimosapoint.memory import MemoryStore, MemoryVmList, MemoryWorker, TrioClock
+from mimosapoint.model import VmKind
+
+from mimosapoint_standins.inventory import load_inventory
+from mimosapoint_standins.router import Router
+from mimosapoint_standins.server import serve
+from mimosapoint_standins.store import store_app
+from mimosapoint_standins.vm_list import vm_list_app
+from mimosapoint_standins.workers import CALL_TIMEOUT, workers_app
+
+
+def store(address: str) -> None:
+    """Play the key-value service.
+
+    :param address: ``IP:port`` to listen on.
+    """
+
+    async def main() -> None:
+        await _run(store_app(MemoryStore(TrioClock(), timeout=CALL_TIMEOUT)), [address])
+
+    trio.run(main)
+
+
+def vm_list(address: str, file: str, lag: float = 0.0) -> None:
+    """Play the list of VMs.
+
+    :param address: ``IP:port`` to listen on.
+    :param file: YAML file of the VMs.
+    :param lag: seconds until the list shows a change.
+    """
+
+    async def main() -> None:
+        listed = MemoryVmList(TrioClock())
+        for vm in load_inventory(file).vms:
+            listed.put(vm)
+        await listed.vms()
+        listed.lag = timedelta(seconds=lag)
+        await _run(vm_list_app(listed), [address])
+
+    trio.run(main)
+
+
+def workers(file: str, zone: str = "") -> None:
+    """Play the worker of each endpoint VM, at the VM's own address.
+
+    :param file: YAML file of the VMs.
+    :param zone: availability zone to play; all of them by default.
+    """
+
+    async def main() -> None:
+        clock = TrioClock()
+        inventory = load_inventory(file)
+        endpoints = [vm for vm in inventory.vms if vm.kind is VmKind.ENDPOINT]
+        played = [vm for vm in endpoints if zone in ("", vm.zone)]
+        by_address = {vm.address: MemoryWorker(vm.id, inventory.capacity, clock) for vm in played}
+        await _run(workers_app(by_address), list(by_address))
+
+    trio.run(main)
+
+
+async def _run(app: Router, addresses: list[str]) -> None:
+    """Serve until SIGTERM or SIGINT."""
+    stop = trio.Event()
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async with trio.open_nursery() as nursery:
+            bound = await nursery.start(serve, app, addresses, stop)
+            print(f"ready address={','.join(bound)}", flush=True)
+            async for _ in signals:
+                stop.set()
+                break
+
+
+if __name__ == "__main__":
+    fire.Fire({"store": store, "vm-list": vm_list, "workers": workers})
--- /dev/null
+++ b/packages/mimosapoint-standins/src/mimosapoint_standins/vm_list.py
@@ -0,0 +1,48 @@
+"""HTTP interface of the list of VMs over the list in memory."""
+
+from collections.abc import Callable
+
+import attrs
+from mimosapoint.errors import BadRequest
+from mimosapoint.memory import MemoryVmList
+from mimosapoint.model import Vm
+from mimosapoint.platform import VmTable
+
+from mimosapoint_standins.faults import add_fault_routes
+from mimosapoint_standins.router import Request, Response, Router, json_response
+
+__all__ = ["vm_list_app"]
+
+
+def vm_list_app(vm_list: MemoryVmList) -> Router:
+    """Return the ASGI application of a list of VMs, with routes that change it."""
+    router = Router(lambda request: vm_list.faults.garbage)
+    add_fault_routes(router, lambda request: vm_list.faults)
+
+    @router.route("GET", "/v1/vms")
+    async def vms(request: Request) -> Response:
+        return json_response(VmTable(await vm_list.vms()))
+
+    @router.route("POST", "/v1/vms/{id}/leave", faulty=False)
+    async def leave(request: Request) -> Response:
+        return _change(vm_list.leave, request.parameters["id"])
+
+    @router.route("PUT", "/v1/vms/{id}", faulty=False)
+    async def put(request: Request) -> Response:
+        vm = request.json(Vm)
+        vm_list.put(attrs.evolve(vm, id=request.parameters["id"]))
+        return Response(204)
+
+    @router.route("DELETE", "/v1/vms/{id}", faulty=False)
+    async def remove(request: Request) -> Response:
+        return _change(vm_list.remove, request.parameters["id"])
+
+    return router
+
+
+def _change(change: Callable[[str], None], vm_id: str) -> Response:
+    try:
+        change(vm_id)
+    except KeyError as error:
+        raise BadRequest(f"no VM {vm_id}") from error
+    return Response(204)
--- a/packages/mimosapoint/src/mimosapoint/memory/faults.py
+++ b/packages/mimosapoint/src/mimosapoint/memory/faults.py
@@ -32,6 +32,11 @@
     frozen: bool = False
     fail_tasks: bool = False
 
+    def become(self, other: "Faults") -> None:
+        """Take over every fault of another set."""
+        for field in attrs.fields(Faults):
+            setattr(self, field.name, getattr(other, field.name))
+
 
 @attrs.frozen
 class FaultGate:
--- /dev/null
+++ b/packages/mimosapoint/src/mimosapoint/platform/messages.py
@@ -0,0 +1,101 @@
+"""Bodies of requests and replies that no port defines."""
+
+from base64 import b64decode, b64encode
+
+import attrs
+
+from mimosapoint.model import TaskOutput, Vm
+from mimosapoint.ports import Entry
+
+__all__ = [
+    "Entries",
+    "EntryMessage",
+    "LeaseGrant",
+    "LeaseTtl",
+    "Outputs",
+    "Problem",
+    "VmTable",
+    "Written",
+]
+
+
+@attrs.frozen
+class Problem:
+    """Body of every reply that is not a success.
+
+    :param code: stable code of the error.
+    :param detail: what happened, for people.
+    :param current: revision or epoch in force, where the error carries one.
+    """
+
+    code: str
+    detail: str = ""
+    current: int | None = None
+
+
+@attrs.frozen
+class EntryMessage:
+    """An entry of the store.
+
+    :param key: name of the value.
+    :param value: the bytes in base64.
+    :param revision: number of the write.
+    """
+
+    key: str
+    value: str
+    revision: int
+
+    @classmethod
+    def of(cls, entry: Entry) -> "EntryMessage":
+        """Return the message of an entry."""
+        return cls(entry.key, b64encode(entry.value).decode(), entry.revision)
+
+    def entry(self) -> Entry:
+        """Return the entry.
+
+        :raises ValueError: the value is not base64.
+        """
+        return Entry(self.key, b64decode(self.value, validate=True), self.revision)
+
+
+@attrs.frozen
+class Entries:
+    """Entries of a scan or a watch, ordered by key."""
+
+    entries: tuple[EntryMessage, ...]
+
+
+@attrs.frozen
+class Written:
+    """Reply to a write: the new revision."""
+
+    revision: int
+
+
+@attrs.frozen
+class LeaseTtl:
+    """Request for a lease: its time to live in seconds."""
+
+    ttl: float
+
+
+@attrs.frozen
+class LeaseGrant:
+    """Reply to a request for a lease: its id."""
+
+    lease: str
+
+
+@attrs.frozen
+class Outputs:
+    """Output of ended tasks."""
+
+    outputs: tuple[TaskOutput, ...]
+
+
+@attrs.frozen
+class VmTable:
+    """The VMs of the platform's list."""
+
+    vms: tuple[Vm, ...]
--- /dev/null
+++ b/packages/mimosapoint/src/mimosapoint/platform/problems.py
@@ -0,0 +1,38 @@
+"""Typed errors as problems on the wire and back."""
+
+from mimosapoint import errors
+from mimosapoint.errors import CompareFailed, MimosapointError, StaleEpoch
+from mimosapoint.platform.messages import Problem
+
+__all__ = ["error_of", "problem_of"]
+
+ERRORS_WITH_CURRENT = (CompareFailed, StaleEpoch)
+
+ERRORS_BY_CODE = {
+    kind.code: kind
+    for kind in (
+        errors.BadRequest,
+        errors.LeaseLost,
+        errors.StoreTimeout,
+        errors.StoreUnavailable,
+        errors.ValueTooLarge,
+        errors.VmListUnavailable,
+        errors.WorkerRefused,
+        errors.WorkerUnreachable,
+        *ERRORS_WITH_CURRENT,
+    )
+}
+
+
+def problem_of(error: MimosapointError) -> Problem:
+    """Return the problem that tells of an error."""
+    current = error.current if isinstance(error, ERRORS_WITH_CURRENT) else None
+    return Problem(error.code, error.detail, current)
+
+
+def error_of(problem: Problem) -> MimosapointError | None:
+    """Return the error that a problem tells of, or ``None`` when it makes no sense."""
+    kind = ERRORS_BY_CODE.get(problem.code)
+    if kind not in ERRORS_WITH_CURRENT:
+        return kind(problem.detail) if kind else None
+    return None if problem.current is None else kind(problem.current)
