Run the platform contracts over HTTP

The adapters had only been tried by hand. The same contract classes now run against the HTTP adapters with hypercorn on a loopback port of the same trio run, and eighteen unusable replies are each given to ten calls, all of which must come out as the doubtful error.

--- /dev/null
+++ b/packages/mimosapoint-node/src/mimosapoint_node/platform/tests/support.py
@@ -0,0 +1,50 @@
+"""Stand-ins behind a loopback port of the same trio run."""
+
+from collections import Counter
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from functools import partial
+
+import trio
+from mimosapoint_standins import serve
+from mimosapoint_standins.router import Router
+
+__all__ = ["CallCounter", "replying", "serving"]
+
+LOOPBACK = "127.0.0.1"
+ANY_PORT = f"{LOOPBACK}:0"
+
+
+class CallCounter:
+    """Telemetry that keeps counters only."""
+
+    def __init__(self):
+        self.counts = Counter()
+
+    def count(self, name: str, amount: int = 1, **labels: str) -> None:
+        self.counts[name, labels.get("kind", "")] += amount
+
+
+@asynccontextmanager
+async def serving(app: Router) -> AsyncIterator[str]:
+    """Serve an application and give its address."""
+    async with trio.open_nursery() as nursery:
+        (address,) = await nursery.start(serve, app, [ANY_PORT], trio.Event())
+        yield address
+        nursery.cancel_scope.cancel()
+
+
+@asynccontextmanager
+async def replying(data: bytes, repeat: int = 1) -> AsyncIterator[str]:
+    """Answer every connection with the same bytes, once something has come in, and close."""
+
+    async def reply(stream: trio.SocketStream) -> None:
+        async with stream:
+            await stream.receive_some()
+            for _ in range(repeat):
+                await stream.send_all(data)
+
+    async with trio.open_nursery() as nursery:
+        (listener,) = await nursery.start(partial(trio.serve_tcp, host=LOOPBACK), reply, 0)
+        yield f"{LOOPBACK}:{listener.socket.getsockname()[1]}"
+        nursery.cancel_scope.cancel()
--- /dev/null
+++ b/packages/mimosapoint-node/src/mimosapoint_node/platform/tests/test_replies.py
@@ -0,0 +1,120 @@
+"""Replies that make no sense, and servers that are not there."""
+
+from contextlib import asynccontextmanager
+from datetime import timedelta
+
+from mimosapoint.errors import (
+    StoreTimeout,
+    StoreUnavailable,
+    VmListUnavailable,
+    WorkerUnreachable,
+)
+from mimosapoint.model import CollectRequest, LeaseRequest
+from mimosapoint.ports import ABSENT
+from mimosapoint.testing import TrioTestCase
+
+from mimosapoint_node.platform import HttpStore, HttpVmList, HttpWorkers
+from mimosapoint_node.platform.tests.support import CallCounter, replying
+
+TIMEOUT = timedelta(seconds=2)
+WAIT = timedelta(milliseconds=10)
+
+
+def reply(status: str, body: bytes = b"", headers: str = "") -> bytes:
+    head = f"HTTP/1.1 {status}\r\ncontent-length: {len(body)}\r\n{headers}\r\n"
+    return head.encode() + body
+
+
+UNUSABLE = {
+    "closed": b"",
+    "not HTTP": b"\x00garbage\r\n\r\n",
+    "cut short": b"HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\nshort",
+    "empty": reply("200 OK"),
+    "not JSON": reply("200 OK", b"<html>"),
+    "another object": reply("200 OK", b'{"a": 1}'),
+    "list": reply("200 OK", b"[]"),
+    "wrong types": reply("200 OK", b'{"entries": 7, "vms": 7, "revision": [], "outputs": 7}'),
+    "not base64": reply("200 OK", b'{"entries": [{"key": "k", "value": "?", "revision": 1}]}'),
+    "bad revision": reply("200 OK", b"v", "x-revision: soon\r\n"),
+    "absent, says a proxy": reply("404 Not Found", b"<html>"),
+    "no route": reply("404 Not Found", b'{"code": "no-route"}'),
+    "another code": reply("409 Conflict", b'{"code": "job-not-found"}'),
+    "no current": reply("409 Conflict", b'{"code": "compare-failed"}'),
+    "no current epoch": reply("409 Conflict", b'{"code": "stale-epoch"}'),
+    "crashed": reply("500 Internal Server Error", b"Traceback"),
+    "redirect": reply("302 Found", headers="location: /\r\n"),
+    "wrong success": reply("202 Accepted", b"{}"),
+}
+
+
+def store_calls(store: HttpStore):
+    return (
+        lambda: store.get("k"),
+        lambda: store.scan(""),
+        lambda: store.compare_and_swap("k", b"v", ABSENT),
+        lambda: store.delete("k", 1),
+        lambda: store.grant_lease(TIMEOUT),
+        lambda: store.renew_lease("l"),
+        lambda: store.watch("", 0, WAIT),
+    )
+
+
+def worker_calls(workers: HttpWorkers, address: str):
+    return (
+        lambda: workers.lease(address, LeaseRequest("n", "z", 1, 1.0)),
+        lambda: workers.collect(address, CollectRequest(1, ("t",))),
+    )
+
+
+@asynccontextmanager
+async def adapters(address: str):
+    """Give every call of the three adapters with the error of an unusable reply."""
+    store = HttpStore(address, CallCounter(), TIMEOUT)
+    workers = HttpWorkers(CallCounter(), TIMEOUT)
+    vm_list = HttpVmList(address, CallCounter(), TIMEOUT)
+    calls = [(call, StoreTimeout) for call in store_calls(store)]
+    calls += [(call, WorkerUnreachable) for call in worker_calls(workers, address)]
+    calls.append((vm_list.vms, VmListUnavailable))
+    yield calls
+    for adapter in (store, workers, vm_list):
+        await adapter.close()
+
+
+class UnusableRepliesTest(TrioTestCase):
+    async def test_unusable_replies_are_doubtful(self):
+        for name, data in UNUSABLE.items():
+            async with replying(data) as address, adapters(address) as calls:
+                for number, (call, error) in enumerate(calls):
+                    with self.subTest(reply=name, call=number), self.assertRaises(error):
+                        await call()
+
+    async def test_endless_replies_are_cut_off(self):
+        data = b"HTTP/1.1 200 OK\r\ncontent-length: 99999999\r\n\r\n" + b"x" * 60_000
+        async with replying(data, 1000) as address:
+            store = HttpStore(address, CallCounter(), TIMEOUT)
+            with self.assertRaises(StoreTimeout):
+                await store.scan("")
+            await store.close()
+
+    async def test_a_closed_port_means_no_effect(self):
+        async with replying(b"") as address:
+            pass
+        store = HttpStore(address, CallCounter(), TIMEOUT)
+        for number, call in enumerate(store_calls(store)):
+            with self.subTest(call=number), self.assertRaises(StoreUnavailable):
+                await call()
+        workers = HttpWorkers(CallCounter(), TIMEOUT)
+        for call in worker_calls(workers, address):
+            with self.assertRaises(WorkerUnreachable):
+                await call()
+
+    async def test_every_call_is_counted_by_kind(self):
+        telemetry = CallCounter()
+        async with replying(b"") as address:
+            store = HttpStore(address, telemetry, TIMEOUT)
+            for call in store_calls(store):
+                with self.assertRaises(StoreTimeout):
+                    await call()
+        kinds = "get scan compare_and_swap delete grant_lease renew_lease watch"
+        expected = {("store_calls", kind): 1 for kind in kinds.split()}
+        self.assertEqual(telemetry.counts, expected)
--- a/packages/mimosapoint/src/mimosapoint/memory/workers.py
+++ b/packages/mimosapoint/src/mimosapoint/memory/workers.py
@@ -29,14 +29,14 @@
 class MemoryWorkers:
     """Workers that are called directly.
 
-    :param workers_by_address: the workers; addresses may be added and removed at any time.
+    :param workers_by_address: the workers; the mapping may change while in use.
     :param timeout: time after which a command that waits on a fault gives up.
     """
 
     def __init__(
         self, workers_by_address: Mapping[str, MemoryWorker], timeout: timedelta = CALL_TIMEOUT
     ):
-        self.workers_by_address = dict(workers_by_address)
+        self.workers_by_address = workers_by_address
         self._timeout = timeout
 
     async def lease(self, address: str, request: LeaseRequest) -> WorkerReport:
