--- a/packages/mimosapoint-node/src/mimosapoint_node/platform/_client.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/platform/_client.py
@@ -1,5 +1,6 @@
 """HTTP calls whose failures are typed by whether the call may have had its effect."""
 
+from collections import OrderedDict
 from collections.abc import Callable
 from datetime import timedelta
 from typing import TypeVar
@@ -12,7 +13,7 @@
 from mimosapoint.errors import BadRequest, CodecError, MimosapointError
 from mimosapoint.platform import Problem, error_of
 
-__all__ = ["CALL_TIMEOUT", "CONNECT_TIMEOUT", "Client", "Reply", "url_of"]
+__all__ = ["CALL_TIMEOUT", "CONNECT_TIMEOUT", "Client", "Reply", "path_of"]
 
 CALL_TIMEOUT = timedelta(seconds=2)
 """Time that a call may take as a whole."""
@@ -23,6 +24,9 @@
 IDLE_TIMEOUT = timedelta(seconds=30)
 """Time after which an idle connection is closed."""
 
+ADDRESS_LIMIT = 4096
+"""Number of addresses to which connections are kept."""
+
 BODY_LIMIT_BYTES = 16_000_000
 """Largest body of a reply, in bytes."""
 
@@ -58,7 +62,7 @@
     :param known: errors that the service may answer with.
     :param timeout: time that a call may take as a whole.
     :param connect_timeout: time that a new connection may take.
-    :param connections: number of connections that are kept at most.
+    :param connections: number of connections to each address at most.
     """
 
     refused: type[MimosapointError]
@@ -67,31 +71,28 @@
     timeout: timedelta = CALL_TIMEOUT
     connect_timeout: timedelta = CONNECT_TIMEOUT
     connections: int = 16
-    pool: httpcore.AsyncConnectionPool = attrs.field(init=False)
-
-    @pool.default
-    def _make_pool(self) -> httpcore.AsyncConnectionPool:
-        return httpcore.AsyncConnectionPool(
-            max_connections=self.connections,
-            max_keepalive_connections=self.connections,
-            keepalive_expiry=IDLE_TIMEOUT.total_seconds(),
-        )
+    _pools_by_address: OrderedDict[str, httpcore.AsyncConnectionPool] = attrs.field(
+        init=False, factory=OrderedDict
+    )
 
     async def call(
         self,
         method: str,
-        url: str,
+        address: str,
+        path: str,
         body: bytes = b"",
         accepted: tuple[int, ...] = (200,),
         extra_time: timedelta = timedelta(),
     ) -> Reply:
         """Send a request and return the reply.
 
+        :param address: ``IP:port`` of the service.
+        :param path: path and query, as from :func:`path_of`.
         :param accepted: status codes of a success.
         :param extra_time: time that the service is asked to wait.
         :raises MimosapointError: ``refused``, ``doubtful`` or one of the known errors.
         """
-        reply = await self._send(method, url, body, self.timeout + extra_time)
+        reply = await self._send(method, address, path, body, self.timeout + extra_time)
         if reply.status not in accepted:
             raise self._error(reply)
         return reply
@@ -115,32 +116,54 @@
 
     async def close(self) -> None:
         """Close the connections."""
-        await self.pool.aclose()
+        while self._pools_by_address:
+            await self._pools_by_address.popitem()[1].aclose()
 
-    async def _send(self, method: str, url: str, body: bytes, timeout: timedelta) -> Reply:
+    async def _send(
+        self, method: str, address: str, path: str, body: bytes, timeout: timedelta
+    ) -> Reply:
         with trio.move_on_after(timeout.total_seconds()):
             try:
-                return await self._exchange(method, url, body)
+                return await self._exchange(method, address, path, body)
             except NOT_SENT as error:
-                raise self.refused(f"{url}: not connected: {error!r}") from error
+                raise self.refused(f"{address}: not connected: {error!r}") from error
             except BROKEN as error:
-                raise self.doubtful(f"{url}: broken: {error!r}") from error
-        raise self.doubtful(f"{url}: no reply within {timeout.total_seconds()} s")
+                raise self.doubtful(f"{address}: broken: {error!r}") from error
+        raise self.doubtful(f"{address}: no reply within {timeout.total_seconds()} s")
 
-    async def _exchange(self, method: str, url: str, body: bytes) -> Reply:
+    async def _exchange(self, method: str, address: str, path: str, body: bytes) -> Reply:
+        pool = await self._pool(address)
         limits = {"connect": self.connect_timeout.total_seconds()}
-        async with self.pool.stream(
-            method, url, content=body, extensions={"timeout": limits}
+        async with pool.stream(
+            method, f"http://{address}{path}", content=body, extensions={"timeout": limits}
         ) as response:
-            parts = []
-            size = 0
-            async for part in response.aiter_stream():
-                parts.append(part)
-                size += len(part)
-                if size > BODY_LIMIT_BYTES:
-                    raise self.doubtful(f"{url}: reply over {BODY_LIMIT_BYTES} bytes")
             headers = {name.lower(): value for name, value in response.headers}
-            return Reply(response.status, headers, b"".join(parts))
+            return Reply(response.status, headers, await self._read_body(response))
+
+    async def _read_body(self, response: httpcore.Response) -> bytes:
+        parts = []
+        size = 0
+        async for part in response.aiter_stream():
+            parts.append(part)
+            size += len(part)
+            if size > BODY_LIMIT_BYTES:
+                raise self.doubtful(f"reply over {BODY_LIMIT_BYTES} bytes")
+        return b"".join(parts)
+
+    async def _pool(self, address: str) -> httpcore.AsyncConnectionPool:
+        """Return the address's own pool; one pool for all is searched through at each call."""
+        pool = self._pools_by_address.get(address) or self._make_pool()
+        self._pools_by_address[address] = pool
+        self._pools_by_address.move_to_end(address)
+        if len(self._pools_by_address) > ADDRESS_LIMIT:
+            await self._pools_by_address.popitem(last=False)[1].aclose()
+        return pool
+
+    def _make_pool(self) -> httpcore.AsyncConnectionPool:
+        return httpcore.AsyncConnectionPool(
+            max_connections=self.connections,
+            keepalive_expiry=IDLE_TIMEOUT.total_seconds(),
+        )
 
     def _error(self, reply: Reply) -> MimosapointError:
         problem = self.read(reply, Problem)
@@ -152,12 +175,11 @@
         return self.doubtful(f"status {reply.status}, code {problem.code}")
 
 
-def url_of(address: str, *path: str, **query: str | int | float) -> str:
-    """Return the URL of a resource.
+def path_of(*segments: str, **query: str | int | float) -> str:
+    """Return the path and query of a resource.
 
-    :param address: ``IP:port``.
-    :param path: segments, which are escaped.
+    :param segments: segments of the path, which are escaped.
     """
-    segments = "/".join(quote(segment, safe="") for segment in path)
+    path = "/".join(quote(segment, safe="") for segment in segments)
     text = f"?{urlencode(query)}" if query else ""
-    return f"http://{address}/v1/{segments}{text}"
+    return f"/v1/{path}{text}"
--- a/packages/mimosapoint-node/src/mimosapoint_node/platform/store.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/platform/store.py
@@ -1,6 +1,7 @@
 """The platform's key-value service over HTTP."""
 
 from datetime import timedelta
+from typing import Any
 
 from mimosapoint.codec import encode
 from mimosapoint.errors import (
@@ -18,7 +19,7 @@
     CONNECT_TIMEOUT,
     Client,
     Reply,
-    url_of,
+    path_of,
 )
 
 __all__ = ["HttpStore"]
@@ -56,8 +57,8 @@
     async def get(self, key: str) -> Entry | None:
         """Return the current entry, or ``None`` when the key is absent."""
         self._count("get")
-        url = url_of(self._address, "keys", key)
-        reply = await self._client.call("GET", url, accepted=(200, NOT_FOUND))
+        path = path_of("keys", key)
+        reply = await self._call("GET", path, accepted=(200, NOT_FOUND))
         if reply.status == NOT_FOUND:
             return self._absent(reply)
         revision = self._client.check(lambda: int(reply.headers[b"x-revision"]))
@@ -66,7 +67,7 @@
     async def scan(self, prefix: str) -> list[Entry]:
         """Return the entries whose key begins with the prefix, ordered by key."""
         self._count("scan")
-        reply = await self._client.call("GET", url_of(self._address, "entries", prefix=prefix))
+        reply = await self._call("GET", path_of("entries", prefix=prefix))
         return self._entries(reply)
 
     async def compare_and_swap(
@@ -76,40 +77,43 @@
         if len(value) > VALUE_LIMIT_BYTES:
             raise ValueTooLarge(f"{len(value)} bytes are over {VALUE_LIMIT_BYTES}")
         self._count("compare_and_swap")
-        url = url_of(self._address, "keys", key, expected=expected, lease=lease or "")
-        reply = await self._client.call("PUT", url, value)
+        path = path_of("keys", key, expected=expected, lease=lease or "")
+        reply = await self._call("PUT", path, value)
         return self._client.read(reply, Written).revision
 
     async def delete(self, key: str, expected: int) -> None:
         """Remove the key if the stored revision is the expected one."""
         self._count("delete")
-        url = url_of(self._address, "keys", key, expected=expected)
-        await self._client.call("DELETE", url, accepted=NO_CONTENT)
+        path = path_of("keys", key, expected=expected)
+        await self._call("DELETE", path, accepted=NO_CONTENT)
 
     async def grant_lease(self, ttl: timedelta) -> str:
         """Return the id of a new lease."""
         self._count("grant_lease")
         body = encode(LeaseTtl(ttl.total_seconds()))
-        reply = await self._client.call("POST", url_of(self._address, "leases"), body)
+        reply = await self._call("POST", path_of("leases"), body)
         return self._client.read(reply, LeaseGrant).lease
 
     async def renew_lease(self, lease: str) -> None:
         """Renew the lease for its time to live."""
         self._count("renew_lease")
-        url = url_of(self._address, "leases", lease, "renew")
-        await self._client.call("POST", url, accepted=NO_CONTENT)
+        path = path_of("leases", lease, "renew")
+        await self._call("POST", path, accepted=NO_CONTENT)
 
     async def watch(self, prefix: str, after: int, timeout: timedelta) -> list[Entry]:
         """Wait until an entry under the prefix has a revision above ``after``."""
         self._count("watch")
         seconds = timeout.total_seconds()
-        url = url_of(self._address, "watch", prefix=prefix, after=after, timeout=seconds)
-        return self._entries(await self._client.call("GET", url, extra_time=timeout))
+        path = path_of("watch", prefix=prefix, after=after, timeout=seconds)
+        return self._entries(await self._call("GET", path, extra_time=timeout))
 
     async def close(self) -> None:
         """Close the connections."""
         await self._client.close()
 
+    async def _call(self, method: str, path: str, *body: bytes, **options: Any) -> Reply:
+        return await self._client.call(method, self._address, path, *body, **options)
+
     def _count(self, kind: str) -> None:
         self._telemetry.count("store_calls", kind=kind)
 
--- a/packages/mimosapoint-node/src/mimosapoint_node/platform/vm_list.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/platform/vm_list.py
@@ -7,10 +7,12 @@
 from mimosapoint.platform import VmTable
 from mimosapoint.ports import Telemetry
 
-from mimosapoint_node.platform._client import CALL_TIMEOUT, CONNECT_TIMEOUT, Client, url_of
+from mimosapoint_node.platform._client import CALL_TIMEOUT, CONNECT_TIMEOUT, Client, path_of
 
 __all__ = ["HttpVmList"]
 
+VMS_PATH = path_of("vms")
+
 
 class HttpVmList:
     """List of VMs behind an HTTP address.
@@ -28,7 +30,7 @@
         timeout: timedelta = CALL_TIMEOUT,
         connect_timeout: timedelta = CONNECT_TIMEOUT,
     ):
-        self._url = url_of(address, "vms")
+        self._address = address
         self._telemetry = telemetry
         self._client = Client(
             VmListUnavailable,
@@ -43,7 +45,7 @@
         :raises VmListUnavailable: the list cannot be read.
         """
         self._telemetry.count("vm_list_calls")
-        reply = await self._client.call("GET", self._url)
+        reply = await self._client.call("GET", self._address, VMS_PATH)
         return self._client.read(reply, VmTable).vms
 
     async def close(self) -> None:
--- a/packages/mimosapoint-node/src/mimosapoint_node/platform/workers.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/platform/workers.py
@@ -23,15 +23,15 @@
     CONNECT_TIMEOUT,
     Client,
     Reply,
-    url_of,
+    path_of,
 )
 
 __all__ = ["HttpWorkers"]
 
 KNOWN_ERRORS = frozenset({StaleEpoch, WorkerRefused})
 
-CONNECTIONS = 1024
-"""Number of connections that are kept to workers at most."""
+CONNECTIONS = 4
+"""Number of connections to each worker at most."""
 
 
 class HttpWorkers:
@@ -40,7 +40,7 @@
     :param telemetry: counts every command by kind as ``worker_calls``.
     :param timeout: time that a command may take.
     :param connect_timeout: time that a new connection may take.
-    :param connections: number of connections that are kept at most.
+    :param connections: number of connections to each worker at most.
     """
 
     def __init__(
@@ -99,4 +99,4 @@
 
     async def _send(self, address: str, name: str, request: Any) -> Reply:
         self._telemetry.count("worker_calls", kind=name)
-        return await self._client.call("POST", url_of(address, name), encode(request))
+        return await self._client.call("POST", address, path_of(name), encode(request))
