--- a/packages/mimosapoint-standins/src/mimosapoint_standins/__main__.py
+++ b/packages/mimosapoint-standins/src/mimosapoint_standins/__main__.py
@@ -1,10 +1,12 @@
 """Command line of the stand-ins."""
 
 import signal
+import sys
 from datetime import timedelta
 
 import fire
 import trio
+from mimosapoint.errors import SettingsInvalid
 from mimosapoint.memory import MemoryStore, MemoryVmList, MemoryWorker, TrioClock
 from mimosapoint.model import VmKind
 
@@ -23,7 +25,7 @@
     """
 
     async def main() -> None:
-        await _run(store_app(MemoryStore(TrioClock(), timeout=CALL_TIMEOUT)), [address])
+        await run_until_signal(store_app(MemoryStore(TrioClock(), timeout=CALL_TIMEOUT)), [address])
 
     trio.run(main)
 
@@ -42,7 +44,7 @@
             listed.put(vm)
         await listed.vms()
         listed.lag = timedelta(seconds=lag)
-        await _run(vm_list_app(listed), [address])
+        await run_until_signal(vm_list_app(listed), [address])
 
     trio.run(main)
 
@@ -60,12 +62,12 @@
         endpoints = [vm for vm in inventory.vms if vm.kind is VmKind.ENDPOINT]
         played = [vm for vm in endpoints if zone in ("", vm.zone)]
         by_address = {vm.address: MemoryWorker(vm.id, inventory.capacity, clock) for vm in played}
-        await _run(workers_app(by_address), list(by_address))
+        await run_until_signal(workers_app(by_address), list(by_address))
 
     trio.run(main)
 
 
-async def _run(app: Router, addresses: list[str]) -> None:
+async def run_until_signal(app: Router, addresses: list[str]) -> None:
     """Serve until SIGTERM or SIGINT."""
     stop = trio.Event()
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
@@ -77,5 +79,21 @@
                 break
 
 
+def main() -> None:
+    """Run the command line; a failure to start is told in one line."""
+    try:
+        fire.Fire({"store": store, "vm-list": vm_list, "workers": workers})
+    except* (OSError, SettingsInvalid) as group:
+        error = leaves(group)[0]
+        sys.exit(f"not started error={type(error).__name__} detail={str(error)!r}")
+
+
+def leaves(error: BaseException) -> list[BaseException]:
+    """Return the errors within an exception group."""
+    if not isinstance(error, BaseExceptionGroup):
+        return [error]
+    return [leaf for part in error.exceptions for leaf in leaves(part)]
+
+
 if __name__ == "__main__":
-    fire.Fire({"store": store, "vm-list": vm_list, "workers": workers})
+    main()
--- a/packages/mimosapoint/src/mimosapoint/memory/kinds.py
+++ b/packages/mimosapoint/src/mimosapoint/memory/kinds.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from mimosapoint.codec import decode, to_json
+from mimosapoint.codec import decode, encode, to_json
 from mimosapoint.errors import CodecError
 from mimosapoint.model import Resources, TaskSpec
 
@@ -60,9 +60,11 @@
     if function is None:
         raise TaskFailure(f"unknown kind {kind!r}")
     try:
-        return function(spec)
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        output = function(spec)
+        encode(output)
+    except (KeyError, TypeError, ValueError, AttributeError, RecursionError) as error:
         raise TaskFailure(f"bad payload: {error!r}") from error
+    return output
 
 
 def work_seconds(payload: Any) -> float:
--- a/packages/mimosapoint/src/mimosapoint/memory/tests/test_worker.py
+++ b/packages/mimosapoint/src/mimosapoint/memory/tests/test_worker.py
@@ -2,13 +2,17 @@
 
 from datetime import timedelta
 
+from mimosapoint.errors import WorkerRefused
 from mimosapoint.memory import MemoryWorker, TrioClock
+from mimosapoint.memory.worker import REMEMBERED_LIMIT
 from mimosapoint.model import (
     CollectRequest,
     LeaseRequest,
     ReserveRequest,
     Resources,
     StartRequest,
+    StopMode,
+    StopRequest,
     TaskSpec,
     TaskState,
 )
@@ -44,6 +48,28 @@
         (output,) = worker.collect(CollectRequest(1, ("j/1/0",)))
         return output
 
+    async def test_a_worker_remembers_a_bounded_number_of_ids(self):
+        worker = MemoryWorker("w1", CAPACITY, TrioClock())
+        worker.lease(LeaseRequest("n1", "z1", 1, 60.0))
+        ids = tuple(f"t{number}" for number in range(REMEMBERED_LIMIT + 1))
+        worker.stop(StopRequest(1, ids))
+        worker.reserve(ReserveRequest(1, (spec(ids[0], None),), 5.0))
+        with self.assertRaises(WorkerRefused):
+            worker.reserve(ReserveRequest(1, (spec(ids[1], None),), 5.0))
+
+    async def test_a_checkpoint_takes_its_time(self):
+        clock = TrioClock()
+        worker = MemoryWorker("w1", CAPACITY, clock, checkpoint_time=timedelta(seconds=2))
+        worker.lease(LeaseRequest("n1", "z1", 1, 60.0))
+        worker.reserve(ReserveRequest(1, (spec("t", {"kind": "sleep", "seconds": 50}),), 5.0))
+        worker.start(StartRequest(1, ("t",)))
+        report = worker.stop(StopRequest(1, ("t",), StopMode.CHECKPOINT))
+        self.assertIs(report.tasks[0].state, TaskState.RUNNING)
+        await clock.sleep(timedelta(seconds=3))
+        report = worker.stop(StopRequest(1, ("t",), StopMode.CHECKPOINT))
+        self.assertIs(report.tasks[0].state, TaskState.STOPPED)
+        self.assertAlmostEqual(report.tasks[0].progress, 2.0)
+
     async def test_compose_splits_the_screens_over_the_gang(self):
         shares = [await self.run_payload(COMPOSE, index, 2) for index in range(2)]
         screens = [[frame["screen"] for frame in share.output["frames"]] for share in shares]
@@ -57,7 +83,13 @@
         self.assertEqual(output["unassigned"], ["MH2"])
 
     async def test_unusable_payloads_fail_with_a_detail(self):
+        deep = []
+        for _ in range(400):
+            deep = [deep]
         cases = (
+            {"kind": "echo", "value": deep},
+            {"kind": "compose", "screens": [7], "text": "x"},
+            {"kind": "plan", "flights": [{}], "stands": ["A1"]},
             None,
             7,
             {},
--- a/packages/mimosapoint/src/mimosapoint/memory/worker.py
+++ b/packages/mimosapoint/src/mimosapoint/memory/worker.py
@@ -81,10 +81,11 @@
         now = self._advance()
         if request.epoch < self.epoch:
             raise StaleEpoch(self.epoch)
+        lease_until = now + timedelta(seconds=request.ttl)
         if request.epoch > self.epoch:
             self._drop_reservations()
         self.epoch = request.epoch
-        self._lease_until = now + timedelta(seconds=request.ttl)
+        self._lease_until = lease_until
         return self._report(now)
 
     def reserve(self, request: ReserveRequest) -> WorkerReport:
