--- a/packages/mimosapoint-node/src/mimosapoint_node/grpc_peers/server.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/grpc_peers/server.py
@@ -31,23 +31,25 @@
     """
     token = trio.lowlevel.current_trio_token()
     handlers = _Handlers(dispatcher, telemetry, settings, token)
-    with ThreadPoolExecutor(settings.threads, "peers") as threads:
-        server = grpc.server(
-            threads,
-            handlers=(handlers,),
-            options=settings.server_options(),
-            maximum_concurrent_rpcs=settings.threads + settings.waiting,
-        )
-        bound = _bind(server, address)
-        server.start()
-        telemetry.event("peers-serving", address=bound)
-        try:
-            task_status.started(bound)
-            await trio.sleep_forever()
-        finally:
-            with trio.CancelScope(shield=True):
-                stopped = server.stop(settings.stop_grace.total_seconds())
-                await trio.to_thread.run_sync(stopped.wait)
+    threads = ThreadPoolExecutor(settings.threads, "peers")
+    server = grpc.server(
+        threads,
+        handlers=(handlers,),
+        options=settings.server_options(),
+        maximum_concurrent_rpcs=settings.threads + settings.waiting,
+    )
+    bound = _bind(server, address)
+    server.start()
+    telemetry.event("peers-serving", address=bound)
+    try:
+        task_status.started(bound)
+        await trio.sleep_forever()
+    finally:
+        with trio.CancelScope(shield=True):
+            stopped = server.stop(settings.stop_grace.total_seconds())
+            await trio.to_thread.run_sync(stopped.wait)
+            handlers.cancel()
+            await trio.to_thread.run_sync(threads.shutdown)
 
 
 def _bind(server: grpc.Server, address: str) -> str:
@@ -58,7 +60,7 @@
     return f"{address.rpartition(':')[0]}:{port}"
 
 
-@attrs.frozen
+@attrs.define(eq=False)
 class _Handlers(grpc.GenericRpcHandler):
     """Finds the handler of each method path."""
 
@@ -66,6 +68,7 @@
     telemetry: Telemetry
     settings: GrpcPeersSettings
     token: trio.lowlevel.TrioToken
+    scopes: set[trio.CancelScope] = attrs.field(factory=set)
 
     def service(self, details: grpc.HandlerCallDetails) -> grpc.RpcMethodHandler | None:
         """Return the handler of a call, or ``None`` for another service."""
@@ -75,14 +78,20 @@
         trace = _trace(details)
         return grpc.unary_unary_rpc_method_handler(self._behaviour(name, trace))
 
+    def cancel(self) -> None:
+        """Cancel the calls in progress."""
+        for scope in list(self.scopes):
+            scope.cancel()
+
     def _behaviour(
         self, name: str, trace: str | None
     ) -> Callable[[bytes, grpc.ServicerContext], bytes]:
         def behave(data: bytes, context: grpc.ServicerContext) -> bytes:
-            timeout = self._timeout(context)
+            scope = trio.CancelScope(relative_deadline=self._timeout(context))
+            context.add_callback(lambda: self._caller_left(scope))
             try:
                 return trio.from_thread.run(
-                    self._serve, name, data, trace, timeout, trio_token=self.token
+                    self._serve, name, data, trace, scope, trio_token=self.token
                 )
             except trio.TooSlowError:
                 context.abort(grpc.StatusCode.DEADLINE_EXCEEDED, "not served in time")
@@ -96,12 +105,28 @@
         remaining = context.time_remaining()
         return most if remaining is None else max(0.0, min(remaining, most))
 
-    async def _serve(self, name: str, data: bytes, trace: str | None, timeout: float) -> bytes:
-        with trio.fail_after(timeout), self.telemetry.span("peer-serve", trace) as span:
-            span.set("message", name)
-            reply = await serve_bytes(self.dispatcher, name, data, self._report)
-        self.telemetry.count("peer_serves_total", message=name)
-        return reply
+    def _caller_left(self, scope: trio.CancelScope) -> None:
+        """Free the thread of a call that nobody waits for any more."""
+        if scope not in self.scopes:
+            return
+        try:
+            self.token.run_sync_soon(scope.cancel)
+        except trio.RunFinishedError:
+            pass
+
+    async def _serve(
+        self, name: str, data: bytes, trace: str | None, scope: trio.CancelScope
+    ) -> bytes:
+        self.scopes.add(scope)
+        try:
+            with scope, self.telemetry.span("peer-serve", trace) as span:
+                span.set("message", name)
+                reply = await serve_bytes(self.dispatcher, name, data, self._report)
+                self.telemetry.count("peer_serves_total", message=name)
+                return reply
+        finally:
+            self.scopes.discard(scope)
+        raise trio.TooSlowError
 
     def _report(self, name: str, error: Exception) -> MimosapointError:
         self.telemetry.event("peer-handler-failed", message=name, error=repr(error))
--- a/packages/mimosapoint/src/mimosapoint/telemetry/core.py
+++ b/packages/mimosapoint/src/mimosapoint/telemetry/core.py
@@ -132,7 +132,7 @@
             raise LookupError(f"{name} is not declared")
         if name not in self._undeclared:
             self._undeclared.add(name)
-            self.event("undeclared-name", name=name)
+            self.event("undeclared-name", used=name)
 
 
 def _make_provider(node: str, exporter: SpanExporter | None) -> TracerProvider:
