--- a/Makefile
+++ b/Makefile
@@ -29,8 +29,8 @@
 	@echo "lint clean"
 
 format: setup
-	@$(BIN)/ruff check --quiet --fix .
 	@$(BIN)/black --quiet .
+	@$(BIN)/ruff check --quiet --fix .
 
 # Resolves the dependencies anew; requirements.lock carries their hashes and names no index.
 lock:
--- a/packages/mimosapoint-node/src/mimosapoint_node/http/core.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/http/core.py
@@ -85,7 +85,7 @@
             label, reply = await _answer(context, exchange, span)
         except CallerGone:
             span.set("http.disconnected", True)
-            context.telemetry.count("http_disconnects")
+            context.telemetry.count("http_disconnects_total")
             return
         _record(context, span, began, label, reply)
         await exchange.reply(reply, span.context)
@@ -129,7 +129,7 @@
     seconds = (context.clock.now() - began).total_seconds()
     span.set("http.route", label)
     span.set("http.status", reply.status)
-    context.telemetry.count("http_requests", route=label, status=str(reply.status))
+    context.telemetry.count("http_requests_total", route=label, status=str(reply.status))
     context.telemetry.observe("http_seconds", seconds, route=label)
 
 
--- a/packages/mimosapoint-node/src/mimosapoint_node/http/server.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/http/server.py
@@ -83,7 +83,7 @@
             with self._gate.enter():
                 await TCPServer(self._app, self._config, self._context, ConnectionState({}), stream)
         except Overloaded:
-            self._telemetry.count("http_connections_refused")
+            self._telemetry.count("http_connections_refused_total")
             await stream.aclose()
         except Exception as error:
             self._telemetry.event("http-connection-error", error=repr(error))
--- a/packages/mimosapoint-node/src/mimosapoint_node/http/tests/test_problems.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/http/tests/test_problems.py
@@ -41,7 +41,7 @@
                     self.assertNotIn(b"secret", reply[2])
             self.assertEqual(["http-error"], [name for name, _ in node.telemetry.events])
             labels = {"route": "/v1/jobs", "status": "500"}
-            self.assertIn(("http_requests", labels), node.telemetry.counts)
+            self.assertIn(("http_requests_total", labels), node.telemetry.counts)
 
     def test_the_body_carries_what_the_error_knows(self):
         stale = orjson.loads(problem(ConfigurationStale(9)).body)
--- a/packages/mimosapoint-node/src/mimosapoint_node/http/tests/test_server.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/http/tests/test_server.py
@@ -54,7 +54,7 @@
                 self.assertEqual(b"", await second.receive_some())
             await first.aclose()
             await second.aclose()
-            await until(lambda: ("http_connections_refused", {}) in node.telemetry.counts)
+            await until(lambda: ("http_connections_refused_total", {}) in node.telemetry.counts)
 
     async def test_malformed_and_slow_requests_end(self):
         limits = HttpLimits(
--- a/packages/mimosapoint-node/src/mimosapoint_node/platform/store.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/platform/store.py
@@ -36,7 +36,7 @@
     """Store behind an HTTP address.
 
     :param address: ``IP:port`` of the service.
-    :param telemetry: counts every call by kind as ``store_calls``.
+    :param telemetry: counts every call by kind as ``store_calls_total``.
     :param timeout: time that a call may take, a watch's own wait not counted.
     :param connect_timeout: time that a new connection may take.
     """
@@ -115,7 +115,7 @@
         return await self._client.call(method, self._address, path, *body, **options)
 
     def _count(self, kind: str) -> None:
-        self._telemetry.count("store_calls", kind=kind)
+        self._telemetry.count("store_calls_total", kind=kind)
 
     def _absent(self, reply: Reply) -> None:
         """Take "not found" for an absent key only when the store says so.
--- a/packages/mimosapoint-node/src/mimosapoint_node/platform/tests/test_replies.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/platform/tests/test_replies.py
@@ -116,5 +116,5 @@
                 with self.assertRaises(StoreTimeout):
                     await call()
         kinds = "get scan compare_and_swap delete grant_lease renew_lease watch"
-        expected = {("store_calls", kind): 1 for kind in kinds.split()}
+        expected = {("store_calls_total", kind): 1 for kind in kinds.split()}
         self.assertEqual(telemetry.counts, expected)
--- a/packages/mimosapoint-node/src/mimosapoint_node/platform/vm_list.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/platform/vm_list.py
@@ -18,7 +18,7 @@
     """List of VMs behind an HTTP address.
 
     :param address: ``IP:port`` of the service.
-    :param telemetry: counts every call as ``vm_list_calls``.
+    :param telemetry: counts every call as ``vm_list_calls_total``.
     :param timeout: time that a call may take.
     :param connect_timeout: time that a new connection may take.
     """
@@ -44,7 +44,7 @@
 
         :raises VmListUnavailable: the list cannot be read.
         """
-        self._telemetry.count("vm_list_calls")
+        self._telemetry.count("vm_list_calls_total")
         reply = await self._client.call("GET", self._address, VMS_PATH)
         return self._client.read(reply, VmTable).vms
 
--- a/packages/mimosapoint-node/src/mimosapoint_node/platform/workers.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/platform/workers.py
@@ -37,7 +37,7 @@
 class HttpWorkers:
     """Workers behind HTTP addresses.
 
-    :param telemetry: counts every command by kind as ``worker_calls``.
+    :param telemetry: counts every command by kind as ``worker_calls_total``.
     :param timeout: time that a command may take.
     :param connect_timeout: time that a new connection may take.
     :param connections: number of connections to each worker at most.
@@ -103,6 +103,6 @@
     async def _send(
         self, address: str, name: str, request: Any, wait: timedelta = timedelta()
     ) -> Reply:
-        self._telemetry.count("worker_calls", kind=name)
+        self._telemetry.count("worker_calls_total", kind=name)
         data = encode(request)
         return await self._client.call("POST", address, path_of(name), data, extra_time=wait)
--- a/packages/mimosapoint/src/mimosapoint/jobs/committer.py
+++ b/packages/mimosapoint/src/mimosapoint/jobs/committer.py
@@ -101,7 +101,7 @@
             raise StaleEpoch(header.epoch)
         bucket.revision = entry.revision
         if header.writer == self._writer and header.sequence == bucket.sequence:
-            self._telemetry.count("commits_settled")
+            self._telemetry.count("commits_settled_total")
             bucket.mark_durable(changes, entry.revision)
             return True
         return False
--- a/packages/mimosapoint/src/mimosapoint/ownership/keeper.py
+++ b/packages/mimosapoint/src/mimosapoint/ownership/keeper.py
@@ -189,7 +189,7 @@
             jobs=len(table),
             seconds=round((self._clock.now() - began).total_seconds(), 3),
         )
-        self._telemetry.count("zone_claims", zone=zone)
+        self._telemetry.count("zone_claims_total", zone=zone)
 
     async def _own(
         self, zone: str, owner: ZoneOwner, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED
--- a/packages/mimosapoint/src/mimosapoint/placement/ledger.py
+++ b/packages/mimosapoint/src/mimosapoint/placement/ledger.py
@@ -111,7 +111,7 @@
     def _tell(self, record: JobRecord) -> None:
         name = type(record.outcome).__name__
         lasted = (record.ended_at - record.submitted_at).total_seconds()
-        self._telemetry.count("jobs_ended", outcome=name)
+        self._telemetry.count("jobs_ended_total", outcome=name)
         self._telemetry.observe(
             "completion_seconds", lasted, job_class=record.request.job_class.value
         )
--- a/packages/mimosapoint/src/mimosapoint/placement/link.py
+++ b/packages/mimosapoint/src/mimosapoint/placement/link.py
@@ -112,7 +112,7 @@
 
     def _note_failure(self, error: MimosapointError) -> None:
         if isinstance(error, WorkerUnreachable | WorkerRefused):
-            self._telemetry.count("lease_failures", zone=self._holder.zone)
+            self._telemetry.count("lease_failures_total", zone=self._holder.zone)
         self._roster.fail(self._worker)
 
     async def _let_lapse(self) -> None:
--- a/packages/mimosapoint/src/mimosapoint/telemetry/_declarations.py
+++ b/packages/mimosapoint/src/mimosapoint/telemetry/_declarations.py
@@ -17,7 +17,7 @@
         buckets=BYTES_BUCKETS,
     ),
     Metric(
-        "commits_settled",
+        "commits_settled_total",
         MetricKind.COUNTER,
         "Lost answers of commits that reading back proved effective.",
         "commits",
@@ -36,21 +36,31 @@
         "seconds",
         ("job_class",),
     ),
-    Metric("jobs_ended", MetricKind.COUNTER, "Ended jobs by outcome.", "jobs", ("outcome",)),
+    Metric("jobs_ended_total", MetricKind.COUNTER, "Ended jobs by outcome.", "jobs", ("outcome",)),
     Metric(
-        "lease_failures",
+        "lease_failures_total",
         MetricKind.COUNTER,
         "Failed renewals of worker leases.",
         "calls",
         ("zone",),
     ),
-    Metric("zone_claims", MetricKind.COUNTER, "Claims of availability zones.", "claims", ("zone",)),
-    Metric("store_calls", MetricKind.COUNTER, "Calls to the store by kind.", "calls", ("kind",)),
-    Metric("worker_calls", MetricKind.COUNTER, "Calls to workers by kind.", "calls", ("kind",)),
-    Metric("vm_list_calls", MetricKind.COUNTER, "Reads of the list of VMs.", "calls"),
+    Metric(
+        "zone_claims_total",
+        MetricKind.COUNTER,
+        "Claims of availability zones.",
+        "claims",
+        ("zone",),
+    ),
+    Metric(
+        "store_calls_total", MetricKind.COUNTER, "Calls to the store by kind.", "calls", ("kind",)
+    ),
+    Metric(
+        "worker_calls_total", MetricKind.COUNTER, "Calls to workers by kind.", "calls", ("kind",)
+    ),
+    Metric("vm_list_calls_total", MetricKind.COUNTER, "Reads of the list of VMs.", "calls"),
     Metric("configuration_version", MetricKind.GAUGE, "Version in force here.", "version"),
     Metric(
-        "http_requests",
+        "http_requests_total",
         MetricKind.COUNTER,
         "Requests of callers and operators.",
         "requests",
@@ -58,12 +68,14 @@
     ),
     Metric("http_seconds", MetricKind.HISTOGRAM, "Time of a request.", "seconds", ("route",)),
     Metric(
-        "http_connections_refused",
+        "http_connections_refused_total",
         MetricKind.COUNTER,
         "Connections closed because there were too many.",
         "connections",
     ),
-    Metric("http_disconnects", MetricKind.COUNTER, "Callers that left while waiting.", "requests"),
+    Metric(
+        "http_disconnects_total", MetricKind.COUNTER, "Callers that left while waiting.", "requests"
+    ),
     Metric(
         "routes_missed_total",
         MetricKind.COUNTER,
