Test every key of the settings and the configuration with bad input

Tables of bad values now cover each key of both documents, and they fail when a key is added without a case.

--- /dev/null
+++ b/examples/target/measure.py
@@ -0,0 +1,62 @@
+"""Prints the processor time that one node spends on a new configuration.
+
+Command: ``.venv/bin/python examples/target/measure.py``
+"""
+
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+import attrs
+from mimosapoint.codec import decode, encode
+from mimosapoint.configuration import Configuration, ZoneMode, homes, load_configuration, problems
+from site_of_target import target_configuration
+
+REPEATS = 20
+EXAMPLES = Path(__file__).resolve().parent.parent
+
+
+def cpu_ms(action: Callable[[Configuration], object], configuration: Configuration) -> float:
+    """Return the least processor time of an action, in milliseconds.
+
+    Each run gets its own copy, so that nothing is remembered from the one before.
+    """
+    best = float("inf")
+    for _ in range(REPEATS):
+        copy = attrs.evolve(configuration)
+        start = time.process_time()
+        action(copy)
+        best = min(best, time.process_time() - start)
+    return best * 1_000
+
+
+def with_zone_out(configuration: Configuration) -> Configuration:
+    """Return the configuration with its first zone out of service."""
+    first = min(configuration.zones_by_id)
+    zone = attrs.evolve(configuration.zones_by_id[first], mode=ZoneMode.OUT)
+    zones = {**configuration.zones_by_id, first: zone}
+    return attrs.evolve(configuration, zones_by_id=zones)
+
+
+def report(name: str, configuration: Configuration) -> None:
+    """Print one line of figures."""
+    data = encode(configuration)
+    out = with_zone_out(configuration)
+    print(
+        f"{name}: {len(homes(configuration))} homes, {len(data)} bytes, "
+        f"decode {cpu_ms(lambda _: decode(data, Configuration), configuration):.2f} ms, "
+        f"problems {cpu_ms(problems, configuration):.2f} ms, "
+        f"homes {cpu_ms(homes, configuration):.2f} ms, "
+        f"homes with a zone out {cpu_ms(homes, out):.2f} ms"
+    )
+
+
+def main() -> None:
+    """Measure today's sites and the target."""
+    for site in ("agencia", "selat"):
+        report(site, load_configuration(EXAMPLES / site / "configuration.yaml"))
+    report("target", target_configuration())
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/mimosapoint/src/mimosapoint/configuration/_packing.py
+++ b/packages/mimosapoint/src/mimosapoint/configuration/_packing.py
@@ -4,18 +4,20 @@
 leaves a gang over, a search with a bounded number of steps tries other places.
 """
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 
-from mimosapoint.configuration._room import Demand, DemandKey, Place, ZoneRoom
+from mimosapoint.configuration._room import Amounts, Demand, DemandKey, Place, ZoneRoom, amounts
 from mimosapoint.configuration.document import Capacity
 from mimosapoint.model import Adjacency
 
 __all__ = ["Places", "first_fit", "pack", "rooms"]
 
-SEARCH_STEPS = 2_000
+SEARCH_STEPS = 300
 """Most places that the search tries before it gives up."""
 
 Places = dict[DemandKey, Place]
+Rooms = dict[str, ZoneRoom]
+ZoneOrder = Callable[[Demand, Rooms], list[str]]
 
 ADJACENCY_ORDER = (Adjacency.RACK, Adjacency.WORKER, Adjacency.AVAILABILITY_ZONE)
 
@@ -35,24 +37,30 @@
     )
 
 
-def _fit(demand: Demand, rooms_by_id: dict[str, ZoneRoom]) -> Place | None:
-    """Return a place in the zone with the most free accelerators that holds the gang."""
-    zones = sorted(
-        enumerate(demand.zones),
-        key=lambda pair: (-rooms_by_id[pair[1]].free_accelerators, pair[0]),
-    )
-    for _, zone in zones:
-        place = rooms_by_id[zone].find(demand)
-        if place is not None:
-            return place
-    return None
+def _most_free_first(demand: Demand, rooms_by_id: Rooms) -> list[str]:
+    return sorted(demand.zones, key=lambda zone: -rooms_by_id[zone].free_accelerators)
+
+
+def _least_free_first(demand: Demand, rooms_by_id: Rooms) -> list[str]:
+    return sorted(demand.zones, key=lambda zone: rooms_by_id[zone].free_accelerators)
+
+
+def _as_named(demand: Demand, rooms_by_id: Rooms) -> list[str]:
+    return list(demand.zones)
+
+
+ZONE_ORDERS = (_most_free_first, _least_free_first, _as_named)
+"""Orders in which zones are tried; the first one spreads the homes and is preferred."""
 
 
-def first_fit(demands: Iterable[Demand], rooms_by_id: dict[str, ZoneRoom]) -> Places:
+def first_fit(
+    demands: Iterable[Demand], rooms_by_id: Rooms, zone_order: ZoneOrder = _most_free_first
+) -> Places:
     """Place demands into the room, the hardest to place first; what does not fit is left out."""
     places = {}
     for demand in sorted(demands, key=_size):
-        place = _fit(demand, rooms_by_id)
+        found = (rooms_by_id[zone].find(demand) for zone in zone_order(demand, rooms_by_id))
+        place = next((place for place in found if place is not None), None)
         if place is not None:
             rooms_by_id[place.zone].take(place, demand.shape)
             places[demand.key] = place
@@ -62,7 +70,7 @@
 class _Search:
     """Depth-first search over places, given up after :data:`SEARCH_STEPS`."""
 
-    def __init__(self, demands: list[Demand], rooms_by_id: dict[str, ZoneRoom]):
+    def __init__(self, demands: list[Demand], rooms_by_id: Rooms):
         self._demands = demands
         self._rooms_by_id = rooms_by_id
         self._steps = SEARCH_STEPS
@@ -106,7 +114,7 @@
         del self.places[demand.key]
 
 
-def rooms(capacities_by_id: dict[str, Capacity]) -> dict[str, ZoneRoom]:
+def rooms(capacities_by_id: dict[str, Capacity]) -> Rooms:
     """Return the room of empty availability zones."""
     return {id: ZoneRoom(id, capacity) for id, capacity in capacities_by_id.items()}
 
@@ -118,8 +126,24 @@
     :param capacities_by_id: declared capacity of each availability zone.
     """
     ordered = sorted(demands, key=_size)
-    places = first_fit(ordered, rooms(capacities_by_id))
-    if len(places) == len(ordered):
-        return places
+    best: Places = {}
+    for zone_order in ZONE_ORDERS:
+        places = first_fit(ordered, rooms(capacities_by_id), zone_order)
+        best = max(best, places, key=len)
+        if len(best) == len(ordered) or _too_much(ordered, capacities_by_id):
+            return best
     search = _Search(ordered, rooms(capacities_by_id))
-    return search.places if search.solve() else places
+    return search.places if search.solve() else best
+
+
+def _too_much(demands: list[Demand], capacities_by_id: dict[str, Capacity]) -> bool:
+    """Tell whether the demands ask for more than there is, wherever they are placed."""
+    for index in range(len(Amounts.__args__)):
+        wanted = sum(demand.shape[index] * demand.gang for demand in demands)
+        there = sum(
+            amounts(capacity.worker)[index] * capacity.racks * capacity.workers_per_rack
+            for capacity in capacities_by_id.values()
+        )
+        if wanted > there:
+            return True
+    return False
--- a/packages/mimosapoint/src/mimosapoint/configuration/_room.py
+++ b/packages/mimosapoint/src/mimosapoint/configuration/_room.py
@@ -81,9 +81,15 @@
         self.zone = zone
         self.whole = whole
         self.free = [[whole] * capacity.workers_per_rack for _ in range(capacity.racks)]
-        self.free_accelerators = whole[3] * capacity.workers_per_rack * capacity.racks
+        self._slots = [whole[0] * capacity.workers_per_rack] * capacity.racks
+        self._accelerators = [whole[3] * capacity.workers_per_rack] * capacity.racks
         self._first_by_demand: dict[tuple[int, Amounts, Adjacency], int] = {}
 
+    @property
+    def free_accelerators(self) -> int:
+        """Accelerators that no gang holds."""
+        return sum(self._accelerators)
+
     def find(self, demand: Demand) -> Place | None:
         """Return the first place that holds the gang, ``None`` when there is none.
 
@@ -103,6 +109,8 @@
 
     def find_in_rack(self, demand: Demand, rack: int) -> Place | None:
         """Return a place for the gang within one rack."""
+        if not self._may_hold(demand.gang, demand.shape, rack):
+            return None
         if demand.adjacency is Adjacency.WORKER:
             return self._on_one_worker(demand, rack)
         tasks = self._fill(demand, rack, demand.gang)
@@ -131,14 +139,22 @@
         """Occupy a place."""
         for rack, worker, count in place.tasks:
             self.free[rack][worker] = _minus(self.free[rack][worker], shape, count)
-            self.free_accelerators -= shape[3] * count
+            self._slots[rack] -= shape[0] * count
+            self._accelerators[rack] -= shape[3] * count
 
     def give_back(self, place: Place, shape: Amounts) -> None:
         """Free a place."""
         self._first_by_demand.clear()
         for rack, worker, count in place.tasks:
             self.free[rack][worker] = _minus(self.free[rack][worker], shape, -count)
-            self.free_accelerators += shape[3] * count
+            self._slots[rack] += shape[0] * count
+            self._accelerators[rack] += shape[3] * count
+
+    def _may_hold(self, tasks: int, shape: Amounts, rack: int) -> bool:
+        """Tell quickly whether a rack may have room; only a refusal is certain."""
+        return (
+            shape[0] * tasks <= self._slots[rack] and shape[3] * tasks <= self._accelerators[rack]
+        )
 
     def _on_one_worker(self, demand: Demand, rack: int) -> Place | None:
         for worker, room in enumerate(self.free[rack]):
@@ -165,6 +181,8 @@
         tasks: list[tuple[int, int, int]] = []
         wanted = demand.gang
         for rack in range(len(self.free)):
+            if not self._may_hold(1, demand.shape, rack):
+                continue
             found = self._fill(demand, rack, wanted)
             tasks.extend(found)
             wanted -= sum(count for _, _, count in found)
--- /dev/null
+++ b/packages/mimosapoint/src/mimosapoint/configuration/tests/test_validation.py
@@ -0,0 +1,211 @@
+"""Tests of validation: bad input for every key of the document."""
+
+import copy
+import unittest
+
+import attrs
+
+from mimosapoint.configuration import (
+    Capacity,
+    Configuration,
+    Guarantee,
+    Patch,
+    Policies,
+    Service,
+    Workspace,
+    Zone,
+    parse_configuration,
+    problems,
+    warnings,
+)
+from mimosapoint.configuration.operations import patched, to_document
+from mimosapoint.configuration.tests._sites import rack_gang, site
+from mimosapoint.errors import ConfigurationInvalid
+from mimosapoint.model import Resources
+
+BASE = to_document(site(rack_gang("g", 8, zones=("a",)), version=1))
+G = "/workspaces/desk/guarantees/0"
+S = "/workspaces/desk/services/bulletins"
+C = "/zones/a/capacity"
+BAD_TEXTS = ("", "Ñ", "a" * 41, 3, None)
+BAD_COUNTS = (0, -1, 1.5, "2", True, None, 10**7)
+BAD_AMOUNTS = (-1, 1.5, "2", True, None, 10**7)
+BAD_LISTS = ("a", {"a": 1}, None, [1], ["nowhere"])
+BAD_CHOICES = ("", "OUT", 3, None, [])
+BAD_VALUES_BY_PATH = {
+    "/version": (1.5, "1", None, True),
+    "/zones": ([], None, "a"),
+    "/zones/a": ([], None, "a"),
+    "/zones/a/region": BAD_TEXTS,
+    "/zones/a/mode": BAD_CHOICES,
+    "/zones/a/leaving": BAD_CHOICES,
+    C: ([], None, 2),
+    f"{C}/racks": BAD_COUNTS,
+    f"{C}/workers_per_rack": BAD_COUNTS,
+    f"{C}/worker": ([], None, 2),
+    f"{C}/worker/slots": BAD_COUNTS,
+    f"{C}/worker/cores": BAD_AMOUNTS,
+    f"{C}/worker/memory_gib": BAD_AMOUNTS,
+    f"{C}/worker/accelerators": BAD_AMOUNTS,
+    "/workspaces": ([], None, "a"),
+    "/workspaces/desk": ([], None, "a"),
+    "/workspaces/desk/region": (*BAD_TEXTS, "elsewhere"),
+    "/workspaces/desk/guarantees": ({}, None, "a"),
+    G: ([], None, "a"),
+    f"{G}/id": BAD_TEXTS,
+    f"{G}/gang": (*BAD_COUNTS, 17),
+    f"{G}/shape": ([], None, 2),
+    f"{G}/shape/slots": BAD_COUNTS,
+    f"{G}/shape/cores": BAD_AMOUNTS,
+    f"{G}/shape/memory_gib": BAD_AMOUNTS,
+    f"{G}/shape/accelerators": BAD_AMOUNTS,
+    f"{G}/adjacency": BAD_CHOICES,
+    f"{G}/count": BAD_COUNTS,
+    f"{G}/zones": BAD_LISTS,
+    "/workspaces/desk/may_borrow": (1, "yes", None),
+    "/workspaces/desk/grace": (-1, "5", None, True, 10**5, float("nan")),
+    "/workspaces/desk/queue_limit": BAD_AMOUNTS,
+    "/workspaces/desk/services": ([], None, "a"),
+    S: ([], None, "a"),
+    f"{S}/zones": BAD_LISTS,
+    f"{S}/classes": ("urgent", {}, None, ["soon"], []),
+    "/policies": ([], None, "a"),
+    "/policies/scheduling": ("", "no-such", 3, None),
+}
+DOCUMENT_CLASSES = (Configuration, Zone, Capacity, Workspace, Guarantee, Service, Policies)
+
+
+def parent_of(document, path):
+    *steps, last = path.removeprefix("/").split("/")
+    for step in steps:
+        document = document[int(step)] if isinstance(document, list) else document[step]
+    return document, int(last) if isinstance(document, list) else last
+
+
+def with_value(path, value):
+    document = copy.deepcopy(BASE)
+    parent, key = parent_of(document, path)
+    parent[key] = value
+    return document
+
+
+def reasons(document):
+    try:
+        parse_configuration(document)
+    except ConfigurationInvalid as error:
+        return error.reasons
+    return ()
+
+
+def patch_reasons(before, *operations):
+    try:
+        patched(before, Patch("p", before.version, operations))
+    except ConfigurationInvalid as error:
+        return error.reasons
+    return ()
+
+
+class KeyTest(unittest.TestCase):
+    def test_the_table_names_every_key(self):
+        named = {path.rsplit("/", 1)[-1] for path in BAD_VALUES_BY_PATH}
+        for kind in (*DOCUMENT_CLASSES, Resources):
+            for field in attrs.fields(kind):
+                with self.subTest(kind=kind.__name__, field=field.name):
+                    self.assertIn(field.name.removesuffix("_by_id"), named)
+
+    def test_each_bad_value_gets_a_reason_with_its_path(self):
+        self.assertEqual(reasons(BASE), ())
+        for path, values in BAD_VALUES_BY_PATH.items():
+            for value in values:
+                with self.subTest(path=path, value=value):
+                    found = reasons(with_value(path, value))
+                    self.assertTrue(any(reason.startswith(path) for reason in found), found)
+
+    def test_each_unknown_key_is_named(self):
+        for path in ("", "/zones/a", C, f"{C}/worker", "/workspaces/desk", G, S, "/policies"):
+            with self.subTest(path=path):
+                self.assertEqual(
+                    reasons(with_value(f"{path}/sise", 1)), (f"{path}/sise: unknown key",)
+                )
+
+    def test_bad_ids_are_named(self):
+        for group, inner in (("/zones", "a"), ("/workspaces", "desk"), (S[:-10], "bulletins")):
+            for id in ("", "A", "x" * 41, "a b"):
+                with self.subTest(group=group, id=id):
+                    parent, key = parent_of(BASE, f"{group}/{inner}")
+                    found = reasons(with_value(f"{group}/{id}", parent[key]))
+                    self.assertIn(f"{group}/{id}: the id must be", "".join(found))
+
+    def test_a_configuration_made_in_code_is_checked_alike(self):
+        wrong = site(rack_gang("g", 0), rack_gang("G", 1), racks=-1)
+        self.assertEqual(
+            problems(wrong),
+            (
+                "/zones/a/capacity/racks: must be 1 to 1000",
+                "/zones/b/capacity/racks: must be 1 to 1000",
+                f"{G}/gang: must be 1 to 1024",
+                "/workspaces/desk/guarantees/1/id: must be 1 to 40 of a-z, 0-9 and -",
+            ),
+        )
+
+
+class CapacityTest(unittest.TestCase):
+    def test_guarantees_must_all_fit_at_once(self):
+        cases = (
+            ((rack_gang("g", 16, 2),), ()),
+            ((rack_gang("g", 16, 3),), (f"{G}: only 2 of 3 fit",)),
+            ((rack_gang("g", 16), rack_gang("h", 9, 2)), ("/1: only 1 of 2 fit",)),
+            ((rack_gang("g", 9, 2), rack_gang("h", 7, 2)), ()),
+            ((rack_gang("g", 9, 2), rack_gang("h", 8, 1)), ("/1: only 0 of 1 fit",)),
+            ((rack_gang("g", 16, 1, ("a",)), rack_gang("h", 1, 1, ("a",))), ("/1: only 0 of 1",)),
+            ((rack_gang("g", 17),), (f"{G}/gang: at most 16 such tasks fit",)),
+            ((rack_gang("g", 1), rack_gang("g", 2)), ("/1/id: g is used twice",)),
+        )
+        for guarantees, expected in cases:
+            with self.subTest(guarantees=guarantees):
+                found = problems(site(*guarantees))
+                self.assertEqual(len(found), len(expected), found)
+                for reason, part in zip(found, expected, strict=True):
+                    self.assertIn(part, reason)
+
+    def test_a_zone_may_always_be_taken_out_and_what_then_lacks_room_is_told(self):
+        before = site(rack_gang("g", 9, 2), version=1)
+        out = {"op": "replace", "path": "/zones/a/mode", "value": "out"}
+        after = patched(before, Patch("p", 1, (out,)))
+        self.assertEqual(after.version, 2)
+        self.assertEqual(warnings(before), ())
+        expected = f"{G}: 1 of 2 held only in zones out of service: a"
+        self.assertEqual(warnings(after), (expected,))
+
+
+class PatchedTest(unittest.TestCase):
+    def test_refused_operations(self):
+        before = site(rack_gang("g", 8), version=1)
+        other = {"region": "q", "capacity": to_document(before)["zones"]["a"]["capacity"]}
+        cases = (
+            ({"op": "replace", "path": "/zones/x/mode", "value": "out"}, "/operations/0: "),
+            ({"op": "test", "path": "/version", "value": 9}, "/operations/0: "),
+            ({"op": "jump", "path": "/version"}, "/operations/0: "),
+            ({"op": "add", "path": "zones", "value": 1}, "/operations/0: "),
+            ({"op": "add", "path": 7, "value": 1}, "/operations/0: "),
+            ({"path": "/version"}, "/operations/0: "),
+            ({}, "/operations/0: "),
+            ({"op": "remove", "path": ""}, "/operations/0: "),
+            ({"op": "replace", "path": "", "value": []}, "/: must be a mapping"),
+            ({"op": "replace", "path": "/version", "value": 7}, "/version: cannot be changed"),
+            ({"op": "replace", "path": "/zones/b", "value": other}, "/zones/b/region: cannot"),
+            ({"op": "replace", "path": "/zones", "value": {}}, "/workspaces/desk/region: no"),
+        )
+        for operation, start in cases:
+            with self.subTest(operation=operation):
+                found = patch_reasons(before, operation)
+                self.assertTrue(found and found[0].startswith(start), found)
+
+    def test_a_workspace_keeps_its_region(self):
+        before = site(rack_gang("g", 8), version=1)
+        other = attrs.evolve(before.zones_by_id["a"], region="q")
+        before = attrs.evolve(before, zones_by_id={**before.zones_by_id, "c": other})
+        move = {"op": "replace", "path": "/workspaces/desk/region", "value": "q"}
+        self.assertEqual(
+            patch_reasons(before, move), ("/workspaces/desk/region: cannot change from r",)
+        )
