--- a/packages/mimosapoint/src/mimosapoint/configuration/service.py
+++ b/packages/mimosapoint/src/mimosapoint/configuration/service.py
@@ -166,9 +166,10 @@
         """Return what became of a patch.
 
         :raises PatchNotFound: no such patch is kept.
+        :raises StoreUnavailable: it is not known here and the store is out.
         """
-        if self.state.record(patch_id) is None:
-            await self._read()
+        if self.state.record(patch_id) is None and not await self._read():
+            raise StoreUnavailable(f"patch {patch_id} is not known here and the store is out")
         record = self.state.record(patch_id)
         if record is None:
             raise PatchNotFound(f"no patch {patch_id} is kept")
--- a/packages/mimosapoint/src/mimosapoint/configuration/tests/test_service.py
+++ b/packages/mimosapoint/src/mimosapoint/configuration/tests/test_service.py
@@ -248,6 +248,8 @@
             self.assertFalse(second.offer(first.state, first.confirmed_at))
             self.assertEqual(second.current, first.current)
             self.assertTrue((await second.verdict("p1")).accepted)
+            with self.assertRaises(StoreUnavailable):
+                await second.verdict("p2")
             nursery.cancel_scope.cancel()
 
     async def test_a_node_starts_once_the_store_is_back(self):
