--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 SEEDS ?= 25
 UV := $(PYTHON) -m uv
 
-.PHONY: setup demo test lint format lock
+.PHONY: setup demo test lint format lock bench
 
 setup: $(VENV)/.ready
 
@@ -28,6 +28,10 @@
 	@$(BIN)/black --quiet --check .
 	@echo "lint clean"
 
+# The decisions of every policy on simulated time; QUICK=1 runs two seeds in place of five.
+bench: setup
+	@$(BIN)/python -m benchmarks.decisions $(if $(QUICK),--quick)
+
 format: setup
 	@$(BIN)/ruff check --quiet --fix .
 	@$(BIN)/black --quiet .
--- /dev/null
+++ b/benchmarks/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Rig that drives the real scheduling policies on simulated time."""
--- /dev/null
+++ b/benchmarks/decisions/loop.py
@@ -0,0 +1,441 @@
+"""Event loop on simulated time that carries out the decisions of real policies."""
+
+import heapq
+import random
+import time
+from collections.abc import Callable
+from datetime import datetime, timedelta
+
+import attrs
+from mimosapoint.configuration import Configuration, ZoneMode
+from mimosapoint.model import (
+    Cancelled,
+    Failed,
+    JobRecord,
+    JobState,
+    NotRun,
+    Placement,
+    Resources,
+    Succeeded,
+)
+from mimosapoint.scheduling import (
+    Assignment,
+    Decision,
+    Move,
+    Policy,
+    Reclaim,
+    WorkerView,
+    ZoneSummary,
+    ZoneView,
+    make_policy,
+    summarize,
+)
+
+from benchmarks.decisions.measures import Measures, Segment
+from benchmarks.decisions.workload import START, Arrival
+
+__all__ = ["Loop", "Withdrawal"]
+
+BATCH = 0.1
+"""Seconds between a change and the decision that takes it in."""
+
+TICK = 30.0
+"""Seconds between decisions while nothing changes."""
+
+START_DELAY = 0.1
+"""Seconds from an assignment to the start of the gang."""
+
+CHECKPOINT_EVERY = 300.0
+"""Seconds between the checkpoints of a running gang."""
+
+SUMMARY_EVERY = 5.0
+"""Seconds between the summaries that zones send to each other."""
+
+FAILURES_ALLOWED = 5
+"""Failed attempts after which a job ends."""
+
+
+@attrs.frozen
+class Withdrawal:
+    """An availability zone goes out of service and comes back.
+
+    :param zone: id of the availability zone.
+    :param out_at: seconds from the start of the run.
+    :param back_at: seconds from the start of the run.
+    """
+
+    zone: str
+    out_at: float
+    back_at: float
+
+
+@attrs.define
+class Attempt:
+    """What the rig knows of a running attempt beside its record."""
+
+    began: float
+    before: float
+    speed: float
+    ends_at: float
+
+
+@attrs.define
+class SimulatedZone:
+    """An availability zone and its policy."""
+
+    id: str
+    policy: Policy
+    workers_by_id: dict[str, WorkerView]
+    waiting_by_id: dict[str, JobRecord] = attrs.field(factory=dict)
+    running_by_id: dict[str, JobRecord] = attrs.field(factory=dict)
+    decision_due: bool = False
+    failing: set[str] = attrs.field(factory=set)
+
+
+class Loop:
+    """Runs one workload under one policy."""
+
+    def __init__(
+        self,
+        configuration: Configuration,
+        policy: str,
+        arrivals: list[Arrival],
+        seed: int,
+        withdrawal: Withdrawal | None = None,
+    ):
+        self.now = 0.0
+        self.configuration = configuration
+        self.measures = Measures()
+        self._rng = random.Random(seed)
+        self._events: list[tuple[float, int, Callable, tuple]] = []
+        self._sequence = 0
+        self._truth = {a.request.idempotency_key: a for a in arrivals}
+        self._attempts: dict[str, Attempt] = {}
+        self._summaries: dict[str, ZoneSummary] = {}
+        self._summaries_at = 0.0
+        self._zones = {id: self._make_zone(id, policy) for id in configuration.zones_by_id}
+        for arrival in arrivals:
+            self.at(arrival.at, self._submit, arrival)
+        self._plan_faults(withdrawal)
+
+    def _make_zone(self, id: str, policy: str) -> SimulatedZone:
+        capacity = self.configuration.zones_by_id[id].capacity
+        workers = {}
+        for rack in range(capacity.racks):
+            for slot in range(capacity.workers_per_rack):
+                name = f"{id}-r{rack:02}-w{slot:02}"
+                workers[name] = WorkerView(
+                    name, f"{id}-r{rack:02}", capacity.worker, capacity.worker
+                )
+        return SimulatedZone(id, make_policy(policy), workers)
+
+    def _plan_faults(self, withdrawal: Withdrawal | None) -> None:
+        zone = self._rng.choice(sorted(self._zones))
+        workers = sorted(self._zones[zone].workers_by_id)
+        bad, lost = self._rng.sample(workers, 2)
+        self.at(self._rng.uniform(1200, 2400), self._begin_failing, zone, bad)
+        self.at(self._rng.uniform(1200, 3600), self._lose_worker, zone, lost)
+        if withdrawal is not None:
+            self.at(withdrawal.out_at, self._set_mode, withdrawal.zone, ZoneMode.OUT)
+            self.at(withdrawal.back_at, self._set_mode, withdrawal.zone, ZoneMode.IN_SERVICE)
+
+    def at(self, when: float, function: Callable, *args: object) -> None:
+        """Call a function at a time of the run."""
+        self._sequence += 1
+        heapq.heappush(self._events, (when, self._sequence, function, args))
+
+    def run(self, until: float) -> Measures:
+        """Run until a time, and return what was measured."""
+        for zone in self._zones.values():
+            self.at(TICK, self._tick, zone)
+        self.at(SUMMARY_EVERY, self._summarize)
+        self.at(60.0, self._sample)
+        while self._events and self._events[0][0] <= until:
+            self.now, _, function, args = heapq.heappop(self._events)
+            function(*args)
+        self._finish(until)
+        return self.measures
+
+    def _finish(self, until: float) -> None:
+        self.now = until
+        for zone in self._zones.values():
+            for record in list(zone.running_by_id.values()):
+                self._close_segment(zone, record, lost=0.0)
+            for record in (*zone.waiting_by_id.values(), *zone.running_by_id.values()):
+                self.measures.unfinished(record, until)
+
+    def time(self) -> datetime:
+        """Return the time of the run."""
+        return START + timedelta(seconds=self.now)
+
+    def _changed(self, zone: SimulatedZone) -> None:
+        if not zone.decision_due:
+            zone.decision_due = True
+            self.at(self.now + BATCH, self._decide, zone)
+
+    def _tick(self, zone: SimulatedZone) -> None:
+        self._changed(zone)
+        self.at(self.now + TICK, self._tick, zone)
+
+    def _summarize(self) -> None:
+        self._summaries = {id: summarize(self._view(zone)) for id, zone in self._zones.items()}
+        self._summaries_at = self.now
+        self.at(self.now + SUMMARY_EVERY, self._summarize)
+
+    def _sample(self) -> None:
+        for zone in self._zones.values():
+            if self.configuration.zones_by_id[zone.id].mode is ZoneMode.IN_SERVICE:
+                self.measures.sample(self._view(zone))
+        self.at(self.now + 60.0, self._sample)
+
+    def _view(self, zone: SimulatedZone) -> ZoneView:
+        age = self.now - self._summaries_at
+        others = {
+            id: attrs.evolve(summary, age=age)
+            for id, summary in self._summaries.items()
+            if id != zone.id
+        }
+        waiting = sorted(zone.waiting_by_id.values(), key=lambda record: record.submitted_at)
+        return ZoneView(
+            zone.id,
+            self.time(),
+            self.configuration,
+            zone.workers_by_id,
+            dict(zone.running_by_id),
+            waiting,
+            others,
+        )
+
+    def _submit(self, arrival: Arrival) -> None:
+        request = arrival.request
+        name = f"{arrival.zone}~{request.idempotency_key}"
+        record = JobRecord(name, request, JobState.QUEUED, self.time())
+        if not self._fits_declared(record):
+            self.measures.never_fit += 1
+            return
+        zone = self._zones[arrival.zone]
+        zone.waiting_by_id[name] = record
+        if arrival.cancel_at is not None:
+            self.at(max(self.now, arrival.cancel_at), self._cancel, name)
+        self._changed(zone)
+
+    def _fits_declared(self, record: JobRecord) -> bool:
+        request = record.request
+        capacities = [zone.capacity for zone in self.configuration.zones_by_id.values()]
+        return any(
+            request.shape.times_in(c.worker) * c.workers_per_rack >= request.gang
+            for c in capacities
+        )
+
+    def _cancel(self, job: str) -> None:
+        for zone in self._zones.values():
+            if job in zone.waiting_by_id:
+                record = zone.waiting_by_id.pop(job)
+                self._end(zone, record, Cancelled(record.started_at is not None))
+            elif job in zone.running_by_id:
+                record = zone.running_by_id[job]
+                if record.state is not JobState.STOPPING:
+                    self._stop(zone, record, 0.0, "cancel")
+
+    def _decide(self, zone: SimulatedZone) -> None:
+        zone.decision_due = False
+        view = self._view(zone)
+        begin = time.perf_counter()
+        decision = zone.policy.decide(view)
+        self.measures.decision_seconds.append(time.perf_counter() - begin)
+        self._apply(zone, decision)
+
+    def _apply(self, zone: SimulatedZone, decision: Decision) -> None:
+        if self.configuration.zones_by_id[zone.id].mode is ZoneMode.IN_SERVICE:
+            for assignment in decision.assignments:
+                self._place(zone, assignment)
+        for reclaim in decision.reclaims:
+            self._reclaim(zone, reclaim)
+        for move in decision.moves:
+            self._move(zone, move)
+        for refusal in decision.refusals:
+            record = zone.waiting_by_id.pop(refusal.job, None)
+            if record is not None:
+                self._end(zone, record, NotRun(refusal.code))
+
+    def _take(self, zone: SimulatedZone, record: JobRecord, sign: int) -> None:
+        shape = record.request.shape
+        for name in record.placement.workers:
+            worker = zone.workers_by_id[name]
+            worker.free = worker.free - shape if sign > 0 else worker.free + shape
+
+    def _place(self, zone: SimulatedZone, assignment: Assignment) -> None:
+        record = zone.waiting_by_id.get(assignment.job)
+        if record is None or len(assignment.workers) != record.request.gang:
+            self.measures.refused_assignments += 1
+            return
+        attempt = record.placement.attempt + 1 if record.placement else 1
+        placement = Placement(attempt, assignment.workers, assignment.guarantee)
+        placed = attrs.evolve(record, placement=placement, state=JobState.PLACED)
+        self._take(zone, placed, 1)
+        if any(not self._sound(zone.workers_by_id[name]) for name in assignment.workers):
+            self._take(zone, placed, -1)
+            self.measures.refused_assignments += 1
+            return
+        del zone.waiting_by_id[record.id]
+        zone.running_by_id[record.id] = placed
+        self.at(self.now + START_DELAY, self._start, zone, record.id, attempt)
+
+    @staticmethod
+    def _sound(worker: WorkerView) -> bool:
+        return worker.usable and Resources(0, 0, 0, 0).fits_in(worker.free)
+
+    def _current(self, zone: SimulatedZone, job: str, attempt: int) -> JobRecord | None:
+        record = zone.running_by_id.get(job)
+        return record if record is not None and record.placement.attempt == attempt else None
+
+    def _start(self, zone: SimulatedZone, job: str, attempt: int) -> None:
+        record = self._current(zone, job, attempt)
+        if record is None or record.state is not JobState.PLACED:
+            return
+        if zone.failing & set(record.placement.workers):
+            self.at(self.now + 1.0, self._fail_attempt, zone, job, attempt)
+            return
+        if job not in self.measures.first_start:
+            self.measures.started(record, self.now)
+        seconds = self._truth[record.request.idempotency_key].seconds
+        ends_at = self.now + seconds - record.progress
+        zone.running_by_id[job] = attrs.evolve(
+            record, state=JobState.RUNNING, started_at=self.time()
+        )
+        self._attempts[job] = Attempt(self.now, record.progress, 1.0, ends_at)
+        self.at(ends_at, self._complete, zone, job, attempt)
+        self.at(self.now + CHECKPOINT_EVERY, self._checkpoint, zone, job, attempt)
+
+    def _checkpoint(self, zone: SimulatedZone, job: str, attempt: int) -> None:
+        record = self._current(zone, job, attempt)
+        if record is None or record.state is not JobState.RUNNING:
+            return
+        known = self._attempts[job]
+        progress = known.before + self.now - known.began
+        zone.running_by_id[job] = attrs.evolve(record, progress=progress)
+        self.at(self.now + CHECKPOINT_EVERY, self._checkpoint, zone, job, attempt)
+
+    def _complete(self, zone: SimulatedZone, job: str, attempt: int) -> None:
+        record = self._current(zone, job, attempt)
+        if record is None or job not in self._attempts:
+            return
+        self._close_segment(zone, record, lost=0.0)
+        self._release(zone, record)
+        self._end(zone, record, Succeeded(()))
+
+    def _fail_attempt(self, zone: SimulatedZone, job: str, attempt: int) -> None:
+        record = self._current(zone, job, attempt)
+        if record is None:
+            return
+        self._release(zone, record)
+        failed = attrs.evolve(record, state=JobState.QUEUED, failures=record.failures + 1)
+        if failed.failures >= FAILURES_ALLOWED:
+            self._end(zone, failed, Failed("worker-refused"))
+        else:
+            zone.waiting_by_id[job] = failed
+
+    def _close_segment(self, zone: SimulatedZone, record: JobRecord, lost: float) -> None:
+        known = self._attempts.pop(record.id, None)
+        if known is None:
+            return
+        accelerators = record.request.gang * record.request.shape.accelerators
+        self.measures.segments.append(
+            Segment(zone.id, known.began, self.now, accelerators, lost * accelerators)
+        )
+
+    def _release(self, zone: SimulatedZone, record: JobRecord) -> None:
+        self._take(zone, record, -1)
+        del zone.running_by_id[record.id]
+        self._changed(zone)
+
+    def _end(self, zone: SimulatedZone, record: JobRecord, outcome: object) -> None:
+        ended = attrs.evolve(record, state=JobState.ENDED, ended_at=self.time(), outcome=outcome)
+        zone.policy.ended(ended)
+        self.measures.ended(ended, self.now)
+
+    def _reclaim(self, zone: SimulatedZone, reclaim: Reclaim) -> None:
+        record = zone.running_by_id.get(reclaim.job)
+        if record is None or record.state is JobState.STOPPING:
+            return
+        self.measures.reclaimed(reclaim, self.now)
+        self._stop(zone, record, reclaim.grace, "reclaim")
+
+    def _stop(self, zone: SimulatedZone, record: JobRecord, grace: float, reason: str) -> None:
+        needed = self._rng.uniform(0.2, 2.0)
+        zone.running_by_id[record.id] = attrs.evolve(
+            record, state=JobState.STOPPING, stop_reason=reason
+        )
+        kept = needed <= grace
+        wait = min(needed, grace) + 0.1
+        attempt = record.placement.attempt
+        self.at(self.now + wait, self._stopped, zone, record.id, attempt, kept)
+
+    def _stopped(self, zone: SimulatedZone, job: str, attempt: int, kept: bool) -> None:
+        record = self._current(zone, job, attempt)
+        if record is None:
+            return
+        progress = record.progress
+        known = self._attempts.get(job)
+        if known is not None:
+            done = known.before + self.now - known.began
+            progress = done if kept else record.progress
+            self._close_segment(zone, record, lost=done - progress)
+        self._release(zone, record)
+        if record.stop_reason == "cancel":
+            self._end(zone, record, Cancelled(True))
+            return
+        zone.waiting_by_id[job] = attrs.evolve(
+            record, state=JobState.QUEUED, progress=progress, started_at=None, stop_reason=None
+        )
+
+    def _move(self, zone: SimulatedZone, move: Move) -> None:
+        record = zone.waiting_by_id.pop(move.job, None)
+        if record is not None:
+            self.measures.moves += 1
+            moved = attrs.evolve(record, moves=record.moves + 1)
+            self.at(self.now + 0.2, self._adopt, self._zones[move.zone], moved)
+
+    def _adopt(self, zone: SimulatedZone, record: JobRecord) -> None:
+        zone.waiting_by_id[record.id] = record
+        self._changed(zone)
+
+    def _set_mode(self, zone_id: str, mode: ZoneMode) -> None:
+        zones = dict(self.configuration.zones_by_id)
+        zones[zone_id] = attrs.evolve(zones[zone_id], mode=mode)
+        self.configuration = attrs.evolve(
+            self.configuration, version=self.configuration.version + 1, zones_by_id=zones
+        )
+        for zone in self._zones.values():
+            self._changed(zone)
+        if mode is ZoneMode.OUT:
+            self._drain(self._zones[zone_id])
+
+    def _drain(self, zone: SimulatedZone) -> None:
+        grace = 5.0
+        for position, job in enumerate(zone.policy.drain_order(self._view(zone))):
+            record = zone.running_by_id.get(job)
+            if record is not None and record.state is not JobState.STOPPING:
+                self.at(self.now + 0.02 * position, self._drain_one, zone, job, grace)
+
+    def _drain_one(self, zone: SimulatedZone, job: str, grace: float) -> None:
+        record = zone.running_by_id.get(job)
+        if record is not None and record.state is not JobState.STOPPING:
+            self._stop(zone, record, grace, "zone-out")
+
+    def _begin_failing(self, zone_id: str, worker: str) -> None:
+        zone = self._zones[zone_id]
+        zone.failing.add(worker)
+        self.at(self.now + 1800.0, zone.failing.discard, worker)
+
+    def _lose_worker(self, zone_id: str, name: str) -> None:
+        zone = self._zones[zone_id]
+        zone.workers_by_id[name].usable = False
+        for record in list(zone.running_by_id.values()):
+            if name in record.placement.workers and record.state is not JobState.STOPPING:
+                self._stop(zone, record, 0.0, "reclaim")
+        self.at(self.now + 1200.0, self._regain_worker, zone, name)
+
+    def _regain_worker(self, zone: SimulatedZone, name: str) -> None:
+        zone.workers_by_id[name].usable = True
+        self._changed(zone)
--- /dev/null
+++ b/benchmarks/decisions/measures.py
@@ -0,0 +1,194 @@
+"""What a run measures: completion, fragmentation, work kept and lost, cost of decisions."""
+
+import statistics
+from collections import Counter
+from datetime import datetime
+
+import attrs
+from mimosapoint.model import Adjacency, JobClass, JobRecord, Succeeded
+from mimosapoint.scheduling import Reclaim, ZoneView
+
+from benchmarks.decisions.workload import START
+
+__all__ = ["Measures", "Segment", "percentile"]
+
+LARGE = 16
+"""Accelerators from which a gang counts as large."""
+
+MEASURED_SHAPE = 4
+"""Accelerators from which a waiting gang counts for fragmentation."""
+
+
+@attrs.frozen
+class Segment:
+    """A stretch of running.
+
+    :param zone: id of the availability zone.
+    :param begin: seconds from the start of the run.
+    :param end: seconds from the start of the run.
+    :param accelerators: accelerators held.
+    :param lost: accelerator-seconds thrown away at its end.
+    """
+
+    zone: str
+    begin: float
+    end: float
+    accelerators: int
+    lost: float
+
+
+def percentile(values: list[float], share: float) -> float:
+    """Return the smallest value that at least the share of the values do not exceed."""
+    if not values:
+        return 0.0
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+def _seconds(time: datetime) -> float:
+    return (time - START).total_seconds()
+
+
+def _usable(record: JobRecord, free_by_rack: dict[str, list]) -> int:
+    """Return how many free accelerators the shape could use."""
+    request = record.request
+    counts = [
+        [request.shape.times_in(free) for free in workers] for workers in free_by_rack.values()
+    ]
+    if request.adjacency is Adjacency.WORKER:
+        counts = [[count] for rack in counts for count in rack]
+    elif request.adjacency is Adjacency.AVAILABILITY_ZONE:
+        counts = [[count for rack in counts for count in rack]]
+    gangs = sum(sum(rack) // request.gang for rack in counts)
+    return gangs * request.gang * request.shape.accelerators
+
+
+class Measures:
+    """Collects the figures of one run."""
+
+    def __init__(self) -> None:
+        self.completion_by_class: dict[JobClass, list[float]] = {c: [] for c in JobClass}
+        self.urgent_waits: list[float] = []
+        self.claim_waits: list[float] = []
+        self.large_waits: list[float] = [0.0]
+        self.first_start: dict[str, float] = {}
+        self.segments: list[Segment] = []
+        self.decision_seconds: list[float] = []
+        self.free_seen = 0.0
+        self.unusable_seen = 0.0
+        self.accelerators_seen = 0.0
+        self.with_deadline = 0
+        self.deadlines_met = 0
+        self.left_over = 0
+        self.never_fit = 0
+        self.moves = 0
+        self.reclaims = 0
+        self.refused_assignments = 0
+        self.failed: Counter[str] = Counter()
+        self._claimed_at: dict[str, float] = {}
+
+    def started(self, record: JobRecord, now: float) -> None:
+        """Note the first start of a job."""
+        self.first_start[record.id] = now
+        waited = now - _seconds(record.submitted_at)
+        if record.request.job_class is JobClass.URGENT:
+            self.urgent_waits.append(waited)
+        if record.request.gang * record.request.shape.accelerators >= LARGE:
+            self.large_waits.append(waited)
+        if record.id in self._claimed_at:
+            self.claim_waits.append(now - self._claimed_at.pop(record.id))
+
+    def reclaimed(self, reclaim: Reclaim, now: float) -> None:
+        """Note a reclaim; the claimant's wait counts from its first."""
+        self.reclaims += 1
+        self._claimed_at.setdefault(reclaim.claimant, now)
+
+    def ended(self, record: JobRecord, now: float) -> None:
+        """Note the end of a job."""
+        if not isinstance(record.outcome, Succeeded):
+            self.failed[type(record.outcome).__name__] += 1
+            return
+        request = record.request
+        self.completion_by_class[request.job_class].append(now - _seconds(record.submitted_at))
+        if request.finish_by is not None:
+            self.with_deadline += 1
+            self.deadlines_met += now <= _seconds(request.finish_by)
+
+    def unfinished(self, record: JobRecord, until: float) -> None:
+        """Note a job that the run did not finish; its time so far counts as its completion."""
+        self.left_over += 1
+        request = record.request
+        waited = until - _seconds(record.submitted_at)
+        self.completion_by_class[request.job_class].append(waited)
+        self.with_deadline += request.finish_by is not None
+        if record.id in self.first_start:
+            return
+        if request.job_class is JobClass.URGENT:
+            self.urgent_waits.append(waited)
+        if request.gang * request.shape.accelerators >= LARGE:
+            self.large_waits.append(waited)
+
+    def sample(self, view: ZoneView) -> None:
+        """Note the fragmentation of a zone at one moment."""
+        free_by_rack: dict[str, list] = {}
+        for worker in view.workers_by_id.values():
+            if worker.usable:
+                free_by_rack.setdefault(worker.rack, []).append(worker.free)
+        free = sum(room.accelerators for rack in free_by_rack.values() for room in rack)
+        self.accelerators_seen += sum(w.capacity.accelerators for w in view.workers_by_id.values())
+        shapes = self._waiting_shapes(view)
+        if not shapes or not free:
+            return
+        weights = sum(weight for _, weight in shapes)
+        usable = sum(_usable(record, free_by_rack) * weight for record, weight in shapes)
+        self.free_seen += free
+        self.unusable_seen += free - usable / weights
+
+    @staticmethod
+    def _waiting_shapes(view: ZoneView) -> list[tuple[JobRecord, int]]:
+        counts: Counter[tuple] = Counter()
+        records: dict[tuple, JobRecord] = {}
+        for record in view.waiting:
+            request = record.request
+            if request.gang * request.shape.accelerators >= MEASURED_SHAPE:
+                key = (request.gang, request.shape, request.adjacency)
+                counts[key] += 1
+                records[key] = record
+        return [(records[key], count) for key, count in counts.items()]
+
+    def work(self, begin: float, end: float, zones: set[str] | None = None) -> float:
+        """Return the accelerator-seconds kept between two times."""
+        total = 0.0
+        for segment in self.segments:
+            if zones is not None and segment.zone not in zones:
+                continue
+            overlap = min(segment.end, end) - max(segment.begin, begin)
+            if overlap > 0:
+                total += overlap * segment.accelerators
+            if begin < segment.end <= end:
+                total -= segment.lost
+        return total
+
+    def figures(self) -> dict[str, float]:
+        """Return the figures of the run by name."""
+        found: dict[str, float] = {}
+        for job_class, values in self.completion_by_class.items():
+            for share in (50, 95, 99):
+                found[f"{job_class.value} p{share} s"] = percentile(values, share / 100)
+        found["urgent start p50 s"] = percentile(self.urgent_waits, 0.50)
+        found["urgent start p99 s"] = percentile(self.urgent_waits, 0.99)
+        found["claim start p99 s"] = percentile(self.claim_waits, 0.99)
+        found["deadlines met %"] = 100 * self.deadlines_met / max(1, self.with_deadline)
+        found["unusable of free %"] = 100 * self.unusable_seen / max(1.0, self.free_seen)
+        found["unusable of all %"] = 100 * self.unusable_seen / max(1.0, self.accelerators_seen)
+        found["longest large wait s"] = max(self.large_waits)
+        found["lost work %"] = self._lost_share()
+        found["reclaims"] = self.reclaims
+        found["moves"] = self.moves
+        found["left over"] = self.left_over
+        found["decision mean ms"] = 1000 * statistics.fmean(self.decision_seconds or [0.0])
+        return found
+
+    def _lost_share(self) -> float:
+        held = sum((s.end - s.begin) * s.accelerators for s in self.segments)
+        return 100 * sum(s.lost for s in self.segments) / max(1.0, held)
--- a/packages/mimosapoint/src/mimosapoint/scheduling/__init__.py
+++ b/packages/mimosapoint/src/mimosapoint/scheduling/__init__.py
@@ -2,6 +2,7 @@
 
 from mimosapoint.scheduling.fifo import FifoFirstFit
 from mimosapoint.scheduling.registry import Policy, make_policy, policy_names, scheduling_policy
+from mimosapoint.scheduling.summary import summarize
 from mimosapoint.scheduling.view import (
     Assignment,
     Decision,
@@ -9,6 +10,7 @@
     Reclaim,
     Refusal,
     WorkerView,
+    ZoneSummary,
     ZoneView,
 )
 
@@ -21,8 +23,10 @@
     "Reclaim",
     "Refusal",
     "WorkerView",
+    "ZoneSummary",
     "ZoneView",
     "make_policy",
     "policy_names",
     "scheduling_policy",
+    "summarize",
 ]
--- a/packages/mimosapoint/src/mimosapoint/scheduling/fifo.py
+++ b/packages/mimosapoint/src/mimosapoint/scheduling/fifo.py
@@ -60,5 +60,9 @@
             worker.free = free_by_id[worker.id]
         return Decision(tuple(assignments))
 
+    def drain_order(self, view: ZoneView) -> list[str]:
+        """Return the running jobs in the order of their start."""
+        return list(view.running_by_id)
+
     def ended(self, record: JobRecord) -> None:
         """Learn nothing."""
--- a/packages/mimosapoint/src/mimosapoint/scheduling/registry.py
+++ b/packages/mimosapoint/src/mimosapoint/scheduling/registry.py
@@ -17,6 +17,10 @@
         """Return what to do now; the view is not changed."""
         ...
 
+    def drain_order(self, view: ZoneView) -> list[str]:
+        """Return the running jobs in the order in which a zone that goes out stops them."""
+        ...
+
     def ended(self, record: JobRecord) -> None:
         """Learn from a job that ended."""
         ...
--- /dev/null
+++ b/packages/mimosapoint/src/mimosapoint/scheduling/summary.py
@@ -0,0 +1,49 @@
+"""Summary of an availability zone for the owners of the others."""
+
+from collections import Counter
+
+from mimosapoint.configuration import ZoneMode
+from mimosapoint.model import Adjacency
+from mimosapoint.scheduling.view import WorkerView, ZoneSummary, ZoneView
+
+__all__ = ["in_service", "summarize"]
+
+
+def in_service(view: ZoneView) -> bool:
+    """Tell whether tasks may start in the view's availability zone."""
+    zone = view.configuration.zones_by_id.get(view.zone)
+    return zone is not None and zone.mode is ZoneMode.IN_SERVICE
+
+
+def summarize(view: ZoneView) -> ZoneSummary:
+    """Return the summary of an availability zone at the time of the view."""
+    workers = [worker for worker in view.workers_by_id.values() if worker.usable]
+    requests = [record.request for record in view.waiting]
+    return ZoneSummary(
+        view.zone,
+        in_service(view),
+        sum(worker.free.accelerators for worker in workers),
+        sum(worker.free.slots for worker in workers),
+        sum(worker.capacity.accelerators for worker in workers),
+        _largest_blocks(workers),
+        _whole_workers(workers),
+        len(requests),
+        sum(request.gang * request.shape.accelerators for request in requests),
+    )
+
+
+def _largest_blocks(workers: list[WorkerView]) -> dict[Adjacency, int]:
+    """Return the most free accelerators within one worker, one rack and the zone."""
+    by_rack: Counter[str] = Counter()
+    for worker in workers:
+        by_rack[worker.rack] += worker.free.accelerators
+    return {
+        Adjacency.WORKER: max((worker.free.accelerators for worker in workers), default=0),
+        Adjacency.RACK: max(by_rack.values(), default=0),
+        Adjacency.AVAILABILITY_ZONE: sum(by_rack.values()),
+    }
+
+
+def _whole_workers(workers: list[WorkerView]) -> dict[str, int]:
+    """Return how many workers without any task each rack has."""
+    return dict(Counter(worker.rack for worker in workers if worker.free == worker.capacity))
--- a/packages/mimosapoint/src/mimosapoint/scheduling/view.py
+++ b/packages/mimosapoint/src/mimosapoint/scheduling/view.py
@@ -5,9 +5,18 @@
 import attrs
 
 from mimosapoint.configuration import Configuration
-from mimosapoint.model import JobRecord, Resources
+from mimosapoint.model import Adjacency, JobRecord, Resources
 
-__all__ = ["Assignment", "Decision", "Move", "Reclaim", "Refusal", "WorkerView", "ZoneView"]
+__all__ = [
+    "Assignment",
+    "Decision",
+    "Move",
+    "Reclaim",
+    "Refusal",
+    "WorkerView",
+    "ZoneSummary",
+    "ZoneView",
+]
 
 
 @attrs.define
@@ -28,6 +37,34 @@
     usable: bool = True
 
 
+@attrs.frozen
+class ZoneSummary:
+    """What the owners of other availability zones know of one.
+
+    :param zone: id of the availability zone.
+    :param in_service: whether tasks may start there.
+    :param free_accelerators: accelerators that no task holds.
+    :param free_slots: slots that no task holds.
+    :param capacity_accelerators: accelerators of its usable workers.
+    :param largest_block_by_adjacency: most free accelerators within one part of that kind.
+    :param whole_workers_by_rack: workers without any task in each rack that has one.
+    :param waiting: jobs that wait there.
+    :param waiting_accelerators: accelerators that those jobs ask for.
+    :param age: seconds since the summary was made.
+    """
+
+    zone: str
+    in_service: bool
+    free_accelerators: int = 0
+    free_slots: int = 0
+    capacity_accelerators: int = 0
+    largest_block_by_adjacency: dict[Adjacency, int] = attrs.field(factory=dict)
+    whole_workers_by_rack: dict[str, int] = attrs.field(factory=dict)
+    waiting: int = 0
+    waiting_accelerators: int = 0
+    age: float = 0.0
+
+
 @attrs.define
 class ZoneView:
     """An availability zone at one moment.
@@ -38,6 +75,7 @@
     :param workers_by_id: every worker that the owner knows.
     :param running_by_id: jobs that hold workers, those being stopped among them.
     :param waiting: jobs that wait for a placement, oldest first.
+    :param other_zones_by_id: what is known of the region's other availability zones.
     """
 
     zone: str
@@ -46,6 +84,7 @@
     workers_by_id: dict[str, WorkerView]
     running_by_id: dict[str, JobRecord]
     waiting: list[JobRecord]
+    other_zones_by_id: dict[str, ZoneSummary] = attrs.field(factory=dict)
 
 
 @attrs.frozen
