Keep guaranteed shapes claimable, lend them and take them back

First-fit in arrival order lets one large gang hold back everything and knows no guarantees. Two generations of a policy keep a home on real workers for each guaranteed shape, lend it to work that can be stopped and reclaim whole gangs by least lost work; urgent work may do so too, with a grace of one second.

--- a/packages/mimosapoint/src/mimosapoint/scheduling/__init__.py
+++ b/packages/mimosapoint/src/mimosapoint/scheduling/__init__.py
@@ -1,6 +1,8 @@
 """Decisions: which gang runs where, and which gives way."""
 
 from mimosapoint.scheduling.fifo import FifoFirstFit
+from mimosapoint.scheduling.guaranteed import GuaranteedShapes, Packed, UrgentLane
+from mimosapoint.scheduling.invariant import invariant_broken
 from mimosapoint.scheduling.registry import Policy, make_policy, policy_names, scheduling_policy
 from mimosapoint.scheduling.summary import summarize
 from mimosapoint.scheduling.view import (
@@ -18,13 +20,17 @@
     "Assignment",
     "Decision",
     "FifoFirstFit",
+    "GuaranteedShapes",
     "Move",
+    "Packed",
     "Policy",
     "Reclaim",
     "Refusal",
+    "UrgentLane",
     "WorkerView",
     "ZoneSummary",
     "ZoneView",
+    "invariant_broken",
     "make_policy",
     "policy_names",
     "scheduling_policy",
--- /dev/null
+++ b/packages/mimosapoint/src/mimosapoint/scheduling/_ledger.py
@@ -0,0 +1,220 @@
+"""What a policy knows of its availability zone between decisions."""
+
+from collections.abc import Iterator
+from datetime import datetime
+
+import attrs
+
+from mimosapoint.model import JobRecord, JobState
+from mimosapoint.scheduling._guarantees import FirmWork, Guarantees
+from mimosapoint.scheduling._vectors import ZERO, Vector, fits, least, minus, plus, vector
+from mimosapoint.scheduling.homes import shares
+from mimosapoint.scheduling.places import Need, amounts
+from mimosapoint.scheduling.view import ZoneView
+
+__all__ = ["Entry", "Ledger"]
+
+
+@attrs.define
+class Entry:
+    """A job that holds workers.
+
+    :param record: its record.
+    :param amounts: what it holds on each worker.
+    :param kept_at: time of its last checkpoint, or of its start.
+    """
+
+    record: JobRecord
+    amounts: dict[str, Vector]
+    kept_at: datetime | None
+
+    @property
+    def stopping(self) -> bool:
+        """Whether its room will be free soon."""
+        return self.record.state is JobState.STOPPING
+
+    @property
+    def claim(self) -> bool:
+        """Whether it runs on a guarantee of its workspace."""
+        return self.record.placement.guarantee is not None
+
+    @property
+    def firm(self) -> bool:
+        """Whether it can't be stopped for others."""
+        return self.claim or not self.record.request.interruptible
+
+    def lost_work(self, now: datetime) -> float:
+        """Return the accelerator-seconds that a stop without a checkpoint would lose."""
+        request = self.record.request
+        since = (now - self.kept_at).total_seconds() if self.kept_at else 0.0
+        return since * request.gang * max(request.shape.accelerators, 0.1)
+
+
+class Ledger:
+    """Room and running jobs of an availability zone, kept up to date by differences."""
+
+    def __init__(self) -> None:
+        self.guarantees = Guarantees()
+        self.rack_by_id: dict[str, str] = {}
+        self.free: dict[str, Vector] = {}
+        self.entries: dict[str, Entry] = {}
+        self.grown = True
+        self.settled = False
+        self._held: dict[str, Vector] = {}
+        self._stopping: dict[str, Vector] = {}
+        self._jobs_on: dict[str, set[str]] = {}
+        self._pending: list[tuple[str, dict[str, Vector]]] = []
+        self._configuration = None
+        self._firm_left = False
+
+    def sync(self, view: ZoneView) -> None:
+        """Take in the view.
+
+        Afterwards ``grown`` tells whether room has come, and ``settled`` whether homes were
+        found anew, which forgets all held room.
+        """
+        self.settled = False
+        self._undo_pending()
+        self._sync_running(view)
+        workers = {id: w.rack for id, w in view.workers_by_id.items() if w.usable}
+        changed = self._new_configuration(view) or workers != self.rack_by_id
+        if changed or (self._firm_left and not self.guarantees.complete):
+            self._settle(view, workers)
+        self._firm_left = False
+        self._sync_free(view)
+
+    def _new_configuration(self, view: ZoneView) -> bool:
+        known, self._configuration = self._configuration, view.configuration
+        return known is not view.configuration and known != view.configuration
+
+    def _undo_pending(self) -> None:
+        for workspace, taken in self._pending:
+            self.guarantees.remove_firm(workspace, taken)
+        self._pending.clear()
+
+    def _sync_running(self, view: ZoneView) -> None:
+        running = view.running_by_id
+        for job in self.entries.keys() - running.keys():
+            self._drop(self.entries[job])
+        for job, record in running.items():
+            entry = self.entries.get(job)
+            if entry is None:
+                self._add(record)
+            elif entry.record is not record:
+                self._update(entry, record, view.now)
+
+    def _update(self, entry: Entry, record: JobRecord, now: datetime) -> None:
+        if entry.record.placement != record.placement:
+            self._drop(entry)
+            self._add(record)
+            return
+        if record.progress != entry.record.progress:
+            entry.kept_at = now
+        elif entry.kept_at is None:
+            entry.kept_at = record.started_at
+        self._set_record(entry, record)
+
+    def _set_record(self, entry: Entry, record: JobRecord) -> None:
+        was_stopping = entry.stopping
+        entry.record = record
+        if entry.stopping and not was_stopping:
+            self._sum(self._stopping, entry.amounts, plus)
+        elif was_stopping and not entry.stopping:
+            self._sum(self._stopping, entry.amounts, minus)
+
+    def stop(self, entry: Entry) -> None:
+        """Count a job as being stopped until the next view tells otherwise."""
+        self._set_record(entry, attrs.evolve(entry.record, state=JobState.STOPPING))
+
+    def _add(self, record: JobRecord) -> None:
+        need = Need.of(record.request)
+        entry = Entry(record, amounts(need, record.placement.workers), record.started_at)
+        self.entries[record.id] = entry
+        for worker in entry.amounts:
+            self._jobs_on.setdefault(worker, set()).add(record.id)
+        if entry.stopping:
+            self._sum(self._stopping, entry.amounts, plus)
+        if entry.firm:
+            self.guarantees.add_firm(record.request.workspace, entry.amounts)
+
+    def _drop(self, entry: Entry) -> None:
+        job = entry.record.id
+        del self.entries[job]
+        for worker in entry.amounts:
+            self._jobs_on[worker].discard(job)
+        if entry.stopping:
+            self._sum(self._stopping, entry.amounts, minus)
+        if entry.firm:
+            self.guarantees.remove_firm(entry.record.request.workspace, entry.amounts)
+            self._firm_left = True
+
+    @staticmethod
+    def _sum(table: dict[str, Vector], delta: dict[str, Vector], combine) -> None:
+        for worker, amount in delta.items():
+            table[worker] = combine(table.get(worker, ZERO), amount)
+
+    def _settle(self, view: ZoneView, workers: dict[str, str]) -> None:
+        self.rack_by_id = dict(sorted(workers.items()))
+        capacity = {id: vector(view.workers_by_id[id].capacity) for id in self.rack_by_id}
+        zone = view.configuration.zones_by_id.get(view.zone)
+        region = zone.region if zone is not None else ""
+        units = shares(view.configuration, region).get(view.zone, ())
+        self.guarantees.settle(units, capacity, self.rack_by_id, self._firm_work())
+        self._held.clear()
+        self.settled = True
+
+    def _firm_work(self) -> Iterator[FirmWork]:
+        for entry in self.entries.values():
+            if entry.firm:
+                record = entry.record
+                yield record.request.workspace, record.placement.guarantee, entry.amounts
+
+    def _sync_free(self, view: ZoneView) -> None:
+        expected = self.free
+        self.free = {id: vector(view.workers_by_id[id].free) for id in self.rack_by_id}
+        self.grown = self.settled or any(
+            free != expected.get(id) and not fits(free, expected.get(id, ZERO))
+            for id, free in self.free.items()
+        )
+
+    def place(self, workspace: str, taken: dict[str, Vector], firm: bool) -> None:
+        """Take free room for a job; the next view tells whether the owner did."""
+        self._sum(self.free, taken, minus)
+        if firm:
+            self.guarantees.add_firm(workspace, taken)
+            self._pending.append((workspace, taken))
+
+    def hold(self, workspace: str, taken: dict[str, Vector], firm: bool) -> None:
+        """Keep room for a job that will be placed soon."""
+        self._sum(self._held, taken, plus)
+        if firm:
+            self.guarantees.add_firm(workspace, taken)
+
+    def release(self, workspace: str, taken: dict[str, Vector], firm: bool) -> None:
+        """Undo :meth:`hold`."""
+        self._sum(self._held, taken, minus)
+        if firm:
+            self.guarantees.remove_firm(workspace, taken)
+
+    def open_room(self, worker: str) -> Vector:
+        """Return what is free and not held on a worker."""
+        held = self._held.get(worker)
+        return minus(self.free[worker], held) if held else self.free[worker]
+
+    def coming_room(self, worker: str) -> Vector:
+        """Return what is open now or as soon as the jobs being stopped are gone."""
+        return plus(self.open_room(worker), self._stopping.get(worker, ZERO))
+
+    def room(self) -> dict[str, Vector]:
+        """Return the open room of each worker, homes among it."""
+        return {worker: self.open_room(worker) for worker in self.rack_by_id}
+
+    def firm_room(self, workspace: str) -> dict[str, Vector]:
+        """Return the open room of each worker without the homes of other workspaces."""
+        firm_room = self.guarantees.firm_room
+        return {w: least(self.open_room(w), firm_room(workspace, w)) for w in self.rack_by_id}
+
+    def victims_on(self, worker: str) -> list[Entry]:
+        """Return the jobs on a worker that may be stopped for others."""
+        entries = (self.entries[job] for job in self._jobs_on.get(worker, ()))
+        return [entry for entry in entries if not entry.firm and not entry.stopping]
--- /dev/null
+++ b/packages/mimosapoint/src/mimosapoint/scheduling/_queue.py
@@ -0,0 +1,104 @@
+"""Waiting jobs by kind, so that one look at a kind's oldest job stands for them all."""
+
+import heapq
+from collections.abc import Iterable
+from datetime import datetime
+
+import attrs
+
+from mimosapoint.model import JobClass, JobRecord
+from mimosapoint.scheduling.places import Need
+
+__all__ = ["Kind", "WaitingQueue", "class_rank"]
+
+_CLASS_ORDER = (JobClass.URGENT, JobClass.NORMAL, JobClass.DEFERRABLE)
+
+
+def class_rank(job_class: JobClass) -> int:
+    """Return the place of a class in the order, urgent first."""
+    return _CLASS_ORDER.index(job_class)
+
+
+@attrs.frozen
+class Kind:
+    """What jobs have in common that are placed alike.
+
+    :param workspace: id of the workspace.
+    :param service: id of the service.
+    :param job_class: how soon they are wanted.
+    :param need: room that each needs.
+    :param interruptible: whether they may be stopped for others.
+    """
+
+    workspace: str
+    service: str
+    job_class: JobClass
+    need: Need
+    interruptible: bool
+
+
+class WaitingQueue:
+    """Keeps the waiting jobs of each kind, oldest first."""
+
+    def __init__(self) -> None:
+        self.records_by_id: dict[str, JobRecord] = {}
+        self._kind_by_id: dict[str, Kind] = {}
+        self._heaps: dict[Kind, list[tuple[datetime, str]]] = {}
+        self._kinds: dict[tuple, Kind] = {}
+
+    def sync(self, waiting: Iterable[JobRecord]) -> set[str]:
+        """Take in the waiting jobs and return the ids of those that have come."""
+        records = {record.id: record for record in waiting}
+        for job in self._kind_by_id.keys() - records.keys():
+            del self._kind_by_id[job]
+        come = records.keys() - self._kind_by_id.keys()
+        for job in come:
+            self._add(records[job])
+        self.records_by_id = records
+        return come
+
+    def _add(self, record: JobRecord) -> None:
+        kind = self.kind(record)
+        self._kind_by_id[record.id] = kind
+        heapq.heappush(self._heaps.setdefault(kind, []), (record.submitted_at, record.id))
+
+    def kind(self, record: JobRecord) -> Kind:
+        """Return the kind of a job; equal kinds are one object."""
+        request = record.request
+        key = (
+            request.workspace,
+            request.service,
+            request.job_class,
+            request.gang,
+            request.shape,
+            request.adjacency,
+            request.interruptible,
+        )
+        kind = self._kinds.get(key)
+        if kind is None:
+            kind = Kind(*key[:3], Need.of(request), request.interruptible)
+            self._kinds[key] = kind
+        return kind
+
+    def kinds(self) -> list[Kind]:
+        """Return the kinds with waiting jobs."""
+        for kind in [kind for kind in self._heaps if self.head(kind) is None]:
+            del self._heaps[kind]
+        return list(self._heaps)
+
+    def head(self, kind: Kind) -> JobRecord | None:
+        """Return the oldest job of a kind."""
+        heap = self._heaps.get(kind)
+        while heap:
+            job = heap[0][1]
+            if self._kind_by_id.get(job) is kind:
+                return self.records_by_id[job]
+            heapq.heappop(heap)
+        return None
+
+    def remove(self, job: str) -> None:
+        """Take out a job that was decided on; it comes back when the next view has it."""
+        kind = self._kind_by_id.pop(job, None)
+        heap = self._heaps.get(kind) if kind is not None else None
+        if heap and heap[0][1] == job:
+            heapq.heappop(heap)
--- /dev/null
+++ b/packages/mimosapoint/src/mimosapoint/scheduling/tests/test_guaranteed.py
@@ -0,0 +1,231 @@
+"""Tests of guaranteed shapes: homes, lending, reclaim and the urgent lane."""
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from mimosapoint.configuration import Guarantee, ZoneMode
+from mimosapoint.model import Adjacency, JobClass, JobState
+from mimosapoint.scheduling import invariant_broken, make_policy, policy_names
+from mimosapoint.scheduling.tests._zone import ZoneOwner, configuration, task
+
+POLICIES = [name for name in policy_names() if name != "fifo-first-fit"]
+
+
+def owner(policy: str = "urgent-lane", **fields) -> ZoneOwner:
+    return ZoneOwner(make_policy(policy), configuration(**fields))
+
+
+def fill_with_guests(zone: ZoneOwner, **fields) -> set[str]:
+    """Fill every accelerator with borrowers, and return their ids."""
+    for _ in range(6):
+        zone.submit("guest", accelerators=8, **fields)
+    zone.step()
+    return zone.running()
+
+
+class LendingTest(unittest.TestCase):
+    def test_every_accelerator_is_lent_to_work_that_can_be_stopped(self):
+        for policy in POLICIES:
+            with self.subTest(policy):
+                self.assertEqual(6, len(fill_with_guests(owner(policy))))
+
+    def test_homes_are_barred_to_work_that_can_not_be_stopped(self):
+        for policy in POLICIES:
+            with self.subTest(policy):
+                zone = owner(policy)
+                guests = fill_with_guests(zone, interruptible=False)
+                self.assertEqual(3, len(guests), "2 whole homes and 1 shared by small ones")
+
+    def test_work_of_the_workspace_itself_may_use_its_home_beside_spare_room(self):
+        zone = owner(racks=1, guarantees={"north": (Guarantee("wide", 2, task(8)),)})
+        job = zone.submit("north", 3, 8, interruptible=False)
+        zone.step()
+        self.assertIn(job, zone.running())
+
+    def test_no_borrowing_where_the_workspace_may_not(self):
+        zone = owner(guarantees={"guest": ()})
+        workspaces = zone.view.configuration.workspaces_by_id
+        object.__setattr__(workspaces["guest"], "may_borrow", False)
+        zone.submit("guest")
+        self.assertEqual((), zone.step().assignments)
+
+
+class ReclaimTest(unittest.TestCase):
+    def test_a_claim_stops_borrowers_and_gets_their_room(self):
+        for policy in POLICIES:
+            with self.subTest(policy):
+                zone = owner(policy)
+                fill_with_guests(zone)
+                claimant = zone.submit("north", 2, 8)
+                reclaims = zone.step().reclaims
+                self.assertEqual({claimant}, {reclaim.claimant for reclaim in reclaims})
+                self.assertEqual(2, len(reclaims))
+                self.assertEqual((), zone.step().reclaims, "asked only once")
+                zone.stopped()
+                (assignment,) = zone.step().assignments
+                self.assertEqual((claimant, "wide"), (assignment.job, assignment.guarantee))
+
+    def test_the_gang_with_the_least_work_since_its_checkpoint_gives_way(self):
+        zone = owner(racks=1, workers=1, guarantees={"north": (Guarantee("g", 1, task(4)),)})
+        zone.view.configuration.workspaces_by_id["guest"] = (
+            zone.view.configuration.workspaces_by_id["north"].__class__("region")
+        )
+        old = zone.submit("guest", accelerators=4)
+        zone.step()
+        new = zone.submit("guest", accelerators=4)
+        zone.step(600)
+        zone.submit("north", accelerators=4)
+        (reclaim,) = zone.step(10).reclaims
+        self.assertEqual(new, reclaim.job)
+        self.assertNotEqual(old, reclaim.job)
+
+    def test_a_plan_whose_victims_do_not_stop_is_made_again(self):
+        zone = owner()
+        fill_with_guests(zone)
+        claimant = zone.submit("north", 2, 8)
+        zone.step()
+        zone.step(60)
+        zone.stopped()
+        zone.step()
+        self.assertIn(claimant, zone.running())
+
+    def test_a_new_owner_waits_for_gangs_that_are_stopping_already(self):
+        zone = owner()
+        fill_with_guests(zone)
+        claimant = zone.submit("north", 2, 8)
+        zone.step()
+        zone.policy = make_policy("urgent-lane")
+        self.assertEqual((), zone.step().reclaims)
+        zone.stopped()
+        zone.step()
+        self.assertIn(claimant, zone.running())
+
+
+class UrgentTest(unittest.TestCase):
+    def test_urgent_work_takes_the_place_of_borrowers_with_short_grace(self):
+        zone = owner()
+        fill_with_guests(zone)
+        job = zone.submit("guest", job_class=JobClass.URGENT)
+        (reclaim,) = zone.step().reclaims
+        self.assertLessEqual(reclaim.grace, 1.0)
+        zone.stopped()
+        self.assertIn(job, {a.job for a in zone.step().assignments})
+
+    def test_urgent_work_overtakes_a_deep_queue(self):
+        zone = owner()
+        for _ in range(500):
+            zone.submit("guest", accelerators=8)
+        job = zone.submit("guest", accelerators=8, job_class=JobClass.URGENT)
+        self.assertEqual(job, zone.step().assignments[0].job)
+
+    def test_urgent_work_leaves_claims_and_urgent_work_alone(self):
+        zone = owner(racks=1, workers=2, guarantees={"north": (Guarantee("g", 1, task(8)),)})
+        zone.submit("north", accelerators=8)
+        zone.step()
+        self.assertEqual("g", zone.view.running_by_id["a~0001"].placement.guarantee)
+        zone.submit("north", accelerators=8, job_class=JobClass.URGENT)
+        zone.step()
+        zone.submit("north", accelerators=8, job_class=JobClass.URGENT)
+        self.assertEqual((), zone.step().reclaims)
+
+
+class OutTest(unittest.TestCase):
+    def test_nothing_is_placed_in_a_zone_that_is_out(self):
+        for policy in POLICIES:
+            with self.subTest(policy):
+                zone = owner(policy)
+                zone.set_mode(ZoneMode.OUT)
+                zone.submit("guest")
+                self.assertEqual((), zone.step().assignments)
+                zone.set_mode(ZoneMode.IN_SERVICE)
+                self.assertEqual(1, len(zone.step(120).assignments))
+
+
+ACTIONS = st.lists(
+    st.tuples(
+        st.sampled_from(("submit", "submit", "submit", "end", "stopped", "lose", "back", "mode")),
+        st.integers(0, 1_000_000),
+    ),
+    max_size=60,
+)
+
+
+def perform(zone: ZoneOwner, action: str, draw: int) -> None:
+    workers = sorted(zone.view.workers_by_id)
+    running = sorted(zone.view.running_by_id)
+    if action == "submit":
+        zone.submit(
+            ("north", "south", "guest")[draw % 3],
+            (1, 2, 3, 4)[draw // 3 % 4],
+            (0, 1, 2, 4, 8)[draw // 12 % 5],
+            tuple(JobClass)[draw // 60 % 3],
+            interruptible=draw // 180 % 2 == 0,
+            adjacency=tuple(Adjacency)[draw // 360 % 3],
+        )
+    elif action == "end" and running:
+        zone.end(running[draw % len(running)])
+    elif action == "stopped":
+        zone.stopped()
+    elif action == "lose":
+        zone.lose(workers[draw % len(workers)])
+    elif action == "back":
+        zone.view.workers_by_id[workers[draw % len(workers)]].usable = True
+    elif action == "mode":
+        zone.set_mode(tuple(ZoneMode)[draw % 2])
+
+
+class InvariantTest(unittest.TestCase):
+    def check(self, zone: ZoneOwner, decision) -> None:
+        homes = zone.policy.homes_by_unit
+        self.assertEqual((), invariant_broken(zone.view, decision, homes))
+        waiting = {record.id: record for record in zone.view.waiting}
+        if zone.view.configuration.zones_by_id["a"].mode is ZoneMode.OUT:
+            self.assertEqual((), decision.assignments)
+        for found in decision.assignments:
+            request = waiting[found.job].request
+            workers = [zone.view.workers_by_id[id] for id in found.workers]
+            self.assertEqual(request.gang, len(workers))
+            self.assertTrue(all(worker.usable for worker in workers))
+            if request.adjacency is Adjacency.RACK:
+                self.assertEqual(1, len({worker.rack for worker in workers}))
+        for reclaim in decision.reclaims:
+            record = zone.view.running_by_id[reclaim.job]
+            self.assertTrue(record.request.interruptible)
+            self.assertIsNone(record.placement.guarantee)
+            self.assertIsNot(record.state, JobState.STOPPING)
+
+    def test_every_unclaimed_guarantee_stays_within_reach(self):
+        @settings(max_examples=150, deadline=None, derandomize=True)
+        @given(st.sampled_from(POLICIES), ACTIONS)
+        def follow(policy, actions):
+            zone = owner(policy)
+            for action, draw in actions:
+                perform(zone, action, draw)
+                decision = zone.decide()
+                self.check(zone, decision)
+                zone.apply(decision)
+
+        follow()
+
+    def test_a_claim_within_the_guarantee_is_never_refused(self):
+        @settings(max_examples=60, deadline=None, derandomize=True)
+        @given(ACTIONS)
+        def follow(actions):
+            zone = owner("packed")
+            for action, draw in actions:
+                if action in ("submit", "end", "stopped"):
+                    perform(zone, action, draw - draw % 3 + 2)
+                    zone.step()
+            claimant = zone.submit("north", 2, 8)
+            for _ in range(3):
+                zone.step()
+                zone.stopped()
+            self.assertIn(claimant, zone.running())
+
+        follow()
+
+
+if __name__ == "__main__":
+    unittest.main()
