Spread a version in fewer calls and guard the heartbeats

Every node that installed a version called every other one, which is 2256 calls at 48 nodes. A version learnt from a peer now goes on to two nodes that may lack it; the node that installed it first still calls all. A configuration that cannot be decoded no longer fails the exchange that carries the heartbeats. Counters get their _total ending when rendered, so names in code stay short and the test checks the rendered form.

--- a/packages/mimosapoint-node/src/mimosapoint_node/grpc_peers/client.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/grpc_peers/client.py
@@ -52,7 +52,7 @@
             outcome = error.code
             raise
         finally:
-            self._telemetry.count("peer_calls_total", message=name, outcome=outcome)
+            self._telemetry.count("peer_calls", message=name, outcome=outcome)
             elapsed = trio.current_time() - started
             self._telemetry.observe("peer_call_seconds", elapsed, message=name)
 
@@ -88,7 +88,7 @@
         return channel
 
     def _count_bytes(self, name: str, direction: str, data: bytes) -> None:
-        self._telemetry.count("peer_bytes_total", len(data), message=name, direction=direction)
+        self._telemetry.count("peer_bytes", len(data), message=name, direction=direction)
 
 
 async def _done(future: grpc.Future) -> None:
--- a/packages/mimosapoint-node/src/mimosapoint_node/grpc_peers/server.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/grpc_peers/server.py
@@ -122,7 +122,7 @@
             with scope, self.telemetry.span("peer-serve", trace) as span:
                 span.set("message", name)
                 reply = await serve_bytes(self.dispatcher, name, data, self._report)
-                self.telemetry.count("peer_serves_total", message=name)
+                self.telemetry.count("peer_serves", message=name)
                 return reply
         finally:
             self.scopes.discard(scope)
--- a/packages/mimosapoint-node/src/mimosapoint_node/grpc_peers/tests/test_grpc_peers.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/grpc_peers/tests/test_grpc_peers.py
@@ -65,11 +65,11 @@
         calls = {
             dict(labels)["outcome"]: number
             for (name, labels), number in counts.items()
-            if name == "peer_calls_total"
+            if name == "peer_calls"
         }
         self.assertEqual(calls, {"ok": 1, "bad-request": 1})
-        self.assertEqual(self.telemetry.counts_by_name["peer_serves_total"], 2)
-        self.assertGreater(self.telemetry.counts_by_name["peer_bytes_total"], 20)
+        self.assertEqual(self.telemetry.counts_by_name["peer_serves"], 2)
+        self.assertGreater(self.telemetry.counts_by_name["peer_bytes"], 20)
 
     async def test_untyped_error_is_logged_and_answered(self):
         async def fail(_):
--- a/packages/mimosapoint/src/mimosapoint/membership/_exchange.py
+++ b/packages/mimosapoint/src/mimosapoint/membership/_exchange.py
@@ -2,10 +2,11 @@
 
 from datetime import datetime, timedelta
 
+from mimosapoint.errors import MimosapointError
 from mimosapoint.membership._table import NodeTable
 from mimosapoint.membership.configuration_link import ConfigurationLink
 from mimosapoint.membership.messages import Gossip, GossipReply
-from mimosapoint.ports import Clock, Peers
+from mimosapoint.ports import Clock, Peers, Telemetry
 
 __all__ = ["Exchanger"]
 
@@ -17,6 +18,7 @@
     :param peers: calls to other nodes.
     :param clock: the clock.
     :param link: holder of the configuration.
+    :param telemetry: where refusals are told.
     :param timeout: timeout of one call.
     """
 
@@ -26,13 +28,16 @@
         peers: Peers,
         clock: Clock,
         link: ConfigurationLink,
+        telemetry: Telemetry,
         timeout: timedelta,
     ) -> None:
         self._table = table
         self._peers = peers
         self._clock = clock
         self._link = link
+        self._telemetry = telemetry
         self._timeout = timeout
+        self._learnt_version = 0
         self._busy: set[str] = set()
         self._versions_by_address: dict[str, int] = {}
         self._told_by_address: dict[str, tuple[int, int]] = {}
@@ -41,6 +46,14 @@
         """Tell whether no exchange with the address is under way."""
         return address not in self._busy
 
+    def learnt(self) -> bool:
+        """Tell whether the version in force came from a peer."""
+        return self._learnt_version >= self._version() > 0
+
+    def behind(self, address: str) -> bool:
+        """Tell whether the peer is not known to have the version in force."""
+        return self._versions_by_address.get(address, -1) < self._version()
+
     async def exchange(self, address: str, anew: bool = False) -> bool:
         """Exchange gossip with a peer; tells whether there was an exchange.
 
@@ -52,7 +65,7 @@
         self._busy.add(address)
         try:
             await self._call(address)
-            if self._versions_by_address[address] < self._version():
+            if self.behind(address):
                 await self._call(address)
         finally:
             self._busy.discard(address)
@@ -63,8 +76,7 @@
         now = self._clock.now()
         if request.state is not None:
             self._table.merge(request.state, now)
-        if request.configuration is not None:
-            self._link.offer_bytes(request.configuration)
+        self._offer(request.configuration)
         same = self._same_roster(request)
         newer = self._merge_heartbeats(request.heartbeats, now) if same else ()
         self._table.heard(request.node, request.incarnation, now)
@@ -126,12 +138,24 @@
         self._table.heard(reply.node, reply.incarnation, now)
 
     def _accept_configuration(self, reply: GossipReply, sent_at: datetime) -> None:
-        if reply.configuration is not None:
-            self._link.offer_bytes(reply.configuration)
+        self._offer(reply.configuration)
         if reply.confirmed_age is not None:
             confirmed_at = sent_at - timedelta(seconds=reply.confirmed_age)
             self._link.on_digest(reply.version, confirmed_at)
 
+    def _offer(self, data: bytes | None) -> None:
+        """Hand over a configuration; one that cannot be used must not stop the heartbeats."""
+        if data is None:
+            return
+        before = self._version()
+        try:
+            self._link.offer_bytes(data)
+        except MimosapointError as error:
+            self._telemetry.event("configuration-refused", code=error.code, detail=error.detail)
+        version = self._version()
+        if version > before:
+            self._learnt_version = version
+
     def _same_roster(self, request: Gossip) -> bool:
         if request.roster != self._table.roster:
             return False
--- a/packages/mimosapoint/src/mimosapoint/membership/_vm_directory.py
+++ b/packages/mimosapoint/src/mimosapoint/membership/_vm_directory.py
@@ -46,7 +46,7 @@
         return changed
 
     def _failed(self, error: VmListUnavailable) -> None:
-        self._telemetry.count("vm_list_failures_total")
+        self._telemetry.count("vm_list_failures")
         if self.read_at is not None:
             age = self._clock.now() - self.read_at
             self._telemetry.gauge("vm_list_age_seconds", age.total_seconds())
--- a/packages/mimosapoint/src/mimosapoint/membership/core.py
+++ b/packages/mimosapoint/src/mimosapoint/membership/core.py
@@ -65,7 +65,7 @@
         self._directory = VmDirectory(vm_list, clock, telemetry)
         link = configuration_link or NoConfiguration()
         timeout = settings.call_timeout
-        self._exchanger = Exchanger(self._table, peers, clock, link, timeout)
+        self._exchanger = Exchanger(self._table, peers, clock, link, telemetry, timeout)
         self._providers_by_name: dict[str, AttachmentProvider] = {}
         self._view: dict[str, tuple[Vm, int]] = {}
         self._generation = 0
@@ -139,20 +139,17 @@
             self._hurry.set()
 
     async def announce(self) -> frozenset[str]:
-        """Gossip with every live node at once and return the ids of those that answered."""
-        addresses_by_id = self._live_peers()
-        limit = trio.CapacityLimiter(self._settings.announce_limit)
-        answered = set()
-
-        async def call(id: str, address: str) -> None:
-            async with limit:
-                if await self._exchange(address, anew=True):
-                    answered.add(id)
+        """Spread the version of the configuration in force and return who answered.
 
-        async with trio.open_nursery() as nursery:
-            for id, address in addresses_by_id.items():
-                nursery.start_soon(call, id, address)
-        return frozenset(answered)
+        A version that this node installed first goes to every live node at once. One that a peer
+        sent is passed on to a few that may lack it, since the first node calls the others.
+        """
+        addresses_by_id = self._live_peers()
+        if self._exchanger.learnt():
+            behind = {id: a for id, a in addresses_by_id.items() if self._exchanger.behind(a)}
+            most = min(self._settings.fanout, len(behind))
+            addresses_by_id = dict(self._random.sample(sorted(behind.items()), most))
+        return await self._call_all(addresses_by_id)
 
     @property
     def generation(self) -> int:
@@ -247,7 +244,21 @@
 
     async def _announce_leaving(self) -> None:
         await self._hurry.wait()
-        await self.announce()
+        await self._call_all(self._live_peers())
+
+    async def _call_all(self, addresses_by_id: dict[str, str]) -> frozenset[str]:
+        limit = trio.CapacityLimiter(self._settings.announce_limit)
+        answered = set()
+
+        async def call(id: str, address: str) -> None:
+            async with limit:
+                if await self._exchange(address, anew=True):
+                    answered.add(id)
+
+        async with trio.open_nursery() as nursery:
+            for id, address in addresses_by_id.items():
+                nursery.start_soon(call, id, address)
+        return frozenset(answered)
 
     def _alive(self, record: NodeRecord) -> bool:
         if record.progressed_at is None:
@@ -283,7 +294,7 @@
             leaving = record is not None and self._vm(record).state is VmState.LEAVING
             name = "member-leaving" if leaving else "member-dead"
             self._telemetry.event(name, member=id, zone=before[id][0].zone)
-        self._telemetry.count("member_changes_total")
+        self._telemetry.count("member_changes")
         self._telemetry.gauge("members_live", len(after))
 
     def _notify(self) -> None:
--- a/packages/mimosapoint/src/mimosapoint/membership/tests/_cluster.py
+++ b/packages/mimosapoint/src/mimosapoint/membership/tests/_cluster.py
@@ -5,41 +5,18 @@
 
 import trio
 
-from mimosapoint.errors import VmListUnavailable
 from mimosapoint.membership import Membership, MembershipSettings
+from mimosapoint.memory import MemoryVmList, TrioClock
 from mimosapoint.model import Vm, VmKind
 from mimosapoint.peers import Dispatcher, LoopbackNetwork, LoopbackPeers
 from mimosapoint.telemetry import MemoryTelemetry
 
-__all__ = ["Cluster", "FakeConfiguration", "FakeVmList", "TrioClock"]
+__all__ = ["Cluster", "FakeConfiguration"]
 
 START = datetime(2026, 12, 3, tzinfo=timezone.utc)
 ZONES = ("mvd-centro", "mvd-cerro", "canelones", "maldonado")
 
 
-class TrioClock:
-    """A clock that follows trio's."""
-
-    def now(self):
-        return START + timedelta(seconds=trio.current_time())
-
-    async def sleep(self, duration):
-        await trio.sleep(duration.total_seconds())
-
-
-class FakeVmList:
-    """A list of VMs that can fail."""
-
-    def __init__(self):
-        self.vms_by_id = {}
-        self.available = True
-
-    async def vms(self):
-        if not self.available:
-            raise VmListUnavailable("down")
-        return tuple(self.vms_by_id.values())
-
-
 class FakeConfiguration:
     """A configuration that is only a number."""
 
@@ -75,11 +52,12 @@
 
     def __init__(self, nursery, size, seed=1, settings=None, delay=timedelta(milliseconds=1)):
         self.nursery = nursery
-        self.clock = TrioClock()
+        self.clock = TrioClock(START)
         self.network = LoopbackNetwork(delay)
-        self.vm_list = FakeVmList()
+        self.vm_list = MemoryVmList(self.clock)
         self.settings = settings or MembershipSettings()
         self.random = random.Random(seed)
+        self.vms_by_id = {}
         self.members_by_id = {}
         self.links_by_id = {}
         self.telemetry_by_id = {}
@@ -87,7 +65,8 @@
         self._scopes_by_id = {}
         for number in range(size):
             vm = self.vm(number)
-            self.vm_list.vms_by_id[vm.id] = vm
+            self.vms_by_id[vm.id] = vm
+            self.vm_list.put(vm)
 
     @staticmethod
     def vm(number):
@@ -96,7 +75,7 @@
         return Vm(f"node-{number:02}", VmKind.ENTRY, zone, address)
 
     async def start_all(self):
-        for vm in list(self.vm_list.vms_by_id.values()):
+        for vm in self.vms_by_id.values():
             await self.start(vm)
 
     async def start(self, vm):
--- a/packages/mimosapoint/src/mimosapoint/telemetry/core.py
+++ b/packages/mimosapoint/src/mimosapoint/telemetry/core.py
@@ -23,6 +23,9 @@
 
 METRIC_PREFIX = "mimosapoint_"
 
+COUNTER_SUFFIX = "_total"
+"""End of the name of every counter in the Prometheus text format."""
+
 
 class LogSpan:
     """A span of opentelemetry behind the port's interface."""
@@ -120,6 +123,8 @@
             metric = Metric(name, kind, name, labels=tuple(labels))
         help_text = f"{metric.help} Unit: {metric.unit}."
         full_name = METRIC_PREFIX + name
+        if kind is MetricKind.COUNTER and not name.endswith(COUNTER_SUFFIX):
+            full_name += COUNTER_SUFFIX
         if kind is MetricKind.COUNTER:
             return Counter(full_name, help_text, registry=self._registry)
         if kind is MetricKind.GAUGE:
--- a/packages/mimosapoint/src/mimosapoint/telemetry/events.py
+++ b/packages/mimosapoint/src/mimosapoint/telemetry/events.py
@@ -23,6 +23,7 @@
     ("member-leaving", "A node announced its planned stop."),
     ("member-forgotten", "A silent node that the list of VMs lacks was dropped."),
     ("member-paused", "This node itself was paused; others get time to be heard again."),
+    ("configuration-refused", "A configuration that a peer sent cannot be used."),
     ("gossip-failed", "A peer refused gossip, or its gossip could not be used."),
     ("vm-list-unavailable", "The list of VMs cannot be read; the last one stays in use."),
     ("vm-list-available", "The list of VMs can be read again."),
--- a/packages/mimosapoint/src/mimosapoint/telemetry/metrics.py
+++ b/packages/mimosapoint/src/mimosapoint/telemetry/metrics.py
@@ -22,7 +22,7 @@
 class Metric:
     """A declared metric.
 
-    :param name: name without the common prefix, in snake case.
+    :param name: name without the common prefix and the ``_total`` of counters, in snake case.
     :param kind: how its values add up.
     :param help: what it tells.
     :param unit: unit of its values.
@@ -57,21 +57,21 @@
 
 for _metric in (
     Metric(
-        "peer_calls_total",
+        "peer_calls",
         _COUNTER,
         "Calls to other nodes by outcome, an error code or ok.",
         "calls",
         ("message", "outcome"),
     ),
     Metric(
-        "peer_serves_total",
+        "peer_serves",
         _COUNTER,
         "Calls of other nodes that were served.",
         "calls",
         ("message",),
     ),
     Metric(
-        "peer_bytes_total",
+        "peer_bytes",
         _COUNTER,
         "Bytes of messages and replies, without the transport's headers.",
         "bytes",
@@ -86,8 +86,8 @@
     ),
     Metric("members_live", _GAUGE, "Nodes that are live, this one included.", "nodes"),
     Metric("members_known", _GAUGE, "Nodes that are known, live or not.", "nodes"),
-    Metric("member_changes_total", _COUNTER, "Changes of the set of live nodes.", "changes"),
-    Metric("vm_list_failures_total", _COUNTER, "Failed reads of the list of VMs.", "reads"),
+    Metric("member_changes", _COUNTER, "Changes of the set of live nodes.", "changes"),
+    Metric("vm_list_failures", _COUNTER, "Failed reads of the list of VMs.", "reads"),
     Metric("vm_list_age_seconds", _GAUGE, "Age of the list of VMs in use.", "seconds"),
 ):
     declare_metric(_metric)
--- a/packages/mimosapoint/src/mimosapoint/telemetry/tests/test_core.py
+++ b/packages/mimosapoint/src/mimosapoint/telemetry/tests/test_core.py
@@ -64,14 +64,14 @@
             telemetry.count("no_such_metric")
             telemetry.count("no_such_metric")
         self.assertEqual(len(logs.records), 1)
-        self.assertIn(b"mimosapoint_no_such_metric 2", telemetry.render())
+        self.assertIn(b"mimosapoint_no_such_metric_total 2", telemetry.render())
 
 
 class MetricTest(unittest.TestCase):
     def test_every_kind_is_rendered(self):
         telemetry = LogTelemetry("n", strict=True)
-        telemetry.count("peer_calls_total", message="gossip", outcome="ok")
-        telemetry.count("peer_calls_total", 2, message="gossip", outcome="ok")
+        telemetry.count("peer_calls", message="gossip", outcome="ok")
+        telemetry.count("peer_calls", 2, message="gossip", outcome="ok")
         telemetry.gauge("members_live", 5)
         telemetry.gauge("members_live", 4)
         telemetry.observe("peer_call_seconds", 0.02, message="gossip")
@@ -89,12 +89,28 @@
     def test_declarations_are_whole_and_unique(self):
         for metric in metrics_by_name.values():
             with self.subTest(metric.name):
-                counter = metric.kind is MetricKind.COUNTER
+                self.assertRegex(metric.name, "^[a-z][a-z_]*[a-z]$")
                 self.assertTrue(metric.help.endswith("."))
-                self.assertEqual(metric.name.endswith("_total"), counter)
+                self.assertTrue(metric.unit)
         with self.assertRaises(ValueError):
             declare_metric(Metric("members_live", MetricKind.COUNTER, "Another."))
 
+    def test_just_the_counters_end_in_total(self):
+        telemetry = LogTelemetry("n", strict=True)
+        use = {
+            MetricKind.COUNTER: telemetry.count,
+            MetricKind.GAUGE: telemetry.gauge,
+            MetricKind.HISTOGRAM: telemetry.observe,
+        }
+        for metric in metrics_by_name.values():
+            use[metric.kind](metric.name, 1, **dict.fromkeys(metric.labels, "x"))
+        lines = telemetry.render().decode().splitlines()
+        kinds_by_name = dict(line.split()[2:] for line in lines if line.startswith("# TYPE"))
+        self.assertEqual(len(kinds_by_name), len(metrics_by_name))
+        for name, kind in kinds_by_name.items():
+            with self.subTest(name):
+                self.assertEqual(name.endswith("_total"), kind == "counter")
+
 
 class SpanTest(TrioTestCase):
     async def test_spans_nest_by_task_and_follow_the_caller(self):
