Record what callers, operators and workers of a site see

Cause: the demo and the fault runs need callers that ask again through other nodes under the same key, and operators that patch, all of it kept in a history. Before: no recorder. Conclusion: nothing measured yet.

--- /dev/null
+++ b/tools/site/recorder.py
@@ -0,0 +1,168 @@
+"""Records what callers, operators and workers of a site see."""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+from datetime import datetime, timezone
+from itertools import count
+from typing import Any
+
+import attrs
+import trio
+import yaml
+from mimosapoint.codec import converter
+from mimosapoint.jobs import job_id_of
+from mimosapoint.memory import TaskEvent
+from mimosapoint.testing import CallSeen, ClaimSeen, History, LeavingSeen, PatchSeen, VersionSeen
+
+from tools.site.core import Site
+
+__all__ = ["Recorder", "now"]
+
+ANSWER_WAIT_SECONDS = 20
+RETRY_SECONDS = 0.2
+WATCH_SECONDS = 0.3
+REGION_ZONES = "zones"
+
+
+def now() -> datetime:
+    """Return the time in UTC."""
+    return datetime.now(timezone.utc)
+
+
+class Recorder:
+    """Callers and operators of a site that keep a history.
+
+    :param site: the running site.
+    """
+
+    def __init__(self, site: Site):
+        self.site = site
+        self.history = History()
+        self._turn = count()
+        self._boots_by_node = dict.fromkeys(site.files.nodes_by_id, 1)
+        vms = yaml.safe_load(site.files.vms.read_text())["vms"]
+        self.history.zones_by_worker = {
+            vm["id"]: vm["zone"] for vm in vms if vm["kind"] == "endpoint"
+        }
+        self._zones = sorted(set(self.history.zones_by_worker.values()))
+
+    def restarted(self, node: str) -> None:
+        """Note that a node's next versions are another run's."""
+        self._boots_by_node[node] += 1
+
+    async def run_job(
+        self, job: dict[str, Any], key: str, expected: Any = None, bound: float | None = None
+    ) -> CallSeen:
+        """Ask for a job until there is a final answer, through one node after another.
+
+        :param expected: parts that the answer should have.
+        :param bound: seconds within which the job claims a guarantee, if it does.
+        """
+        call = CallSeen(
+            key=key,
+            job=job_id_of(job["workspace"], key, self._zones),
+            gang=job.get("gang", 1),
+            repeatable=job.get("repeatable", True),
+            sent_at=now(),
+            expected=expected,
+        )
+        if bound is not None:
+            self.history.claims.append(ClaimSeen(key, call.sent_at, bound))
+        position = len(self.history.calls)
+        self.history.calls.append(call)
+        with self._kept(position, call) as note:
+            await self._ask(job, key, note)
+        return self.history.calls[position]
+
+    @contextmanager
+    def _kept(self, position: int, call: CallSeen) -> Iterator[Any]:
+        """Keep what is learnt of a call in the history, also when the caller is cut off."""
+
+        def note(**changes: Any) -> None:
+            self.history.calls[position] = attrs.evolve(
+                self.history.calls[position], **changes
+            )
+
+        yield note
+
+    async def _ask(self, job: dict[str, Any], key: str, note: Any) -> None:
+        nodes = list(self.site.files.http_by_id)
+        turn = next(self._turn)
+        while True:
+            node = nodes[turn % len(nodes)]
+            turn += 1
+            note(node=node)
+            address = self.site.files.http_by_id[node]
+            path = f"/v1/jobs?wait={ANSWER_WAIT_SECONDS}"
+            reply = await self.site.client.call_at(
+                address, "POST", path, job, {"Idempotency-Key": key}
+            )
+            if reply.status == 200:
+                outcome = reply.body["outcome"]
+                kind = outcome["outcome"]
+                note(ended_at=now(), outcome=kind, parts=outcome.get("parts"))
+                return
+            if 400 <= reply.status < 500 and reply.status != 429:
+                note(ended_at=now(), outcome="not-run", code=reply.body["code"])
+                return
+            await trio.sleep(RETRY_SECONDS)
+
+    async def patch(self, patch: dict[str, Any], zones_out: set[str]) -> PatchSeen:
+        """Apply a patch until there is a verdict.
+
+        :param zones_out: availability zones that are out by the patch's version.
+        """
+        sent_at = now()
+        while True:
+            reply = await self.site.client.call("POST", "/v1/configuration/patches", patch)
+            if reply.status in (200, 409, 422):
+                break
+            await trio.sleep(RETRY_SECONDS)
+        version = reply.body["version"] if reply.status == 200 else 0
+        seen = PatchSeen(
+            patch["id"], patch["base"], sent_at, now(), version, frozenset(zones_out)
+        )
+        self.history.patches.append(seen)
+        return seen
+
+    async def version(self) -> int:
+        """Return the version in force on some node."""
+        reply = await self.site.client.call("GET", "/v1/status")
+        return reply.body["version"]
+
+    async def set_mode(self, zone: str, mode: str, zones_out: set[str], **changes: str) -> PatchSeen:
+        """Take an availability zone out or bring it back."""
+        values = {"mode": mode, **changes}
+        operations = [
+            {"op": "replace", "path": f"/zones/{zone}/{name}", "value": value}
+            for name, value in values.items()
+        ]
+        base = await self.version()
+        id = f"{zone}-{mode}-{base}"
+        return await self.patch({"id": id, "base": base, "operations": operations}, zones_out)
+
+    async def leave_endpoint(self, worker: str) -> None:
+        """Show an endpoint as leaving on the list of VMs."""
+        address = self.site.files.vm_list_address
+        await self.site.platform.call_at(address, "POST", f"/v1/vms/{worker}/leave")
+        self.history.leavings.append(LeavingSeen(worker, now()))
+
+    async def watch_versions(self) -> None:
+        """Look at every node's version until cancelled."""
+        while True:
+            for node, address in self.site.files.http_by_id.items():
+                at, boot = now(), self._boots_by_node[node]
+                reply = await self.site.client.call_at(address, "GET", "/v1/status")
+                if reply.status == 200 and reply.body["version"]:
+                    seen = VersionSeen(node, boot, at, reply.body["version"])
+                    self.history.versions.append(seen)
+            await trio.sleep(WATCH_SECONDS)
+
+    async def collect_tasks(self) -> None:
+        """Take every worker's own history."""
+        events: list[TaskEvent] = []
+        for address in self.site.files.workers_by_id.values():
+            reply = await self.site.platform.call_at(address, "GET", "/v1/history")
+            events.extend(converter.structure(reply.body["events"], list[TaskEvent]))
+        self.history.tasks = events
+        self.history.ended_at = now()
