Keep whole answers at shutdown over HTTP/2 and list patches

The route that lists patches needs the new OperatorApi.history. The tables named /v1/configuration/patches with GET as a bad method; it is a route now, so PUT takes its place there. Repeated keys were refused for another reason than the test meant; the table now names the reason.

--- /dev/null
+++ b/packages/mimosapoint-node/src/mimosapoint_node/http/_connection.py
@@ -0,0 +1,105 @@
+"""One connection of a caller, served by hypercorn."""
+
+from typing import Any
+
+import trio
+from hypercorn.app_wrappers import ASGIWrapper
+from hypercorn.config import Config
+from hypercorn.trio.tcp_server import TCPServer
+from hypercorn.trio.worker_context import WorkerContext
+from hypercorn.typing import ConnectionState
+from mimosapoint.errors import ShuttingDown
+
+from mimosapoint_node.http._exchange import Exchange, Receive, Send
+from mimosapoint_node.http.core import App
+from mimosapoint_node.http.limits import HttpLimits
+from mimosapoint_node.http.problems import problem
+
+__all__ = ["Connection"]
+
+QUIET_SECONDS = 0.05
+"""Time without requests and sending, in seconds, after which a connection may be closed."""
+
+
+class Connection:
+    """Serves a connection; after the shutdown it is closed as soon as it is quiet.
+
+    hypercorn would end an HTTP/2 connection before the last frame of the last answer has been
+    sent, so its own shutdown begins only when nothing is left to send.
+
+    :param stream: accepted connection.
+    :param app: ASGI application.
+    :param config: hypercorn's configuration.
+    :param limits: bounds of the interface.
+    :param shutdown: set when the node stops.
+    """
+
+    def __init__(
+        self,
+        stream: trio.SocketStream,
+        app: App,
+        config: Config,
+        limits: HttpLimits,
+        shutdown: trio.Event,
+    ):
+        self._stream = _TrackedStream(stream)
+        self._app = app
+        self._config = config
+        self._limits = limits
+        self._shutdown = shutdown
+        self._context = WorkerContext(None)
+        self._requests = 0
+
+    async def run(self) -> None:
+        """Serve the connection until it ends."""
+        app = ASGIWrapper(self._answer)
+        state = ConnectionState({})
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._close_when_quiet)
+            await TCPServer(app, self._config, self._context, state, self._stream)
+            nursery.cancel_scope.cancel()
+
+    async def _answer(self, scope: dict[str, Any], receive: Receive, send: Send) -> None:
+        self._requests += 1
+        try:
+            if self._shutdown.is_set():
+                exchange = Exchange(scope, receive, send, self._limits)
+                await exchange.reply(problem(ShuttingDown("the node is stopping")), None)
+            else:
+                await self._app(scope, receive, send)
+        finally:
+            self._requests -= 1
+
+    async def _close_when_quiet(self) -> None:
+        await self._shutdown.wait()
+        quiet = False
+        while not quiet:
+            sent = self._stream.sent
+            await trio.sleep(QUIET_SECONDS)
+            quiet = not (self._requests or self._stream.sending or self._stream.sent > sent)
+        await self._context.terminated.set()
+
+
+class _TrackedStream:
+    """A stream that knows whether it is sending; it has what hypercorn uses of a stream.
+
+    :param stream: stream that does the work.
+    """
+
+    def __init__(self, stream: trio.SocketStream):
+        self.socket = stream.socket
+        self.receive_some = stream.receive_some
+        self.send_eof = stream.send_eof
+        self.aclose = stream.aclose
+        self.sending = False
+        self.sent = 0
+        self._stream = stream
+
+    async def send_all(self, data: bytes) -> None:
+        """Send the data and count the call."""
+        self.sending = True
+        try:
+            await self._stream.send_all(data)
+        finally:
+            self.sending = False
+            self.sent += 1
--- a/packages/mimosapoint-node/src/mimosapoint_node/http/configuration.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/http/configuration.py
@@ -10,7 +10,7 @@
 from mimosapoint_node.http.message import Reply, Request, json_reply
 from mimosapoint_node.http.routing import route
 
-__all__ = ["configuration", "patch", "patch_status", "status"]
+__all__ = ["configuration", "history", "patch", "patch_status", "status"]
 
 VERSION_DIGITS = 15
 """Longest version number of a query, in digits."""
@@ -37,6 +37,15 @@
     return _status_reply(verdict)
 
 
+@route("GET", "/v1/configuration/patches")
+async def history(context: Context, request: Request) -> Reply:
+    """Return the verdicts that are kept, oldest first."""
+    request.allow_query()
+    await _check_operator(context, request)
+    verdicts = await context.operators.history()
+    return json_reply({"patches": [attrs.asdict(verdict) for verdict in verdicts]})
+
+
 @route("GET", "/v1/configuration/patches/{id}")
 async def patch_status(context: Context, request: Request) -> Reply:
     """Return a patch's verdict and the nodes that have it in force."""
--- a/packages/mimosapoint-node/src/mimosapoint_node/http/server.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/http/server.py
@@ -3,14 +3,11 @@
 from functools import partial
 
 import trio
-from hypercorn.app_wrappers import ASGIWrapper
 from hypercorn.config import Config
-from hypercorn.trio.tcp_server import TCPServer
-from hypercorn.trio.worker_context import WorkerContext
-from hypercorn.typing import ConnectionState
 from mimosapoint.errors import Overloaded
 from mimosapoint.ports import Telemetry
 
+from mimosapoint_node.http._connection import Connection
 from mimosapoint_node.http._gate import Gate
 from mimosapoint_node.http.core import App
 from mimosapoint_node.http.limits import HttpLimits
@@ -31,8 +28,8 @@
 ) -> None:
     """Serve HTTP/1.1 and HTTP/2 until the shutdown; requests in progress are then finished.
 
-    ``hypercorn.trio.serve`` has no bound on connections and ends when a connection raises, so
-    the accepting is done here and each connection is handed to hypercorn's server for one.
+    ``hypercorn.trio.serve`` has no bound on connections and ends when one raises, so
+    the accepting is done here.
 
     :param app: ASGI application.
     :param address: ``IP:port``; port 0 takes a free one.
@@ -43,12 +40,12 @@
     """
     host, _, port = address.rpartition(":")
     listeners = await trio.open_tcp_listeners(int(port), host=host, backlog=BACKLOG)
-    connections = _Connections(app, limits, telemetry)
+    handler = _Handler(app, limits, shutdown, telemetry)
     async with trio.open_nursery() as connection_nursery:
         async with trio.open_nursery() as accept_nursery:
             accept = partial(
                 trio.serve_listeners,
-                connections.handle,
+                handler.handle,
                 listeners,
                 handler_nursery=connection_nursery,
             )
@@ -57,31 +54,33 @@
             task_status.started(f"{bound[0]}:{bound[1]}")
             await shutdown.wait()
             accept_nursery.cancel_scope.cancel()
-        await connections.close_idle()
         grace = limits.shutdown_time.total_seconds()
         connection_nursery.cancel_scope.deadline = trio.current_time() + grace
 
 
-class _Connections:
-    """Hands each accepted connection to hypercorn.
+class _Handler:
+    """Serves each accepted connection.
 
     :param app: ASGI application.
     :param limits: bounds of the interface.
+    :param shutdown: set when the node stops.
     :param telemetry: told of connections that fail.
     """
 
-    def __init__(self, app: App, limits: HttpLimits, telemetry: Telemetry):
-        self._app = ASGIWrapper(app)
-        self._config = _make_config(limits)
+    def __init__(self, app: App, limits: HttpLimits, shutdown: trio.Event, telemetry: Telemetry):
+        self._app = app
+        self._limits = limits
+        self._shutdown = shutdown
         self._telemetry = telemetry
+        self._config = _make_config(limits)
         self._gate = Gate(limits.connections, "connections are open")
-        self._context = WorkerContext(None)
 
     async def handle(self, stream: trio.SocketStream) -> None:
         """Serve one connection until it ends; close it when there are too many."""
+        connection = Connection(stream, self._app, self._config, self._limits, self._shutdown)
         try:
             with self._gate.enter():
-                await TCPServer(self._app, self._config, self._context, ConnectionState({}), stream)
+                await connection.run()
         except Overloaded:
             self._telemetry.count("http_connections_refused")
             await stream.aclose()
@@ -89,10 +88,6 @@
             self._telemetry.event("http-connection-error", error=repr(error))
             await trio.aclose_forcefully(stream)
 
-    async def close_idle(self) -> None:
-        """Close idle connections, and each other one after its request."""
-        await self._context.terminated.set()
-
 
 def _make_config(limits: HttpLimits) -> Config:
     """Return hypercorn's configuration."""
--- a/packages/mimosapoint-node/src/mimosapoint_node/http/tests/fakes.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/http/tests/fakes.py
@@ -125,6 +125,9 @@
             raise PatchNotFound(f"no patch {patch_id}")
         return self.statuses_by_id[patch_id]
 
+    async def history(self):
+        return tuple(self.statuses_by_id.values())
+
     async def status(self):
         return {"node": "node-1"}
 
--- a/packages/mimosapoint-node/src/mimosapoint_node/http/tests/test_bad_input.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/http/tests/test_bad_input.py
@@ -62,17 +62,18 @@
 )
 
 BAD_BODIES = (
-    b"",
-    b"{",
-    b"[]",
-    b"null",
-    b'{"workspace": "\xff"}',
-    b'{"workspace": "\\ud800"}',
-    b'{"gang": NaN}',
-    b'{"gang": 1, "gang": 2}',
-    b'{"shape": {"cores": 1, "cores": 2}}',
-    b'{"payload": ' + b"[" * 5000 + b"]" * 5000 + b"}",
-    b"{} {}",
+    (b"", "not JSON"),
+    (b"{", "not JSON"),
+    (b"[]", "not a JSON object"),
+    (b"null", "not a JSON object"),
+    (b'{"workspace": "\xff"}', "not JSON in UTF-8"),
+    (b'{"workspace": "\\ud800"}', "not JSON"),
+    (b'{"gang": NaN}', "not JSON"),
+    (b'{"gang": 1, "gang": 2}', "'gang' is repeated"),
+    (b'{"shape": {"cores": 1, "cores": 2}}', "'cores' is repeated"),
+    (b'{"payload": ' + b"[" * 900 + b"]" * 900 + b"}", ""),
+    (b'{"payload": ' + b"[" * 5000 + b"]" * 5000 + b"}", "not JSON"),
+    (b"{} {}", "not JSON"),
 )
 
 BAD_CALLS = (
@@ -86,7 +87,7 @@
     ("POST", "/v1/jobs/a", 405, "method-not-allowed"),
     ("DELETE", "/v1/jobs/a/answer", 405, "method-not-allowed"),
     ("POST", "/v1/configuration", 405, "method-not-allowed"),
-    ("GET", "/v1/configuration/patches", 405, "method-not-allowed"),
+    ("PUT", "/v1/configuration/patches", 405, "method-not-allowed"),
     ("DELETE", "/v1/configuration/patches/p", 405, "method-not-allowed"),
     ("POST", "/v1/status", 405, "method-not-allowed"),
     ("POST", "/healthz", 405, "method-not-allowed"),
@@ -110,6 +111,7 @@
     ("GET", "/v1/configuration?version=" + "9" * 5000, 400, "bad-request"),
     ("GET", "/v1/configuration?version=%ff", 400, "bad-request"),
     ("GET", "/v1/configuration?version=7", 404, "patch-not-found"),
+    ("GET", "/v1/configuration/patches?limit=1", 400, "bad-request"),
     ("GET", "/v1/configuration/patches/none", 404, "patch-not-found"),
     ("GET", "/v1/configuration/patches/none?x=1", 400, "bad-request"),
     ("GET", "/v1/status?all", 400, "bad-request"),
@@ -161,11 +163,12 @@
     async def test_bad_bodies_are_refused(self):
         async with Fixture().served() as node:
             for method, target in (JOBS, PATCHES):
-                for body in BAD_BODIES:
+                for body, fault in BAD_BODIES:
                     with self.subTest(target=target, body=body[:40]):
                         status, headers, content = await node.call(method, target, body, key())
-                        code = orjson.loads(content)["code"]
-                        self.assertEqual((400, "bad-request"), (status, code))
+                        problem = orjson.loads(content)
+                        self.assertEqual((400, "bad-request"), (status, problem["code"]))
+                        self.assertIn(fault, problem["detail"])
                         self.assertEqual("application/problem+json", headers["content-type"])
             self.assertEqual([], node.telemetry.events)
 
--- a/packages/mimosapoint-node/src/mimosapoint_node/http/tests/test_configuration.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/http/tests/test_configuration.py
@@ -27,6 +27,9 @@
             rejected = await node.call("POST", PATCHES, PATCH.replace(b"p1", b"p2"))
             self.assertEqual(422, rejected[0])
             self.assertEqual(["/zones/z: claimed"], orjson.loads(rejected[2])["reasons"])
+            kept = orjson.loads((await node.call("GET", PATCHES))[2])["patches"]
+            verdicts = [(verdict["id"], verdict["accepted"]) for verdict in kept]
+            self.assertEqual([("p1", True), ("p2", False)], verdicts)
 
     async def test_status_health_and_metrics(self):
         async with Fixture().served() as node:
--- a/packages/mimosapoint-node/src/mimosapoint_node/http/tests/test_server.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/http/tests/test_server.py
@@ -121,7 +121,8 @@
     async def test_requests_in_progress_are_finished(self):
         for http2 in (False, True):
             with self.subTest(http2=http2):
-                await self.shut_down(http2)
+                with trio.fail_after(5):
+                    await self.shut_down(http2)
 
     async def shut_down(self, http2):
         replies = []
@@ -155,3 +156,20 @@
     async def cut_off(self, node):
         with self.assertRaises((httpcore.RemoteProtocolError, httpcore.ReadError)):
             await node.call("POST", "/v1/jobs?wait=60", job_body(), key())
+
+    async def test_requests_after_the_shutdown_are_refused(self):
+        for http2 in (False, True):
+            with self.subTest(http2=http2), trio.fail_after(5):
+                await self.refuse_late(http2)
+
+    async def refuse_late(self, http2):
+        async with Fixture().served() as node:
+            async with httpcore.AsyncConnectionPool(http1=not http2, http2=http2) as pool:
+                url = f"http://{node.address}"
+                await pool.request("GET", f"{url}/healthz")
+                node.shutdown.set()
+                body = job_body()
+                late = await pool.request("POST", f"{url}/v1/jobs", content=body, headers=key())
+                self.assertEqual(503, late.status)
+                self.assertEqual("shutting-down", orjson.loads(late.content)["code"])
+                self.assertEqual([], node.jobs.requests)
--- a/packages/mimosapoint/src/mimosapoint/errors.py
+++ b/packages/mimosapoint/src/mimosapoint/errors.py
@@ -30,6 +30,7 @@
     "PeerUnreachable",
     "RouteNotFound",
     "SettingsInvalid",
+    "ShuttingDown",
     "StaleEpoch",
     "StoreTimeout",
     "StoreUnavailable",
@@ -323,3 +324,9 @@
     """The caller has not shown who it is."""
 
     code = "unauthenticated"
+
+
+class ShuttingDown(MimosapointError):
+    """The node is stopping; the request was not accepted."""
+
+    code = "shutting-down"
--- a/packages/mimosapoint/src/mimosapoint/ports/api.py
+++ b/packages/mimosapoint/src/mimosapoint/ports/api.py
@@ -65,6 +65,10 @@
         """
         ...
 
+    async def history(self) -> tuple[PatchStatus, ...]:
+        """Return the verdicts on patches that are kept, oldest first."""
+        ...
+
     async def status(self) -> dict[str, Any]:
         """Return what this node knows of the nodes, availability zones and the store."""
         ...
