--- a/packages/mimosapoint/src/mimosapoint/settings/__init__.py
+++ b/packages/mimosapoint/src/mimosapoint/settings/__init__.py
@@ -2,7 +2,7 @@
 
 from mimosapoint.settings.load import load_settings, parse_settings
 from mimosapoint.settings.node import NodeSettings
-from mimosapoint.settings.reference import SettingReference, settings_reference
+from mimosapoint.settings.reference import SettingReference, settings_reference, settings_table
 from mimosapoint.settings.sections import (
     ConfigurationSettings,
     LimitSettings,
@@ -26,4 +26,5 @@
     "load_settings",
     "parse_settings",
     "settings_reference",
+    "settings_table",
 ]
--- a/packages/mimosapoint/src/mimosapoint/settings/reference.py
+++ b/packages/mimosapoint/src/mimosapoint/settings/reference.py
@@ -10,7 +10,7 @@
 from mimosapoint.settings._item import METADATA_DOC, rule_of
 from mimosapoint.settings.node import NodeSettings
 
-__all__ = ["SettingReference", "settings_reference"]
+__all__ = ["SettingReference", "settings_reference", "settings_table"]
 
 UNITS_BY_SUFFIX = {"_seconds": "seconds", "_bytes": "bytes", "_per_second": "per second"}
 
@@ -62,3 +62,13 @@
 def settings_reference() -> list[SettingReference]:
     """Return every setting in the order of the file."""
     return list(_reference(NodeSettings))
+
+
+def settings_table() -> str:
+    """Return every setting as a Markdown table."""
+    lines = ["| Key | Type | Unit | Default | Allowed | Meaning |", "|---|---|---|---|---|---|"]
+    for entry in settings_reference():
+        default = "required" if entry.default is None else f"{entry.default}"
+        cells = (f"`{entry.key}`", entry.type, entry.unit, default, entry.allowed, entry.doc)
+        lines.append("| " + " | ".join(cells) + " |")
+    return "\n".join(lines)
