--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 	@touch $@
 
 demo: setup
-	@$(BIN)/python tools/demo.py
+	@$(BIN)/python -m tools.demo
 
 test: setup
 	@$(BIN)/python tools/run_tests.py
--- /dev/null
+++ b/tools/demo/__main__.py
@@ -0,0 +1,78 @@
+"""Runs the demo and ends with the table of promises and the measures."""
+
+import sys
+import tempfile
+from pathlib import Path
+
+import trio
+from mimosapoint.testing import Finding, check_all
+
+from tools.demo.measures import Measures, measure
+from tools.demo.scenario import ROOT, play
+from tools.site import Site
+from tools.site.recorder import Recorder
+
+NODES = 4
+SLOTS_PER_WORKER = 8
+
+
+def say(text: str) -> None:
+    """Show the progress."""
+    print(f"  {trio.current_time() - say.began:5.1f} s  {text}", flush=True)
+
+
+async def run() -> int:
+    """Play the demo; return the exit code."""
+    say.began = trio.current_time()
+    with tempfile.TemporaryDirectory(prefix="mimosapoint-") as folder:
+        site = Site(ROOT / "examples" / "agencia", Path(folder), NODES)
+        try:
+            say(f"starting the platform's stand-ins, 24 workers and {NODES} nodes")
+            await site.start()
+            recorder = Recorder(site)
+            await play(site, recorder, say)
+        finally:
+            await site.stop()
+        return _report(site, recorder)
+
+
+def _report(site: Site, recorder: Recorder) -> int:
+    findings = check_all(recorder.history)
+    _print_promises(findings)
+    slots = SLOTS_PER_WORKER * len(site.files.workers_by_id)
+    _print_measures(measure(recorder.history, recorder.classes_by_key, slots))
+    _print_outcomes(recorder)
+    broken = [finding for finding in findings if finding.broken or not finding.checked]
+    print("every promise was kept" if not broken else f"{len(broken)} promises broken")
+    return 1 if broken else 0
+
+
+def _print_promises(findings: list[Finding]) -> None:
+    print(f"\n{'promise':<52}{'checked':>8}{'broken':>8}")
+    for finding in findings:
+        print(f"{finding.promise:<52}{finding.checked:>8}{len(finding.broken):>8}")
+        for line in finding.broken[:3]:
+            print(f"    {line}")
+
+
+def _print_measures(measures: Measures) -> None:
+    print("\ncompletion time      median       p95")
+    for name, (median, high) in measures.completion_by_class.items():
+        print(f"  {name:<14}{median:>9.2f} s{high:>9.2f} s")
+    print(f"slots free while a job waited: {measures.free_while_waiting:.0%}")
+    print(
+        f"work while a zone was out: {measures.work_while_out:.0f} slot-seconds, "
+        f"{measures.work_before:.0f} in as long a time before"
+    )
+
+
+def _print_outcomes(recorder: Recorder) -> None:
+    counts: dict[str, int] = {}
+    for call in recorder.history.calls:
+        counts[call.outcome or "unanswered"] = counts.get(call.outcome or "unanswered", 0) + 1
+    told = ", ".join(f"{count} {name}" for name, count in sorted(counts.items()))
+    print(f"outcomes: {told}\n")
+
+
+if __name__ == "__main__":
+    sys.exit(trio.run(run))
--- a/tools/site/recorder.py
+++ b/tools/site/recorder.py
@@ -38,6 +38,7 @@
     def __init__(self, site: Site):
         self.site = site
         self.history = History()
+        self.classes_by_key: dict[str, str] = {}
         self._turn = count()
         self._boots_by_node = dict.fromkeys(site.files.nodes_by_id, 1)
         vms = yaml.safe_load(site.files.vms.read_text())["vms"]
@@ -68,6 +69,7 @@
         )
         if bound is not None:
             self.history.claims.append(ClaimSeen(key, call.sent_at, bound))
+        self.classes_by_key[key] = job["class"]
         position = len(self.history.calls)
         self.history.calls.append(call)
         with self._kept(position, call) as note:
