Give each fault case of the contracts its own service

A call that an earlier case had delayed could wake up and use up the lost reply of the next case, so the VM list's contract failed once in a full run. A discard now ends a checkpoint in progress.

--- a/packages/mimosapoint-node/src/mimosapoint_node/platform/tests/test_replies.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/platform/tests/test_replies.py
@@ -9,12 +9,14 @@
     VmListUnavailable,
     WorkerUnreachable,
 )
+from mimosapoint.memory import MemoryStore, TrioClock
 from mimosapoint.model import CollectRequest, LeaseRequest
 from mimosapoint.ports import ABSENT
 from mimosapoint.testing import TrioTestCase
+from mimosapoint_standins import store_app
 
 from mimosapoint_node.platform import HttpStore, HttpVmList, HttpWorkers
-from mimosapoint_node.platform.tests.support import CallCounter, replying
+from mimosapoint_node.platform.tests.support import CallCounter, replying, serving
 
 TIMEOUT = timedelta(seconds=2)
 WAIT = timedelta(milliseconds=10)
@@ -97,17 +99,26 @@
             await store.close()
 
     async def test_a_closed_port_means_no_effect(self):
-        async with replying(b"") as address:
-            pass
-        store = HttpStore(address, CallCounter(), TIMEOUT)
+        async with serving(store_app(MemoryStore(TrioClock()))) as address:
+            store = HttpStore(address, CallCounter(), TIMEOUT)
+            self.assertIsNone(await store.get("k"))
         for number, call in enumerate(store_calls(store)):
             with self.subTest(call=number), self.assertRaises(StoreUnavailable):
                 await call()
         workers = HttpWorkers(CallCounter(), TIMEOUT)
-        for call in worker_calls(workers, address):
-            with self.assertRaises(WorkerUnreachable):
+        for number, call in enumerate(worker_calls(workers, address)):
+            with self.subTest(command=number), self.assertRaises(WorkerUnreachable):
                 await call()
 
+    async def test_a_request_that_was_refused_as_bad_had_no_effect(self):
+        data = reply("400 Bad Request", b'{"code": "bad-request", "detail": "d"}')
+        async with replying(data) as address:
+            store = HttpStore(address, CallCounter(), TIMEOUT)
+            for number, call in enumerate(store_calls(store)):
+                with self.subTest(call=number), self.assertRaises(StoreUnavailable):
+                    await call()
+            await store.close()
+
     async def test_every_call_is_counted_by_kind(self):
         telemetry = CallCounter()
         async with replying(b"") as address:
--- a/packages/mimosapoint/src/mimosapoint/memory/tests/test_worker.py
+++ b/packages/mimosapoint/src/mimosapoint/memory/tests/test_worker.py
@@ -57,18 +57,24 @@
         with self.assertRaises(WorkerRefused):
             worker.reserve(ReserveRequest(1, (spec(ids[1], None),), 5.0))
 
-    async def test_a_checkpoint_takes_its_time(self):
-        clock = TrioClock()
-        worker = MemoryWorker("w1", CAPACITY, clock, checkpoint_time=timedelta(seconds=2))
-        worker.lease(LeaseRequest("n1", "z1", 1, 60.0))
-        worker.reserve(ReserveRequest(1, (spec("t", {"kind": "sleep", "seconds": 50}),), 5.0))
-        worker.start(StartRequest(1, ("t",)))
-        report = worker.stop(StopRequest(1, ("t",), StopMode.CHECKPOINT))
-        self.assertIs(report.tasks[0].state, TaskState.RUNNING)
-        await clock.sleep(timedelta(seconds=3))
-        report = worker.stop(StopRequest(1, ("t",), StopMode.CHECKPOINT))
-        self.assertIs(report.tasks[0].state, TaskState.STOPPED)
-        self.assertAlmostEqual(report.tasks[0].progress, 2.0)
+    async def test_a_checkpoint_takes_its_time_unless_it_is_discarded(self):
+        cases = ((StopMode.CHECKPOINT, 2.0, True), (StopMode.DISCARD, 0.0, False))
+        for second, progress, kept in cases:
+            with self.subTest(second=second):
+                clock = TrioClock()
+                worker = MemoryWorker("w1", CAPACITY, clock, checkpoint_time=timedelta(seconds=2))
+                worker.lease(LeaseRequest("n1", "z1", 1, 60.0))
+                worker.reserve(ReserveRequest(1, (spec("t", {"seconds": 50}),), 5.0))
+                worker.start(StartRequest(1, ("t",)))
+                report = worker.stop(StopRequest(1, ("t",), StopMode.CHECKPOINT))
+                self.assertIs(report.tasks[0].state, TaskState.RUNNING)
+                await clock.sleep(timedelta(seconds=1))
+                worker.stop(StopRequest(1, ("t",), second))
+                await clock.sleep(timedelta(seconds=1))
+                (task,) = worker.stop(StopRequest(1, ("t",))).tasks
+                self.assertIs(task.state, TaskState.STOPPED)
+                self.assertAlmostEqual(task.progress, progress)
+                self.assertEqual(task.checkpoint is not None, kept)
 
     async def test_compose_splits_the_screens_over_the_gang(self):
         shares = [await self.run_payload(COMPOSE, index, 2) for index in range(2)]
--- a/packages/mimosapoint/src/mimosapoint/memory/worker.py
+++ b/packages/mimosapoint/src/mimosapoint/memory/worker.py
@@ -208,9 +208,12 @@
         if task is None or task.state is TaskState.RESERVED:
             self._tasks_by_id.pop(task_id, None)
             self._remember(task_id, ran=False)
+        elif task.state is TaskState.RUNNING and mode is StopMode.DISCARD:
+            task.stop_at = now
+            task.keeps_progress = False
         elif task.state is TaskState.RUNNING and task.stop_at is None:
-            task.keeps_progress = mode is StopMode.CHECKPOINT
-            task.stop_at = now + self._checkpoint_time if task.keeps_progress else now
+            task.stop_at = now + self._checkpoint_time
+            task.keeps_progress = True
 
     def _drop_reservations(self) -> None:
         for task in list(self._tasks_by_id.values()):
--- a/packages/mimosapoint/src/mimosapoint/ports/tests/contract_store.py
+++ b/packages/mimosapoint/src/mimosapoint/ports/tests/contract_store.py
@@ -137,14 +137,14 @@
             self.assertEqual([(e.key, e.value) for e in found], [("c/2", b"2")])
 
     async def test_faults_of_a_write(self):
-        async with self.open_store() as fixture:
-            for name, faults, error, effect in FAULTS:
-                with self.subTest(fault=name):
+        for name, faults, error, effect in FAULTS:
+            with self.subTest(fault=name):
+                async with self.open_store() as fixture:
                     fixture.faults.become(faults)
                     with self.assertRaises(error):
-                        await fixture.store.compare_and_swap(name, b"1", ABSENT)
+                        await fixture.store.compare_and_swap("k", b"1", ABSENT)
                     fixture.faults.become(Faults())
-                    entry = await fixture.store.get(name)
+                    entry = await fixture.store.get("k")
                     if effect is not None:
                         self.assertEqual(entry is not None, effect)
 
--- a/packages/mimosapoint/src/mimosapoint/ports/tests/contract_vm_list.py
+++ b/packages/mimosapoint/src/mimosapoint/ports/tests/contract_vm_list.py
@@ -61,10 +61,10 @@
             self.assertEqual(await fixture.vm_list.vms(), ())
 
     async def test_faults_get_a_typed_error_and_pass(self):
-        async with self.open_vm_list() as fixture:
-            fixture.source.put(ENTRY)
-            for name, faults in FAULTS:
-                with self.subTest(fault=name):
+        for name, faults in FAULTS:
+            with self.subTest(fault=name):
+                async with self.open_vm_list() as fixture:
+                    fixture.source.put(ENTRY)
                     fixture.source.faults.become(faults)
                     with self.assertRaises(VmListUnavailable):
                         await fixture.vm_list.vms()
--- a/packages/mimosapoint/src/mimosapoint/ports/tests/contract_workers.py
+++ b/packages/mimosapoint/src/mimosapoint/ports/tests/contract_workers.py
@@ -244,19 +244,19 @@
             self.assertEqual(states(await fixture.lease(ttl=60.0)), {"t": "succeeded"})
 
     async def test_faults_of_a_start(self):
-        async with self.open_workers() as fixture:
-            await fixture.lease()
-            for name, faults, error, effect in FAULTS:
-                with self.subTest(fault=name):
-                    await fixture.reserve(spec(name, ECHO))
+        for name, faults, error, effect in FAULTS:
+            with self.subTest(fault=name):
+                async with self.open_workers() as fixture:
+                    await fixture.lease()
+                    await fixture.reserve(spec("t", ECHO))
                     fixture.worker.faults.become(faults)
                     with self.assertRaises(error):
-                        await fixture.start(name)
+                        await fixture.start("t")
                     fixture.worker.faults.become(Faults())
                     if effect is not None:
-                        self.assertEqual(name in fixture.started(), effect)
-                    await fixture.start(name)
-                    self.assertEqual(fixture.started().count(name), 1)
+                        self.assertEqual(fixture.started(), ["t"] if effect else [])
+                    await fixture.start("t")
+                    self.assertEqual(fixture.started(), ["t"])
 
     async def test_a_bad_worker_fails_everything_it_starts(self):
         async with self.open_workers() as fixture:
