--- a/packages/mimosapoint-node/src/mimosapoint_node/http/problems.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/http/problems.py
@@ -39,6 +39,7 @@
     "peer-unreachable": 503,
     "route-not-found": 404,
     "settings-invalid": 400,
+    "shutting-down": 503,
     "stale-epoch": 503,
     "store-timeout": 503,
     "store-unavailable": 503,
