Count platform calls in the declared metrics under test

The adapters' tests counted with a counter of their own, which would not have noticed the rename of the metrics to their declared names. They now use the strict recorder, which refuses undeclared names.

--- a/packages/mimosapoint-node/src/mimosapoint_node/platform/tests/support.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/platform/tests/support.py
@@ -1,6 +1,5 @@
 """Stand-ins behind a loopback port of the same trio run."""
 
-from collections import Counter
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from functools import partial
@@ -9,22 +8,12 @@
 from mimosapoint_standins import serve
 from mimosapoint_standins.router import Router
 
-__all__ = ["CallCounter", "replying", "serving"]
+__all__ = ["replying", "serving"]
 
 LOOPBACK = "127.0.0.1"
 ANY_PORT = f"{LOOPBACK}:0"
 
 
-class CallCounter:
-    """Telemetry that keeps counters only."""
-
-    def __init__(self):
-        self.counts = Counter()
-
-    def count(self, name: str, amount: int = 1, **labels: str) -> None:
-        self.counts[name, labels.get("kind", "")] += amount
-
-
 @asynccontextmanager
 async def serving(app: Router) -> AsyncIterator[str]:
     """Serve an application and give its address."""
--- a/packages/mimosapoint-node/src/mimosapoint_node/platform/tests/test_contracts.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/platform/tests/test_contracts.py
@@ -8,11 +8,12 @@
 from mimosapoint.ports.tests.contract_vm_list import VmListContract, VmListFixture
 from mimosapoint.ports.tests.contract_workers import CAPACITY, WorkersContract, WorkersFixture
 from mimosapoint.ports.tests.shifted_clock import ShiftedClock
+from mimosapoint.telemetry import MemoryTelemetry
 from mimosapoint.testing import TrioTestCase
 from mimosapoint_standins import store_app, vm_list_app, workers_app
 
 from mimosapoint_node.platform import HttpStore, HttpVmList, HttpWorkers
-from mimosapoint_node.platform.tests.support import CallCounter, serving
+from mimosapoint_node.platform.tests.support import serving
 
 TIMEOUT = timedelta(milliseconds=300)
 SERVER_TIMEOUT = timedelta(seconds=60)
@@ -24,7 +25,7 @@
         clock = ShiftedClock()
         service = MemoryStore(clock, timeout=SERVER_TIMEOUT)
         async with serving(store_app(service)) as address:
-            store = HttpStore(address, CallCounter(), TIMEOUT)
+            store = HttpStore(address, MemoryTelemetry(strict=True), TIMEOUT)
             yield StoreFixture(store, service.faults, clock)
             await store.close()
 
@@ -35,7 +36,7 @@
         clock = ShiftedClock()
         source = MemoryVmList(clock)
         async with serving(vm_list_app(source)) as address:
-            vm_list = HttpVmList(address, CallCounter(), TIMEOUT)
+            vm_list = HttpVmList(address, MemoryTelemetry(strict=True), TIMEOUT)
             yield VmListFixture(vm_list, source, clock)
             await vm_list.close()
 
@@ -48,6 +49,6 @@
         by_address = {}
         async with serving(workers_app(by_address)) as address:
             by_address[address] = worker
-            workers = HttpWorkers(CallCounter(), TIMEOUT)
+            workers = HttpWorkers(MemoryTelemetry(strict=True), TIMEOUT)
             yield WorkersFixture(workers, address, worker, clock)
             await workers.close()
--- a/packages/mimosapoint-node/src/mimosapoint_node/platform/tests/test_replies.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/platform/tests/test_replies.py
@@ -12,11 +12,12 @@
 from mimosapoint.memory import MemoryStore, TrioClock
 from mimosapoint.model import CollectRequest, LeaseRequest
 from mimosapoint.ports import ABSENT
+from mimosapoint.telemetry import MemoryTelemetry
 from mimosapoint.testing import TrioTestCase
 from mimosapoint_standins import store_app
 
 from mimosapoint_node.platform import HttpStore, HttpVmList, HttpWorkers
-from mimosapoint_node.platform.tests.support import CallCounter, replying, serving
+from mimosapoint_node.platform.tests.support import replying, serving
 
 TIMEOUT = timedelta(seconds=2)
 WAIT = timedelta(milliseconds=10)
@@ -71,9 +72,9 @@
 @asynccontextmanager
 async def adapters(address: str):
     """Give every call of the three adapters with the error of an unusable reply."""
-    store = HttpStore(address, CallCounter(), TIMEOUT)
-    workers = HttpWorkers(CallCounter(), TIMEOUT)
-    vm_list = HttpVmList(address, CallCounter(), TIMEOUT)
+    store = HttpStore(address, MemoryTelemetry(strict=True), TIMEOUT)
+    workers = HttpWorkers(MemoryTelemetry(strict=True), TIMEOUT)
+    vm_list = HttpVmList(address, MemoryTelemetry(strict=True), TIMEOUT)
     calls = [(call, StoreTimeout) for call in store_calls(store)]
     calls += [(call, WorkerUnreachable) for call in worker_calls(workers, address)]
     calls.append((vm_list.vms, VmListUnavailable))
@@ -93,19 +94,19 @@
     async def test_endless_replies_are_cut_off(self):
         data = b"HTTP/1.1 200 OK\r\ncontent-length: 99999999\r\n\r\n" + b"x" * 60_000
         async with replying(data, 1000) as address:
-            store = HttpStore(address, CallCounter(), TIMEOUT)
+            store = HttpStore(address, MemoryTelemetry(strict=True), TIMEOUT)
             with self.assertRaises(StoreTimeout):
                 await store.scan("")
             await store.close()
 
     async def test_a_closed_port_means_no_effect(self):
         async with serving(store_app(MemoryStore(TrioClock()))) as address:
-            store = HttpStore(address, CallCounter(), TIMEOUT)
+            store = HttpStore(address, MemoryTelemetry(strict=True), TIMEOUT)
             self.assertIsNone(await store.get("k"))
         for number, call in enumerate(store_calls(store)):
             with self.subTest(call=number), self.assertRaises(StoreUnavailable):
                 await call()
-        workers = HttpWorkers(CallCounter(), TIMEOUT)
+        workers = HttpWorkers(MemoryTelemetry(strict=True), TIMEOUT)
         for number, call in enumerate(worker_calls(workers, address)):
             with self.subTest(command=number), self.assertRaises(WorkerUnreachable):
                 await call()
@@ -113,19 +114,19 @@
     async def test_a_request_that_was_refused_as_bad_had_no_effect(self):
         data = reply("400 Bad Request", b'{"code": "bad-request", "detail": "d"}')
         async with replying(data) as address:
-            store = HttpStore(address, CallCounter(), TIMEOUT)
+            store = HttpStore(address, MemoryTelemetry(strict=True), TIMEOUT)
             for number, call in enumerate(store_calls(store)):
                 with self.subTest(call=number), self.assertRaises(StoreUnavailable):
                     await call()
             await store.close()
 
     async def test_every_call_is_counted_by_kind(self):
-        telemetry = CallCounter()
+        telemetry = MemoryTelemetry(strict=True)
         async with replying(b"") as address:
             store = HttpStore(address, telemetry, TIMEOUT)
             for call in store_calls(store):
                 with self.assertRaises(StoreTimeout):
                     await call()
         kinds = "get scan compare_and_swap delete grant_lease renew_lease watch"
-        expected = {("store_calls_total", kind): 1 for kind in kinds.split()}
-        self.assertEqual(telemetry.counts, expected)
+        expected = {("store_calls_total", (("kind", kind),)): 1 for kind in kinds.split()}
+        self.assertEqual(telemetry.counts_by_labels, expected)
