Hold back a frozen worker's waiting renewal and test waiting

A renewal that waited for a change was answered even though the worker was frozen meanwhile, and a takeover woke no waiter. Both are mended, and the contract now covers waiting renewals over memory and HTTP.

--- a/packages/mimosapoint/src/mimosapoint/memory/tests/test_worker.py
+++ b/packages/mimosapoint/src/mimosapoint/memory/tests/test_worker.py
@@ -4,7 +4,7 @@
 
 from mimosapoint.errors import WorkerRefused
 from mimosapoint.memory import MemoryWorker, TrioClock
-from mimosapoint.memory.worker import REMEMBERED_LIMIT
+from mimosapoint.memory._table import REMEMBERED_LIMIT
 from mimosapoint.model import (
     CollectRequest,
     LeaseRequest,
--- a/packages/mimosapoint/src/mimosapoint/memory/worker.py
+++ b/packages/mimosapoint/src/mimosapoint/memory/worker.py
@@ -1,12 +1,12 @@
 """Engine of one worker."""
 
-from collections import OrderedDict, deque
-from collections.abc import Iterable
+from collections import deque
 from datetime import datetime, timedelta
 
 import trio
 
 from mimosapoint.errors import StaleEpoch, WorkerRefused
+from mimosapoint.memory._table import TaskTable
 from mimosapoint.memory._task import Task
 from mimosapoint.memory.faults import Faults
 from mimosapoint.memory.history import HISTORY_LIMIT, TaskEvent, TaskEventKind
@@ -19,7 +19,6 @@
     StopMode,
     StopRequest,
     TaskOutput,
-    TaskSpec,
     TaskState,
     ThrottleRequest,
     WorkerReport,
@@ -28,17 +27,12 @@
 
 __all__ = ["MemoryWorker"]
 
-REMEMBERED_LIMIT = 10_000
-"""Number of ids of ended and barred tasks that a worker remembers."""
-
 USAGE_LAG = timedelta(seconds=2)
 """Age of the usage that a worker reports."""
 
 TICK = timedelta(milliseconds=1)
 """Least time between two looks at whether a task has changed."""
 
-NOTHING = Resources(slots=0, cores=0, memory_gib=0, accelerators=0)
-
 
 class MemoryWorker:
     """A worker that brings its state up to date at each command.
@@ -68,8 +62,7 @@
         self._usage_lag = usage_lag
         self._checkpoint_time = checkpoint_time
         self._lease_until: datetime | None = None
-        self._tasks_by_id: dict[str, Task] = {}
-        self._ran_by_id: OrderedDict[str, bool] = OrderedDict()
+        self._tasks = TaskTable(capacity)
         self._history: deque[TaskEvent] = deque(maxlen=HISTORY_LIMIT)
         self._boot = f"{id}/{clock.now().isoformat()}"
         self._revision = 0
@@ -92,7 +85,8 @@
             raise StaleEpoch(self.epoch)
         lease_until = now + timedelta(seconds=request.ttl)
         if request.epoch > self.epoch:
-            self._drop_reservations()
+            self._tasks.drop_reservations()
+            self._wake()
         self.epoch = request.epoch
         self._lease_until = lease_until
         return self._report(now)
@@ -104,13 +98,7 @@
         """
         now = self._enter(request.epoch)
         self._require_lease()
-        asked = {spec.id: spec for spec in request.tasks if spec.id not in self._tasks_by_id}
-        self._require_allowed(asked.values())
-        self._require_room(asked.values())
-        until = now + timedelta(seconds=request.ttl)
-        for spec in request.tasks:
-            task = self._tasks_by_id.setdefault(spec.id, Task(spec, until))
-            task.reserved_until = until
+        self._tasks.reserve(request.tasks, now + timedelta(seconds=request.ttl))
         return self._report(now)
 
     def start(self, request: StartRequest) -> WorkerReport:
@@ -120,8 +108,8 @@
         """
         now = self._enter(request.epoch)
         self._require_lease()
-        self._require_startable(request.tasks)
-        for task in self._known(request.tasks):
+        self._tasks.require_startable(request.tasks)
+        for task in self._tasks.select(request.tasks):
             if task.state is TaskState.RESERVED:
                 self._start(task, now)
         self._advance()
@@ -143,23 +131,41 @@
         now = self._enter(request.epoch)
         if not 0 < request.share <= 1:
             raise WorkerRefused(f"share {request.share} is not above 0 and up to 1")
-        for task in self._known(request.tasks):
+        for task in self._tasks.select(request.tasks):
             task.share = request.share
         return self._report(now)
 
     def collect(self, request: CollectRequest) -> tuple[TaskOutput, ...]:
         """Return the output of ended tasks."""
         self._enter(request.epoch)
-        return tuple(task.result() for task in self._known(request.tasks) if task.ended)
+        return tuple(task.result() for task in self._tasks.select(request.tasks) if task.ended)
 
     def acknowledge(self, request: CollectRequest) -> WorkerReport:
         """Drop the output of ended tasks."""
         now = self._enter(request.epoch)
-        for task in self._known(request.tasks):
+        for task in self._tasks.select(request.tasks):
             if task.ended:
-                del self._tasks_by_id[task.spec.id]
+                self._tasks.drop(task.spec.id)
         return self._report(now)
 
+    async def wait_changed(self, epoch: int, seen: int, until: datetime) -> WorkerReport:
+        """Return a report as soon as it differs from the one that was seen.
+
+        :param epoch: epoch of the holder that asks.
+        :param seen: revision that the holder has.
+        :param until: time at which the report is returned as it is.
+        :raises StaleEpoch: a newer holder has taken the worker.
+        """
+        while True:
+            now = self._enter(epoch)
+            report = self._report(now)
+            if report.revision != seen or now >= until:
+                return report
+            wake_at = min([until, *self._changes_after(now)])
+            changed = self._changed
+            with trio.move_on_after((wake_at - now).total_seconds()):
+                await changed.wait()
+
     def _enter(self, epoch: int) -> datetime:
         now = self._advance()
         if epoch < self.epoch:
@@ -171,11 +177,10 @@
     def _advance(self) -> datetime:
         """Bring every task up to the present."""
         now = self.clock.now()
-        for task in list(self._tasks_by_id.values()):
+        self._tasks.drop_reservations(until=now)
+        for task in self._tasks:
             if task.state is TaskState.RUNNING:
                 self._advance_running(task, now)
-            elif task.state is TaskState.RESERVED and task.reserved_until <= now:
-                del self._tasks_by_id[task.spec.id]
         return now
 
     def _advance_running(self, task: Task, now: datetime) -> None:
@@ -198,16 +203,16 @@
     def _start(self, task: Task, now: datetime) -> None:
         task.start(now)
         self._append(task, now, TaskEventKind.STARTED)
-        self._remember(task.spec.id, ran=True)
+        self._tasks.remember(task.spec.id, ran=True)
         if self.faults.fail_tasks:
             task.fail("failed by a fault")
             self._record(task, now)
 
     def _stop(self, task_id: str, now: datetime, mode: StopMode) -> None:
-        task = self._tasks_by_id.get(task_id)
+        task = self._tasks.get(task_id)
         if task is None or task.state is TaskState.RESERVED:
-            self._tasks_by_id.pop(task_id, None)
-            self._remember(task_id, ran=False)
+            self._tasks.drop(task_id)
+            self._tasks.remember(task_id, ran=False)
         elif task.state is TaskState.RUNNING and mode is StopMode.DISCARD:
             task.stop_at = now
             task.keeps_progress = False
@@ -215,45 +220,10 @@
             task.stop_at = now + self._checkpoint_time
             task.keeps_progress = True
 
-    def _drop_reservations(self) -> None:
-        for task in list(self._tasks_by_id.values()):
-            if task.state is TaskState.RESERVED:
-                del self._tasks_by_id[task.spec.id]
-
     def _require_lease(self) -> None:
         if self._lease_until is None or self._lease_until <= self.clock.now():
             raise WorkerRefused("the lease has lapsed")
 
-    def _require_allowed(self, specs: Iterable[TaskSpec]) -> None:
-        for spec in specs:
-            if spec.id in self._ran_by_id:
-                raise WorkerRefused(f"{spec.id} has ended or is barred")
-            if not NOTHING.fits_in(spec.shape):
-                raise WorkerRefused(f"{spec.id} has a negative shape")
-
-    def _require_room(self, specs: Iterable[TaskSpec]) -> None:
-        free = self.capacity
-        for task in self._tasks_by_id.values():
-            free = free if task.ended else free - task.spec.shape
-        for spec in specs:
-            if not spec.shape.fits_in(free):
-                raise WorkerRefused(f"no room for {spec.id}")
-            free = free - spec.shape
-
-    def _require_startable(self, task_ids: Iterable[str]) -> None:
-        for task_id in task_ids:
-            if task_id not in self._tasks_by_id and not self._ran_by_id.get(task_id, False):
-                raise WorkerRefused(f"{task_id} is not reserved")
-
-    def _known(self, task_ids: Iterable[str]) -> list[Task]:
-        return [self._tasks_by_id[key] for key in task_ids if key in self._tasks_by_id]
-
-    def _remember(self, task_id: str, ran: bool) -> None:
-        self._ran_by_id[task_id] = ran or self._ran_by_id.get(task_id, False)
-        self._ran_by_id.move_to_end(task_id)
-        while len(self._ran_by_id) > REMEMBERED_LIMIT:
-            self._ran_by_id.popitem(last=False)
-
     def _record(self, task: Task, at: datetime) -> None:
         self._append(task, at, TaskEventKind(task.state.value))
 
@@ -262,39 +232,24 @@
         self._history.append(TaskEvent(at, self.id, event, spec.id, self.epoch, spec.index))
 
     def _report(self, now: datetime) -> WorkerReport:
-        reports = tuple(t.report(now, self._usage_lag) for t in self._tasks_by_id.values())
+        reports = tuple(t.report(now, self._usage_lag) for t in self._tasks)
         states = tuple((report.id, report.state) for report in reports)
         if states != self._reported:
             self._reported = states
             self._revision += 1
-            self._changed.set()
-            self._changed = trio.Event()
+            self._wake()
         return WorkerReport(self.id, self.capacity, reports, self._boot, self._revision)
 
-    async def wait_changed(self, epoch: int, seen: int, until: datetime) -> WorkerReport:
-        """Return a report as soon as it differs from the one that was seen.
-
-        :param epoch: epoch of the holder that asks.
-        :param seen: revision that the holder has.
-        :param until: time at which the report is returned as it is.
-        :raises StaleEpoch: a newer holder has taken the worker.
-        """
-        while True:
-            now = self._enter(epoch)
-            report = self._report(now)
-            if report.revision != seen or now >= until:
-                return report
-            wake_at = min([until, *self._changes_after(now)])
-            changed = self._changed
-            with trio.move_on_after((wake_at - now).total_seconds()):
-                await changed.wait()
-
     def _changes_after(self, now: datetime) -> list[datetime]:
         """Return the times at which tasks will change by themselves."""
         times = []
-        for task in self._tasks_by_id.values():
+        for task in self._tasks:
             if task.state is TaskState.RUNNING:
                 times.append(min(task.ends_at(), self._stops_at(task)))
             elif task.state is TaskState.RESERVED:
                 times.append(task.reserved_until)
         return [max(time, now + TICK) for time in times]
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = trio.Event()
--- a/packages/mimosapoint/src/mimosapoint/memory/workers.py
+++ b/packages/mimosapoint/src/mimosapoint/memory/workers.py
@@ -42,10 +42,8 @@
     async def lease(self, address: str, request: LeaseRequest) -> WorkerReport:
         """Take or renew the lease."""
         report = await self._call(address, MemoryWorker.lease, request)
-        worker = self.workers_by_address[address]
-        until = worker.clock.now() + timedelta(seconds=request.wait)
         if request.wait > 0 and report.revision == request.seen:
-            return await worker.wait_changed(request.epoch, request.seen, until)
+            return await self._wait_changed(self.workers_by_address[address], request)
         return report
 
     async def reserve(self, address: str, request: ReserveRequest) -> WorkerReport:
@@ -72,15 +70,26 @@
         """Let the worker drop the output of ended tasks."""
         return await self._call(address, MemoryWorker.acknowledge, request)
 
+    async def _wait_changed(self, worker: MemoryWorker, request: LeaseRequest) -> WorkerReport:
+        until = worker.clock.now() + timedelta(seconds=request.wait)
+        report = await worker.wait_changed(request.epoch, request.seen, until)
+        gate = self._gate(worker)
+        await gate.before()
+        gate.after()
+        return report
+
     async def _call(self, address: str, command: Callable[..., Any], request: Any) -> Any:
         await trio.lowlevel.checkpoint()
         worker = self.workers_by_address.get(address)
         if worker is None:
             raise WorkerUnreachable(f"no worker at {address}")
-        gate = FaultGate(
-            worker.faults, worker.clock, self._timeout, WorkerRefused, WorkerUnreachable
-        )
+        gate = self._gate(worker)
         await gate.before()
         reply = command(worker, request)
         gate.after()
         return reply
+
+    def _gate(self, worker: MemoryWorker) -> FaultGate:
+        return FaultGate(
+            worker.faults, worker.clock, self._timeout, WorkerRefused, WorkerUnreachable
+        )
--- a/packages/mimosapoint/src/mimosapoint/ports/tests/contract_workers.py
+++ b/packages/mimosapoint/src/mimosapoint/ports/tests/contract_workers.py
@@ -1,6 +1,7 @@
 """Contract of the port to the workers."""
 
 import attrs
+import trio
 
 from mimosapoint.errors import StaleEpoch, WorkerRefused, WorkerUnreachable
 from mimosapoint.memory import Faults, MemoryWorker, TaskEventKind
@@ -58,6 +59,10 @@
     async def lease(self, epoch=EPOCH, ttl=60.0):
         return await self.workers.lease(self.address, LeaseRequest("n1", "klang-a", epoch, ttl))
 
+    async def wait(self, seen, wait=30.0):
+        request = LeaseRequest("n1", "klang-a", EPOCH, 60.0, wait, seen)
+        return await self.workers.lease(self.address, request)
+
     async def reserve(self, *specs, epoch=EPOCH, ttl=10.0):
         return await self.workers.reserve(self.address, ReserveRequest(epoch, specs, ttl))
 
@@ -243,6 +248,69 @@
             fixture.clock.advance(41.0)
             self.assertEqual(states(await fixture.lease(ttl=60.0)), {"t": "succeeded"})
 
+    async def test_a_waiting_renewal_answers_with_the_next_change(self):
+        quick = {"kind": "sleep", "seconds": 0.1}
+        async with self.open_workers() as fixture:
+            changes = (
+                ("reserve", lambda: fixture.reserve(spec("a")), {"a": "reserved"}),
+                ("start", lambda: fixture.start("a"), {"a": "running"}),
+                ("stop", lambda: fixture.stop("a"), {"a": "stopped"}),
+                ("acknowledge", lambda: fixture.acknowledge("a"), {}),
+                ("end", lambda: fixture.run(spec("b", quick)), {"b": "succeeded"}),
+            )
+            known = await fixture.lease()
+            for name, change, expected in changes:
+                with self.subTest(change=name):
+                    reports = await self.reports_during(fixture, known, change, expected)
+                    revisions = [known.revision, *(item.revision for item in reports)]
+                    self.assertEqual(revisions, sorted(set(revisions)))
+                    known = reports[-1]
+
+    async def reports_during(self, fixture, known, change, expected):
+        """Return what waiting renewals answer until the expected states are seen."""
+        reports = [known]
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.change_later, change)
+            with trio.fail_after(5):
+                while states(reports[-1]) != expected:
+                    reports.append(await fixture.wait(reports[-1].revision))
+        return reports[1:]
+
+    async def change_later(self, change):
+        await trio.sleep(0.02)
+        await change()
+
+    async def test_a_waiting_renewal_ends_with_its_time_or_its_epoch(self):
+        async with self.open_workers() as fixture:
+            known = await fixture.lease()
+            report = await fixture.wait(known.revision, wait=0.05)
+            self.assertEqual(report, known)
+            self.assertEqual(await fixture.wait(known.revision - 1), known)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.change_later, lambda: fixture.lease(EPOCH + 1))
+                with trio.fail_after(5), self.assertRaises(StaleEpoch):
+                    await fixture.wait(known.revision)
+
+    async def test_a_worker_that_freezes_during_a_wait_does_not_answer(self):
+        async with self.open_workers() as fixture:
+            known = await fixture.lease()
+
+            async def freeze():
+                fixture.worker.faults.become(Faults(frozen=True))
+                fixture.worker.reserve(ReserveRequest(EPOCH, (spec("a"),), 10.0))
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.change_later, freeze)
+                with self.assertRaises(WorkerUnreachable):
+                    await fixture.wait(known.revision, wait=0.3)
+
+    async def test_a_restarted_worker_has_another_boot(self):
+        boots = set()
+        for _ in range(2):
+            async with self.open_workers() as fixture:
+                boots.add((await fixture.lease()).boot)
+        self.assertEqual(len(boots), 2)
+
     async def test_faults_of_a_start(self):
         for name, faults, error, effect in FAULTS:
             with self.subTest(fault=name):
