Make a reservation a hop of the request's trace

The trace of a job ended at its owner, though house style wants a span for each hop. Reserving a traced gang now opens a span, and the worker gets its context and keeps it in its history.

--- a/packages/mimosapoint-node/src/mimosapoint_node/platform/workers.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/platform/workers.py
@@ -3,6 +3,7 @@
 from datetime import timedelta
 from typing import Any
 
+import attrs
 from mimosapoint.codec import encode
 from mimosapoint.errors import StaleEpoch, WorkerRefused, WorkerUnreachable
 from mimosapoint.model import (
@@ -66,8 +67,14 @@
         return await self._command(address, "lease", request, wait)
 
     async def reserve(self, address: str, request: ReserveRequest) -> WorkerReport:
-        """Reserve room for tasks, all of them or none."""
-        return await self._command(address, "reserve", request)
+        """Reserve room for tasks, all of them or none; a hop of the request's trace."""
+        trace = next((spec.trace for spec in request.tasks if spec.trace), None)
+        if trace is None:
+            return await self._command(address, "reserve", request)
+        with self._telemetry.span("worker-reserve", trace) as span:
+            span.set("worker", address)
+            specs = tuple(attrs.evolve(spec, trace=span.context) for spec in request.tasks)
+            return await self._command(address, "reserve", attrs.evolve(request, tasks=specs))
 
     async def start(self, address: str, request: StartRequest) -> WorkerReport:
         """Start reserved tasks."""
--- a/packages/mimosapoint/src/mimosapoint/memory/history.py
+++ b/packages/mimosapoint/src/mimosapoint/memory/history.py
@@ -30,6 +30,7 @@
     :param task: id of the task.
     :param epoch: epoch known to the worker.
     :param index: position of the task in its gang.
+    :param trace: trace context of the request.
     """
 
     time: datetime
@@ -38,3 +39,4 @@
     task: str
     epoch: int
     index: int
+    trace: str | None = None
--- a/packages/mimosapoint/src/mimosapoint/memory/worker.py
+++ b/packages/mimosapoint/src/mimosapoint/memory/worker.py
@@ -229,7 +229,9 @@
 
     def _append(self, task: Task, at: datetime, event: TaskEventKind) -> None:
         spec = task.spec
-        self._history.append(TaskEvent(at, self.id, event, spec.id, self.epoch, spec.index))
+        self._history.append(
+            TaskEvent(at, self.id, event, spec.id, self.epoch, spec.index, spec.trace)
+        )
 
     def _report(self, now: datetime) -> WorkerReport:
         reports = tuple(t.report(now, self._usage_lag) for t in self._tasks)
