Compress the stored configuration and record what it costs

A peer's news of a higher version no longer gets lost while another read is under way, and verdicts now carry the warnings of their version.

--- a/examples/target/measure.py
+++ b/examples/target/measure.py
@@ -8,8 +8,16 @@
 from pathlib import Path
 
 import attrs
-from mimosapoint.codec import decode, encode
-from mimosapoint.configuration import Configuration, ZoneMode, homes, load_configuration, problems
+from mimosapoint.codec import encode
+from mimosapoint.configuration import (
+    Configuration,
+    ConfigurationState,
+    ZoneMode,
+    homes,
+    load_configuration,
+    problems,
+)
+from mimosapoint.configuration.state import FORMAT, decode_state, encode_state
 from site_of_target import target_configuration
 
 REPEATS = 20
@@ -40,11 +48,14 @@
 
 def report(name: str, configuration: Configuration) -> None:
     """Print one line of figures."""
-    data = encode(configuration)
+    state = ConfigurationState(FORMAT, 1, configuration)
+    stored = encode_state(state)
     out = with_zone_out(configuration)
     print(
-        f"{name}: {len(homes(configuration))} homes, {len(data)} bytes, "
-        f"decode {cpu_ms(lambda _: decode(data, Configuration), configuration):.2f} ms, "
+        f"{name}: {len(homes(configuration))} homes, "
+        f"{len(encode(configuration))} bytes of JSON, {len(stored)} bytes stored, "
+        f"encode {cpu_ms(lambda _: encode_state(state), configuration):.2f} ms, "
+        f"decode {cpu_ms(lambda _: decode_state(stored), configuration):.2f} ms, "
         f"problems {cpu_ms(problems, configuration):.2f} ms, "
         f"homes {cpu_ms(homes, configuration):.2f} ms, "
         f"homes with a zone out {cpu_ms(homes, out):.2f} ms"
--- a/packages/mimosapoint/src/mimosapoint/configuration/_archive.py
+++ b/packages/mimosapoint/src/mimosapoint/configuration/_archive.py
@@ -1,9 +1,10 @@
 """Earlier versions in the store, written behind the commit."""
 
+import attrs
 import trio
 
-from mimosapoint.codec import decode, encode
 from mimosapoint.configuration.document import Configuration
+from mimosapoint.configuration.state import ConfigurationState, decode_state, encode_state
 from mimosapoint.errors import CompareFailed, MimosapointError, PatchNotFound
 from mimosapoint.ports.store import ABSENT, Store
 from mimosapoint.ports.telemetry import Telemetry
@@ -32,25 +33,26 @@
         self._store = store
         self._telemetry = telemetry
         self._retention = retention
-        self._sender, self._receiver = trio.open_memory_channel[Configuration](BACKLOG)
+        self._sender, self._receiver = trio.open_memory_channel[ConfigurationState](BACKLOG)
 
-    def keep(self, configuration: Configuration) -> None:
+    def keep(self, state: ConfigurationState) -> None:
         """Have a version written soon; it is dropped when too many wait."""
         if self._retention == 0:
             return
         try:
-            self._sender.send_nowait(configuration)
+            self._sender.send_nowait(attrs.evolve(state, patches=()))
         except trio.WouldBlock:
-            self._telemetry.event("configuration-not-archived", version=configuration.version)
+            version = state.configuration.version
+            self._telemetry.event("configuration-not-archived", version=version)
 
     async def run(self) -> None:
         """Write what waits, one version at a time."""
-        async for configuration in self._receiver:
+        async for state in self._receiver:
+            version = state.configuration.version
             try:
-                await self._write(configuration)
-                await self._prune(configuration.version - self._retention)
+                await self._write(state)
+                await self._prune(version - self._retention)
             except MimosapointError as error:
-                version = configuration.version
                 self._telemetry.event(
                     "configuration-not-archived", version=version, code=error.code
                 )
@@ -63,12 +65,12 @@
         entry = await self._store.get(version_key(version))
         if entry is None:
             raise PatchNotFound(f"version {version} is not kept")
-        return decode(entry.value, Configuration)
+        return decode_state(entry.value).configuration
 
-    async def _write(self, configuration: Configuration) -> None:
-        key = version_key(configuration.version)
+    async def _write(self, state: ConfigurationState) -> None:
+        key = version_key(state.configuration.version)
         try:
-            await self._store.compare_and_swap(key, encode(configuration), ABSENT)
+            await self._store.compare_and_swap(key, encode_state(state), ABSENT)
         except CompareFailed:
             pass  # an earlier write of the same version
 
--- a/packages/mimosapoint/src/mimosapoint/configuration/_commit.py
+++ b/packages/mimosapoint/src/mimosapoint/configuration/_commit.py
@@ -15,7 +15,7 @@
     digest,
     encode_state,
 )
-from mimosapoint.configuration.validation import problems
+from mimosapoint.configuration.validation import problems, warnings
 from mimosapoint.errors import (
     CodecError,
     CompareFailed,
@@ -144,21 +144,19 @@
 
     def _judge(self, patch: Patch, state: ConfigurationState) -> ConfigurationState:
         """Return the state that follows the patch, be it accepted or rejected."""
+        record = PatchRecord(patch.id, digest(patch), patch.base, 0, False, at=self._clock.now())
         configuration = state.configuration
-        reasons: tuple[str, ...] = ()
         try:
             configuration = patched(configuration, patch)
         except ConfigurationInvalid as error:
-            reasons = _bounded(error.reasons)
-        record = PatchRecord(
-            patch.id,
-            digest(patch),
-            patch.base,
-            0 if reasons else configuration.version,
-            not reasons,
-            reasons,
-            self._clock.now(),
-        )
+            record = attrs.evolve(record, reasons=_bounded(error.reasons))
+        else:
+            record = attrs.evolve(
+                record,
+                accepted=True,
+                version=configuration.version,
+                warnings=_bounded(warnings(configuration)),
+            )
         return state.after(record, configuration, self._settings.patch_log)
 
     async def _load(self) -> tuple[ConfigurationState, int]:
--- a/packages/mimosapoint/src/mimosapoint/configuration/patch.py
+++ b/packages/mimosapoint/src/mimosapoint/configuration/patch.py
@@ -29,6 +29,7 @@
     :param accepted: whether it became a version.
     :param version: version that it made; 0 when it was rejected.
     :param reasons: why it was rejected, each with the path of the field.
+    :param warnings: what its version leaves wanting, each with the path of the field.
     :param nodes_in_force: ids of the live nodes that have the version in force.
     :param nodes_pending: ids of the live nodes that have not confirmed it.
     """
@@ -39,3 +40,4 @@
     reasons: tuple[str, ...] = ()
     nodes_in_force: tuple[str, ...] = ()
     nodes_pending: tuple[str, ...] = ()
+    warnings: tuple[str, ...] = ()
--- a/packages/mimosapoint/src/mimosapoint/configuration/service.py
+++ b/packages/mimosapoint/src/mimosapoint/configuration/service.py
@@ -70,6 +70,8 @@
         self._wake = trio.Event()
         self._installed = trio.Event()
         self._callbacks: list[Callable[[Configuration], None]] = []
+        self._seen = EMPTY
+        self._seen_bytes = b""
         self._checked_at = clock.now()
         self._poll_age = settings.poll_after
         self._archive = Archive(store, telemetry, settings.versions_kept)
@@ -218,17 +220,26 @@
         :raises NewerFormat: a newer program wrote it.
         :raises StoreUnavailable: the store has lost or hides a version that was in force.
         """
-        stored = EMPTY if entry is None else decode_state(entry.value)
+        stored = self._decoded(entry)
         if stored.configuration.version < self.current.version:
             await self._restore(entry, stored)
         self._install(stored)
         self._confirm(sent_at)
         return stored
 
+    def _decoded(self, entry: Entry | None) -> ConfigurationState:
+        """Return the stored state; the bytes that were seen last are not decoded again."""
+        if entry is None:
+            return EMPTY
+        if entry.value != self._seen_bytes:
+            self._seen = decode_state(entry.value)
+            self._seen_bytes = entry.value
+        return self._seen
+
     def committed(self, state: ConfigurationState, sent_at: datetime) -> None:
         """Take a state that this node has written."""
-        previous = self.current
-        if self._install(state) and previous.version > 0:
+        previous = self.state
+        if self._install(state) and previous.configuration.version > 0:
             self._archive.keep(previous)
         self._confirm(sent_at)
 
@@ -247,7 +258,6 @@
 
     async def _read(self) -> bool:
         """Read the store once; return whether it answered with the newest version."""
-        self._wake = trio.Event()
         self._checked_at = self._clock.now()
         share = 1 + POLL_JITTER * self._random.random()
         self._poll_age = self._settings.poll_after * share
@@ -276,5 +286,6 @@
 
     async def _pause(self, duration: timedelta) -> None:
         """Wait for the duration, or until a peer knows a higher version."""
+        self._wake = trio.Event()
         with trio.move_on_after(max(0.0, duration.total_seconds())):
             await self._wake.wait()
--- a/packages/mimosapoint/src/mimosapoint/configuration/state.py
+++ b/packages/mimosapoint/src/mimosapoint/configuration/state.py
@@ -1,5 +1,6 @@
 """What the store holds and nodes exchange: a version and the latest verdicts on patches."""
 
+import zlib
 from datetime import datetime
 from hashlib import sha256
 
@@ -22,6 +23,8 @@
 
 FORMAT = 1
 """Number of the stored format; a higher one belongs to a newer program."""
+MAGIC = b"mimosapoint-configuration "
+"""Start of a stored state."""
 
 
 @attrs.frozen
@@ -35,6 +38,7 @@
     :param accepted: whether it became a version.
     :param reasons: why it was rejected.
     :param at: time of the verdict.
+    :param warnings: what its version leaves wanting.
     """
 
     id: str
@@ -44,10 +48,13 @@
     accepted: bool
     reasons: tuple[str, ...] = ()
     at: datetime | None = None
+    warnings: tuple[str, ...] = ()
 
     def status(self) -> PatchStatus:
         """Return the verdict as operators see it."""
-        return PatchStatus(self.id, self.accepted, self.version, self.reasons)
+        return PatchStatus(
+            self.id, self.accepted, self.version, self.reasons, warnings=self.warnings
+        )
 
 
 @attrs.frozen
@@ -92,8 +99,19 @@
 
 
 def encode_state(state: ConfigurationState) -> bytes:
-    """Encode a state for the store."""
-    return encode(state)
+    """Encode a state for the store: a line with the format number, then compressed JSON."""
+    return MAGIC + str(state.format).encode() + b"\n" + zlib.compress(encode(state))
+
+
+def _format_number(head: bytes) -> int:
+    """Return the number in the first line.
+
+    :raises CodecError: the line is not that of a state.
+    """
+    number = head.removeprefix(MAGIC)
+    if not head.startswith(MAGIC) or not number.isdigit():
+        raise CodecError("not a configuration state: no format number")
+    return int(number)
 
 
 def decode_state(data: bytes) -> ConfigurationState:
@@ -102,12 +120,11 @@
     :raises NewerFormat: a newer program wrote it.
     :raises CodecError: the bytes are not a state.
     """
-    try:
-        found = orjson.loads(data)["format"]
-    except (orjson.JSONDecodeError, TypeError, KeyError) as error:
-        raise CodecError(f"not a configuration state: {error}") from error
-    if not isinstance(found, int):
-        raise CodecError("not a configuration state: no format number")
+    head, _, body = data.partition(b"\n")
+    found = _format_number(head)
     if found > FORMAT:
         raise NewerFormat(found)
-    return decode(data, ConfigurationState)
+    try:
+        return decode(zlib.decompress(body), ConfigurationState)
+    except zlib.error as error:
+        raise CodecError(f"not a configuration state: {error}") from error
--- a/packages/mimosapoint/src/mimosapoint/configuration/tests/test_service.py
+++ b/packages/mimosapoint/src/mimosapoint/configuration/tests/test_service.py
@@ -65,6 +65,14 @@
         self.assertEqual((status.accepted, status.version), (True, 2))
         self.assertEqual(service.current.zones_by_id["a"].mode.value, "out")
 
+    async def test_guarantees_without_room_are_told_with_the_verdict(self):
+        service = self.node()
+        await service.bootstrap(site(rack_gang("g", 9, 2)))
+        status = await service.apply(zone_mode("p1", 1))
+        told = "/workspaces/desk/guarantees/0: 1 of 2 held only in zones out of service: a"
+        self.assertEqual(status.warnings, (told,))
+        self.assertEqual(await service.apply(zone_mode("p1", 1)), status)
+
     async def test_a_repeated_id_gets_its_first_verdict(self):
         service = self.node()
         await service.bootstrap(site(rack_gang("g", 8)))
@@ -199,6 +207,8 @@
     async def test_a_relayed_higher_version_stops_starts_and_is_read_at_once(self):
         async with trio.open_nursery() as nursery:
             service = await self.started(nursery)
+            with self.assertRaises(PatchNotFound):
+                await service.verdict("p1")
             await self.node("n2").apply(zone_mode("p1", 1))
             service.relay(2, self.clock.now())
             self.assertFalse(service.fresh(self.clock.now()))
