--- a/packages/mimosapoint/src/mimosapoint/errors.py
+++ b/packages/mimosapoint/src/mimosapoint/errors.py
@@ -6,6 +6,9 @@
 __all__ = [
     "AnswerNotReady",
     "BadRequest",
+    "CircuitOpen",
+    "BodyTimeout",
+    "BodyTooLarge",
     "CodecError",
     "CompareFailed",
     "ConfigurationInvalid",
@@ -14,6 +17,8 @@
     "IdempotencyConflict",
     "JobNotFound",
     "LeaseLost",
+    "MessageTooLarge",
+    "MethodNotAllowed",
     "MimosapointError",
     "NeverFits",
     "NewerFormat",
@@ -23,10 +28,14 @@
     "PatchConflict",
     "PatchNotFound",
     "PeerUnreachable",
+    "RouteNotFound",
     "SettingsInvalid",
+    "ShuttingDown",
     "StaleEpoch",
     "StoreTimeout",
     "StoreUnavailable",
+    "UnknownMessage",
+    "Unauthenticated",
     "UnknownService",
     "UnknownWorkspace",
     "ValueTooLarge",
@@ -244,6 +253,24 @@
     code = "peer-unreachable"
 
 
+class UnknownMessage(MimosapointError):
+    """The peer does not serve this message; it had no effect."""
+
+    code = "unknown-message"
+
+
+class MessageTooLarge(MimosapointError):
+    """The message or its reply is over the limit between peers."""
+
+    code = "message-too-large"
+
+
+class CircuitOpen(MimosapointError):
+    """Calls to a failing dependency are suspended; the call was not sent."""
+
+    code = "circuit-open"
+
+
 class VmListUnavailable(MimosapointError):
     """The list of VMs cannot be read."""
 
@@ -260,3 +287,46 @@
     """The worker refused the command; it had no effect."""
 
     code = "worker-refused"
+
+
+class RouteNotFound(MimosapointError):
+    """The HTTP interface has no such path."""
+
+    code = "route-not-found"
+
+
+class MethodNotAllowed(MimosapointError):
+    """The path exists, but not with this method.
+
+    :param allowed: methods of the path, in alphabetical order.
+    """
+
+    code = "method-not-allowed"
+
+    def __init__(self, allowed: tuple[str, ...]):
+        super().__init__(f"allowed: {', '.join(allowed)}")
+        self.allowed = allowed
+
+
+class BodyTooLarge(MimosapointError):
+    """The body of the request is over the limit."""
+
+    code = "body-too-large"
+
+
+class BodyTimeout(MimosapointError):
+    """The body of the request did not arrive in time."""
+
+    code = "body-timeout"
+
+
+class Unauthenticated(MimosapointError):
+    """The caller has not shown who it is."""
+
+    code = "unauthenticated"
+
+
+class ShuttingDown(MimosapointError):
+    """The node is stopping; the request was not accepted."""
+
+    code = "shutting-down"
--- a/packages/mimosapoint/src/mimosapoint/scheduling/__init__.py
+++ b/packages/mimosapoint/src/mimosapoint/scheduling/__init__.py
@@ -1,7 +1,10 @@
 """Decisions: which gang runs where, and which gives way."""
 
 from mimosapoint.scheduling.fifo import FifoFirstFit
+from mimosapoint.scheduling.guaranteed import GuaranteedShapes, Packed, UrgentLane
+from mimosapoint.scheduling.invariant import invariant_broken
 from mimosapoint.scheduling.registry import Policy, make_policy, policy_names, scheduling_policy
+from mimosapoint.scheduling.summary import summarize
 from mimosapoint.scheduling.view import (
     Assignment,
     Decision,
@@ -9,6 +12,7 @@
     Reclaim,
     Refusal,
     WorkerView,
+    ZoneSummary,
     ZoneView,
 )
 
@@ -16,13 +20,19 @@
     "Assignment",
     "Decision",
     "FifoFirstFit",
+    "GuaranteedShapes",
     "Move",
+    "Packed",
     "Policy",
     "Reclaim",
     "Refusal",
+    "UrgentLane",
     "WorkerView",
+    "ZoneSummary",
     "ZoneView",
+    "invariant_broken",
     "make_policy",
     "policy_names",
     "scheduling_policy",
+    "summarize",
 ]
