Run the configuration's tests over the shared in-memory store

The tests had a store, a clock and a telemetry of their own, written before the shared ones existed; 101 lines of fakes shrink to 59 that only script faults. The telemetry is strict, so an undeclared event fails. A new test fails when a confirmation counts from the answer of a read rather than from its sending; before it that fault went unseen.

--- a/packages/mimosapoint/src/mimosapoint/configuration/tests/_fakes.py
+++ b/packages/mimosapoint/src/mimosapoint/configuration/tests/_fakes.py
@@ -1,101 +1,59 @@
-"""In-memory store, clock and telemetry for the tests of this subpackage."""
+"""Store with scripted faults and a clock that jumps, for the tests of this subpackage."""
 
-from contextlib import contextmanager
-from datetime import datetime, timedelta, timezone
+from datetime import timedelta
+from functools import partial
 
 import trio
 
-from mimosapoint.errors import CompareFailed, StoreTimeout, StoreUnavailable, ValueTooLarge
-from mimosapoint.ports.store import ABSENT, VALUE_LIMIT_BYTES, Entry
+from mimosapoint.errors import StoreTimeout, StoreUnavailable
+from mimosapoint.memory import MemoryStore, TrioClock
 
-EPOCH = datetime(2026, 12, 3, tzinfo=timezone.utc)
+KEY = "configuration"
 LATENCY = 0.002
 """Seconds that each call of the store takes, on its way in and on its way out."""
 
 
-class TrioClock:
-    """Clock that follows trio's, so that a mock clock drives it."""
+class JumpingClock(TrioClock):
+    """Clock that can leap ahead, as after a pause of the process."""
 
-    def __init__(self):
-        self.paused = timedelta()
+    leap = timedelta()
 
     def now(self):
-        return EPOCH + timedelta(seconds=trio.current_time()) + self.paused
+        return super().now() + self.leap
 
-    async def sleep(self, duration):
-        await trio.sleep(duration.total_seconds())
 
+class ScriptedStore(MemoryStore):
+    """Store whose ``fates`` befall the next calls: pairs of a method and a fault."""
 
-class FakeStore:
-    """Linearizable store; ``faults`` holds the fates of the next calls of a method."""
+    def __init__(self, clock):
+        super().__init__(clock)
+        self.fates = []
 
-    def __init__(self):
-        self.entries_by_key = {}
-        self.revision = 0
-        self.out = False
-        self.calls = []
-        self.faults = []
-
-    async def _call(self, method, key, action):
-        self.calls.append((method, key))
-        fault = self._fault(method, key)
-        await trio.sleep(LATENCY)
-        if self.out or fault == "refused":
-            raise StoreUnavailable()
-        if fault == "lost-request":
-            raise StoreTimeout()
-        result = action()
-        await trio.sleep(LATENCY)
-        if fault == "lost-answer":
-            raise StoreTimeout()
-        return result
-
-    def _fault(self, method, key):
-        for index, (wanted, fault) in enumerate(self.faults):
-            if wanted == method and key == "configuration":
-                del self.faults[index]
-                return fault
-        return None
+    def held(self):
+        """Return the entry of the configuration."""
+        return self._entries_by_key.get(KEY)
 
     async def get(self, key):
-        return await self._call("get", key, lambda: self.entries_by_key.get(key))
+        return await self._fated("get", key, partial(super().get, key))
 
     async def compare_and_swap(self, key, value, expected, lease=None):
-        return await self._call("cas", key, lambda: self._swap(key, value, expected))
-
-    async def delete(self, key, expected):
-        await self._call("delete", key, lambda: self.entries_by_key.pop(key, None))
-
-    def _swap(self, key, value, expected):
-        entry = self.entries_by_key.get(key)
-        current = ABSENT if entry is None else entry.revision
-        if current != expected:
-            raise CompareFailed(current)
-        if len(value) > VALUE_LIMIT_BYTES:
-            raise ValueTooLarge()
-        self.revision += 1
-        self.entries_by_key[key] = Entry(key, value, self.revision)
-        return self.revision
-
+        swap = partial(super().compare_and_swap, key, value, expected, lease)
+        return await self._fated("cas", key, swap)
 
-class Events:
-    """Telemetry that keeps the events."""
-
-    def __init__(self):
-        self.events = []
-
-    def event(self, name, **fields):
-        self.events.append((name, fields))
-
-    def count(self, name, amount=1, **labels):
-        pass
-
-    def gauge(self, name, value, **labels):
-        pass
-
-    def observe(self, name, value, **labels):
-        pass
+    def _fate(self, method, key):
+        for index, (wanted, fault) in enumerate(self.fates):
+            if wanted == method and key == KEY:
+                del self.fates[index]
+                return fault
+        return None
 
-    @contextmanager
-    def span(self, name, parent=None):
-        yield None
+    async def _fated(self, method, key, call):
+        fate = self._fate(method, key)
+        await trio.sleep(LATENCY)
+        if fate in ("refused", "lost-request"):
+            raise StoreUnavailable() if fate == "refused" else StoreTimeout()
+        result = await call()
+        await trio.sleep(LATENCY)
+        if fate == "lost-answer":
+            raise StoreTimeout()
+        return result
--- a/packages/mimosapoint/src/mimosapoint/configuration/tests/test_races.py
+++ b/packages/mimosapoint/src/mimosapoint/configuration/tests/test_races.py
@@ -10,9 +10,10 @@
 from mimosapoint.configuration import ConfigurationService, Patch
 from mimosapoint.configuration.operations import patched
 from mimosapoint.configuration.state import decode_state
-from mimosapoint.configuration.tests._fakes import Events, FakeStore, TrioClock
+from mimosapoint.configuration.tests._fakes import ScriptedStore
 from mimosapoint.configuration.tests._sites import rack_gang, site
 from mimosapoint.errors import (
+    CompareFailed,
     ConfigurationInvalid,
     ConfigurationStale,
     MimosapointError,
@@ -20,7 +21,9 @@
     StoreTimeout,
     StoreUnavailable,
 )
+from mimosapoint.memory import MemoryStore, TrioClock
 from mimosapoint.settings import ConfigurationSettings
+from mimosapoint.telemetry import MemoryTelemetry
 from mimosapoint.testing import TrioTestCase
 
 SEEDS = range(40)
@@ -41,23 +44,23 @@
 """Path and new value of each change; the last one is never valid."""
 
 
-class FaultyStore(FakeStore):
+class FaultyStore(ScriptedStore):
     """Store with random latency and faults; a late write lands after its caller gave up."""
 
-    def __init__(self, random, nursery):
-        super().__init__()
+    def __init__(self, clock, random, nursery):
+        super().__init__(clock)
         self._random = random
         self._nursery = nursery
         self.faulty = False
 
-    def _fault(self, method, key):
+    def _fate(self, method, key):
         if not self.faulty or self._random.random() > FAULT_SHARE:
             return None
         return self._random.choice(FAULTS)
 
-    async def _call(self, method, key, action):
+    async def _fated(self, method, key, call):
         await trio.sleep(self._random.random() / 100)
-        return await super()._call(method, key, action)
+        return await super()._fated(method, key, call)
 
     async def compare_and_swap(self, key, value, expected, lease=None):
         if self.faulty and self._random.random() < FAULT_SHARE / 2:
@@ -68,9 +71,9 @@
     async def _land_late(self, key, value, expected):
         await trio.sleep(self._random.random() * LATE_SECONDS)
         try:
-            self._swap(key, value, expected)
-        except MimosapointError:
-            pass
+            await MemoryStore.compare_and_swap(self, key, value, expected)
+        except CompareFailed:
+            pass  # another write came first
 
 
 class History:
@@ -84,7 +87,7 @@
 
     async def run(self):
         async with trio.open_nursery() as background:
-            store = FaultyStore(self.random, background)
+            store = FaultyStore(TrioClock(), self.random, background)
             services = [self._service(f"n{n}", store) for n in range(NODES)]
             self.first = site(rack_gang("g", 8))
             await services[0].bootstrap(self.first)
@@ -96,13 +99,13 @@
                     operators.start_soon(self._operate, f"o{number}", services)
             store.faulty = False
             await trio.sleep(10)
-            self.final = decode_state(store.entries_by_key["configuration"].value)
+            self.final = decode_state(store.held().value)
             self.currents = [service.current for service in services]
             background.cancel_scope.cancel()
 
     def _service(self, id, store):
         settings = ConfigurationSettings(settle_timeout=SETTLE_TIMEOUT)
-        service = ConfigurationService(id, store, TrioClock(), Events(), settings)
+        service = ConfigurationService(id, store, TrioClock(), MemoryTelemetry(True), settings)
         installed = self.installed_by_node.setdefault(id, [])
         service.on_install(lambda configuration: installed.append(configuration.version))
         return service
--- a/packages/mimosapoint/src/mimosapoint/configuration/tests/test_service.py
+++ b/packages/mimosapoint/src/mimosapoint/configuration/tests/test_service.py
@@ -1,12 +1,13 @@
 """Tests of the configuration service over an in-memory store."""
 
 from datetime import timedelta
+from functools import cached_property
 
 import trio
 
 from mimosapoint.configuration import ConfigurationService, ConfigurationState, Patch
 from mimosapoint.configuration.state import FORMAT, decode_state, encode_state
-from mimosapoint.configuration.tests._fakes import Events, FakeStore, TrioClock
+from mimosapoint.configuration.tests._fakes import KEY, JumpingClock, ScriptedStore
 from mimosapoint.configuration.tests._sites import rack_gang, site
 from mimosapoint.errors import (
     ConfigurationInvalid,
@@ -17,11 +18,11 @@
     PatchNotFound,
     StoreUnavailable,
 )
-from mimosapoint.ports.store import Entry
+from mimosapoint.ports import ABSENT
 from mimosapoint.settings import ConfigurationSettings
+from mimosapoint.telemetry import MemoryTelemetry
 from mimosapoint.testing import TrioTestCase
 
-KEY = "configuration"
 SECOND = timedelta(seconds=1)
 FIRST_READ = ("get", "none")
 """Lets the read that precedes a write pass."""
@@ -40,10 +41,17 @@
 class ServiceCase(TrioTestCase):
     mock_clock = True
 
-    def setUp(self):
-        self.store = FakeStore()
-        self.clock = TrioClock()
-        self.telemetry = Events()
+    @cached_property
+    def clock(self):
+        return JumpingClock()
+
+    @cached_property
+    def store(self):
+        return ScriptedStore(self.clock)
+
+    @cached_property
+    def telemetry(self):
+        return MemoryTelemetry(strict=True)
 
     def node(self, id="n1", **settings):
         made = ConfigurationSettings(**settings)
@@ -51,7 +59,7 @@
 
     async def started(self, nursery, id="n1", **settings):
         service = self.node(id, **settings)
-        if KEY not in self.store.entries_by_key:
+        if self.store.held() is None:
             await service.bootstrap(site(rack_gang("g", 8)))
         await nursery.start(service.run)
         return service
@@ -134,13 +142,13 @@
         )
         for faults in cases:
             with self.subTest(faults=faults):
-                self.store = FakeStore()
+                self.store = ScriptedStore(self.clock)
                 service = self.node()
                 await service.bootstrap(site(rack_gang("g", 8)))
-                self.store.faults = [FIRST_READ, *faults]
+                self.store.fates = [FIRST_READ, *faults]
                 status = await service.apply(zone_mode("p1", 1))
                 self.assertEqual(status.version, 2)
-                stored = decode_state(self.store.entries_by_key[KEY].value)
+                stored = decode_state(self.store.held().value)
                 self.assertEqual([record.id for record in stored.patches], ["p1"])
 
     async def test_an_outage_is_told_truthfully(self):
@@ -152,24 +160,24 @@
         )
         for faults, expected in cases:
             with self.subTest(faults=faults[:2]):
-                self.store = FakeStore()
+                self.store = ScriptedStore(self.clock)
                 service = self.node()
                 await service.bootstrap(site(rack_gang("g", 8)))
-                self.store.faults = faults
+                self.store.fates = faults
                 with self.assertRaises(expected):
                     await service.apply(zone_mode("p1", 1))
-                took_effect = decode_state(self.store.entries_by_key[KEY].value).patches != ()
+                took_effect = decode_state(self.store.held().value).patches != ()
                 self.assertEqual(took_effect, expected is OutcomeUnknown)
 
     async def test_a_newer_format_is_never_overwritten(self):
         state = ConfigurationState(FORMAT + 1, 1, site(rack_gang("g", 8), version=1))
-        self.store.entries_by_key[KEY] = Entry(KEY, encode_state(state), 1)
+        await self.store.compare_and_swap(KEY, encode_state(state), ABSENT)
         service = self.node()
         with self.assertRaises(NewerFormat):
             await service.apply(zone_mode("p1", 1))
         with self.assertRaises(NewerFormat):
             await service.bootstrap(site())
-        self.assertEqual(self.store.entries_by_key[KEY].revision, 1)
+        self.assertEqual(self.store.held().revision, 1)
 
 
 class FreshnessTest(ServiceCase):
@@ -184,24 +192,24 @@
     async def test_a_node_is_not_fresh_after_an_outage_or_a_pause(self):
         async with trio.open_nursery() as nursery:
             service = await self.started(nursery)
-            self.store.out = True
+            self.store.faults.refuse = True
             await trio.sleep(2)
             self.assertFalse(service.fresh(self.clock.now()))
-            self.store.out = False
+            self.store.faults.refuse = False
             await trio.sleep(3)
             self.assertTrue(service.fresh(self.clock.now()))
-            self.clock.paused += timedelta(seconds=5)
+            self.clock.leap += timedelta(seconds=5)
             self.assertFalse(service.fresh(self.clock.now()))
             nursery.cancel_scope.cancel()
 
     async def test_relayed_confirmations_spare_reads(self):
         async with trio.open_nursery() as nursery:
             service = await self.started(nursery)
-            before = len(self.store.calls)
+            before = self.store.counts.total()
             for _ in range(100):
                 await trio.sleep(0.1)
                 service.relay(1, self.clock.now())
-            self.assertEqual(len(self.store.calls), before)
+            self.assertEqual(self.store.counts.total(), before)
             nursery.cancel_scope.cancel()
 
     async def test_a_relayed_higher_version_stops_starts_and_is_read_at_once(self):
@@ -216,6 +224,16 @@
             self.assertTrue(service.fresh(self.clock.now()))
             nursery.cancel_scope.cancel()
 
+    async def test_a_confirmation_counts_from_before_the_read_was_sent(self):
+        await self.node("n0").bootstrap(site(rack_gang("g", 8)))
+        service = self.node()
+        async with trio.open_nursery() as nursery:
+            sent_at = self.clock.now()
+            await nursery.start(service.run)
+            self.assertEqual(service.confirmed_at, sent_at)
+            self.assertGreater(self.clock.now(), sent_at)
+            nursery.cancel_scope.cancel()
+
     async def test_a_confirmation_from_the_future_counts_as_of_now(self):
         async with trio.open_nursery() as nursery:
             service = await self.started(nursery)
@@ -234,17 +252,16 @@
     async def test_versions_never_fall(self):
         async with trio.open_nursery() as nursery:
             service = await self.started(nursery)
-            old = self.store.entries_by_key[KEY]
+            old = self.store.held()
             seen = []
             service.on_install(lambda configuration: seen.append(configuration.version))
             await service.apply(zone_mode("p1", 1))
             newest = service.state
             self.assertFalse(service.offer(decode_state(old.value), self.clock.now()))
-            self.store.entries_by_key[KEY] = Entry(KEY, old.value, 99)
-            self.store.revision = 99
+            await self.store.compare_and_swap(KEY, old.value, self.store.held().revision)
             await trio.sleep(3)
             self.assertEqual(service.state, newest)
-            self.assertEqual(decode_state(self.store.entries_by_key[KEY].value), newest)
+            self.assertEqual(decode_state(self.store.held().value), newest)
             self.assertEqual(seen, [2])
             nursery.cancel_scope.cancel()
 
@@ -253,7 +270,7 @@
             first = await self.started(nursery, "n1")
             second = await self.started(nursery, "n2")
             await first.apply(zone_mode("p1", 1))
-            self.store.out = True
+            self.store.faults.refuse = True
             self.assertTrue(second.offer(first.state, first.confirmed_at))
             self.assertFalse(second.offer(first.state, first.confirmed_at))
             self.assertEqual(second.current, first.current)
@@ -264,13 +281,13 @@
 
     async def test_a_node_starts_once_the_store_is_back(self):
         await self.node("n0").bootstrap(site(rack_gang("g", 8)))
-        self.store.out = True
+        self.store.faults.refuse = True
         service = self.node()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(service.run)
             await trio.sleep(30)
             self.assertEqual(service.current.version, 0)
-            self.store.out = False
+            self.store.faults.refuse = False
             self.assertTrue(await service.wait_for(1, 5 * SECOND))
             nursery.cancel_scope.cancel()
 
