Tell faults of values and of names of a configuration together

Operators had to mend types and ranges before they learnt of dangling names, and a changed region hid behind both. Faulty keys with defaults are now set aside and the rest is checked in the same go; the two places that decoded and checked became one.

--- a/packages/mimosapoint/src/mimosapoint/codec/strict.py
+++ b/packages/mimosapoint/src/mimosapoint/codec/strict.py
@@ -1,6 +1,7 @@
 """Decoding of documents that people write: every fault at once, each with its JSON pointer."""
 
 import math
+from collections.abc import Iterator
 from datetime import timedelta
 from enum import Enum
 from typing import Any, TypeVar
@@ -13,7 +14,7 @@
 
 from mimosapoint.codec.rules import RULE_KEY, Rule
 
-__all__ = ["DocumentInvalid", "decode_document", "document_key", "pointer"]
+__all__ = ["DocumentInvalid", "Fault", "decode_document", "document_key", "pointer"]
 T = TypeVar("T")
 
 BY_ID_SUFFIX = "_by_id"
@@ -21,15 +22,37 @@
 """Ending of the key of a duration; its value is a number of seconds."""
 
 
+@attrs.frozen
+class Fault:
+    """One fault of a document.
+
+    :param path: keys and indices that lead to it.
+    :param text: what is wrong.
+    """
+
+    path: tuple[object, ...]
+    text: str
+
+    @property
+    def reason(self) -> str:
+        """The fault as ``<JSON pointer>: <text>``."""
+        return f"{pointer(*self.path) or '/'}: {self.text}"
+
+
 class DocumentInvalid(Exception):
     """The document has faults.
 
-    :param reasons: every fault, each as ``<pointer>: <fault>``.
+    :param faults: every fault.
     """
 
-    def __init__(self, reasons: tuple[str, ...]):
-        super().__init__("; ".join(reasons))
-        self.reasons = reasons
+    def __init__(self, faults: tuple[Fault, ...]):
+        super().__init__("; ".join(fault.reason for fault in faults))
+        self.faults = faults
+
+    @property
+    def reasons(self) -> tuple[str, ...]:
+        """Every fault as text."""
+        return tuple(fault.reason for fault in self.faults)
 
 
 def pointer(*parts: object) -> str:
@@ -192,17 +215,17 @@
     return found
 
 
-def _reasons(error: Exception, path: tuple[object, ...]) -> list[str]:
+def _faults(error: Exception, path: tuple[object, ...] = ()) -> Iterator[Fault]:
     if isinstance(error, cattrs.BaseValidationError):
-        return [
-            reason for step, child in _children(error) for reason in _reasons(child, (*path, *step))
-        ]
-    if isinstance(error, cattrs.ForbiddenExtraKeysError):
-        keys = sorted(map(str, error.extra_fields))
-        return [f"{pointer(*path, key)}: unknown key" for key in keys]
-    if isinstance(error, KeyError):
-        return [f"{pointer(*path)}: required"]
-    return [f"{pointer(*path) or '/'}: {error}"]
+        for step, child in _children(error):
+            yield from _faults(child, (*path, *step))
+    elif isinstance(error, cattrs.ForbiddenExtraKeysError):
+        for key in sorted(map(str, error.extra_fields)):
+            yield Fault((*path, key), "unknown key")
+    elif isinstance(error, KeyError):
+        yield Fault(path, "required")
+    else:
+        yield Fault(path, str(error))
 
 
 def decode_document(value: Any, kind: type[T]) -> T:
@@ -215,4 +238,4 @@
     try:
         return _converter.structure(value, kind)
     except (cattrs.BaseValidationError, TypeError, ValueError, KeyError) as error:
-        raise DocumentInvalid(tuple(_reasons(error, ()))) from error
+        raise DocumentInvalid(tuple(_faults(error))) from error
--- a/packages/mimosapoint/src/mimosapoint/configuration/__init__.py
+++ b/packages/mimosapoint/src/mimosapoint/configuration/__init__.py
@@ -13,11 +13,11 @@
     ZoneMode,
 )
 from mimosapoint.configuration.homes import Home, HomeKey, homes
-from mimosapoint.configuration.loading import load_configuration, load_patch, parse_configuration
+from mimosapoint.configuration.loading import load_configuration, load_patch
 from mimosapoint.configuration.patch import Patch, PatchStatus
 from mimosapoint.configuration.service import ConfigurationService
 from mimosapoint.configuration.state import ConfigurationState, PatchRecord
-from mimosapoint.configuration.validation import problems, warnings
+from mimosapoint.configuration.validation import parse_configuration, problems, warnings
 
 __all__ = [
     "Capacity",
--- a/packages/mimosapoint/src/mimosapoint/configuration/loading.py
+++ b/packages/mimosapoint/src/mimosapoint/configuration/loading.py
@@ -8,10 +8,10 @@
 from mimosapoint.codec.strict import DocumentInvalid, decode_document
 from mimosapoint.configuration.document import Configuration
 from mimosapoint.configuration.patch import Patch
-from mimosapoint.configuration.validation import content_problems
+from mimosapoint.configuration.validation import parse_configuration
 from mimosapoint.errors import ConfigurationInvalid
 
-__all__ = ["load_configuration", "load_patch", "parse_configuration"]
+__all__ = ["load_configuration", "load_patch"]
 
 
 def _read(path: str | Path) -> Any:
@@ -23,22 +23,6 @@
         raise ConfigurationInvalid(f"{path}: not YAML: {error}") from error
 
 
-def parse_configuration(document: Any) -> Configuration:
-    """Turn a document into a valid configuration.
-
-    :param document: plain values, as YAML or JSON gives them.
-    :raises ConfigurationInvalid: with every reason.
-    """
-    try:
-        configuration = decode_document(document, Configuration)
-    except DocumentInvalid as error:
-        raise ConfigurationInvalid(reasons=error.reasons) from error
-    reasons = content_problems(configuration)
-    if reasons:
-        raise ConfigurationInvalid(reasons=reasons)
-    return configuration
-
-
 def load_configuration(path: str | Path) -> Configuration:
     """Read a configuration.
 
--- a/packages/mimosapoint/src/mimosapoint/configuration/operations.py
+++ b/packages/mimosapoint/src/mimosapoint/configuration/operations.py
@@ -1,5 +1,6 @@
 """Changes of a configuration by the operations of a patch."""
 
+from collections.abc import Iterator
 from typing import Any
 
 import attrs
@@ -8,10 +9,10 @@
 import orjson
 
 from mimosapoint.codec import encode
-from mimosapoint.codec.strict import DocumentInvalid, decode_document, pointer
+from mimosapoint.codec.strict import pointer
 from mimosapoint.configuration.document import Configuration
 from mimosapoint.configuration.patch import Patch
-from mimosapoint.configuration.validation import content_problems
+from mimosapoint.configuration.validation import parse_configuration
 from mimosapoint.errors import ConfigurationInvalid
 
 __all__ = ["patched", "to_document"]
@@ -39,25 +40,21 @@
     return document
 
 
-def _moved_regions(before: Configuration, after: Configuration) -> tuple[str, ...]:
-    """Return a reason for each zone or workspace whose region changes."""
-    pairs = (
-        ("zones", before.zones_by_id, after.zones_by_id),
-        ("workspaces", before.workspaces_by_id, after.workspaces_by_id),
-    )
-    return tuple(
-        f"{pointer(group, id, 'region')}: cannot change from {old[id].region}"
-        for group, old, new in pairs
-        for id in sorted(old.keys() & new.keys())
-        if old[id].region != new[id].region
-    )
+def _fixed_values(document: dict[str, Any]) -> Iterator[tuple[str, Any]]:
+    """Yield the pointer and the value of what no patch may change."""
+    yield "/version", document["version"]
+    for group in ("zones", "workspaces"):
+        for id, item in sorted(document[group].items()):
+            yield pointer(group, id, "region"), item["region"]
 
 
-def _decoded(document: Any) -> Configuration:
-    try:
-        return decode_document(document, Configuration)
-    except DocumentInvalid as error:
-        raise ConfigurationInvalid(reasons=error.reasons) from error
+def _changed_values(before: dict[str, Any], after: Any) -> tuple[str, ...]:
+    """Return a reason for each changed value that no patch may change."""
+    return tuple(
+        f"{path}: cannot change from {value}"
+        for path, value in _fixed_values(before)
+        if jsonpointer.resolve_pointer(after, path, value) != value
+    )
 
 
 def patched(before: Configuration, patch: Patch) -> Configuration:
@@ -66,10 +63,7 @@
     :param before: the version that the patch names as its base.
     :raises ConfigurationInvalid: with every reason.
     """
-    after = _decoded(_changed(to_document(before), patch))
-    reasons = (*_moved_regions(before, after), *content_problems(after))
-    if after.version != before.version:
-        reasons = ("/version: cannot be changed by a patch", *reasons)
-    if reasons:
-        raise ConfigurationInvalid(reasons=reasons)
+    old = to_document(before)
+    new = _changed(old, patch)
+    after = parse_configuration(new, known=_changed_values(old, new))
     return attrs.evolve(after, version=before.version + 1)
--- a/packages/mimosapoint/src/mimosapoint/configuration/tests/test_validation.py
+++ b/packages/mimosapoint/src/mimosapoint/configuration/tests/test_validation.py
@@ -149,6 +149,43 @@
         )
 
 
+class EveryReasonTest(unittest.TestCase):
+    def test_faults_of_values_and_of_names_are_told_together(self):
+        document = copy.deepcopy(BASE)
+        desk = document["workspaces"]["desk"]
+        desk["grace"] = "long"
+        desk["sise"] = 1
+        desk["guarantees"][0]["zones"] = ["nowhere"]
+        desk["services"]["bulletins"]["classes"] = []
+        document["policies"]["scheduling"] = "no-such"
+        self.assertEqual(
+            [reason.split(":")[0] for reason in reasons(document)],
+            [
+                "/workspaces/desk/grace",
+                "/workspaces/desk/sise",
+                f"{S}/classes",
+                f"{G}/zones/0",
+                "/policies/scheduling",
+            ],
+        )
+
+    def test_what_no_patch_may_change_is_told_with_the_rest(self):
+        found = patch_reasons(
+            site(rack_gang("g", 8), version=1),
+            {"op": "replace", "path": "/version", "value": 5},
+            {"op": "replace", "path": "/zones/b/region", "value": "q"},
+            {"op": "add", "path": "/zones/b/sise", "value": 1},
+        )
+        self.assertEqual(
+            found,
+            (
+                "/version: cannot change from 1",
+                "/zones/b/region: cannot change from r",
+                "/zones/b/sise: unknown key",
+            ),
+        )
+
+
 class CapacityTest(unittest.TestCase):
     def test_guarantees_must_all_fit_at_once(self):
         cases = (
@@ -192,7 +229,7 @@
             ({}, "/operations/0: "),
             ({"op": "remove", "path": ""}, "/operations/0: "),
             ({"op": "replace", "path": "", "value": []}, "/: must be a mapping"),
-            ({"op": "replace", "path": "/version", "value": 7}, "/version: cannot be changed"),
+            ({"op": "replace", "path": "/version", "value": 7}, "/version: cannot change from 1"),
             ({"op": "replace", "path": "/zones/b", "value": other}, "/zones/b/region: cannot"),
             ({"op": "replace", "path": "/zones", "value": {}}, "/workspaces/desk/region: no"),
         )
--- a/packages/mimosapoint/src/mimosapoint/configuration/validation.py
+++ b/packages/mimosapoint/src/mimosapoint/configuration/validation.py
@@ -1,34 +1,27 @@
 """Checks of a whole configuration: every reason at once, each with its JSON pointer."""
 
+import copy
 from collections.abc import Iterator
+from functools import reduce
+from operator import getitem
+from typing import Any
 
 import orjson
 
 from mimosapoint.codec import encode
-from mimosapoint.codec.rules import Rule, between, identifier
-from mimosapoint.codec.strict import DocumentInvalid, decode_document, pointer
+from mimosapoint.codec.strict import DocumentInvalid, Fault, decode_document, pointer
+from mimosapoint.configuration._names import name_problems, valid_amounts
 from mimosapoint.configuration.document import (
     Capacity,
     Configuration,
     Guarantee,
-    Workspace,
     ZoneMode,
 )
 from mimosapoint.configuration.homes import HomeKey, eligible_zones, homes
+from mimosapoint.errors import ConfigurationInvalid
 from mimosapoint.model import Adjacency, Resources
 
-__all__ = ["content_problems", "problems", "warnings"]
-
-AMOUNT_MAX = 1_000_000
-"""Largest amount of a resource of one worker."""
-
-SHAPE_RULES_BY_FIELD: dict[str, Rule] = {
-    "slots": between(1, AMOUNT_MAX),
-    "cores": between(0, AMOUNT_MAX),
-    "memory_gib": between(0, AMOUNT_MAX),
-    "accelerators": between(0, AMOUNT_MAX),
-}
-ID_RULE = identifier()
+__all__ = ["parse_configuration", "problems", "warnings"]
 
 
 def problems(configuration: Configuration) -> tuple[str, ...]:
@@ -37,19 +30,55 @@
     :returns: reasons in the form ``<JSON pointer>: <reason>``; empty when it is valid.
     """
     try:
-        decode_document(orjson.loads(encode(configuration)), Configuration)
-    except DocumentInvalid as error:
+        parse_configuration(orjson.loads(encode(configuration)))
+    except ConfigurationInvalid as error:
         return error.reasons
-    return content_problems(configuration)
+    return ()
+
+
+def parse_configuration(document: Any, known: tuple[str, ...] = ()) -> Configuration:
+    """Turn a document into a valid configuration.
+
+    With faults of types, keys or ranges the rest is still checked for its names; whether the
+    guarantees fit is told once those are mended.
+
+    :param document: plain values, as YAML or JSON gives them.
+    :param known: reasons against the document that are known already.
+    :raises ConfigurationInvalid: with every reason.
+    """
+    try:
+        configuration = decode_document(document, Configuration)
+    except DocumentInvalid as error:
+        rest = _without(document, error.faults)
+        names = () if rest is None else name_problems(rest)
+        raise ConfigurationInvalid(reasons=(*known, *error.reasons, *names)) from error
+    reasons = (*known, *_content_problems(configuration))
+    if reasons:
+        raise ConfigurationInvalid(reasons=reasons)
+    return configuration
 
 
-def content_problems(configuration: Configuration) -> tuple[str, ...]:
+def _content_problems(configuration: Configuration) -> tuple[str, ...]:
     """Return every reason beyond the types and ranges of single values."""
-    checks = (_id_problems, _zone_problems, _workspace_problems, _policy_problems)
-    reasons = tuple(reason for check in checks for reason in check(configuration))
+    reasons = (*name_problems(configuration), *_size_problems(configuration))
     return reasons or tuple(_capacity_problems(configuration))
 
 
+def _without(document: Any, faults: tuple[Fault, ...]) -> Configuration | None:
+    """Return the configuration with the defaults in place of what is faulty.
+
+    :returns: ``None`` when something faulty has no default.
+    """
+    rest = copy.deepcopy(document)
+    try:
+        for fault in faults:
+            *steps, key = fault.path
+            del reduce(getitem, steps, rest)[key]
+        return decode_document(rest, Configuration)
+    except (DocumentInvalid, LookupError, TypeError, ValueError):
+        return None
+
+
 def warnings(configuration: Configuration) -> tuple[str, ...]:
     """Return what operators should know of a valid configuration.
 
@@ -80,84 +109,6 @@
             yield id, index, guarantee
 
 
-def _id_problems(configuration: Configuration) -> Iterator[str]:
-    groups = [
-        (("zones",), configuration.zones_by_id),
-        (("workspaces",), configuration.workspaces_by_id),
-    ]
-    for id, workspace in sorted(configuration.workspaces_by_id.items()):
-        groups.append((("workspaces", id, "services"), workspace.services_by_id))
-    for path, items_by_id in groups:
-        for id in sorted(items_by_id):
-            if not ID_RULE.holds(id):
-                yield f"{pointer(*path, id)}: the id must be {ID_RULE.allowed}"
-
-
-def _amount_problems(resources: Resources, *path: object) -> Iterator[str]:
-    for name, rule in SHAPE_RULES_BY_FIELD.items():
-        if not rule.holds(getattr(resources, name)):
-            yield f"{pointer(*path, name)}: must be {rule.allowed}"
-
-
-def _zone_problems(configuration: Configuration) -> Iterator[str]:
-    for id, zone in sorted(configuration.zones_by_id.items()):
-        yield from _amount_problems(zone.capacity.worker, "zones", id, "capacity", "worker")
-
-
-def _workspace_problems(configuration: Configuration) -> Iterator[str]:
-    for id, workspace in sorted(configuration.workspaces_by_id.items()):
-        path = ("workspaces", id)
-        if not configuration.zones_of(workspace.region):
-            yield f"{pointer(*path, 'region')}: no availability zone is in {workspace.region}"
-            continue
-        yield from _service_problems(configuration, workspace, path)
-        yield from _duplicate_problems(workspace, path)
-        for index, guarantee in enumerate(workspace.guarantees):
-            here = (*path, "guarantees", index)
-            yield from _guarantee_problems(configuration, workspace, guarantee, here)
-
-
-def _dangling(
-    configuration: Configuration, region: str, zones: tuple[str, ...], *path: object
-) -> Iterator[str]:
-    known = configuration.zones_of(region)
-    for index, zone in enumerate(zones):
-        if zone not in known:
-            yield f"{pointer(*path, 'zones', index)}: {region} has no availability zone {zone}"
-
-
-def _service_problems(
-    configuration: Configuration, workspace: Workspace, path: tuple[object, ...]
-) -> Iterator[str]:
-    for id, service in sorted(workspace.services_by_id.items()):
-        here = (*path, "services", id)
-        yield from _dangling(configuration, workspace.region, service.zones, *here)
-        if not service.classes:
-            yield f"{pointer(*here, 'classes')}: must name a job class"
-
-
-def _duplicate_problems(workspace: Workspace, path: tuple[object, ...]) -> Iterator[str]:
-    seen = set()
-    for index, guarantee in enumerate(workspace.guarantees):
-        if guarantee.id in seen:
-            yield f"{pointer(*path, 'guarantees', index, 'id')}: {guarantee.id} is used twice"
-        seen.add(guarantee.id)
-
-
-def _guarantee_problems(
-    configuration: Configuration,
-    workspace: Workspace,
-    guarantee: Guarantee,
-    path: tuple[object, ...],
-) -> Iterator[str]:
-    dangling = tuple(_dangling(configuration, workspace.region, guarantee.zones, *path))
-    amounts = tuple(_amount_problems(guarantee.shape, *path, "shape"))
-    yield from dangling
-    yield from amounts
-    if not dangling and not amounts:
-        yield from _never_fits(configuration, workspace, guarantee, path)
-
-
 def _largest_gang(capacity: Capacity, shape: Resources, adjacency: Adjacency) -> int:
     """Return how many tasks of the shape fit into the part that must hold the gang."""
     tasks = shape.times_in(capacity.worker)
@@ -167,16 +118,23 @@
     return tasks if adjacency is Adjacency.RACK else tasks * capacity.racks
 
 
+def _size_problems(configuration: Configuration) -> Iterator[str]:
+    """Yield the guarantees whose gang fits nowhere, were it alone."""
+    for id, index, guarantee in _guarantees(configuration):
+        region = configuration.workspaces_by_id[id].region
+        zones = eligible_zones(configuration, region, guarantee)
+        capacities = [configuration.zones_by_id[zone].capacity for zone in zones]
+        shapes = (guarantee.shape, *(capacity.worker for capacity in capacities))
+        if zones and all(map(valid_amounts, shapes)):
+            path = ("workspaces", id, "guarantees", index)
+            yield from _never_fits(capacities, guarantee, path)
+
+
 def _never_fits(
-    configuration: Configuration,
-    workspace: Workspace,
-    guarantee: Guarantee,
-    path: tuple[object, ...],
+    capacities: list[Capacity], guarantee: Guarantee, path: tuple[object, ...]
 ) -> Iterator[str]:
-    zones = eligible_zones(configuration, workspace.region, guarantee)
     largest = max(
-        _largest_gang(configuration.zones_by_id[id].capacity, guarantee.shape, guarantee.adjacency)
-        for id in zones
+        _largest_gang(capacity, guarantee.shape, guarantee.adjacency) for capacity in capacities
     )
     if largest == 0:
         yield f"{pointer(*path, 'shape')}: no worker is that large"
@@ -185,14 +143,6 @@
         yield f"{pointer(*path, 'gang')}: at most {largest} such tasks fit into one {part}"
 
 
-def _policy_problems(configuration: Configuration) -> Iterator[str]:
-    from mimosapoint.scheduling import policy_names  # it imports this subpackage
-
-    names = policy_names()
-    if configuration.policies.scheduling not in names:
-        yield f"/policies/scheduling: must be one of {', '.join(names)}"
-
-
 def _capacity_problems(configuration: Configuration) -> Iterator[str]:
     """Yield the guarantees that cannot be held together with the others.
 
