Do not take a version that arrives during a read for a store behind

A peer's push that overtook a read in flight made the node log that the store had lost a version and try to write it back; the swap failed, but each such race cost a store write and a false alarm. The read is now compared with the version that was in force when it was sent, and a test of that race fails without it.

--- a/packages/mimosapoint/src/mimosapoint/configuration/_codec.py
+++ b/packages/mimosapoint/src/mimosapoint/configuration/_codec.py
@@ -4,6 +4,7 @@
 from cattrs.gen import make_dict_structure_fn, make_dict_unstructure_fn, override
 
 from mimosapoint.codec import converter
+from mimosapoint.codec.strict import document_key
 from mimosapoint.configuration.document import (
     Capacity,
     Configuration,
@@ -16,15 +17,13 @@
 
 __all__ = ["register"]
 
-SUFFIX = "_by_id"
-
 
 def _register(kind: type) -> None:
     """Use plain plural names in JSON and refuse unknown keys."""
     renames = {
-        field.name: override(rename=field.name.removesuffix(SUFFIX))
+        field.name: override(rename=document_key(field))
         for field in attrs.fields(kind)
-        if field.name.endswith(SUFFIX)
+        if document_key(field) != field.name
     }
     structure = make_dict_structure_fn(kind, converter, _cattrs_forbid_extra_keys=True, **renames)
     converter.register_structure_hook(kind, structure)
--- a/packages/mimosapoint/src/mimosapoint/configuration/_commit.py
+++ b/packages/mimosapoint/src/mimosapoint/configuration/_commit.py
@@ -28,7 +28,7 @@
     ValueTooLarge,
 )
 from mimosapoint.ports.clock import Clock
-from mimosapoint.ports.store import ABSENT, Entry, Store
+from mimosapoint.ports.store import ABSENT, Store
 from mimosapoint.settings.sections import ConfigurationSettings
 
 __all__ = ["CONFIGURATION_KEY", "Committer", "Keeper"]
@@ -41,8 +41,8 @@
 class Keeper(Protocol):
     """Holds the state of a node."""
 
-    async def take(self, entry: Entry | None, sent_at: datetime) -> ConfigurationState:
-        """Take what the store held at some time after ``sent_at``, and return it."""
+    async def fetch(self) -> tuple[ConfigurationState, int]:
+        """Read the store, take what it holds, and return it with its revision."""
         ...
 
     def committed(self, state: ConfigurationState, sent_at: datetime) -> None:
@@ -164,13 +164,10 @@
 
         :raises StoreUnavailable: the store did not answer, or it is behind.
         """
-        sent_at = self._clock.now()
         try:
-            entry = await self._store.get(CONFIGURATION_KEY)
-            state = await self._keeper.take(entry, sent_at)
+            return await self._keeper.fetch()
         except (StoreTimeout, CompareFailed) as error:
             raise StoreUnavailable(error.detail, retry_after=self._settings.retry_max) from error
-        return state, ABSENT if entry is None else entry.revision
 
     async def _swap(self, state: ConfigurationState, expected: int) -> None:
         try:
--- a/packages/mimosapoint/src/mimosapoint/configuration/service.py
+++ b/packages/mimosapoint/src/mimosapoint/configuration/service.py
@@ -8,10 +8,10 @@
 
 from mimosapoint.configuration._archive import Archive
 from mimosapoint.configuration._commit import CONFIGURATION_KEY, Committer
+from mimosapoint.configuration._holder import EMPTY, Holder
 from mimosapoint.configuration.document import Configuration
 from mimosapoint.configuration.patch import Patch, PatchStatus
 from mimosapoint.configuration.state import (
-    FORMAT,
     ConfigurationState,
     PatchRecord,
     decode_state,
@@ -34,11 +34,9 @@
 BACKOFF_DOUBLINGS = 10
 """Number of failed reads after which the bound of the pause stops growing."""
 
-EMPTY = ConfigurationState(FORMAT, 0, Configuration())
-
 
 class ConfigurationService:
-    """Holds the newest version that this node knows of.
+    """Follows, commits and hands out the configuration.
 
     :param node_id: id of the node.
     :param store: the platform's key-value service.
@@ -58,55 +56,51 @@
         random: Random | None = None,
     ):
         self.node_id = node_id
-        self.state = EMPTY
-        self.confirmed_at: datetime | None = None
         self._store = store
         self._clock = clock
         self._telemetry = telemetry
         self._settings = settings
         self._random = random or Random(node_id)
-        self._known_version = 0
-        self._failures = 0
-        self._wake = trio.Event()
-        self._installed = trio.Event()
-        self._callbacks: list[Callable[[Configuration], None]] = []
+        self._holder = Holder(clock, telemetry)
+        self._archive = Archive(store, telemetry, settings.versions_kept)
+        self._committer = Committer(store, clock, settings, self)
+        self._applying = trio.Lock()
         self._seen = EMPTY
         self._seen_bytes = b""
+        self._failures = 0
+        self._wake = trio.Event()
         self._checked_at = clock.now()
         self._poll_age = settings.poll_after
-        self._archive = Archive(store, telemetry, settings.versions_kept)
-        self._committer = Committer(store, clock, settings, self)
-        self._applying = trio.Lock()
 
     @property
     def current(self) -> Configuration:
         """The newest version that this node knows; version 0 before the first load."""
-        return self.state.configuration
+        return self._holder.current
+
+    @property
+    def state(self) -> ConfigurationState:
+        """The newest version with the latest verdicts; what peers exchange."""
+        return self._holder.state
+
+    @property
+    def confirmed_at(self) -> datetime | None:
+        """Latest time at which no version newer than ``current`` is known to have existed."""
+        return self._holder.confirmed_at
 
     def fresh(self, now: datetime) -> bool:
-        """Tell whether no version newer than ``current`` can be older than the bound.
+        """Tell whether every version newer than ``current`` is younger than the bound.
 
         :param now: the time by this node's clock.
         """
-        if self.current.version == 0 or self.confirmed_at is None:
-            return False
-        if self._known_version > self.current.version:
-            return False
-        return now - self.confirmed_at <= self._settings.freshness_bound
+        return self._holder.fresh(now, self._settings.freshness_bound)
 
     def on_install(self, callback: Callable[[Configuration], None]) -> None:
         """Call back with every version that comes into force here."""
-        self._callbacks.append(callback)
+        self._holder.on_install(callback)
 
     async def wait_for(self, version: int, timeout: timedelta) -> bool:
-        """Wait until the version or a higher one is in force here.
-
-        :returns: whether it is.
-        """
-        with trio.move_on_after(timeout.total_seconds()):
-            while self.current.version < version:
-                await self._installed.wait()
-        return self.current.version >= version
+        """Wait until the version or a higher one is in force here; return whether it is."""
+        return await self._holder.wait_for(version, timeout)
 
     def offer(self, state: ConfigurationState, confirmed_at: datetime | None = None) -> bool:
         """Install a peer's state if it is newer.
@@ -114,10 +108,9 @@
         :param confirmed_at: time by this node's clock at which the peer's version was current.
         :returns: whether a higher version came into force.
         """
-        version = state.configuration.version
-        installed = self._install(state)
+        installed = self._holder.install(state)
         if confirmed_at is not None:
-            self.relay(version, confirmed_at)
+            self.relay(state.configuration.version, confirmed_at)
         return installed
 
     def relay(self, version: int, confirmed_at: datetime) -> None:
@@ -125,11 +118,10 @@
 
         :param confirmed_at: time by this node's clock, no later than the real one.
         """
-        if version > max(self.current.version, self._known_version):
-            self._known_version = version
+        if self._holder.announce(version):
             self._wake.set()
-        elif version == self.current.version:
-            self._confirm(confirmed_at)
+        if version == self.current.version:
+            self._holder.confirm(confirmed_at)
 
     async def run(self, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED) -> None:
         """Load the configuration, then follow it; started once the store has answered."""
@@ -190,42 +182,30 @@
             return self.current
         return await self._archive.read(version)
 
-    def _install(self, state: ConfigurationState) -> bool:
-        if state.order <= self.state.order:
-            return False
-        rises = state.configuration.version > self.current.version
-        self.state = state
-        if rises:
-            self._announce()
-        return rises
+    async def fetch(self) -> tuple[ConfigurationState, int]:
+        """Read the store and take what it holds.
 
-    def _announce(self) -> None:
-        version = self.current.version
-        self._telemetry.event("configuration-installed", version=version)
-        self._telemetry.gauge("configuration_version", version)
-        self._installed.set()
-        self._installed = trio.Event()
-        for callback in self._callbacks:
-            callback(self.current)
-
-    def _confirm(self, at: datetime) -> None:
-        at = min(at, self._clock.now())
-        if self.confirmed_at is None or at > self.confirmed_at:
-            self.confirmed_at = at
-
-    async def take(self, entry: Entry | None, sent_at: datetime) -> ConfigurationState:
-        """Take what the store held at some time after a read was sent.
-
-        :returns: the stored state.
+        :returns: the stored state and its revision.
         :raises NewerFormat: a newer program wrote it.
         :raises StoreUnavailable: the store has lost or hides a version that was in force.
         """
+        sent_at = self._clock.now()
+        in_force = self.current.version
+        entry = await self._store.get(CONFIGURATION_KEY)
+        revision = ABSENT if entry is None else entry.revision
         stored = self._decoded(entry)
-        if stored.configuration.version < self.current.version:
-            await self._restore(entry, stored)
-        self._install(stored)
-        self._confirm(sent_at)
-        return stored
+        if stored.configuration.version < in_force:
+            await self._restore(stored, revision)
+        self._holder.install(stored)
+        self._holder.confirm(sent_at)
+        return stored, revision
+
+    def committed(self, state: ConfigurationState, sent_at: datetime) -> None:
+        """Take a state that this node has written."""
+        previous = self.state
+        if self._holder.install(state) and previous.configuration.version > 0:
+            self._archive.keep(previous)
+        self._holder.confirm(sent_at)
 
     def _decoded(self, entry: Entry | None) -> ConfigurationState:
         """Return the stored state; the bytes that were seen last are not decoded again."""
@@ -236,14 +216,7 @@
             self._seen_bytes = entry.value
         return self._seen
 
-    def committed(self, state: ConfigurationState, sent_at: datetime) -> None:
-        """Take a state that this node has written."""
-        previous = self.state
-        if self._install(state) and previous.configuration.version > 0:
-            self._archive.keep(previous)
-        self._confirm(sent_at)
-
-    async def _restore(self, entry: Entry | None, stored: ConfigurationState) -> None:
+    async def _restore(self, stored: ConfigurationState, revision: int) -> None:
         """Write the version in force over an older one, so that it never reverts.
 
         :raises StoreUnavailable: always, since the store is behind.
@@ -251,8 +224,7 @@
         version = self.current.version
         behind = stored.configuration.version
         self._telemetry.event("configuration-store-behind", stored=behind, current=version)
-        expected = ABSENT if entry is None else entry.revision
-        await self._store.compare_and_swap(CONFIGURATION_KEY, encode_state(self.state), expected)
+        await self._store.compare_and_swap(CONFIGURATION_KEY, encode_state(self.state), revision)
         self._telemetry.event("configuration-restored", version=version)
         raise StoreUnavailable(f"the store held version {behind}; version {version} is in force")
 
@@ -262,14 +234,13 @@
         share = 1 + POLL_JITTER * self._random.random()
         self._poll_age = self._settings.poll_after * share
         try:
-            entry = await self._store.get(CONFIGURATION_KEY)
-            await self.take(entry, self._checked_at)
+            await self.fetch()
         except MimosapointError as error:
             self._failures += 1
             self._telemetry.event("configuration-read-failed", code=error.code)
             return False
         self._failures = 0
-        return self._known_version <= self.current.version
+        return not self._holder.outdated
 
     def _backoff(self) -> timedelta:
         """Return a random pause whose bound doubles with each failed read."""
@@ -279,7 +250,7 @@
 
     def _until_poll(self) -> timedelta:
         """Return the time left until this node reads the store itself."""
-        if self._known_version > self.current.version:
+        if self._holder.outdated:
             return timedelta()
         latest = max(self._checked_at, self.confirmed_at or self._checked_at)
         return latest + self._poll_age - self._clock.now()
--- a/packages/mimosapoint/src/mimosapoint/configuration/tests/test_service.py
+++ b/packages/mimosapoint/src/mimosapoint/configuration/tests/test_service.py
@@ -3,11 +3,12 @@
 from datetime import timedelta
 from functools import cached_property
 
+import attrs
 import trio
 
 from mimosapoint.configuration import ConfigurationService, ConfigurationState, Patch
 from mimosapoint.configuration.state import FORMAT, decode_state, encode_state
-from mimosapoint.configuration.tests._fakes import KEY, JumpingClock, ScriptedStore
+from mimosapoint.configuration.tests._fakes import KEY, LATENCY, JumpingClock, ScriptedStore
 from mimosapoint.configuration.tests._sites import rack_gang, site
 from mimosapoint.errors import (
     ConfigurationInvalid,
@@ -265,6 +266,17 @@
             self.assertEqual(seen, [2])
             nursery.cancel_scope.cancel()
 
+    async def test_a_version_that_arrives_during_a_read_is_no_sign_of_a_store_behind(self):
+        async with trio.open_nursery() as nursery:
+            service = await self.started(nursery)
+            nursery.start_soon(service.fetch)
+            await trio.sleep(1.5 * LATENCY)
+            newer = attrs.evolve(service.current, version=2)
+            self.assertTrue(service.offer(ConfigurationState(FORMAT, 2, newer)))
+            await trio.sleep(LATENCY)
+            self.assertNotIn("configuration-store-behind", self.telemetry.names())
+            nursery.cancel_scope.cancel()
+
     async def test_a_peer_spreads_a_version_while_the_store_is_out(self):
         async with trio.open_nursery() as nursery:
             first = await self.started(nursery, "n1")
