Bound the work of a decision and share homes with the validator

Rooms are kept between tries, workers without room are passed over early, and a decision ends after 12 kinds that do not fit, 32 placements or 8 reclaims and says so in Decision.unfinished.

--- a/benchmarks/decisions/loop.py
+++ b/benchmarks/decisions/loop.py
@@ -244,6 +244,8 @@
         decision = zone.policy.decide(view)
         self.measures.decision_seconds.append(time.perf_counter() - begin)
         self._apply(zone, decision)
+        if decision.unfinished:
+            self._changed(zone)
 
     def _apply(self, zone: SimulatedZone, decision: Decision) -> None:
         if self.configuration.zones_by_id[zone.id].mode is ZoneMode.IN_SERVICE:
--- a/packages/mimosapoint/src/mimosapoint/scheduling/_engine.py
+++ b/packages/mimosapoint/src/mimosapoint/scheduling/_engine.py
@@ -12,19 +12,22 @@
 from mimosapoint.scheduling._vectors import Vector, fits, least
 from mimosapoint.scheduling.drain import drain_order
 from mimosapoint.scheduling.homes import Home
-from mimosapoint.scheduling.places import Need, amounts, first_place
+from mimosapoint.scheduling.places import Need, amounts, first_place, groups
 from mimosapoint.scheduling.reclaim import Plan, plan_claim, plan_urgent
 from mimosapoint.scheduling.summary import in_service
 from mimosapoint.scheduling.view import Assignment, Decision, Move, Reclaim, Refusal, ZoneView
 
 __all__ = ["Draft", "Engine", "Hold", "Options"]
 
-TRIES = 24
+TRIES = 12
 """Kinds of jobs that may turn out not to fit before a decision ends."""
 
-PLACEMENTS = 200
+PLACEMENTS = 32
 """Gangs placed in one decision."""
 
+RECLAIMS = 8
+"""Gangs stopped in one decision before it ends."""
+
 HOLD_SLACK = 3.0
 """Seconds beyond the grace for which reclaimed room is kept for its claimant."""
 
@@ -71,6 +74,12 @@
     reclaims: list[Reclaim] = attrs.field(factory=list)
     moves: list[Move] = attrs.field(factory=list)
     refusals: list[Refusal] = attrs.field(factory=list)
+    unfinished: bool = False
+
+    @property
+    def full(self) -> bool:
+        """Whether the decision has become large enough."""
+        return len(self.assignments) >= PLACEMENTS or len(self.reclaims) >= RECLAIMS
 
     def finish(self) -> Decision:
         """Return the decision."""
@@ -79,6 +88,7 @@
             tuple(self.reclaims),
             tuple(self.moves),
             tuple(self.refusals),
+            self.unfinished,
         )
 
 
@@ -164,7 +174,7 @@
             if kind not in self._blocked:
                 self._push(heap, kind)
         tries = 0
-        while heap and tries < TRIES and len(draft.assignments) < PLACEMENTS:
+        while heap and tries < TRIES and not draft.full:
             kind = heapq.heappop(heap)[-1]
             record = self._queue.head(kind)
             if record.id in self._holds or self._try(draft, record, kind):
@@ -173,6 +183,7 @@
             else:
                 self._blocked.add(kind)
                 tries += 1
+        draft.unfinished = bool(heap)
 
     def _push(self, heap: list, kind: Kind) -> None:
         record = self._queue.head(kind)
@@ -190,13 +201,16 @@
         )
 
     def _find(self, need: Need, room: dict[str, Vector]) -> tuple[str, ...] | None:
-        return self.options.place(need, room, self._ledger.rack_by_id)
+        if len(room) == len(self._ledger.rack_by_id):
+            return self.options.place(need, room, self._ledger.parts(need.adjacency))
+        parts = groups(need.adjacency, room, self._ledger.rack_by_id)
+        return self.options.place(need, room, parts)
 
     def _claim_open(self, draft: Draft, record: JobRecord, need: Need, homes: list) -> bool:
         ledger = self._ledger
         for home in homes:
             room = ledger.guarantees.claim_room(home)
-            room = {worker: least(room[worker], ledger.open_room(worker)) for worker in room}
+            room = {worker: least(room[worker], ledger.open[worker]) for worker in room}
             workers = self._find(need, room)
             if workers is not None:
                 taken = amounts(need, workers)
@@ -209,7 +223,7 @@
             return False
         workers = self._find(kind.need, self._ledger.firm_room(kind.workspace))
         if workers is None and kind.interruptible:
-            workers = self._find(kind.need, self._ledger.room())
+            workers = self._find(kind.need, self._ledger.open)
         if workers is None:
             return False
         self._assign(draft, record, workers, amounts(kind.need, workers), None)
--- a/packages/mimosapoint/src/mimosapoint/scheduling/_guarantees.py
+++ b/packages/mimosapoint/src/mimosapoint/scheduling/_guarantees.py
@@ -61,7 +61,8 @@
         firm = list(firm)
         self.units, self._capacity, self._rack_by_id = units, capacity, rack_by_id
         usual = settle(units, dict(capacity), rack_by_id)
-        wanted = [self.homes.get(unit.key) or usual.get(unit.key) for unit in units]
+        previous = self.homes if firm else {}
+        wanted = [previous.get(unit.key) or usual.get(unit.key) for unit in units]
         self._install(keep([h for h in wanted if h is not None], dict(capacity)), firm)
         self._install({k: h for k, h in self.homes.items() if not self._crowded(h)}, firm)
         while found := self._missing_homes(firm):
--- a/packages/mimosapoint/src/mimosapoint/scheduling/_ledger.py
+++ b/packages/mimosapoint/src/mimosapoint/scheduling/_ledger.py
@@ -1,15 +1,15 @@
 """What a policy knows of its availability zone between decisions."""
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from datetime import datetime
 
 import attrs
 
-from mimosapoint.model import JobRecord, JobState
+from mimosapoint.model import Adjacency, JobClass, JobRecord, JobState
 from mimosapoint.scheduling._guarantees import FirmWork, Guarantees
 from mimosapoint.scheduling._vectors import ZERO, Vector, fits, least, minus, plus, vector
-from mimosapoint.scheduling.homes import shares
-from mimosapoint.scheduling.places import Need, amounts
+from mimosapoint.scheduling.homes import units_of
+from mimosapoint.scheduling.places import Need, amounts, groups
 from mimosapoint.scheduling.view import ZoneView
 
 __all__ = ["Entry", "Ledger"]
@@ -60,6 +60,10 @@
         self.entries: dict[str, Entry] = {}
         self.grown = True
         self.settled = False
+        self.open: dict[str, Vector] = {}
+        self._parts: dict[Adjacency, list[list[str]]] = {}
+        self._firm_open: dict[str, Vector] = {}
+        self._lent: dict[str, Vector] = {}
         self._held: dict[str, Vector] = {}
         self._stopping: dict[str, Vector] = {}
         self._jobs_on: dict[str, set[str]] = {}
@@ -115,12 +119,16 @@
         self._set_record(entry, record)
 
     def _set_record(self, entry: Entry, record: JobRecord) -> None:
-        was_stopping = entry.stopping
+        self._count(entry, minus)
         entry.record = record
-        if entry.stopping and not was_stopping:
-            self._sum(self._stopping, entry.amounts, plus)
-        elif was_stopping and not entry.stopping:
-            self._sum(self._stopping, entry.amounts, minus)
+        self._count(entry, plus)
+
+    def _count(self, entry: Entry, combine) -> None:
+        """Count a job among those being stopped, or among those that may be."""
+        if entry.stopping:
+            self._sum(self._stopping, entry.amounts, combine)
+        elif not entry.firm and entry.record.request.job_class is not JobClass.URGENT:
+            self._sum(self._lent, entry.amounts, combine)
 
     def stop(self, entry: Entry) -> None:
         """Count a job as being stopped until the next view tells otherwise."""
@@ -132,8 +140,7 @@
         self.entries[record.id] = entry
         for worker in entry.amounts:
             self._jobs_on.setdefault(worker, set()).add(record.id)
-        if entry.stopping:
-            self._sum(self._stopping, entry.amounts, plus)
+        self._count(entry, plus)
         if entry.firm:
             self.guarantees.add_firm(record.request.workspace, entry.amounts)
 
@@ -142,8 +149,7 @@
         del self.entries[job]
         for worker in entry.amounts:
             self._jobs_on[worker].discard(job)
-        if entry.stopping:
-            self._sum(self._stopping, entry.amounts, minus)
+        self._count(entry, minus)
         if entry.firm:
             self.guarantees.remove_firm(entry.record.request.workspace, entry.amounts)
             self._firm_left = True
@@ -156,11 +162,10 @@
     def _settle(self, view: ZoneView, workers: dict[str, str]) -> None:
         self.rack_by_id = dict(sorted(workers.items()))
         capacity = {id: vector(view.workers_by_id[id].capacity) for id in self.rack_by_id}
-        zone = view.configuration.zones_by_id.get(view.zone)
-        region = zone.region if zone is not None else ""
-        units = shares(view.configuration, region).get(view.zone, ())
+        units = units_of(view.configuration, view.zone)
         self.guarantees.settle(units, capacity, self.rack_by_id, self._firm_work())
         self._held.clear()
+        self._parts.clear()
         self.settled = True
 
     def _firm_work(self) -> Iterator[FirmWork]:
@@ -176,43 +181,66 @@
             free != expected.get(id) and not fits(free, expected.get(id, ZERO))
             for id, free in self.free.items()
         )
+        self.open = dict(self.free)
+        for worker, held in self._held.items():
+            self.open[worker] = minus(self.open[worker], held)
+        self._firm_open = {}
+
+    def parts(self, adjacency: Adjacency) -> list[list[str]]:
+        """Return the parts of the zone that may hold a gang."""
+        found = self._parts.get(adjacency)
+        if found is None:
+            found = self._parts[adjacency] = groups(adjacency, self.rack_by_id, self.rack_by_id)
+        return found
 
     def place(self, workspace: str, taken: dict[str, Vector], firm: bool) -> None:
         """Take free room for a job; the next view tells whether the owner did."""
         self._sum(self.free, taken, minus)
+        self._sum(self.open, taken, minus)
         if firm:
             self.guarantees.add_firm(workspace, taken)
             self._pending.append((workspace, taken))
+        self._touch(taken)
 
     def hold(self, workspace: str, taken: dict[str, Vector], firm: bool) -> None:
         """Keep room for a job that will be placed soon."""
         self._sum(self._held, taken, plus)
+        self._sum(self.open, taken, minus)
         if firm:
             self.guarantees.add_firm(workspace, taken)
+        self._touch(taken)
 
     def release(self, workspace: str, taken: dict[str, Vector], firm: bool) -> None:
         """Undo :meth:`hold`."""
         self._sum(self._held, taken, minus)
+        self._sum(self.open, taken, plus)
         if firm:
             self.guarantees.remove_firm(workspace, taken)
+        self._touch(taken)
 
-    def open_room(self, worker: str) -> Vector:
-        """Return what is free and not held on a worker."""
-        held = self._held.get(worker)
-        return minus(self.free[worker], held) if held else self.free[worker]
+    def _touch(self, taken: Iterable[str]) -> None:
+        for worker in taken:
+            self._firm_open.pop(worker, None)
 
     def coming_room(self, worker: str) -> Vector:
         """Return what is open now or as soon as the jobs being stopped are gone."""
-        return plus(self.open_room(worker), self._stopping.get(worker, ZERO))
+        return plus(self.open[worker], self._stopping.get(worker, ZERO))
 
-    def room(self) -> dict[str, Vector]:
-        """Return the open room of each worker, homes among it."""
-        return {worker: self.open_room(worker) for worker in self.rack_by_id}
+    def reclaimable_room(self, worker: str) -> Vector:
+        """Return what urgent work may have: coming room and that of less urgent borrowers."""
+        return plus(self.coming_room(worker), self._lent.get(worker, ZERO))
 
     def firm_room(self, workspace: str) -> dict[str, Vector]:
         """Return the open room of each worker without the homes of other workspaces."""
-        firm_room = self.guarantees.firm_room
-        return {w: least(self.open_room(w), firm_room(workspace, w)) for w in self.rack_by_id}
+        known, spare = self._firm_open, self.guarantees.spare
+        for worker in self.rack_by_id.keys() - known.keys():
+            known[worker] = least(self.open[worker], spare[worker])
+        room = dict(known)
+        for home in self.guarantees.homes_of(workspace):
+            for worker in home.amounts:
+                allowed = self.guarantees.firm_room(workspace, worker)
+                room[worker] = least(self.open[worker], allowed)
+        return room
 
     def victims_on(self, worker: str) -> list[Entry]:
         """Return the jobs on a worker that may be stopped for others."""
--- a/packages/mimosapoint/src/mimosapoint/scheduling/_vectors.py
+++ b/packages/mimosapoint/src/mimosapoint/scheduling/_vectors.py
@@ -51,10 +51,6 @@
 
 def times(need: Vector, room: Vector) -> int:
     """Return how many times the need fits into the room."""
-    count = UNBOUNDED
-    for wanted, have in zip(need, room):
-        if wanted:
-            if have < wanted:
-                return 0
-            count = min(count, have // wanted)
-    return count
+    if not fits(need, room):
+        return 0
+    return min(have // wanted if wanted else UNBOUNDED for wanted, have in zip(need, room))
--- a/packages/mimosapoint/src/mimosapoint/scheduling/invariant.py
+++ b/packages/mimosapoint/src/mimosapoint/scheduling/invariant.py
@@ -5,7 +5,7 @@
 
 from mimosapoint.model import JobRecord
 from mimosapoint.scheduling._vectors import ZERO, Vector, fits, minus, most, plus, vector
-from mimosapoint.scheduling.homes import Home, find_home, shares
+from mimosapoint.scheduling.homes import Home, find_home, units_of
 from mimosapoint.scheduling.places import Need, amounts
 from mimosapoint.scheduling.view import Decision, ZoneView
 
@@ -95,9 +95,8 @@
 def _homeless(
     view: ZoneView, homes: Mapping[tuple, Home], strays: Counter, room: dict, rack_by_id: dict
 ) -> tuple[str, ...]:
-    zone = view.configuration.zones_by_id[view.zone]
     faults = []
-    for unit in shares(view.configuration, zone.region)[view.zone]:
+    for unit in units_of(view.configuration, view.zone):
         if unit.key in homes:
             continue
         if strays[unit.key[:2]] > 0:
--- a/packages/mimosapoint/src/mimosapoint/scheduling/places.py
+++ b/packages/mimosapoint/src/mimosapoint/scheduling/places.py
@@ -6,7 +6,7 @@
 import attrs
 
 from mimosapoint.model import Adjacency, JobRequest
-from mimosapoint.scheduling._vectors import Vector, scaled, times, vector
+from mimosapoint.scheduling._vectors import Vector, fits, scaled, times, vector
 
 __all__ = ["Need", "amounts", "first_place", "groups", "tight_place"]
 
@@ -55,8 +55,8 @@
 
 
 def _counts(need: Need, group: list[str], room: Mapping[str, Vector]) -> list[tuple[int, str]]:
-    counts = ((times(need.vector, room[worker]), worker) for worker in group)
-    return [(count, worker) for count, worker in counts if count]
+    vector = need.vector
+    return [(times(vector, room[id]), id) for id in group if fits(vector, room[id])]
 
 
 def _fill(need: Need, counts: list[tuple[int, str]]) -> tuple[str, ...]:
@@ -69,10 +69,10 @@
 
 
 def first_place(
-    need: Need, room: Mapping[str, Vector], rack_by_id: Mapping[str, str]
+    need: Need, room: Mapping[str, Vector], parts: Iterable[list[str]]
 ) -> tuple[str, ...] | None:
-    """Return workers in the order of the room, or ``None`` when the gang does not fit."""
-    for group in groups(need.adjacency, room, rack_by_id):
+    """Return workers in the order of the parts, or ``None`` when the gang does not fit."""
+    for group in parts:
         counts = _counts(need, group, room)
         if sum(count for count, _ in counts) >= need.gang:
             return _fill(need, counts)
@@ -80,11 +80,11 @@
 
 
 def tight_place(
-    need: Need, room: Mapping[str, Vector], rack_by_id: Mapping[str, str]
+    need: Need, room: Mapping[str, Vector], parts: Iterable[list[str]]
 ) -> tuple[str, ...] | None:
     """Return workers of the part with the least room that holds the gang, fullest first."""
     best: tuple[int, list[tuple[int, str]]] | None = None
-    for group in groups(need.adjacency, room, rack_by_id):
+    for group in parts:
         counts = _counts(need, group, room)
         total = sum(count for count, _ in counts)
         if total >= need.gang and (best is None or total < best[0]):
--- a/packages/mimosapoint/src/mimosapoint/scheduling/reclaim.py
+++ b/packages/mimosapoint/src/mimosapoint/scheduling/reclaim.py
@@ -7,14 +7,14 @@
 
 from mimosapoint.model import JobClass
 from mimosapoint.scheduling._ledger import Entry, Ledger
-from mimosapoint.scheduling._vectors import Vector, least, minus, plus
+from mimosapoint.scheduling._vectors import Vector, least, minus
 from mimosapoint.scheduling.homes import Home
 from mimosapoint.scheduling.places import Need, amounts, first_place, groups
 from mimosapoint.scheduling.victims import pick_victims
 
 __all__ = ["Plan", "plan_claim", "plan_urgent"]
 
-GROUPS_TRIED = 6
+PARTS_TRIED = 6
 """Parts of a zone for which victims are compared."""
 
 
@@ -38,10 +38,6 @@
         return (sum(victim.lost_work(now) for victim in self.victims), len(self.victims))
 
 
-def _most_open_first(ledger: Ledger, workers: Iterable[str]) -> list[str]:
-    return sorted(workers, key=lambda w: (ledger.coming_room(w)[::-1], w), reverse=True)
-
-
 def _plan(
     ledger: Ledger,
     need: Need,
@@ -50,12 +46,14 @@
     may_stop: Callable[[Entry], bool],
     guarantee: str | None = None,
 ) -> Plan | None:
-    ordered = {worker: room[worker] for worker in _most_open_first(ledger, room)}
-    workers = first_place(need, ordered, ledger.rack_by_id)
+    coming = {worker: ledger.coming_room(worker) for worker in room}
+    ordered = sorted(room, key=lambda worker: (coming[worker][::-1], worker), reverse=True)
+    parts = groups(need.adjacency, ordered, ledger.rack_by_id)
+    workers = first_place(need, room, parts)
     if workers is None:
         return None
     taken = amounts(need, workers)
-    short = {w: minus(amount, ledger.coming_room(w)) for w, amount in taken.items()}
+    short = {worker: minus(amount, coming[worker]) for worker, amount in taken.items()}
     candidates = [e for w in taken for e in ledger.victims_on(w) if may_stop(e)]
     victims = pick_victims(short, candidates, now)
     return None if victims is None else Plan(workers, taken, tuple(victims), guarantee)
@@ -78,14 +76,6 @@
     return entry.record.request.job_class is not JobClass.URGENT
 
 
-def _reclaimable_room(ledger: Ledger, worker: str) -> Vector:
-    room = ledger.coming_room(worker)
-    for entry in ledger.victims_on(worker):
-        if _less_urgent(entry):
-            room = plus(room, entry.amounts[worker])
-    return room
-
-
 def plan_urgent(
     ledger: Ledger, need: Need, workspace: str, firm: bool, now: datetime
 ) -> Plan | None:
@@ -95,21 +85,19 @@
     :param firm: whether the gang can't be stopped, so that homes of others are barred to it.
     :param now: time of the decision.
     """
-    room = {worker: _reclaimable_room(ledger, worker) for worker in ledger.rack_by_id}
+    room = {worker: ledger.reclaimable_room(worker) for worker in ledger.rack_by_id}
     if firm:
         allowed = ledger.guarantees.firm_room
         room = {w: least(amount, allowed(workspace, w)) for w, amount in room.items()}
-    parts = groups(need.adjacency, room, ledger.rack_by_id)
-    parts.sort(key=lambda part: -sum(ledger.coming_room(worker)[3] for worker in part))
-    best: Plan | None = None
-    tried = 0
-    for part in parts:
+    plans = []
+    for part in _parts_with_room(ledger, need, room):
         part_room = {worker: room[worker] for worker in part}
-        plan = _plan(ledger, need, part_room, now, _less_urgent)
-        if plan is not None:
-            tried += 1
-            if best is None or plan.cost(now) < best.cost(now):
-                best = plan
-        if tried == GROUPS_TRIED:
-            break
-    return best
+        plans.append(_plan(ledger, need, part_room, now, _less_urgent))
+    return min((p for p in plans if p is not None), key=lambda p: p.cost(now), default=None)
+
+
+def _parts_with_room(ledger: Ledger, need: Need, room: dict[str, Vector]) -> list[list[str]]:
+    """Return a few parts that could hold the gang, those with most coming room first."""
+    parts = [part for part in ledger.parts(need.adjacency) if first_place(need, room, [part])]
+    parts.sort(key=lambda part: -sum(ledger.coming_room(worker)[3] for worker in part))
+    return parts[:PARTS_TRIED]
--- a/packages/mimosapoint/src/mimosapoint/scheduling/victims.py
+++ b/packages/mimosapoint/src/mimosapoint/scheduling/victims.py
@@ -24,31 +24,31 @@
     :param now: time of the decision.
     """
     left = {worker: amount for worker, amount in short.items() if max(amount) > 0}
-    pool = list({entry.record.id: entry for entry in candidates}.values())
+    pool = {entry.record.id: entry for entry in candidates}
+    ordered = sorted(pool.values(), key=lambda entry: _cost(entry, left, now))
     chosen: list[Entry] = []
-    while left:
-        useful = [(entry, _useful(entry, left)) for entry in pool]
-        useful = [(entry, room) for entry, room in useful if room > 0]
-        if not useful:
-            return None
-        best = min(useful, key=lambda pair: _cost(pair[0], pair[1], now))[0]
-        chosen.append(best)
-        pool.remove(best)
-        left = _remaining(left, best)
-    return _without_needless(short, chosen, now)
+    for entry in ordered:
+        if not left:
+            break
+        if _useful(entry, left):
+            chosen.append(entry)
+            left = _remaining(left, entry)
+    return None if left else _without_needless(short, chosen, now)
 
 
 def _useful(entry: Entry, left: dict[str, Vector]) -> int:
     """Return one number for the missing room that a gang would free."""
     room = 0
     for worker, amount in entry.amounts.items():
-        if worker in left:
-            freed = least(amount, left[worker])
+        missing = left.get(worker)
+        if missing is not None:
+            freed = least(amount, missing)
             room += 1000 * max(0, freed[3]) + sum(max(0, part) for part in freed[:3])
     return room
 
 
-def _cost(entry: Entry, useful: int, now: datetime) -> tuple:
+def _cost(entry: Entry, left: dict[str, Vector], now: datetime) -> tuple:
+    useful = max(1, _useful(entry, left))
     lost = entry.lost_work(now) * 1000 / useful
     return (lost // LOST_WORK_STEP, -useful, len(entry.record.placement.workers), entry.record.id)
 
--- a/packages/mimosapoint/src/mimosapoint/scheduling/view.py
+++ b/packages/mimosapoint/src/mimosapoint/scheduling/view.py
@@ -151,9 +151,11 @@
     :param reclaims: gangs to stop for others.
     :param moves: jobs to offer to other availability zones.
     :param refusals: jobs to end.
+    :param unfinished: whether the next decision should follow soon, as this one was cut short.
     """
 
     assignments: tuple[Assignment, ...] = ()
     reclaims: tuple[Reclaim, ...] = ()
     moves: tuple[Move, ...] = ()
     refusals: tuple[Refusal, ...] = ()
+    unfinished: bool = False
