Offer waiting jobs to zones that can run them sooner

A zone's queue could not use another zone's room, and a gang whose guarantee lies in another zone waited in vain. The policy zone-moves offers blocked jobs by the summaries of the other zones, first where the guarantee is unclaimed, then where adjacent room is free, at most half of that room between two summaries, and after a patience that doubles with each move. It becomes the default.

--- a/packages/mimosapoint/src/mimosapoint/configuration/document.py
+++ b/packages/mimosapoint/src/mimosapoint/configuration/document.py
@@ -140,7 +140,7 @@
     :param scheduling: scheduling policy.
     """
 
-    scheduling: str = "fifo-first-fit"
+    scheduling: str = "zone-moves"
 
 
 @attrs.frozen
--- a/packages/mimosapoint/src/mimosapoint/scheduling/__init__.py
+++ b/packages/mimosapoint/src/mimosapoint/scheduling/__init__.py
@@ -1,7 +1,7 @@
 """Decisions: which gang runs where, and which gives way."""
 
 from mimosapoint.scheduling.fifo import FifoFirstFit
-from mimosapoint.scheduling.guaranteed import GuaranteedShapes, Packed, UrgentLane
+from mimosapoint.scheduling.guaranteed import GuaranteedShapes, Packed, UrgentLane, ZoneMoves
 from mimosapoint.scheduling.invariant import invariant_broken
 from mimosapoint.scheduling.registry import Policy, make_policy, policy_names, scheduling_policy
 from mimosapoint.scheduling.summary import summarize
@@ -28,6 +28,7 @@
     "Refusal",
     "UrgentLane",
     "WorkerView",
+    "ZoneMoves",
     "ZoneSummary",
     "ZoneView",
     "invariant_broken",
--- a/packages/mimosapoint/src/mimosapoint/scheduling/_engine.py
+++ b/packages/mimosapoint/src/mimosapoint/scheduling/_engine.py
@@ -12,6 +12,7 @@
 from mimosapoint.scheduling._vectors import Vector, fits, least
 from mimosapoint.scheduling.drain import drain_order
 from mimosapoint.scheduling.homes import Home
+from mimosapoint.scheduling.moves import Mover
 from mimosapoint.scheduling.places import Need, amounts, first_place, groups
 from mimosapoint.scheduling.reclaim import Plan, plan_claim, plan_urgent
 from mimosapoint.scheduling.summary import in_service
@@ -25,6 +26,9 @@
 PLACEMENTS = 32
 """Gangs placed in one decision."""
 
+PER_KIND_MOVED = 8
+"""Jobs of a kind that are offered to other zones at once."""
+
 RECLAIMS = 8
 """Gangs stopped in one decision before it ends."""
 
@@ -43,10 +47,12 @@
     """What a generation of the policy does.
 
     :param classes: whether classes are served in order and urgent work may reclaim.
+    :param moves: whether waiting jobs are offered to other zones.
     :param place: chooses workers for a gang.
     """
 
     classes: bool = False
+    moves: bool = False
     place: Callable[..., tuple[str, ...] | None] = first_place
 
 
@@ -102,6 +108,7 @@
         self._queue = WaitingQueue()
         self._holds: dict[str, Hold] = {}
         self._blocked: set[Kind] = set()
+        self._mover = Mover()
         self._view: ZoneView | None = None
 
     @property
@@ -113,7 +120,9 @@
         """Return what to do now; the view is not changed."""
         self._view = view
         self._ledger.sync(view)
-        self._queue.sync(view.waiting)
+        come = self._queue.sync(view.waiting)
+        if self.options.moves:
+            self._mover.sync(view, come, self._queue.records_by_id)
         if self._ledger.settled:
             self._holds.clear()
         draft = Draft()
@@ -124,8 +133,23 @@
             self._place_waiting(draft)
         else:
             self._drop_holds()
+        if self.options.moves and self._mover.due(view.now):
+            self._offer_moves(draft)
         return draft.finish()
 
+    def _offer_moves(self, draft: Draft) -> None:
+        """Offer jobs that can't start here to other zones, the most urgent kinds first."""
+        heap: list = []
+        for kind in self._queue.kinds():
+            self._push(heap, kind)
+        kinds = [entry[-1] for entry in sorted(heap, key=lambda entry: entry[:-1])]
+        records = (r for k in kinds for r in self._queue.oldest(k, PER_KIND_MOVED))
+        if not in_service(self._view):
+            draft.moves.extend(self._mover.leave(records))
+            return
+        blocked = (r for r in records if r.id not in self._holds)
+        draft.moves.extend(self._mover.balance(blocked, self._view.now))
+
     def drain_order(self, view: ZoneView) -> list[str]:
         """Return the running jobs in the order in which a zone that goes out stops them."""
         return drain_order(view)
--- a/packages/mimosapoint/src/mimosapoint/scheduling/_queue.py
+++ b/packages/mimosapoint/src/mimosapoint/scheduling/_queue.py
@@ -96,6 +96,13 @@
             heapq.heappop(heap)
         return None
 
+    def oldest(self, kind: Kind, count: int) -> list[JobRecord]:
+        """Return a few jobs of a kind, oldest first."""
+        heap = self._heaps.get(kind, ())
+        jobs = {job for _, job in heap if self._kind_by_id.get(job) is kind}
+        records = (self.records_by_id[job] for job in jobs)
+        return heapq.nsmallest(count, records, key=lambda r: (r.submitted_at, r.id))
+
     def remove(self, job: str) -> None:
         """Take out a job that was decided on; it comes back when the next view has it."""
         kind = self._kind_by_id.pop(job, None)
--- a/packages/mimosapoint/src/mimosapoint/scheduling/guaranteed.py
+++ b/packages/mimosapoint/src/mimosapoint/scheduling/guaranteed.py
@@ -4,7 +4,7 @@
 from mimosapoint.scheduling.places import tight_place
 from mimosapoint.scheduling.registry import scheduling_policy
 
-__all__ = ["GuaranteedShapes", "Packed", "UrgentLane"]
+__all__ = ["GuaranteedShapes", "Packed", "UrgentLane", "ZoneMoves"]
 
 
 @scheduling_policy("guaranteed-shapes")
@@ -19,8 +19,15 @@
     options = Options(classes=True)
 
 
+@scheduling_policy("zone-moves")
+class ZoneMoves(Engine):
+    """Also offers waiting jobs to zones that can run them sooner."""
+
+    options = Options(classes=True, moves=True)
+
+
 @scheduling_policy("packed")
 class Packed(Engine):
     """Also fills the parts with the least room first."""
 
-    options = Options(classes=True, place=tight_place)
+    options = Options(classes=True, moves=True, place=tight_place)
--- /dev/null
+++ b/packages/mimosapoint/src/mimosapoint/scheduling/moves.py
@@ -0,0 +1,192 @@
+"""Offers of waiting jobs to availability zones that can run them sooner."""
+
+import math
+from collections.abc import Iterable, Iterator
+from datetime import datetime, timedelta
+
+from mimosapoint.configuration import Configuration
+from mimosapoint.model import Adjacency, JobClass, JobRecord, JobRequest
+from mimosapoint.scheduling.homes import Unit, units_of
+from mimosapoint.scheduling.places import Need
+from mimosapoint.scheduling.view import Move, ZoneSummary, ZoneView
+
+__all__ = ["Mover", "allowed_zones"]
+
+EVERY = timedelta(seconds=1)
+"""Pause between two looks at the other zones."""
+
+STALE_AFTER = 15.0
+"""Seconds after which a summary is not trusted."""
+
+MOVES = 4
+"""Moves after which a job stays where it is."""
+
+URGENT_PATIENCE = timedelta(milliseconds=300)
+"""Wait of urgent work before its first move; it doubles with each move."""
+
+PATIENCE = timedelta(seconds=5)
+"""Wait of other work before its first move; it doubles with each move."""
+
+OFFERED_SHARE = 0.5
+"""Share of another zone's free room that is offered between two of its summaries."""
+
+PER_LOOK = 32
+"""Jobs offered in one look."""
+
+
+def allowed_zones(request: JobRequest, configuration: Configuration) -> set[str]:
+    """Return the availability zones that the request may run in, whatever their mode."""
+    workspace = configuration.workspaces_by_id.get(request.workspace)
+    if workspace is None:
+        return set()
+    zones = set(configuration.zones_of(workspace.region))
+    service = workspace.services_by_id.get(request.service)
+    for limit in (service.zones if service else (), request.zones):
+        if limit:
+            zones &= set(limit)
+    return zones
+
+
+class _Offer:
+    """What is left of another zone's room, as its last summary gave it."""
+
+    def __init__(self, summary: ZoneSummary):
+        self.summary = summary
+        self.accelerators = math.ceil(summary.free_accelerators * OFFERED_SHARE)
+        self.slots = math.ceil(summary.free_slots * OFFERED_SHARE)
+        self.unclaimed = dict(summary.unclaimed_by_guarantee)
+        self.queued = summary.waiting_accelerators
+
+    def has_block(self, need: Need) -> bool:
+        """Tell whether the gang would find adjacent room."""
+        if need.gang > self.slots or need.accelerators > self.accelerators:
+            return False
+        if not need.vector[3]:
+            return True
+        sizes = [size for size in self.summary.tasks_by_size if size >= need.vector[3]]
+        if not sizes:
+            return False
+        in_rack, in_zone = self.summary.tasks_by_size[min(sizes)]
+        wide = need.adjacency is Adjacency.AVAILABILITY_ZONE
+        return need.gang <= (in_zone if wide else in_rack)
+
+    def take(self, need: Need) -> None:
+        """Count a job that was offered."""
+        self.accelerators -= need.accelerators
+        self.slots -= need.gang
+        self.queued += need.accelerators
+
+    def take_home(self, name: str, need: Need) -> None:
+        """Count a job that was offered for a guarantee."""
+        self.unclaimed[name] -= 1
+        self.take(need)
+
+    @property
+    def load(self) -> float:
+        """Share of the zone that is used and waited for."""
+        summary = self.summary
+        used = summary.capacity_accelerators - summary.free_accelerators
+        return (used + self.queued) / max(1, summary.capacity_accelerators)
+
+
+class Mover:
+    """Remembers what it has offered since the last summaries."""
+
+    def __init__(self) -> None:
+        self._offers: dict[str, _Offer] = {}
+        self._come_at: dict[str, datetime] = {}
+        self._looked_at: datetime | None = None
+        self._units: dict[str, tuple[Unit, ...]] = {}
+        self._configuration: Configuration | None = None
+
+    def sync(self, view: ZoneView, come: Iterable[str], waiting: dict[str, JobRecord]) -> None:
+        """Take in the summaries and the waiting jobs."""
+        for job in self._come_at.keys() - waiting.keys():
+            del self._come_at[job]
+        for job in come:
+            self._come_at.setdefault(job, view.now)
+        if self._configuration is not view.configuration:
+            self._configuration = view.configuration
+            zones = view.configuration.zones_by_id
+            self._units = {zone: units_of(view.configuration, zone) for zone in zones}
+        self._offers = {id: self._offer(id, s) for id, s in view.other_zones_by_id.items()}
+
+    def _offer(self, zone: str, summary: ZoneSummary) -> _Offer:
+        known = self._offers.get(zone)
+        if known is None or summary.age < known.summary.age:
+            return _Offer(summary)
+        known.summary = summary
+        return known
+
+    def due(self, now: datetime) -> bool:
+        """Tell whether it is time to look, and count the look."""
+        if not self._offers or (self._looked_at and now - self._looked_at < EVERY):
+            return False
+        self._looked_at = now
+        return True
+
+    def _targets(self, record: JobRecord) -> list[_Offer]:
+        allowed = allowed_zones(record.request, self._configuration)
+        return [
+            offer
+            for zone, offer in sorted(self._offers.items())
+            if zone in allowed and offer.summary.in_service and offer.summary.age <= STALE_AFTER
+        ]
+
+    def leave(self, records: Iterable[JobRecord]) -> Iterator[Move]:
+        """Offer the jobs of a zone that is out; they go where they wait least."""
+        for record, _ in zip(records, range(PER_LOOK)):
+            need = Need.of(record.request)
+            targets = self._targets(record)
+            if targets:
+                home = self._home(record, need, targets)
+                offer = home or min(
+                    targets, key=lambda offer: (not offer.has_block(need), offer.load)
+                )
+                if home is None:
+                    offer.take(need)
+                yield Move(record.id, offer.summary.zone)
+
+    def balance(self, records: Iterable[JobRecord], now: datetime) -> Iterator[Move]:
+        """Offer jobs that wait in vain to zones with a home or with room for them."""
+        offered = 0
+        for record in records:
+            if offered == PER_LOOK or not any(o.slots > 0 for o in self._offers.values()):
+                return
+            if not self._patient(record, now):
+                target = self._find(record)
+                if target is not None:
+                    offered += 1
+                    yield Move(record.id, target)
+
+    def _patient(self, record: JobRecord, now: datetime) -> bool:
+        if record.moves >= MOVES:
+            return True
+        urgent = record.request.job_class is JobClass.URGENT
+        patience = (URGENT_PATIENCE if urgent else PATIENCE) * 2**record.moves
+        return now - self._come_at.get(record.id, now) < patience
+
+    def _find(self, record: JobRecord) -> str | None:
+        need = Need.of(record.request)
+        targets = self._targets(record)
+        offer = self._home(record, need, targets)
+        if offer is not None:
+            return offer.summary.zone
+        fitting = [offer for offer in targets if offer.has_block(need)]
+        if not fitting:
+            return None
+        offer = min(fitting, key=lambda offer: offer.load)
+        offer.take(need)
+        return offer.summary.zone
+
+    def _home(self, record: JobRecord, need: Need, targets: list[_Offer]) -> _Offer | None:
+        """Return the zone with an unclaimed home for the gang, and count it as claimed."""
+        for offer in targets:
+            for unit in self._units.get(offer.summary.zone, ()):
+                name = f"{unit.workspace}/{unit.guarantee}"
+                if unit.workspace != record.request.workspace or not offer.unclaimed.get(name):
+                    continue
+                if need.accelerators <= unit.need.accelerators:
+                    offer.take_home(name, need)
+                    return offer
+        return None
--- a/packages/mimosapoint/src/mimosapoint/scheduling/summary.py
+++ b/packages/mimosapoint/src/mimosapoint/scheduling/summary.py
@@ -4,11 +4,16 @@
 
 from mimosapoint.configuration import ZoneMode
 from mimosapoint.model import Adjacency
+from mimosapoint.scheduling.homes import units_of
 from mimosapoint.scheduling.view import WorkerView, ZoneSummary, ZoneView
 
 __all__ = ["in_service", "summarize"]
 
 
+TASK_SIZES = (1, 2, 4, 8)
+"""Accelerators of a task for which a summary tells the room."""
+
+
 def in_service(view: ZoneView) -> bool:
     """Tell whether tasks may start in the view's availability zone."""
     zone = view.configuration.zones_by_id.get(view.zone)
@@ -26,7 +31,8 @@
         sum(worker.free.slots for worker in workers),
         sum(worker.capacity.accelerators for worker in workers),
         _largest_blocks(workers),
-        _whole_workers(workers),
+        _tasks_by_size(workers),
+        _unclaimed(view),
         len(requests),
         sum(request.gang * request.shape.accelerators for request in requests),
     )
@@ -44,6 +50,21 @@
     }
 
 
-def _whole_workers(workers: list[WorkerView]) -> dict[str, int]:
-    """Return how many workers without any task each rack has."""
-    return dict(Counter(worker.rack for worker in workers if worker.free == worker.capacity))
+def _tasks_by_size(workers: list[WorkerView]) -> dict[int, tuple[int, int]]:
+    """Return how many tasks of each size fit into the best rack and into the zone."""
+    found = {}
+    for size in TASK_SIZES:
+        by_rack: Counter[str] = Counter()
+        for worker in workers:
+            by_rack[worker.rack] += min(worker.free.accelerators // size, worker.free.slots)
+        found[size] = (max(by_rack.values(), default=0), sum(by_rack.values()))
+    return found
+
+
+def _unclaimed(view: ZoneView) -> dict[str, int]:
+    """Return how many guaranteed gangs of each guarantee nobody claims."""
+    left = Counter(f"{u.workspace}/{u.guarantee}" for u in units_of(view.configuration, view.zone))
+    for record in view.running_by_id.values():
+        if record.placement.guarantee is not None:
+            left[f"{record.request.workspace}/{record.placement.guarantee}"] -= 1
+    return {name: count for name, count in left.items() if count > 0}
--- a/packages/mimosapoint/src/mimosapoint/scheduling/view.py
+++ b/packages/mimosapoint/src/mimosapoint/scheduling/view.py
@@ -47,7 +47,10 @@
     :param free_slots: slots that no task holds.
     :param capacity_accelerators: accelerators of its usable workers.
     :param largest_block_by_adjacency: most free accelerators within one part of that kind.
-    :param whole_workers_by_rack: workers without any task in each rack that has one.
+    :param tasks_by_size: for tasks of so many accelerators, how many fit into the best rack and
+        how many into the whole zone.
+    :param unclaimed_by_guarantee: guaranteed gangs that nobody claims, by
+        ``workspace/guarantee``.
     :param waiting: jobs that wait there.
     :param waiting_accelerators: accelerators that those jobs ask for.
     :param age: seconds since the summary was made.
@@ -59,7 +62,8 @@
     free_slots: int = 0
     capacity_accelerators: int = 0
     largest_block_by_adjacency: dict[Adjacency, int] = attrs.field(factory=dict)
-    whole_workers_by_rack: dict[str, int] = attrs.field(factory=dict)
+    tasks_by_size: dict[int, tuple[int, int]] = attrs.field(factory=dict)
+    unclaimed_by_guarantee: dict[str, int] = attrs.field(factory=dict)
     waiting: int = 0
     waiting_accelerators: int = 0
     age: float = 0.0
