--- /dev/null
+++ b/packages/mimosapoint-cli/src/mimosapoint_cli/config.py
@@ -0,0 +1,113 @@
+"""Commands for operators: the configuration and its patches."""
+
+from hashlib import sha256
+from typing import Any
+
+from fire.decorators import SetParseFn
+
+from mimosapoint_cli._output import print_rows, print_yaml
+from mimosapoint_cli._patches import PATCHES, send_patch, wait_in_force
+from mimosapoint_cli._values import integer, read_yaml, seconds
+from mimosapoint_cli.client import to_json
+from mimosapoint_cli.errors import ExitCode, UsageError
+from mimosapoint_cli.session import Action, Session
+
+__all__ = ["ConfigCommands", "print_verdict"]
+
+COLUMNS = ("id", "accepted", "version", "nodes_in_force", "nodes_pending", "reasons")
+PATCH_KEYS = {"id", "base", "operations"}
+
+
+class ConfigCommands:
+    """Show and change the configuration."""
+
+    def __init__(self, session: Session):
+        self._session = session
+
+    @SetParseFn(str)
+    def show(self, version=None):
+        """Show the configuration in force, or an earlier version."""
+        return Action(lambda: self._show(version))
+
+    @SetParseFn(str)
+    def patch(self, file, id=None, base=None):
+        """Apply the operations of RFC 6902 in a YAML or JSON file.
+
+        :param file: list of operations, or a mapping of id, base and operations.
+        :param id: id of the patch; made from its content when it is not given.
+        :param base: version that it applies to; the current one when it is not given.
+        """
+        return Action(lambda: self._patch(file, id, base))
+
+    @SetParseFn(str)
+    def history(self):
+        """List the verdicts on patches, oldest first."""
+        return Action(self._history)
+
+    @SetParseFn(str)
+    def wait(self, id, timeout="30"):
+        """Wait until every node has a patch in force, for at most some seconds."""
+        return Action(lambda: self._wait(id, timeout))
+
+    @SetParseFn(str)
+    def check(self, file):
+        """Check a configuration file without a server."""
+        return Action(lambda: _check(file))
+
+    def _show(self, version: str | None) -> None:
+        query = {} if version is None else {"version": str(integer("version", version))}
+        value = self._session.client().call("GET", "/v1/configuration", query=query).value
+        self._session.show(value, lambda: print_yaml(value))
+
+    def _patch(self, file: str, id: str | None, base: str | None) -> ExitCode:
+        patch = _read_patch(file)
+        if id is not None:
+            patch["id"] = id
+        if base is not None:
+            patch["base"] = integer("base", base)
+        client = self._session.client()
+        if "base" not in patch:
+            current = client.call("GET", "/v1/configuration").value
+            patch["base"] = current["version"]
+        patch.setdefault("id", _made_id(patch))
+        verdict = send_patch(client, patch)
+        self._session.show(verdict, lambda: print_verdict(verdict))
+        return ExitCode.OK
+
+    def _history(self) -> None:
+        patches = self._session.client().call("GET", PATCHES).value["patches"]
+        rows = [[patch[column] for column in COLUMNS] for patch in patches]
+        self._session.show(patches, lambda: print_rows(COLUMNS, rows))
+
+    def _wait(self, id: str, timeout: str) -> ExitCode:
+        verdict = wait_in_force(self._session.client(), id, seconds("timeout", timeout))
+        self._session.show(verdict, lambda: print_verdict(verdict))
+        return ExitCode.OK if verdict["accepted"] else ExitCode.REFUSED
+
+
+def print_verdict(verdict: dict[str, Any]) -> None:
+    """Print what became of a patch."""
+    print_rows(("field", "value"), list(verdict.items()))
+
+
+def _read_patch(file: str) -> dict[str, Any]:
+    value = read_yaml(file)
+    if isinstance(value, list):
+        return {"operations": value}
+    if isinstance(value, dict) and "operations" in value and set(value) <= PATCH_KEYS:
+        return value
+    raise UsageError(f"{file}: neither a list of operations nor id, base and operations")
+
+
+def _made_id(patch: dict[str, Any]) -> str:
+    """Return an id that the same patch on the same base gets again."""
+    return "patch-" + sha256(to_json([patch["base"], patch["operations"]])).hexdigest()[:16]
+
+
+def _check(file: str) -> None:
+    from mimosapoint.configuration import load_configuration, warnings
+
+    configuration = load_configuration(file)
+    for warning in warnings(configuration):
+        print(f"warning: {warning}")
+    print(f"{file}: valid")
