--- a/packages/mimosapoint-node/src/mimosapoint_node/http/server.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/http/server.py
@@ -82,7 +82,7 @@
             with self._gate.enter():
                 await connection.run()
         except Overloaded:
-            self._telemetry.count("http_connections_refused")
+            self._telemetry.count("http_connections_refused_total")
             await stream.aclose()
         except Exception as error:
             self._telemetry.event("http-connection-error", error=repr(error))
--- a/packages/mimosapoint/src/mimosapoint/telemetry/core.py
+++ b/packages/mimosapoint/src/mimosapoint/telemetry/core.py
@@ -23,6 +23,9 @@
 
 METRIC_PREFIX = "mimosapoint_"
 
+COUNTER_SUFFIX = "_total"
+"""End of the name of every counter in the Prometheus text format."""
+
 
 class LogSpan:
     """A span of opentelemetry behind the port's interface."""
@@ -68,22 +71,22 @@
         self._provider = _make_provider(node, exporter)
         self._tracer = self._provider.get_tracer("mimosapoint")
 
-    def event(self, name: str, **fields: object) -> None:
+    def event(self, name: str, /, **fields: object) -> None:
         """Log one event as key=value pairs."""
         if name not in events_by_name:
             self._undeclared_name(name)
         if self._logger.isEnabledFor(logging.INFO):
             self._logger.info(format_line(name, {**fields, "node": self._node}))
 
-    def count(self, name: str, amount: int = 1, **labels: str) -> None:
+    def count(self, name: str, amount: int = 1, /, **labels: str) -> None:
         """Add to a counter."""
         self._collector(name, MetricKind.COUNTER, labels).add(labels, amount)
 
-    def gauge(self, name: str, value: float, **labels: str) -> None:
+    def gauge(self, name: str, value: float, /, **labels: str) -> None:
         """Set a gauge."""
         self._collector(name, MetricKind.GAUGE, labels).set(labels, value)
 
-    def observe(self, name: str, value: float, **labels: str) -> None:
+    def observe(self, name: str, value: float, /, **labels: str) -> None:
         """Add an observation to a histogram."""
         self._collector(name, MetricKind.HISTOGRAM, labels).observe(labels, value)
 
@@ -120,6 +123,8 @@
             metric = Metric(name, kind, name, labels=tuple(labels))
         help_text = f"{metric.help} Unit: {metric.unit}."
         full_name = METRIC_PREFIX + name
+        if kind is MetricKind.COUNTER and not name.endswith(COUNTER_SUFFIX):
+            full_name += COUNTER_SUFFIX
         if kind is MetricKind.COUNTER:
             return Counter(full_name, help_text, registry=self._registry)
         if kind is MetricKind.GAUGE:
@@ -132,7 +137,7 @@
             raise LookupError(f"{name} is not declared")
         if name not in self._undeclared:
             self._undeclared.add(name)
-            self.event("undeclared-name", name=name)
+            self.event("undeclared-name", used=name)
 
 
 def _make_provider(node: str, exporter: SpanExporter | None) -> TracerProvider:
