--- a/packages/mimosapoint-cli/src/mimosapoint_cli/core.py
+++ b/packages/mimosapoint-cli/src/mimosapoint_cli/core.py
@@ -9,7 +9,7 @@
 from fire.decorators import SetParseFn
 from mimosapoint.errors import MimosapointError
 
-from mimosapoint_cli._output import print_rows
+from mimosapoint_cli._output import print_yaml
 from mimosapoint_cli.config import ConfigCommands
 from mimosapoint_cli.errors import ExitCode
 from mimosapoint_cli.job import JobCommands
@@ -47,7 +47,7 @@
 
     def _status(self) -> None:
         value = self._session.client().call("GET", "/v1/status").value
-        self._session.show(value, lambda: print_rows(("field", "value"), list(value.items())))
+        self._session.show(value, lambda: print_yaml(value))
 
 
 def main() -> None:
--- a/packages/mimosapoint-node/src/mimosapoint_node/http/configuration.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/http/configuration.py
@@ -42,7 +42,7 @@
     """Return the verdicts that are kept, oldest first."""
     request.allow_query()
     await _check_operator(context, request)
-    verdicts = await context.operators.history()
+    verdicts = context.operators.history()
     return json_reply({"patches": [attrs.asdict(verdict) for verdict in verdicts]})
 
 
--- a/packages/mimosapoint-node/src/mimosapoint_node/http/tests/fakes.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/http/tests/fakes.py
@@ -125,7 +125,7 @@
             raise PatchNotFound(f"no patch {patch_id}")
         return self.statuses_by_id[patch_id]
 
-    async def history(self):
+    def history(self):
         return tuple(self.statuses_by_id.values())
 
     async def status(self):
--- a/packages/mimosapoint/src/mimosapoint/ports/api.py
+++ b/packages/mimosapoint/src/mimosapoint/ports/api.py
@@ -65,7 +65,7 @@
         """
         ...
 
-    async def history(self) -> tuple[PatchStatus, ...]:
+    def history(self) -> tuple[PatchStatus, ...]:
         """Return the verdicts on patches that are kept, oldest first."""
         ...
 
