--- a/packages/mimosapoint-cli/src/mimosapoint_cli/config.py
+++ b/packages/mimosapoint-cli/src/mimosapoint_cli/config.py
@@ -1,6 +1,7 @@
 """Commands for operators: the configuration and its patches."""
 
 from hashlib import sha256
+from secrets import token_urlsafe
 from typing import Any
 
 from fire.decorators import SetParseFn
@@ -14,7 +15,10 @@
 
 __all__ = ["ConfigCommands", "print_verdict"]
 
-COLUMNS = ("id", "accepted", "version", "nodes_in_force", "nodes_pending", "reasons")
+COLUMNS = ("id", "accepted", "version", "reasons")
+TOKEN_BYTES = 32
+"""Random bytes of a bearer token."""
+
 PATCH_KEYS = {"id", "base", "operations"}
 
 
@@ -49,6 +53,10 @@
         """Wait until every node has a patch in force, for at most some seconds."""
         return Action(lambda: self._wait(id, timeout))
 
+    def token(self):
+        """Make a bearer token, and the digest of it that the configuration keeps."""
+        return Action(self._token)
+
     @SetParseFn(str)
     def check(self, file):
         """Check a configuration file without a server."""
@@ -74,6 +82,11 @@
         self._session.show(verdict, lambda: print_verdict(verdict))
         return ExitCode.OK
 
+    def _token(self) -> None:
+        token = token_urlsafe(TOKEN_BYTES)
+        value = {"token": token, "digest": sha256(token.encode()).hexdigest()}
+        self._session.show(value, lambda: print_yaml(value))
+
     def _history(self) -> None:
         patches = self._session.client().call("GET", PATCHES).value["patches"]
         rows = [[patch[column] for column in COLUMNS] for patch in patches]
--- a/packages/mimosapoint-cli/src/mimosapoint_cli/tests/test_config.py
+++ b/packages/mimosapoint-cli/src/mimosapoint_cli/tests/test_config.py
@@ -26,6 +26,16 @@
             self.assertEqual(0, history[0])
             self.assertIn("/zones: none", history[1])
 
+    async def test_a_made_token_lets_an_operator_in(self):
+        async with fixture(authentication="tokens").served() as node:
+            self.assertEqual(3, (await self.run_command("config show", node))[0])
+            made = orjson.loads((await self.run_command("config token --json"))[1])
+            digests = (made["digest"],)
+            current = attrs.evolve(node.operators.current, operator_token_digests=digests)
+            node.operators.current = current
+            self.environment["MIMOSAPOINT_TOKEN"] = made["token"]
+            self.assertEqual(0, (await self.run_command("config show", node))[0])
+
     async def test_patch_from_a_file(self):
         whole = "{id: p1, base: 7, operations: [" + OPERATIONS.removeprefix("- ").strip() + "]}"
         cases = ((OPERATIONS, 3, "patch-"), (whole, 7, "p1"))
--- a/packages/mimosapoint-node/src/mimosapoint_node/http/__init__.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/http/__init__.py
@@ -1,6 +1,11 @@
 """HTTP interface of a node, for callers and operators."""
 
-from mimosapoint_node.http import configuration, health, jobs  # noqa: F401 (fill the registry)
+from mimosapoint_node.http import (  # noqa: F401 (fill the registries)
+    configuration,
+    health,
+    jobs,
+    tokens,
+)
 from mimosapoint_node.http.authentication import Authenticator, Caller, authenticator
 from mimosapoint_node.http.core import make_app
 from mimosapoint_node.http.limits import HttpLimits
--- /dev/null
+++ b/packages/mimosapoint-node/src/mimosapoint_node/http/tokens.py
@@ -0,0 +1,71 @@
+"""Callers who show a bearer token."""
+
+import hmac
+from collections.abc import Iterable, Iterator
+from hashlib import sha256
+
+from mimosapoint.configuration import Configuration
+from mimosapoint.errors import Forbidden, StoreUnavailable, Unauthenticated
+from mimosapoint.ports import OperatorApi
+
+from mimosapoint_node.http.authentication import Caller, authenticator, named_workspace
+from mimosapoint_node.http.message import Request
+
+__all__ = ["TokenAuthenticator", "token_digest"]
+
+SCHEME = "bearer"
+
+
+def token_digest(token: str) -> str:
+    """Return the digest of a bearer token, as the configuration keeps it.
+
+    >>> token_digest("a")[:8]
+    'ca978112'
+    """
+    return sha256(token.encode("latin-1", "replace")).hexdigest()
+
+
+@authenticator("tokens")
+class TokenAuthenticator:
+    """Looks tokens up in the configuration that is in force here.
+
+    :param operators: gives the configuration.
+    """
+
+    def __init__(self, operators: OperatorApi):
+        self._operators = operators
+
+    async def caller(self, request: Request) -> Caller:
+        """Return the operator or the service that the token belongs to."""
+        digest = token_digest(_read_token(request))
+        configuration = await self._operators.configuration()
+        if configuration.version == 0:
+            raise StoreUnavailable("this node has no configuration yet")
+        named = named_workspace(request)
+        if _contains(configuration.operator_token_digests, digest):
+            return Caller(workspace=named, operator=True)
+        found = [caller for known, caller in _services(configuration) if _contains(known, digest)]
+        if not found:
+            raise Unauthenticated("the bearer token is not known")
+        if named not in (None, found[0].workspace):
+            raise Forbidden("the bearer token belongs to another workspace")
+        return found[0]
+
+
+def _read_token(request: Request) -> str:
+    scheme, _, token = request.headers.get("authorization", "").partition(" ")
+    if scheme.lower() != SCHEME or not token.strip():
+        raise Unauthenticated("send the header Authorization: Bearer TOKEN")
+    return token.strip()
+
+
+def _services(configuration: Configuration) -> Iterator[tuple[tuple[str, ...], Caller]]:
+    """Yield the digests of every service with the caller that they stand for."""
+    for workspace_id, workspace in configuration.workspaces_by_id.items():
+        for service_id, service in workspace.services_by_id.items():
+            yield service.token_digests, Caller(workspace=workspace_id, service=service_id)
+
+
+def _contains(digests: Iterable[str], digest: str) -> bool:
+    """Compare with every digest in constant time."""
+    return any([hmac.compare_digest(known, digest) for known in digests])
--- a/packages/mimosapoint/src/mimosapoint/codec/rules.py
+++ b/packages/mimosapoint/src/mimosapoint/codec/rules.py
@@ -6,12 +6,13 @@
 
 import attrs
 
-__all__ = ["RULE_KEY", "Rule", "between", "identifier", "one_of"]
+__all__ = ["RULE_KEY", "Rule", "between", "digests", "identifier", "one_of"]
 
 RULE_KEY = "rule"
 """Metadata key of the :class:`Rule` of an ``attrs`` field."""
 
 ID_PATTERN = re.compile(r"[a-z0-9-]{1,40}")
+DIGEST_PATTERN = re.compile(r"[0-9a-f]{64}")
 
 
 @attrs.frozen
@@ -44,3 +45,11 @@
 def identifier() -> Rule:
     """Allow ids."""
     return Rule("1 to 40 of a-z, 0-9 and -", lambda value: bool(ID_PATTERN.fullmatch(value)))
+
+
+def digests() -> Rule:
+    """Allow lists of SHA-256 digests."""
+    return Rule(
+        "SHA-256 digests, each 64 of 0-9 and a-f",
+        lambda values: all(DIGEST_PATTERN.fullmatch(value) for value in values),
+    )
--- a/packages/mimosapoint/src/mimosapoint/configuration/document.py
+++ b/packages/mimosapoint/src/mimosapoint/configuration/document.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from mimosapoint.codec.rules import RULE_KEY, Rule, between, identifier
+from mimosapoint.codec.rules import RULE_KEY, Rule, between, digests, identifier
 from mimosapoint.model import Adjacency, JobClass, Resources
 
 __all__ = [
@@ -107,10 +107,12 @@
 
     :param zones: availability zones its jobs may run in; empty means every zone of the region.
     :param classes: job classes it may ask for.
+    :param token_digests: SHA-256 digests of the bearer tokens of its callers.
     """
 
     zones: tuple[str, ...] = ()
     classes: tuple[JobClass, ...] = tuple(JobClass)
+    token_digests: tuple[str, ...] = _ruled(digests(), ())
 
 
 @attrs.frozen
@@ -151,12 +153,14 @@
     :param zones_by_id: availability zones.
     :param workspaces_by_id: workspaces.
     :param policies: names of the behaviours in use.
+    :param operator_token_digests: SHA-256 digests of the operators' bearer tokens.
     """
 
     version: int = 0
     zones_by_id: dict[str, Zone] = attrs.field(factory=dict)
     workspaces_by_id: dict[str, Workspace] = attrs.field(factory=dict)
     policies: Policies = Policies()
+    operator_token_digests: tuple[str, ...] = _ruled(digests(), ())
 
     def zones_of(self, region: str) -> dict[str, Zone]:
         """Return the availability zones of a region."""
--- a/packages/mimosapoint/src/mimosapoint/configuration/tests/test_validation.py
+++ b/packages/mimosapoint/src/mimosapoint/configuration/tests/test_validation.py
@@ -69,6 +69,8 @@
     S: ([], None, "a"),
     f"{S}/zones": BAD_LISTS,
     f"{S}/classes": ("urgent", {}, None, ["soon"], []),
+    f"{S}/token_digests": ("a", {}, None, ["a"], ["A" * 64], ["a" * 63], [1]),
+    "/operator_token_digests": ("a", {}, None, ["a"], ["A" * 64], ["a" * 65], [1]),
     "/policies": ([], None, "a"),
     "/policies/scheduling": ("", "no-such", 3, None),
 }
