Close connections whose caller reads too slowly

hypercorn shields its sending from cancellation: a caller that read nothing of a 20 MB reply held up the shutdown until the test was ended by hand after 30 s, whatever the grace. Each 64 KiB now has to be taken within send_time; with 50 ms of it the same shutdown took 52 ms. The page for operators is checked against the table of codes, and the command line says when a refused request may be repeated.

--- a/packages/mimosapoint-cli/src/mimosapoint_cli/errors.py
+++ b/packages/mimosapoint-cli/src/mimosapoint_cli/errors.py
@@ -77,8 +77,12 @@
 
     def __init__(self, status: int, problem: dict[str, Any]):
         code = problem.get("code", "unknown")
-        reasons = tuple(map(str, problem.get("reasons", ())))
-        super().__init__(f"{code}: {problem.get('detail', f'HTTP status {status}')}", reasons)
+        reasons = [str(reason) for reason in problem.get("reasons", ())]
+        if "retry_after" in problem:
+            reasons.append(f"repeat after {problem['retry_after']} s")
+        super().__init__(
+            f"{code}: {problem.get('detail', f'HTTP status {status}')}", tuple(reasons)
+        )
         self.status = status
         self.problem_code = code
         if status in BAD_INPUT_STATUSES:
--- a/packages/mimosapoint-cli/src/mimosapoint_cli/tests/test_job.py
+++ b/packages/mimosapoint-cli/src/mimosapoint_cli/tests/test_job.py
@@ -65,7 +65,7 @@
                 self.assertEqual("2026-01-02T03:04:05+00:00", request.start_by.isoformat())
 
     async def test_refusals(self):
-        cases = ((NeverFits("too large"), 3), (Overloaded(), 3), (KeyError("x"), 3))
+        cases = ((NeverFits("too large"), 3), (Overloaded("full"), 3), (KeyError("x"), 3))
         async with fixture().served() as node:
             for error, wanted in cases:
                 with self.subTest(error=error):
--- a/packages/mimosapoint-node/src/mimosapoint_node/http/_connection.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/http/_connection.py
@@ -1,5 +1,6 @@
 """One connection of a caller, served by hypercorn."""
 
+from datetime import timedelta
 from typing import Any
 
 import trio
@@ -20,6 +21,9 @@
 QUIET_SECONDS = 0.05
 """Time without requests and sending, in seconds, after which a connection may be closed."""
 
+CHUNK_BYTES = 2**16
+"""Bytes that a caller has to take within the time for sending."""
+
 
 class Connection:
     """Serves a connection; after the shutdown it is closed as soon as it is quiet.
@@ -42,7 +46,7 @@
         limits: HttpLimits,
         shutdown: trio.Event,
     ):
-        self._stream = _TrackedStream(stream)
+        self._stream = _TrackedStream(stream, limits.send_time)
         self._app = app
         self._config = config
         self._limits = limits
@@ -84,9 +88,10 @@
     """A stream that knows whether it is sending; it has what hypercorn uses of a stream.
 
     :param stream: stream that does the work.
+    :param send_time: longest time that the peer may take for one chunk.
     """
 
-    def __init__(self, stream: trio.SocketStream):
+    def __init__(self, stream: trio.SocketStream, send_time: timedelta):
         self.socket = stream.socket
         self.receive_some = stream.receive_some
         self.send_eof = stream.send_eof
@@ -94,12 +99,24 @@
         self.sending = False
         self.sent = 0
         self._stream = stream
+        self._send_seconds = send_time.total_seconds()
 
     async def send_all(self, data: bytes) -> None:
-        """Send the data and count the call."""
+        """Send the data and count the call.
+
+        hypercorn shields its sending from cancellation, so a peer that reads nothing would hold
+        up the shutdown for ever.
+
+        :raises trio.BrokenResourceError: the peer has taken too long.
+        """
         self.sending = True
         try:
-            await self._stream.send_all(data)
+            for start in range(0, len(data), CHUNK_BYTES):
+                with trio.fail_after(self._send_seconds):
+                    await self._stream.send_all(data[start : start + CHUNK_BYTES])
+        except trio.TooSlowError as error:
+            await trio.aclose_forcefully(self._stream)
+            raise trio.BrokenResourceError("the peer reads too slowly") from error
         finally:
             self.sending = False
             self.sent += 1
--- a/packages/mimosapoint-node/src/mimosapoint_node/http/limits.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/http/limits.py
@@ -19,6 +19,7 @@
     :param wait: longest wait that a caller may ask for.
     :param body_time: time in which the whole body has to arrive.
     :param idle_time: time after which an idle connection is closed.
+    :param send_time: longest time that a caller may take for 64 KiB of a reply.
     :param shutdown_time: time that requests in progress get at shutdown; above ``wait``.
     """
 
@@ -30,4 +31,5 @@
     wait: timedelta = timedelta(seconds=60)
     body_time: timedelta = timedelta(seconds=10)
     idle_time: timedelta = timedelta(seconds=30)
+    send_time: timedelta = timedelta(seconds=20)
     shutdown_time: timedelta = timedelta(seconds=75)
--- a/packages/mimosapoint-node/src/mimosapoint_node/http/tests/test_problems.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/http/tests/test_problems.py
@@ -1,6 +1,8 @@
 """Tests of errors as problems."""
 
+import re
 from datetime import timedelta
+from pathlib import Path
 
 import orjson
 from mimosapoint import errors
@@ -29,6 +31,12 @@
         kinds = [getattr(errors, name) for name in errors.__all__]
         self.assertEqual({kind.code for kind in kinds}, set(STATUS_BY_CODE))
 
+    def test_the_operators_page_names_every_code_with_its_status(self):
+        page = Path(__file__).parents[6] / "docs" / "operators" / "api.md"
+        rows = re.findall(r"^\| (\d{3}) \| (`[^|]*) \|", page.read_text(), re.MULTILINE)
+        named = {code: int(status) for status, row in rows for code in re.findall("[a-z-]+", row)}
+        self.assertEqual(STATUS_BY_CODE, named)
+
     async def test_errors_of_the_api_become_problems(self):
         async with Fixture().served() as node:
             for error, status, retry_after in CASES:
--- a/packages/mimosapoint-node/src/mimosapoint_node/http/tests/test_server.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/http/tests/test_server.py
@@ -13,6 +13,10 @@
 
 SHORT = timedelta(seconds=0.05)
 JOBS = ("POST", "/v1/jobs")
+WEBSOCKET = (
+    b"GET /v1/jobs HTTP/1.1\r\nhost: x\r\nupgrade: websocket\r\nconnection: upgrade\r\n"
+    b"sec-websocket-version: 13\r\nsec-websocket-key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n"
+)
 
 
 async def until(condition):
@@ -65,6 +69,7 @@
             (b"GET / HTTP/1.1\r\nhost: x\r\nbig: " + b"x" * 4000, b"HTTP/1.1 431"),
             (b"not http\r\n\r\n", b"HTTP/1.1 400"),
             (b"GET / HTTP/1.1\r\n\r\n", b"HTTP/1.1 400"),
+            (WEBSOCKET, b"HTTP/1.1 "),
             (start + b"{", b"HTTP/1.1 408"),
             (b"GET /half", b""),
             (b"", b""),
@@ -173,3 +178,17 @@
                 self.assertEqual(503, late.status)
                 self.assertEqual("shutting-down", orjson.loads(late.content)["code"])
                 self.assertEqual([], node.jobs.requests)
+
+    async def test_a_caller_that_reads_nothing_does_not_hold_up_the_shutdown(self):
+        start = b"GET /v1/jobs?workspace=w HTTP/1.1\r\nhost: x\r\n\r\n"
+        with trio.fail_after(5):
+            async with Fixture(HttpLimits(send_time=SHORT)).served() as node:
+                await node.call(*JOBS, job_body(), key())
+                node.jobs.end("mvd-centro~1-a", Succeeded(("x" * 20_000_000,)))
+                host, port = node.address.split(":")
+                stream = await trio.open_tcp_stream(host, int(port))
+                await stream.send_all(start)
+                route = {"route": "/v1/jobs", "status": "200"}
+                await until(lambda: ("http_requests_total", route) in node.telemetry.counts)
+                node.shutdown.set()
+        await stream.aclose()
