Bound the time of calls and commands in tests

Trials with 14 single faults put into the code were all noticed, but two of them by a test that hung: an endless wait for an answer and waits beyond their bound. Calls and commands of the tests now end after 10 s, so that both faults fail a test instead.

--- a/packages/mimosapoint-cli/src/mimosapoint_cli/tests/cli_case.py
+++ b/packages/mimosapoint-cli/src/mimosapoint_cli/tests/cli_case.py
@@ -13,6 +13,7 @@
 
 from mimosapoint_cli import run
 
+COMMAND_SECONDS = 10
 WORKER = Resources(8, 128, 256, 8)
 
 
@@ -38,5 +39,6 @@
             environment.setdefault("MIMOSAPOINT_SERVER", node.address)
         out, err = StringIO(), StringIO()
         with mock.patch.dict(os.environ, environment), redirect_stdout(out), redirect_stderr(err):
-            code = await trio.to_thread.run_sync(run, arguments)
+            with trio.fail_after(COMMAND_SECONDS):
+                code = await trio.to_thread.run_sync(run, arguments, abandon_on_cancel=True)
         return code, out.getvalue(), err.getvalue()
--- a/packages/mimosapoint-node/src/mimosapoint_node/http/tests/fakes.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/http/tests/fakes.py
@@ -16,6 +16,7 @@
 from mimosapoint_node.http import HttpLimits, make_app, serve
 
 NOW = datetime(2026, 1, 2, 3, 4, 5, tzinfo=timezone.utc)
+CALL_SECONDS = 10
 TRACE = "00-" + "a" * 32 + "-" + "b" * 16 + "-01"
 
 
@@ -211,10 +212,10 @@
 
     async def call(self, method, target, body=b"", headers=(), http2=False):
         """Return status, headers by name and body of one request over a new connection."""
-        async with httpcore.AsyncConnectionPool(http1=not http2, http2=http2) as pool:
-            reply = await pool.request(
-                method, f"http://{self.address}{target}", content=body, headers=list(headers)
-            )
+        url = f"http://{self.address}{target}"
+        with trio.fail_after(CALL_SECONDS):
+            async with httpcore.AsyncConnectionPool(http1=not http2, http2=http2) as pool:
+                reply = await pool.request(method, url, content=body, headers=list(headers))
         names = {name.decode().lower(): value.decode() for name, value in reply.headers}
         return reply.status, names, reply.content
 
