--- a/packages/mimosapoint/src/mimosapoint/membership/_table.py
+++ b/packages/mimosapoint/src/mimosapoint/membership/_table.py
@@ -6,6 +6,7 @@
 import attrs
 
 from mimosapoint.membership.messages import NodeState
+from mimosapoint.model import Vm, VmKind, VmState
 
 __all__ = ["NodeRecord", "NodeTable"]
 
@@ -29,6 +30,15 @@
     added_at: datetime
     progressed_at: datetime | None = None
     direct: bool = False
+    _vm: Vm | None = None
+
+    def vm(self, leaving: bool) -> Vm:
+        """Return the node as a VM; the same object until something changes."""
+        vm, state = self._vm, self.state
+        stage = VmState.LEAVING if leaving else VmState.LIVE
+        if vm is None or vm.state is not stage or vm.address != state.address:
+            self._vm = vm = Vm(state.id, VmKind.ENTRY, state.zone, state.address, stage)
+        return vm
 
     def current(self) -> NodeState:
         """Return the state with the newest heartbeat."""
--- /dev/null
+++ b/packages/mimosapoint/src/mimosapoint/membership/_view.py
@@ -0,0 +1,94 @@
+"""Which of the known nodes count as live."""
+
+from collections.abc import Callable
+from datetime import datetime, timedelta
+
+from mimosapoint.membership._table import NodeRecord, NodeTable
+from mimosapoint.membership._vm_directory import VmDirectory
+from mimosapoint.model import Vm, VmState
+from mimosapoint.ports import Clock, Telemetry
+
+__all__ = ["LiveView"]
+
+
+class LiveView:
+    """Set of live nodes; tells of each change.
+
+    :param own_id: id of this node, which always lives.
+    :param table: what is known of the nodes.
+    :param directory: the list of VMs.
+    :param clock: the clock.
+    :param telemetry: where changes are told.
+    :param dead_after: time without progress of a heartbeat after which a node is not live.
+    :param changed: called after each change.
+    """
+
+    def __init__(
+        self,
+        own_id: str,
+        table: NodeTable,
+        directory: VmDirectory,
+        clock: Clock,
+        telemetry: Telemetry,
+        dead_after: timedelta,
+        changed: Callable[[], None],
+    ) -> None:
+        self._own_id = own_id
+        self._table = table
+        self._directory = directory
+        self._clock = clock
+        self._telemetry = telemetry
+        self._dead_after = dead_after
+        self._changed = changed
+        self._live: dict[str, tuple[Vm, int]] = {}
+
+    def alive(self, id: str) -> bool:
+        """Tell whether a node lives, leaving or not."""
+        record = self._table.records_by_id.get(id)
+        return record is not None and self._alive(record, self._clock.now())
+
+    def vm(self, record: NodeRecord) -> Vm:
+        """Return a node with its state."""
+        return record.vm(record.state.leaving or self._directory.leaving(record.state.id))
+
+    def peer_addresses(self) -> dict[str, str]:
+        """Return the addresses of the other live nodes by id, leaving ones included."""
+        now = self._clock.now()
+        return {
+            id: record.state.address
+            for id, record in self._table.records_by_id.items()
+            if id != self._own_id and self._alive(record, now)
+        }
+
+    def refresh(self) -> dict[str, Vm]:
+        """Work out the live nodes that are not leaving, by id."""
+        now = self._clock.now()
+        live = {}
+        for id, record in self._table.records_by_id.items():
+            vm = self.vm(record)
+            if vm.state is VmState.LIVE and self._alive(record, now):
+                live[id] = (vm, record.state.incarnation)
+        if live != self._live:
+            before, self._live = self._live, live
+            self._tell(before, live)
+            self._changed()
+        return {id: vm for id, (vm, _) in live.items()}
+
+    def _alive(self, record: NodeRecord, now: datetime) -> bool:
+        id = record.state.id
+        if id == self._own_id:
+            return True
+        if record.progressed_at is None or now - record.progressed_at >= self._dead_after:
+            return False
+        return record.direct or id in self._directory.nodes_by_id
+
+    def _tell(self, before: dict[str, tuple[Vm, int]], after: dict[str, tuple[Vm, int]]) -> None:
+        for id in after.keys() - before.keys():
+            self._telemetry.event("member-live", member=id, zone=after[id][0].zone)
+        for id in before.keys() - after.keys():
+            record = self._table.records_by_id.get(id)
+            leaving = record is not None and self.vm(record).state is VmState.LEAVING
+            name = "member-leaving" if leaving else "member-dead"
+            self._telemetry.event(name, member=id, zone=before[id][0].zone)
+        self._telemetry.count("member_changes")
+        self._telemetry.gauge("members_live", len(after))
--- a/packages/mimosapoint/src/mimosapoint/membership/core.py
+++ b/packages/mimosapoint/src/mimosapoint/membership/core.py
@@ -9,12 +9,13 @@
 
 from mimosapoint.errors import MimosapointError, PeerUnreachable
 from mimosapoint.membership._exchange import Exchanger
-from mimosapoint.membership._table import NodeRecord, NodeTable
+from mimosapoint.membership._table import NodeTable
+from mimosapoint.membership._view import LiveView
 from mimosapoint.membership._vm_directory import VmDirectory
 from mimosapoint.membership.configuration_link import ConfigurationLink, NoConfiguration
 from mimosapoint.membership.messages import Gossip, NodeState
 from mimosapoint.membership.settings import MembershipSettings
-from mimosapoint.model import Vm, VmKind, VmState
+from mimosapoint.model import Vm
 from mimosapoint.peers import Dispatcher
 from mimosapoint.ports import Clock, Peers, Telemetry, VmList
 
@@ -67,7 +68,15 @@
         timeout = settings.call_timeout
         self._exchanger = Exchanger(self._table, peers, clock, link, telemetry, timeout)
         self._providers_by_name: dict[str, AttachmentProvider] = {}
-        self._view: dict[str, tuple[Vm, int]] = {}
+        self._view = LiveView(
+            node.id,
+            self._table,
+            self._directory,
+            clock,
+            telemetry,
+            settings.dead_after,
+            self._notify,
+        )
         self._generation = 0
         self._changed = trio.Event()
         self._hurry = trio.Event()
@@ -75,7 +84,7 @@
         self._attached_at: datetime | None = None
         self._round = 0
         dispatcher.handle(Gossip, self._serve)
-        self._refresh_view()
+        self._view.refresh()
 
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Gossip until cancelled."""
@@ -92,19 +101,17 @@
 
     def alive(self, node_id: str) -> bool:
         """Tell whether a node's heartbeat progresses; this node always lives."""
-        if node_id == self._node.id:
-            return True
-        record = self._table.records_by_id.get(node_id)
-        return record is not None and self._alive(record)
+        return self._view.alive(node_id)
 
     def live_nodes(self) -> dict[str, Vm]:
         """Return the live nodes that are not leaving by id, this one included."""
-        return {id: vm for id, (vm, _) in self._refresh_view().items()}
+        return self._view.refresh()
 
     def known_nodes(self) -> dict[str, Vm]:
         """Return every node that the gossip or the list of VMs shows, by id."""
         known = dict(self._directory.nodes_by_id)
-        known.update((id, self._vm(record)) for id, record in self._table.records_by_id.items())
+        records = self._table.records_by_id
+        known.update((id, self._view.vm(record)) for id, record in records.items())
         return known
 
     def endpoints(self) -> dict[str, Vm]:
@@ -135,7 +142,7 @@
         """Tell every live node at once that this one stops as planned."""
         if not self._table.own.leaving:
             self._table.change_own(leaving=True)
-            self._refresh_view()
+            self._view.refresh()
             self._hurry.set()
 
     async def announce(self) -> frozenset[str]:
@@ -144,7 +151,7 @@
         A version that this node installed first goes to every live node at once. One that a peer
         sent is passed on to a few that may lack it, since the first node calls the others.
         """
-        addresses_by_id = self._live_peers()
+        addresses_by_id = self._view.peer_addresses()
         if self._exchanger.learnt():
             behind = {id: a for id, a in addresses_by_id.items() if self._exchanger.behind(a)}
             most = min(self._settings.fanout, len(behind))
@@ -170,7 +177,7 @@
         if self._attachments_due(now):
             self.refresh_attachments()
         self._forget_silent(now)
-        self._refresh_view()
+        self._view.refresh()
         self._telemetry.gauge("members_known", len(self._table.records_by_id))
 
     def _attachments_due(self, now: datetime) -> bool:
@@ -196,7 +203,7 @@
 
     def _targets(self) -> list[str]:
         """Return the addresses to call in this round."""
-        live = self._live_peers()
+        live = self._view.peer_addresses()
         suspected = [
             vm.address
             for id, vm in self.known_nodes().items()
@@ -212,14 +219,6 @@
     def _sample(self, addresses: list[str], most: int) -> list[str]:
         return self._random.sample(addresses, max(0, min(most, len(addresses))))
 
-    def _live_peers(self) -> dict[str, str]:
-        """Return the addresses of the other live nodes by id, leaving ones included."""
-        return {
-            id: record.state.address
-            for id, record in self._table.records_by_id.items()
-            if id != self._node.id and self._alive(record)
-        }
-
     async def _exchange(self, address: str, anew: bool = False) -> bool:
         try:
             answered = await self._exchanger.exchange(address, anew)
@@ -228,12 +227,12 @@
         except MimosapointError as error:
             self._telemetry.event("gossip-failed", peer=address, code=error.code, detail=error)
             return False
-        self._refresh_view()
+        self._view.refresh()
         return answered
 
     async def _serve(self, message: Gossip) -> Any:
         reply = self._exchanger.serve(message)
-        self._refresh_view()
+        self._view.refresh()
         return reply
 
     async def _read_list(self) -> None:
@@ -241,10 +240,11 @@
             await self._clock.sleep(self._settings.list_interval)
             if await self._directory.refresh():
                 self._notify()
+                self._view.refresh()
 
     async def _announce_leaving(self) -> None:
         await self._hurry.wait()
-        await self._call_all(self._live_peers())
+        await self._call_all(self._view.peer_addresses())
 
     async def _call_all(self, addresses_by_id: dict[str, str]) -> frozenset[str]:
         limit = trio.CapacityLimiter(self._settings.announce_limit)
@@ -260,43 +260,6 @@
                 nursery.start_soon(call, id, address)
         return frozenset(answered)
 
-    def _alive(self, record: NodeRecord) -> bool:
-        if record.progressed_at is None:
-            return False
-        if not record.direct and record.state.id not in self._directory.nodes_by_id:
-            return False
-        return self._clock.now() - record.progressed_at < self._settings.dead_after
-
-    def _vm(self, record: NodeRecord) -> Vm:
-        state = record.state
-        leaving = state.leaving or self._directory.leaving(state.id)
-        stage = VmState.LEAVING if leaving else VmState.LIVE
-        return Vm(state.id, VmKind.ENTRY, state.zone, state.address, stage)
-
-    def _refresh_view(self) -> dict[str, tuple[Vm, int]]:
-        """Work out the live nodes and tell of changes."""
-        view = {}
-        for id, record in self._table.records_by_id.items():
-            vm = self._vm(record)
-            if vm.state is VmState.LIVE and (id == self._node.id or self._alive(record)):
-                view[id] = (vm, record.state.incarnation)
-        if view != self._view:
-            before, self._view = self._view, view
-            self._tell(before, view)
-            self._notify()
-        return view
-
-    def _tell(self, before: dict[str, tuple[Vm, int]], after: dict[str, tuple[Vm, int]]) -> None:
-        for id in after.keys() - before.keys():
-            self._telemetry.event("member-live", member=id, zone=after[id][0].zone)
-        for id in before.keys() - after.keys():
-            record = self._table.records_by_id.get(id)
-            leaving = record is not None and self._vm(record).state is VmState.LEAVING
-            name = "member-leaving" if leaving else "member-dead"
-            self._telemetry.event(name, member=id, zone=before[id][0].zone)
-        self._telemetry.count("member_changes")
-        self._telemetry.gauge("members_live", len(after))
-
     def _notify(self) -> None:
         self._generation += 1
         self._changed.set()
--- a/packages/mimosapoint/src/mimosapoint/membership/tests/_cluster.py
+++ b/packages/mimosapoint/src/mimosapoint/membership/tests/_cluster.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from mimosapoint.errors import CodecError
 from mimosapoint.membership import Membership, MembershipSettings
 from mimosapoint.memory import MemoryVmList, TrioClock
 from mimosapoint.model import Vm, VmKind
@@ -44,6 +45,8 @@
         return b"%d" % self.version
 
     def offer_bytes(self, data):
+        if not data.isdigit():
+            raise CodecError("not a number")
         self.install(int(data))
 
 
@@ -61,7 +64,7 @@
         self.members_by_id = {}
         self.links_by_id = {}
         self.telemetry_by_id = {}
-        self.installed_at_by_id = {}
+        self.announcing = False
         self._scopes_by_id = {}
         for number in range(size):
             vm = self.vm(number)
@@ -110,7 +113,7 @@
         started = trio.current_time()
         with trio.fail_after(timeout):
             while not condition():
-                await trio.sleep(0.05)
+                await trio.sleep(0.1)
         return trio.current_time() - started
 
     async def until_agreed(self, ids, timeout=60.0):
@@ -122,8 +125,13 @@
         views = (set(member.live_nodes()) for member in self.members_by_id.values())
         return all(view == set(ids) for view in views)
 
+    def installed(self, version):
+        """Whether every node has the version."""
+        return all(link.version == version for link in self.links_by_id.values())
+
     def _installed(self, id):
-        self.installed_at_by_id[id] = trio.current_time()
+        if self.announcing:
+            self.nursery.start_soon(self.members_by_id[id].announce)
 
     async def _run(self, member, task_status):
         with trio.CancelScope() as scope:
