--- a/packages/mimosapoint-node/src/mimosapoint_node/grpc_peers/client.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/grpc_peers/client.py
@@ -83,7 +83,8 @@
     def _channel(self, address: str) -> grpc.Channel:
         channel = self._channels_by_address.get(address)
         if channel is None:
-            channel = grpc.insecure_channel(address, self._settings.channel_options())
+            options = self._settings.channel_options()
+            channel = grpc.insecure_channel(address, options, grpc.Compression.Deflate)
             self._channels_by_address[address] = channel
         return channel
 
--- a/packages/mimosapoint-node/src/mimosapoint_node/grpc_peers/server.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/grpc_peers/server.py
@@ -37,6 +37,7 @@
         handlers=(handlers,),
         options=settings.server_options(),
         maximum_concurrent_rpcs=settings.threads + settings.waiting,
+        compression=grpc.Compression.Deflate,
     )
     bound = _bind(server, address)
     server.start()
--- a/packages/mimosapoint-node/src/mimosapoint_node/grpc_peers/tests/measure.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/grpc_peers/tests/measure.py
@@ -7,10 +7,13 @@
     python -m mimosapoint_node.grpc_peers.tests.measure call 127.0.0.1:7801 48 2000
 """
 
+import os
+import random
 import sys
 import time
 from datetime import timedelta
 
+import attrs
 import trio
 from mimosapoint.membership import Gossip, NoConfiguration, NodeState
 from mimosapoint.membership._exchange import Exchanger
@@ -23,6 +26,10 @@
 
 HEARTBEAT = 3_592_670_400
 SPREAD = 5
+SUMMARIES = int(os.environ.get("SUMMARIES", "2"))
+"""Changed summaries that each end of an exchange is ahead by."""
+
+SUMMARY_FIELDS = ("epoch", "queued", "running", "free_slots", "free_accelerators", "at")
 REPORT_SECONDS = 2.0
 TIMEOUT = timedelta(seconds=1)
 
@@ -39,6 +46,7 @@
         self.telemetry = LogTelemetry(f"node-{number:02}")
         self.peers = GrpcPeers(f"node-{number:02}", self.telemetry)
         self.round = 0
+        self.random = random.Random(number)
         now = self.clock.now()
         states = [self._state(other) for other in range(nodes)]
         self.table = NodeTable(states[number], now)
@@ -59,6 +67,19 @@
         records = list(self.table.records_by_id.values())
         for number, record in list(enumerate(records))[parity::2]:
             record.heartbeat = HEARTBEAT + 2 * self.round - number % SPREAD
+        for _ in range(SUMMARIES):
+            self._change_summary()
+
+    def _change_summary(self):
+        record = self.random.choice(list(self.table.records_by_id.values())[2:])
+        summary = {name: self.random.randrange(500) for name in SUMMARY_FIELDS}
+        state = record.state
+        record.state = attrs.evolve(
+            state,
+            heartbeat=record.heartbeat,
+            revision=state.revision + 1,
+            attachments={"zones": {f"zone-{state.id}": summary}},
+        )
 
 
 async def serve(address, nodes):
