Close links that replaced peers leave behind

A link without a call for 2 minutes is now closed when the next one is opened. Links with a call in progress stay; a test covers both in simulated time.

--- a/packages/mimosapoint-node/src/mimosapoint_node/grpc_peers/client.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/grpc_peers/client.py
@@ -9,6 +9,7 @@
 from mimosapoint.peers import decode_reply, encode_message, message_name
 from mimosapoint.ports import Span, Telemetry
 
+from mimosapoint_node.grpc_peers._channels import Channels
 from mimosapoint_node.grpc_peers.settings import DEFAULT_SETTINGS, GrpcPeersSettings, method_path
 
 __all__ = ["GrpcPeers", "TRACE_KEY"]
@@ -32,8 +33,7 @@
     ) -> None:
         self._source = source
         self._telemetry = telemetry
-        self._settings = settings
-        self._channels_by_address: dict[str, grpc.Channel] = {}
+        self._channels = Channels(settings)
 
     async def call(self, address: str, message: Any, timeout: timedelta) -> Any:
         """Send a message and return the reply; see :class:`~mimosapoint.ports.Peers`."""
@@ -56,16 +56,9 @@
             elapsed = trio.current_time() - started
             self._telemetry.observe("peer_call_seconds", elapsed, message=name)
 
-    def forget(self, address: str) -> None:
-        """Close the channel of a peer that is gone."""
-        channel = self._channels_by_address.pop(address, None)
-        if channel is not None:
-            channel.close()
-
     def close(self) -> None:
         """Close every channel."""
-        for address in list(self._channels_by_address):
-            self.forget(address)
+        self._channels.close()
 
     async def _call(
         self, address: str, name: str, message: Any, timeout: timedelta, span: Span
@@ -73,21 +66,14 @@
         data = encode_message(message)
         self._count_bytes(name, "sent", data)
         metadata = ((TRACE_KEY, span.context),)
-        method = self._channel(address).unary_unary(method_path(name))
-        future = method.future(data, timeout=timeout.total_seconds(), metadata=metadata)
-        await _done(future)
+        with self._channels.use(address) as channel:
+            method = channel.unary_unary(method_path(name))
+            future = method.future(data, timeout=timeout.total_seconds(), metadata=metadata)
+            await _done(future)
         reply = _result(future, address, name)
         self._count_bytes(name, "received", reply)
         return decode_reply(name, reply)
 
-    def _channel(self, address: str) -> grpc.Channel:
-        channel = self._channels_by_address.get(address)
-        if channel is None:
-            options = self._settings.channel_options()
-            channel = grpc.insecure_channel(address, options, grpc.Compression.Deflate)
-            self._channels_by_address[address] = channel
-        return channel
-
     def _count_bytes(self, name: str, direction: str, data: bytes) -> None:
         self._telemetry.count("peer_bytes", len(data), message=name, direction=direction)
 
--- a/packages/mimosapoint-node/src/mimosapoint_node/grpc_peers/settings.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/grpc_peers/settings.py
@@ -23,6 +23,7 @@
     :param keepalive_timeout: time in which the probe must be answered.
     :param first_reconnect: wait before the first reconnect.
     :param most_reconnect: most wait between reconnects.
+    :param unused_after: time without a call after which a link may be closed.
     :param serve_timeout: most time to serve one call.
     :param stop_grace: time for calls in progress when the server stops.
     """
@@ -33,6 +34,7 @@
     keepalive_timeout: timedelta = timedelta(seconds=3)
     first_reconnect: timedelta = timedelta(milliseconds=200)
     most_reconnect: timedelta = timedelta(seconds=2)
+    unused_after: timedelta = timedelta(minutes=2)
     serve_timeout: timedelta = timedelta(seconds=10)
     stop_grace: timedelta = timedelta(seconds=5)
 
--- a/packages/mimosapoint-node/src/mimosapoint_node/grpc_peers/tests/test_grpc_peers.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/grpc_peers/tests/test_grpc_peers.py
@@ -13,6 +13,7 @@
 from mimosapoint.testing import TrioTestCase
 
 from mimosapoint_node.grpc_peers import GrpcPeers, GrpcPeersSettings, serve_peers
+from mimosapoint_node.grpc_peers._channels import Channels
 
 ANY_PORT = "127.0.0.1:0"
 SECOND = timedelta(seconds=1)
@@ -124,6 +125,23 @@
             await link.peers.call(link.address, Ask("silent"), SHORT)
 
 
+class ChannelsTest(TrioTestCase):
+    mock_clock = True
+
+    async def test_only_unused_channels_are_closed(self):
+        channels = Channels(GrpcPeersSettings(unused_after=timedelta(seconds=60)))
+        with channels.use("127.0.0.1:1") as held:
+            with channels.use("127.0.0.1:2"):
+                pass
+            await trio.sleep(61)
+            with channels.use("127.0.0.1:3"):
+                self.assertEqual(len(channels), 2)
+            with channels.use("127.0.0.1:1") as again:
+                self.assertIs(held, again)
+        channels.close()
+        self.assertEqual(len(channels), 0)
+
+
 class ServePeersTest(TrioTestCase):
     async def test_taken_address_is_an_error(self):
         with free_address() as address, self.assertRaises(OSError):
