--- a/packages/mimosapoint/src/mimosapoint/telemetry/__init__.py
+++ b/packages/mimosapoint/src/mimosapoint/telemetry/__init__.py
@@ -3,13 +3,14 @@
 from mimosapoint.telemetry import _declarations  # noqa: F401 (fills the registries)
 from mimosapoint.telemetry.core import METRIC_PREFIX, LogSpan, LogTelemetry
 from mimosapoint.telemetry.events import declare_event, events_by_name
-from mimosapoint.telemetry.exporter import LineExporter
+from mimosapoint.telemetry.exporter import LineExporter, LogExporter
 from mimosapoint.telemetry.memory import MemoryEvent, MemorySpan, MemoryTelemetry
 from mimosapoint.telemetry.metrics import Metric, MetricKind, declare_metric, metrics_by_name
 
 __all__ = [
     "METRIC_PREFIX",
     "LineExporter",
+    "LogExporter",
     "LogSpan",
     "LogTelemetry",
     "MemoryEvent",
--- a/packages/mimosapoint/src/mimosapoint/telemetry/events.py
+++ b/packages/mimosapoint/src/mimosapoint/telemetry/events.py
@@ -29,6 +29,7 @@
     ("vm-list-available", "The list of VMs can be read again."),
     ("peer-handler-failed", "A handler raised an error that is not typed."),
     ("peers-serving", "The node accepts calls of other nodes."),
+    ("span", "One hop of a trace is over."),
     ("undeclared-name", "A metric or event is used that is not declared."),
 ):
     declare_event(_name, _meaning)
--- a/packages/mimosapoint/src/mimosapoint/telemetry/exporter.py
+++ b/packages/mimosapoint/src/mimosapoint/telemetry/exporter.py
@@ -1,7 +1,9 @@
-"""Exporter of spans as JSON lines."""
+"""Exporters of spans, to a file as JSON lines or to the log."""
 
+import logging
 from collections.abc import Sequence
 from pathlib import Path
+from typing import Any
 
 from opentelemetry.sdk.trace import ReadableSpan, SpanProcessor
 from opentelemetry.sdk.trace.export import (
@@ -11,8 +13,9 @@
 )
 
 from mimosapoint.codec import to_json
+from mimosapoint.telemetry._lines import format_line
 
-__all__ = ["LineExporter", "line_processor"]
+__all__ = ["LineExporter", "LogExporter", "line_processor"]
 
 NANOSECONDS = 1_000_000_000
 """Nanoseconds in a second."""
@@ -38,12 +41,27 @@
         self._file.close()
 
 
+class LogExporter(SpanExporter):
+    """Logs one event per span, for VMs without a disk."""
+
+    def __init__(self) -> None:
+        self._logger = logging.getLogger("mimosapoint")
+
+    def export(self, spans: Sequence[ReadableSpan]) -> SpanExportResult:
+        """Log spans."""
+        for span in spans:
+            line = _line(span)
+            attributes = line.pop("attributes")
+            self._logger.info(format_line("span", {**line, **attributes}))
+        return SpanExportResult.SUCCESS
+
+
 def line_processor(exporter: SpanExporter) -> SpanProcessor:
     """Return the processor that hands spans over in batches, off the event loop."""
     return BatchSpanProcessor(exporter)
 
 
-def _line(span: ReadableSpan) -> dict[str, object]:
+def _line(span: ReadableSpan) -> dict[str, Any]:
     context = span.get_span_context()
     start, end = span.start_time or 0, span.end_time or 0
     return {
--- a/packages/mimosapoint/src/mimosapoint/telemetry/tests/test_core.py
+++ b/packages/mimosapoint/src/mimosapoint/telemetry/tests/test_core.py
@@ -11,6 +11,7 @@
 
 from mimosapoint.model import VmState
 from mimosapoint.telemetry import (
+    LogExporter,
     LogTelemetry,
     MemoryTelemetry,
     Metric,
@@ -158,3 +159,15 @@
         self.assertEqual(line["trace"], PARENT.split("-")[1])
         self.assertEqual(line["parent"], PARENT.split("-")[2])
         self.assertEqual(line["node"], "n")
+
+    def test_spans_go_to_the_log(self):
+        telemetry = LogTelemetry("n", exporter=LogExporter())
+        with self.assertLogs("mimosapoint", "INFO") as logs:
+            with telemetry.span("peer-call", PARENT) as span:
+                span.set("peer", "10.0.0.1:7000")
+            telemetry.close()
+        (record,) = logs.records
+        trace = PARENT.split("-")[1]
+        self.assertRegex(record.getMessage(), f"^event=span trace={trace} name=peer-call span=")
+        self.assertIn(" node=n ", record.getMessage())
+        self.assertTrue(record.getMessage().endswith(" peer=10.0.0.1:7000"))
