Forget silent nodes in the end although the list shows them

A node whose copy of the list stays old would have kept a replaced VM for good, so its roster differed from the others' and every exchange carried all states. Such a node is now dropped after 5 minutes; it stays a candidate to call through the list. What is kept of dropped nodes is bounded to 1000.

--- a/packages/mimosapoint/src/mimosapoint/membership/_exchange.py
+++ b/packages/mimosapoint/src/mimosapoint/membership/_exchange.py
@@ -42,6 +42,11 @@
         self._versions_by_address: dict[str, int] = {}
         self._told_by_address: dict[str, tuple[int, int]] = {}
 
+    def forget(self, address: str) -> None:
+        """Drop what is known of a peer that is gone."""
+        self._versions_by_address.pop(address, None)
+        self._told_by_address.pop(address, None)
+
     def idle(self, address: str) -> bool:
         """Tell whether no exchange with the address is under way."""
         return address not in self._busy
--- a/packages/mimosapoint/src/mimosapoint/membership/_table.py
+++ b/packages/mimosapoint/src/mimosapoint/membership/_table.py
@@ -13,6 +13,9 @@
 DIGEST_BYTES = 8
 """Length of the digest of a roster, in bytes."""
 
+FORGOTTEN_LIMIT = 1000
+"""Most dropped nodes whose last heartbeat is kept."""
+
 
 @attrs.define
 class NodeRecord:
@@ -158,6 +161,8 @@
         """Drop a node; only a later heartbeat brings it back."""
         record = self.records_by_id.pop(id)
         self._forgotten_by_id[id] = (record.state.incarnation, record.heartbeat)
+        if len(self._forgotten_by_id) > FORGOTTEN_LIMIT:
+            del self._forgotten_by_id[next(iter(self._forgotten_by_id))]
         self._roster = None
 
     def _ordered_ids(self) -> list[str]:
--- a/packages/mimosapoint/src/mimosapoint/membership/core.py
+++ b/packages/mimosapoint/src/mimosapoint/membership/core.py
@@ -195,10 +195,12 @@
 
     def _forget_silent(self, now: datetime) -> None:
         for id, record in list(self._table.records_by_id.items()):
-            if id == self._node.id or id in self._directory.nodes_by_id:
-                continue
-            if now - record.silent_since() >= self._settings.forget_after:
+            listed = id in self._directory.nodes_by_id
+            settings = self._settings
+            bound = settings.forget_listed_after if listed else settings.forget_after
+            if id != self._node.id and now - record.silent_since() >= bound:
                 self._table.forget(id)
+                self._exchanger.forget(record.state.address)
                 self._telemetry.event("member-forgotten", member=id)
 
     def _targets(self) -> list[str]:
--- a/packages/mimosapoint/src/mimosapoint/membership/settings.py
+++ b/packages/mimosapoint/src/mimosapoint/membership/settings.py
@@ -16,6 +16,8 @@
     :param suspect_rounds: rounds between two calls to a peer that is not live.
     :param dead_after: time without progress of a heartbeat after which a node is not live.
     :param forget_after: time after which a silent node that the list lacks is dropped.
+    :param forget_listed_after: the same for a node that the list shows, so that a list which
+        some nodes cannot read does not keep their views apart for good.
     :param call_timeout: timeout of one call.
     :param list_interval: time between two reads of the list of VMs.
     :param attachment_interval: time between two looks at this node's attachments.
@@ -27,6 +29,7 @@
     suspect_rounds: int = 4
     dead_after: timedelta = timedelta(seconds=3)
     forget_after: timedelta = timedelta(seconds=30)
+    forget_listed_after: timedelta = timedelta(minutes=5)
     call_timeout: timedelta = timedelta(seconds=1)
     list_interval: timedelta = timedelta(seconds=1)
     attachment_interval: timedelta = timedelta(seconds=1)
--- a/packages/mimosapoint/src/mimosapoint/membership/tests/test_core.py
+++ b/packages/mimosapoint/src/mimosapoint/membership/tests/test_core.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from mimosapoint.membership import MembershipSettings
 from mimosapoint.membership.tests._cluster import Cluster
 from mimosapoint.model import Vm, VmKind, VmState
 from mimosapoint.testing import TrioTestCase
@@ -176,6 +177,19 @@
             cluster.vm_list.put(cluster.vms_by_id[VICTIM])
             self.assertLess(await cluster.until_agreed(cluster.vms_by_id), 8)
 
+    async def test_silent_node_is_forgotten_in_the_end_although_listed(self):
+        settings = MembershipSettings(forget_listed_after=timedelta(seconds=40))
+        async with self.cluster(4, settings=settings) as cluster:
+            cluster.kill(VICTIM)
+            members = cluster.members_by_id.values()
+            for seconds, kept in ((30, True), (20, False)):
+                await trio.sleep(seconds)
+                held = {VICTIM in member._table.records_by_id for member in members}
+                self.assertEqual(held, {kept})
+            self.assertTrue(all(VICTIM in member.known_nodes() for member in members))
+            await cluster.start(cluster.vms_by_id[VICTIM])
+            self.assertLess(await cluster.until_agreed(cluster.vms_by_id), 8)
+
     async def test_outage_of_the_list_keeps_the_last_one(self):
         async with self.cluster(8) as cluster:
             worker = Vm("w1", VmKind.ENDPOINT, "canelones", "10.1.0.1:1", rack="r1")
