Measure how a node's cost grows, and let renewals and list reads be backed off

The wait of a renewal and the pause between reads of the list become settings with the values they had, and a wait that outlasts the lease is refused.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 SEEDS ?= 25
 UV := $(PYTHON) -m uv
 
-.PHONY: setup demo test lint format lock bench
+.PHONY: setup demo test lint format lock bench slopes
 
 setup: $(VENV)/.ready
 
@@ -32,6 +32,10 @@
 bench: setup
 	@$(BIN)/python -m benchmarks.decisions $(if $(QUICK),--quick)
 
+# How the cost of a node grows, measured on real processes; one table, and JSON in bench-results/.
+slopes: setup
+	@$(BIN)/python -m benchmarks.slopes
+
 format: setup
 	@$(BIN)/black --quiet .
 	@$(BIN)/ruff check --quiet --fix .
--- /dev/null
+++ b/benchmarks/slopes/fleet.py
@@ -0,0 +1,185 @@
+"""Cost of a node against the number of nodes, of a patch, and of an open connection."""
+
+import statistics
+from contextlib import AsyncExitStack
+from pathlib import Path
+from typing import Any
+
+import attrs
+import trio
+
+from benchmarks.slopes.fit import Point, Slope, fit
+from benchmarks.slopes.site import SizedSite
+from benchmarks.slopes.usage import KIB, MIB, usage
+
+__all__ = ["measure_connections", "measure_fleets"]
+
+SIZES = (2, 4, 8, 16, 48)
+"""Numbers of nodes."""
+
+SETTLE_SECONDS = 4.0
+IDLE_SECONDS = 8.0
+PATCHES = 20
+PATCH_PAUSE = 0.2
+"""Seconds between two patches."""
+
+POLL_SECONDS = 0.02
+CONNECTIONS = (0, 100, 200, 400)
+FLEETS_AT_ONCE = 4
+
+
+@attrs.frozen
+class FleetCost:
+    """What one node of a fleet costs.
+
+    :param nodes: size of the fleet.
+    :param processor: processor time of an idle node that owns nothing, ms per second.
+    :param owner: the same of the node that owns the empty zone.
+    :param memory: memory of a node that owns nothing, MiB.
+    :param payload: bytes of gossip that a node sends and gets each second.
+    :param reads: calls of the whole fleet to the store each second.
+    :param patch: processor time of a patch at a node that does not commit it, ms.
+    :param in_force: longest time from sending a patch until every node had it in force, ms.
+    """
+
+    nodes: int
+    processor: float
+    owner: float
+    memory: float
+    payload: float
+    reads: float
+    patch: float
+    in_force: float
+
+
+async def measure_fleets(folder: Path) -> list[Slope]:
+    """Return the slopes against the number of nodes."""
+    costs: list[FleetCost] = []
+    limiter = trio.CapacityLimiter(FLEETS_AT_ONCE)
+    async with trio.open_nursery() as nursery:
+        for nodes in SIZES[:-1]:
+            nursery.start_soon(_measure, folder / f"fleet-{nodes}", nodes, costs, limiter)
+    await _measure(folder / f"fleet-{SIZES[-1]}", SIZES[-1], costs, limiter)
+    costs.sort(key=lambda cost: cost.nodes)
+    wanted = (
+        ("node.idle_cpu", "ms/s", "processor"),
+        ("node.empty_owner_cpu", "ms/s", "owner"),
+        ("node.memory", "MiB", "memory"),
+        ("node.gossip_payload", "B/s", "payload"),
+        ("fleet.store_calls", "calls/s", "reads"),
+        ("patch.node_cpu", "ms", "patch"),
+        ("patch.in_force", "ms", "in_force"),
+    )
+    return [
+        fit(name, "node", unit, [Point(cost.nodes, getattr(cost, field)) for cost in costs])
+        for name, unit, field in wanted
+    ]
+
+
+async def _measure(
+    folder: Path, nodes: int, costs: list[FleetCost], limiter: trio.CapacityLimiter
+) -> None:
+    async with limiter, AsyncExitStack() as stack:
+        site = SizedSite(folder, nodes)
+        stack.push_async_callback(site.stop)
+        await site.start()
+        await trio.sleep(SETTLE_SECONDS)
+        costs.append(await _cost(site, nodes))
+
+
+async def _cost(site: SizedSite, nodes: int) -> FleetCost:
+    owner = await site.owner()
+    before, calls, payload = _processor(site), *await _traffic(site)
+    await trio.sleep(IDLE_SECONDS)
+    after, calls_after, payload_after = _processor(site), *await _traffic(site)
+    idle = {id: (after[id] - before[id]) / IDLE_SECONDS for id in after}
+    others = [id for id in idle if id != owner]
+    patch, in_force = await _patches(site, owner, others, idle)
+    return FleetCost(
+        nodes=nodes,
+        processor=1e3 * statistics.mean(idle[id] for id in others),
+        owner=1e3 * idle[owner],
+        memory=statistics.mean(usage(site.pids_by_node[id]).memory for id in others) / MIB,
+        payload=(payload_after - payload) / IDLE_SECONDS / nodes,
+        reads=(calls_after - calls) / IDLE_SECONDS,
+        patch=patch,
+        in_force=in_force,
+    )
+
+
+def _processor(site: SizedSite) -> dict[str, float]:
+    return {id: usage(pid).processor for id, pid in site.pids_by_node.items()}
+
+
+async def _traffic(site: SizedSite) -> tuple[float, float]:
+    """Return the store calls and the bytes of gossip of the whole fleet."""
+    calls = payload = 0.0
+    for id in site.files.nodes_by_id:
+        for name, value in (await site.counters(id)).items():
+            calls += value * name.startswith("mimosapoint_store_calls_total")
+            payload += value * name.startswith("mimosapoint_peer_bytes")
+    return calls, payload
+
+
+async def _patches(
+    site: SizedSite, owner: str, others: list[str], idle: dict[str, float]
+) -> tuple[float, float]:
+    """Apply patches at the owner's node; return their cost at the others and the longest delay."""
+    delays = []
+    before, began = _processor(site), trio.current_time()
+    for number in range(PATCHES):
+        delays.append(await _patch(site, owner, number))
+        await trio.sleep(PATCH_PAUSE)
+    after, lasted = _processor(site), trio.current_time() - began
+    spent = [after[id] - before[id] - idle[id] * lasted for id in others]
+    return 1e3 * statistics.mean(spent) / PATCHES, 1e3 * max(delays)
+
+
+async def _patch(site: SizedSite, node: str, number: int) -> float:
+    """Apply one patch and return the seconds until every node has it in force."""
+    address = site.files.http_by_id[node]
+    path = "/workspaces/workspace-00/grace"
+    operation = {"op": "replace", "path": path, "value": 1 + number}
+    body = {"id": f"patch-{number}", "base": 1 + number, "operations": [operation]}
+    began = trio.current_time()
+    reply = await site.client.call_at(address, "POST", "/v1/configuration/patches", body)
+    _require(reply.status == 200, reply)
+    while reply.body["nodes_pending"]:
+        await trio.sleep(POLL_SECONDS)
+        reply = await site.client.call_at(
+            address, "GET", f"/v1/configuration/patches/patch-{number}"
+        )
+    return trio.current_time() - began
+
+
+def _require(held: bool, seen: Any) -> None:
+    if not held:
+        raise RuntimeError(f"unexpected reply {seen}")
+
+
+async def measure_connections(folder: Path) -> list[Slope]:
+    """Return the memory of a caller's open connection."""
+    points = []
+    async with AsyncExitStack() as stack:
+        site = SizedSite(folder / "connections", 1)
+        stack.push_async_callback(site.stop)
+        await site.start()
+        await trio.sleep(SETTLE_SECONDS)
+        address, pid = next(iter(site.files.http_by_id.values())), site.pids_by_node["node-000"]
+        streams: list[trio.SocketStream] = []
+        for wanted in CONNECTIONS:
+            while len(streams) < wanted:
+                streams.append(await _connect(address))
+            points.append(Point(wanted, usage(pid).memory / KIB))
+        for stream in streams:
+            await stream.aclose()
+    return [fit("connection.memory", "connection", "KiB", points)]
+
+
+async def _connect(address: str) -> trio.SocketStream:
+    """Open a connection that has served one request and stays open."""
+    host, _, port = address.rpartition(":")
+    stream = await trio.open_tcp_stream(host, int(port))
+    await stream.send_all(f"GET /healthz HTTP/1.1\r\nHost: {address}\r\n\r\n".encode())
+    await stream.receive_some()
+    return stream
--- /dev/null
+++ b/benchmarks/slopes/parts.py
@@ -0,0 +1,224 @@
+"""Cost of single calls and of single pieces of a node, each against its size."""
+
+import os
+import time
+import tracemalloc
+from collections.abc import Awaitable, Callable
+from contextlib import AsyncExitStack
+from datetime import datetime, timezone
+from pathlib import Path
+
+import attrs
+from mimosapoint.jobs import Bucket
+from mimosapoint.model import (
+    JobRecord,
+    JobRequest,
+    JobState,
+    LeaseRequest,
+    Placement,
+    ReserveRequest,
+    Resources,
+    StartRequest,
+    TaskSpec,
+)
+from mimosapoint.telemetry import LogTelemetry
+from mimosapoint_node.platform import HttpStore, HttpVmList, HttpWorkers
+from opentelemetry.sdk.trace.export.in_memory_span_exporter import InMemorySpanExporter
+
+from benchmarks.slopes.fit import Point, Slope, fit
+from benchmarks.slopes.relay import Relay
+from benchmarks.slopes.site import SizedSite
+from benchmarks.slopes.usage import KIB
+
+__all__ = [
+    "measure_bucket",
+    "measure_list",
+    "measure_spans",
+    "measure_store",
+    "measure_worker_call",
+]
+
+VALUE_KIB = (1, 16, 64, 256, 512)
+STORE_CALLS = 60
+LISTED = (24, 220, 880, 3500)
+LIST_CALLS = 5
+REPORTED = (0, 2, 4, 8)
+LEASE_CALLS = 100
+RECORDS = (10, 50, 100, 200, 400)
+ENCODINGS = 50
+SPANS = (500, 1000, 2000, 4000)
+NOW = datetime(2026, 1, 5, tzinfo=timezone.utc)
+LEASE_SECONDS = 60.0
+
+
+async def _processor_ms(calls: int, action: Callable[[], Awaitable[object]]) -> float:
+    """Return ms of this process's processor time for each call."""
+    before = time.process_time()
+    for _ in range(calls):
+        await action()
+    return 1e3 * (time.process_time() - before) / calls
+
+
+async def _stand_ins(folder: Path, workers: int, stack: AsyncExitStack) -> SizedSite:
+    """Start the stand-ins of a site without its node."""
+    site = SizedSite(folder, 1, workers)
+    stack.push_async_callback(site.stop)
+    site.files = attrs.evolve(site.files, nodes_by_id={}, http_by_id={})
+    await site.start()
+    return site
+
+
+async def measure_store(folder: Path) -> list[Slope]:
+    """Return the cost of a read and of a write against the size of the value."""
+    reads, writes = [], []
+    async with AsyncExitStack() as stack:
+        site = await _stand_ins(folder / "store", 1, stack)
+        store = HttpStore(site.files.store_address, LogTelemetry("bench"))
+        stack.push_async_callback(store.close)
+        for size in VALUE_KIB:
+            value = os.urandom(size * KIB)
+            revision = 0
+
+            async def write(key: str = f"value-{size}", value: bytes = value) -> None:
+                nonlocal revision
+                revision = await store.compare_and_swap(key, value, revision)
+
+            async def read(key: str = f"value-{size}") -> None:
+                await store.get(key)
+
+            await write()
+            writes.append(Point(size, await _processor_ms(STORE_CALLS, write)))
+            reads.append(Point(size, await _processor_ms(STORE_CALLS, read)))
+    return [
+        fit("store.read_cpu", "KiB", "ms", reads),
+        fit("store.write_cpu", "KiB", "ms", writes),
+    ]
+
+
+async def measure_list(folder: Path) -> list[Slope]:
+    """Return the cost of reading the list of VMs against its length."""
+    costs, sizes = [], []
+    for count in LISTED:
+        async with AsyncExitStack() as stack:
+            relay = await stack.enter_async_context(Relay.opened())
+            site = await _list_site(folder / f"list-{count}", count, stack)
+            vms = HttpVmList(await relay.to(site.files.vm_list_address), LogTelemetry("bench"))
+            stack.push_async_callback(vms.close)
+            await vms.vms()
+            before = relay.carried
+            await vms.vms()
+            sizes.append(Point(count, relay.carried - before))
+            direct = HttpVmList(site.files.vm_list_address, LogTelemetry("bench"))
+            stack.push_async_callback(direct.close)
+            await direct.vms()
+            costs.append(Point(count, await _processor_ms(LIST_CALLS, direct.vms)))
+    return [
+        fit("list.read_cpu", "listed VM", "ms", costs),
+        fit("list.read_bytes", "listed VM", "B", sizes),
+    ]
+
+
+async def _list_site(folder: Path, count: int, stack: AsyncExitStack) -> SizedSite:
+    """Start only the stand-in for the list, with that many endpoint VMs."""
+    site = SizedSite(folder, 1, count)
+    stack.push_async_callback(site.stop)
+    await site.start_list()
+    return site
+
+
+async def measure_worker_call(folder: Path) -> list[Slope]:
+    """Return cost and bytes of a lease renewal against the tasks in the worker's report."""
+    costs, sizes = [], []
+    async with AsyncExitStack() as stack:
+        relay = await stack.enter_async_context(Relay.opened())
+        site = await _stand_ins(folder / "calls", len(REPORTED), stack)
+        workers = HttpWorkers(LogTelemetry("bench"))
+        stack.push_async_callback(workers.close)
+        for address, tasks in zip(site.worker_addresses, REPORTED, strict=True):
+            request = LeaseRequest("node-000", "r1-a", 1, LEASE_SECONDS)
+            await workers.lease(address, request)
+            await _start_tasks(workers, address, tasks)
+
+            async def renew(address: str = address, request: LeaseRequest = request) -> None:
+                await workers.lease(address, request)
+
+            costs.append(Point(tasks, await _processor_ms(LEASE_CALLS, renew)))
+            through = await relay.to(address)
+            await workers.lease(through, request)
+            before = relay.carried
+            await workers.lease(through, request)
+            sizes.append(Point(tasks, relay.carried - before))
+    return [
+        fit("renewal.cpu", "reported task", "ms", costs),
+        fit("renewal.bytes", "reported task", "B", sizes),
+    ]
+
+
+async def _start_tasks(workers: HttpWorkers, address: str, count: int) -> None:
+    ids = tuple(f"r1-a~{number:032}/1/0" for number in range(count))
+    payload = {"kind": "sleep", "seconds": LEASE_SECONDS}
+    shape = Resources(1, 16, 32, 1)
+    specs = tuple(TaskSpec(id, "workspace-00", "rebuilds", shape, 0, 1, payload) for id in ids)
+    await workers.reserve(address, ReserveRequest(1, specs, LEASE_SECONDS))
+    await workers.start(address, StartRequest(1, ids))
+
+
+async def measure_bucket(folder: Path) -> list[Slope]:
+    """Return the cost and the size of one write of a bucket against its records."""
+    costs, sizes = [], []
+    for count in RECORDS:
+        bucket = Bucket("r1-a", 0)
+        bucket.load([_record(number) for number in range(count)], 1)
+
+        async def write(bucket: Bucket = bucket) -> None:
+            bucket.put(_record(0))
+            bucket.encode(1, "node-000#1")
+
+        costs.append(Point(count, await _processor_ms(ENCODINGS, write)))
+        sizes.append(Point(count, len(bucket.encode(1, "node-000#1"))))
+    return [
+        fit("bucket.write_cpu", "record in the bucket", "ms", costs),
+        fit("bucket.write_bytes", "record in the bucket", "B", sizes),
+    ]
+
+
+def _record(number: int) -> JobRecord:
+    payload = {"kind": "sleep", "seconds": 600}
+    request = JobRequest("workspace-00", "rebuilds", f"key-{number}", payload=payload)
+    placement = Placement(1, ("worker-0001",), None, ("worker-0001/2026-01-05T00:00:00",))
+    return JobRecord(f"r1-a~{number:032}", request, JobState.RUNNING, NOW, placement, NOW)
+
+
+async def measure_spans(folder: Path) -> list[Slope]:
+    """Return the cost and the memory of recorded spans."""
+    costs, memories = [], []
+    for count in SPANS:
+        telemetry = LogTelemetry("bench", folder / f"spans-{count}")
+        before = time.process_time()
+        _record_spans(telemetry, count)
+        costs.append(Point(count, 1e3 * (time.process_time() - before)))
+        telemetry.close()
+        memories.append(Point(count, _kept_spans(count) / KIB))
+    return [
+        fit("span.cpu", "recorded span", "ms", costs),
+        fit("span.memory", "span that waits for export", "KiB", memories),
+    ]
+
+
+def _record_spans(telemetry: LogTelemetry, count: int) -> None:
+    for _ in range(count):
+        with telemetry.span("peer-call") as span:
+            span.set("message", "submit-job")
+
+
+def _kept_spans(count: int) -> int:
+    """Return the bytes that so many spans take while they are kept."""
+    exporter = InMemorySpanExporter()
+    telemetry = LogTelemetry("bench", exporter=exporter)
+    tracemalloc.start()
+    _record_spans(telemetry, count)
+    telemetry._provider.force_flush()
+    held, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    telemetry.close()
+    return held
--- /dev/null
+++ b/benchmarks/slopes/site.py
@@ -0,0 +1,154 @@
+"""Sites of any size: generated files, stand-ins and real nodes."""
+
+from pathlib import Path
+from typing import Any
+
+import yaml
+
+from benchmarks.slopes.ports import reserved_addresses
+from tools.site import Site
+
+__all__ = ["REGION", "SizedSite", "write_example"]
+
+REGION = "r1"
+ZONE = "r1-a"
+WORKSPACES = 83
+WORKERS_PER_RACK = 10
+LEAST_RACKS = 22
+QUEUE_LIMIT = 100_000
+WORKER = {"slots": 8, "cores": 128, "memory_gib": 256, "accelerators": 8}
+TASK = {"slots": 1, "cores": 16, "memory_gib": 32, "accelerators": 1}
+
+
+def write_example(
+    folder: Path, nodes: int, workers: int, settings: dict[str, Any] | None = None
+) -> Path:
+    """Write an example site of one availability zone and 83 workspaces.
+
+    :param nodes: number of entry VMs.
+    :param workers: number of endpoint VMs.
+    :param settings: further settings of every node.
+    """
+    folder.mkdir(parents=True)
+    entries = [_vm(f"node-{number:03}", "entry") for number in range(nodes)]
+    endpoints = [
+        _vm(f"worker-{number:04}", "endpoint", f"rack-{number // WORKERS_PER_RACK:02}")
+        for number in range(workers)
+    ]
+    for vm in entries:
+        _write(folder / f"{vm['id']}.yaml", _settings(vm["id"], settings or {}))
+    _write(folder / "vms.yaml", [*entries, *endpoints])
+    _write(folder / "configuration.yaml", _configuration(workers))
+    return folder
+
+
+def _write(path: Path, content: Any) -> None:
+    path.write_text(yaml.safe_dump(content, sort_keys=False))
+
+
+def _vm(id: str, kind: str, rack: str = "") -> dict[str, Any]:
+    return {"id": id, "kind": kind, "zone": ZONE, "rack": rack, "address": "", "state": "live"}
+
+
+def _settings(id: str, more: dict[str, Any]) -> dict[str, Any]:
+    quiet = {"log_level": "warning", "trace_exporter": "none"}
+    return {"id": id, "zone": ZONE, "region": REGION, "telemetry": quiet, **more}
+
+
+def _configuration(workers: int) -> dict[str, Any]:
+    racks = max(LEAST_RACKS, workers // WORKERS_PER_RACK)
+    capacity = {"racks": racks, "workers_per_rack": WORKERS_PER_RACK, "worker": WORKER}
+    zone = {
+        "region": REGION,
+        "mode": "in-service",
+        "leaving": "checkpoint-and-move",
+        "capacity": capacity,
+    }
+    return {
+        "version": 1,
+        "policies": {"scheduling": "packed"},
+        "zones": {ZONE: zone},
+        "workspaces": {f"workspace-{n:02}": _workspace() for n in range(WORKSPACES)},
+    }
+
+
+def _workspace() -> dict[str, Any]:
+    guarantees = [
+        {"id": "rack", "gang": 8, "shape": TASK, "adjacency": "rack", "count": 1},
+        {"id": "worker", "gang": 2, "shape": TASK, "adjacency": "worker", "count": 2},
+    ]
+    services = {"rebuilds": {"classes": ["urgent", "normal", "deferrable"]}}
+    return {
+        "region": REGION,
+        "queue_limit": QUEUE_LIMIT,
+        "guarantees": guarantees,
+        "services": services,
+    }
+
+
+class SizedSite(Site):
+    """A site of a generated size.
+
+    :param folder: folder for its files and logs.
+    """
+
+    def __init__(
+        self,
+        folder: Path,
+        nodes: int,
+        workers: int = 0,
+        settings: dict[str, Any] | None = None,
+    ):
+        example = write_example(folder / "example", nodes, workers, settings)
+        super().__init__(example, folder / "site", nodes)
+        self._workers = workers
+        self.worker_addresses: list[str] = self._move_workers()
+
+    def _move_workers(self) -> list[str]:
+        """Give the many workers ports that no outgoing connection takes meanwhile."""
+        listed = yaml.safe_load(self.files.vms.read_text())
+        endpoints = [vm for vm in listed["vms"] if vm["kind"] == "endpoint"]
+        addresses = reserved_addresses(len(endpoints))
+        for vm, address in zip(endpoints, addresses, strict=True):
+            vm["address"] = address
+        _write(self.files.vms, listed)
+        return addresses
+
+    async def start_list(self) -> None:
+        """Start nothing but the stand-in for the list of VMs."""
+        files = self.files
+        listed = ("--address", files.vm_list_address, "--file", str(files.vms))
+        await self._stand_in("vm-list", "vm-list", *listed)
+
+    @property
+    def pids_by_node(self) -> dict[str, int]:
+        """Process ids of the nodes."""
+        return {id: self.processes_by_id[id].pid for id in self.files.nodes_by_id}
+
+    async def _all_owned(self) -> bool:
+        """Whether the zone has an owner and that owner sees every worker's slots."""
+        for address in self.files.http_by_id.values():
+            reply = await self.client.call_at(address, "GET", "/v1/status")
+            zones = reply.body["zones"] if reply.status == 200 else {}
+            slots = [zone.get("free_slots") for zone in zones.values()]
+            if slots != [WORKER["slots"] * self._workers]:
+                return False
+        return True
+
+    async def owner(self) -> str:
+        """Return the id of the node that owns the zone."""
+        address = next(iter(self.files.http_by_id.values()))
+        reply = await self.client.call_at(address, "GET", "/v1/status")
+        return next(iter(reply.body["zones"].values()))["owner"]
+
+    async def counters(self, id: str) -> dict[str, float]:
+        """Return a node's metrics by name and labels."""
+        text = await self._text(self.files.http_by_id[id], "/metrics")
+        lines = (line.rpartition(" ") for line in text.splitlines() if not line.startswith("#"))
+        return {name: float(value) for name, _, value in lines if name}
+
+    async def _text(self, address: str, path: str) -> str:
+        response = await self.client._pool.request(
+            "GET", f"http://{address}{path}", headers={"Host": address}
+        )
+        return response.content.decode()
--- a/packages/mimosapoint/src/mimosapoint/node/settings.py
+++ b/packages/mimosapoint/src/mimosapoint/node/settings.py
@@ -33,6 +33,7 @@
             membership=MembershipSettings(
                 interval=settings.peers.heartbeat_interval,
                 call_timeout=settings.peers.call_timeout,
+                list_interval=settings.peers.list_interval,
             ),
             ownership=OwnershipSettings(buckets=settings.owner.buckets),
             owner=OwnerSettings(
@@ -40,6 +41,7 @@
                 reservation_ttl=settings.owner.reservation_ttl,
                 retention=settings.owner.ended_retention,
                 lease_ttl=settings.workers.lease_ttl,
+                lease_wait=settings.workers.lease_wait,
                 call_timeout=settings.workers.call_timeout,
             ),
             writes_per_second=settings.store.writes_per_second,
--- a/packages/mimosapoint/src/mimosapoint/settings/load.py
+++ b/packages/mimosapoint/src/mimosapoint/settings/load.py
@@ -26,6 +26,12 @@
             "/configuration/retry_min_seconds: "
             "must not be more than /configuration/retry_max_seconds"
         )
+    workers = settings.workers
+    if workers.lease_wait + workers.call_timeout >= workers.lease_ttl:
+        yield (
+            "/workers/lease_wait_seconds: "
+            "must be less than /workers/lease_ttl_seconds less /workers/call_timeout_seconds"
+        )
     if settings.http_address == settings.peer_address:
         yield "/peer_address: must differ from /http_address"
 
--- a/packages/mimosapoint/src/mimosapoint/settings/sections.py
+++ b/packages/mimosapoint/src/mimosapoint/settings/sections.py
@@ -88,6 +88,11 @@
     lease_ttl: timedelta = item(
         "Time after which a worker without renewal stops its tasks.", between(1, 300), _seconds(15)
     )
+    lease_wait: timedelta = item(
+        "How long a worker holds a renewal's reply while nothing changes.",
+        between(0.1, 120),
+        _seconds(4),
+    )
     call_timeout: timedelta = item(
         "Time given to a worker to answer.", between(0.05, 30), _seconds(2)
     )
@@ -103,6 +108,9 @@
     call_timeout: timedelta = item(
         "Time given to a peer to answer.", between(0.05, 30), _seconds(1)
     )
+    list_interval: timedelta = item(
+        "Pause between reads of the platform's list of VMs.", between(0.1, 60), _seconds(1)
+    )
 
 
 @attrs.frozen
--- a/packages/mimosapoint/src/mimosapoint/settings/tests/test_load.py
+++ b/packages/mimosapoint/src/mimosapoint/settings/tests/test_load.py
@@ -46,9 +46,11 @@
     "owner.reservation_ttl_seconds": (*BAD_SECONDS, 3.1),
     "owner.ended_retention_seconds": BAD_SECONDS,
     "workers.lease_ttl_seconds": BAD_SECONDS,
+    "workers.lease_wait_seconds": BAD_SECONDS,
     "workers.call_timeout_seconds": BAD_SECONDS,
     "peers.heartbeat_interval_seconds": BAD_SECONDS,
     "peers.call_timeout_seconds": BAD_SECONDS,
+    "peers.list_interval_seconds": BAD_SECONDS,
     "store.writes_per_second": BAD_SECONDS,
     "store.call_timeout_seconds": BAD_SECONDS,
     "telemetry.log_level": BAD_NAMES,
@@ -57,6 +59,7 @@
 BAD_RELATIONS = (
     ({"configuration": {"poll_after_seconds": 1.5}}, "/configuration/poll_after_seconds: "),
     ({"configuration": {"retry_min_seconds": 3}}, "/configuration/retry_min_seconds: "),
+    ({"workers": {"lease_wait_seconds": 13}}, "/workers/lease_wait_seconds: "),
     ({"peer_address": GOOD["http_address"]}, "/peer_address: "),
 )
 
