Tell owners of the other zones' room and drain by the policy

Cause: owners passed no summaries of other zones to the policy, so a claim whose home zone holds no home of its guarantee waited for ever, and decisions walked over every ended record. Conclusion: enumeration keys had to be encoded by value; the failure has a test.

--- a/packages/mimosapoint/src/mimosapoint/codec/core.py
+++ b/packages/mimosapoint/src/mimosapoint/codec/core.py
@@ -1,7 +1,9 @@
 """JSON codec of typed values, by cattrs and orjson."""
 
+from collections.abc import Callable
 from datetime import datetime, timedelta
-from typing import Any, TypeVar
+from enum import Enum
+from typing import Any, TypeVar, get_args, get_origin
 
 import cattrs
 import orjson
@@ -11,7 +13,7 @@
 from mimosapoint.errors import CodecError
 from mimosapoint.model import Outcome
 
-__all__ = ["converter", "decode", "encode", "to_json", "to_value"]
+__all__ = ["converter", "decode", "encode", "from_value", "to_json", "to_value"]
 
 T = TypeVar("T")
 
@@ -32,9 +34,23 @@
     made.register_structure_hook(datetime, lambda value, _: datetime.fromisoformat(value))
     configure_tagged_union(Outcome, made, tag_name=OUTCOME_TAG, tag_generator=_kebab)
     _allow_none(made, Outcome)
+    made.register_unstructure_hook_factory(_has_enum_keys, lambda kind: _by_value(made, kind))
     return made
 
 
+def _has_enum_keys(kind: Any) -> bool:
+    """Whether a type is a dictionary whose keys are members of an enumeration."""
+    keys = get_args(kind)[:1] if get_origin(kind) is dict else ()
+    return bool(keys) and isinstance(keys[0], type) and issubclass(keys[0], Enum)
+
+
+def _by_value(made: cattrs.Converter, kind: Any) -> Callable[[Any], Any]:
+    """Return a hook that names keys by the values of their enumeration."""
+    value_type = get_args(kind)[1]
+    unstructure = made.get_unstructure_hook(value_type)
+    return lambda items: {key.value: unstructure(item) for key, item in items.items()}
+
+
 def _allow_none(made: cattrs.Converter, union: Any) -> None:
     """Teach the converter ``union | None``, which it would take for another union."""
 
@@ -78,9 +94,21 @@
     :raises CodecError: the bytes are not a valid value of that type.
     """
     try:
-        return converter.structure(orjson.loads(data), kind)
+        value = orjson.loads(data)
     except orjson.JSONDecodeError as error:
         raise CodecError(f"not JSON: {error}") from error
+    return from_value(value, kind)
+
+
+def from_value(value: Any, kind: type[T]) -> T:
+    """Turn plain JSON values into a typed item.
+
+    :raises CodecError: they are not a value of that type.
+    """
+    try:
+        return converter.structure(value, kind)
     except (cattrs.BaseValidationError, ValueError, TypeError, KeyError) as error:
         reasons = cattrs.transform_error(error)
-        raise CodecError(f"not a {kind.__name__}: {'; '.join(reasons)}") from error
+        raise CodecError(
+            f"not a {getattr(kind, '__name__', kind)}: {'; '.join(reasons)}"
+        ) from error
--- a/packages/mimosapoint/src/mimosapoint/codec/tests/test_core.py
+++ b/packages/mimosapoint/src/mimosapoint/codec/tests/test_core.py
@@ -6,6 +6,7 @@
 from mimosapoint.codec import decode, encode
 from mimosapoint.errors import CodecError
 from mimosapoint.model import (
+    Adjacency,
     Cancelled,
     Failed,
     JobRecord,
@@ -15,6 +16,7 @@
     NotRun,
     Succeeded,
 )
+from mimosapoint.scheduling import ZoneSummary
 
 OUTCOMES = (
     None,
@@ -36,6 +38,12 @@
                 record = JobRecord("z~1", request, JobState.ENDED, NOW, outcome=outcome)
                 self.assertEqual(decode(encode(record), JobRecord), record)
 
+    def test_keys_of_an_enumeration_go_by_value(self):
+        room = {Adjacency.WORKER: 8, Adjacency.RACK: 48}
+        summary = ZoneSummary("z", True, largest_block_by_adjacency=room)
+        self.assertIn(b'"rack":48', encode(summary))
+        self.assertEqual(decode(encode(summary), ZoneSummary), summary)
+
     def test_bad_bytes_get_a_typed_error(self):
         for data in BAD_RECORDS:
             with self.subTest(data=data), self.assertRaises(CodecError):
--- a/packages/mimosapoint/src/mimosapoint/entry/operators.py
+++ b/packages/mimosapoint/src/mimosapoint/entry/operators.py
@@ -9,6 +9,7 @@
 from mimosapoint.membership import Membership
 from mimosapoint.ownership import OwnershipKeeper
 from mimosapoint.ports import Clock
+from mimosapoint.scheduling import ZoneSummary
 
 __all__ = ["CONFIGURATION_ATTACHMENT", "Operators"]
 
@@ -73,7 +74,8 @@
     async def status(self) -> dict[str, Any]:
         """Return what this node knows of the nodes, zones and the configuration."""
         current = self._configuration.current
-        digests = self._keeper.digests_by_zone()
+        directory = self._keeper.directory
+        epochs, summaries = directory.epochs_by_zone(), directory.summaries_by_zone()
         live = self._membership.live_nodes()
         return {
             "version": current.version,
@@ -85,8 +87,9 @@
             "zones": {
                 id: {
                     "mode": zone.mode.value,
-                    "owner": self._keeper.owner_of(id),
-                    **(attrs.asdict(digests[id]) if id in digests else {}),
+                    "owner": directory.owner_of(id),
+                    "epoch": epochs.get(id, 0),
+                    **_room(summaries.get(id)),
                 }
                 for id, zone in sorted(current.zones_by_id.items())
             },
@@ -95,3 +98,14 @@
     def ready(self) -> bool:
         """Whether the node may serve callers."""
         return self._configuration.current.version > 0 and not self.stopping
+
+
+def _room(summary: ZoneSummary | None) -> dict[str, Any]:
+    """Return the room and the queue of a zone; nothing when no summary is known."""
+    if summary is None:
+        return {}
+    return {
+        "queued": summary.waiting,
+        "free_slots": summary.free_slots,
+        "free_accelerators": summary.free_accelerators,
+    }
--- a/packages/mimosapoint/src/mimosapoint/node/core.py
+++ b/packages/mimosapoint/src/mimosapoint/node/core.py
@@ -14,7 +14,7 @@
 from mimosapoint.membership import Membership
 from mimosapoint.model import Vm
 from mimosapoint.node.settings import PartSettings
-from mimosapoint.ownership import OwnershipKeeper, TakeZone
+from mimosapoint.ownership import OwnershipKeeper, TakeZone, ZoneDirectory
 from mimosapoint.peers import Dispatcher
 from mimosapoint.placement import OwnerParts
 from mimosapoint.ports import Clock, Peers, Store, Telemetry, VmList, Workers
@@ -108,13 +108,14 @@
             self.vm,
             f"{self.vm.id}#{incarnation}",
             self.membership,
+            self._adapters.clock,
             self._owner_parts,
             self._settings.ownership,
         )
         self._adapters.dispatcher.handle(TakeZone, keeper.take_zone)
         return keeper
 
-    def _owner_parts(self, keeper: OwnershipKeeper) -> OwnerParts:
+    def _owner_parts(self, directory: ZoneDirectory) -> OwnerParts:
         adapters = self._adapters
         rate = self._settings.writes_per_second
         return OwnerParts(
@@ -123,8 +124,8 @@
             peers=adapters.peers,
             configuration=self.configuration,
             endpoints=self.membership.endpoints,
-            address_of=keeper.address_of,
-            load_of=keeper.load_of,
+            address_of=directory.address_of,
+            summaries_by_zone=directory.summaries_by_zone,
             budget=RateBudget(adapters.clock, rate, rate * WRITE_BURST_SECONDS),
             clock=adapters.clock,
             telemetry=adapters.telemetry,
@@ -137,7 +138,7 @@
         OwnerHandlers(self.keeper.owner, adapters.dispatcher, adapters.telemetry)
         router = ZoneRouter(
             self.vm.address,
-            self.keeper.address_of,
+            self.keeper.directory.address_of,
             adapters.peers,
             adapters.dispatcher,
             clock=adapters.clock,
--- a/packages/mimosapoint/src/mimosapoint/ownership/keeper.py
+++ b/packages/mimosapoint/src/mimosapoint/ownership/keeper.py
@@ -11,15 +11,11 @@
 from mimosapoint.membership import Membership, preferred_owner
 from mimosapoint.model import Vm
 from mimosapoint.ownership.claim import Claimant, OwnerRecord, claim_zone, read_owner
+from mimosapoint.ownership.directory import ZoneDirectory
 from mimosapoint.ownership.messages import TakeZone
 from mimosapoint.ownership.settings import OwnershipSettings
 from mimosapoint.placement import Holder, OwnerParts, ZoneOwner
-from mimosapoint.placement.digest import (
-    ZONES_ATTACHMENT,
-    ZoneDigest,
-    from_attachment,
-    to_attachment,
-)
+from mimosapoint.ports import Clock
 
 __all__ = ["OwnershipKeeper"]
 
@@ -42,7 +38,7 @@
 
     :param node: this node's VM.
     :param writer: id of the node and its incarnation.
-    :param parts: returns what the owners of a keeper stand on.
+    :param parts: returns what the owners stand on.
     """
 
     def __init__(
@@ -50,72 +46,30 @@
         node: Vm,
         writer: str,
         membership: Membership,
-        parts: Callable[["OwnershipKeeper"], OwnerParts],
+        clock: Clock,
+        parts: Callable[[ZoneDirectory], OwnerParts],
         settings: OwnershipSettings,
     ):
         self._node = node
         self._writer = writer
         self._membership = membership
-        self._parts = parts(self)
+        self.owners_by_zone: dict[str, ZoneOwner] = {}
+        self.directory = ZoneDirectory(
+            node.id, node.address, membership, clock, self.owners_by_zone
+        )
+        self._parts = parts(self.directory)
         self._settings = settings
-        self._clock = self._parts.clock
+        self._clock = clock
         self._telemetry = self._parts.telemetry
-        self.owners_by_zone: dict[str, ZoneOwner] = {}
         self._busy: set[str] = set()
         self._sightings: dict[tuple[str, str], _Sighting] = {}
         self._stopping = False
         self._nursery: trio.Nursery | None = None
-        membership.attach(ZONES_ATTACHMENT, self._attachment)
 
     def owner(self, zone: str) -> ZoneOwner | None:
         """Return the zone's owner when it is this node."""
         return self.owners_by_zone.get(zone)
 
-    def address_of(self, zone: str) -> str | None:
-        """Return the peer address of the zone's owner, or ``None`` when none is known."""
-        if zone in self.owners_by_zone:
-            return self._node.address
-        found = self._known_owner(zone)
-        return self._membership.known_nodes()[found].address if found else None
-
-    def owner_of(self, zone: str) -> str | None:
-        """Return the id of the node that owns the zone, or ``None`` when none is known."""
-        return self._node.id if zone in self.owners_by_zone else self._known_owner(zone)
-
-    def digests_by_zone(self) -> dict[str, ZoneDigest]:
-        """Return the newest digest of every zone that some live node owns."""
-        newest: dict[str, ZoneDigest] = dict(self._own_digests())
-        for node in self._membership.live_nodes():
-            if node == self._node.id:
-                continue
-            attachment = self._membership.attachment(node, ZONES_ATTACHMENT)
-            for zone, digest in from_attachment(attachment).items():
-                if zone not in newest or newest[zone].epoch < digest.epoch:
-                    newest[zone] = digest
-        return newest
-
-    def load_of(self, zone: str) -> float:
-        """Return how full a zone is: waiting jobs less free slots; unknown counts as full."""
-        digest = self.digests_by_zone().get(zone)
-        return digest.queued - digest.free_slots if digest else float("inf")
-
-    def _own_digests(self) -> dict[str, ZoneDigest]:
-        return {zone: owner.digest() for zone, owner in self.owners_by_zone.items()}
-
-    def _attachment(self) -> object:
-        return to_attachment(self._own_digests())
-
-    def _known_owner(self, zone: str) -> str | None:
-        """Return the id of the live node that says it owns the zone, the newest epoch first."""
-        best: tuple[int, str] | None = None
-        for node in self._membership.known_nodes():
-            if node == self._node.id or not self._membership.alive(node):
-                continue
-            digests = from_attachment(self._membership.attachment(node, ZONES_ATTACHMENT))
-            if zone in digests:
-                best = max(best or (0, ""), (digests[zone].epoch, node))
-        return best[1] if best else None
-
     async def run(self, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED) -> None:
         """Claim, hand over and give up zones until cancelled."""
         async with trio.open_nursery() as nursery:
@@ -136,7 +90,7 @@
         if owned and preferred not in (None, self._node.id):
             if self._lasts((zone, "better"), preferred, self._settings.hand_over_after):
                 self._start(zone, self._hand_over, preferred)
-        elif not owned and preferred == self._node.id and self._known_owner(zone) is None:
+        elif not owned and preferred == self._node.id and self.directory.other_owner(zone) is None:
             self._start(zone, self._claim)
 
     def _lasts(self, key: tuple[str, str], fact: object, bound: timedelta) -> bool:
--- a/packages/mimosapoint/src/mimosapoint/placement/digest.py
+++ b/packages/mimosapoint/src/mimosapoint/placement/digest.py
@@ -4,7 +4,8 @@
 
 import attrs
 
-from mimosapoint.codec import converter, to_value
+from mimosapoint.codec import from_value, to_value
+from mimosapoint.scheduling import ZoneSummary
 
 __all__ = ["ZONES_ATTACHMENT", "ZoneDigest", "from_attachment", "to_attachment"]
 
@@ -17,15 +18,11 @@
     """State of an owned availability zone.
 
     :param epoch: epoch of the owner.
-    :param queued: number of waiting jobs.
-    :param free_slots: free slots on usable workers.
-    :param free_accelerators: free accelerators on usable workers.
+    :param summary: room and queue of the zone; ``None`` before the first decision.
     """
 
     epoch: int
-    queued: int = 0
-    free_slots: int = 0
-    free_accelerators: int = 0
+    summary: ZoneSummary | None = None
 
 
 def to_attachment(digests_by_zone: dict[str, ZoneDigest]) -> dict[str, Any]:
@@ -34,5 +31,8 @@
 
 
 def from_attachment(value: Any) -> dict[str, ZoneDigest]:
-    """Return the digests of an attachment; none when there is no attachment."""
-    return converter.structure(value or {}, dict[str, ZoneDigest])
+    """Return the digests of an attachment; none when there is no attachment.
+
+    :raises CodecError: the attachment is malformed.
+    """
+    return from_value(value or {}, dict[str, ZoneDigest])
--- a/packages/mimosapoint/src/mimosapoint/placement/ledger.py
+++ b/packages/mimosapoint/src/mimosapoint/placement/ledger.py
@@ -10,6 +10,8 @@
 
 __all__ = ["Ledger"]
 
+HOLDING_STATES = (JobState.PLACED, JobState.RUNNING, JobState.STOPPING)
+
 
 class Ledger:
     """The job table, the queue and the news of ended jobs.
@@ -34,6 +36,7 @@
         self._on_change = on_change
         self._on_ended = on_ended
         self._queued_by_id: dict[str, JobRecord] = {}
+        self._holding_by_id: dict[str, JobRecord] = {}
         for record in sorted(table, key=lambda record: record.submitted_at):
             self._index(record)
 
@@ -72,12 +75,21 @@
         """Drop a record."""
         self._table.remove(job_id)
         self._queued_by_id.pop(job_id, None)
+        self._holding_by_id.pop(job_id, None)
 
     def _index(self, record: JobRecord) -> None:
         if record.state is JobState.QUEUED:
             self._queued_by_id[record.id] = record
         else:
             self._queued_by_id.pop(record.id, None)
+        if record.state in HOLDING_STATES:
+            self._holding_by_id[record.id] = record
+        else:
+            self._holding_by_id.pop(record.id, None)
+
+    def holding(self) -> dict[str, JobRecord]:
+        """Return the jobs that hold room on workers, by id."""
+        return dict(self._holding_by_id)
 
     def queued(self) -> list[JobRecord]:
         """Return the waiting jobs, oldest first."""
--- a/packages/mimosapoint/src/mimosapoint/placement/owner.py
+++ b/packages/mimosapoint/src/mimosapoint/placement/owner.py
@@ -24,6 +24,7 @@
 from mimosapoint.placement.watchers import Watchers
 from mimosapoint.ports import Clock, Peers, Store, Telemetry, Workers
 from mimosapoint.resilience import RateBudget
+from mimosapoint.scheduling import ZoneSummary
 
 __all__ = ["OwnerParts", "ZoneOwner"]
 
@@ -43,7 +44,7 @@
     :param configuration: the configuration and its freshness.
     :param endpoints: returns the workers of the platform's list, by id.
     :param address_of: returns the peer address of a zone's owner, or ``None``.
-    :param load_of: returns how full a zone is, 0 for an empty one.
+    :param summaries_by_zone: returns what is known of every zone that has an owner.
     :param budget: store writes per second of this node.
     """
 
@@ -53,7 +54,7 @@
     configuration: FreshConfiguration
     endpoints: Callable[[], dict[str, Vm]]
     address_of: Callable[[str], str | None]
-    load_of: Callable[[str], float]
+    summaries_by_zone: Callable[[], dict[str, ZoneSummary]]
     budget: RateBudget
     clock: Clock
     telemetry: Telemetry
@@ -402,10 +403,4 @@
 
     def digest(self) -> ZoneDigest:
         """Return what other nodes should know of the zone."""
-        free = self._roster.free()
-        return ZoneDigest(
-            epoch=self.epoch,
-            queued=self._ledger.queued_count(),
-            free_slots=free.slots,
-            free_accelerators=free.accelerators,
-        )
+        return ZoneDigest(self.epoch, self._scheduler.summary)
--- a/packages/mimosapoint/src/mimosapoint/placement/scheduler.py
+++ b/packages/mimosapoint/src/mimosapoint/placement/scheduler.py
@@ -8,10 +8,18 @@
 import attrs
 import trio
 
-from mimosapoint.configuration import LeavingMode, ZoneMode
+from mimosapoint.configuration import Configuration, LeavingMode, ZoneMode
 from mimosapoint.model import Failed, JobRecord, JobState, NotRun, Outcome, Placement
-from mimosapoint.placement.fits import allowed_zones
-from mimosapoint.scheduling import Assignment, Decision, Policy, Reclaim, ZoneView, make_policy
+from mimosapoint.scheduling import (
+    Assignment,
+    Decision,
+    Policy,
+    Reclaim,
+    ZoneSummary,
+    ZoneView,
+    make_policy,
+    summarize,
+)
 
 if TYPE_CHECKING:
     from mimosapoint.placement.owner import ZoneOwner
@@ -19,7 +27,7 @@
 __all__ = ["Scheduler"]
 
 DRAIN_GRACE = timedelta(seconds=5)
-HOLDING_STATES = (JobState.PLACED, JobState.RUNNING, JobState.STOPPING)
+SUMMARY_INTERVAL = timedelta(milliseconds=500)
 
 
 def _honest(record: JobRecord, refusal: NotRun) -> Outcome:
@@ -42,6 +50,8 @@
         self._changed = trio.Event()
         self._policy_name = ""
         self._policy: Policy | None = None
+        self._summarized_at = self._clock.now()
+        self.summary: ZoneSummary | None = None
 
     def wake(self) -> None:
         """Decide soon."""
@@ -61,10 +71,7 @@
             self._changed = trio.Event()
             await self._clock.sleep(settings.decision_pause)
             self._give_up_late(self._clock.now())
-            if self._owner.permit.in_service():
-                self._decide()
-            else:
-                self._leave()
+            self._decide(self._view())
 
     def _give_up_late(self, now: datetime) -> None:
         """End waiting jobs whose latest start has passed."""
@@ -78,23 +85,49 @@
         if record.state is JobState.QUEUED:
             self._owner.end_waiting(job_id, _honest(record, outcome))
 
-    def view(self) -> ZoneView:
+    def _view(self) -> ZoneView:
         """Return the zone as the policy sees it."""
-        records = self._owner.ledger.records()
+        owner = self._owner
+        configuration = owner.parts.configuration.current
         return ZoneView(
-            zone=self._owner.zone,
+            zone=owner.zone,
             now=self._clock.now(),
-            configuration=self._owner.parts.configuration.current,
-            workers_by_id=self._owner.roster.views_by_id(),
-            running_by_id={r.id: r for r in records if r.state in HOLDING_STATES},
-            waiting=self._owner.ledger.queued(),
+            configuration=configuration,
+            workers_by_id=owner.roster.views_by_id(),
+            running_by_id=owner.ledger.holding(),
+            waiting=owner.ledger.queued(),
+            other_zones_by_id=self._other_zones(configuration),
         )
 
-    def _decide(self) -> None:
-        if not self._owner.permit.given():
+    def _other_zones(self, configuration: Configuration) -> dict[str, ZoneSummary]:
+        """Return what is known of the other zones of the region."""
+        zone = configuration.zones_by_id.get(self._owner.zone)
+        if zone is None:
+            return {}
+        region = configuration.zones_of(zone.region)
+        summaries = self._owner.parts.summaries_by_zone()
+        return {
+            id: attrs.evolve(summary, in_service=region[id].mode is ZoneMode.IN_SERVICE)
+            for id, summary in summaries.items()
+            if id in region and id != self._owner.zone
+        }
+
+    def _decide(self, view: ZoneView) -> None:
+        """Decide while starts are allowed, or empty a zone that is out of service."""
+        self._summarize(view)
+        permit = self._owner.permit
+        if permit.in_service() and not permit.given():
             return
-        decision = self._current_policy().decide(self.view())
-        self._apply(decision)
+        policy = self._current_policy()
+        if not permit.in_service():
+            self._drain(view, policy)
+        self._apply(policy.decide(view))
+
+    def _summarize(self, view: ZoneView) -> None:
+        """Renew what other nodes are told, at most once in each interval."""
+        if self.summary is None or view.now - self._summarized_at >= SUMMARY_INTERVAL:
+            self.summary = summarize(view)
+            self._summarized_at = view.now
 
     def _current_policy(self) -> Policy:
         name = self._owner.parts.configuration.current.policies.scheduling
@@ -133,29 +166,10 @@
         self._telemetry.event("job-reclaimed", job=reclaim.job, claimant=reclaim.claimant)
         self._owner.stop_job(reclaim.job, "reclaim", timedelta(seconds=reclaim.grace))
 
-    def _leave(self) -> None:
-        """Empty a zone that is out of service."""
-        configuration = self._owner.parts.configuration.current
-        zone = configuration.zones_by_id.get(self._owner.zone)
-        if zone is None or zone.leaving is LeavingMode.CHECKPOINT_AND_MOVE:
-            for record in self._owner.ledger.records():
-                if record.state is JobState.RUNNING and record.request.interruptible:
-                    self._owner.stop_job(record.id, "zone-out", DRAIN_GRACE)
-        for record in self._owner.ledger.queued():
-            target = self._target(record)
-            if target is not None:
-                self._owner.mover.move(record.id, target)
-
-    def _target(self, record: JobRecord) -> str | None:
-        """Return another zone that may run the job, the least loaded first."""
-        configuration = self._owner.parts.configuration.current
-        if record.request.workspace not in configuration.workspaces_by_id:
-            return None
-        zones = [
-            id
-            for id, zone in allowed_zones(record.request, configuration).items()
-            if zone.mode is ZoneMode.IN_SERVICE and id != self._owner.zone
-        ]
-        if not zones:
-            return None
-        return min(zones, key=lambda zone: (self._owner.parts.load_of(zone), zone))
+    def _drain(self, view: ZoneView, policy: Policy) -> None:
+        """Stop running work of a zone that is out, in the policy's order."""
+        zone = view.configuration.zones_by_id.get(view.zone)
+        if zone is not None and zone.leaving is LeavingMode.FINISH:
+            return
+        for job_id in policy.drain_order(view):
+            self._owner.stop_job(job_id, "zone-out", DRAIN_GRACE)
