Play refusals in the demo and bound its run

Cause: the demo checked no refusal, and a run whose answers never came did not end. Before: 'not run' checked 0 times. Conclusion: a run that leaves callers unanswered after 100 s now fails.

--- a/tools/demo/__main__.py
+++ b/tools/demo/__main__.py
@@ -14,6 +14,7 @@
 
 NODES = 4
 SLOTS_PER_WORKER = 8
+PLAY_BOUND_SECONDS = 100.0
 
 
 def say(text: str) -> None:
@@ -30,7 +31,11 @@
             say(f"starting the platform's stand-ins, 24 workers and {NODES} nodes")
             await site.start()
             recorder = Recorder(site)
-            await play(site, recorder, say)
+            with trio.move_on_after(PLAY_BOUND_SECONDS) as bound:
+                await play(site, recorder, say)
+            if bound.cancelled_caught:
+                say("the bound is over; what is unanswered counts as broken")
+                await recorder.collect_tasks()
         finally:
             await site.stop()
         return _report(site, recorder)
@@ -44,7 +49,10 @@
     _print_outcomes(recorder)
     broken = [finding for finding in findings if finding.broken or not finding.checked]
     print("every promise was kept" if not broken else f"{len(broken)} promises broken")
-    return 1 if broken else 0
+    unanswered = [call.key for call in recorder.history.calls if call.outcome is None]
+    if unanswered:
+        print(f"unanswered: {', '.join(unanswered)}")
+    return 1 if broken or unanswered else 0
 
 
 def _print_promises(findings: list[Finding]) -> None:
--- a/tools/demo/scenario.py
+++ b/tools/demo/scenario.py
@@ -2,6 +2,7 @@
 
 import signal
 from collections.abc import Awaitable, Callable
+from datetime import timedelta
 from pathlib import Path
 from typing import Any
 
@@ -26,6 +27,7 @@
 ZONE_OUT_SECONDS = 7.0
 LEAVING_PAUSE_SECONDS = 1.0
 CALLERS_PAUSE_SECONDS = 0.25
+START_BOUND = timedelta(seconds=1)
 
 Say = Callable[[str], None]
 
@@ -93,6 +95,11 @@
         background.cancel_scope.cancel()
 
 
+def _soon() -> str:
+    """Return a latest start that work behind a full queue cannot keep."""
+    return (now() + START_BOUND).isoformat()
+
+
 async def _three_kinds(site: Site, recorder: Recorder, callers: _Callers) -> None:
     for number in range(12):
         callers.ask(bulletin(1000 + number))
@@ -105,6 +112,9 @@
     for number in range(BORROWERS):
         callers.ask(borrower(2000 + number, BORROWER_SECONDS))
     await trio.sleep(2)
+    for number in range(6):
+        callers.ask({**borrower(3000 + number, 1.0), "start_by": _soon()})
+    callers.ask({**claim(1.0), "gang": 200})
     callers.ask(claim(CLAIM_SECONDS), bound=URGENT_SECONDS + GRACE_SECONDS)
     await trio.sleep(4)
 
