Free the thread of a call that ended before it was served

A call whose caller left between its arrival and the start of its handler ran on to its deadline and held a thread. The scope is now known before the callback is set, so leaving cancels it at any time, and a call that has ended already is not served. Cancelling after the stop's grace became needless with that.

--- a/packages/mimosapoint-node/src/mimosapoint_node/grpc_peers/server.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/grpc_peers/server.py
@@ -49,7 +49,6 @@
         with trio.CancelScope(shield=True):
             stopped = server.stop(settings.stop_grace.total_seconds())
             await trio.to_thread.run_sync(stopped.wait)
-            handlers.cancel()
             await trio.to_thread.run_sync(threads.shutdown)
 
 
@@ -79,18 +78,15 @@
         trace = _trace(details)
         return grpc.unary_unary_rpc_method_handler(self._behaviour(name, trace))
 
-    def cancel(self) -> None:
-        """Cancel the calls in progress."""
-        for scope in list(self.scopes):
-            scope.cancel()
-
     def _behaviour(
         self, name: str, trace: str | None
     ) -> Callable[[bytes, grpc.ServicerContext], bytes]:
         def behave(data: bytes, context: grpc.ServicerContext) -> bytes:
             scope = trio.CancelScope(relative_deadline=self._timeout(context))
-            context.add_callback(lambda: self._caller_left(scope))
+            self.scopes.add(scope)
             try:
+                if not context.add_callback(lambda: self._caller_left(scope)):
+                    context.abort(grpc.StatusCode.CANCELLED, "the caller left")
                 return trio.from_thread.run(
                     self._serve, name, data, trace, scope, trio_token=self.token
                 )
@@ -98,6 +94,8 @@
                 context.abort(grpc.StatusCode.DEADLINE_EXCEEDED, "not served in time")
             except (trio.Cancelled, trio.RunFinishedError):
                 context.abort(grpc.StatusCode.UNAVAILABLE, "the node stops")
+            finally:
+                self.scopes.discard(scope)
 
         return behave
 
@@ -118,15 +116,11 @@
     async def _serve(
         self, name: str, data: bytes, trace: str | None, scope: trio.CancelScope
     ) -> bytes:
-        self.scopes.add(scope)
-        try:
-            with scope, self.telemetry.span("peer-serve", trace) as span:
-                span.set("message", name)
-                reply = await serve_bytes(self.dispatcher, name, data, self._report)
-                self.telemetry.count("peer_serves", message=name)
-                return reply
-        finally:
-            self.scopes.discard(scope)
+        with scope, self.telemetry.span("peer-serve", trace) as span:
+            span.set("message", name)
+            reply = await serve_bytes(self.dispatcher, name, data, self._report)
+            self.telemetry.count("peer_serves", message=name)
+            return reply
         raise trio.TooSlowError
 
     def _report(self, name: str, error: Exception) -> MimosapointError:
--- a/packages/mimosapoint-node/src/mimosapoint_node/grpc_peers/tests/test_grpc_peers.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/grpc_peers/tests/test_grpc_peers.py
@@ -144,8 +144,12 @@
 
 class ServePeersTest(TrioTestCase):
     async def test_taken_address_is_an_error(self):
-        with free_address() as address, self.assertRaises(OSError):
-            await serve_peers(address, Dispatcher(), MemoryTelemetry(), SETTINGS)
+        telemetry = MemoryTelemetry()
+        async with trio.open_nursery() as nursery:
+            address = await nursery.start(serve_peers, ANY_PORT, Dispatcher(), telemetry, SETTINGS)
+            with trio.fail_after(5), self.assertRaises(OSError):
+                await serve_peers(address, Dispatcher(), telemetry, SETTINGS)
+            nursery.cancel_scope.cancel()
 
     async def test_stop_lets_calls_in_progress_end(self):
         async def answer(ask):
