Wire traces, tokens and balanced owners into the node

Cause: settings named a trace exporter that the node ignored, no setting chose bearer tokens, a zone's new owner was heard of up to a second late, and owners were chosen without regard to regions or balance.

--- a/packages/mimosapoint-node/src/mimosapoint_node/main.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/main.py
@@ -9,7 +9,7 @@
 from mimosapoint.configuration.loading import load_configuration
 from mimosapoint.errors import MimosapointError
 from mimosapoint.settings import load_settings
-from mimosapoint.telemetry import LogTelemetry
+from mimosapoint.telemetry import LogExporter, LogTelemetry
 
 from mimosapoint_node.node import Node
 
@@ -35,7 +35,8 @@
     logging.basicConfig(level=level, format="time=%(asctime)s level=%(levelname)s %(message)s")
     for noisy in ("hypercorn.error", "httpcore"):
         logging.getLogger(noisy).setLevel(logging.WARNING)
-    telemetry = LogTelemetry(loaded.id)
+    exporter = LogExporter() if loaded.telemetry.trace_exporter == "log" else None
+    telemetry = LogTelemetry(loaded.id, exporter=exporter)
 
     async def serve() -> None:
         telemetry.event("node-starting", zone=loaded.zone)
@@ -47,7 +48,10 @@
                 await node.run(stop)
                 nursery.cancel_scope.cancel()
 
-    trio.run(serve)
+    try:
+        trio.run(serve)
+    finally:
+        telemetry.close()
 
 
 async def _set_on_signal(signals: object, stop: trio.Event) -> None:
--- a/packages/mimosapoint-node/src/mimosapoint_node/node.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/node.py
@@ -77,6 +77,7 @@
             limits,
             self._clock,
             self._telemetry.render,
+            self._settings.limits.authentication,
         )
         shutdown = trio.Event()
         address = self._settings.http_address
--- a/packages/mimosapoint-node/src/mimosapoint_node/platform/store.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/platform/store.py
@@ -112,7 +112,10 @@
         await self._client.close()
 
     async def _call(self, method: str, path: str, *body: bytes, **options: Any) -> Reply:
-        return await self._client.call(method, self._address, path, *body, **options)
+        with self._telemetry.span("store-call") as span:
+            span.set("method", method)
+            span.set("path", path)
+            return await self._client.call(method, self._address, path, *body, **options)
 
     def _count(self, kind: str) -> None:
         self._telemetry.count("store_calls_total", kind=kind)
--- a/packages/mimosapoint/src/mimosapoint/ownership/keeper.py
+++ b/packages/mimosapoint/src/mimosapoint/ownership/keeper.py
@@ -8,7 +8,7 @@
 
 from mimosapoint.errors import MimosapointError
 from mimosapoint.jobs import Accepted
-from mimosapoint.membership import Membership, preferred_owner
+from mimosapoint.membership import Membership, preferred_owners
 from mimosapoint.model import Vm
 from mimosapoint.ownership.claim import Claimant, OwnerRecord, claim_zone, read_owner
 from mimosapoint.ownership.directory import ZoneDirectory
@@ -77,17 +77,27 @@
             task_status.started()
             await self._clock.sleep(self._settings.settle)
             while True:
-                for zone in self._parts.configuration.current.zones_by_id:
-                    self._check(zone)
+                self._check_all()
                 await self._clock.sleep(self._settings.check_interval)
 
-    def _check(self, zone: str) -> None:
+    def _check_all(self) -> None:
+        """Look at every zone of the configuration."""
+        preferred_by_zone = self._preferred(self._membership.live_nodes())
+        for zone, preferred in preferred_by_zone.items():
+            self._check(zone, preferred)
+
+    def _preferred(self, nodes: dict[str, Vm]) -> dict[str, str]:
+        """Return the node that should own each zone."""
+        zones = self._parts.configuration.current.zones_by_id
+        regions = {id: zone.region for id, zone in zones.items()}
+        return preferred_owners(zones, nodes, regions)
+
+    def _check(self, zone: str, preferred: str) -> None:
         """Start a claim or a hand-over of a zone where one is due."""
         if zone in self._busy or self._stopping:
             return
-        preferred = preferred_owner(zone, self._membership.live_nodes())
         owned = zone in self.owners_by_zone
-        if owned and preferred not in (None, self._node.id):
+        if owned and preferred != self._node.id:
             if self._lasts((zone, "better"), preferred, self._settings.hand_over_after):
                 self._start(zone, self._hand_over, preferred)
         elif not owned and preferred == self._node.id and self.directory.other_owner(zone) is None:
@@ -150,6 +160,7 @@
     ) -> None:
         """Run an owner until it is closed or fenced."""
         self.owners_by_zone[zone] = owner
+        self._membership.refresh_attachments()
         try:
             await owner.run(task_status)
         except* MimosapointError as group:
@@ -158,6 +169,7 @@
         finally:
             if self.owners_by_zone.get(zone) is owner:
                 del self.owners_by_zone[zone]
+            self._membership.refresh_attachments()
 
     async def _hand_over(self, zone: str, preferred: str) -> None:
         """Close the owner and let the better node claim at once."""
@@ -179,10 +191,11 @@
         self._stopping = True
         others = self._membership.live_nodes()
         others.pop(self._node.id, None)
+        preferred_by_zone = self._preferred(others)
         async with trio.open_nursery() as nursery:
             for zone in list(self.owners_by_zone):
-                preferred = preferred_owner(zone, others)
-                if preferred is not None:
+                if zone in preferred_by_zone:
+                    preferred = preferred_by_zone[zone]
                     nursery.start_soon(self._guard, zone, self._hand_over, preferred)
 
 
--- a/packages/mimosapoint/src/mimosapoint/scheduling/moves.py
+++ b/packages/mimosapoint/src/mimosapoint/scheduling/moves.py
@@ -153,25 +153,30 @@
         for record in records:
             if offered == PER_LOOK or not any(o.slots > 0 for o in self._offers.values()):
                 return
-            if not self._patient(record, now):
-                target = self._find(record)
-                if target is not None:
-                    offered += 1
-                    yield Move(record.id, target)
+            target = self._claim(record, now) or self._room(record, now)
+            if target is not None:
+                offered += 1
+                yield Move(record.id, target)
 
-    def _patient(self, record: JobRecord, now: datetime) -> bool:
+    def _patient(self, record: JobRecord, now: datetime, patience: timedelta) -> bool:
         if record.moves >= MOVES:
             return True
-        urgent = record.request.job_class is JobClass.URGENT
-        patience = (URGENT_PATIENCE if urgent else PATIENCE) * 2**record.moves
-        return now - self._come_at.get(record.id, now) < patience
+        return now - self._come_at.get(record.id, now) < patience * 2**record.moves
+
+    def _claim(self, record: JobRecord, now: datetime) -> str | None:
+        """Return a zone with an unclaimed home; a claim goes there as soon as urgent work."""
+        if self._patient(record, now, URGENT_PATIENCE):
+            return None
+        offer = self._home(record, Need.of(record.request), self._targets(record))
+        return offer.summary.zone if offer else None
 
-    def _find(self, record: JobRecord) -> str | None:
+    def _room(self, record: JobRecord, now: datetime) -> str | None:
+        """Return the least loaded zone with room, once the job has waited for long enough."""
+        urgent = record.request.job_class is JobClass.URGENT
+        if self._patient(record, now, URGENT_PATIENCE if urgent else PATIENCE):
+            return None
         need = Need.of(record.request)
         targets = self._targets(record)
-        offer = self._home(record, need, targets)
-        if offer is not None:
-            return offer.summary.zone
         fitting = [offer for offer in targets if offer.has_block(need)]
         if not fitting:
             return None
--- a/packages/mimosapoint/src/mimosapoint/settings/sections.py
+++ b/packages/mimosapoint/src/mimosapoint/settings/sections.py
@@ -25,6 +25,11 @@
 class LimitSettings:
     """Bounds on what callers may ask of one node."""
 
+    authentication: str = item(
+        "How callers are known: not at all, or by bearer tokens.",
+        one_of("none", "tokens"),
+        "none",
+    )
     body_bytes: int = item("Largest request body.", between(1, 16_000_000), 1_000_000)
     header_bytes: int = item("Largest request head.", between(256, 65_536), 16_384)
     connections: int = item("Most open connections of callers.", between(1, 100_000), 2_000)
--- a/packages/mimosapoint/src/mimosapoint/settings/tests/test_load.py
+++ b/packages/mimosapoint/src/mimosapoint/settings/tests/test_load.py
@@ -29,6 +29,7 @@
     "peer_address": BAD_ADDRESSES,
     "store_address": BAD_ADDRESSES,
     "vm_list_address": BAD_ADDRESSES,
+    "limits.authentication": BAD_NAMES,
     "limits.body_bytes": BAD_COUNTS,
     "limits.header_bytes": (*BAD_COUNTS, 255),
     "limits.connections": BAD_COUNTS,
