Refuse hopeless jobs and make room for large gangs that starve

A stream of small jobs took every freed place, and jobs that can not be stopped and fit nowhere beside the guarantees waited for ever. Such jobs are refused with their reason; a large gang that has waited 10 minutes (40 when deferrable) gets reserved workers, smaller borrowers there are checkpointed, and only work whose learned run time ends before may run there.

--- a/benchmarks/decisions/measures.py
+++ b/benchmarks/decisions/measures.py
@@ -181,10 +181,12 @@
         found["deadlines met %"] = 100 * self.deadlines_met / max(1, self.with_deadline)
         found["unusable of free %"] = 100 * self.unusable_seen / max(1.0, self.free_seen)
         found["unusable of all %"] = 100 * self.unusable_seen / max(1.0, self.accelerators_seen)
+        found["large wait p95 s"] = percentile(self.large_waits, 0.95)
         found["longest large wait s"] = max(self.large_waits)
         found["lost work %"] = self._lost_share()
         found["reclaims"] = self.reclaims
         found["moves"] = self.moves
+        found["refused jobs"] = self.failed["NotRun"]
         found["left over"] = self.left_over
         found["decision mean ms"] = 1000 * statistics.fmean(self.decision_seconds or [0.0])
         return found
--- a/packages/mimosapoint/src/mimosapoint/scheduling/_engine.py
+++ b/packages/mimosapoint/src/mimosapoint/scheduling/_engine.py
@@ -6,15 +6,20 @@
 
 import attrs
 
+from mimosapoint.configuration import Configuration
+from mimosapoint.errors import NeverFits
 from mimosapoint.model import JobClass, JobRecord
-from mimosapoint.scheduling._ledger import Ledger
-from mimosapoint.scheduling._queue import Kind, WaitingQueue, class_rank
-from mimosapoint.scheduling._vectors import Vector, fits, least
+from mimosapoint.scheduling._ledger import Entry, Ledger
+from mimosapoint.scheduling._queue import Kind, WaitingQueue
+from mimosapoint.scheduling._vectors import Vector, fits, least, times
 from mimosapoint.scheduling.drain import drain_order
 from mimosapoint.scheduling.homes import Home
 from mimosapoint.scheduling.moves import Mover
+from mimosapoint.scheduling.never_fits import FitCheck
 from mimosapoint.scheduling.places import Need, amounts, first_place, groups
 from mimosapoint.scheduling.reclaim import Plan, plan_claim, plan_urgent
+from mimosapoint.scheduling.reservations import Reservation, find_reservation, gives_way, press
+from mimosapoint.scheduling.run_times import RunTimes
 from mimosapoint.scheduling.summary import in_service
 from mimosapoint.scheduling.view import Assignment, Decision, Move, Reclaim, Refusal, ZoneView
 
@@ -38,6 +43,25 @@
 URGENT_GRACE = 1.0
 """Most seconds that a borrower gets to checkpoint when urgent work waits."""
 
+LARGE = 16
+"""Accelerators from which a gang may get a reservation."""
+
+STARVING_AFTER = {
+    JobClass.URGENT: timedelta(minutes=1),
+    JobClass.NORMAL: timedelta(minutes=10),
+    JobClass.DEFERRABLE: timedelta(minutes=40),
+}
+"""Wait after which a large gang gets a reservation, by class."""
+
+RESERVATIONS = 1
+"""Reservations at once."""
+
+RESERVATION_AGE = timedelta(minutes=10)
+"""Age at which a reservation is made anew, perhaps on other workers."""
+
+MOST_DRAIN = 0.0
+"""Seconds that borrowers on reserved room may run on before they are stopped."""
+
 PROMOTED_AFTER = timedelta(minutes=20)
 """Wait after which a job counts as one class more urgent, but never as urgent."""
 
@@ -48,11 +72,15 @@
 
     :param classes: whether classes are served in order and urgent work may reclaim.
     :param moves: whether waiting jobs are offered to other zones.
+    :param refuse: whether jobs that no zone can ever run are refused.
+    :param reserve: whether room is drained for large gangs that wait long.
     :param place: chooses workers for a gang.
     """
 
     classes: bool = False
     moves: bool = False
+    refuse: bool = False
+    reserve: bool = False
     place: Callable[..., tuple[str, ...] | None] = first_place
 
 
@@ -98,6 +126,14 @@
         )
 
 
+def _hopeless(kind: Kind) -> str:
+    need, why = kind.need, "it can't be interrupted" if not kind.interruptible else "its size"
+    return (
+        f"a gang of {need.gang} within one {need.adjacency.value} never fits beside the "
+        f"guarantees of others, given {why}"
+    )
+
+
 class Engine:
     """Places gangs on homes and on lent room, and reclaims what was lent."""
 
@@ -109,6 +145,10 @@
         self._holds: dict[str, Hold] = {}
         self._blocked: set[Kind] = set()
         self._mover = Mover()
+        self._fit_check: FitCheck | None = None
+        self._checked: Configuration | None = None
+        self._run_times = RunTimes()
+        self._reservations: dict[str, Reservation] = {}
         self._view: ZoneView | None = None
 
     @property
@@ -125,14 +165,22 @@
             self._mover.sync(view, come, self._queue.records_by_id)
         if self._ledger.settled:
             self._holds.clear()
+            self._reservations.clear()
         draft = Draft()
+        if self._fit_check is None or self._fit_check.configuration is not view.configuration:
+            self._fit_check = FitCheck(view.configuration)
+        if self.options.refuse:
+            self._refuse_hopeless(draft, come)
         if in_service(view):
             self._use_holds(draft)
+            self._use_reservations(draft)
             if self._ledger.grown:
                 self._blocked.clear()
             self._place_waiting(draft)
+            self._reserve_for_large(draft)
         else:
             self._drop_holds()
+            self._drop_reservations()
         if self.options.moves and self._mover.due(view.now):
             self._offer_moves(draft)
         return draft.finish()
@@ -143,19 +191,38 @@
         for kind in self._queue.kinds():
             self._push(heap, kind)
         kinds = [entry[-1] for entry in sorted(heap, key=lambda entry: entry[:-1])]
-        records = (r for k in kinds for r in self._queue.oldest(k, PER_KIND_MOVED))
-        if not in_service(self._view):
-            draft.moves.extend(self._mover.leave(records))
-            return
-        blocked = (r for r in records if r.id not in self._holds)
-        draft.moves.extend(self._mover.balance(blocked, self._view.now))
+        zones = self._fit_check.zones
+        candidates = (
+            (record, zones(record.request, kind))
+            for kind in kinds
+            for record in self._queue.oldest(kind, PER_KIND_MOVED)
+            if record.id not in self._holds and record.id not in self._reservations
+        )
+        if in_service(self._view):
+            draft.moves.extend(self._mover.balance(candidates, self._view.now))
+        else:
+            draft.moves.extend(self._mover.leave(candidates))
 
     def drain_order(self, view: ZoneView) -> list[str]:
         """Return the running jobs in the order in which a zone that goes out stops them."""
         return drain_order(view)
 
     def ended(self, record: JobRecord) -> None:
-        """Learn nothing."""
+        """Learn from a job that ended."""
+        self._run_times.learn(record)
+
+    def _refuse_hopeless(self, draft: Draft, come: set[str]) -> None:
+        """Refuse jobs that no zone can ever run, as far as the configuration tells."""
+        configuration = self._view.configuration
+        if self._checked is not configuration:
+            self._checked = configuration
+            come = set(self._queue.records_by_id)
+        for job in sorted(come):
+            record = self._queue.records_by_id[job]
+            kind = self._queue.kind(record)
+            if record.placement is None and not self._fit_check.zones(record.request, kind):
+                draft.refusals.append(Refusal(job, NeverFits.code, _hopeless(kind)))
+                self._queue.remove(job)
 
     def _use_holds(self, draft: Draft) -> None:
         """Place the gangs whose room has come free, and give up late plans."""
@@ -183,10 +250,93 @@
         for job in list(self._holds):
             self._drop_hold(job)
 
+    def _use_reservations(self, draft: Draft) -> None:
+        """Place the gangs whose reserved room has come free, and press on where it is late."""
+        for job, found in list(self._reservations.items()):
+            record = self._queue.records_by_id.get(job)
+            if record is None:
+                self._drop_reservation(job)
+            elif self._fits_reservation(record, found):
+                self._drop_reservation(job)
+                self._assign(draft, record, found.workers, found.taken, None)
+            elif self._view.now >= found.ready_at:
+                self._press(draft, record, found)
+
+    def _press(self, draft: Draft, record: JobRecord, found: Reservation) -> None:
+        """Stop the borrowers that delay a gang, or look for better workers."""
+        now, kind = self._view.now, self._queue.kind(record)
+        plan = press(self._ledger, kind, found, now)
+        if plan is not None:
+            self._drop_reservation(record.id)
+            self._carry_out(draft, record, plan)
+        elif now >= found.made_at + RESERVATION_AGE:
+            self._drop_reservation(record.id)
+            self._reserve(record, kind)
+
+    def _fits_reservation(self, record: JobRecord, found: Reservation) -> bool:
+        ledger = self._ledger
+        room = ledger.open
+        if not record.request.interruptible:
+            allowed, workspace = ledger.guarantees.firm_room, record.request.workspace
+            room = {w: least(room[w], allowed(workspace, w)) for w in found.taken}
+        return all(fits(amount, room[worker]) for worker, amount in found.taken.items())
+
+    def _drop_reservation(self, job: str) -> None:
+        self._ledger.unreserve(self._reservations.pop(job).taken)
+        self._blocked.clear()
+
+    def _drop_reservations(self) -> None:
+        for job in list(self._reservations):
+            self._drop_reservation(job)
+
+    def _reserve_for_large(self, draft: Draft) -> None:
+        """Reserve room for the oldest large gangs that have waited long."""
+        if not self.options.reserve or len(self._reservations) >= RESERVATIONS:
+            return
+        placed = {assignment.job for assignment in draft.assignments}
+        for record, kind in self._starving():
+            if record.id in placed or record.id in self._holds or record.id in self._reservations:
+                continue
+            self._reserve(record, kind)
+            if len(self._reservations) >= RESERVATIONS:
+                return
+
+    def _starving(self) -> list[tuple[JobRecord, Kind]]:
+        """Return the oldest job of each blocked kind of large gangs, longest wait first."""
+        found = []
+        for kind in self._blocked:
+            record = self._queue.head(kind)
+            if record is None or not self._may_borrow(kind):
+                continue
+            large = kind.need.gang * kind.need.vector[3] >= LARGE
+            if large and self._view.now - record.submitted_at > STARVING_AFTER[kind.job_class]:
+                found.append((record, kind))
+        return sorted(found, key=lambda pair: (pair[0].submitted_at, pair[0].id))
+
+    def _reserve(self, record: JobRecord, kind: Kind) -> None:
+        found = self._find_reservation(kind)
+        if found is not None:
+            self._reservations[record.id] = found
+            self._ledger.reserve(found.taken)
+
+    def _find_reservation(self, kind: Kind) -> Reservation | None:
+        guarantees, now = self._ledger.guarantees, self._view.now
+
+        def limit(worker: str) -> int:
+            if kind.interruptible:
+                return kind.need.gang
+            return times(kind.need.vector, guarantees.firm_capacity(kind.workspace, worker))
+
+        def remaining(entry: Entry) -> float:
+            seconds = self._run_times.remaining(entry.record, now)
+            return min(seconds, MOST_DRAIN) if gives_way(entry, kind) else seconds
+
+        return find_reservation(self._ledger, kind.need, limit, remaining, now)
+
     def _order(self, kind: Kind, record: JobRecord) -> tuple:
         if not self.options.classes:
             return (0, record.submitted_at, record.id)
-        rank = class_rank(kind.job_class)
+        rank = kind.rank
         if rank > 1 and self._view.now - record.submitted_at > PROMOTED_AFTER:
             rank -= 1
         return (rank, record.submitted_at, record.id)
@@ -245,14 +395,31 @@
     def _borrow(self, draft: Draft, record: JobRecord, kind: Kind) -> bool:
         if not self._may_borrow(kind):
             return False
-        workers = self._find(kind.need, self._ledger.firm_room(kind.workspace))
-        if workers is None and kind.interruptible:
-            workers = self._find(kind.need, self._ledger.open)
+        workers = self._find_lent(kind, self._room_for(record, kind))
         if workers is None:
             return False
         self._assign(draft, record, workers, amounts(kind.need, workers), None)
         return True
 
+    def _room_for(self, record: JobRecord, kind: Kind) -> dict[str, Vector]:
+        """Return the open room, with reserved room for work that is urgent or soon over."""
+        if not self._reservations or kind.job_class is JobClass.URGENT:
+            return self._ledger.open
+        end = self._view.now + timedelta(seconds=self._run_times.cautious(record.request))
+        if all(end <= reservation.ready_at for reservation in self._reservations.values()):
+            return self._ledger.open
+        return self._ledger.unreserved
+
+    def _find_lent(self, kind: Kind, room: dict[str, Vector]) -> tuple[str, ...] | None:
+        """Return workers beside the homes of others, or on them when the job may be stopped."""
+        vector, allowed = kind.need.vector, self._ledger.guarantees.firm_room
+        fitting = {worker: free for worker, free in room.items() if fits(vector, free)}
+        beside = {w: least(free, allowed(kind.workspace, w)) for w, free in fitting.items()}
+        workers = self._find(kind.need, beside)
+        if workers is None and kind.interruptible:
+            workers = self._find(kind.need, fitting)
+        return workers
+
     def _may_borrow(self, kind: Kind) -> bool:
         workspace = self._view.configuration.workspaces_by_id.get(kind.workspace)
         return workspace is None or workspace.may_borrow
--- a/packages/mimosapoint/src/mimosapoint/scheduling/_guarantees.py
+++ b/packages/mimosapoint/src/mimosapoint/scheduling/_guarantees.py
@@ -157,3 +157,11 @@
         if worker not in self._home_total.get(workspace, {}):
             return spare
         return plus(spare, self.unclaimed(workspace, worker))
+
+    def firm_capacity(self, workspace: str, worker: str) -> Vector:
+        """Return what a worker without any job would let such work take."""
+        left = self._capacity[worker]
+        for other in self._parties.get(worker, ()):
+            if other != workspace:
+                left = minus(left, self._home_total.get(other, {}).get(worker, ZERO))
+        return left
--- a/packages/mimosapoint/src/mimosapoint/scheduling/_ledger.py
+++ b/packages/mimosapoint/src/mimosapoint/scheduling/_ledger.py
@@ -1,13 +1,13 @@
 """What a policy knows of its availability zone between decisions."""
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterator
 from datetime import datetime
 
 import attrs
 
 from mimosapoint.model import Adjacency, JobClass, JobRecord, JobState
 from mimosapoint.scheduling._guarantees import FirmWork, Guarantees
-from mimosapoint.scheduling._vectors import ZERO, Vector, fits, least, minus, plus, vector
+from mimosapoint.scheduling._vectors import ZERO, Vector, fits, minus, plus, vector
 from mimosapoint.scheduling.homes import units_of
 from mimosapoint.scheduling.places import Need, amounts, groups
 from mimosapoint.scheduling.view import ZoneView
@@ -61,8 +61,9 @@
         self.grown = True
         self.settled = False
         self.open: dict[str, Vector] = {}
+        self.unreserved: dict[str, Vector] = {}
+        self._reserved: dict[str, Vector] = {}
         self._parts: dict[Adjacency, list[list[str]]] = {}
-        self._firm_open: dict[str, Vector] = {}
         self._lent: dict[str, Vector] = {}
         self._held: dict[str, Vector] = {}
         self._stopping: dict[str, Vector] = {}
@@ -165,6 +166,7 @@
         units = units_of(view.configuration, view.zone)
         self.guarantees.settle(units, capacity, self.rack_by_id, self._firm_work())
         self._held.clear()
+        self._reserved.clear()
         self._parts.clear()
         self.settled = True
 
@@ -184,7 +186,9 @@
         self.open = dict(self.free)
         for worker, held in self._held.items():
             self.open[worker] = minus(self.open[worker], held)
-        self._firm_open = {}
+        self.unreserved = dict(self.open)
+        for worker, reserved in self._reserved.items():
+            self.unreserved[worker] = minus(self.unreserved[worker], reserved)
 
     def parts(self, adjacency: Adjacency) -> list[list[str]]:
         """Return the parts of the zone that may hold a gang."""
@@ -197,30 +201,36 @@
         """Take free room for a job; the next view tells whether the owner did."""
         self._sum(self.free, taken, minus)
         self._sum(self.open, taken, minus)
+        self._sum(self.unreserved, taken, minus)
         if firm:
             self.guarantees.add_firm(workspace, taken)
             self._pending.append((workspace, taken))
-        self._touch(taken)
 
     def hold(self, workspace: str, taken: dict[str, Vector], firm: bool) -> None:
         """Keep room for a job that will be placed soon."""
         self._sum(self._held, taken, plus)
         self._sum(self.open, taken, minus)
+        self._sum(self.unreserved, taken, minus)
         if firm:
             self.guarantees.add_firm(workspace, taken)
-        self._touch(taken)
 
     def release(self, workspace: str, taken: dict[str, Vector], firm: bool) -> None:
         """Undo :meth:`hold`."""
         self._sum(self._held, taken, minus)
         self._sum(self.open, taken, plus)
+        self._sum(self.unreserved, taken, plus)
         if firm:
             self.guarantees.remove_firm(workspace, taken)
-        self._touch(taken)
 
-    def _touch(self, taken: Iterable[str]) -> None:
-        for worker in taken:
-            self._firm_open.pop(worker, None)
+    def reserve(self, taken: dict[str, Vector]) -> None:
+        """Keep room from ordinary borrowers."""
+        self._sum(self._reserved, taken, plus)
+        self._sum(self.unreserved, taken, minus)
+
+    def unreserve(self, taken: dict[str, Vector]) -> None:
+        """Undo :meth:`reserve`."""
+        self._sum(self._reserved, taken, minus)
+        self._sum(self.unreserved, taken, plus)
 
     def coming_room(self, worker: str) -> Vector:
         """Return what is open now or as soon as the jobs being stopped are gone."""
@@ -230,19 +240,10 @@
         """Return what urgent work may have: coming room and that of less urgent borrowers."""
         return plus(self.coming_room(worker), self._lent.get(worker, ZERO))
 
-    def firm_room(self, workspace: str) -> dict[str, Vector]:
-        """Return the open room of each worker without the homes of other workspaces."""
-        known, spare = self._firm_open, self.guarantees.spare
-        for worker in self.rack_by_id.keys() - known.keys():
-            known[worker] = least(self.open[worker], spare[worker])
-        room = dict(known)
-        for home in self.guarantees.homes_of(workspace):
-            for worker in home.amounts:
-                allowed = self.guarantees.firm_room(workspace, worker)
-                room[worker] = least(self.open[worker], allowed)
-        return room
+    def jobs_on(self, worker: str) -> list[Entry]:
+        """Return the jobs that hold room on a worker."""
+        return [self.entries[job] for job in self._jobs_on.get(worker, ())]
 
     def victims_on(self, worker: str) -> list[Entry]:
         """Return the jobs on a worker that may be stopped for others."""
-        entries = (self.entries[job] for job in self._jobs_on.get(worker, ()))
-        return [entry for entry in entries if not entry.firm and not entry.stopping]
+        return [e for e in self.jobs_on(worker) if not e.firm and not e.stopping]
--- a/packages/mimosapoint/src/mimosapoint/scheduling/_queue.py
+++ b/packages/mimosapoint/src/mimosapoint/scheduling/_queue.py
@@ -36,6 +36,11 @@
     need: Need
     interruptible: bool
 
+    @property
+    def rank(self) -> int:
+        """Place of its class in the order, urgent first."""
+        return class_rank(self.job_class)
+
 
 class WaitingQueue:
     """Keeps the waiting jobs of each kind, oldest first."""
--- a/packages/mimosapoint/src/mimosapoint/scheduling/guaranteed.py
+++ b/packages/mimosapoint/src/mimosapoint/scheduling/guaranteed.py
@@ -4,7 +4,7 @@
 from mimosapoint.scheduling.places import tight_place
 from mimosapoint.scheduling.registry import scheduling_policy
 
-__all__ = ["GuaranteedShapes", "Packed", "UrgentLane", "ZoneMoves"]
+__all__ = ["GuaranteedShapes", "Packed", "Refusing", "Reserving", "UrgentLane", "ZoneMoves"]
 
 
 @scheduling_policy("guaranteed-shapes")
@@ -26,8 +26,22 @@
     options = Options(classes=True, moves=True)
 
 
+@scheduling_policy("refusing")
+class Refusing(Engine):
+    """Also refuses jobs that no zone can ever run."""
+
+    options = Options(classes=True, moves=True, refuse=True)
+
+
+@scheduling_policy("reserving")
+class Reserving(Engine):
+    """Also drains room for large gangs that wait long."""
+
+    options = Options(classes=True, moves=True, refuse=True, reserve=True)
+
+
 @scheduling_policy("packed")
 class Packed(Engine):
     """Also fills the parts with the least room first."""
 
-    options = Options(classes=True, moves=True, place=tight_place)
+    options = Options(classes=True, moves=True, refuse=True, reserve=True, place=tight_place)
--- a/packages/mimosapoint/src/mimosapoint/scheduling/moves.py
+++ b/packages/mimosapoint/src/mimosapoint/scheduling/moves.py
@@ -1,16 +1,16 @@
 """Offers of waiting jobs to availability zones that can run them sooner."""
 
 import math
-from collections.abc import Iterable, Iterator
+from collections.abc import Collection, Iterable, Iterator
 from datetime import datetime, timedelta
 
 from mimosapoint.configuration import Configuration
-from mimosapoint.model import Adjacency, JobClass, JobRecord, JobRequest
+from mimosapoint.model import Adjacency, JobClass, JobRecord
 from mimosapoint.scheduling.homes import Unit, units_of
 from mimosapoint.scheduling.places import Need
 from mimosapoint.scheduling.view import Move, ZoneSummary, ZoneView
 
-__all__ = ["Mover", "allowed_zones"]
+__all__ = ["Mover"]
 
 EVERY = timedelta(seconds=1)
 """Pause between two looks at the other zones."""
@@ -34,17 +34,8 @@
 """Jobs offered in one look."""
 
 
-def allowed_zones(request: JobRequest, configuration: Configuration) -> set[str]:
-    """Return the availability zones that the request may run in, whatever their mode."""
-    workspace = configuration.workspaces_by_id.get(request.workspace)
-    if workspace is None:
-        return set()
-    zones = set(configuration.zones_of(workspace.region))
-    service = workspace.services_by_id.get(request.service)
-    for limit in (service.zones if service else (), request.zones):
-        if limit:
-            zones &= set(limit)
-    return zones
+Candidate = tuple[JobRecord, Collection[str]]
+"""A waiting job and the zones that could run it."""
 
 
 class _Offer:
@@ -98,6 +89,7 @@
         self._looked_at: datetime | None = None
         self._units: dict[str, tuple[Unit, ...]] = {}
         self._configuration: Configuration | None = None
+        self._zone = ""
 
     def sync(self, view: ZoneView, come: Iterable[str], waiting: dict[str, JobRecord]) -> None:
         """Take in the summaries and the waiting jobs."""
@@ -105,6 +97,7 @@
             del self._come_at[job]
         for job in come:
             self._come_at.setdefault(job, view.now)
+        self._zone = view.zone
         if self._configuration is not view.configuration:
             self._configuration = view.configuration
             zones = view.configuration.zones_by_id
@@ -125,19 +118,18 @@
         self._looked_at = now
         return True
 
-    def _targets(self, record: JobRecord) -> list[_Offer]:
-        allowed = allowed_zones(record.request, self._configuration)
+    def _targets(self, zones: Collection[str]) -> list[_Offer]:
         return [
             offer
             for zone, offer in sorted(self._offers.items())
-            if zone in allowed and offer.summary.in_service and offer.summary.age <= STALE_AFTER
+            if zone in zones and offer.summary.in_service and offer.summary.age <= STALE_AFTER
         ]
 
-    def leave(self, records: Iterable[JobRecord]) -> Iterator[Move]:
+    def leave(self, candidates: Iterable[Candidate]) -> Iterator[Move]:
         """Offer the jobs of a zone that is out; they go where they wait least."""
-        for record, _ in zip(records, range(PER_LOOK)):
+        for (record, zones), _ in zip(candidates, range(PER_LOOK)):
             need = Need.of(record.request)
-            targets = self._targets(record)
+            targets = self._targets(zones)
             if targets:
                 home = self._home(record, need, targets)
                 offer = home or min(
@@ -147,14 +139,17 @@
                     offer.take(need)
                 yield Move(record.id, offer.summary.zone)
 
-    def balance(self, records: Iterable[JobRecord], now: datetime) -> Iterator[Move]:
-        """Offer jobs that wait in vain to zones with a home or with room for them."""
+    def balance(self, candidates: Iterable[Candidate], now: datetime) -> Iterator[Move]:
+        """Offer jobs that wait in vain to zones with a home or with room for them.
+
+        A job that could never run here goes where it may wait with hope.
+        """
         offered = 0
-        for record in records:
-            if offered == PER_LOOK or not any(o.slots > 0 for o in self._offers.values()):
+        for record, zones in candidates:
+            if offered == PER_LOOK:
                 return
             if not self._patient(record, now):
-                target = self._find(record)
+                target = self._find(record, zones)
                 if target is not None:
                     offered += 1
                     yield Move(record.id, target)
@@ -166,13 +161,15 @@
         patience = (URGENT_PATIENCE if urgent else PATIENCE) * 2**record.moves
         return now - self._come_at.get(record.id, now) < patience
 
-    def _find(self, record: JobRecord) -> str | None:
+    def _find(self, record: JobRecord, zones: Collection[str]) -> str | None:
         need = Need.of(record.request)
-        targets = self._targets(record)
+        targets = self._targets(zones)
         offer = self._home(record, need, targets)
         if offer is not None:
             return offer.summary.zone
         fitting = [offer for offer in targets if offer.has_block(need)]
+        if not fitting and self._zone not in zones:
+            fitting = targets
         if not fitting:
             return None
         offer = min(fitting, key=lambda offer: offer.load)
--- /dev/null
+++ b/packages/mimosapoint/src/mimosapoint/scheduling/tests/test_reservations.py
@@ -0,0 +1,155 @@
+"""Tests of reservations for large gangs, of learned run times and of hopeless jobs."""
+
+import unittest
+from datetime import timedelta
+
+import attrs
+
+from mimosapoint.configuration import Guarantee
+from mimosapoint.model import JobClass, JobState, Placement, Succeeded
+from mimosapoint.scheduling import make_policy
+from mimosapoint.scheduling.run_times import RunTimes
+from mimosapoint.scheduling.tests._zone import ZoneOwner, configuration, task
+
+
+def owner(**fields) -> ZoneOwner:
+    fields.setdefault("guarantees", {"guest": ()})
+    return ZoneOwner(make_policy("reserving"), configuration(**fields))
+
+
+def teach(zone: ZoneOwner, job: str, seconds: float) -> None:
+    """Let the policy see jobs like this one end after so many seconds."""
+    record = next(r for r in zone.view.waiting if r.id == job)
+    for _ in range(10):
+        ended = attrs.evolve(
+            record,
+            state=JobState.ENDED,
+            placement=Placement(1, ("r0w0",)),
+            started_at=zone.view.now,
+            ended_at=zone.view.now + timedelta(seconds=seconds),
+            outcome=Succeeded(()),
+        )
+        zone.policy.ended(ended)
+
+
+class LargeGangTest(unittest.TestCase):
+    def test_a_stream_of_small_jobs_does_not_starve_a_large_gang(self):
+        zone = owner(racks=1, workers=2)
+        for _ in range(8):
+            zone.submit("guest", accelerators=2)
+        zone.step()
+        large = zone.submit("guest", 2, 8)
+        started_after = None
+        for minute in range(30):
+            for _ in range(4):
+                zone.submit("guest", accelerators=2)
+            zone.end(min(zone.running()))
+            zone.step(60)
+            zone.stopped()
+            zone.step()
+            if large in zone.running():
+                started_after = minute
+                break
+        self.assertIsNotNone(started_after)
+        self.assertGreaterEqual(started_after, 9, "not before it has waited its time")
+
+    def test_borrowers_larger_or_more_urgent_than_the_gang_stay(self):
+        zone = owner(racks=1, workers=2)
+        zone.submit("guest", 2, 4, job_class=JobClass.URGENT)
+        zone.step()
+        zone.submit("guest", 2, 8)
+        for _ in range(20):
+            self.assertEqual((), zone.step(60).reclaims)
+
+    def backfilled(self, seconds: float) -> bool:
+        zone = owner(racks=1, workers=2)
+        zone.submit("guest", accelerators=8, interruptible=False, run_time=2000.0)
+        zone.step()
+        zone.submit("guest", 2, 8)
+        zone.step()
+        zone.step(601)
+        small = zone.submit("guest", accelerators=1)
+        teach(zone, small, seconds)
+        zone.step()
+        return small in zone.running()
+
+    def test_only_jobs_that_end_in_time_run_on_reserved_room(self):
+        self.assertTrue(self.backfilled(30.0))
+        self.assertFalse(self.backfilled(30_000.0))
+
+    def test_claims_and_urgent_work_pass_by_reservations(self):
+        zone = owner(racks=1, workers=2, guarantees={"north": (Guarantee("g", 1, task(4)),),
+                                                     "guest": ()})  # fmt: skip
+        zone.submit("guest", accelerators=4, interruptible=False, run_time=9000.0)
+        zone.step()
+        zone.submit("guest", 2, 8)
+        zone.step()
+        zone.step(601)
+        claim = zone.submit("north", accelerators=4)
+        urgent = zone.submit("guest", accelerators=1, job_class=JobClass.URGENT)
+        zone.step()
+        self.assertLessEqual({claim, urgent}, zone.running())
+
+
+class HopelessTest(unittest.TestCase):
+    def test_what_is_refused(self):
+        cases = (
+            ("too large for any rack", {"gang": 4, "accelerators": 8}, 1),
+            ("large but possible", {"gang": 3, "accelerators": 8}, 0),
+            ("firm on homes of others", {"gang": 3, "accelerators": 8, "interruptible": False}, 1),
+            ("firm beside homes", {"gang": 1, "accelerators": 8, "interruptible": False}, 0),
+        )
+        for name, fields, count in cases:
+            with self.subTest(name):
+                zone = owner(racks=1, guarantees={"north": (Guarantee("g", 2, task(8)),),
+                                                  "guest": ()})  # fmt: skip
+                zone.submit("guest", **fields)
+                refusals = zone.step().refusals
+                self.assertEqual(count, len(refusals))
+                self.assertTrue(all(refusal.code == "never-fits" for refusal in refusals))
+
+    def test_a_job_that_has_run_is_not_refused(self):
+        zone = owner(racks=1)
+        zone.submit("guest", 4, 8)
+        placement = Placement(1, ("r0w0",))
+        zone.view.waiting[0] = attrs.evolve(zone.view.waiting[0], placement=placement)
+        self.assertEqual((), zone.step().refusals)
+
+
+class RunTimesTest(unittest.TestCase):
+    def setUp(self):
+        self.zone = owner()
+        self.zone.submit("guest", run_time=10.0)
+        (self.record,) = self.zone.view.waiting
+
+    def learned(self, *seconds: float) -> RunTimes:
+        found = RunTimes()
+        now = self.zone.view.now
+        for value in seconds:
+            ended = now + timedelta(seconds=value)
+            found.learn(
+                attrs.evolve(
+                    self.record,
+                    placement=Placement(1, ("r0w0",)),
+                    started_at=now,
+                    ended_at=ended,
+                    outcome=Succeeded(()),
+                )
+            )
+        return found
+
+    def test_declared_times_are_distrusted_until_enough_is_known(self):
+        self.assertEqual(30.0, self.learned(100.0).cautious(self.record.request))
+        self.assertEqual(100.0, self.learned(*[100.0] * 5).cautious(self.record.request))
+
+    def test_what_remains_is_judged_by_jobs_that_ran_longer(self):
+        known = self.learned(10.0, 20.0, 100.0, 200.0, 300.0)
+        running = attrs.evolve(self.record, started_at=self.zone.view.now)
+        later = self.zone.view.now + timedelta(seconds=50)
+        self.assertEqual(150.0, known.remaining(running, later))
+        much_later = self.zone.view.now + timedelta(seconds=400)
+        self.assertEqual(200.0, known.remaining(running, much_later))
+
+
+if __name__ == "__main__":
+    unittest.main()
