Review reservations each minute and cap what runs behind them

A reservation trusted a declared run time for hours, lent its room meanwhile and starved its gang; newer claims of its own workspace also passed it by. It is now made anew each minute, lends its room for at most 15 minutes ahead, and newer claims of the same workspace leave it alone. The rig also tells how much free room is broken for the whole demand, since a policy that leaves nothing placeable waiting makes the other share meaningless.

--- a/benchmarks/decisions/loop.py
+++ b/benchmarks/decisions/loop.py
@@ -105,7 +105,7 @@
     ):
         self.now = 0.0
         self.configuration = configuration
-        self.measures = Measures()
+        self.measures = Measures([arrival.request for arrival in arrivals])
         self._rng = random.Random(seed)
         self._events: list[tuple[float, int, Callable, tuple]] = []
         self._sequence = 0
--- a/benchmarks/decisions/measures.py
+++ b/benchmarks/decisions/measures.py
@@ -5,7 +5,7 @@
 from datetime import datetime
 
 import attrs
-from mimosapoint.model import Adjacency, JobClass, JobRecord, Succeeded
+from mimosapoint.model import Adjacency, JobClass, JobRecord, JobRequest, Succeeded
 from mimosapoint.scheduling import Reclaim, ZoneView
 
 from benchmarks.decisions.workload import START
@@ -49,9 +49,8 @@
     return (time - START).total_seconds()
 
 
-def _usable(record: JobRecord, free_by_rack: dict[str, list]) -> int:
+def _usable(request: JobRequest, free_by_rack: dict[str, list]) -> int:
     """Return how many free accelerators the shape could use."""
-    request = record.request
     counts = [
         [request.shape.times_in(free) for free in workers] for workers in free_by_rack.values()
     ]
@@ -63,10 +62,25 @@
     return gangs * request.gang * request.shape.accelerators
 
 
+def _shapes(requests: list[JobRequest]) -> list[tuple[JobRequest, int]]:
+    """Return one request of each gang shape with the number of such requests."""
+    counts: Counter[tuple] = Counter()
+    found: dict[tuple, JobRequest] = {}
+    for request in requests:
+        if request.gang * request.shape.accelerators >= MEASURED_SHAPE:
+            key = (request.gang, request.shape, request.adjacency)
+            counts[key] += 1
+            found[key] = request
+    return [(found[key], count) for key, count in counts.items()]
+
+
 class Measures:
     """Collects the figures of one run."""
 
-    def __init__(self) -> None:
+    def __init__(self, requests: list[JobRequest]) -> None:
+        self._demand = _shapes(requests)
+        self.broken_seen = 0.0
+        self.all_free_seen = 0.0
         self.completion_by_class: dict[JobClass, list[float]] = {c: [] for c in JobClass}
         self.urgent_waits: list[float] = []
         self.claim_waits: list[float] = []
@@ -136,25 +150,19 @@
                 free_by_rack.setdefault(worker.rack, []).append(worker.free)
         free = sum(room.accelerators for rack in free_by_rack.values() for room in rack)
         self.accelerators_seen += sum(w.capacity.accelerators for w in view.workers_by_id.values())
-        shapes = self._waiting_shapes(view)
-        if not shapes or not free:
+        if not free:
             return
-        weights = sum(weight for _, weight in shapes)
-        usable = sum(_usable(record, free_by_rack) * weight for record, weight in shapes)
-        self.free_seen += free
-        self.unusable_seen += free - usable / weights
+        self.all_free_seen += free
+        self.broken_seen += free - self._mean_usable(self._demand, free_by_rack)
+        shapes = _shapes([record.request for record in view.waiting])
+        if shapes:
+            self.free_seen += free
+            self.unusable_seen += free - self._mean_usable(shapes, free_by_rack)
 
     @staticmethod
-    def _waiting_shapes(view: ZoneView) -> list[tuple[JobRecord, int]]:
-        counts: Counter[tuple] = Counter()
-        records: dict[tuple, JobRecord] = {}
-        for record in view.waiting:
-            request = record.request
-            if request.gang * request.shape.accelerators >= MEASURED_SHAPE:
-                key = (request.gang, request.shape, request.adjacency)
-                counts[key] += 1
-                records[key] = record
-        return [(records[key], count) for key, count in counts.items()]
+    def _mean_usable(shapes: list[tuple[JobRequest, int]], free_by_rack: dict) -> float:
+        weights = sum(weight for _, weight in shapes)
+        return sum(_usable(shape, free_by_rack) * weight for shape, weight in shapes) / weights
 
     def work(self, begin: float, end: float, zones: set[str] | None = None) -> float:
         """Return the accelerator-seconds kept between two times."""
@@ -180,6 +188,8 @@
         found["claim start p99 s"] = percentile(self.claim_waits, 0.99)
         found["deadlines met %"] = 100 * self.deadlines_met / max(1, self.with_deadline)
         found["unusable of free %"] = 100 * self.unusable_seen / max(1.0, self.free_seen)
+        found["broken of free %"] = 100 * self.broken_seen / max(1.0, self.all_free_seen)
+        found["broken of all %"] = 100 * self.broken_seen / max(1.0, self.accelerators_seen)
         found["unusable of all %"] = 100 * self.unusable_seen / max(1.0, self.accelerators_seen)
         found["large wait p95 s"] = percentile(self.large_waits, 0.95)
         found["longest large wait s"] = max(self.large_waits)
--- a/packages/mimosapoint/src/mimosapoint/scheduling/_engine.py
+++ b/packages/mimosapoint/src/mimosapoint/scheduling/_engine.py
@@ -56,10 +56,13 @@
 RESERVATIONS = 1
 """Reservations at once."""
 
-RESERVATION_AGE = timedelta(minutes=10)
+REVIEW_EVERY = timedelta(minutes=1)
 """Age at which a reservation is made anew, perhaps on other workers."""
 
-MOST_DRAIN = 0.0
+MOST_BACKFILL = timedelta(minutes=15)
+"""Longest time ahead for which reserved room is lent to jobs that should end in time."""
+
+MOST_DRAIN = 60.0
 """Seconds that borrowers on reserved room may run on before they are stopped."""
 
 PROMOTED_AFTER = timedelta(minutes=20)
@@ -259,19 +262,19 @@
             elif self._fits_reservation(record, found):
                 self._drop_reservation(job)
                 self._assign(draft, record, found.workers, found.taken, None)
-            elif self._view.now >= found.ready_at:
-                self._press(draft, record, found)
-
-    def _press(self, draft: Draft, record: JobRecord, found: Reservation) -> None:
-        """Stop the borrowers that delay a gang, or look for better workers."""
-        now, kind = self._view.now, self._queue.kind(record)
-        plan = press(self._ledger, kind, found, now)
-        if plan is not None:
-            self._drop_reservation(record.id)
-            self._carry_out(draft, record, plan)
-        elif now >= found.made_at + RESERVATION_AGE:
-            self._drop_reservation(record.id)
-            self._reserve(record, kind)
+            elif self._view.now >= found.ready_at and self._press(draft, record, found):
+                continue
+            elif self._view.now >= found.made_at + REVIEW_EVERY:
+                self._drop_reservation(job)
+                self._reserve(record, self._queue.kind(record))
+
+    def _press(self, draft: Draft, record: JobRecord, found: Reservation) -> bool:
+        """Stop the borrowers that delay a gang, when that is enough."""
+        plan = press(self._ledger, self._queue.kind(record), found, self._view.now)
+        if plan is None:
+            return False
+        self._drop_reservation(record.id)
+        return self._carry_out(draft, record, plan)
 
     def _fits_reservation(self, record: JobRecord, found: Reservation) -> bool:
         ledger = self._ledger
@@ -316,6 +319,8 @@
     def _reserve(self, record: JobRecord, kind: Kind) -> None:
         found = self._find_reservation(kind)
         if found is not None:
+            latest = self._view.now + MOST_BACKFILL
+            found = attrs.evolve(found, ready_at=min(found.ready_at, latest))
             self._reservations[record.id] = found
             self._ledger.reserve(found.taken)
 
@@ -331,7 +336,7 @@
             seconds = self._run_times.remaining(entry.record, now)
             return min(seconds, MOST_DRAIN) if gives_way(entry, kind) else seconds
 
-        return find_reservation(self._ledger, kind.need, limit, remaining, now)
+        return find_reservation(self._ledger, kind, limit, remaining, now)
 
     def _order(self, kind: Kind, record: JobRecord) -> tuple:
         if not self.options.classes:
@@ -367,6 +372,7 @@
     def _try(self, draft: Draft, record: JobRecord, kind: Kind) -> bool:
         """Place a gang or begin to make room for it."""
         homes = self._ledger.guarantees.homes_of(kind.workspace)
+        homes = [home for home in homes if not self._kept_for_elder(home, kind)]
         return (
             self._claim_open(draft, record, kind.need, homes)
             or self._borrow(draft, record, kind)
@@ -374,6 +380,15 @@
             or self._urgent_reclaim(draft, record, kind)
         )
 
+    def _kept_for_elder(self, home: Home, kind: Kind) -> bool:
+        """Tell whether the workspace's own starving gang is going to use a home."""
+        return any(
+            reservation.workspace == kind.workspace
+            and reservation.rank <= kind.rank
+            and not reservation.taken.keys().isdisjoint(home.amounts)
+            for reservation in self._reservations.values()
+        )
+
     def _find(self, need: Need, room: dict[str, Vector]) -> tuple[str, ...] | None:
         if len(room) == len(self._ledger.rack_by_id):
             return self.options.place(need, room, self._ledger.parts(need.adjacency))
--- a/packages/mimosapoint/src/mimosapoint/scheduling/guaranteed.py
+++ b/packages/mimosapoint/src/mimosapoint/scheduling/guaranteed.py
@@ -4,7 +4,14 @@
 from mimosapoint.scheduling.places import tight_place
 from mimosapoint.scheduling.registry import scheduling_policy
 
-__all__ = ["GuaranteedShapes", "Packed", "Refusing", "Reserving", "UrgentLane", "ZoneMoves"]
+__all__ = [
+    "GuaranteedShapes",
+    "Packed",
+    "Refusing",
+    "Reserving",
+    "UrgentLane",
+    "ZoneMoves",
+]
 
 
 @scheduling_policy("guaranteed-shapes")
--- a/packages/mimosapoint/src/mimosapoint/scheduling/reservations.py
+++ b/packages/mimosapoint/src/mimosapoint/scheduling/reservations.py
@@ -19,12 +19,16 @@
 class Reservation:
     """Workers on which a gang is going to run once their present work has ended.
 
+    :param workspace: id of the gang's workspace.
+    :param rank: place of its class in the order, urgent first.
     :param workers: worker of each task.
     :param taken: what the gang takes on each worker.
     :param ready_at: time at which the room is expected to be free.
     :param made_at: time at which the workers were chosen.
     """
 
+    workspace: str
+    rank: int
     workers: tuple[str, ...]
     taken: dict[str, Vector]
     ready_at: datetime
@@ -53,7 +57,7 @@
 
 def find_reservation(
     ledger: Ledger,
-    need: Need,
+    kind: Kind,
     limit: Callable[[str], int],
     remaining: Callable[[Entry], float],
     now: datetime,
@@ -64,6 +68,7 @@
     :param remaining: returns the seconds that a running job still needs.
     :param now: time of the decision.
     """
+    need = kind.need
     best: list[tuple[float, str]] | None = None
     for part in ledger.parts(need.adjacency):
         waits = [
@@ -78,7 +83,8 @@
         return None
     workers = tuple(sorted(worker for _, worker in best))
     ready_at = now + timedelta(seconds=best[-1][0])
-    return Reservation(workers, amounts(need, workers), ready_at, now)
+    taken = amounts(need, workers)
+    return Reservation(kind.workspace, kind.rank, workers, taken, ready_at, now)
 
 
 def gives_way(entry: Entry, kind: Kind) -> bool:
