--- a/benchmarks/slopes/fit.py
+++ b/benchmarks/slopes/fit.py
@@ -52,4 +52,5 @@
     slope = sum((point.x - mean_x) * (point.y - mean_y) for point in points) / across
     intercept = mean_y - slope * mean_x
     spread = max(abs(point.y - intercept - slope * point.x) for point in points)
-    return Slope(name, per, unit, slope, intercept, spread, tuple(points))
+    ordered = tuple(sorted(points, key=lambda point: point.x))
+    return Slope(name, per, unit, slope, intercept, spread, ordered)
--- a/benchmarks/slopes/parts.py
+++ b/benchmarks/slopes/parts.py
@@ -1,5 +1,6 @@
 """Cost of single calls and of single pieces of a node, each against its size."""
 
+import hashlib
 import os
 import time
 import tracemalloc
@@ -9,6 +10,8 @@
 from pathlib import Path
 
 import attrs
+from mimosapoint.configuration import ConfigurationState, PatchRecord, load_configuration
+from mimosapoint.configuration.state import FORMAT, encode_state
 from mimosapoint.jobs import Bucket
 from mimosapoint.model import (
     JobRecord,
@@ -27,7 +30,7 @@
 
 from benchmarks.slopes.fit import Point, Slope, fit
 from benchmarks.slopes.relay import Relay
-from benchmarks.slopes.site import SizedSite
+from benchmarks.slopes.site import SizedSite, write_example
 from benchmarks.slopes.usage import KIB
 
 __all__ = [
@@ -38,6 +41,7 @@
     "measure_worker_call",
 ]
 
+VERDICTS = (0, 25, 50, 100)
 VALUE_KIB = (1, 16, 64, 256, 512)
 STORE_CALLS = 60
 LISTED = (24, 220, 880, 3500)
@@ -70,11 +74,14 @@
 
 async def measure_store(folder: Path) -> list[Slope]:
     """Return the cost of a read and of a write against the size of the value."""
-    reads, writes = [], []
+    reads, writes, sizes = [], [], []
     async with AsyncExitStack() as stack:
         site = await _stand_ins(folder / "store", 1, stack)
         store = HttpStore(site.files.store_address, LogTelemetry("bench"))
         stack.push_async_callback(store.close)
+        relay = await stack.enter_async_context(Relay.opened())
+        through = HttpStore(await relay.to(site.files.store_address), LogTelemetry("bench"))
+        stack.push_async_callback(through.close)
         for size in VALUE_KIB:
             value = os.urandom(size * KIB)
             revision = 0
@@ -89,9 +96,13 @@
             await write()
             writes.append(Point(size, await _processor_ms(STORE_CALLS, write)))
             reads.append(Point(size, await _processor_ms(STORE_CALLS, read)))
+            before = relay.carried
+            await through.get(f"value-{size}")
+            sizes.append(Point(size, relay.carried - before))
     return [
         fit("store.read_cpu", "KiB", "ms", reads),
         fit("store.write_cpu", "KiB", "ms", writes),
+        fit("store.read_bytes", "KiB", "B", sizes),
     ]
 
 
@@ -189,6 +200,23 @@
     return JobRecord(f"r1-a~{number:032}", request, JobState.RUNNING, NOW, placement, NOW)
 
 
+async def measure_configuration(folder: Path) -> list[Slope]:
+    """Return the size of the stored configuration against the verdicts that it keeps."""
+    example = write_example(folder / "configuration", 1, 0)
+    configuration = load_configuration(str(example / "configuration.yaml"))
+    sizes = []
+    for count in VERDICTS:
+        patches = tuple(_verdict(number) for number in range(count))
+        state = ConfigurationState(FORMAT, 1 + count, configuration, patches)
+        sizes.append(Point(count, len(encode_state(state))))
+    return [fit("configuration.bytes", "verdict", "B", sizes)]
+
+
+def _verdict(number: int) -> PatchRecord:
+    mark = hashlib.sha256(str(number).encode()).hexdigest()
+    return PatchRecord(f"patch-{number}", mark, number, number + 1, True, at=NOW)
+
+
 async def measure_spans(folder: Path) -> list[Slope]:
     """Return the cost and the memory of recorded spans."""
     costs, memories = [], []
--- a/benchmarks/slopes/peers.py
+++ b/benchmarks/slopes/peers.py
@@ -24,11 +24,16 @@
 async def measure_exchange(folder: Path) -> list[Slope]:
     """Return processor time at both ends and bytes on the wire of an exchange of gossip."""
     callers, callees, sizes = [], [], []
-    for nodes in NODES:
+
+    async def one(nodes: int) -> None:
         caller, callee, size = await _exchange(nodes)
         callers.append(Point(nodes, caller))
         callees.append(Point(nodes, callee))
         sizes.append(Point(nodes, size))
+
+    async with trio.open_nursery() as nursery:
+        for nodes in NODES:
+            nursery.start_soon(one, nodes)
     return [
         fit("peer.call_cpu", "node known", "ms", callers),
         fit("peer.serve_cpu", "node known", "ms", callees),
