Keep versions fresh while the store is out for everyone

Cause: 1.5 s into a store outage no task could start anywhere, though nobody can have committed a newer version. Ruled out: a vote of most nodes, since one node that still reaches the store may commit a withdrawal. Before: test_out_for_everyone_is_fresh fails without the confirmation. After: every listed and every known node has to answer that it is cut off with nothing newer; one silent node, one that reaches the store or one that has never read it leaves the question open (4 cases). Conclusion: a node that was replaced during an outage holds back new starts until the store is back; that is kept, as its earlier run may have committed.

--- a/packages/mimosapoint/src/mimosapoint/configuration/service.py
+++ b/packages/mimosapoint/src/mimosapoint/configuration/service.py
@@ -68,6 +68,7 @@
         self._seen = EMPTY
         self._seen_bytes = b""
         self._failures = 0
+        self._has_read = False
         self._wake = trio.Event()
         self._checked_at = clock.now()
         self._poll_age = settings.poll_after
@@ -94,6 +95,14 @@
         """
         return self._holder.fresh(now, self._settings.freshness_bound)
 
+    @property
+    def cut_off(self) -> bool:
+        """Whether the store is out of reach, and no write of this node can be in it unseen.
+
+        A node that has never read the store cannot know what its earlier run has written.
+        """
+        return self._has_read and self._failures > 0 and not self._applying.locked()
+
     def on_install(self, callback: Callable[[Configuration], None]) -> None:
         """Call back with every version that comes into force here."""
         self._holder.on_install(callback)
@@ -240,6 +249,7 @@
             self._telemetry.event("configuration-read-failed", code=error.code)
             return False
         self._failures = 0
+        self._has_read = True
         return not self._holder.outdated
 
     def _backoff(self) -> timedelta:
@@ -252,7 +262,9 @@
         """Return the time left until this node reads the store itself."""
         if self._holder.outdated:
             return timedelta()
-        latest = max(self._checked_at, self.confirmed_at or self._checked_at)
+        latest = self._checked_at
+        if self._failures == 0 and self.confirmed_at is not None:
+            latest = max(latest, self.confirmed_at)
         return latest + self._poll_age - self._clock.now()
 
     async def _pause(self, duration: timedelta) -> None:
--- /dev/null
+++ b/packages/mimosapoint/src/mimosapoint/configuration/tests/test_outage.py
@@ -0,0 +1,114 @@
+"""Tests of the freshness while the store is out."""
+
+from random import Random
+
+import trio
+
+from mimosapoint.configuration import Configuration
+from mimosapoint.configuration.outage import OutageWitness
+from mimosapoint.configuration.service import ConfigurationService
+from mimosapoint.errors import StoreUnavailable
+from mimosapoint.memory import MemoryStore, TrioClock
+from mimosapoint.peers import Dispatcher, LoopbackNetwork, LoopbackPeers
+from mimosapoint.settings import ConfigurationSettings
+from mimosapoint.telemetry import MemoryTelemetry
+from mimosapoint.testing import TrioTestCase
+
+NODES = ("n1", "n2", "n3")
+OUTAGE_SECONDS = 10.0
+
+
+class Cluster:
+    """Three nodes, each with its own link to one store."""
+
+    def __init__(self, nursery):
+        self.clock = TrioClock()
+        self.network = LoopbackNetwork()
+        self.shared = MemoryStore(self.clock)
+        self.stores = {id: _Link(self.shared) for id in NODES}
+        self.services, self.witnesses = {}, {}
+        for id in NODES:
+            self.add(id, nursery)
+
+    def add(self, id, nursery):
+        dispatcher = Dispatcher()
+        self.network.join(id, dispatcher)
+        telemetry = MemoryTelemetry()
+        settings = ConfigurationSettings()
+        service = ConfigurationService(
+            id, self.stores[id], self.clock, telemetry, settings, Random(id)
+        )
+        others = [other for other in NODES if other != id]
+        self.services[id] = service
+        self.witnesses[id] = OutageWitness(
+            service,
+            lambda: others,
+            LoopbackPeers(id, self.network),
+            dispatcher,
+            clock=self.clock,
+            telemetry=telemetry,
+        )
+        nursery.start_soon(service.run)
+        nursery.start_soon(self.witnesses[id].run)
+
+    def fresh(self, id):
+        return self.services[id].fresh(self.clock.now())
+
+
+class _Link:
+    """A store that one node may be cut off from."""
+
+    def __init__(self, store):
+        self._store = store
+        self.cut = False
+
+    def __getattr__(self, name):
+        call = getattr(self._store, name)
+
+        async def guarded(*arguments, **options):
+            if self.cut:
+                raise StoreUnavailable()
+            return await call(*arguments, **options)
+
+        return guarded
+
+
+class OutageTest(TrioTestCase):
+    mock_clock = True
+
+    async def play(self, act, expected):
+        async with trio.open_nursery() as nursery:
+            cluster = Cluster(nursery)
+            await cluster.services["n1"].bootstrap(Configuration())
+            await trio.sleep(5)
+            self.assertTrue(all(map(cluster.fresh, NODES)))
+            act(cluster, nursery)
+            await trio.sleep(OUTAGE_SECONDS)
+            self.assertEqual(expected, cluster.fresh("n1"))
+            nursery.cancel_scope.cancel()
+
+    async def test_out_for_everyone_is_fresh(self):
+        await self.play(lambda cluster, _: cut(cluster, NODES), True)
+
+    async def test_out_for_some_is_not_fresh(self):
+        await self.play(lambda cluster, _: cut(cluster, ("n1", "n2")), False)
+
+    async def test_a_silent_node_leaves_it_open(self):
+        def act(cluster, _):
+            cut(cluster, NODES)
+            cluster.network.freeze("n3")
+
+        await self.play(act, False)
+
+    async def test_a_node_that_never_read_the_store_leaves_it_open(self):
+        def act(cluster, nursery):
+            cut(cluster, NODES)
+            cluster.network.leave("n3")
+            cluster.add("n3", nursery)
+
+        await self.play(act, False)
+
+
+def cut(cluster, nodes):
+    for id in nodes:
+        cluster.stores[id].cut = True
--- a/packages/mimosapoint/src/mimosapoint/node/core.py
+++ b/packages/mimosapoint/src/mimosapoint/node/core.py
@@ -8,6 +8,7 @@
 
 from mimosapoint.configuration import Configuration
 from mimosapoint.configuration.link import GossipLink
+from mimosapoint.configuration.outage import OutageWitness
 from mimosapoint.configuration.service import ConfigurationService
 from mimosapoint.entry import Entry, Operators, OwnerHandlers, Waiters, ZoneRouter
 from mimosapoint.errors import MimosapointError
@@ -72,6 +73,7 @@
         self._spread_wanted = trio.Event()
         self.configuration = self._make_configuration()
         self.membership = self._make_membership()
+        self.witness = self._make_witness()
         self.keeper = self._make_keeper()
         self.jobs = self._make_entry()
         self.operators = Operators(self.configuration, self.membership, self.keeper, adapters.clock)
@@ -102,6 +104,21 @@
             GossipLink(self.configuration),
         )
 
+    def _make_witness(self) -> OutageWitness:
+        adapters = self._adapters
+        return OutageWitness(
+            self.configuration,
+            self._other_addresses,
+            adapters.peers,
+            adapters.dispatcher,
+            clock=adapters.clock,
+            telemetry=adapters.telemetry,
+        )
+
+    def _other_addresses(self) -> list[str]:
+        nodes = self.membership.known_nodes()
+        return [vm.address for id, vm in nodes.items() if id != self.vm.id]
+
     def _make_keeper(self) -> OwnershipKeeper:
         incarnation = (self._adapters.clock.now() - EPOCH) // MILLISECOND
         keeper = OwnershipKeeper(
@@ -161,6 +178,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._bootstrap)
             nursery.start_soon(self.configuration.run)
+            nursery.start_soon(self.witness.run)
             nursery.start_soon(self._spread_versions)
             await nursery.start(self.membership.run)
             await nursery.start(self.keeper.run)
--- a/packages/mimosapoint/src/mimosapoint/telemetry/_declarations.py
+++ b/packages/mimosapoint/src/mimosapoint/telemetry/_declarations.py
@@ -58,6 +58,12 @@
         "worker_calls_total", MetricKind.COUNTER, "Calls to workers by kind.", "calls", ("kind",)
     ),
     Metric("vm_list_calls_total", MetricKind.COUNTER, "Reads of the list of VMs.", "calls"),
+    Metric(
+        "outage_confirmations_total",
+        MetricKind.COUNTER,
+        "Times that every node was found cut off from the store, so that no version can be newer.",
+        "confirmations",
+    ),
     Metric("configuration_version", MetricKind.GAUGE, "Version in force here.", "version"),
     Metric(
         "http_requests_total",
