Run whole sites in memory, with owners killed and frozen

MemorySite puts several nodes on one mock clock over the in-memory adapters, with kills, freezes, cuts and callers that go from node to node until they have a final answer.

--- /dev/null
+++ b/packages/mimosapoint/src/mimosapoint/node/tests/_case.py
@@ -0,0 +1,44 @@
+"""Base of the cases that run a whole site in memory."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Any
+
+import trio
+
+from mimosapoint.testing import TrioTestCase
+from mimosapoint.testing.caller import Caller
+from mimosapoint.testing.site import MemorySite
+
+__all__ = ["SiteCase"]
+
+
+class SiteCase(TrioTestCase):
+    """Runs sites on a mock clock."""
+
+    mock_clock = True
+
+    @asynccontextmanager
+    async def site(self, **options: Any) -> AsyncIterator[MemorySite]:
+        """Run a site; at the end every promise must have been kept."""
+        async with trio.open_nursery() as nursery:
+            site = MemorySite(nursery, **options)
+            await site.start_all()
+            yield site
+            self.assertEqual(site.broken(), [])
+            nursery.cancel_scope.cancel()
+
+    def calls(self, nursery, site, count, seconds=5.0, prefix="k", **fields):
+        """Begin a number of calls, each at another node first."""
+        for number in range(count):
+            caller = Caller(site, number)
+            nursery.start_soon(lambda c=caller, n=number: c.call(f"{prefix}{n}", seconds, **fields))
+
+    def outcomes(self, site):
+        """Return the kinds of outcomes that callers got."""
+        return {call.outcome for call in site.history.calls}
+
+    def starts(self, site, job):
+        """Return the starts of a job on all workers."""
+        events = [event for event in site.tasks() if event.task.startswith(job + "/")]
+        return [event for event in events if event.event.value == "started"]
--- /dev/null
+++ b/packages/mimosapoint/src/mimosapoint/node/tests/test_takeover.py
@@ -0,0 +1,48 @@
+"""Tests of owners that end, freeze or are cut off, with work in every state."""
+
+import trio
+
+from mimosapoint.node.tests._case import SiteCase
+from mimosapoint.testing.caller import Caller
+
+TAKE_OVER_SECONDS = 10
+
+
+class TakeOverTest(SiteCase):
+    """A zone goes on under another owner."""
+
+    async def test_owner_killed(self):
+        for moment in (0.002, 0.02, 0.05, 0.5, 2.0):
+            with self.subTest(seconds_after_submission=moment):
+                await self.kill_with_work_in_every_state(moment)
+
+    async def kill_with_work_in_every_state(self, moment):
+        async with self.site(workers=2) as site:
+            async with trio.open_nursery() as nursery:
+                self.calls(nursery, site, 30, seconds=6.0, gang=2, repeatable=False)
+                await trio.sleep(moment)
+                killed_at = site.clock.now()
+                site.kill(site.owner_of("a"))
+            late = [e for e in site.tasks() if e.event.value == "started" and e.time > killed_at]
+            waited = min(e.time for e in late if e.worker.startswith("a-")) - killed_at
+            self.assertLess(waited.total_seconds(), TAKE_OVER_SECONDS)
+            self.assertEqual(self.outcomes(site), {"succeeded"})
+
+    async def test_owner_frozen_at_a_command(self):
+        for command in ("compare_and_swap", "reserve", "start", "stop", "collect", "acknowledge"):
+            for seconds in (2.5, 15.0):
+                with self.subTest(command=command, seconds=seconds):
+                    await self.freeze(command, seconds)
+
+    async def freeze(self, command, seconds):
+        async with self.site() as site:
+            owner = site.owner_of("a")
+            site.freeze_at(owner, command)
+            async with trio.open_nursery() as nursery:
+                self.calls(nursery, site, 8, seconds=3.0, repeatable=False)
+                if command == "stop":
+                    await trio.sleep(1)
+                    nursery.start_soon(Caller(site).cancel, "k0")
+                await trio.sleep(seconds)
+                site.thaw(owner)
+            self.assertLessEqual(self.outcomes(site), {"succeeded", "cancelled"})
--- /dev/null
+++ b/packages/mimosapoint/src/mimosapoint/testing/_pause.py
@@ -0,0 +1,76 @@
+"""Ports of a node that can be frozen."""
+
+from collections.abc import Callable
+from datetime import datetime, timedelta
+from typing import Any
+
+import trio
+
+from mimosapoint.ports import Clock
+
+__all__ = ["Pause", "PausedClock", "PausedPort"]
+
+
+class Pause:
+    """Whether a node is frozen.
+
+    :ivar before: what to do once, before the next call of a name.
+    """
+
+    def __init__(self) -> None:
+        self.before: dict[str, Callable[[], None]] = {}
+        self._thawed = trio.Event()
+        self._thawed.set()
+
+    def freeze(self) -> None:
+        """Hold calls and their replies."""
+        if self._thawed.is_set():
+            self._thawed = trio.Event()
+
+    def thaw(self) -> None:
+        """Let what was held go on."""
+        self._thawed.set()
+
+    async def wait(self) -> None:
+        """Wait while frozen."""
+        await self._thawed.wait()
+
+
+class PausedPort:
+    """Any port, whose calls and replies wait while the node is frozen."""
+
+    def __init__(self, port: Any, pause: Pause):
+        self._port = port
+        self._pause = pause
+
+    def __getattr__(self, name: str) -> Any:
+        method = getattr(self._port, name)
+
+        async def call(*args: Any) -> Any:
+            action = self._pause.before.pop(name, None)
+            if action is not None:
+                action()
+            await self._pause.wait()
+            try:
+                return await method(*args)
+            finally:
+                await self._pause.wait()
+
+        return call
+
+
+class PausedClock:
+    """Clock whose sleepers do not wake while the node is frozen."""
+
+    def __init__(self, clock: Clock, pause: Pause):
+        self._clock = clock
+        self._pause = pause
+
+    def now(self) -> datetime:
+        """Return the time in UTC."""
+        return self._clock.now()
+
+    async def sleep(self, duration: timedelta) -> None:
+        """Wait for the duration, and then while frozen."""
+        await self._clock.sleep(duration)
+        await self._pause.wait()
--- /dev/null
+++ b/packages/mimosapoint/src/mimosapoint/testing/site.py
@@ -0,0 +1,286 @@
+"""Several nodes, workers and a store in memory on one simulated clock."""
+
+from datetime import datetime, timedelta, timezone
+from random import Random
+from typing import Any
+
+import attrs
+import trio
+
+from mimosapoint.configuration import Capacity, Configuration, Patch, Service, Workspace, Zone
+from mimosapoint.errors import MimosapointError
+from mimosapoint.memory import (
+    MemoryStore,
+    MemoryVmList,
+    MemoryWorker,
+    MemoryWorkers,
+    TaskEvent,
+    TaskEventKind,
+    TrioClock,
+)
+from mimosapoint.model import Resources, Vm, VmKind
+from mimosapoint.node import Adapters, NodeCore, PartSettings
+from mimosapoint.peers import Dispatcher, LoopbackNetwork, LoopbackPeers
+from mimosapoint.telemetry import MemoryTelemetry
+from mimosapoint.testing._pause import Pause, PausedClock, PausedPort
+from mimosapoint.testing.checks import Finding, check_all
+from mimosapoint.testing.history import History, LeavingSeen, PatchSeen, VersionSeen
+
+__all__ = ["MemorySite", "SiteNode", "TASK", "WORKER"]
+
+START = datetime(2026, 12, 3, tzinfo=timezone.utc)
+LOOK_SECONDS = 0.25
+"""Time between two looks at the nodes' versions, in seconds."""
+WORKER = Resources(slots=8, cores=128, memory_gib=256, accelerators=8)
+TASK = Resources(slots=1, cores=16, memory_gib=32, accelerators=1)
+
+
+@attrs.define
+class SiteNode:
+    """A node that runs.
+
+    :param scope: ends the node at once.
+    :param calls: scopes of the callers' requests in progress on it.
+    :param boot: number of this run of the node.
+    """
+
+    vm: Vm
+    core: NodeCore
+    pause: Pause
+    telemetry: MemoryTelemetry
+    scope: trio.CancelScope
+    boot: int
+    calls: set[trio.CancelScope] = attrs.field(factory=set)
+
+
+class MemorySite:
+    """Starts, kills and freezes nodes, and keeps a history.
+
+    :param nursery: where the nodes run.
+    :param nodes: number of nodes.
+    :param zones: ids of the availability zones.
+    :param workers: workers of each zone.
+    """
+
+    def __init__(
+        self,
+        nursery: trio.Nursery,
+        nodes: int = 3,
+        zones: tuple[str, ...] = ("a", "b"),
+        workers: int = 2,
+        seed: int = 1,
+        settings: PartSettings | None = None,
+        queue_limit: int = 10_000,
+    ):
+        self.clock = TrioClock(START)
+        self.store = MemoryStore(self.clock)
+        self.network = LoopbackNetwork(timedelta(milliseconds=1))
+        self.vm_list = MemoryVmList(self.clock)
+        self.workers_by_address: dict[str, MemoryWorker] = {}
+        self.vms_by_id: dict[str, Vm] = {}
+        self.nodes_by_id: dict[str, SiteNode] = {}
+        self.history = History()
+        self.settings = settings or PartSettings()
+        self.configuration = _configuration(zones, workers, queue_limit)
+        self._nursery = nursery
+        self._random = Random(seed)
+        self._boots = 0
+        self._past_tasks: list[TaskEvent] = []
+        self._unseen_until: dict[str, float] = {}
+        self._add_vms(nodes, zones, workers)
+
+    def _add_vms(self, nodes: int, zones: tuple[str, ...], workers: int) -> None:
+        for number in range(nodes):
+            zone = zones[number % len(zones)]
+            self._add_vm(Vm(f"n{number}", VmKind.ENTRY, zone, f"10.0.0.{number}:1"))
+        for index, zone in enumerate(zones):
+            for number in range(workers):
+                address = f"10.1.{index}.{number}:1"
+                vm = Vm(f"{zone}-w{number}", VmKind.ENDPOINT, zone, address, rack=f"{zone}-r0")
+                self._add_vm(vm)
+                self.workers_by_address[address] = MemoryWorker(vm.id, WORKER, self.clock)
+                self.history.zones_by_worker[vm.id] = zone
+
+    def _add_vm(self, vm: Vm) -> None:
+        self.vms_by_id[vm.id] = vm
+        self.vm_list.put(vm)
+
+    # Nodes.
+
+    async def start_all(self) -> None:
+        """Start every node and wait until each zone has an owner."""
+        for vm in self.vms_by_id.values():
+            if vm.kind is VmKind.ENTRY:
+                await self.start(vm.id)
+        self._nursery.start_soon(self._look)
+        await self.until(lambda: all(map(self.owner_of, self.configuration.zones_by_id)))
+
+    async def start(self, node: str) -> None:
+        """Start a node."""
+        vm = self.vms_by_id[node]
+        dispatcher, pause, telemetry = Dispatcher(), Pause(), MemoryTelemetry(strict=True)
+        adapters = Adapters(
+            store=PausedPort(self.store, pause),
+            workers=PausedPort(MemoryWorkers(self.workers_by_address), pause),
+            vm_list=self.vm_list,
+            peers=LoopbackPeers(vm.address, self.network),
+            dispatcher=dispatcher,
+            clock=PausedClock(self.clock, pause),
+            telemetry=telemetry,
+            random=Random(self._random.random()),
+        )
+        core = NodeCore(vm, adapters, self.settings, self.configuration)
+        self._boots += 1
+        self.network.join(vm.address, dispatcher)
+        scope = await self._nursery.start(self._run, core)
+        self.nodes_by_id[node] = SiteNode(vm, core, pause, telemetry, scope, self._boots)
+
+    async def _run(self, core: NodeCore, task_status: trio.TaskStatus) -> None:
+        with trio.CancelScope() as scope:
+            task_status.started(scope)
+            await core.run()
+
+    def kill(self, node: str) -> None:
+        """End a node at once."""
+        found = self.nodes_by_id.pop(node)
+        self.network.leave(found.vm.address)
+        found.scope.cancel()
+        for scope in list(found.calls):
+            scope.cancel()
+
+    def freeze(self, node: str) -> None:
+        """Hold everything that a node does."""
+        self.nodes_by_id[node].pause.freeze()
+        self.network.freeze(self.vms_by_id[node].address)
+        self._unseen_until[node] = float("inf")
+
+    def thaw(self, node: str) -> None:
+        """Let a node go on."""
+        if node in self.nodes_by_id:
+            self.nodes_by_id[node].pause.thaw()
+        self.network.thaw(self.vms_by_id[node].address)
+        self._unseen_until[node] = trio.current_time() + 3
+
+    def freeze_at(self, node: str, command: str) -> None:
+        """Freeze a node as it is about to send a command to a worker or the store."""
+        self.nodes_by_id[node].pause.before[command] = lambda: self.freeze(node)
+
+    def cut(self, node: str, others: list[str] | None = None) -> None:
+        """Cut a node off from other nodes."""
+        for other in self._others(node, others):
+            self.network.cut(self.vms_by_id[node].address, self.vms_by_id[other].address)
+        self._unseen_until[node] = float("inf")
+
+    def heal(self, node: str, others: list[str] | None = None) -> None:
+        """Undo a cut."""
+        for other in self._others(node, others):
+            self.network.heal(self.vms_by_id[node].address, self.vms_by_id[other].address)
+        self._unseen_until[node] = trio.current_time() + 5
+
+    def _others(self, node: str, others: list[str] | None) -> list[str]:
+        if others is not None:
+            return others
+        entries = [vm.id for vm in self.vms_by_id.values() if vm.kind is VmKind.ENTRY]
+        return [id for id in entries if id != node]
+
+    def owner_of(self, zone: str) -> str | None:
+        """Return the node that owns a zone by the highest epoch, or ``None``."""
+        owners = [
+            (node.core.keeper.owner(zone).epoch, id)
+            for id, node in self.nodes_by_id.items()
+            if node.core.keeper.owner(zone) is not None
+        ]
+        return max(owners)[1] if owners else None
+
+    def record(self, job: str) -> Any:
+        """Return the record of a job as its zone's newest owner has it, or ``None``."""
+        zone = job.partition("~")[0]
+        owner = self.owner_of(zone)
+        return self.nodes_by_id[owner].core.keeper.owner(zone).ledger.find(job) if owner else None
+
+    # Workers.
+
+    def worker(self, id: str) -> MemoryWorker:
+        """Return a worker."""
+        return self.workers_by_address[self.vms_by_id[id].address]
+
+    def restart_worker(self, id: str) -> None:
+        """Restart a worker, which forgets its tasks."""
+        self._past_tasks += self._ended_history(self.worker(id))
+        self.workers_by_address[self.vms_by_id[id].address] = MemoryWorker(id, WORKER, self.clock)
+
+    def _ended_history(self, worker: MemoryWorker) -> list[TaskEvent]:
+        """Return a worker's history, with what still runs cut off now."""
+        events = worker.history
+        last_by_task = {event.task: event for event in events}
+        cut = [e for e in last_by_task.values() if e.event is TaskEventKind.STARTED]
+        now = self.clock.now()
+        return events + [attrs.evolve(e, time=now, event=TaskEventKind.FAILED) for e in cut]
+
+    def leave(self, worker: str) -> None:
+        """Show an endpoint as leaving."""
+        self.vm_list.leave(worker)
+        shown_at = self.clock.now() + self.vm_list.lag
+        self.history.leavings.append(LeavingSeen(worker, shown_at))
+
+    # Operators.
+
+    async def set_zone(self, node: str, zone: str, mode: str, patch_id: str) -> PatchSeen | None:
+        """Put a zone into or out of service; return ``None`` when there was no verdict."""
+        core = self.nodes_by_id[node].core
+        base, sent_at = core.configuration.current.version, self.clock.now()
+        operation = {"op": "replace", "path": f"/zones_by_id/{zone}/mode", "value": mode}
+        try:
+            status = await core.operators.patch(Patch(patch_id, base, (operation,)))
+        except MimosapointError:
+            return None
+        answered_at = self.clock.now()
+        now = core.configuration.current.zones_by_id
+        out = frozenset(id for id, zone in now.items() if zone.mode.value == "out")
+        seen = PatchSeen(patch_id, base, sent_at, answered_at, status.version, out)
+        self.history.patches.append(seen)
+        return seen
+
+    # The end.
+
+    async def until(self, condition: Any, timeout: float = 60.0) -> float:
+        """Return the seconds until the condition holds."""
+        began = trio.current_time()
+        with trio.fail_after(timeout):
+            while not condition():
+                await trio.sleep(0.05)
+        return trio.current_time() - began
+
+    async def _look(self) -> None:
+        """Note the versions of the nodes that can hear of new ones."""
+        while True:
+            await trio.sleep(LOOK_SECONDS)
+            for id, node in self.nodes_by_id.items():
+                if self._unseen_until.get(id, 0) < trio.current_time():
+                    version = node.core.configuration.current.version
+                    seen = VersionSeen(id, node.boot, self.clock.now(), version)
+                    self.history.versions.append(seen)
+
+    def tasks(self) -> list[TaskEvent]:
+        """Return what happened to tasks on every worker."""
+        events = [e for worker in self.workers_by_address.values() for e in worker.history]
+        return self._past_tasks + events
+
+    def findings(self) -> list[Finding]:
+        """Return a finding for each promise."""
+        self.history.ended_at = self.clock.now()
+        self.history.tasks = self.tasks()
+        return check_all(self.history)
+
+    def broken(self) -> list[str]:
+        """Return what broke a promise, and the calls without a final answer."""
+        lines = [line for finding in self.findings() for line in finding.broken]
+        calls = self.history.calls
+        return lines + [f"{c.key} has no answer" for c in calls if c.ended_at is None]
+
+
+def _configuration(zones: tuple[str, ...], workers: int, queue_limit: int) -> Configuration:
+    capacity = Capacity(1, workers, WORKER)
+    workspace = Workspace("r", queue_limit=queue_limit, services_by_id={"s": Service()})
+    zones_by_id = {id: Zone("r", capacity) for id in zones}
+    return Configuration(0, zones_by_id, {"w": workspace})
