--- a/benchmarks/slopes/__main__.py
+++ b/benchmarks/slopes/__main__.py
@@ -16,6 +16,7 @@
     measure_bucket,
     measure_configuration,
     measure_list,
+    measure_ownership,
     measure_spans,
     measure_store,
     measure_worker_call,
@@ -25,6 +26,7 @@
 STAGES = (
     (measure_bucket,),
     (measure_configuration,),
+    (measure_ownership,),
     (measure_spans,),
     (measure_exchange,),
     (measure_fleets,),
--- a/benchmarks/slopes/capacity.py
+++ b/benchmarks/slopes/capacity.py
@@ -25,6 +25,7 @@
 RETENTION_HOURS = 1
 SECONDS_PER_DAY = 86_400
 LIST_READS_PER_SECOND = 1
+CHECKS_PER_SECOND = 2
 
 ZONE_WORKERS = WORKERS / ZONES
 ZONE_TASKS = TASKS / ZONES
@@ -102,6 +103,13 @@
             f"list.read_cpu'*{LISTED}*{LIST_READS_PER_SECOND}/s",
             lines.more("list.read_cpu", LISTED) * LIST_READS_PER_SECOND,
         ),
+        Term(
+            "peer",
+            "who should own what",
+            "ms/s",
+            f"ownership.check_cpu({ZONES})*{CHECKS_PER_SECOND}/s",
+            lines.at("ownership.check_cpu", ZONES) * CHECKS_PER_SECOND,
+        ),
         Term("peer", "node", "MiB", f"node.memory({NODES})", lines.at("node.memory", NODES)),
         Term(
             "peer",
--- a/benchmarks/slopes/parts.py
+++ b/benchmarks/slopes/parts.py
@@ -13,6 +13,7 @@
 from mimosapoint.configuration import ConfigurationState, PatchRecord, load_configuration
 from mimosapoint.configuration.state import FORMAT, encode_state
 from mimosapoint.jobs import Bucket
+from mimosapoint.membership import preferred_owners
 from mimosapoint.model import (
     JobRecord,
     JobRequest,
@@ -23,6 +24,8 @@
     Resources,
     StartRequest,
     TaskSpec,
+    Vm,
+    VmKind,
 )
 from mimosapoint.telemetry import LogTelemetry
 from mimosapoint_node.platform import HttpStore, HttpVmList, HttpWorkers
@@ -41,6 +44,9 @@
     "measure_worker_call",
 ]
 
+ZONES = (4, 8, 16, 32)
+NODES = 48
+CHECKS = 40
 VERDICTS = (0, 25, 50, 100)
 VALUE_KIB = (1, 16, 64, 256, 512)
 STORE_CALLS = 60
@@ -108,7 +114,8 @@
 
 async def measure_list(folder: Path) -> list[Slope]:
     """Return the cost of reading the list of VMs against its length."""
-    costs, sizes = [], []
+    costs, changed, sizes = [], [], []
+    telemetry = LogTelemetry("bench")
     for count in LISTED:
         async with AsyncExitStack() as stack:
             relay = await stack.enter_async_context(Relay.opened())
@@ -123,8 +130,16 @@
             stack.push_async_callback(direct.close)
             await direct.vms()
             costs.append(Point(count, await _processor_ms(LIST_CALLS, direct.vms)))
+
+            async def read_anew(address: str = site.files.vm_list_address) -> None:
+                anew = HttpVmList(address, telemetry)
+                await anew.vms()
+                await anew.close()
+
+            changed.append(Point(count, await _processor_ms(LIST_CALLS, read_anew)))
     return [
         fit("list.read_cpu", "listed VM", "ms", costs),
+        fit("list.changed_cpu", "listed VM", "ms", changed),
         fit("list.read_bytes", "listed VM", "B", sizes),
     ]
 
@@ -217,6 +232,21 @@
     return PatchRecord(f"patch-{number}", mark, number, number + 1, True, at=NOW)
 
 
+async def measure_ownership(folder: Path) -> list[Slope]:
+    """Return the cost of working out who should own the zones, against their number."""
+    ids = [f"node-{number:03}" for number in range(NODES)]
+    nodes = {id: Vm(id, VmKind.ENTRY, f"zone-{at % 16}", "") for at, id in enumerate(ids)}
+    costs = []
+    for count in ZONES:
+        zones = {f"zone-{number}": f"region-{number % 7}" for number in range(count)}
+
+        async def check(zones: dict[str, str] = zones) -> None:
+            preferred_owners(zones, nodes, zones)
+
+        costs.append(Point(count, await _processor_ms(CHECKS, check)))
+    return [fit("ownership.check_cpu", "zone", "ms", costs)]
+
+
 async def measure_spans(folder: Path) -> list[Slope]:
     """Return the cost and the memory of recorded spans."""
     costs, memories = [], []
--- a/packages/mimosapoint-node/src/mimosapoint_node/platform/vm_list.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/platform/vm_list.py
@@ -32,6 +32,8 @@
     ):
         self._address = address
         self._telemetry = telemetry
+        self._seen: tuple[Vm, ...] = ()
+        self._seen_body: bytes | None = None
         self._client = Client(
             VmListUnavailable,
             VmListUnavailable,
@@ -40,13 +42,16 @@
         )
 
     async def vms(self) -> tuple[Vm, ...]:
-        """Return the VMs.
+        """Return the VMs; a list that has not changed is not decoded again.
 
         :raises VmListUnavailable: the list cannot be read.
         """
         self._telemetry.count("vm_list_calls_total")
         reply = await self._client.call("GET", self._address, VMS_PATH)
-        return self._client.read(reply, VmTable).vms
+        if reply.body != self._seen_body:
+            self._seen = self._client.read(reply, VmTable).vms
+            self._seen_body = reply.body
+        return self._seen
 
     async def close(self) -> None:
         """Close the connections."""
