--- a/benchmarks/slopes/owner.py
+++ b/benchmarks/slopes/owner.py
@@ -45,6 +45,9 @@
 """Time in which submitted jobs must run or wait."""
 
 POLL_SECONDS = 0.2
+QUIET_POLLS = 4
+"""Polls without a call after which a wave has passed."""
+
 NODE = "node-000"
 BACKED_OFF = {
     "workers": {"lease_wait_seconds": 10, "lease_ttl_seconds": 30},
@@ -91,6 +94,20 @@
             if name.startswith("mimosapoint_worker_calls_total")
         )
 
+    async def wave_passed(self, seconds: float) -> None:
+        """Wait until a wave of renewals has gone by, or so many seconds.
+
+        A measurement of whole periods that begins in a quiet moment holds whole waves.
+        """
+        quiet, moved, last = 0, False, await self.calls()
+        with trio.move_on_after(seconds):
+            while not moved or quiet < QUIET_POLLS:
+                await trio.sleep(POLL_SECONDS)
+                now = await self.calls()
+                quiet = quiet + 1 if now == last else 0
+                moved = moved or now != last
+                last = now
+
     async def submit(self, seconds: float) -> None:
         """Submit a job of one task; return when it is accepted."""
         self._submitted += 1
@@ -193,6 +210,7 @@
             owner = _Owner(place, count, renewals.settings)
             stack.push_async_callback(owner.site.stop)
             await owner.start()
+            await owner.wave_passed(renewals.seconds)
             spent, called = await owner.idle(RENEWALS * renewals.seconds)
             processor.append(Point(count, spent))
             calls.append(Point(count, called))
@@ -228,7 +246,7 @@
             await owner.submit_many(count - running)
             running = count
             await owner.settled(running)
-            await trio.sleep(1)
+            await owner.wave_passed(renewals.seconds)
             spent, _ = await owner.idle(max(IDLE_SECONDS, renewals.seconds))
             processor.append(Point(running, spent))
             memory.append(Point(running, owner.memory / KIB))
