Suspend calls to a store or a peer that fails

Cause: breakers existed but nothing used them; 64 buckets of a node each retried against a store that was out. Conclusion: gossip and store probes go through always, as they notice the return. Test cases also tell failures from errors without trio's deprecated option.

--- a/packages/mimosapoint/src/mimosapoint/entry/router.py
+++ b/packages/mimosapoint/src/mimosapoint/entry/router.py
@@ -5,7 +5,7 @@
 from random import Random
 from typing import Any
 
-from mimosapoint.errors import NotOwner, OutcomeUnknown, Overloaded, PeerUnreachable
+from mimosapoint.errors import CircuitOpen, NotOwner, OutcomeUnknown, Overloaded, PeerUnreachable
 from mimosapoint.peers import Dispatcher, message_name
 from mimosapoint.ports import Clock, Peers, Telemetry
 from mimosapoint.resilience import Backoff, Deadline
@@ -60,7 +60,7 @@
                 return await self._call_once(zone, message, deadline)
             except PeerUnreachable:
                 doubtful = True
-            except NotOwner:
+            except (NotOwner, CircuitOpen):
                 self._telemetry.count("routes_missed_total", message=message_name(type(message)))
             wait = backoff.next()
             if deadline.remaining() <= wait:
--- a/packages/mimosapoint/src/mimosapoint/node/core.py
+++ b/packages/mimosapoint/src/mimosapoint/node/core.py
@@ -8,18 +8,18 @@
 
 from mimosapoint.configuration import Configuration
 from mimosapoint.configuration.link import GossipLink
-from mimosapoint.configuration.outage import OutageWitness
+from mimosapoint.configuration.outage import OutageWitness, StoreProbe
 from mimosapoint.configuration.service import ConfigurationService
 from mimosapoint.entry import Entry, Operators, OwnerHandlers, Waiters, ZoneRouter
 from mimosapoint.errors import MimosapointError
-from mimosapoint.membership import Membership
+from mimosapoint.membership import Gossip, Membership
 from mimosapoint.model import Vm
 from mimosapoint.node.settings import PartSettings
 from mimosapoint.ownership import OwnershipKeeper, TakeZone, ZoneDirectory
 from mimosapoint.peers import Dispatcher
 from mimosapoint.placement import OwnerParts
 from mimosapoint.ports import Clock, Peers, Store, Telemetry, VmList, Workers
-from mimosapoint.resilience import RateBudget
+from mimosapoint.resilience import GuardedPeers, GuardedStore, RateBudget
 
 __all__ = ["Adapters", "NodeCore"]
 
@@ -52,6 +52,16 @@
     random: Random
 
 
+def _guarded(adapters: Adapters) -> Adapters:
+    """Put a circuit breaker before the store and before each peer."""
+    unguarded = frozenset({Gossip, StoreProbe})
+    return attrs.evolve(
+        adapters,
+        store=GuardedStore(adapters.store, adapters.clock),
+        peers=GuardedPeers(adapters.peers, adapters.clock, unguarded),
+    )
+
+
 class NodeCore:
     """Configuration, membership, ownership and entry of one node.
 
@@ -67,7 +77,7 @@
         initial: Configuration | None = None,
     ):
         self.vm = vm
-        self._adapters = adapters
+        self._adapters = _guarded(adapters)
         self._settings = settings
         self._initial = initial
         self._spread_wanted = trio.Event()
--- a/packages/mimosapoint/src/mimosapoint/resilience/__init__.py
+++ b/packages/mimosapoint/src/mimosapoint/resilience/__init__.py
@@ -4,6 +4,7 @@
 from mimosapoint.resilience.budget import RateBudget, RetryBudget
 from mimosapoint.resilience.circuit import CircuitBreaker, CircuitState
 from mimosapoint.resilience.deadline import Deadline
+from mimosapoint.resilience.guarded import GuardedPeers, GuardedStore
 from mimosapoint.resilience.retrying import retry
 
 __all__ = [
@@ -11,6 +12,8 @@
     "CircuitBreaker",
     "CircuitState",
     "Deadline",
+    "GuardedPeers",
+    "GuardedStore",
     "RateBudget",
     "RetryBudget",
     "retry",
--- /dev/null
+++ b/packages/mimosapoint/src/mimosapoint/resilience/guarded.py
@@ -0,0 +1,100 @@
+"""Ports whose calls are suspended while the dependency fails."""
+
+from collections import OrderedDict
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+from typing import Any, TypeVar
+
+from mimosapoint.errors import CircuitOpen, PeerUnreachable, StoreTimeout, StoreUnavailable
+from mimosapoint.ports import Clock, Entry, Peers, Store
+from mimosapoint.resilience.circuit import CircuitBreaker
+
+__all__ = ["GuardedPeers", "GuardedStore"]
+
+T = TypeVar("T")
+
+PEERS_LIMIT = 1000
+"""Most peers whose failures are remembered."""
+
+
+class GuardedStore:
+    """A store whose calls are refused at once while it is known to be out.
+
+    :param store: the platform's store.
+    """
+
+    def __init__(self, store: Store, clock: Clock):
+        self._store = store
+        self._breaker = CircuitBreaker(clock)
+
+    async def get(self, key: str) -> Entry | None:
+        """Return the current entry; see :class:`~mimosapoint.ports.Store`."""
+        return await self._call(lambda: self._store.get(key))
+
+    async def scan(self, prefix: str) -> list[Entry]:
+        """Return the entries under a prefix; see :class:`~mimosapoint.ports.Store`."""
+        return await self._call(lambda: self._store.scan(prefix))
+
+    async def compare_and_swap(
+        self, key: str, value: bytes, expected: int, lease: str | None = None
+    ) -> int:
+        """Write a value; see :class:`~mimosapoint.ports.Store`."""
+        return await self._call(lambda: self._store.compare_and_swap(key, value, expected, lease))
+
+    async def delete(self, key: str, expected: int) -> None:
+        """Remove a key; see :class:`~mimosapoint.ports.Store`."""
+        await self._call(lambda: self._store.delete(key, expected))
+
+    async def grant_lease(self, ttl: timedelta) -> str:
+        """Return a new lease; see :class:`~mimosapoint.ports.Store`."""
+        return await self._call(lambda: self._store.grant_lease(ttl))
+
+    async def renew_lease(self, lease: str) -> None:
+        """Renew a lease; see :class:`~mimosapoint.ports.Store`."""
+        await self._call(lambda: self._store.renew_lease(lease))
+
+    async def watch(self, prefix: str, after: int, timeout: timedelta) -> list[Entry]:
+        """Wait for a change; see :class:`~mimosapoint.ports.Store`."""
+        return await self._call(lambda: self._store.watch(prefix, after, timeout))
+
+    async def _call(self, call: Callable[[], Awaitable[T]]) -> T:
+        try:
+            with self._breaker.guard(StoreUnavailable, StoreTimeout):
+                return await call()
+        except CircuitOpen as error:
+            raise StoreUnavailable(
+                "calls to the store are suspended", retry_after=error.retry_after
+            ) from error
+
+
+class GuardedPeers:
+    """Calls to peers that are refused at once while a peer is known to be silent.
+
+    :param peers: calls to other nodes.
+    :param unguarded: messages by which a peer's return is noticed; they always go through.
+    """
+
+    def __init__(self, peers: Peers, clock: Clock, unguarded: frozenset[type]):
+        self._peers = peers
+        self._clock = clock
+        self._unguarded = unguarded
+        self._breakers_by_address: OrderedDict[str, CircuitBreaker] = OrderedDict()
+
+    async def call(self, address: str, message: Any, timeout: timedelta) -> Any:
+        """Send a message and return the reply; see :class:`~mimosapoint.ports.Peers`.
+
+        :raises CircuitOpen: the peer has been silent; the message was not sent.
+        """
+        if type(message) in self._unguarded:
+            return await self._peers.call(address, message, timeout)
+        with self._breaker(address).guard(PeerUnreachable):
+            return await self._peers.call(address, message, timeout)
+
+    def _breaker(self, address: str) -> CircuitBreaker:
+        breaker = self._breakers_by_address.get(address)
+        if breaker is None:
+            breaker = self._breakers_by_address[address] = CircuitBreaker(self._clock)
+        self._breakers_by_address.move_to_end(address)
+        while len(self._breakers_by_address) > PEERS_LIMIT:
+            self._breakers_by_address.popitem(last=False)
+        return breaker
--- a/packages/mimosapoint/src/mimosapoint/testing/case.py
+++ b/packages/mimosapoint/src/mimosapoint/testing/case.py
@@ -24,4 +24,14 @@
             super()._callTestMethod(method)
             return
         clock = trio.testing.MockClock(autojump_threshold=0) if self.mock_clock else None
-        trio.run(method, clock=clock, strict_exception_groups=False)
+        try:
+            trio.run(method, clock=clock)
+        except BaseExceptionGroup as group:
+            raise _only_error(group) from group
+
+
+def _only_error(error: BaseException) -> BaseException:
+    """Return the error within groups of one, so that the runner tells failures from errors."""
+    while isinstance(error, BaseExceptionGroup) and len(error.exceptions) == 1:
+        error = error.exceptions[0]
+    return error
