Keep a thawed owner from answering, and starts from leaving endpoints

An owner now checks the store's fence after a pause of 2 s before it serves, a start is allowed after its reservation only on staying workers, outcomes other than answers are shown once durable, durability is kept per record, cancels wait 2 s for the store and then say outcome-unknown, a bucket over the limit waits instead of ending the zone, and an unexpected fault drops one zone and not the node.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 SEEDS ?= 25
 UV := $(PYTHON) -m uv
 
-.PHONY: setup demo test lint format lock bench
+.PHONY: setup demo test lint format lock bench fuzz
 
 setup: $(VENV)/.ready
 
@@ -23,6 +23,10 @@
 test: setup
 	@$(BIN)/python tools/run_tests.py
 
+# Draws SEEDS schedules of faults, plays each on a site in memory and prints what was reached.
+fuzz: setup
+	@MIMOSAPOINT_FUZZ_EXAMPLES=$(SEEDS) $(BIN)/python tools/run_tests.py mimosapoint.node.tests.test_schedules
+
 lint: setup
 	@$(BIN)/ruff check --quiet .
 	@$(BIN)/black --quiet --check .
--- a/packages/mimosapoint/src/mimosapoint/jobs/bucket.py
+++ b/packages/mimosapoint/src/mimosapoint/jobs/bucket.py
@@ -96,6 +96,10 @@
         """Key of the bucket in the store."""
         return bucket_key(self.zone, self.index)
 
+    def ids(self) -> set[str]:
+        """Return the ids of the records."""
+        return set(self._encoded_by_id)
+
     def load(self, records: list[JobRecord], revision: int) -> None:
         """Take over records that the store has."""
         self._encoded_by_id = {record.id: encode(record) for record in records}
--- a/packages/mimosapoint/src/mimosapoint/jobs/committer.py
+++ b/packages/mimosapoint/src/mimosapoint/jobs/committer.py
@@ -3,8 +3,14 @@
 from datetime import timedelta
 from random import Random
 
-from mimosapoint.errors import CompareFailed, StaleEpoch, StoreTimeout, StoreUnavailable
-from mimosapoint.jobs.bucket import Bucket, decode_bucket
+from mimosapoint.errors import (
+    CompareFailed,
+    StaleEpoch,
+    StoreTimeout,
+    StoreUnavailable,
+    ValueTooLarge,
+)
+from mimosapoint.jobs.bucket import Bucket, BucketHeader, decode_bucket
 from mimosapoint.ports import ABSENT, Clock, Store, Telemetry
 from mimosapoint.resilience import Backoff, RateBudget
 
@@ -59,7 +65,6 @@
         while True:
             await self._bucket.wait_changed()
             await self._clock.sleep(self._interval)
-            await self._budget.acquire()
             await self.commit()
 
     async def commit(self) -> None:
@@ -68,8 +73,10 @@
         :raises StaleEpoch: a newer owner has fenced the bucket.
         """
         self._backoff.reset()
+        await self._budget.acquire()
         while not await self._try_commit():
             await self._clock.sleep(self._backoff.next())
+            await self._budget.acquire()
 
     async def _try_commit(self) -> bool:
         """Write once; tell whether the store has the change."""
@@ -80,6 +87,9 @@
             revision = await self._store.compare_and_swap(bucket.key, data, bucket.revision)
         except StoreUnavailable:
             return False
+        except ValueTooLarge:
+            self._telemetry.event("bucket-too-large", bucket=bucket.key, size=len(data))
+            return False
         except (StoreTimeout, CompareFailed):
             return await self._settle(changes)
         self._telemetry.observe("commit_bytes", len(data))
@@ -100,8 +110,12 @@
         if header.epoch > self._epoch:
             raise StaleEpoch(header.epoch)
         bucket.revision = entry.revision
-        if header.writer == self._writer and header.sequence == bucket.sequence:
+        if header.epoch == self._epoch and self._wrote(header):
             self._telemetry.count("commits_settled_total")
             bucket.mark_durable(changes, entry.revision)
             return True
         return False
+
+    def _wrote(self, header: BucketHeader) -> bool:
+        """Whether a stored header is that of this committer's last write."""
+        return header.writer == self._writer and header.sequence == self._bucket.sequence
--- a/packages/mimosapoint/src/mimosapoint/jobs/table.py
+++ b/packages/mimosapoint/src/mimosapoint/jobs/table.py
@@ -12,6 +12,8 @@
 __all__ = ["Change", "JobTable"]
 
 DIGEST_BYTES = 4
+BUCKET_BYTES_LIMIT = 950_000
+"""Size above which no answer is added to a bucket, in bytes; the rest is for other changes."""
 
 
 @attrs.frozen
@@ -46,14 +48,21 @@
         self.zone = zone
         self.buckets = [Bucket(zone, index) for index in range(bucket_count)]
         self._records_by_id: dict[str, JobRecord] = {}
+        self._change_by_id: dict[str, int] = {}
 
     def bucket_of(self, job_id: str) -> Bucket:
         """Return the bucket that a job belongs to."""
         digest = hashlib.blake2b(job_id.encode(), digest_size=DIGEST_BYTES).digest()
         return self.buckets[int.from_bytes(digest) % len(self.buckets)]
 
+    def has_room(self, job_id: str, size: int) -> bool:
+        """Whether the job's bucket can grow by a number of bytes."""
+        return self.bucket_of(job_id).size + size <= BUCKET_BYTES_LIMIT
+
     def load(self, bucket: Bucket, records: list[JobRecord], revision: int) -> None:
         """Take over the records of a bucket that the store has."""
+        for job_id in bucket.ids() - {record.id for record in records}:
+            self._records_by_id.pop(job_id, None)
         bucket.load(records, revision)
         self._records_by_id.update({record.id: record for record in records})
 
@@ -75,18 +84,19 @@
         """Set a record."""
         self._records_by_id[record.id] = record
         bucket = self.bucket_of(record.id)
-        return Change(bucket, bucket.put(record))
+        self._change_by_id[record.id] = bucket.put(record)
+        return self.latest(record.id)
 
     def remove(self, job_id: str) -> Change:
         """Drop a record."""
         self._records_by_id.pop(job_id, None)
+        self._change_by_id.pop(job_id, None)
         bucket = self.bucket_of(job_id)
         return Change(bucket, bucket.remove(job_id))
 
     def latest(self, job_id: str) -> Change:
-        """Return the newest change of the job's bucket."""
-        bucket = self.bucket_of(job_id)
-        return Change(bucket, bucket.changes)
+        """Return the newest change of the job's record."""
+        return Change(self.bucket_of(job_id), self._change_by_id.get(job_id, 0))
 
     def __iter__(self) -> Iterator[JobRecord]:
         return iter(list(self._records_by_id.values()))
--- a/packages/mimosapoint/src/mimosapoint/ownership/keeper.py
+++ b/packages/mimosapoint/src/mimosapoint/ownership/keeper.py
@@ -156,9 +156,9 @@
         """Run one step for a zone; a failure is tried again at the next check."""
         try:
             await work(zone, *args)
-        except* MimosapointError as group:
+        except* Exception as group:
             for error in _leaves(group):
-                self._telemetry.event("ownership-failed", zone=zone, code=error.code)
+                self._telemetry.event("ownership-failed", zone=zone, code=_code(error))
         finally:
             self._busy.discard(zone)
 
@@ -198,8 +198,8 @@
         self.owners_by_zone[zone] = owner
         try:
             await owner.run(task_status)
-        except* MimosapointError as group:
-            codes = ",".join(sorted({error.code for error in _leaves(group)}))
+        except* Exception as group:
+            codes = ",".join(sorted(set(map(_code, _leaves(group)))))
             self._telemetry.event("zone-lost", zone=zone, epoch=owner.epoch, code=codes)
         finally:
             if self.owners_by_zone.get(zone) is owner:
@@ -232,6 +232,11 @@
                     nursery.start_soon(self._guard, zone, self._hand_over, preferred)
 
 
+def _code(error: Exception) -> str:
+    """Return the code of a failure; that of a fault in the program names its class."""
+    return error.code if isinstance(error, MimosapointError) else type(error).__name__
+
+
 def _leaves(group: BaseExceptionGroup) -> object:
     """Yield the exceptions of a group, however deep."""
     for error in group.exceptions:
--- a/packages/mimosapoint/src/mimosapoint/placement/attempt.py
+++ b/packages/mimosapoint/src/mimosapoint/placement/attempt.py
@@ -109,18 +109,32 @@
         if self._start_sent and self._all_started():
             self._mark_running()
             return True
+        reserved_at = self._clock.now()
         if not self._start_sent and not await self._reserve():
             return False
-        reserved_at = self._clock.now()
         await placed.wait_durable()
         if not await self._permit.wait(self._settings.fresh_wait):
             return False
-        if self._stop_wanted.is_set():
-            return False
         if self._clock.now() - reserved_at > self._settings.reservation_ttl / 3:
             await self._reserve()
+        if not self._may_start():
+            return False
         return await self._start()
 
+    def _may_start(self) -> bool:
+        """Whether a start may be sent, asked after the reservation that it uses.
+
+        A start that is held up after this is refused when the reservation has lapsed.
+        """
+        late = self._record_is_late() and not self._start_sent
+        leaving = self._commands.any_leaving(self._gang)
+        return self._permit.given() and not (self._stop_wanted.is_set() or late or leaving)
+
+    def _record_is_late(self) -> bool:
+        """Whether the job's latest start has passed."""
+        start_by = self.record.request.start_by
+        return start_by is not None and start_by <= self._clock.now()
+
     def _same_boots(self) -> bool:
         """Whether every worker still has the boot that it was chosen in."""
         boots = self.record.placement.boots
@@ -143,6 +157,8 @@
         while missing and self._clock.now() < deadline and self._permit.given():
             await self._clock.sleep(RETRY_PAUSE)
             await self._reserve()
+            if not self._may_start():
+                return False
             missing = await self._commands.start(self._gang)
         if missing:
             return False
@@ -312,6 +328,11 @@
         self._ledger.put(record)
         self._telemetry.event("job-requeued", job=record.id, kept=kept, progress=record.progress)
 
+    async def forget(self) -> None:
+        """Let the workers drop the tasks of an attempt after which the job waits again."""
+        await self._ledger.latest(self._job_id).wait_durable()
+        await self._commands.acknowledge(self._gang)
+
     async def _end(self, outcome: Outcome) -> None:
         """Record the outcome; once it is durable the workers may forget the tasks."""
         await self._ledger.end(self._job_id, outcome)
--- a/packages/mimosapoint/src/mimosapoint/placement/board.py
+++ b/packages/mimosapoint/src/mimosapoint/placement/board.py
@@ -71,16 +71,13 @@
 
     async def wait_any(self, workers: set[str]) -> None:
         """Wait until one of the workers has reported or is lost."""
-        if len(workers) == 1:
-            await self._event(next(iter(workers))).wait()
+        events = [self._event(worker) for worker in workers]
+        if len(events) == 1:
+            await events[0].wait()
             return
         async with trio.open_nursery() as nursery:
-            for worker in workers:
-                nursery.start_soon(self._wait_one, worker, nursery.cancel_scope)
-
-    async def _wait_one(self, worker: str, scope: trio.CancelScope) -> None:
-        await self._event(worker).wait()
-        scope.cancel()
+            for event in events:
+                nursery.start_soon(_wait_one, event, nursery.cancel_scope)
 
     def _event(self, worker: str) -> trio.Event:
         return self._changed_by_worker.setdefault(worker, trio.Event())
@@ -90,3 +87,8 @@
         for worker in workers:
             while not self.known(worker):
                 await self._event(worker).wait()
+
+
+async def _wait_one(event: trio.Event, scope: trio.CancelScope) -> None:
+    await event.wait()
+    scope.cancel()
--- a/packages/mimosapoint/src/mimosapoint/placement/commands.py
+++ b/packages/mimosapoint/src/mimosapoint/placement/commands.py
@@ -95,6 +95,10 @@
         self._clock = clock
         self._epoch = epoch
 
+    def any_leaving(self, gang: Gang) -> bool:
+        """Whether a worker of the gang should get no new work."""
+        return any(self._roster.leaving(worker) for worker in gang.workers)
+
     async def reserve(
         self, record: JobRecord, gang: Gang, ttl: timedelta, trace: str | None = None
     ) -> bool:
--- a/packages/mimosapoint/src/mimosapoint/placement/ledger.py
+++ b/packages/mimosapoint/src/mimosapoint/placement/ledger.py
@@ -4,8 +4,9 @@
 
 import attrs
 
+from mimosapoint.codec import encode
 from mimosapoint.jobs import Change, JobTable, view_of
-from mimosapoint.model import JobRecord, JobState, JobView, Outcome
+from mimosapoint.model import Failed, JobRecord, JobState, JobView, Outcome
 from mimosapoint.ports import Clock, Telemetry
 
 __all__ = ["Ledger"]
@@ -54,7 +55,7 @@
         return self._table.get(job_id)
 
     def latest(self, job_id: str) -> Change:
-        """Return the newest change of the job's bucket."""
+        """Return the newest change of the job's record."""
         return self._table.latest(job_id)
 
     def records(self) -> list[JobRecord]:
@@ -97,6 +98,13 @@
 
     async def end(self, job_id: str, outcome: Outcome) -> None:
         """Record the outcome of a job, and tell of it when it is durable."""
+        self.set_outcome(job_id, outcome)
+        await self.tell(job_id)
+
+    def set_outcome(self, job_id: str, outcome: Outcome) -> None:
+        """Record the outcome of a job; an answer that the table cannot hold is a failure."""
+        if not self._table.has_room(job_id, len(encode(outcome))):
+            outcome = Failed("answer-too-large", "the job table has no room for the answer")
         record = attrs.evolve(
             self.get(job_id),
             state=JobState.ENDED,
@@ -104,8 +112,12 @@
             stop_reason=None,
             outcome=outcome,
         )
-        change = self.put(record)
-        await change.wait_durable()
+        self.put(record)
+
+    async def tell(self, job_id: str) -> None:
+        """Tell of the outcome of a job when it is durable."""
+        record = self.get(job_id)
+        await self.latest(job_id).wait_durable()
         self._tell(record)
 
     def _tell(self, record: JobRecord) -> None:
--- a/packages/mimosapoint/src/mimosapoint/placement/owner.py
+++ b/packages/mimosapoint/src/mimosapoint/placement/owner.py
@@ -7,8 +7,16 @@
 import attrs
 import trio
 
-from mimosapoint.errors import IdempotencyConflict, JobNotFound, NotOwner, Overloaded
-from mimosapoint.jobs import Committer, JobReply, JobTable
+from mimosapoint.errors import (
+    IdempotencyConflict,
+    JobNotFound,
+    MimosapointError,
+    NotOwner,
+    OutcomeUnknown,
+    Overloaded,
+    StaleEpoch,
+)
+from mimosapoint.jobs import Change, Committer, JobReply, JobTable, decode_bucket
 from mimosapoint.model import Cancelled, JobRecord, JobRequest, JobState, JobView, Outcome, Vm
 from mimosapoint.placement.attempt import Attempt
 from mimosapoint.placement.board import TaskBoard
@@ -30,6 +38,13 @@
 FOLLOW_INTERVAL = timedelta(milliseconds=500)
 COMPACT_INTERVAL = timedelta(seconds=5)
 FLUSH_BOUND_SECONDS = 3.0
+TASK_BYTES = 256
+"""Room that a task's worker, boot and checkpoint take in a record."""
+BEAT_INTERVAL = timedelta(milliseconds=500)
+PAUSE_BOUND = timedelta(seconds=2)
+"""Longest time without a beat after which the owner still trusts that it owns the zone."""
+DOUBT_PAUSE = timedelta(milliseconds=300)
+CANCEL_RETRY_AFTER = timedelta(seconds=2)
 QUEUE_RETRY_AFTER = timedelta(seconds=5)
 
 
@@ -77,6 +92,7 @@
         self._table = table
         self._parts = parts
         self._closing = False
+        self._beat_at = parts.clock.now()
         self._watchers = Watchers(parts.peers, parts.clock)
         self._ledger = Ledger(
             table,
@@ -164,7 +180,12 @@
         limit = workspace.queue_limit if workspace else 0
         if self._ledger.queued_count(request.workspace) >= limit:
             raise Overloaded("the workspace's queue is full", retry_after=QUEUE_RETRY_AFTER)
-        if self._table.bucket_of(job_id).size > self._parts.settings.bucket_bytes_limit:
+        self._check_bucket(job_id, request.gang)
+
+    def _check_bucket(self, job_id: str, gang: int) -> None:
+        """Refuse a job whose placement the table may not be able to hold."""
+        size = self._table.bucket_of(job_id).size + gang * TASK_BYTES
+        if size > self._parts.settings.bucket_bytes_limit:
             raise Overloaded("the job table is full", retry_after=self._parts.settings.retention)
 
     def get(self, workspace: str, job_id: str) -> JobReply:
@@ -187,13 +208,23 @@
         self._require_open()
         record = self._of_workspace(workspace, job_id)
         if record.state is JobState.QUEUED:
-            await self._ledger.end(job_id, Cancelled(started=record.ever_started))
+            self.end_waiting(job_id, Cancelled(started=record.ever_started))
         elif record.live and not record.cancel_requested:
             self._ledger.put(attrs.evolve(record, cancel_requested=True))
             self.stop_job(job_id, "cancel", timedelta(0))
-        await self._ledger.latest(job_id).wait_durable()
+        await self._require_durable(self._ledger.latest(job_id))
         return self._reply(self._ledger.get(job_id))
 
+    async def _require_durable(self, change: Change) -> None:
+        """Wait for a change to be durable, for a bounded time.
+
+        :raises OutcomeUnknown: the store has not confirmed it in time.
+        """
+        with trio.move_on_after(self._parts.settings.durable_wait.total_seconds()):
+            await change.wait_durable()
+        if not change.durable:
+            raise OutcomeUnknown("the store is out of reach", retry_after=CANCEL_RETRY_AFTER)
+
     def jobs(self, workspace: str) -> tuple[JobView, ...]:
         """Return the jobs that this zone has of a workspace, oldest first."""
         self._require_open()
@@ -212,8 +243,9 @@
             age = self._parts.clock.now() - record.moved_at
             if age > self._parts.settings.retention / 2:
                 raise Overloaded("the move is too old to be adopted")
+            self._check_bucket(record.id, record.request.gang)
             self._ledger.put(record)
-        await self._ledger.latest(record.id).wait_durable()
+        await self._require_durable(self._ledger.latest(record.id))
 
     def _of_workspace(self, workspace: str, job_id: str) -> JobRecord:
         record = self._ledger.get(job_id)
@@ -225,9 +257,13 @@
         return JobReply(self._ledger.view(record), record.moved_to)
 
     def _require_open(self) -> None:
-        if self._closing or self._nursery is None:
+        if self._closing or self._nursery is None or self._doubtful():
             raise NotOwner(self.zone)
 
+    def _doubtful(self) -> bool:
+        """Whether the process was paused for so long that another node may own the zone."""
+        return self._parts.clock.now() - self._beat_at > PAUSE_BOUND
+
     # The owner's work.
 
     async def run(self, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED) -> None:
@@ -245,9 +281,36 @@
             nursery.start_soon(self._watchers.run)
             nursery.start_soon(self._mover.run)
             nursery.start_soon(self._compact)
+            nursery.start_soon(self._beat)
             nursery.start_soon(self._scheduler.run)
             task_status.started()
 
+    async def _beat(self) -> None:
+        """Notice pauses; after one, serve nobody until the store shows no newer owner.
+
+        :raises StaleEpoch: a newer owner has fenced this one.
+        """
+        while True:
+            await self._parts.clock.sleep(BEAT_INTERVAL)
+            while self._doubtful() and not await self._still_owner():
+                await self._parts.clock.sleep(DOUBT_PAUSE)
+            self._beat_at = self._parts.clock.now()
+
+    async def _still_owner(self) -> bool:
+        """Whether the store could be asked, and this owner's fence is the newest.
+
+        :raises StaleEpoch: it is not.
+        """
+        try:
+            entry = await self._parts.store.get(self._table.buckets[0].key)
+        except MimosapointError:
+            return False
+        if entry is not None:
+            header, _ = decode_bucket(entry.value)
+            if header.epoch > self.epoch:
+                raise StaleEpoch(header.epoch)
+        return True
+
     async def close(self) -> None:
         """Refuse requests, flush the table for a bounded time and stop working."""
         self._closing = True
@@ -317,7 +380,9 @@
             self._attempts_by_job.pop(job_id, None)
             self._roster.release(job_id)
         record = self._ledger.find(job_id)
-        if record is None or not record.live:
+        if record is not None and record.live:
+            self._nursery.start_soon(attempt.forget)
+        else:
             self._traces_by_job.pop(job_id, None)
             if record is not None:
                 self._scheduler.ended(record)
@@ -332,7 +397,8 @@
 
     def end_waiting(self, job_id: str, outcome: Outcome) -> None:
         """End a waiting job without making the scheduler wait for the store."""
-        self._nursery.start_soon(self._ledger.end, job_id, outcome)
+        self._ledger.set_outcome(job_id, outcome)
+        self._nursery.start_soon(self._ledger.tell, job_id)
 
     def stop_job(self, job_id: str, reason: str, grace: timedelta) -> None:
         """Ask the attempt of a job to stop its gang."""
@@ -392,6 +458,7 @@
         while True:
             await self._parts.clock.sleep(COMPACT_INTERVAL)
             self._watchers.expire()
+            self._drop_traces()
             oldest = self._parts.clock.now() - self._parts.settings.retention
             for record in self._ledger.records():
                 if record.state is JobState.ENDED and record.ended_at < oldest:
@@ -400,6 +467,13 @@
                     if record.moved_at < oldest - self._parts.settings.retention:
                         self._ledger.remove(record.id)
 
+    def _drop_traces(self) -> None:
+        """Forget the trace contexts of jobs that ended or moved without an attempt."""
+        for job_id in list(self._traces_by_job):
+            record = self._ledger.find(job_id)
+            if record is None or not record.live:
+                del self._traces_by_job[job_id]
+
     def digest(self) -> ZoneDigest:
         """Return what other nodes should know of the zone."""
         free = self._roster.free()
--- a/packages/mimosapoint/src/mimosapoint/placement/roster.py
+++ b/packages/mimosapoint/src/mimosapoint/placement/roster.py
@@ -109,6 +109,11 @@
         entry = self._entries_by_id.get(worker)
         return entry.vm.address if entry else None
 
+    def leaving(self, worker: str) -> bool:
+        """Whether the worker leaves or has left."""
+        entry = self._entries_by_id.get(worker)
+        return entry is None or entry.vm.state is not VmState.LIVE
+
     def usable(self, worker: str) -> bool:
         """Whether the worker may get new work."""
         entry = self._entries_by_id.get(worker)
--- a/packages/mimosapoint/src/mimosapoint/testing/_pause.py
+++ b/packages/mimosapoint/src/mimosapoint/testing/_pause.py
@@ -22,6 +22,11 @@
         self._thawed = trio.Event()
         self._thawed.set()
 
+    @property
+    def open(self) -> bool:
+        """Whether the node is not frozen."""
+        return self._thawed.is_set()
+
     def freeze(self) -> None:
         """Hold calls and their replies."""
         if self._thawed.is_set():
--- a/packages/mimosapoint/src/mimosapoint/testing/site.py
+++ b/packages/mimosapoint/src/mimosapoint/testing/site.py
@@ -276,7 +276,8 @@
         """Return what broke a promise, and the calls without a final answer."""
         lines = [line for finding in self.findings() for line in finding.broken]
         calls = self.history.calls
-        return lines + [f"{c.key} has no answer" for c in calls if c.ended_at is None]
+        lines += [f"{c.key} has no answer" for c in calls if c.ended_at is None]
+        return lines + [f"{c.key} was lost" for c in calls if c.code == "job-not-found"]
 
 
 def _configuration(zones: tuple[str, ...], workers: int, queue_limit: int) -> Configuration:
