Play kills, stops and commands against a site of processes

The examples' lists are mappings with vms, as the loader and the operators' page have them, and a test reads both.

--- a/packages/mimosapoint-standins/src/mimosapoint_standins/tests/test_main.py
+++ b/packages/mimosapoint-standins/src/mimosapoint_standins/tests/test_main.py
@@ -6,6 +6,7 @@
 import signal
 import tempfile
 import unittest
+from collections import Counter
 from pathlib import Path
 
 import trio
@@ -17,6 +18,7 @@
 from mimosapoint_standins import load_inventory, store_app
 from mimosapoint_standins.__main__ import run_until_signal
 
+EXAMPLES = Path(__file__).resolve().parents[5] / "examples"
 VMS = """
 vms:
 - {id: node-1, kind: entry, zone: klang-a, address: "127.0.0.1:1"}
@@ -53,6 +55,13 @@
         self.assertEqual([vm.kind for vm in inventory.vms], [VmKind.ENTRY, VmKind.ENDPOINT])
         self.assertEqual(inventory.capacity.cores, 4)
 
+    def test_the_examples_are_read(self):
+        for site in ("agencia", "selat"):
+            with self.subTest(site=site):
+                inventory = load_inventory(str(EXAMPLES / site / "vms.yaml"))
+                kinds = Counter(vm.kind for vm in inventory.vms)
+                self.assertEqual(kinds, {VmKind.ENTRY: 8, VmKind.ENDPOINT: 24})
+
     def test_bad_files_are_refused(self):
         for text in BAD_FILES:
             with self.subTest(text=text), self.assertRaises(SettingsInvalid):
--- a/packages/mimosapoint/src/mimosapoint/configuration/tests/test_examples.py
+++ b/packages/mimosapoint/src/mimosapoint/configuration/tests/test_examples.py
@@ -20,7 +20,7 @@
 
 def vms(site):
     document = yaml.safe_load((EXAMPLES / site / "vms.yaml").read_text())
-    return [decode_document(item, Vm) for item in document]
+    return [decode_document(item, Vm) for item in document["vms"]]
 
 
 def configuration(site):
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -23,6 +23,7 @@
     """Return the named tests, or every test of every package."""
     loader = unittest.TestLoader()
     if names:
+        sys.path.insert(0, str(ROOT))
         return loader.loadTestsFromNames(names)
     suite = unittest.TestSuite()
     for source in sorted((ROOT / "packages").glob("*/src")):
--- /dev/null
+++ b/tools/site/callers.py
@@ -0,0 +1,49 @@
+"""Callers that go on asking for work while something is played."""
+
+from typing import Any
+
+import trio
+
+from tools.site.recorder import Recorder
+from tools.site.work import bulletin, expected_parts, rebuild, thumbnail
+
+__all__ = ["Callers"]
+
+PAUSE_SECONDS = 0.25
+
+
+class Callers:
+    """Callers of a site, each of which waits for its answer.
+
+    :param recorder: keeps what they see.
+    :param nursery: runs them.
+    :param name: start of their idempotency keys.
+    """
+
+    def __init__(self, recorder: Recorder, nursery: trio.Nursery, name: str):
+        self._recorder = recorder
+        self._nursery = nursery
+        self._name = name
+        self._number = 0
+
+    def ask(self, job: dict[str, Any], bound: float | None = None) -> str:
+        """Ask for one job in the background; return its idempotency key.
+
+        :param bound: seconds within which the job claims a guarantee, if it does.
+        """
+        self._number += 1
+        key = f"{self._name}-{self._number}"
+        expected = expected_parts(job)
+        self._nursery.start_soon(self._recorder.run_job, job, key, expected, bound)
+        return key
+
+    async def keep_asking(self) -> None:
+        """Ask for work of the three kinds until cancelled."""
+        number = 0
+        while True:
+            number += 1
+            self.ask(bulletin(number, repeatable=number % 3 != 0))
+            self.ask(thumbnail(number))
+            if number % 4 == 0:
+                self.ask(rebuild(number))
+            await trio.sleep(PAUSE_SECONDS)
--- a/tools/site/core.py
+++ b/tools/site/core.py
@@ -98,6 +98,21 @@
                 return False
         return True
 
+    async def zones_by_owner(self) -> dict[str, set[str]]:
+        """Return the availability zones of each running node that owns any."""
+        status = await self.client.call("GET", "/v1/status")
+        zones: dict[str, set[str]] = {}
+        for zone, seen in status.body["zones"].items():
+            owner = self.processes_by_id.get(seen["owner"])
+            if owner is not None and owner.poll() is None:
+                zones.setdefault(seen["owner"], set()).add(zone)
+        return zones
+
+    async def owner_of_most(self) -> tuple[str, set[str]]:
+        """Return the running node that owns most availability zones, and these."""
+        zones = await self.zones_by_owner()
+        return max(sorted(zones.items()), key=lambda item: len(item[1]))
+
     def signal(self, id: str, number: int) -> None:
         """Send a signal to a process by its id."""
         os.kill(self.processes_by_id[id].pid, number)
--- a/tools/site/files.py
+++ b/tools/site/files.py
@@ -43,7 +43,7 @@
     :param nodes: number of nodes, spread over the availability zones.
     """
     folder.mkdir(parents=True, exist_ok=True)
-    vms = yaml.safe_load((example / "vms.yaml").read_text())
+    vms = yaml.safe_load((example / "vms.yaml").read_text())["vms"]
     entries = _spread([vm for vm in vms if vm["kind"] == "entry"], nodes)
     endpoints = [vm for vm in vms if vm["kind"] == "endpoint"]
     addresses = free_addresses(2 + 2 * len(entries) + len(endpoints))
