Start urgent repeatable work in a store outage, drain as there is room

Cause: with the store out every placement waited for its record, urgent bulletins too, and waiting placements held room; a zone that went out stopped all its work at once, also when no other zone had room for it; and a policy that does not look at allowed zones could have placed a job where it may not run.

--- a/packages/mimosapoint/src/mimosapoint/jobs/bucket.py
+++ b/packages/mimosapoint/src/mimosapoint/jobs/bucket.py
@@ -86,6 +86,7 @@
         self.sequence = 0
         self.changes = 0
         self.durable_changes = 0
+        self.stalled = False
         self.size = 0
         self._encoded_by_id: dict[str, bytes] = {}
         self._changed = trio.Event()
@@ -143,6 +144,7 @@
 
     def mark_durable(self, changes: int, revision: int) -> None:
         """Note that the store has the bucket as of a change."""
+        self.stalled = False
         self.durable_changes = max(self.durable_changes, changes)
         self.revision = revision
         self._durable.set()
--- a/packages/mimosapoint/src/mimosapoint/jobs/committer.py
+++ b/packages/mimosapoint/src/mimosapoint/jobs/committer.py
@@ -75,6 +75,7 @@
         self._backoff.reset()
         await self._budget.acquire()
         while not await self._try_commit():
+            self._bucket.stalled = True
             await self._clock.sleep(self._backoff.next())
             await self._budget.acquire()
 
--- a/packages/mimosapoint/src/mimosapoint/jobs/table.py
+++ b/packages/mimosapoint/src/mimosapoint/jobs/table.py
@@ -66,6 +66,11 @@
         bucket.load(records, revision)
         self._records_by_id.update({record.id: record for record in records})
 
+    @property
+    def stalled(self) -> bool:
+        """Whether a write of some bucket has failed and has not succeeded since."""
+        return any(bucket.stalled for bucket in self.buckets)
+
     def find(self, job_id: str) -> JobRecord | None:
         """Return a record, or ``None``."""
         return self._records_by_id.get(job_id)
--- a/packages/mimosapoint/src/mimosapoint/placement/attempt.py
+++ b/packages/mimosapoint/src/mimosapoint/placement/attempt.py
@@ -5,10 +5,12 @@
 import attrs
 import trio
 
+from mimosapoint.jobs import Change
 from mimosapoint.model import (
     Cancelled,
     Checkpoint,
     Failed,
+    JobClass,
     JobRecord,
     JobState,
     MayHaveRun,
@@ -26,12 +28,19 @@
 from mimosapoint.placement.settings import OwnerSettings
 from mimosapoint.ports import Clock, Telemetry
 
-__all__ = ["Attempt"]
+__all__ = ["Attempt", "starts_unrecorded"]
 
 RETRY_PAUSE = timedelta(milliseconds=100)
 CANCEL_GRACE = timedelta(0)
 KEPT_STATES = (TaskState.STOPPED, TaskState.SUCCEEDED)
 
+INTENT_CHECK_SECONDS = 0.1
+
+
+def starts_unrecorded(record: JobRecord) -> bool:
+    """Whether a job may start while the store takes no changes; it may then run twice."""
+    return record.request.job_class is JobClass.URGENT and record.request.repeatable
+
 
 class Attempt:
     """Runs the gang of one placed job and records how it went.
@@ -112,7 +121,7 @@
         reserved_at = self._clock.now()
         if not self._start_sent and not await self._reserve():
             return False
-        await placed.wait_durable()
+        await self._wait_intent(placed)
         if not await self._permit.wait(self._settings.fresh_wait):
             return False
         if self._clock.now() - reserved_at > self._settings.reservation_ttl / 3:
@@ -121,6 +130,15 @@
             return False
         return await self._start()
 
+    async def _wait_intent(self, placed: Change) -> None:
+        """Wait until the store has the placement, or need not have it.
+
+        Urgent repeatable work goes on without it while the store takes no changes.
+        """
+        while not (placed.durable or (self._ledger.stalled and starts_unrecorded(self.record))):
+            with trio.move_on_after(INTENT_CHECK_SECONDS):
+                await placed.wait_durable()
+
     def _may_start(self) -> bool:
         """Whether a start may be sent, asked after the reservation that it uses.
 
--- a/packages/mimosapoint/src/mimosapoint/placement/ledger.py
+++ b/packages/mimosapoint/src/mimosapoint/placement/ledger.py
@@ -46,6 +46,11 @@
         """Availability zone of the table."""
         return self._table.zone
 
+    @property
+    def stalled(self) -> bool:
+        """Whether the store does not take changes at present."""
+        return self._table.stalled
+
     def find(self, job_id: str) -> JobRecord | None:
         """Return a record, or ``None``."""
         return self._table.find(job_id)
--- a/packages/mimosapoint/src/mimosapoint/placement/scheduler.py
+++ b/packages/mimosapoint/src/mimosapoint/placement/scheduler.py
@@ -10,6 +10,8 @@
 
 from mimosapoint.configuration import Configuration, LeavingMode, ZoneMode
 from mimosapoint.model import Failed, JobRecord, JobState, NotRun, Outcome, Placement
+from mimosapoint.placement.attempt import starts_unrecorded
+from mimosapoint.placement.fits import allowed_zones
 from mimosapoint.scheduling import (
     Assignment,
     Decision,
@@ -27,6 +29,7 @@
 __all__ = ["Scheduler"]
 
 DRAIN_GRACE = timedelta(seconds=5)
+DRAIN_BOUND = timedelta(seconds=60)
 SUMMARY_INTERVAL = timedelta(milliseconds=500)
 
 
@@ -51,6 +54,7 @@
         self._policy_name = ""
         self._policy: Policy | None = None
         self._summarized_at = self._clock.now()
+        self._left_at = self._clock.now()
         self.summary: ZoneSummary | None = None
 
     def wake(self) -> None:
@@ -119,7 +123,9 @@
         if permit.in_service() and not permit.given():
             return
         policy = self._current_policy()
-        if not permit.in_service():
+        if permit.in_service():
+            self._left_at = view.now
+        else:
             self._drain(view, policy)
         self._apply(policy.decide(view))
 
@@ -150,7 +156,7 @@
     def _place(self, assignment: Assignment) -> None:
         """Place a gang if it is still waiting and fits."""
         record = self._owner.ledger.find(assignment.job)
-        if record is None or record.state is not JobState.QUEUED:
+        if record is None or record.state is not JobState.QUEUED or not self._may_place(record):
             return
         if not self._owner.roster.has_room(assignment.workers, record.request.shape):
             self._telemetry.event("placement-stale", job=record.id)
@@ -162,14 +168,38 @@
             attrs.evolve(record, state=JobState.PLACED, placement=placement, started_at=None)
         )
 
+    def _may_place(self, record: JobRecord) -> bool:
+        """Whether the job may run here, and its placement can be recorded or need not be."""
+        configuration = self._owner.parts.configuration.current
+        if record.request.workspace not in configuration.workspaces_by_id:
+            return False
+        if self._owner.zone not in allowed_zones(record.request, configuration):
+            return False
+        return not self._owner.ledger.stalled or starts_unrecorded(record)
+
     def _reclaim(self, reclaim: Reclaim) -> None:
         self._telemetry.event("job-reclaimed", job=reclaim.job, claimant=reclaim.claimant)
         self._owner.stop_job(reclaim.job, "reclaim", timedelta(seconds=reclaim.grace))
 
     def _drain(self, view: ZoneView, policy: Policy) -> None:
-        """Stop running work of a zone that is out, in the policy's order."""
+        """Stop running work of a zone that is out, in the policy's order, as there is room."""
         zone = view.configuration.zones_by_id.get(view.zone)
         if zone is not None and zone.leaving is LeavingMode.FINISH:
             return
+        room = self._room_elsewhere(view)
         for job_id in policy.drain_order(view):
+            request = view.running_by_id[job_id].request
+            if not request.interruptible:
+                continue
+            room -= request.gang * request.shape.slots
+            if room < 0 and view.now - self._left_at < DRAIN_BOUND:
+                return
             self._owner.stop_job(job_id, "zone-out", DRAIN_GRACE)
+
+    def _room_elsewhere(self, view: ZoneView) -> int:
+        """Return the free slots of other zones, less those of jobs that are on their way."""
+        zones = view.other_zones_by_id.values()
+        free = sum(zone.free_slots for zone in zones if zone.in_service)
+        leaving = [r for r in view.running_by_id.values() if r.stop_reason is not None]
+        moving = (r.request for r in (*view.waiting, *leaving))
+        return free - sum(request.gang * request.shape.slots for request in moving)
