--- /dev/null
+++ b/packages/mimosapoint/src/mimosapoint/node/tests/test_outages.py
@@ -0,0 +1,146 @@
+"""Tests of a store, a configuration and operators that fail or change under running work."""
+
+from datetime import timedelta
+
+import trio
+
+from mimosapoint.errors import OutcomeUnknown
+from mimosapoint.jobs import job_id_of
+from mimosapoint.node.tests._case import SiteCase
+from mimosapoint.testing.caller import Caller
+
+OUTAGE_SECONDS = 60
+ZONES = ("a", "b")
+
+
+class StoreOutageTest(SiteCase):
+    """The store is out for a minute and comes back."""
+
+    async def test_running_work_goes_on_and_accepted_jobs_follow(self):
+        for fault in ("refuse", "frozen"):
+            with self.subTest(fault=fault):
+                await self.outage(fault)
+
+    async def outage(self, fault):
+        async with self.site() as site:
+            async with trio.open_nursery() as nursery:
+                self.calls(nursery, site, 6, seconds=90.0, prefix="long", repeatable=False)
+                await trio.sleep(2)
+                out_at = site.clock.now()
+                setattr(site.store.faults, fault, True)
+                self.calls(nursery, site, 6, seconds=1.0, prefix="new")
+                await trio.sleep(OUTAGE_SECONDS)
+                back_at = site.clock.now()
+                before = site.store.counts["compare_and_swap"]
+                setattr(site.store.faults, fault, False)
+                await trio.sleep(1)
+                writes = site.store.counts["compare_and_swap"] - before
+            self.assertEqual(self.outcomes(site), {"succeeded"})
+            started = [e.time for e in site.tasks() if e.event.value == "started"]
+            self.assertEqual([t for t in started if out_at < t < back_at], [])
+            ended = [c.ended_at for c in site.history.calls if c.key.startswith("long")]
+            self.assertLess((max(ended) - out_at).total_seconds(), 95)
+            self.assertLess(writes, 150)
+
+    async def test_owner_killed_in_the_outage(self):
+        async with self.site() as site:
+            async with trio.open_nursery() as nursery:
+                self.calls(nursery, site, 6, seconds=5.0, prefix="new")
+                site.store.faults.refuse = True
+                await trio.sleep(5)
+                owner = site.owner_of("a")
+                site.kill(owner)
+                await trio.sleep(20)
+                site.store.faults.refuse = False
+            self.assertEqual(self.outcomes(site), {"succeeded"})
+
+    async def test_undurable_job_is_said_to_be_and_is_kept(self):
+        async with self.site() as site:
+            caller = Caller(site, 2)
+            site.store.faults.refuse = True
+            view = await caller.submit(caller.request("k", 1.0))
+            self.assertFalse(view.durable)
+            site.kill(site.owner_of(view.zone))
+            site.store.faults.refuse = False
+            await site.until(lambda: site.record(view.id) is not None)
+            self.assertTrue((await caller.submit(caller.request("k", 1.0))).durable)
+
+    async def test_cancel_that_is_not_durable_is_not_confirmed(self):
+        async with self.site() as site:
+            caller = Caller(site)
+            view = await caller.submit(caller.request("k", 100.0))
+            site.store.faults.refuse = True
+            with trio.fail_after(20), self.assertRaises(OutcomeUnknown):
+                await caller.ask(lambda api: api.cancel("w", view.id))
+            site.store.faults.refuse = False
+            await caller.cancel("k")
+            self.assertEqual(site.record(view.id).state.value, "ended")
+
+    async def test_undurable_refusal_is_not_told(self):
+        """Only a durable outcome counts: the next owner may start what this one refused."""
+        async with self.site() as site:
+            caller = Caller(site)
+            blockers = [f"block{n}" for n in range(16)]
+            for key in blockers:
+                await caller.submit(caller.request(key, 100.0, zones=("a",)))
+            await trio.sleep(2)
+            start_by = site.clock.now() + timedelta(seconds=2)
+            await caller.submit(caller.request("late", 1.0, zones=("a",), start_by=start_by))
+            await trio.sleep(1)
+            site.store.faults.refuse = True
+            await trio.sleep(4)
+            job = job_id_of("w", "late", ZONES)
+            view = await caller.ask(lambda api: api.job("w", job))
+            self.assertIsNone(view.outcome)
+            site.store.faults.refuse = False
+            await trio.sleep(4)
+            view = await caller.ask(lambda api: api.job("w", job))
+            self.assertEqual(type(view.outcome).__name__, "NotRun")
+
+
+class WithdrawalTest(SiteCase):
+    """Nothing starts in a zone 3 s after its withdrawal, however the owner fails."""
+
+    async def test_owner_cannot_hear_of_it(self):
+        for fault in ("none", "cut", "cut-store", "freeze", "freeze-reserve", "freeze-start"):
+            for lasts in (2.0, 8.0):
+                with self.subTest(fault=fault, lasts=lasts):
+                    await self.withdraw(fault, lasts)
+
+    async def withdraw(self, fault, lasts):
+        async with self.site(workers=3) as site:
+            owner = site.owner_of("a")
+            other = next(id for id in sorted(site.nodes_by_id) if id != owner)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.keep_submitting, nursery, site)
+                await trio.sleep(1)
+                self.begin(site, fault, owner)
+                await trio.sleep(0.2)
+                seen = await site.set_zone(other, "a", "out", "out")
+                self.assertTrue(seen.version)
+                await trio.sleep(lasts)
+                self.end(site, fault, owner)
+            self.assertEqual(self.outcomes(site), {"succeeded"})
+
+    async def keep_submitting(self, nursery, site):
+        for number in range(60):
+            caller = Caller(site, number)
+            nursery.start_soon(lambda c=caller, n=number: c.call(f"s{n}", 0.5))
+            await trio.sleep(0.1)
+
+    def begin(self, site, fault, owner):
+        if fault.startswith("cut"):
+            site.cut(owner)
+        if fault == "cut-store":
+            site.cut_store(owner)
+        if fault == "freeze":
+            site.freeze(owner)
+        if fault.startswith("freeze-"):
+            site.freeze_at(owner, fault.removeprefix("freeze-"))
+
+    def end(self, site, fault, owner):
+        if fault.startswith("cut"):
+            site.heal(owner)
+        if fault == "cut-store":
+            site.heal_store(owner)
+        site.thaw(owner)
--- a/packages/mimosapoint/src/mimosapoint/testing/_pause.py
+++ b/packages/mimosapoint/src/mimosapoint/testing/_pause.py
@@ -42,9 +42,13 @@
 
 
 class PausedPort:
-    """Any port, whose calls and replies wait while the node is frozen."""
+    """Any port, whose calls and replies wait while the node is frozen.
+
+    :ivar error: what every call raises while the node is cut off from the port's other side.
+    """
 
     def __init__(self, port: Any, pause: Pause):
+        self.error: Exception | None = None
         self._port = port
         self._pause = pause
 
@@ -56,6 +60,9 @@
             if action is not None:
                 action()
             await self._pause.wait()
+            if self.error is not None:
+                await trio.lowlevel.checkpoint()
+                raise self.error
             try:
                 return await method(*args)
             finally:
--- a/packages/mimosapoint/src/mimosapoint/testing/schedule.py
+++ b/packages/mimosapoint/src/mimosapoint/testing/schedule.py
@@ -110,6 +110,19 @@
     site.heal(node)
 
 
+@fault("store-cut")
+async def store_cut(site: MemorySite, random: Random, lasts: float) -> None:
+    """Cut an owner off from the store and from the other nodes."""
+    node = _any_node(site, random)
+    if node is None:
+        return
+    site.cut(node)
+    site.cut_store(node)
+    await trio.sleep(lasts)
+    site.heal(node)
+    site.heal_store(node)
+
+
 @fault("store-out")
 async def store_out(site: MemorySite, random: Random, lasts: float) -> None:
     """Let the store refuse every call."""
--- a/packages/mimosapoint/src/mimosapoint/testing/site.py
+++ b/packages/mimosapoint/src/mimosapoint/testing/site.py
@@ -8,7 +8,7 @@
 import trio
 
 from mimosapoint.configuration import Capacity, Configuration, Patch, Service, Workspace, Zone
-from mimosapoint.errors import MimosapointError
+from mimosapoint.errors import BadRequest, MimosapointError, StoreUnavailable
 from mimosapoint.memory import (
     MemoryStore,
     MemoryVmList,
@@ -47,6 +47,7 @@
     vm: Vm
     core: NodeCore
     pause: Pause
+    store: PausedPort
     telemetry: MemoryTelemetry
     scope: trio.CancelScope
     boot: int
@@ -119,8 +120,9 @@
         """Start a node."""
         vm = self.vms_by_id[node]
         dispatcher, pause, telemetry = Dispatcher(), Pause(), MemoryTelemetry(strict=True)
+        store = PausedPort(self.store, pause)
         adapters = Adapters(
-            store=PausedPort(self.store, pause),
+            store=store,
             workers=PausedPort(MemoryWorkers(self.workers_by_address), pause),
             vm_list=self.vm_list,
             peers=LoopbackPeers(vm.address, self.network),
@@ -133,7 +135,8 @@
         self._boots += 1
         self.network.join(vm.address, dispatcher)
         scope = await self._nursery.start(self._run, core)
-        self.nodes_by_id[node] = SiteNode(vm, core, pause, telemetry, scope, self._boots)
+        found = SiteNode(vm, core, pause, store, telemetry, scope, self._boots)
+        self.nodes_by_id[node] = found
 
     async def _run(self, core: NodeCore, task_status: trio.TaskStatus) -> None:
         with trio.CancelScope() as scope:
@@ -171,6 +174,15 @@
             self.network.cut(self.vms_by_id[node].address, self.vms_by_id[other].address)
         self._unseen_until[node] = float("inf")
 
+    def cut_store(self, node: str) -> None:
+        """Cut a node off from the store."""
+        self.nodes_by_id[node].store.error = StoreUnavailable("cut off")
+
+    def heal_store(self, node: str) -> None:
+        """Let a node reach the store again."""
+        if node in self.nodes_by_id:
+            self.nodes_by_id[node].store.error = None
+
     def heal(self, node: str, others: list[str] | None = None) -> None:
         """Undo a cut."""
         for other in self._others(node, others):
@@ -229,9 +241,11 @@
         """Put a zone into or out of service; return ``None`` when there was no verdict."""
         core = self.nodes_by_id[node].core
         base, sent_at = core.configuration.current.version, self.clock.now()
-        operation = {"op": "replace", "path": f"/zones_by_id/{zone}/mode", "value": mode}
+        operation = {"op": "replace", "path": f"/zones/{zone}/mode", "value": mode}
         try:
             status = await core.operators.patch(Patch(patch_id, base, (operation,)))
+        except BadRequest:
+            raise
         except MimosapointError:
             return None
         answered_at = self.clock.now()
