--- a/packages/mimosapoint/src/mimosapoint/placement/owner.py
+++ b/packages/mimosapoint/src/mimosapoint/placement/owner.py
@@ -7,6 +7,7 @@
 import attrs
 import trio
 
+from mimosapoint.configuration import ZoneMode
 from mimosapoint.errors import (
     IdempotencyConflict,
     JobNotFound,
@@ -32,6 +33,8 @@
 from mimosapoint.placement.watchers import Watchers
 from mimosapoint.ports import Clock, Peers, Store, Telemetry, Workers
 from mimosapoint.resilience import RateBudget
+from mimosapoint.scheduling import ZoneSummary
+from mimosapoint.scheduling.never_fits import allowed_zones
 
 __all__ = ["OwnerParts", "ZoneOwner"]
 
@@ -58,7 +61,7 @@
     :param configuration: the configuration and its freshness.
     :param endpoints: returns the workers of the platform's list, by id.
     :param address_of: returns the peer address of a zone's owner, or ``None``.
-    :param load_of: returns how full a zone is, 0 for an empty one.
+    :param summaries_by_zone: returns what is known of every zone that has an owner.
     :param budget: store writes per second of this node.
     """
 
@@ -68,7 +71,7 @@
     configuration: FreshConfiguration
     endpoints: Callable[[], dict[str, Vm]]
     address_of: Callable[[str], str | None]
-    load_of: Callable[[str], float]
+    summaries_by_zone: Callable[[], dict[str, ZoneSummary]]
     budget: RateBudget
     clock: Clock
     telemetry: Telemetry
@@ -348,10 +351,31 @@
                 self._spawn_attempt(record, resumed=True)
 
     def start_attempt(self, record: JobRecord) -> None:
-        """Run the gang of a record that has just been placed."""
+        """Run the gang of a record that has just been placed, if it may run in this zone."""
+        if not self._may_run_here(record):
+            self._send_away(record)
+            return
         self._ledger.put(record)
         self._spawn_attempt(record, resumed=False)
 
+    def _may_run_here(self, record: JobRecord) -> bool:
+        """Whether the request and its service allow this zone."""
+        return self.zone in allowed_zones(record.request, self._parts.configuration.current)
+
+    def _send_away(self, record: JobRecord) -> None:
+        """Move a waiting job to a zone that it may run in, if one is in service."""
+        configuration = self._parts.configuration.current
+        allowed = sorted(allowed_zones(record.request, configuration))
+        summaries = self._parts.summaries_by_zone()
+        in_service = [
+            zone
+            for zone in allowed
+            if zone in summaries and configuration.zones_by_id[zone].mode is ZoneMode.IN_SERVICE
+        ]
+        if in_service:
+            best = max(in_service, key=lambda zone: summaries[zone].free_slots)
+            self._mover.move(record.id, best)
+
     def _spawn_attempt(self, record: JobRecord, *, resumed: bool) -> None:
         self._roster.hold(record)
         attempt = Attempt(
@@ -476,10 +500,4 @@
 
     def digest(self) -> ZoneDigest:
         """Return what other nodes should know of the zone."""
-        free = self._roster.free()
-        return ZoneDigest(
-            epoch=self.epoch,
-            queued=self._ledger.queued_count(),
-            free_slots=free.slots,
-            free_accelerators=free.accelerators,
-        )
+        return ZoneDigest(self.epoch, self._scheduler.summary)
