--- a/tools/tests/test_docs.py
+++ b/tools/tests/test_docs.py
@@ -26,7 +26,6 @@
 USED_METRIC = re.compile(r"telemetry\.(?:count|gauge|observe)\(\s*\"([^\"]+)\"")
 FILE_ROOTS = ("docs/", "examples/", "packages/", "tools/", "benchmarks/", ".ci/")
 FILE_PATH = re.compile(r"^[\w./-]+$")
-PLANNED_TARGET = "(not in the Makefile yet)"
 
 
 def anchor(heading: str) -> str:
@@ -107,8 +106,7 @@
         targets = set(re.findall(r"^([a-z]+):", (ROOT / "Makefile").read_text(), re.MULTILINE))
         for line in text.splitlines():
             for target in re.findall(r"`make ([a-z]+)", line):
-                planned = f"`make {target}` {PLANNED_TARGET}" in line
-                self.assertNotEqual(target in targets, planned, line)
+                self.assertIn(target, targets, line)
 
     def test_every_module_exists(self):
         self.on_each_page(self.check_modules)
