Even out the queues of the zones and make balanced the default

A job now also goes to a zone whose used and waited-for work is lower by half a zone, up to eight moves.

--- a/packages/mimosapoint/src/mimosapoint/configuration/document.py
+++ b/packages/mimosapoint/src/mimosapoint/configuration/document.py
@@ -140,7 +140,7 @@
     :param scheduling: scheduling policy.
     """
 
-    scheduling: str = "zone-moves"
+    scheduling: str = "balanced"
 
 
 @attrs.frozen
--- a/packages/mimosapoint/src/mimosapoint/scheduling/__init__.py
+++ b/packages/mimosapoint/src/mimosapoint/scheduling/__init__.py
@@ -1,7 +1,15 @@
 """Decisions: which gang runs where, and which gives way."""
 
 from mimosapoint.scheduling.fifo import FifoFirstFit
-from mimosapoint.scheduling.guaranteed import GuaranteedShapes, Packed, UrgentLane, ZoneMoves
+from mimosapoint.scheduling.guaranteed import (
+    Balanced,
+    GuaranteedShapes,
+    Packed,
+    Refusing,
+    Reserving,
+    UrgentLane,
+    ZoneMoves,
+)
 from mimosapoint.scheduling.invariant import invariant_broken
 from mimosapoint.scheduling.registry import Policy, make_policy, policy_names, scheduling_policy
 from mimosapoint.scheduling.summary import summarize
@@ -18,6 +26,7 @@
 
 __all__ = [
     "Assignment",
+    "Balanced",
     "Decision",
     "FifoFirstFit",
     "GuaranteedShapes",
@@ -26,6 +35,8 @@
     "Policy",
     "Reclaim",
     "Refusal",
+    "Refusing",
+    "Reserving",
     "UrgentLane",
     "WorkerView",
     "ZoneMoves",
--- a/packages/mimosapoint/src/mimosapoint/scheduling/_engine.py
+++ b/packages/mimosapoint/src/mimosapoint/scheduling/_engine.py
@@ -75,6 +75,7 @@
 
     :param classes: whether classes are served in order and urgent work may reclaim.
     :param moves: whether waiting jobs are offered to other zones.
+    :param even: whether they also go where far less work is waited for.
     :param refuse: whether jobs that no zone can ever run are refused.
     :param reserve: whether room is drained for large gangs that wait long.
     :param place: chooses workers for a gang.
@@ -82,6 +83,7 @@
 
     classes: bool = False
     moves: bool = False
+    even: bool = False
     refuse: bool = False
     reserve: bool = False
     place: Callable[..., tuple[str, ...] | None] = first_place
@@ -147,7 +149,7 @@
         self._queue = WaitingQueue()
         self._holds: dict[str, Hold] = {}
         self._blocked: set[Kind] = set()
-        self._mover = Mover()
+        self._mover = Mover(self.options.even)
         self._fit_check: FitCheck | None = None
         self._checked: Configuration | None = None
         self._run_times = RunTimes()
--- a/packages/mimosapoint/src/mimosapoint/scheduling/guaranteed.py
+++ b/packages/mimosapoint/src/mimosapoint/scheduling/guaranteed.py
@@ -1,10 +1,13 @@
 """Policies that keep guaranteed shapes claimable, one generation after the other."""
 
+import attrs
+
 from mimosapoint.scheduling._engine import Engine, Options
 from mimosapoint.scheduling.places import tight_place
 from mimosapoint.scheduling.registry import scheduling_policy
 
 __all__ = [
+    "Balanced",
     "GuaranteedShapes",
     "Packed",
     "Refusing",
@@ -47,8 +50,15 @@
     options = Options(classes=True, moves=True, refuse=True, reserve=True)
 
 
+@scheduling_policy("balanced")
+class Balanced(Engine):
+    """Also evens out the queues of the zones."""
+
+    options = Options(classes=True, moves=True, refuse=True, reserve=True, even=True)
+
+
 @scheduling_policy("packed")
 class Packed(Engine):
     """Also fills the parts with the least room first."""
 
-    options = Options(classes=True, moves=True, refuse=True, reserve=True, place=tight_place)
+    options = attrs.evolve(Balanced.options, place=tight_place)
--- a/packages/mimosapoint/src/mimosapoint/scheduling/moves.py
+++ b/packages/mimosapoint/src/mimosapoint/scheduling/moves.py
@@ -18,7 +18,7 @@
 STALE_AFTER = 15.0
 """Seconds after which a summary is not trusted."""
 
-MOVES = 4
+MOVES = 8
 """Moves after which a job stays where it is."""
 
 URGENT_PATIENCE = timedelta(milliseconds=300)
@@ -30,6 +30,9 @@
 OFFERED_SHARE = 0.5
 """Share of another zone's free room that is offered between two of its summaries."""
 
+UNEVENNESS = 0.5
+"""Difference of load, in zones full of work, that is left between zones."""
+
 PER_LOOK = 32
 """Jobs offered in one look."""
 
@@ -81,15 +84,22 @@
 
 
 class Mover:
-    """Remembers what it has offered since the last summaries."""
+    """Remembers what it has offered since the last summaries.
+
+    :param even: whether jobs also go where far less work is used and waited for.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, even: bool = False) -> None:
+        self._even = even
         self._offers: dict[str, _Offer] = {}
         self._come_at: dict[str, datetime] = {}
         self._looked_at: datetime | None = None
         self._units: dict[str, tuple[Unit, ...]] = {}
         self._configuration: Configuration | None = None
         self._zone = ""
+        self._accelerators = 0
+        self._used = 0
+        self._queued = 0
 
     def sync(self, view: ZoneView, come: Iterable[str], waiting: dict[str, JobRecord]) -> None:
         """Take in the summaries and the waiting jobs."""
@@ -98,12 +108,25 @@
         for job in come:
             self._come_at.setdefault(job, view.now)
         self._zone = view.zone
+        self._count_load(view)
         if self._configuration is not view.configuration:
             self._configuration = view.configuration
             zones = view.configuration.zones_by_id
             self._units = {zone: units_of(view.configuration, zone) for zone in zones}
         self._offers = {id: self._offer(id, s) for id, s in view.other_zones_by_id.items()}
 
+    def _count_load(self, view: ZoneView) -> None:
+        workers = [worker for worker in view.workers_by_id.values() if worker.usable]
+        self._accelerators = sum(worker.capacity.accelerators for worker in workers)
+        self._used = self._accelerators - sum(worker.free.accelerators for worker in workers)
+        requests = [record.request for record in view.waiting]
+        self._queued = sum(request.gang * request.shape.accelerators for request in requests)
+
+    @property
+    def _load(self) -> float:
+        """Share of this zone that is used and waited for."""
+        return (self._used + self._queued) / max(1, self._accelerators)
+
     def _offer(self, zone: str, summary: ZoneSummary) -> _Offer:
         known = self._offers.get(zone)
         if known is None or summary.age < known.summary.age:
@@ -140,7 +163,7 @@
                 yield Move(record.id, offer.summary.zone)
 
     def balance(self, candidates: Iterable[Candidate], now: datetime) -> Iterator[Move]:
-        """Offer jobs that wait in vain to zones with a home or with room for them.
+        """Offer jobs that wait in vain to zones with a home, with room or with far less load.
 
         A job that could never run here goes where it may wait with hope.
         """
@@ -170,10 +193,13 @@
         fitting = [offer for offer in targets if offer.has_block(need)]
         if not fitting and self._zone not in zones:
             fitting = targets
+        if not fitting and self._even:
+            fitting = [offer for offer in targets if offer.load + UNEVENNESS < self._load]
         if not fitting:
             return None
         offer = min(fitting, key=lambda offer: offer.load)
         offer.take(need)
+        self._queued -= need.accelerators
         return offer.summary.zone
 
     def _home(self, record: JobRecord, need: Need, targets: list[_Offer]) -> _Offer | None:
