--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 SEEDS ?= 25
 UV := $(PYTHON) -m uv
 
-.PHONY: setup demo test lint format lock bench
+.PHONY: setup demo test lint format lock bench fuzz faults slopes
 
 setup: $(VENV)/.ready
 
@@ -18,11 +18,15 @@
 	@touch $@
 
 demo: setup
-	@$(BIN)/python tools/demo.py
+	@$(BIN)/python -m tools.demo
 
 test: setup
 	@$(BIN)/python tools/run_tests.py
 
+# Draws SEEDS schedules of faults, plays each on a site in memory and prints what was reached.
+fuzz: setup
+	@MIMOSAPOINT_FUZZ_EXAMPLES=$(SEEDS) $(BIN)/python tools/run_tests.py mimosapoint.node.tests.test_schedules
+
 lint: setup
 	@$(BIN)/ruff check --quiet .
 	@$(BIN)/black --quiet --check .
@@ -32,6 +36,10 @@
 bench: setup
 	@$(BIN)/python -m benchmarks.decisions $(if $(QUICK),--quick)
 
+# How the cost of a node grows, measured on real processes; one table, and JSON in bench-results/.
+slopes: setup
+	@$(BIN)/python -m benchmarks.slopes
+
 format: setup
 	@$(BIN)/black --quiet .
 	@$(BIN)/ruff check --quiet --fix .
--- a/packages/mimosapoint/src/mimosapoint/membership/_table.py
+++ b/packages/mimosapoint/src/mimosapoint/membership/_table.py
@@ -6,12 +6,16 @@
 import attrs
 
 from mimosapoint.membership.messages import NodeState
+from mimosapoint.model import Vm, VmKind, VmState
 
 __all__ = ["NodeRecord", "NodeTable"]
 
 DIGEST_BYTES = 8
 """Length of the digest of a roster, in bytes."""
 
+FORGOTTEN_LIMIT = 1000
+"""Most dropped nodes whose last heartbeat is kept."""
+
 
 @attrs.define
 class NodeRecord:
@@ -29,6 +33,15 @@
     added_at: datetime
     progressed_at: datetime | None = None
     direct: bool = False
+    _vm: Vm | None = None
+
+    def vm(self, leaving: bool) -> Vm:
+        """Return the node as a VM; the same object until something changes."""
+        vm, state = self._vm, self.state
+        stage = VmState.LEAVING if leaving else VmState.LIVE
+        if vm is None or vm.state is not stage or vm.address != state.address:
+            self._vm = vm = Vm(state.id, VmKind.ENTRY, state.zone, state.address, stage)
+        return vm
 
     def current(self) -> NodeState:
         """Return the state with the newest heartbeat."""
@@ -91,10 +104,13 @@
         pairs = zip(records, revisions, strict=True)
         return tuple(record.current() for record, known in pairs if record.state.revision > known)
 
-    def beat(self, now: datetime) -> None:
-        """Raise the heartbeat of this node."""
+    def beat(self, now: datetime, rounds: int) -> None:
+        """Raise the heartbeat of this node.
+
+        :param rounds: rounds since 1970.
+        """
         record = self.records_by_id[self._own_id]
-        record.heartbeat += 1
+        record.heartbeat = max(record.heartbeat + 1, rounds)
         record.progressed_at = now
 
     def change_own(self, **changes: object) -> None:
@@ -145,6 +161,8 @@
         """Drop a node; only a later heartbeat brings it back."""
         record = self.records_by_id.pop(id)
         self._forgotten_by_id[id] = (record.state.incarnation, record.heartbeat)
+        if len(self._forgotten_by_id) > FORGOTTEN_LIMIT:
+            del self._forgotten_by_id[next(iter(self._forgotten_by_id))]
         self._roster = None
 
     def _ordered_ids(self) -> list[str]:
--- a/packages/mimosapoint/src/mimosapoint/ownership/keeper.py
+++ b/packages/mimosapoint/src/mimosapoint/ownership/keeper.py
@@ -8,18 +8,14 @@
 
 from mimosapoint.errors import MimosapointError
 from mimosapoint.jobs import Accepted
-from mimosapoint.membership import Membership, preferred_owner
+from mimosapoint.membership import Membership, preferred_owners
 from mimosapoint.model import Vm
 from mimosapoint.ownership.claim import Claimant, OwnerRecord, claim_zone, read_owner
+from mimosapoint.ownership.directory import ZoneDirectory
 from mimosapoint.ownership.messages import TakeZone
 from mimosapoint.ownership.settings import OwnershipSettings
 from mimosapoint.placement import Holder, OwnerParts, ZoneOwner
-from mimosapoint.placement.digest import (
-    ZONES_ATTACHMENT,
-    ZoneDigest,
-    from_attachment,
-    to_attachment,
-)
+from mimosapoint.ports import Clock
 
 __all__ = ["OwnershipKeeper"]
 
@@ -42,7 +38,7 @@
 
     :param node: this node's VM.
     :param writer: id of the node and its incarnation.
-    :param parts: returns what the owners of a keeper stand on.
+    :param parts: returns what the owners stand on.
     """
 
     def __init__(
@@ -50,72 +46,30 @@
         node: Vm,
         writer: str,
         membership: Membership,
-        parts: Callable[["OwnershipKeeper"], OwnerParts],
+        clock: Clock,
+        parts: Callable[[ZoneDirectory], OwnerParts],
         settings: OwnershipSettings,
     ):
         self._node = node
         self._writer = writer
         self._membership = membership
-        self._parts = parts(self)
+        self.owners_by_zone: dict[str, ZoneOwner] = {}
+        self.directory = ZoneDirectory(
+            node.id, node.address, membership, clock, self.owners_by_zone
+        )
+        self._parts = parts(self.directory)
         self._settings = settings
-        self._clock = self._parts.clock
+        self._clock = clock
         self._telemetry = self._parts.telemetry
-        self.owners_by_zone: dict[str, ZoneOwner] = {}
         self._busy: set[str] = set()
         self._sightings: dict[tuple[str, str], _Sighting] = {}
         self._stopping = False
         self._nursery: trio.Nursery | None = None
-        membership.attach(ZONES_ATTACHMENT, self._attachment)
 
     def owner(self, zone: str) -> ZoneOwner | None:
         """Return the zone's owner when it is this node."""
         return self.owners_by_zone.get(zone)
 
-    def address_of(self, zone: str) -> str | None:
-        """Return the peer address of the zone's owner, or ``None`` when none is known."""
-        if zone in self.owners_by_zone:
-            return self._node.address
-        found = self._known_owner(zone)
-        return self._membership.known_nodes()[found].address if found else None
-
-    def owner_of(self, zone: str) -> str | None:
-        """Return the id of the node that owns the zone, or ``None`` when none is known."""
-        return self._node.id if zone in self.owners_by_zone else self._known_owner(zone)
-
-    def digests_by_zone(self) -> dict[str, ZoneDigest]:
-        """Return the newest digest of every zone that some live node owns."""
-        newest: dict[str, ZoneDigest] = dict(self._own_digests())
-        for node in self._membership.live_nodes():
-            if node == self._node.id:
-                continue
-            attachment = self._membership.attachment(node, ZONES_ATTACHMENT)
-            for zone, digest in from_attachment(attachment).items():
-                if zone not in newest or newest[zone].epoch < digest.epoch:
-                    newest[zone] = digest
-        return newest
-
-    def load_of(self, zone: str) -> float:
-        """Return how full a zone is: waiting jobs less free slots; unknown counts as full."""
-        digest = self.digests_by_zone().get(zone)
-        return digest.queued - digest.free_slots if digest else float("inf")
-
-    def _own_digests(self) -> dict[str, ZoneDigest]:
-        return {zone: owner.digest() for zone, owner in self.owners_by_zone.items()}
-
-    def _attachment(self) -> object:
-        return to_attachment(self._own_digests())
-
-    def _known_owner(self, zone: str) -> str | None:
-        """Return the id of the live node that says it owns the zone, the newest epoch first."""
-        best: tuple[int, str] | None = None
-        for node in self._membership.known_nodes():
-            if node == self._node.id or not self._membership.alive(node):
-                continue
-            digests = from_attachment(self._membership.attachment(node, ZONES_ATTACHMENT))
-            if zone in digests:
-                best = max(best or (0, ""), (digests[zone].epoch, node))
-        return best[1] if best else None
-
     async def run(self, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED) -> None:
         """Claim, hand over and give up zones until cancelled."""
         async with trio.open_nursery() as nursery:
@@ -123,20 +77,30 @@
             task_status.started()
             await self._clock.sleep(self._settings.settle)
             while True:
-                for zone in self._parts.configuration.current.zones_by_id:
-                    self._check(zone)
+                self._check_all()
                 await self._clock.sleep(self._settings.check_interval)
 
-    def _check(self, zone: str) -> None:
+    def _check_all(self) -> None:
+        """Look at every zone of the configuration."""
+        preferred_by_zone = self._preferred(self._membership.live_nodes())
+        for zone, preferred in preferred_by_zone.items():
+            self._check(zone, preferred)
+
+    def _preferred(self, nodes: dict[str, Vm]) -> dict[str, str]:
+        """Return the node that should own each zone."""
+        zones = self._parts.configuration.current.zones_by_id
+        regions = {id: zone.region for id, zone in zones.items()}
+        return preferred_owners(zones, nodes, regions)
+
+    def _check(self, zone: str, preferred: str) -> None:
         """Start a claim or a hand-over of a zone where one is due."""
         if zone in self._busy or self._stopping:
             return
-        preferred = preferred_owner(zone, self._membership.live_nodes())
         owned = zone in self.owners_by_zone
-        if owned and preferred not in (None, self._node.id):
+        if owned and preferred != self._node.id:
             if self._lasts((zone, "better"), preferred, self._settings.hand_over_after):
                 self._start(zone, self._hand_over, preferred)
-        elif not owned and preferred == self._node.id and self._known_owner(zone) is None:
+        elif not owned and preferred == self._node.id and self.directory.other_owner(zone) is None:
             self._start(zone, self._claim)
 
     def _lasts(self, key: tuple[str, str], fact: object, bound: timedelta) -> bool:
@@ -156,9 +120,9 @@
         """Run one step for a zone; a failure is tried again at the next check."""
         try:
             await work(zone, *args)
-        except* MimosapointError as group:
+        except* Exception as group:
             for error in _leaves(group):
-                self._telemetry.event("ownership-failed", zone=zone, code=error.code)
+                self._telemetry.event("ownership-failed", zone=zone, code=_code(error))
         finally:
             self._busy.discard(zone)
 
@@ -196,14 +160,16 @@
     ) -> None:
         """Run an owner until it is closed or fenced."""
         self.owners_by_zone[zone] = owner
+        self._membership.refresh_attachments()
         try:
             await owner.run(task_status)
-        except* MimosapointError as group:
-            codes = ",".join(sorted({error.code for error in _leaves(group)}))
+        except* Exception as group:
+            codes = ",".join(sorted(set(map(_code, _leaves(group)))))
             self._telemetry.event("zone-lost", zone=zone, epoch=owner.epoch, code=codes)
         finally:
             if self.owners_by_zone.get(zone) is owner:
                 del self.owners_by_zone[zone]
+            self._membership.refresh_attachments()
 
     async def _hand_over(self, zone: str, preferred: str) -> None:
         """Close the owner and let the better node claim at once."""
@@ -225,13 +191,19 @@
         self._stopping = True
         others = self._membership.live_nodes()
         others.pop(self._node.id, None)
+        preferred_by_zone = self._preferred(others)
         async with trio.open_nursery() as nursery:
             for zone in list(self.owners_by_zone):
-                preferred = preferred_owner(zone, others)
-                if preferred is not None:
+                if zone in preferred_by_zone:
+                    preferred = preferred_by_zone[zone]
                     nursery.start_soon(self._guard, zone, self._hand_over, preferred)
 
 
+def _code(error: Exception) -> str:
+    """Return the code of a failure; that of a fault in the program names its class."""
+    return error.code if isinstance(error, MimosapointError) else type(error).__name__
+
+
 def _leaves(group: BaseExceptionGroup) -> object:
     """Yield the exceptions of a group, however deep."""
     for error in group.exceptions:
--- /dev/null
+++ b/tools/demo/scenario.py
@@ -0,0 +1,119 @@
+"""What the demo plays."""
+
+import signal
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+from pathlib import Path
+
+import trio
+import yaml
+from mimosapoint.testing import StopSeen
+
+from tools.site import Site
+from tools.site.callers import Callers
+from tools.site.recorder import Recorder, now
+from tools.site.work import borrower, bulletin, claim, rebuild, thumbnail
+
+__all__ = ["play"]
+
+ROOT = Path(__file__).resolve().parents[2]
+REHEARSAL = ROOT / "examples" / "rehearsal"
+ZONE = "mvd-centro"
+BORROWERS = 56
+BORROWER_SECONDS = 8.0
+CLAIM_SECONDS = 1.0
+GRACE_SECONDS = 10.0
+URGENT_SECONDS = 1.7
+ZONE_OUT_SECONDS = 7.0
+LEAVING_PAUSE_SECONDS = 1.0
+START_BOUND = timedelta(seconds=1)
+
+Say = Callable[[str], None]
+
+
+async def play(site: Site, recorder: Recorder, say: Say) -> None:
+    """Play the three kinds of work and a rehearsal, and keep the history.
+
+    :param say: told of each step.
+    """
+    async with trio.open_nursery() as watchers:
+        watchers.start_soon(recorder.watch_versions)
+        async with trio.open_nursery() as calls:
+            callers = Callers(recorder, calls, "demo")
+            await _steps(site, recorder, callers, say)
+            say("waiting for the last answers")
+        say("reading the workers' histories")
+        await recorder.collect_tasks()
+        watchers.cancel_scope.cancel()
+
+
+async def _steps(site: Site, recorder: Recorder, callers: Callers, say: Say) -> None:
+    async with trio.open_nursery() as background:
+        background.start_soon(callers.keep_asking)
+        steps: list[tuple[str, Callable[..., Awaitable[None]]]] = [
+            ("bulletins, rebuilds and thumbnails", _three_kinds),
+            ("the guaranteed shape is lent out and reclaimed", _reclaim),
+            ("an endpoint leaves", _leave_endpoint),
+            (f"{ZONE} is taken out and brought back", _rehearse),
+            ("a node is killed and replaced", _kill_node),
+            ("a node is stopped as planned", _stop_node),
+        ]
+        for text, step in steps:
+            say(text)
+            await step(site, recorder, callers)
+        background.cancel_scope.cancel()
+
+
+def _soon() -> str:
+    """Return a latest start that work behind a full queue cannot keep."""
+    return (now() + START_BOUND).isoformat()
+
+
+async def _three_kinds(site: Site, recorder: Recorder, callers: Callers) -> None:
+    for number in range(12):
+        callers.ask(bulletin(1000 + number))
+        callers.ask(rebuild(1000 + number))
+        callers.ask(thumbnail(1000 + number))
+    await trio.sleep(3)
+
+
+async def _reclaim(site: Site, recorder: Recorder, callers: Callers) -> None:
+    for number in range(BORROWERS):
+        callers.ask(borrower(2000 + number, BORROWER_SECONDS))
+    await trio.sleep(2)
+    for number in range(6):
+        callers.ask({**borrower(3000 + number, 1.0), "start_by": _soon()})
+    callers.ask({**claim(1.0), "gang": 200})
+    callers.ask(claim(CLAIM_SECONDS), bound=URGENT_SECONDS + GRACE_SECONDS)
+    await trio.sleep(4)
+
+
+async def _leave_endpoint(site: Site, recorder: Recorder, callers: Callers) -> None:
+    worker = next(w for w, zone in recorder.history.zones_by_worker.items() if zone != ZONE)
+    await recorder.leave_endpoint(worker)
+    await trio.sleep(LEAVING_PAUSE_SECONDS)
+
+
+async def _rehearse(site: Site, recorder: Recorder, callers: Callers) -> None:
+    out = yaml.safe_load((REHEARSAL / "agencia-zone-out.yaml").read_text())
+    back = yaml.safe_load((REHEARSAL / "agencia-zone-in.yaml").read_text())
+    await recorder.patch(out, {ZONE})
+    await trio.sleep(ZONE_OUT_SECONDS)
+    await recorder.patch(back, set())
+    await trio.sleep(1)
+
+
+async def _kill_node(site: Site, recorder: Recorder, callers: Callers) -> None:
+    node, _ = await site.owner_of_most()
+    site.signal(node, signal.SIGKILL)
+    await trio.sleep(8)
+    recorder.restarted(node)
+    await site.start_node(node)
+    await site.wait_ready(node)
+
+
+async def _stop_node(site: Site, recorder: Recorder, callers: Callers) -> None:
+    node, _ = await site.owner_of_most()
+    at = now()
+    code = await site.stop_node(node)
+    recorder.history.stops.append(StopSeen(node, at, code))
--- a/tools/site/recorder.py
+++ b/tools/site/recorder.py
@@ -38,6 +38,7 @@
     def __init__(self, site: Site):
         self.site = site
         self.history = History()
+        self.classes_by_key: dict[str, str] = {}
         self._turn = count()
         self._boots_by_node = dict.fromkeys(site.files.nodes_by_id, 1)
         vms = yaml.safe_load(site.files.vms.read_text())["vms"]
@@ -68,6 +69,7 @@
         )
         if bound is not None:
             self.history.claims.append(ClaimSeen(key, call.sent_at, bound))
+        self.classes_by_key[key] = job["class"]
         position = len(self.history.calls)
         self.history.calls.append(call)
         with self._kept(position, call) as note:
@@ -79,9 +81,7 @@
         """Keep what is learnt of a call in the history, also when the caller is cut off."""
 
         def note(**changes: Any) -> None:
-            self.history.calls[position] = attrs.evolve(
-                self.history.calls[position], **changes
-            )
+            self.history.calls[position] = attrs.evolve(self.history.calls[position], **changes)
 
         yield note
 
@@ -119,9 +119,7 @@
                 break
             await trio.sleep(RETRY_SECONDS)
         version = reply.body["version"] if reply.status == 200 else 0
-        seen = PatchSeen(
-            patch["id"], patch["base"], sent_at, now(), version, frozenset(zones_out)
-        )
+        seen = PatchSeen(patch["id"], patch["base"], sent_at, now(), version, frozenset(zones_out))
         self.history.patches.append(seen)
         return seen
 
@@ -130,7 +128,9 @@
         reply = await self.site.client.call("GET", "/v1/status")
         return reply.body["version"]
 
-    async def set_mode(self, zone: str, mode: str, zones_out: set[str], **changes: str) -> PatchSeen:
+    async def set_mode(
+        self, zone: str, mode: str, zones_out: set[str], **changes: str
+    ) -> PatchSeen:
         """Take an availability zone out or bring it back."""
         values = {"mode": mode, **changes}
         operations = [
