Leave jobs that may not run in a zone to its owner

Cause: two guards met: the scheduler dropped a placement outside the allowed zones before the owner could send the job away, so under a policy that ignores zones it would have waited for ever. Before: both guards. Conclusion: one place decides.

--- a/packages/mimosapoint/src/mimosapoint/placement/scheduler.py
+++ b/packages/mimosapoint/src/mimosapoint/placement/scheduler.py
@@ -11,7 +11,6 @@
 from mimosapoint.configuration import Configuration, LeavingMode, ZoneMode
 from mimosapoint.model import Failed, JobRecord, JobState, NotRun, Outcome, Placement
 from mimosapoint.placement.attempt import starts_unrecorded
-from mimosapoint.placement.fits import allowed_zones
 from mimosapoint.scheduling import (
     Assignment,
     Decision,
@@ -169,12 +168,7 @@
         )
 
     def _may_place(self, record: JobRecord) -> bool:
-        """Whether the job may run here, and its placement can be recorded or need not be."""
-        configuration = self._owner.parts.configuration.current
-        if record.request.workspace not in configuration.workspaces_by_id:
-            return False
-        if self._owner.zone not in allowed_zones(record.request, configuration):
-            return False
+        """Whether the placement can be recorded, or need not be."""
         return not self._owner.ledger.stalled or starts_unrecorded(record)
 
     def _reclaim(self, reclaim: Reclaim) -> None:
