Add make faults, and more claims to the demo

Faults had been played against separate processes only as far as the demo goes. A registry of 24 cases, five of them seeded pairs, now kills, freezes, stops and starves a site of three nodes under load and checks the nine promises, fencing, answers and the time to the first start.

--- /dev/null
+++ b/tools/faults/__init__.py
@@ -0,0 +1,1 @@
+"""Plays faults against a site of separate processes under load."""
--- /dev/null
+++ b/tools/faults/__main__.py
@@ -0,0 +1,77 @@
+"""Plays fault cases and ends with their table: ``python -m tools.faults [NAME ...]``."""
+
+import sys
+from collections import Counter
+from functools import partial
+from pathlib import Path
+
+import fire
+import trio
+
+from tools.faults import pairs  # noqa: F401 (it fills the registry)
+from tools.faults.registry import cases_by_name
+from tools.faults.runner import Result, run_cases
+
+LINES_SHOWN = 6
+
+
+def main(*names: str, runs: int = 1, seed: int = 1, logs: str = "", list: bool = False) -> None:
+    """Play the named cases, or all of them.
+
+    :param names: names of cases.
+    :param runs: runs of each case.
+    :param seed: seed of the cases' choices.
+    :param logs: folder that keeps the logs of every process.
+    :param list: only list the cases.
+    """
+    if list:
+        print("\n".join(cases_by_name))
+        return
+    unknown = sorted(set(names) - set(cases_by_name))
+    if unknown:
+        sys.exit(f"no case {', '.join(unknown)}; --list names them all")
+    cases = [cases_by_name[name] for name in names or cases_by_name]
+    folder = Path(logs) if logs else None
+    results = trio.run(partial(run_cases, cases, runs, seed, folder, _Progress()))
+    sys.exit(_report(results))
+
+
+class _Progress:
+    """Prints how far the run is."""
+
+    def __init__(self) -> None:
+        self._began: float | None = None
+
+    def __call__(self, text: str) -> None:
+        at = trio.current_time()
+        self._began = self._began if self._began is not None else at
+        print(f"  {at - self._began:6.1f} s  {text}", flush=True)
+
+
+def _report(results: list[Result]) -> int:
+    """Print the table; return the exit code."""
+    print(f"\n{'case':<58}{'runs':>5}{'jobs':>6}{'first start':>13}{'broken':>8}  outcomes")
+    by_name: dict[str, list[Result]] = {}
+    for result in results:
+        by_name.setdefault(result.name, []).append(result)
+    for name, runs in by_name.items():
+        _print_row(name, runs)
+    broken = sum(bool(result.broken) for result in results)
+    print(f"\n{len(results)} runs, {broken} of them with broken promises")
+    return 1 if broken else 0
+
+
+def _print_row(name: str, runs: list[Result]) -> None:
+    starts = [run.first_start for run in runs if run.first_start is not None]
+    first = f"{max(starts):.2f} s" if starts else "-"
+    outcomes = sum((run.outcomes for run in runs), Counter())
+    told = ", ".join(f"{count} {outcome}" for outcome, count in sorted(outcomes.items()))
+    lines = [line for run in runs for line in run.broken]
+    jobs = sum(run.jobs for run in runs)
+    print(f"{name:<58}{len(runs):>5}{jobs:>6}{first:>13}{len(lines):>8}  {told}")
+    for line in lines[:LINES_SHOWN]:
+        print(f"    {line}")
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- /dev/null
+++ b/tools/faults/nodes.py
@@ -0,0 +1,70 @@
+"""Faults of the system's own processes."""
+
+import trio
+
+from tools.faults.case_run import CaseRun
+from tools.faults.registry import case
+
+__all__: list[str] = []
+
+FREEZE_SECONDS = 8.0
+AFTER_THAW_SECONDS = 2.0
+
+
+@case("owner killed")
+async def kill_owner(run: CaseRun) -> None:
+    """Kill the owner of most zones."""
+    node, zones = await run.take_owner()
+    run.mark(zones)
+    await run.site.kill(node)
+
+
+@case("owner killed and replaced")
+async def replace_owner(run: CaseRun) -> None:
+    """Kill an owner and start it again at once."""
+    node, zones = await run.take_owner()
+    run.mark(zones)
+    await run.site.kill(node)
+    await run.restart(node)
+
+
+@case("owner frozen")
+async def freeze_owner(run: CaseRun) -> None:
+    """Freeze an owner for longer than it takes to replace it."""
+    node, zones = await run.take_owner()
+    run.mark(zones)
+    await run.freeze(node, FREEZE_SECONDS)
+    await trio.sleep(AFTER_THAW_SECONDS)
+
+
+@case("owner frozen during a withdrawal")
+async def freeze_during_withdrawal(run: CaseRun) -> None:
+    """Withdraw a zone while its owner is frozen."""
+    node, zones = await run.take_owner()
+    zone = run.take_zone(zones)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(run.freeze, node, FREEZE_SECONDS)
+        await trio.sleep(0.5)
+        await run.set_mode(zone, "out")
+    await trio.sleep(AFTER_THAW_SECONDS)
+    await run.set_mode(zone, "in-service")
+    run.mark({zone})
+
+
+@case("owner stopped")
+async def stop_owner(run: CaseRun) -> None:
+    """Stop an owner as planned."""
+    node, zones = await run.take_owner()
+    run.mark(zones)
+    await run.stop_node(node)
+
+
+@case("every node replaced in turn")
+async def replace_all(run: CaseRun) -> None:
+    """Stop and start every node, one after the other."""
+    for node in run.site.files.nodes_by_id:
+        zones = (await run.site.zones_by_owner()).get(node, set())
+        run.mark(zones)
+        await run.stop_node(node)
+        await run.restart(node)
+        await run.site.wait_owned()
--- /dev/null
+++ b/tools/faults/platform.py
@@ -0,0 +1,95 @@
+"""Faults of the platform: its store, its list of VMs and its workers."""
+
+import trio
+
+from tools.faults.case_run import CaseRun
+from tools.faults.registry import case
+
+__all__: list[str] = []
+
+OUTAGE_SECONDS = 10.0
+SLOW_SECONDS = 6.0
+SLOW_CALL_SECONDS = 0.5
+LOST_REPLIES = 40
+WORKERS_HIT = 4
+WORKERS_FROZEN_SECONDS = 8.0
+WORKERS_PAUSED_SECONDS = 3.0
+
+
+@case("store refused")
+async def refuse_store(run: CaseRun) -> None:
+    """Let the store refuse every call."""
+    await run.outage(run.site.files.store_address, OUTAGE_SECONDS, refuse=True)
+
+
+@case("store frozen")
+async def freeze_store(run: CaseRun) -> None:
+    """Let calls of the store hang."""
+    await run.outage(run.site.files.store_address, OUTAGE_SECONDS, frozen=True)
+
+
+@case("store replies lost")
+async def lose_store_replies(run: CaseRun) -> None:
+    """Lose replies of the store after the effect."""
+    await run.outage(run.site.files.store_address, 3.0, lose_replies=LOST_REPLIES)
+
+
+@case("store slow")
+async def slow_store(run: CaseRun) -> None:
+    """Delay every call of the store."""
+    await run.outage(run.site.files.store_address, SLOW_SECONDS, delay=SLOW_CALL_SECONDS)
+
+
+@case("store garbage")
+async def spoil_store(run: CaseRun) -> None:
+    """Let the store reply with what is no JSON."""
+    await run.outage(run.site.files.store_address, 4.0, garbage=True)
+
+
+@case("VM list out")
+async def refuse_vm_list(run: CaseRun) -> None:
+    """Let the list of VMs refuse every call."""
+    await run.outage(run.site.files.vm_list_address, 6.0, refuse=True)
+
+
+@case("endpoint leaving")
+async def leave_endpoint(run: CaseRun) -> None:
+    """Show an endpoint as leaving."""
+    await run.recorder.leave_endpoint(await run.take_worker())
+    await trio.sleep(5.0)
+
+
+@case("workers frozen")
+async def freeze_workers(run: CaseRun) -> None:
+    """Let calls of some workers hang."""
+    addresses = await _some_workers(run)
+    run.mark(run.zones, promised=False)
+    async with run.faults(addresses, frozen=True):
+        await trio.sleep(WORKERS_FROZEN_SECONDS)
+    run.mark(run.zones)
+
+
+@case("workers fail every task")
+async def fail_tasks(run: CaseRun) -> None:
+    """Let some workers fail everything that they start."""
+    async with run.faults(await _some_workers(run), fail_tasks=True):
+        await trio.sleep(3.0)
+
+
+@case("workers' replies lost")
+async def lose_worker_replies(run: CaseRun) -> None:
+    """Lose replies of some workers after the effect."""
+    async with run.faults(await _some_workers(run), lose_replies=6):
+        await trio.sleep(4.0)
+
+
+@case("workers paused")
+async def pause_workers(run: CaseRun) -> None:
+    """Pause every worker at once."""
+    run.mark(run.zones)
+    await run.freeze("workers", WORKERS_PAUSED_SECONDS)
+
+
+async def _some_workers(run: CaseRun) -> list[str]:
+    """Return the addresses of some workers that have work."""
+    return [run.site.files.workers_by_id[await run.take_worker()] for _ in range(WORKERS_HIT)]
--- /dev/null
+++ b/tools/faults/runner.py
@@ -0,0 +1,143 @@
+"""Runs fault cases, on one site for as long as nothing breaks."""
+
+import tempfile
+from collections import Counter
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from pathlib import Path
+from random import Random
+
+import attrs
+import trio
+
+from tools.faults.case_run import CaseRun
+from tools.faults.checks import broken_promises, first_start_seconds
+from tools.faults.registry import Case
+from tools.site import Site
+from tools.site.callers import Callers
+from tools.site.recorder import Recorder, now
+from tools.site.work import claim
+
+__all__ = ["Result", "run_cases"]
+
+EXAMPLE = Path(__file__).resolve().parents[2] / "examples" / "agencia"
+NODES = 3
+WARM_UP_SECONDS = 1.0
+CASE_SECONDS = 90.0
+CLAIM_BOUND_SECONDS = 60.0
+
+
+@attrs.frozen
+class Result:
+    """What came of one run of a case.
+
+    :param name: name of the case.
+    :param jobs: number of jobs that were asked for.
+    :param outcomes: number of jobs by outcome.
+    :param first_start: seconds from the fault to the first start, or ``None``.
+    :param broken: one line for each broken promise.
+    """
+
+    name: str
+    jobs: int
+    outcomes: Counter
+    first_start: float | None
+    broken: list[str]
+
+
+async def run_cases(
+    cases: list[Case], runs: int, seed: int, logs: Path | None, say: Callable[[str], None]
+) -> list[Result]:
+    """Run each case some times.
+
+    :param seed: seed of the cases' choices.
+    :param logs: folder that keeps the logs, or ``None`` to drop them.
+    """
+    results = []
+    waiting = [(case, number) for case in cases for number in range(runs)]
+    while waiting:
+        async with _site(logs, len(results)) as site:
+            while waiting:
+                case, number = waiting.pop(0)
+                run, result = await _run_case(site, case, f"{number}-{len(results)}", seed + number)
+                results.append(result)
+                say(f"{case.name}: {len(result.broken)} broken of {result.jobs} jobs")
+                if result.broken or not await _restored(run):
+                    break
+    return results
+
+
+@asynccontextmanager
+async def _site(logs: Path | None, number: int) -> AsyncIterator[Site]:
+    with tempfile.TemporaryDirectory(prefix="mimosapoint-") as scratch:
+        folder = Path(scratch) if logs is None else logs / str(number)
+        site = Site(EXAMPLE, folder, NODES)
+        try:
+            await site.start()
+            yield site
+        finally:
+            await site.stop()
+
+
+async def _run_case(site: Site, case: Case, label: str, seed: int) -> tuple[CaseRun, Result]:
+    began = now()
+    recorder = Recorder(site)
+    failure: list[str] = []
+    async with trio.open_nursery() as watchers:
+        watchers.start_soon(recorder.watch_versions)
+        with trio.move_on_after(CASE_SECONDS):
+            async with trio.open_nursery() as calls:
+                callers = Callers(recorder, calls, f"{case.name}-{label}")
+                run = CaseRun(site, recorder, callers, Random(seed))
+                await _play(run, case, failure)
+        run.lifted_at = run.lifted_at or now()
+        await recorder.collect_tasks(began)
+        await _read_zones_out(run)
+        watchers.cancel_scope.cancel()
+    return run, _result(run, case, failure)
+
+
+async def _play(run: CaseRun, case: Case, failure: list[str]) -> None:
+    """Play the case under load."""
+    async with trio.open_nursery() as background:
+        background.start_soon(run.callers.keep_asking)
+        await trio.sleep(WARM_UP_SECONDS)
+        run.callers.ask(claim(1.0), bound=CLAIM_BOUND_SECONDS)
+        try:
+            await case.play(run)
+        except* (OSError, trio.TooSlowError, TimeoutError, ValueError) as group:
+            failure.append(f"the case could not be played: {group.exceptions[0]!r}")
+        run.lifted_at = now()
+        await run.wait_started()
+        background.cancel_scope.cancel()
+
+
+def _result(run: CaseRun, case: Case, failure: list[str]) -> Result:
+    calls = run.recorder.history.calls
+    outcomes = Counter(call.outcome or "unanswered" for call in calls)
+    broken = failure + broken_promises(run, case.combined)
+    return Result(case.name, len(calls), outcomes, first_start_seconds(run), broken)
+
+
+async def _read_zones_out(run: CaseRun) -> None:
+    """Complete the accepted patches by the zones that are out by their versions."""
+    patches = run.recorder.history.patches
+    for position, patch in enumerate(patches):
+        if patch.version:
+            path = f"/v1/configuration?version={patch.version}"
+            reply = await run.site.client.call("GET", path)
+            zones = reply.body["zones"].items()
+            out = frozenset(id for id, zone in zones if zone["mode"] == "out")
+            patches[position] = attrs.evolve(patch, zones_out=out)
+
+
+async def _restored(run: CaseRun) -> bool:
+    """Start the nodes that have ended; tell whether the site is whole again."""
+    try:
+        for node in run.site.files.nodes_by_id:
+            if run.site.processes_by_id[node].poll() is not None:
+                await run.restart(node)
+        await run.site.wait_owned()
+    except (trio.TooSlowError, OSError):
+        return False
+    return True
--- a/tools/site/callers.py
+++ b/tools/site/callers.py
@@ -3,6 +3,7 @@
 from typing import Any
 
 import trio
+from mimosapoint.jobs import zone_of
 
 from tools.site.recorder import Recorder
 from tools.site.work import bulletin, expected_parts, rebuild, thumbnail
@@ -26,17 +27,25 @@
         self._name = name
         self._number = 0
 
-    def ask(self, job: dict[str, Any], bound: float | None = None) -> str:
+    def ask(self, job: dict[str, Any], bound: float | None = None, home: str | None = None) -> str:
         """Ask for one job in the background; return its idempotency key.
 
         :param bound: seconds within which the job claims a guarantee, if it does.
+        :param home: availability zone that the job is to be homed in, if it matters.
         """
-        self._number += 1
-        key = f"{self._name}-{self._number}"
+        key = self._next_key(job, home)
         expected = expected_parts(job)
         self._nursery.start_soon(self._recorder.run_job, job, key, expected, bound)
         return key
 
+    def _next_key(self, job: dict[str, Any], home: str | None) -> str:
+        """Return an unused key whose job belongs to the home."""
+        while True:
+            self._number += 1
+            key = f"{self._name}-{self._number}"
+            if home is None or zone_of(self._recorder.job_id(job, key)) == home:
+                return key
+
     async def keep_asking(self) -> None:
         """Ask for work of the three kinds until cancelled."""
         number = 0
--- a/tools/site/client.py
+++ b/tools/site/client.py
@@ -33,12 +33,13 @@
         self.addresses = list(addresses)
         self._pool = httpcore.AsyncConnectionPool(max_connections=500)
 
-    async def call(
-        self, method: str, path: str, body: Any = None, headers: dict[str, str] | None = None
-    ) -> Reply:
-        """Return the first reply that an address gives; status 0 when none does."""
+    async def call(self, method: str, path: str, body: Any = None, **options: Any) -> Reply:
+        """Return the first reply that an address gives; status 0 when none does.
+
+        :param options: see :meth:`call_at`.
+        """
         for address in self.addresses:
-            reply = await self.call_at(address, method, path, body, headers)
+            reply = await self.call_at(address, method, path, body, **options)
             if reply.status:
                 return reply
         return Reply(0, None)
@@ -50,11 +51,12 @@
         path: str,
         body: Any = None,
         headers: dict[str, str] | None = None,
+        timeout: float = TIMEOUT_SECONDS,
     ) -> Reply:
         """Return the reply of one address; status 0 when there is none."""
         content = b"" if body is None else json.dumps(body).encode()
         sent = {"Host": address, "Content-Type": "application/json", **(headers or {})}
-        limits = dict.fromkeys(("connect", "read", "write", "pool"), TIMEOUT_SECONDS)
+        limits = dict.fromkeys(("connect", "read", "write", "pool"), timeout)
         try:
             response = await self._pool.request(
                 method,
@@ -67,11 +69,6 @@
             return Reply(0, None)
         return Reply(response.status, json.loads(response.content) if response.content else None)
 
-    async def submit(self, job: dict[str, Any], key: str, wait: float = 0) -> Reply:
-        """Submit a job under an idempotency key."""
-        path = f"/v1/jobs?wait={wait}" if wait else "/v1/jobs"
-        return await self.call("POST", path, job, {"Idempotency-Key": key})
-
     async def close(self) -> None:
         """Close the connections."""
         await self._pool.aclose()
--- a/tools/site/core.py
+++ b/tools/site/core.py
@@ -15,7 +15,8 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 READY_SECONDS = 20.0
-STOP_SECONDS = 15.0
+STOP_SECONDS = 30.0
+STATUS_SECONDS = 2.0
 POLL_SECONDS = 0.05
 
 
@@ -100,7 +101,7 @@
 
     async def zones_by_owner(self) -> dict[str, set[str]]:
         """Return the availability zones of each running node that owns any."""
-        status = await self.client.call("GET", "/v1/status")
+        status = await self.client.call("GET", "/v1/status", timeout=STATUS_SECONDS)
         zones: dict[str, set[str]] = {}
         for zone, seen in status.body["zones"].items():
             owner = self.processes_by_id.get(seen["owner"])
--- a/tools/site/recorder.py
+++ b/tools/site/recorder.py
@@ -21,7 +21,8 @@
 ANSWER_WAIT_SECONDS = 20
 RETRY_SECONDS = 0.2
 WATCH_SECONDS = 0.3
-REGION_ZONES = "zones"
+STATUS_SECONDS = 2.0
+PATCH_SECONDS = 10.0
 
 
 def now() -> datetime:
@@ -51,6 +52,10 @@
         """Note that a node's next versions are another run's."""
         self._boots_by_node[node] += 1
 
+    def job_id(self, job: dict[str, Any], key: str) -> str:
+        """Return the id that a job gets under an idempotency key."""
+        return job_id_of(job["workspace"], key, self._zones)
+
     async def run_job(
         self, job: dict[str, Any], key: str, expected: Any = None, bound: float | None = None
     ) -> CallSeen:
@@ -61,7 +66,7 @@
         """
         call = CallSeen(
             key=key,
-            job=job_id_of(job["workspace"], key, self._zones),
+            job=self.job_id(job, key),
             gang=job.get("gang", 1),
             repeatable=job.get("repeatable", True),
             sent_at=now(),
@@ -114,7 +119,9 @@
         """
         sent_at = now()
         while True:
-            reply = await self.site.client.call("POST", "/v1/configuration/patches", patch)
+            reply = await self.site.client.call(
+                "POST", "/v1/configuration/patches", patch, timeout=PATCH_SECONDS
+            )
             if reply.status in (200, 409, 422):
                 break
             await trio.sleep(RETRY_SECONDS)
@@ -125,7 +132,7 @@
 
     async def version(self) -> int:
         """Return the version in force on some node."""
-        reply = await self.site.client.call("GET", "/v1/status")
+        reply = await self.site.client.call("GET", "/v1/status", timeout=STATUS_SECONDS)
         return reply.body["version"]
 
     async def set_mode(
@@ -152,17 +159,27 @@
         while True:
             for node, address in self.site.files.http_by_id.items():
                 at, boot = now(), self._boots_by_node[node]
-                reply = await self.site.client.call_at(address, "GET", "/v1/status")
+                reply = await self.site.client.call_at(
+                    address, "GET", "/v1/status", timeout=STATUS_SECONDS
+                )
                 if reply.status == 200 and reply.body["version"]:
                     seen = VersionSeen(node, boot, at, reply.body["version"])
                     self.history.versions.append(seen)
             await trio.sleep(WATCH_SECONDS)
 
-    async def collect_tasks(self) -> None:
-        """Take every worker's own history."""
+    async def collect_tasks(self, since: datetime | None = None) -> None:
+        """Take every worker's own history.
+
+        :param since: time before which events are left out.
+        """
         events: list[TaskEvent] = []
-        for address in self.site.files.workers_by_id.values():
-            reply = await self.site.platform.call_at(address, "GET", "/v1/history")
-            events.extend(converter.structure(reply.body["events"], list[TaskEvent]))
-        self.history.tasks = events
+        for worker in self.site.files.workers_by_id:
+            events.extend(await self.events_of(worker))
+        self.history.tasks = [event for event in events if since is None or event.time >= since]
         self.history.ended_at = now()
+
+    async def events_of(self, worker: str) -> list[TaskEvent]:
+        """Return a worker's own history."""
+        address = self.site.files.workers_by_id[worker]
+        reply = await self.site.platform.call_at(address, "GET", "/v1/history")
+        return converter.structure(reply.body["events"], list[TaskEvent])
