--- a/packages/mimosapoint/src/mimosapoint/node/core.py
+++ b/packages/mimosapoint/src/mimosapoint/node/core.py
@@ -8,17 +8,18 @@
 
 from mimosapoint.configuration import Configuration
 from mimosapoint.configuration.link import GossipLink
+from mimosapoint.configuration.outage import OutageWitness, StoreProbe
 from mimosapoint.configuration.service import ConfigurationService
 from mimosapoint.entry import Entry, Operators, OwnerHandlers, Waiters, ZoneRouter
 from mimosapoint.errors import MimosapointError
-from mimosapoint.membership import Membership
+from mimosapoint.membership import Gossip, Membership
 from mimosapoint.model import Vm
 from mimosapoint.node.settings import PartSettings
 from mimosapoint.ownership import OwnershipKeeper, TakeZone, ZoneDirectory
 from mimosapoint.peers import Dispatcher
 from mimosapoint.placement import OwnerParts
 from mimosapoint.ports import Clock, Peers, Store, Telemetry, VmList, Workers
-from mimosapoint.resilience import RateBudget
+from mimosapoint.resilience import GuardedPeers, GuardedStore, RateBudget
 
 __all__ = ["Adapters", "NodeCore"]
 
@@ -51,6 +52,16 @@
     random: Random
 
 
+def _guarded(adapters: Adapters) -> Adapters:
+    """Put a circuit breaker before the store and before each peer."""
+    unguarded = frozenset({Gossip, StoreProbe})
+    return attrs.evolve(
+        adapters,
+        store=GuardedStore(adapters.store, adapters.clock),
+        peers=GuardedPeers(adapters.peers, adapters.clock, unguarded),
+    )
+
+
 class NodeCore:
     """Configuration, membership, ownership and entry of one node.
 
@@ -66,12 +77,13 @@
         initial: Configuration | None = None,
     ):
         self.vm = vm
-        self._adapters = adapters
+        self._adapters = _guarded(adapters)
         self._settings = settings
         self._initial = initial
         self._spread_wanted = trio.Event()
         self.configuration = self._make_configuration()
         self.membership = self._make_membership()
+        self.witness = self._make_witness()
         self.keeper = self._make_keeper()
         self.jobs = self._make_entry()
         self.operators = Operators(self.configuration, self.membership, self.keeper, adapters.clock)
@@ -102,6 +114,21 @@
             GossipLink(self.configuration),
         )
 
+    def _make_witness(self) -> OutageWitness:
+        adapters = self._adapters
+        return OutageWitness(
+            self.configuration,
+            self._other_addresses,
+            adapters.peers,
+            adapters.dispatcher,
+            clock=adapters.clock,
+            telemetry=adapters.telemetry,
+        )
+
+    def _other_addresses(self) -> list[str]:
+        nodes = self.membership.known_nodes()
+        return [vm.address for id, vm in nodes.items() if id != self.vm.id]
+
     def _make_keeper(self) -> OwnershipKeeper:
         incarnation = (self._adapters.clock.now() - EPOCH) // MILLISECOND
         keeper = OwnershipKeeper(
@@ -161,6 +188,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._bootstrap)
             nursery.start_soon(self.configuration.run)
+            nursery.start_soon(self.witness.run)
             nursery.start_soon(self._spread_versions)
             await nursery.start(self.membership.run)
             await nursery.start(self.keeper.run)
--- a/packages/mimosapoint/src/mimosapoint/scheduling/moves.py
+++ b/packages/mimosapoint/src/mimosapoint/scheduling/moves.py
@@ -1,16 +1,16 @@
 """Offers of waiting jobs to availability zones that can run them sooner."""
 
 import math
-from collections.abc import Iterable, Iterator
+from collections.abc import Collection, Iterable, Iterator
 from datetime import datetime, timedelta
 
 from mimosapoint.configuration import Configuration
-from mimosapoint.model import Adjacency, JobClass, JobRecord, JobRequest
+from mimosapoint.model import Adjacency, JobClass, JobRecord
 from mimosapoint.scheduling.homes import Unit, units_of
 from mimosapoint.scheduling.places import Need
 from mimosapoint.scheduling.view import Move, ZoneSummary, ZoneView
 
-__all__ = ["Mover", "allowed_zones"]
+__all__ = ["Mover"]
 
 EVERY = timedelta(seconds=1)
 """Pause between two looks at the other zones."""
@@ -18,7 +18,7 @@
 STALE_AFTER = 15.0
 """Seconds after which a summary is not trusted."""
 
-MOVES = 4
+MOVES = 8
 """Moves after which a job stays where it is."""
 
 URGENT_PATIENCE = timedelta(milliseconds=300)
@@ -30,21 +30,15 @@
 OFFERED_SHARE = 0.5
 """Share of another zone's free room that is offered between two of its summaries."""
 
+UNEVENNESS = 0.5
+"""Difference of load, in zones full of work, that is left between zones."""
+
 PER_LOOK = 32
 """Jobs offered in one look."""
 
 
-def allowed_zones(request: JobRequest, configuration: Configuration) -> set[str]:
-    """Return the availability zones that the request may run in, whatever their mode."""
-    workspace = configuration.workspaces_by_id.get(request.workspace)
-    if workspace is None:
-        return set()
-    zones = set(configuration.zones_of(workspace.region))
-    service = workspace.services_by_id.get(request.service)
-    for limit in (service.zones if service else (), request.zones):
-        if limit:
-            zones &= set(limit)
-    return zones
+Candidate = tuple[JobRecord, Collection[str]]
+"""A waiting job and the zones that could run it."""
 
 
 class _Offer:
@@ -90,14 +84,22 @@
 
 
 class Mover:
-    """Remembers what it has offered since the last summaries."""
+    """Remembers what it has offered since the last summaries.
+
+    :param even: whether jobs also go where far less work is used and waited for.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, even: bool = False) -> None:
+        self._even = even
         self._offers: dict[str, _Offer] = {}
         self._come_at: dict[str, datetime] = {}
         self._looked_at: datetime | None = None
         self._units: dict[str, tuple[Unit, ...]] = {}
         self._configuration: Configuration | None = None
+        self._zone = ""
+        self._accelerators = 0
+        self._used = 0
+        self._queued = 0
 
     def sync(self, view: ZoneView, come: Iterable[str], waiting: dict[str, JobRecord]) -> None:
         """Take in the summaries and the waiting jobs."""
@@ -105,12 +107,26 @@
             del self._come_at[job]
         for job in come:
             self._come_at.setdefault(job, view.now)
+        self._zone = view.zone
+        self._count_load(view)
         if self._configuration is not view.configuration:
             self._configuration = view.configuration
             zones = view.configuration.zones_by_id
             self._units = {zone: units_of(view.configuration, zone) for zone in zones}
         self._offers = {id: self._offer(id, s) for id, s in view.other_zones_by_id.items()}
 
+    def _count_load(self, view: ZoneView) -> None:
+        workers = [worker for worker in view.workers_by_id.values() if worker.usable]
+        self._accelerators = sum(worker.capacity.accelerators for worker in workers)
+        self._used = self._accelerators - sum(worker.free.accelerators for worker in workers)
+        requests = [record.request for record in view.waiting]
+        self._queued = sum(request.gang * request.shape.accelerators for request in requests)
+
+    @property
+    def _load(self) -> float:
+        """Share of this zone that is used and waited for."""
+        return (self._used + self._queued) / max(1, self._accelerators)
+
     def _offer(self, zone: str, summary: ZoneSummary) -> _Offer:
         known = self._offers.get(zone)
         if known is None or summary.age < known.summary.age:
@@ -125,19 +141,18 @@
         self._looked_at = now
         return True
 
-    def _targets(self, record: JobRecord) -> list[_Offer]:
-        allowed = allowed_zones(record.request, self._configuration)
+    def _targets(self, zones: Collection[str]) -> list[_Offer]:
         return [
             offer
             for zone, offer in sorted(self._offers.items())
-            if zone in allowed and offer.summary.in_service and offer.summary.age <= STALE_AFTER
+            if zone in zones and offer.summary.in_service and offer.summary.age <= STALE_AFTER
         ]
 
-    def leave(self, records: Iterable[JobRecord]) -> Iterator[Move]:
+    def leave(self, candidates: Iterable[Candidate]) -> Iterator[Move]:
         """Offer the jobs of a zone that is out; they go where they wait least."""
-        for record, _ in zip(records, range(PER_LOOK)):
+        for (record, zones), _ in zip(candidates, range(PER_LOOK)):
             need = Need.of(record.request)
-            targets = self._targets(record)
+            targets = self._targets(zones)
             if targets:
                 home = self._home(record, need, targets)
                 offer = home or min(
@@ -147,36 +162,49 @@
                     offer.take(need)
                 yield Move(record.id, offer.summary.zone)
 
-    def balance(self, records: Iterable[JobRecord], now: datetime) -> Iterator[Move]:
-        """Offer jobs that wait in vain to zones with a home or with room for them."""
+    def balance(self, candidates: Iterable[Candidate], now: datetime) -> Iterator[Move]:
+        """Offer jobs that wait in vain to zones with a home, with room or with far less load.
+
+        A job that could never run here goes where it may wait with hope.
+        """
         offered = 0
-        for record in records:
-            if offered == PER_LOOK or not any(o.slots > 0 for o in self._offers.values()):
+        for record, zones in candidates:
+            if offered == PER_LOOK:
                 return
-            if not self._patient(record, now):
-                target = self._find(record)
-                if target is not None:
-                    offered += 1
-                    yield Move(record.id, target)
+            target = self._claim(record, zones, now) or self._room(record, zones, now)
+            if target is not None:
+                offered += 1
+                yield Move(record.id, target)
 
-    def _patient(self, record: JobRecord, now: datetime) -> bool:
+    def _patient(self, record: JobRecord, now: datetime, patience: timedelta) -> bool:
         if record.moves >= MOVES:
             return True
-        urgent = record.request.job_class is JobClass.URGENT
-        patience = (URGENT_PATIENCE if urgent else PATIENCE) * 2**record.moves
-        return now - self._come_at.get(record.id, now) < patience
+        return now - self._come_at.get(record.id, now) < patience * 2**record.moves
+
+    def _claim(self, record: JobRecord, zones: Collection[str], now: datetime) -> str | None:
+        """Return a zone with an unclaimed home; a claim goes there as soon as urgent work."""
+        if self._patient(record, now, URGENT_PATIENCE):
+            return None
+        offer = self._home(record, Need.of(record.request), self._targets(zones))
+        return offer.summary.zone if offer else None
 
-    def _find(self, record: JobRecord) -> str | None:
+    def _room(self, record: JobRecord, zones: Collection[str], now: datetime) -> str | None:
+        """Return the least loaded zone with room, once the job has waited for long enough."""
+        urgent = record.request.job_class is JobClass.URGENT
+        if self._patient(record, now, URGENT_PATIENCE if urgent else PATIENCE):
+            return None
         need = Need.of(record.request)
-        targets = self._targets(record)
-        offer = self._home(record, need, targets)
-        if offer is not None:
-            return offer.summary.zone
+        targets = self._targets(zones)
         fitting = [offer for offer in targets if offer.has_block(need)]
+        if not fitting and self._zone not in zones:
+            fitting = targets
+        if not fitting and self._even:
+            fitting = [offer for offer in targets if offer.load + UNEVENNESS < self._load]
         if not fitting:
             return None
         offer = min(fitting, key=lambda offer: offer.load)
         offer.take(need)
+        self._queued -= need.accelerators
         return offer.summary.zone
 
     def _home(self, record: JobRecord, need: Need, targets: list[_Offer]) -> _Offer | None:
--- a/packages/mimosapoint/src/mimosapoint/telemetry/_declarations.py
+++ b/packages/mimosapoint/src/mimosapoint/telemetry/_declarations.py
@@ -58,6 +58,12 @@
         "worker_calls_total", MetricKind.COUNTER, "Calls to workers by kind.", "calls", ("kind",)
     ),
     Metric("vm_list_calls_total", MetricKind.COUNTER, "Reads of the list of VMs.", "calls"),
+    Metric(
+        "outage_confirmations_total",
+        MetricKind.COUNTER,
+        "Times that every node was found cut off from the store, so that no version can be newer.",
+        "confirmations",
+    ),
     Metric("configuration_version", MetricKind.GAUGE, "Version in force here.", "version"),
     Metric(
         "http_requests_total",
@@ -96,7 +102,8 @@
     ("job-reclaimed", "A gang gives way to a claim."),
     ("placement-stale", "A decision did not fit any more when it was carried out."),
     ("zone-claimed", "This node owns an availability zone from now on."),
-    ("zone-lost", "A newer owner has fenced this node."),
+    ("zone-lost", "A newer owner has fenced this node, or a fault ended its ownership."),
+    ("bucket-too-large", "A bucket of the job table is over the store's limit; it waits."),
     ("zone-handed-over", "This node let go of an availability zone for another node."),
     ("ownership-failed", "A claim or a hand-over failed; it is tried again."),
     ("resubmit-failed", "An accepted job could not be made durable yet."),
