Give no work to workers that fail what they start

A worker that fails everything always looks free and drew job after job to it; the rig had left the jobs lost that way out of the completion times. They now count until the end of the run. It becomes the default. The baseline places nothing in a zone that is out.

--- a/benchmarks/decisions/loop.py
+++ b/benchmarks/decisions/loop.py
@@ -158,6 +158,8 @@
 
     def _finish(self, until: float) -> None:
         self.now = until
+        for record in self.measures.failed_records:
+            self.measures.unfinished(record, until)
         for zone in self._zones.values():
             for record in list(zone.running_by_id.values()):
                 self._close_segment(zone, record, lost=0.0)
--- a/benchmarks/decisions/measures.py
+++ b/benchmarks/decisions/measures.py
@@ -5,7 +5,7 @@
 from datetime import datetime
 
 import attrs
-from mimosapoint.model import Adjacency, JobClass, JobRecord, JobRequest, Succeeded
+from mimosapoint.model import Adjacency, Failed, JobClass, JobRecord, JobRequest, Succeeded
 from mimosapoint.scheduling import Reclaim, ZoneView
 
 from benchmarks.decisions.workload import START
@@ -99,6 +99,7 @@
         self.reclaims = 0
         self.refused_assignments = 0
         self.failed: Counter[str] = Counter()
+        self.failed_records: list[JobRecord] = []
         self._claimed_at: dict[str, float] = {}
 
     def started(self, record: JobRecord, now: float) -> None:
@@ -121,6 +122,8 @@
         """Note the end of a job."""
         if not isinstance(record.outcome, Succeeded):
             self.failed[type(record.outcome).__name__] += 1
+            if isinstance(record.outcome, Failed):
+                self.failed_records.append(record)
             return
         request = record.request
         self.completion_by_class[request.job_class].append(now - _seconds(record.submitted_at))
@@ -129,8 +132,8 @@
             self.deadlines_met += now <= _seconds(request.finish_by)
 
     def unfinished(self, record: JobRecord, until: float) -> None:
-        """Note a job that the run did not finish; its time so far counts as its completion."""
-        self.left_over += 1
+        """Note a job that did not finish or failed; its time so far counts as its completion."""
+        self.left_over += record.outcome is None
         request = record.request
         waited = until - _seconds(record.submitted_at)
         self.completion_by_class[request.job_class].append(waited)
@@ -197,6 +200,7 @@
         found["reclaims"] = self.reclaims
         found["moves"] = self.moves
         found["refused jobs"] = self.failed["NotRun"]
+        found["failed jobs"] = self.failed["Failed"]
         found["left over"] = self.left_over
         found["decision mean ms"] = 1000 * statistics.fmean(self.decision_seconds or [0.0])
         return found
--- a/packages/mimosapoint/src/mimosapoint/configuration/document.py
+++ b/packages/mimosapoint/src/mimosapoint/configuration/document.py
@@ -142,7 +142,7 @@
     :param scheduling: scheduling policy.
     """
 
-    scheduling: str = "balanced"
+    scheduling: str = "quarantining"
 
 
 @attrs.frozen
--- a/packages/mimosapoint/src/mimosapoint/scheduling/_engine.py
+++ b/packages/mimosapoint/src/mimosapoint/scheduling/_engine.py
@@ -1,7 +1,7 @@
 """The course of a decision, shared by the generations of the policy."""
 
 import heapq
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from datetime import datetime, timedelta
 
 import attrs
@@ -21,6 +21,7 @@
 from mimosapoint.scheduling.reservations import Reservation, find_reservation, gives_way, press
 from mimosapoint.scheduling.run_times import RunTimes
 from mimosapoint.scheduling.summary import in_service
+from mimosapoint.scheduling.suspects import Suspects
 from mimosapoint.scheduling.view import Assignment, Decision, Move, Reclaim, Refusal, ZoneView
 
 __all__ = ["Draft", "Engine", "Hold", "Options"]
@@ -76,6 +77,7 @@
     :param classes: whether classes are served in order and urgent work may reclaim.
     :param moves: whether waiting jobs are offered to other zones.
     :param even: whether they also go where far less work is waited for.
+    :param quarantine: whether workers that fail what they start get no work for a while.
     :param refuse: whether jobs that no zone can ever run are refused.
     :param reserve: whether room is drained for large gangs that wait long.
     :param place: chooses workers for a gang.
@@ -84,6 +86,7 @@
     classes: bool = False
     moves: bool = False
     even: bool = False
+    quarantine: bool = False
     refuse: bool = False
     reserve: bool = False
     place: Callable[..., tuple[str, ...] | None] = first_place
@@ -153,6 +156,7 @@
         self._fit_check: FitCheck | None = None
         self._checked: Configuration | None = None
         self._run_times = RunTimes()
+        self._suspects = Suspects()
         self._reservations: dict[str, Reservation] = {}
         self._view: ZoneView | None = None
 
@@ -164,8 +168,8 @@
     def decide(self, view: ZoneView) -> Decision:
         """Return what to do now; the view is not changed."""
         self._view = view
-        self._ledger.sync(view)
         come = self._queue.sync(view.waiting)
+        self._ledger.sync(view, self._avoided(come))
         if self.options.moves:
             self._mover.sync(view, come, self._queue.records_by_id)
         if self._ledger.settled:
@@ -208,6 +212,15 @@
         else:
             draft.moves.extend(self._mover.leave(candidates))
 
+    def _avoided(self, come: set[str]) -> Collection[str]:
+        """Return the workers in quarantine."""
+        if not self.options.quarantine:
+            return ()
+        now = self._view.now
+        self._suspects.sync((self._queue.records_by_id[job] for job in sorted(come)), now)
+        usable = {id for id, worker in self._view.workers_by_id.items() if worker.usable}
+        return self._suspects.quarantined(usable, now)
+
     def drain_order(self, view: ZoneView) -> list[str]:
         """Return the running jobs in the order in which a zone that goes out stops them."""
         return drain_order(view)
@@ -215,6 +228,7 @@
     def ended(self, record: JobRecord) -> None:
         """Learn from a job that ended."""
         self._run_times.learn(record)
+        self._suspects.ended(record)
 
     def _refuse_hopeless(self, draft: Draft, come: set[str]) -> None:
         """Refuse jobs that no zone can ever run, as far as the configuration tells."""
--- a/packages/mimosapoint/src/mimosapoint/scheduling/_ledger.py
+++ b/packages/mimosapoint/src/mimosapoint/scheduling/_ledger.py
@@ -1,6 +1,6 @@
 """What a policy knows of its availability zone between decisions."""
 
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
 from datetime import datetime
 
 import attrs
@@ -72,8 +72,8 @@
         self._configuration = None
         self._firm_left = False
 
-    def sync(self, view: ZoneView) -> None:
-        """Take in the view.
+    def sync(self, view: ZoneView, avoided: Collection[str] = ()) -> None:
+        """Take in the view; avoided workers count as lost, though their jobs run on.
 
         Afterwards ``grown`` tells whether room has come, and ``settled`` whether homes were
         found anew, which forgets all held room.
@@ -81,7 +81,8 @@
         self.settled = False
         self._undo_pending()
         self._sync_running(view)
-        workers = {id: w.rack for id, w in view.workers_by_id.items() if w.usable}
+        usable = (w for w in view.workers_by_id.values() if w.usable and w.id not in avoided)
+        workers = {worker.id: worker.rack for worker in usable}
         changed = self._new_configuration(view) or workers != self.rack_by_id
         if changed or (self._firm_left and not self.guarantees.complete):
             self._settle(view, workers)
--- a/packages/mimosapoint/src/mimosapoint/scheduling/fifo.py
+++ b/packages/mimosapoint/src/mimosapoint/scheduling/fifo.py
@@ -2,6 +2,7 @@
 
 from mimosapoint.model import Adjacency, JobRecord
 from mimosapoint.scheduling.registry import scheduling_policy
+from mimosapoint.scheduling.summary import in_service
 from mimosapoint.scheduling.view import Assignment, Decision, WorkerView, ZoneView
 
 __all__ = ["FifoFirstFit", "first_fit"]
@@ -45,6 +46,8 @@
 
     def decide(self, view: ZoneView) -> Decision:
         """Place from the head of the queue until a job does not fit."""
+        if not in_service(view):
+            return Decision()
         workers = [w for _, w in sorted(view.workers_by_id.items()) if w.usable]
         free_by_id = {worker.id: worker.free for worker in workers}
         assignments = []
--- a/packages/mimosapoint/src/mimosapoint/scheduling/guaranteed.py
+++ b/packages/mimosapoint/src/mimosapoint/scheduling/guaranteed.py
@@ -10,6 +10,7 @@
     "Balanced",
     "GuaranteedShapes",
     "Packed",
+    "Quarantining",
     "Refusing",
     "Reserving",
     "UrgentLane",
@@ -57,8 +58,15 @@
     options = Options(classes=True, moves=True, refuse=True, reserve=True, even=True)
 
 
+@scheduling_policy("quarantining")
+class Quarantining(Engine):
+    """Also gives no work to workers that fail what they start."""
+
+    options = attrs.evolve(Balanced.options, quarantine=True)
+
+
 @scheduling_policy("packed")
 class Packed(Engine):
     """Also fills the parts with the least room first."""
 
-    options = attrs.evolve(Balanced.options, place=tight_place)
+    options = attrs.evolve(Quarantining.options, place=tight_place)
