--- /dev/null
+++ b/packages/mimosapoint/src/mimosapoint/node/tests/test_gangs.py
@@ -0,0 +1,190 @@
+"""Tests of gangs whose workers, callers or owners fail while they run."""
+
+import os
+from datetime import timedelta
+
+import trio
+
+from mimosapoint.jobs import job_id_of
+from mimosapoint.model import JobState
+from mimosapoint.node.tests._case import SiteCase
+from mimosapoint.testing.caller import Caller
+
+ZONES = ("a", "b")
+WAVE = int(os.environ.get("MIMOSAPOINT_WAVE", "600"))
+"""Number of jobs that are cancelled at once."""
+
+
+def owner_of_job(site, view):
+    """Return the owner object that has the record."""
+    return site.nodes_by_id[site.owner_of(view.zone)].core.keeper.owner(view.zone)
+
+
+class WorkerFaultTest(SiteCase):
+    """A worker of a running gang fails."""
+
+    async def test_outcome_by_fault(self):
+        cases = (
+            # fault, repeatable, kinds of outcomes, starts of each task
+            ("restart", True, {"succeeded"}, 2),
+            ("restart", False, {"may-have-run"}, 1),
+            ("lost for good", True, {"succeeded"}, 2),
+            ("lost for good", False, {"may-have-run"}, 1),
+            ("paused for 4 s", True, {"succeeded"}, 1),
+            ("paused for 4 s", False, {"succeeded"}, 1),
+        )
+        for fault, repeatable, outcomes, starts in cases:
+            with self.subTest(fault=fault, repeatable=repeatable):
+                async with self.site(workers=3) as site:
+                    await self.fail_worker(site, fault, repeatable)
+                    self.assertEqual(self.outcomes(site), outcomes)
+                    job = site.history.calls[0].job
+                    self.assertEqual(len(self.starts(site, job)), 2 * starts)
+
+    async def fail_worker(self, site, fault, repeatable):
+        async with trio.open_nursery() as nursery:
+            self.calls(nursery, site, 1, seconds=10.0, gang=2, repeatable=repeatable)
+            await trio.sleep(3)
+            worker = self.starts(site, job_id_of("w", "k0", ZONES))[0].worker
+            if fault == "restart":
+                site.restart_worker(worker)
+                return
+            site.worker(worker).faults.frozen = True
+            if fault.startswith("paused"):
+                await trio.sleep(4)
+                site.worker(worker).faults.frozen = False
+
+    async def test_lost_replies(self):
+        for command in ("reserve", "start", "collect", "acknowledge"):
+            with self.subTest(command=command):
+                async with self.site() as site:
+                    self.lose_reply(site, command)
+                    async with trio.open_nursery() as nursery:
+                        self.calls(nursery, site, 4, seconds=1.0, gang=2, repeatable=False)
+                    self.assertEqual(self.outcomes(site), {"succeeded"})
+
+    def lose_reply(self, site, command):
+        """Lose the reply of the next such command of each node, after its effect."""
+        for node in site.nodes_by_id.values():
+            node.pause.before[command] = lambda: self.lose_all_once(site)
+
+    def lose_all_once(self, site):
+        for worker in site.workers_by_address.values():
+            worker.faults.lose_replies = 1
+
+    async def test_reclaimed_gang_goes_on_from_its_checkpoint(self):
+        async with self.site() as site:
+            caller = Caller(site)
+            async with trio.open_nursery() as nursery:
+                self.calls(nursery, site, 1, seconds=10.0, gang=4, repeatable=False)
+                await trio.sleep(4)
+                view = await caller.ask(lambda api: api.job("w", job_id_of("w", "k0", ZONES)))
+                owner_of_job(site, view).stop_job(view.id, "reclaim", timedelta(seconds=5))
+            self.assertEqual(self.outcomes(site), {"succeeded"})
+            self.assertEqual(len(self.starts(site, view.id)), 8)
+            lasted = site.history.calls[0].ended_at - site.history.calls[0].sent_at
+            self.assertLess(lasted.total_seconds(), 13)
+            await trio.sleep(5)
+            known = [len(w.history) and list(w._tasks) for w in site.workers_by_address.values()]
+            self.assertFalse(any(known), "a worker still keeps tasks of an earlier attempt")
+
+
+class CallerTest(SiteCase):
+    """Callers repeat themselves, reconnect, cancel and crowd."""
+
+    async def test_one_key_through_all_nodes_at_once(self):
+        async with self.site() as site:
+            async with trio.open_nursery() as nursery:
+                for first in range(3):
+                    caller = Caller(site, first)
+                    nursery.start_soon(lambda c=caller: c.call("same", 2.0, repeatable=False))
+            self.assertEqual(len({call.job for call in site.history.calls}), 1)
+            self.assertEqual(len(self.starts(site, site.history.calls[0].job)), 1)
+
+    async def test_owner_killed_after_the_work_and_before_delivery(self):
+        for moment in (2.0, 2.011, 2.02, 2.05):
+            with self.subTest(moment=moment):
+                async with self.site() as site:
+                    async with trio.open_nursery() as nursery:
+                        self.calls(nursery, site, 4, seconds=2.0, repeatable=False)
+                        await trio.sleep(moment)
+                        site.kill(site.owner_of("a"))
+                    self.assertEqual(self.outcomes(site), {"succeeded"})
+                    for call in site.history.calls:
+                        self.assertEqual(len(self.starts(site, call.job)), 1)
+
+    async def test_cancellation_wave_does_not_starve_starts(self):
+        async with self.site() as site:
+            caller = Caller(site)
+            blocker = dict(gang=5, seconds=500.0, zones=("a",))
+            for number in range(3):
+                await caller.submit(caller.request(f"block{number}", **blocker))
+            await trio.sleep(1)
+            requests = [caller.request(f"q{n}", 5.0, gang=6, zones=("a",)) for n in range(WAVE)]
+            await self.each(requests, caller.submit)
+            writes = site.store.counts["compare_and_swap"]
+            began = trio.current_time()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.each, requests, lambda r: caller.cancel(r.idempotency_key))
+                await trio.sleep(0.2)
+                seen = await Caller(site, 1).call("urgent", 0.5)
+            self.assertLess((seen.ended_at - seen.sent_at).total_seconds(), 2.5)
+            self.assertLess(trio.current_time() - began, 20)
+            self.assertLess(site.store.counts["compare_and_swap"] - writes, 600)
+            owner = owner_of_job(site, await caller.submit(requests[0]))
+            self.assertEqual(owner.ledger.queued_count(), 0)
+
+    async def each(self, items, work):
+        limit = trio.CapacityLimiter(WAVE)
+
+        async def one(item):
+            async with limit:
+                await work(item)
+
+        async with trio.open_nursery() as nursery:
+            for item in items:
+                nursery.start_soon(one, item)
+
+
+class MoveTest(SiteCase):
+    """A job goes to another zone while owners end."""
+
+    async def test_owner_killed_in_the_middle_of_a_move(self):
+        for node in ("source", "destination"):
+            for moment in (0.0, 0.012, 0.02, 0.03, 0.3):
+                with self.subTest(killed=node, seconds_after_the_move=moment):
+                    await self.move_and_kill(node, moment)
+
+    async def move_and_kill(self, killed, moment):
+        async with self.site() as site:
+            caller = Caller(site)
+            for zone in ZONES:
+                for number in range(2):
+                    key = f"block-{zone}{number}"
+                    await caller.submit(caller.request(key, 8.0, gang=8, zones=(zone,)))
+            await trio.sleep(1)
+            async with trio.open_nursery() as nursery:
+                self.calls(nursery, site, 1, seconds=1.0, repeatable=False, gang=2)
+                await trio.sleep(0.5)
+                job = job_id_of("w", "k0", ZONES)
+                view = await caller.ask(lambda api: api.job("w", job))
+                other = next(zone for zone in ZONES if zone != view.zone)
+                owner_of_job(site, view).mover.move(job, other)
+                await trio.sleep(moment)
+                site.kill(site.owner_of(view.zone if killed == "source" else other))
+                nursery.start_soon(self.count_live, nursery, site, job)
+            self.assertEqual(self.outcomes(site), {"succeeded"})
+            self.assertEqual(len(self.starts(site, job)), 2)
+
+    async def count_live(self, nursery, site, job):
+        """Look for two live records until the job has ended."""
+        while any(call.ended_at is None for call in site.history.calls):
+            live = []
+            for zone in ZONES:
+                owner = site.owner_of(zone)
+                core = site.nodes_by_id[owner].core if owner else None
+                record = core.keeper.owner(zone).ledger.find(job) if core else None
+                if record is not None and record.state not in (JobState.MOVED, JobState.ENDED):
+                    live.append(zone)
+            self.assertLess(len(live), 2)
+            await trio.sleep(0.01)
--- a/packages/mimosapoint/src/mimosapoint/node/tests/test_schedules.py
+++ b/packages/mimosapoint/src/mimosapoint/node/tests/test_schedules.py
@@ -25,6 +25,13 @@
     # A gang that waited for the store started on an endpoint that had begun to leave.
     (815394, Fault("store-silent", 0.057, 25.0), Fault("list-lag", 1.03, 0.5)),
     (839755, Fault("store-out", 0.009, 6.0), Fault("list-lag", 0.32, 2.5)),
+    # A thawed owner started work before it had read the list of VMs anew.
+    (
+        532589,
+        Fault("list-lag", 1.003, 2.5),
+        Fault("store-out", 0.313, 6.0),
+        Fault("freeze", 0.324, 6.0),
+    ),
 )
 
 drawn_faults = st.builds(
--- a/packages/mimosapoint/src/mimosapoint/placement/attempt.py
+++ b/packages/mimosapoint/src/mimosapoint/placement/attempt.py
@@ -1,5 +1,6 @@
 """One attempt to run a gang, from its committed placement to its end."""
 
+from collections.abc import Callable
 from datetime import timedelta
 
 import attrs
@@ -29,6 +30,7 @@
 __all__ = ["Attempt"]
 
 RETRY_PAUSE = timedelta(milliseconds=100)
+STEADY_PAUSE = timedelta(milliseconds=50)
 CANCEL_GRACE = timedelta(0)
 KEPT_STATES = (TaskState.STOPPED, TaskState.SUCCEEDED)
 
@@ -40,6 +42,8 @@
     on the same workers however often it is sent, also by the next owner.
 
     :param job_id: id of a job that is placed, running or stopping.
+    :param steady: tells whether the owner has run without a pause for long enough to know of
+        leaving workers.
     :param resumed: whether an earlier owner may have sent starts.
     :param trace: trace context of the request.
     """
@@ -55,6 +59,7 @@
         clock: Clock,
         telemetry: Telemetry,
         settings: OwnerSettings,
+        steady: Callable[[], bool],
         resumed: bool = False,
         trace: str | None = None,
     ):
@@ -66,6 +71,7 @@
         self._clock = clock
         self._telemetry = telemetry
         self._settings = settings
+        self._steady = steady
         self._trace = trace
         self._start_sent = resumed
         self._gang = Gang.of(self.record)
@@ -113,6 +119,8 @@
         if not self._start_sent and not await self._reserve():
             return False
         await placed.wait_durable()
+        while not self._steady():
+            await self._clock.sleep(STEADY_PAUSE)
         if not await self._permit.wait(self._settings.fresh_wait):
             return False
         if self._clock.now() - reserved_at > self._settings.reservation_ttl / 3:
@@ -128,7 +136,8 @@
         """
         late = self._record_is_late() and not self._start_sent
         leaving = self._commands.any_leaving(self._gang)
-        return self._permit.given() and not (self._stop_wanted.is_set() or late or leaving)
+        barred = self._stop_wanted.is_set() or late or leaving
+        return self._steady() and self._permit.given() and not barred
 
     def _record_is_late(self) -> bool:
         """Whether the job's latest start has passed."""
--- a/packages/mimosapoint/src/mimosapoint/placement/link.py
+++ b/packages/mimosapoint/src/mimosapoint/placement/link.py
@@ -63,7 +63,7 @@
         self._telemetry = telemetry
         self._settings = settings
         self._on_report = on_report
-        self._answered_at: datetime = clock.now()
+        self._failing_since: datetime | None = None
 
     async def run(self) -> None:
         """Renew the lease until cancelled.
@@ -73,7 +73,7 @@
         while True:
             if await self._renew():
                 await self._clock.sleep(self._settings.lease_pause)
-            elif self._clock.now() - self._answered_at < self._settings.lost_after:
+            elif not self._given_up():
                 await self._clock.sleep(RETRY_PAUSE)
             else:
                 await self._let_lapse()
@@ -90,7 +90,7 @@
         except MimosapointError as error:
             self._note_failure(error)
             return False
-        self._answered_at = self._clock.now()
+        self._failing_since = None
         was_usable = self._roster.usable(self._worker)
         self._roster.report(self._worker, report.capacity)
         self._board.update(self._worker, report)
@@ -98,6 +98,16 @@
             self._on_report()
         return True
 
+    def _given_up(self) -> bool:
+        """Whether renewals have failed for so long that the worker is left to lapse.
+
+        The time counts from the first failure: the answer before it may be as old as the time for
+        which a worker holds its report.
+        """
+        now = self._clock.now()
+        self._failing_since = self._failing_since or now
+        return now - self._failing_since >= self._settings.lost_after
+
     def _request(self) -> LeaseRequest:
         settings = self._settings
         known = self._board.known(self._worker) and not self._board.lost(self._worker)
--- a/packages/mimosapoint/src/mimosapoint/placement/owner.py
+++ b/packages/mimosapoint/src/mimosapoint/placement/owner.py
@@ -46,6 +46,10 @@
 BEAT_INTERVAL = timedelta(milliseconds=500)
 PAUSE_BOUND = timedelta(seconds=2)
 """Longest time without a beat after which the owner still trusts that it owns the zone."""
+STEADY_GAP = timedelta(seconds=1)
+"""Longest time without a beat after which the owner still starts tasks."""
+STEADY_AFTER = timedelta(seconds=2)
+"""Time after a pause until the list of VMs has been read anew."""
 DOUBT_PAUSE = timedelta(milliseconds=300)
 CANCEL_RETRY_AFTER = timedelta(seconds=2)
 QUEUE_RETRY_AFTER = timedelta(seconds=5)
@@ -95,7 +99,7 @@
         self._table = table
         self._parts = parts
         self._closing = False
-        self._beat_at = parts.clock.now()
+        self._beat_at = self._steady_at = parts.clock.now()
         self._watchers = Watchers(parts.peers, parts.clock)
         self._ledger = Ledger(
             table,
@@ -295,10 +299,17 @@
         """
         while True:
             await self._parts.clock.sleep(BEAT_INTERVAL)
+            if self._parts.clock.now() - self._beat_at > STEADY_GAP:
+                self._steady_at = self._parts.clock.now() + STEADY_AFTER
             while self._doubtful() and not await self._still_owner():
                 await self._parts.clock.sleep(DOUBT_PAUSE)
             self._beat_at = self._parts.clock.now()
 
+    def _steady(self) -> bool:
+        """Whether the list of VMs was followed without a pause."""
+        now = self._parts.clock.now()
+        return now >= self._steady_at and now - self._beat_at <= STEADY_GAP
+
     async def _still_owner(self) -> bool:
         """Whether the store could be asked, and this owner's fence is the newest.
 
@@ -387,6 +398,7 @@
             clock=self._parts.clock,
             telemetry=self._parts.telemetry,
             settings=self._parts.settings,
+            steady=self._steady,
             resumed=resumed,
             trace=self._traces_by_job.get(record.id),
         )
--- a/packages/mimosapoint/src/mimosapoint/testing/site.py
+++ b/packages/mimosapoint/src/mimosapoint/testing/site.py
@@ -31,6 +31,8 @@
 START = datetime(2026, 12, 3, tzinfo=timezone.utc)
 LOOK_SECONDS = 0.25
 """Time between two looks at the nodes' versions, in seconds."""
+HEAR_SECONDS = 5.0
+"""Time after a fault until a node should have heard of versions again, in seconds."""
 WORKER = Resources(slots=8, cores=128, memory_gib=256, accelerators=8)
 TASK = Resources(slots=1, cores=16, memory_gib=32, accelerators=1)
 
@@ -87,6 +89,7 @@
         self._random = Random(seed)
         self._boots = 0
         self._past_tasks: list[TaskEvent] = []
+        self._cut_off: set[str] = set()
         self._unseen_until: dict[str, float] = {}
         self._add_vms(nodes, zones, workers)
 
@@ -155,14 +158,12 @@
         """Hold everything that a node does."""
         self.nodes_by_id[node].pause.freeze()
         self.network.freeze(self.vms_by_id[node].address)
-        self._unseen_until[node] = float("inf")
 
     def thaw(self, node: str) -> None:
         """Let a node go on."""
         if node in self.nodes_by_id:
             self.nodes_by_id[node].pause.thaw()
         self.network.thaw(self.vms_by_id[node].address)
-        self._unseen_until[node] = trio.current_time() + 3
 
     def freeze_at(self, node: str, command: str) -> None:
         """Freeze a node as it is about to send a command to a worker or the store."""
@@ -172,7 +173,7 @@
         """Cut a node off from other nodes."""
         for other in self._others(node, others):
             self.network.cut(self.vms_by_id[node].address, self.vms_by_id[other].address)
-        self._unseen_until[node] = float("inf")
+        self._cut_off.add(node)
 
     def cut_store(self, node: str) -> None:
         """Cut a node off from the store."""
@@ -187,7 +188,7 @@
         """Undo a cut."""
         for other in self._others(node, others):
             self.network.heal(self.vms_by_id[node].address, self.vms_by_id[other].address)
-        self._unseen_until[node] = trio.current_time() + 5
+        self._cut_off.discard(node)
 
     def _others(self, node: str, others: list[str] | None) -> list[str]:
         if others is not None:
@@ -270,11 +271,18 @@
         while True:
             await trio.sleep(LOOK_SECONDS)
             for id, node in self.nodes_by_id.items():
+                if self._is_cut_off(id):
+                    self._unseen_until[id] = trio.current_time() + HEAR_SECONDS
                 if self._unseen_until.get(id, 0) < trio.current_time():
                     version = node.core.configuration.current.version
                     seen = VersionSeen(id, node.boot, self.clock.now(), version)
                     self.history.versions.append(seen)
 
+    def _is_cut_off(self, id: str) -> bool:
+        """Whether a fault keeps a node from hearing of versions."""
+        node = self.nodes_by_id[id]
+        return id in self._cut_off or not node.pause.open or node.store.error is not None
+
     def tasks(self) -> list[TaskEvent]:
         """Return what happened to tasks on every worker."""
         events = [e for worker in self.workers_by_address.values() for e in worker.history]
