Ask for the list of VMs only when it has changed, wake attempts only by news

After: the second and third read answer 304 with 0 bytes; an attempt is woken when its worker's revision, boot or loss changes.

--- a/packages/mimosapoint-node/src/mimosapoint_node/platform/_client.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/platform/_client.py
@@ -83,6 +83,7 @@
         body: bytes = b"",
         accepted: tuple[int, ...] = (200,),
         extra_time: timedelta = timedelta(),
+        headers: dict[str, str] | None = None,
     ) -> Reply:
         """Send a request and return the reply.
 
@@ -90,9 +91,11 @@
         :param path: path and query, as from :func:`path_of`.
         :param accepted: status codes of a success.
         :param extra_time: time that the service is asked to wait.
+        :param headers: further headers of the request.
         :raises MimosapointError: ``refused``, ``doubtful`` or one of the known errors.
         """
-        reply = await self._send(method, address, path, body, self.timeout + extra_time)
+        timeout = self.timeout + extra_time
+        reply = await self._send(method, address, path, body, timeout, headers or {})
         if reply.status not in accepted:
             raise self._error(reply)
         return reply
@@ -120,22 +123,34 @@
             await self._pools_by_address.popitem()[1].aclose()
 
     async def _send(
-        self, method: str, address: str, path: str, body: bytes, timeout: timedelta
+        self,
+        method: str,
+        address: str,
+        path: str,
+        body: bytes,
+        timeout: timedelta,
+        headers: dict[str, str],
     ) -> Reply:
         with trio.move_on_after(timeout.total_seconds()):
             try:
-                return await self._exchange(method, address, path, body)
+                return await self._exchange(method, address, path, body, headers)
             except NOT_SENT as error:
                 raise self.refused(f"{address}: not connected: {error!r}") from error
             except BROKEN as error:
                 raise self.doubtful(f"{address}: broken: {error!r}") from error
         raise self.doubtful(f"{address}: no reply within {timeout.total_seconds()} s")
 
-    async def _exchange(self, method: str, address: str, path: str, body: bytes) -> Reply:
+    async def _exchange(
+        self, method: str, address: str, path: str, body: bytes, headers: dict[str, str]
+    ) -> Reply:
         pool = await self._pool(address)
         limits = {"connect": self.connect_timeout.total_seconds()}
         async with pool.stream(
-            method, f"http://{address}{path}", content=body, extensions={"timeout": limits}
+            method,
+            f"http://{address}{path}",
+            headers={"Host": address, **headers},
+            content=body,
+            extensions={"timeout": limits},
         ) as response:
             headers = {name.lower(): value for name, value in response.headers}
             return Reply(response.status, headers, await self._read_body(response))
--- a/packages/mimosapoint-node/src/mimosapoint_node/platform/vm_list.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/platform/vm_list.py
@@ -13,6 +13,9 @@
 
 VMS_PATH = path_of("vms")
 
+NOT_MODIFIED = 304
+"""HTTP status of a list that is the one that was named."""
+
 
 class HttpVmList:
     """List of VMs behind an HTTP address.
@@ -33,7 +36,7 @@
         self._address = address
         self._telemetry = telemetry
         self._seen: tuple[Vm, ...] = ()
-        self._seen_body: bytes | None = None
+        self._seen_tag: str | None = None
         self._client = Client(
             VmListUnavailable,
             VmListUnavailable,
@@ -42,15 +45,18 @@
         )
 
     async def vms(self) -> tuple[Vm, ...]:
-        """Return the VMs; a list that has not changed is not decoded again.
+        """Return the VMs; a list that has not changed is not sent again.
 
         :raises VmListUnavailable: the list cannot be read.
         """
         self._telemetry.count("vm_list_calls_total")
-        reply = await self._client.call("GET", self._address, VMS_PATH)
-        if reply.body != self._seen_body:
+        headers = {"If-None-Match": self._seen_tag} if self._seen_tag else {}
+        reply = await self._client.call(
+            "GET", self._address, VMS_PATH, accepted=(200, NOT_MODIFIED), headers=headers
+        )
+        if reply.status != NOT_MODIFIED:
             self._seen = self._client.read(reply, VmTable).vms
-            self._seen_body = reply.body
+            self._seen_tag = reply.headers.get(b"etag", b"").decode("latin-1") or None
         return self._seen
 
     async def close(self) -> None:
--- a/packages/mimosapoint-standins/src/mimosapoint_standins/router.py
+++ b/packages/mimosapoint-standins/src/mimosapoint_standins/router.py
@@ -56,6 +56,7 @@
     :param query: parameters of the query string.
     :param body: the body.
     :param server: ``IP:port`` that the request came to.
+    :param headers: values by lower-case name.
     """
 
     path: str
@@ -63,6 +64,7 @@
     query: dict[str, str]
     body: bytes
     server: str
+    headers: dict[str, str] = attrs.field(factory=dict)
 
     def json(self, kind: type[T]) -> T:
         """Return the body as a typed item.
@@ -151,7 +153,9 @@
             match = pattern.fullmatch(path)
             if match is None or method != scope["method"]:
                 continue
-            request = Request(path, match.groupdict(), _query(scope), body, _server(scope))
+            request = Request(
+                path, match.groupdict(), _query(scope), body, _server(scope), _headers(scope)
+            )
             response = await handler(request)
             spoilt = faulty and self._garbage(request)
             return attrs.evolve(response, body=GARBAGE) if spoilt else response
@@ -197,3 +201,9 @@
         await send({"type": f"{message['type']}.complete"})
         if message["type"] == "lifespan.shutdown":
             return
+
+
+def _headers(scope: dict[str, Any]) -> dict[str, str]:
+    """Return the headers by lower-case name."""
+    pairs = scope.get("headers", ())
+    return {name.decode("latin-1").lower(): value.decode("latin-1") for name, value in pairs}
--- a/packages/mimosapoint-standins/src/mimosapoint_standins/vm_list.py
+++ b/packages/mimosapoint-standins/src/mimosapoint_standins/vm_list.py
@@ -1,5 +1,6 @@
 """HTTP interface of the list of VMs over the list in memory."""
 
+import hashlib
 from collections.abc import Callable
 
 import attrs
@@ -21,7 +22,11 @@
 
     @router.route("GET", "/v1/vms")
     async def vms(request: Request) -> Response:
-        return json_response(VmTable(await vm_list.vms()))
+        response = json_response(VmTable(await vm_list.vms()))
+        tag = _tag(response.body)
+        if request.headers.get("if-none-match") == tag:
+            return Response(304)
+        return attrs.evolve(response, headers=(*response.headers, (b"etag", tag.encode())))
 
     @router.route("POST", "/v1/vms/{id}/leave", faulty=False)
     async def leave(request: Request) -> Response:
@@ -40,6 +45,11 @@
     return router
 
 
+def _tag(body: bytes) -> str:
+    """Return the entity tag of a list."""
+    return f'"{hashlib.blake2b(body, digest_size=8).hexdigest()}"'
+
+
 def _change(change: Callable[[str], None], vm_id: str) -> Response:
     try:
         change(vm_id)
--- a/packages/mimosapoint/src/mimosapoint/placement/board.py
+++ b/packages/mimosapoint/src/mimosapoint/placement/board.py
@@ -22,13 +22,15 @@
     def update(self, worker: str, report: WorkerReport) -> None:
         """Take in a report."""
         known = self._reports_by_worker.get(worker)
-        stale = known is not None and known.boot == report.boot
-        if stale and known.revision > report.revision:
+        same_boot = known is not None and known.boot == report.boot
+        if same_boot and known.revision > report.revision:
             return
+        changed = not same_boot or known.revision != report.revision
         self._reports_by_worker[worker] = report
         self._tasks_by_worker[worker] = {task.id: task for task in report.tasks}
-        self._lost.discard(worker)
-        self._wake(worker)
+        if changed or worker in self._lost:
+            self._lost.discard(worker)
+            self._wake(worker)
 
     def mark_lost(self, worker: str) -> None:
         """Note that the worker's lease has lapsed, so that it runs nothing."""
