Show that a claim can wait for good beside its own zone's owner

The new case reproduces it in memory: with one owner of both zones the second of three claims is still waiting after 30 s, with two owners all three start. The directory gives the summaries of a node's own zones the age 0 for ever and an offer is renewed only by a younger summary.

--- /dev/null
+++ b/packages/mimosapoint/src/mimosapoint/node/tests/test_claims.py
@@ -0,0 +1,66 @@
+"""Tests of claims that a zone accepts whose guarantee another zone holds."""
+
+import attrs
+import trio
+
+from mimosapoint.configuration import Guarantee
+from mimosapoint.jobs import job_id_of, zone_of
+from mimosapoint.model import Adjacency
+from mimosapoint.node.tests._case import SiteCase
+from mimosapoint.testing.caller import Caller
+from mimosapoint.testing.site import TASK, MemorySite
+
+GANG = 8
+CLAIMS = 3
+CLAIM_SECONDS = 30.0
+"""Time for a claim to move and to run for one second."""
+
+FILLER_SECONDS = 600.0
+"""Run time of the job that fills the zone which accepts the claims."""
+
+
+def give_guarantee(site: MemorySite) -> None:
+    """Guarantee all of zone b to the callers' workspace."""
+    guarantee = Guarantee("g", GANG, TASK, Adjacency.WORKER, zones=("b",))
+    workspace = attrs.evolve(site.configuration.workspaces_by_id["w"], guarantees=(guarantee,))
+    site.configuration = attrs.evolve(site.configuration, workspaces_by_id={"w": workspace})
+
+
+def keys_of(zone: str) -> list[str]:
+    """Return keys whose jobs belong to a zone."""
+    keys = (f"claim-{number}" for number in range(50))
+    return [key for key in keys if zone_of(job_id_of("w", key, ("a", "b"))) == zone]
+
+
+class ClaimsTest(SiteCase):
+    async def test_one_claim_after_another_moves_when_the_zones_have_two_owners(self):
+        await self.claim_again_and_again(nodes=2)
+
+    async def test_one_claim_after_another_moves_when_the_zones_have_one_owner(self):
+        await self.claim_again_and_again(nodes=1)
+
+    async def claim_again_and_again(self, nodes: int) -> None:
+        filler, *claims = keys_of("a")
+        async with trio.open_nursery() as nursery:
+            site = MemorySite(nursery, nodes=nodes, workers=1)
+            give_guarantee(site)
+            await site.start_all()
+            nursery.start_soon(self.claim, site, filler, FILLER_SECONDS)
+            await trio.sleep(1)
+            for key in claims[:CLAIMS]:
+                call = await self.claim(site, key, 1.0)
+                self.assertEqual(call.outcome, "succeeded", key)
+                workers = {event.worker for event in self.starts(site, call.job)}
+                self.assertEqual(workers, {"b-w0"}, key)
+            nursery.cancel_scope.cancel()
+
+    async def claim(self, site: MemorySite, key: str, seconds: float):
+        """Ask for a gang of the guarantee's shape."""
+        return await Caller(site).call(
+            key,
+            seconds,
+            give_up=CLAIM_SECONDS,
+            gang=GANG,
+            adjacency=Adjacency.WORKER,
+            interruptible=False,
+        )
