Place a starving gang once and let it claim its own guarantee

Taking either way now ends the other, newer claims of the workspace are kept off for 30 minutes at most, and a success that began before a worker's failures no longer clears the worker. Tests cover the claim beside a reservation, the bound and the late success.

--- a/packages/mimosapoint/src/mimosapoint/scheduling/_engine.py
+++ b/packages/mimosapoint/src/mimosapoint/scheduling/_engine.py
@@ -63,6 +63,9 @@
 MOST_BACKFILL = timedelta(minutes=15)
 """Longest time ahead for which reserved room is lent to jobs that should end in time."""
 
+MOST_BARRED = timedelta(minutes=30)
+"""Time for which a starving gang keeps newer claims of its own workspace off its workers."""
+
 MOST_DRAIN = 60.0
 """Seconds that borrowers on reserved room may run on before they are stopped."""
 
@@ -273,6 +276,8 @@
         """Place the gangs whose reserved room has come free, and press on where it is late."""
         for job, found in list(self._reservations.items()):
             record = self._queue.records_by_id.get(job)
+            if job not in self._reservations:
+                continue
             if record is None:
                 self._drop_reservation(job)
             elif self._fits_reservation(record, found):
@@ -301,8 +306,10 @@
         return all(fits(amount, room[worker]) for worker, amount in found.taken.items())
 
     def _drop_reservation(self, job: str) -> None:
-        self._ledger.unreserve(self._reservations.pop(job).taken)
-        self._blocked.clear()
+        found = self._reservations.pop(job, None)
+        if found is not None:
+            self._ledger.unreserve(found.taken)
+            self._blocked.clear()
 
     def _drop_reservations(self) -> None:
         for job in list(self._reservations):
@@ -336,7 +343,12 @@
         found = self._find_reservation(kind)
         if found is not None:
             latest = self._view.now + MOST_BACKFILL
-            found = attrs.evolve(found, ready_at=min(found.ready_at, latest))
+            starving_since = record.submitted_at + STARVING_AFTER[kind.job_class]
+            found = attrs.evolve(
+                found,
+                ready_at=min(found.ready_at, latest),
+                bars_claims_until=starving_since + MOST_BARRED,
+            )
             self._reservations[record.id] = found
             self._ledger.reserve(found.taken)
 
@@ -388,7 +400,7 @@
     def _try(self, draft: Draft, record: JobRecord, kind: Kind) -> bool:
         """Place a gang or begin to make room for it."""
         homes = self._ledger.guarantees.homes_of(kind.workspace)
-        homes = [home for home in homes if not self._kept_for_elder(home, kind)]
+        homes = [home for home in homes if not self._kept_for_elder(home, record, kind)]
         return (
             self._claim_open(draft, record, kind.need, homes)
             or self._borrow(draft, record, kind)
@@ -396,13 +408,15 @@
             or self._urgent_reclaim(draft, record, kind)
         )
 
-    def _kept_for_elder(self, home: Home, kind: Kind) -> bool:
-        """Tell whether the workspace's own starving gang is going to use a home."""
+    def _kept_for_elder(self, home: Home, record: JobRecord, kind: Kind) -> bool:
+        """Tell whether an older starving gang of the workspace is going to use a home."""
         return any(
-            reservation.workspace == kind.workspace
-            and reservation.rank <= kind.rank
-            and not reservation.taken.keys().isdisjoint(home.amounts)
-            for reservation in self._reservations.values()
+            job != record.id
+            and found.workspace == kind.workspace
+            and found.rank <= kind.rank
+            and found.bars_claims_until > self._view.now
+            and not found.taken.keys().isdisjoint(home.amounts)
+            for job, found in self._reservations.items()
         )
 
     def _find(self, need: Need, room: dict[str, Vector]) -> tuple[str, ...] | None:
@@ -470,6 +484,7 @@
 
     def _carry_out(self, draft: Draft, record: JobRecord, plan: Plan) -> bool:
         """Stop the victims and keep the room for the claimant."""
+        self._drop_reservation(record.id)
         longest = 0.0
         for victim in plan.victims:
             grace = self._grace(victim.record, record)
@@ -498,6 +513,7 @@
         taken: dict[str, Vector],
         guarantee: str | None,
     ) -> None:
+        self._drop_reservation(record.id)
         draft.assignments.append(Assignment(record.id, workers, guarantee))
         firm = guarantee is not None or not record.request.interruptible
         self._ledger.place(record.request.workspace, taken, firm)
--- a/packages/mimosapoint/src/mimosapoint/scheduling/reservations.py
+++ b/packages/mimosapoint/src/mimosapoint/scheduling/reservations.py
@@ -25,6 +25,7 @@
     :param taken: what the gang takes on each worker.
     :param ready_at: time at which the room is expected to be free.
     :param made_at: time at which the workers were chosen.
+    :param bars_claims_until: time until which newer claims of the workspace keep off.
     """
 
     workspace: str
@@ -33,6 +34,7 @@
     taken: dict[str, Vector]
     ready_at: datetime
     made_at: datetime
+    bars_claims_until: datetime
 
 
 def _waits(
@@ -84,7 +86,7 @@
     workers = tuple(sorted(worker for _, worker in best))
     ready_at = now + timedelta(seconds=best[-1][0])
     taken = amounts(need, workers)
-    return Reservation(kind.workspace, kind.rank, workers, taken, ready_at, now)
+    return Reservation(kind.workspace, kind.rank, workers, taken, ready_at, now, now)
 
 
 def gives_way(entry: Entry, kind: Kind) -> bool:
--- a/packages/mimosapoint/src/mimosapoint/scheduling/suspects.py
+++ b/packages/mimosapoint/src/mimosapoint/scheduling/suspects.py
@@ -59,12 +59,20 @@
         if record.placement is None or record.ended_at is None:
             return
         if isinstance(record.outcome, Succeeded):
-            for worker in set(record.placement.workers):
-                self._by_worker.pop(worker, None)
+            self._credit(record)
         elif isinstance(record.outcome, Failed):
             self._blame(record, record.ended_at)
         self._attempts_of.pop(record.id, None)
 
+    def _credit(self, record: JobRecord) -> None:
+        """Forget failures that came before the start of a job that succeeded."""
+        for worker in set(record.placement.workers):
+            history = self._by_worker.get(worker)
+            if history is None or record.started_at is None:
+                continue
+            if not history.failures or history.failures[-1][0] <= record.started_at:
+                del self._by_worker[worker]
+
     def _blame(self, record: JobRecord, now: datetime) -> None:
         """Count a failed attempt against its workers unless the job fails wherever it runs."""
         workers = frozenset(record.placement.workers)
--- a/packages/mimosapoint/src/mimosapoint/scheduling/tests/test_guaranteed.py
+++ b/packages/mimosapoint/src/mimosapoint/scheduling/tests/test_guaranteed.py
@@ -1,6 +1,7 @@
 """Tests of guaranteed shapes: homes, lending, reclaim and the urgent lane."""
 
 import unittest
+from datetime import timedelta
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -145,7 +146,9 @@
 
 ACTIONS = st.lists(
     st.tuples(
-        st.sampled_from(("submit", "submit", "submit", "end", "stopped", "lose", "back", "mode")),
+        st.sampled_from(
+            ("submit", "submit", "submit", "end", "stopped", "lose", "back", "mode", "wait")
+        ),
         st.integers(0, 1_000_000),
     ),
     max_size=60,
@@ -172,6 +175,8 @@
         zone.lose(workers[draw % len(workers)])
     elif action == "back":
         zone.view.workers_by_id[workers[draw % len(workers)]].usable = True
+    elif action == "wait":
+        zone.view.now += timedelta(seconds=draw % 1500)
     elif action == "mode":
         zone.set_mode(tuple(ZoneMode)[draw % 2])
 
@@ -183,6 +188,8 @@
         waiting = {record.id: record for record in zone.view.waiting}
         if zone.view.configuration.zones_by_id["a"].mode is ZoneMode.OUT:
             self.assertEqual((), decision.assignments)
+        assigned = [found.job for found in decision.assignments]
+        self.assertEqual(len(set(assigned)), len(assigned))
         for found in decision.assignments:
             request = waiting[found.job].request
             workers = [zone.view.workers_by_id[id] for id in found.workers]
--- a/packages/mimosapoint/src/mimosapoint/scheduling/tests/test_reservations.py
+++ b/packages/mimosapoint/src/mimosapoint/scheduling/tests/test_reservations.py
@@ -91,6 +91,39 @@
         self.assertLessEqual({claim, urgent}, zone.running())
 
 
+class OwnGuaranteeTest(unittest.TestCase):
+    def starving_claimant(self) -> tuple[ZoneOwner, str, str]:
+        """Return a zone where a gang waits for firm work on its own home, and both jobs."""
+        guarantees = {"north": (Guarantee("g", 2, task(8)),), "guest": ()}
+        zone = owner(racks=1, workers=2, guarantees=guarantees)
+        firm = zone.submit("north", accelerators=8, interruptible=False, run_time=9000.0)
+        zone.step()
+        zone.submit("guest", accelerators=8)
+        zone.step()
+        gang = zone.submit("north", 2, 8)
+        zone.step()
+        zone.step(601)
+        return zone, firm, gang
+
+    def test_a_starving_gang_may_still_claim_its_guarantee_and_is_placed_once(self):
+        zone, firm, gang = self.starving_claimant()
+        zone.end(firm)
+        self.assertEqual([gang], [found.claimant for found in zone.step().reclaims])
+        zone.stopped()
+        placed = [found.job for found in zone.step().assignments]
+        self.assertEqual(1, placed.count(gang))
+
+    def test_newer_claims_of_the_workspace_wait_for_a_bounded_time(self):
+        zone, firm, _ = self.starving_claimant()
+        small = zone.submit("north", accelerators=1)
+        zone.step()
+        self.assertNotIn(small, zone.running())
+        zone.step(1900)
+        zone.stopped()
+        zone.step()
+        self.assertIn(small, zone.running())
+
+
 class HopelessTest(unittest.TestCase):
     def test_what_is_refused(self):
         cases = (
--- a/packages/mimosapoint/src/mimosapoint/scheduling/tests/test_suspects.py
+++ b/packages/mimosapoint/src/mimosapoint/scheduling/tests/test_suspects.py
@@ -24,7 +24,7 @@
         (self.record,) = zone.view.waiting
         self.suspects = Suspects()
 
-    def attempt(self, job: str, *workers: str, failures: int = 1, outcome=None, at: float = 0.0):
+    def attempt(self, job: str, *workers: str, failures: int = 1, outcome=None, at=0.0, ran=1.0):
         record = attrs.evolve(
             self.record,
             id=job,
@@ -32,6 +32,7 @@
             failures=failures,
             outcome=outcome,
             state=JobState.ENDED if outcome else JobState.QUEUED,
+            started_at=seconds(at - ran),
             ended_at=seconds(at) if outcome else None,
         )
         if outcome is None:
@@ -55,9 +56,15 @@
     def test_failures_that_run_count_too_and_a_success_clears(self):
         for number in range(2):
             self.attempt(f"job{number}", "w1", outcome=Failed("task-failed"))
-        self.attempt("good", "w1", outcome=Succeeded(()))
-        self.attempt("job3", "w1", outcome=Failed("task-failed"))
-        self.assertEqual(set(), self.held())
+        self.attempt("good", "w1", outcome=Succeeded(()), at=5)
+        self.attempt("job3", "w1", outcome=Failed("task-failed"), at=6)
+        self.assertEqual(set(), self.held(6))
+
+    def test_a_success_that_started_before_the_failures_clears_nothing(self):
+        for number in range(3):
+            self.attempt(f"job{number}", "w1", at=number)
+        self.attempt("old", "w1", outcome=Succeeded(()), at=5, ran=60)
+        self.assertEqual({"w1"}, self.held(5))
 
     def test_the_same_job_counts_once(self):
         for number in range(1, 5):
