--- a/tools/tests/test_docs.py
+++ b/tools/tests/test_docs.py
@@ -15,6 +15,9 @@
 REFERENCE = DOCS / "operators" / "logs-and-metrics.md"
 PAGES = (ROOT / "README.md", *sorted(DOCS.rglob("*.md")), ROOT / "examples" / "README.md")
 
+REMEDY = "print the tables by python -m tools.docs and put them into the page"
+INDEX_REMEDY = "add the page to docs/README.md"
+
 LINK = re.compile(r"\]\(([^)\s]+)\)")
 SPAN = re.compile(r"`([^`\n]+)`")
 HEADING = re.compile(r"^#+ +(.*)$", re.MULTILINE)
@@ -55,10 +58,10 @@
 
 class ReferenceTest(DocsCase):
     def test_the_page_shows_every_metric_as_declared(self):
-        self.assertIn(metric_table(), REFERENCE.read_text())
+        self.assertIn(metric_table(), REFERENCE.read_text(), REMEDY)
 
     def test_the_page_shows_every_event_as_declared(self):
-        self.assertIn(event_table(), REFERENCE.read_text())
+        self.assertIn(event_table(), REFERENCE.read_text(), REMEDY)
 
     def test_every_name_in_the_code_is_declared(self):
         for source in sorted(ROOT.glob("packages/*/src/**/*.py")):
@@ -89,7 +92,7 @@
         for page in sorted(DOCS.rglob("*.md")):
             name = str(page.relative_to(DOCS))
             with self.subTest(page=name):
-                self.assertTrue(name == "README.md" or f"({name})" in index)
+                self.assertTrue(name == "README.md" or f"({name})" in index, INDEX_REMEDY)
 
     def test_every_named_file_exists(self):
         self.on_each_page(self.check_files)
