Tell the age of a zone's summary by its node's heartbeat

Cause: a summary that did not change grew old for ever, so that idle zones were not trusted after 15 s; those of the own node had the age 0 for ever; and an offer was renewed only by a smaller age, which regular looks never saw.

--- a/packages/mimosapoint/src/mimosapoint/membership/core.py
+++ b/packages/mimosapoint/src/mimosapoint/membership/core.py
@@ -103,6 +103,13 @@
         """Tell whether a node's heartbeat progresses; this node always lives."""
         return self._view.alive(node_id)
 
+    def silence(self, node_id: str) -> timedelta | None:
+        """Return the time since a node's heartbeat progressed, ``None`` when it never did."""
+        record = self._table.records_by_id.get(node_id)
+        if record is None or record.progressed_at is None:
+            return None
+        return self._clock.now() - record.progressed_at
+
     def live_nodes(self) -> dict[str, Vm]:
         """Return the live nodes that are not leaving by id, this one included."""
         return self._view.refresh()
--- a/packages/mimosapoint/src/mimosapoint/ownership/directory.py
+++ b/packages/mimosapoint/src/mimosapoint/ownership/directory.py
@@ -1,6 +1,5 @@
 """Who owns which availability zone, and how full it is, as the gossip tells."""
 
-from datetime import datetime
 from typing import Any
 
 import attrs
@@ -14,7 +13,6 @@
     from_attachment,
     to_attachment,
 )
-from mimosapoint.ports import Clock
 from mimosapoint.scheduling import ZoneSummary
 
 __all__ = ["ZoneDirectory"]
@@ -26,12 +24,10 @@
 
     :param raw: attachment that they were read from.
     :param digests_by_zone: the digests.
-    :param at: time at which they were first seen.
     """
 
     raw: Any
     digests_by_zone: dict[str, ZoneDigest]
-    at: datetime
 
 
 class ZoneDirectory:
@@ -47,13 +43,11 @@
         node: str,
         address: str,
         membership: Membership,
-        clock: Clock,
         owners_by_zone: dict[str, ZoneOwner],
     ):
         self._node = node
         self._address = address
         self._membership = membership
-        self._clock = clock
         self._owners_by_zone = owners_by_zone
         self._heard_by_node: dict[str, _Heard] = {}
         membership.attach(ZONES_ATTACHMENT, self._attachment)
@@ -84,17 +78,22 @@
     def summaries_by_zone(self) -> dict[str, ZoneSummary]:
         """Return the newest summary of every zone that some live node owns, with its age."""
         newest: dict[str, tuple[int, ZoneSummary]] = {}
-        for zone, digest in self._own_digests().items():
-            if digest.summary is not None:
-                newest[zone] = (digest.epoch, digest.summary)
+        for zone, owner in self._owners_by_zone.items():
+            summary = owner.summary()
+            if summary is not None:
+                newest[zone] = (owner.epoch, summary)
         for node in self._others():
-            heard = self._heard(node)
-            age = (self._clock.now() - heard.at).total_seconds()
-            for zone, digest in heard.digests_by_zone.items():
+            age = self._age(node)
+            for zone, digest in self._heard(node).digests_by_zone.items():
                 if digest.summary is not None and newest.get(zone, (0,))[0] < digest.epoch:
                     newest[zone] = (digest.epoch, attrs.evolve(digest.summary, age=age))
         return {zone: summary for zone, (_, summary) in newest.items()}
 
+    def _age(self, node: str) -> float:
+        """Return the seconds since a node was heard of; its digests held at that time."""
+        silence = self._membership.silence(node)
+        return silence.total_seconds() if silence is not None else float("inf")
+
     def epochs_by_zone(self) -> dict[str, int]:
         """Return the newest epoch of every zone that some live node owns."""
         epochs = {zone: owner.epoch for zone, owner in self._owners_by_zone.items()}
@@ -116,7 +115,7 @@
         raw = self._membership.attachment(node, ZONES_ATTACHMENT)
         heard = self._heard_by_node.get(node)
         if heard is None or heard.raw is not raw:
-            heard = _Heard(raw, _digests(raw), self._clock.now())
+            heard = _Heard(raw, _digests(raw))
             self._heard_by_node[node] = heard
         return heard
 
--- a/packages/mimosapoint/src/mimosapoint/ownership/keeper.py
+++ b/packages/mimosapoint/src/mimosapoint/ownership/keeper.py
@@ -54,9 +54,7 @@
         self._writer = writer
         self._membership = membership
         self.owners_by_zone: dict[str, ZoneOwner] = {}
-        self.directory = ZoneDirectory(
-            node.id, node.address, membership, clock, self.owners_by_zone
-        )
+        self.directory = ZoneDirectory(node.id, node.address, membership, self.owners_by_zone)
         self._parts = parts(self.directory)
         self._settings = settings
         self._clock = clock
--- a/packages/mimosapoint/src/mimosapoint/placement/owner.py
+++ b/packages/mimosapoint/src/mimosapoint/placement/owner.py
@@ -513,3 +513,7 @@
     def digest(self) -> ZoneDigest:
         """Return what other nodes should know of the zone."""
         return ZoneDigest(self.epoch, self._scheduler.summary)
+
+    def summary(self) -> ZoneSummary | None:
+        """Return the last summary with its age, or ``None`` before the first decision."""
+        return self._scheduler.aged_summary()
--- a/packages/mimosapoint/src/mimosapoint/placement/scheduler.py
+++ b/packages/mimosapoint/src/mimosapoint/placement/scheduler.py
@@ -128,6 +128,13 @@
             self._drain(view, policy)
         self._apply(policy.decide(view))
 
+    def aged_summary(self) -> ZoneSummary | None:
+        """Return the last summary with its age, or ``None`` before the first decision."""
+        if self.summary is None:
+            return None
+        age = self._clock.now() - self._summarized_at
+        return attrs.evolve(self.summary, age=age.total_seconds())
+
     def _summarize(self, view: ZoneView) -> None:
         """Renew what other nodes are told, at most once in each interval."""
         if self.summary is None or view.now - self._summarized_at >= SUMMARY_INTERVAL:
