--- a/packages/mimosapoint/src/mimosapoint/placement/attempt.py
+++ b/packages/mimosapoint/src/mimosapoint/placement/attempt.py
@@ -1,14 +1,17 @@
 """One attempt to run a gang, from its committed placement to its end."""
 
+from collections.abc import Callable
 from datetime import timedelta
 
 import attrs
 import trio
 
+from mimosapoint.jobs import Change
 from mimosapoint.model import (
     Cancelled,
     Checkpoint,
     Failed,
+    JobClass,
     JobRecord,
     JobState,
     MayHaveRun,
@@ -26,12 +29,20 @@
 from mimosapoint.placement.settings import OwnerSettings
 from mimosapoint.ports import Clock, Telemetry
 
-__all__ = ["Attempt"]
+__all__ = ["Attempt", "starts_unrecorded"]
 
 RETRY_PAUSE = timedelta(milliseconds=100)
+STEADY_PAUSE = timedelta(milliseconds=50)
 CANCEL_GRACE = timedelta(0)
 KEPT_STATES = (TaskState.STOPPED, TaskState.SUCCEEDED)
 
+INTENT_CHECK_SECONDS = 0.1
+
+
+def starts_unrecorded(record: JobRecord) -> bool:
+    """Whether a job may start while the store takes no changes; it may then run twice."""
+    return record.request.job_class is JobClass.URGENT and record.request.repeatable
+
 
 class Attempt:
     """Runs the gang of one placed job and records how it went.
@@ -40,6 +51,8 @@
     on the same workers however often it is sent, also by the next owner.
 
     :param job_id: id of a job that is placed, running or stopping.
+    :param steady: tells whether the owner has run without a pause for long enough to know of
+        leaving workers.
     :param resumed: whether an earlier owner may have sent starts.
     :param trace: trace context of the request.
     """
@@ -55,6 +68,7 @@
         clock: Clock,
         telemetry: Telemetry,
         settings: OwnerSettings,
+        steady: Callable[[], bool],
         resumed: bool = False,
         trace: str | None = None,
     ):
@@ -66,6 +80,7 @@
         self._clock = clock
         self._telemetry = telemetry
         self._settings = settings
+        self._steady = steady
         self._trace = trace
         self._start_sent = resumed
         self._gang = Gang.of(self.record)
@@ -109,18 +124,44 @@
         if self._start_sent and self._all_started():
             self._mark_running()
             return True
+        reserved_at = self._clock.now()
         if not self._start_sent and not await self._reserve():
             return False
-        reserved_at = self._clock.now()
-        await placed.wait_durable()
+        await self._wait_intent(placed)
+        while not self._steady():
+            await self._clock.sleep(STEADY_PAUSE)
         if not await self._permit.wait(self._settings.fresh_wait):
             return False
-        if self._stop_wanted.is_set():
-            return False
         if self._clock.now() - reserved_at > self._settings.reservation_ttl / 3:
             await self._reserve()
+        if not self._may_start():
+            return False
         return await self._start()
 
+    async def _wait_intent(self, placed: Change) -> None:
+        """Wait until the store has the placement, or need not have it.
+
+        Urgent repeatable work goes on without it while the store takes no changes.
+        """
+        while not (placed.durable or (self._ledger.stalled and starts_unrecorded(self.record))):
+            with trio.move_on_after(INTENT_CHECK_SECONDS):
+                await placed.wait_durable()
+
+    def _may_start(self) -> bool:
+        """Whether a start may be sent, asked after the reservation that it uses.
+
+        A start that is held up after this is refused when the reservation has lapsed.
+        """
+        late = self._record_is_late() and not self._start_sent
+        leaving = self._commands.any_leaving(self._gang)
+        barred = self._stop_wanted.is_set() or late or leaving
+        return self._steady() and self._permit.given() and not barred
+
+    def _record_is_late(self) -> bool:
+        """Whether the job's latest start has passed."""
+        start_by = self.record.request.start_by
+        return start_by is not None and start_by <= self._clock.now()
+
     def _same_boots(self) -> bool:
         """Whether every worker still has the boot that it was chosen in."""
         boots = self.record.placement.boots
@@ -143,6 +184,8 @@
         while missing and self._clock.now() < deadline and self._permit.given():
             await self._clock.sleep(RETRY_PAUSE)
             await self._reserve()
+            if not self._may_start():
+                return False
             missing = await self._commands.start(self._gang)
         if missing:
             return False
@@ -312,6 +355,11 @@
         self._ledger.put(record)
         self._telemetry.event("job-requeued", job=record.id, kept=kept, progress=record.progress)
 
+    async def forget(self) -> None:
+        """Let the workers drop the tasks of an attempt after which the job waits again."""
+        await self._ledger.latest(self._job_id).wait_durable()
+        await self._commands.acknowledge(self._gang)
+
     async def _end(self, outcome: Outcome) -> None:
         """Record the outcome; once it is durable the workers may forget the tasks."""
         await self._ledger.end(self._job_id, outcome)
--- a/packages/mimosapoint/src/mimosapoint/placement/board.py
+++ b/packages/mimosapoint/src/mimosapoint/placement/board.py
@@ -22,13 +22,15 @@
     def update(self, worker: str, report: WorkerReport) -> None:
         """Take in a report."""
         known = self._reports_by_worker.get(worker)
-        stale = known is not None and known.boot == report.boot
-        if stale and known.revision > report.revision:
+        same_boot = known is not None and known.boot == report.boot
+        if same_boot and known.revision > report.revision:
             return
+        changed = not same_boot or known.revision != report.revision
         self._reports_by_worker[worker] = report
         self._tasks_by_worker[worker] = {task.id: task for task in report.tasks}
-        self._lost.discard(worker)
-        self._wake(worker)
+        if changed or worker in self._lost:
+            self._lost.discard(worker)
+            self._wake(worker)
 
     def mark_lost(self, worker: str) -> None:
         """Note that the worker's lease has lapsed, so that it runs nothing."""
@@ -71,16 +73,13 @@
 
     async def wait_any(self, workers: set[str]) -> None:
         """Wait until one of the workers has reported or is lost."""
-        if len(workers) == 1:
-            await self._event(next(iter(workers))).wait()
+        events = [self._event(worker) for worker in workers]
+        if len(events) == 1:
+            await events[0].wait()
             return
         async with trio.open_nursery() as nursery:
-            for worker in workers:
-                nursery.start_soon(self._wait_one, worker, nursery.cancel_scope)
-
-    async def _wait_one(self, worker: str, scope: trio.CancelScope) -> None:
-        await self._event(worker).wait()
-        scope.cancel()
+            for event in events:
+                nursery.start_soon(_wait_one, event, nursery.cancel_scope)
 
     def _event(self, worker: str) -> trio.Event:
         return self._changed_by_worker.setdefault(worker, trio.Event())
@@ -90,3 +89,8 @@
         for worker in workers:
             while not self.known(worker):
                 await self._event(worker).wait()
+
+
+async def _wait_one(event: trio.Event, scope: trio.CancelScope) -> None:
+    await event.wait()
+    scope.cancel()
--- a/packages/mimosapoint/src/mimosapoint/scheduling/moves.py
+++ b/packages/mimosapoint/src/mimosapoint/scheduling/moves.py
@@ -18,7 +18,7 @@
 STALE_AFTER = 15.0
 """Seconds after which a summary is not trusted."""
 
-MOVES = 4
+MOVES = 8
 """Moves after which a job stays where it is."""
 
 URGENT_PATIENCE = timedelta(milliseconds=300)
@@ -27,9 +27,15 @@
 PATIENCE = timedelta(seconds=5)
 """Wait of other work before its first move; it doubles with each move."""
 
+SAME_SUMMARY = timedelta(milliseconds=1)
+"""Difference up to which two ages tell of the same summary."""
+
 OFFERED_SHARE = 0.5
 """Share of another zone's free room that is offered between two of its summaries."""
 
+UNEVENNESS = 0.5
+"""Difference of load, in zones full of work, that is left between zones."""
+
 PER_LOOK = 32
 """Jobs offered in one look."""
 
@@ -41,8 +47,9 @@
 class _Offer:
     """What is left of another zone's room, as its last summary gave it."""
 
-    def __init__(self, summary: ZoneSummary):
+    def __init__(self, summary: ZoneSummary, made_at: datetime):
         self.summary = summary
+        self.made_at = made_at
         self.accelerators = math.ceil(summary.free_accelerators * OFFERED_SHARE)
         self.slots = math.ceil(summary.free_slots * OFFERED_SHARE)
         self.unclaimed = dict(summary.unclaimed_by_guarantee)
@@ -81,15 +88,22 @@
 
 
 class Mover:
-    """Remembers what it has offered since the last summaries."""
+    """Remembers what it has offered since the last summaries.
+
+    :param even: whether jobs also go where far less work is used and waited for.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, even: bool = False) -> None:
+        self._even = even
         self._offers: dict[str, _Offer] = {}
         self._come_at: dict[str, datetime] = {}
         self._looked_at: datetime | None = None
         self._units: dict[str, tuple[Unit, ...]] = {}
         self._configuration: Configuration | None = None
         self._zone = ""
+        self._accelerators = 0
+        self._used = 0
+        self._queued = 0
 
     def sync(self, view: ZoneView, come: Iterable[str], waiting: dict[str, JobRecord]) -> None:
         """Take in the summaries and the waiting jobs."""
@@ -98,16 +112,32 @@
         for job in come:
             self._come_at.setdefault(job, view.now)
         self._zone = view.zone
+        self._count_load(view)
         if self._configuration is not view.configuration:
             self._configuration = view.configuration
             zones = view.configuration.zones_by_id
             self._units = {zone: units_of(view.configuration, zone) for zone in zones}
-        self._offers = {id: self._offer(id, s) for id, s in view.other_zones_by_id.items()}
+        summaries = view.other_zones_by_id.items()
+        self._offers = {id: self._offer(id, s, view.now) for id, s in summaries}
+
+    def _count_load(self, view: ZoneView) -> None:
+        workers = [worker for worker in view.workers_by_id.values() if worker.usable]
+        self._accelerators = sum(worker.capacity.accelerators for worker in workers)
+        self._used = self._accelerators - sum(worker.free.accelerators for worker in workers)
+        requests = [record.request for record in view.waiting]
+        self._queued = sum(request.gang * request.shape.accelerators for request in requests)
+
+    @property
+    def _load(self) -> float:
+        """Share of this zone that is used and waited for."""
+        return (self._used + self._queued) / max(1, self._accelerators)
 
-    def _offer(self, zone: str, summary: ZoneSummary) -> _Offer:
+    def _offer(self, zone: str, summary: ZoneSummary, now: datetime) -> _Offer:
+        """Return the known offer of a zone, or a new one when its summary is newer."""
+        made_at = now - timedelta(seconds=summary.age)
         known = self._offers.get(zone)
-        if known is None or summary.age < known.summary.age:
-            return _Offer(summary)
+        if known is None or made_at - known.made_at > SAME_SUMMARY:
+            return _Offer(summary, made_at)
         known.summary = summary
         return known
 
@@ -140,7 +170,7 @@
                 yield Move(record.id, offer.summary.zone)
 
     def balance(self, candidates: Iterable[Candidate], now: datetime) -> Iterator[Move]:
-        """Offer jobs that wait in vain to zones with a home or with room for them.
+        """Offer jobs that wait in vain to zones with a home, with room or with far less load.
 
         A job that could never run here goes where it may wait with hope.
         """
@@ -175,10 +205,13 @@
         fitting = [offer for offer in targets if offer.has_block(need)]
         if not fitting and self._zone not in zones:
             fitting = targets
+        if not fitting and self._even:
+            fitting = [offer for offer in targets if offer.load + UNEVENNESS < self._load]
         if not fitting:
             return None
         offer = min(fitting, key=lambda offer: offer.load)
         offer.take(need)
+        self._queued -= need.accelerators
         return offer.summary.zone
 
     def _home(self, record: JobRecord, need: Need, targets: list[_Offer]) -> _Offer | None:
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -23,6 +23,7 @@
     """Return the named tests, or every test of every package."""
     loader = unittest.TestLoader()
     if names:
+        sys.path.insert(0, str(ROOT))
         return loader.loadTestsFromNames(names)
     suite = unittest.TestSuite()
     for source in sorted((ROOT / "packages").glob("*/src")):
@@ -33,12 +34,17 @@
     return suite
 
 
+def _test_id(test: unittest.TestCase) -> str:
+    """Return the id of a test, also for one of its cases."""
+    return getattr(test, "test_case", test).id()
+
+
 def main() -> int:
     """Run the tests and return the exit code."""
     red = known_red()
     result = unittest.TextTestRunner(verbosity=1).run(load(sys.argv[1:]))
-    bad = {test.id() for test, _ in (*result.failures, *result.errors)}
-    bad |= {test.id() for test in result.unexpectedSuccesses}
+    bad = {_test_id(test) for test, _ in (*result.failures, *result.errors)}
+    bad |= {_test_id(test) for test in result.unexpectedSuccesses}
     for name in sorted(bad & red):
         print(f"known red: {name}")
     new = bad - red
