Divide the blame for a failed gang among its workers

Each worker of a failed gang was blamed alike, so that the one quarantine allowed in a small zone could go to an innocent one by its name. Blame is divided by the gang's workers and the most blamed go first.

--- a/packages/mimosapoint/src/mimosapoint/scheduling/suspects.py
+++ b/packages/mimosapoint/src/mimosapoint/scheduling/suspects.py
@@ -29,14 +29,33 @@
 """Share of a zone's workers that may be in quarantine; one worker always may."""
 
 
+@attrs.frozen
+class _Failure:
+    """A failed attempt as one of its workers sees it.
+
+    :param at: time at which it was noted.
+    :param job: id of the job.
+    :param weight: share of the blame, which the gang's workers divide among them.
+    """
+
+    at: datetime
+    job: str
+    weight: float
+
+
 @attrs.define
 class _History:
     """What is known of one worker."""
 
-    failures: deque[tuple[datetime, str]] = attrs.field(factory=deque)
+    failures: deque[_Failure] = attrs.field(factory=deque)
     quarantines: int = 0
     until: datetime | None = None
 
+    @property
+    def blame(self) -> float:
+        """Sum of the blame for its failures."""
+        return sum(failure.weight for failure in self.failures)
+
 
 class Suspects:
     """Counts failures by worker and by job."""
@@ -70,7 +89,7 @@
             history = self._by_worker.get(worker)
             if history is None or record.started_at is None:
                 continue
-            if not history.failures or history.failures[-1][0] <= record.started_at:
+            if not history.failures or history.failures[-1].at <= record.started_at:
                 del self._by_worker[worker]
 
     def _blame(self, record: JobRecord, now: datetime) -> None:
@@ -83,14 +102,15 @@
             self._clear(record.id)
             return
         for worker in workers:
-            self._by_worker.setdefault(worker, _History()).failures.append((now, record.id))
+            failure = _Failure(now, record.id, 1 / len(workers))
+            self._by_worker.setdefault(worker, _History()).failures.append(failure)
 
     def _clear(self, job: str) -> None:
         for history in self._by_worker.values():
-            history.failures = deque(f for f in history.failures if f[1] != job)
+            history.failures = deque(f for f in history.failures if f.job != job)
 
     def quarantined(self, workers: Collection[str], now: datetime) -> frozenset[str]:
-        """Return the workers that get no work now, those that failed most jobs first.
+        """Return the workers that get no work now, those with most blame first.
 
         :param workers: ids of the zone's usable workers.
         """
@@ -100,7 +120,7 @@
             history = self._by_worker[worker]
             self._review(history, now)
             if history.until is not None:
-                held.append((-history.quarantines, worker))
+                held.append((-history.blame, worker))
         return frozenset(worker for _, worker in sorted(held)[:limit])
 
     @staticmethod
@@ -109,10 +129,10 @@
         if history.until is not None and now >= history.until:
             history.until = None
             history.failures.clear()
-        while history.failures and now - history.failures[0][0] > WINDOW:
+        while history.failures and now - history.failures[0].at > WINDOW:
             history.failures.popleft()
         needed = 1 if history.quarantines else JOBS_FAILED
-        if history.until is None and len({job for _, job in history.failures}) >= needed:
+        if history.until is None and len({failure.job for failure in history.failures}) >= needed:
             length = min(FIRST_QUARANTINE * 2**history.quarantines, LONGEST_QUARANTINE)
             history.until = now + length
             history.quarantines += 1
--- a/packages/mimosapoint/src/mimosapoint/scheduling/tests/test_suspects.py
+++ b/packages/mimosapoint/src/mimosapoint/scheduling/tests/test_suspects.py
@@ -83,6 +83,12 @@
                 self.attempt(f"{worker}-{number}", worker)
         self.assertEqual(1, len(self.held()))
 
+    def test_the_worker_that_the_failed_gangs_share_is_the_one(self):
+        for number, others in enumerate((("w0", "w2"), ("w0", "w2"), ("w0", "w2"))):
+            self.attempt(f"wide{number}", *others, "w5")
+        self.attempt("small", "w5")
+        self.assertEqual({"w5"}, self.held())
+
     def test_old_failures_are_forgotten(self):
         self.attempt("a", "w1")
         self.attempt("b", "w1", at=10)
