--- a/Makefile
+++ b/Makefile
@@ -23,6 +23,11 @@
 test: setup
 	@$(BIN)/python tools/run_tests.py
 
+# Kills, freezes and outages against separate processes; CASES='"owner killed"' plays some of them.
+RUNS ?= 1
+faults: setup
+	@$(BIN)/python -m tools.faults $(CASES) --runs $(RUNS)
+
 # Draws SEEDS schedules of faults, plays each on a site in memory and prints what was reached.
 fuzz: setup
 	@MIMOSAPOINT_FUZZ_EXAMPLES=$(SEEDS) $(BIN)/python tools/run_tests.py mimosapoint.node.tests.test_schedules
--- a/packages/mimosapoint/src/mimosapoint/placement/attempt.py
+++ b/packages/mimosapoint/src/mimosapoint/placement/attempt.py
@@ -1,14 +1,17 @@
 """One attempt to run a gang, from its committed placement to its end."""
 
+from collections.abc import Callable
 from datetime import timedelta
 
 import attrs
 import trio
 
+from mimosapoint.jobs import Change
 from mimosapoint.model import (
     Cancelled,
     Checkpoint,
     Failed,
+    JobClass,
     JobRecord,
     JobState,
     MayHaveRun,
@@ -26,12 +29,20 @@
 from mimosapoint.placement.settings import OwnerSettings
 from mimosapoint.ports import Clock, Telemetry
 
-__all__ = ["Attempt"]
+__all__ = ["Attempt", "starts_unrecorded"]
 
 RETRY_PAUSE = timedelta(milliseconds=100)
+STEADY_PAUSE = timedelta(milliseconds=50)
 CANCEL_GRACE = timedelta(0)
 KEPT_STATES = (TaskState.STOPPED, TaskState.SUCCEEDED)
 
+INTENT_CHECK_SECONDS = 0.1
+
+
+def starts_unrecorded(record: JobRecord) -> bool:
+    """Whether a job may start while the store takes no changes; it may then run twice."""
+    return record.request.job_class is JobClass.URGENT and record.request.repeatable
+
 
 class Attempt:
     """Runs the gang of one placed job and records how it went.
@@ -40,6 +51,8 @@
     on the same workers however often it is sent, also by the next owner.
 
     :param job_id: id of a job that is placed, running or stopping.
+    :param steady: tells whether the owner has run without a pause for long enough to know of
+        leaving workers.
     :param resumed: whether an earlier owner may have sent starts.
     :param trace: trace context of the request.
     """
@@ -55,6 +68,7 @@
         clock: Clock,
         telemetry: Telemetry,
         settings: OwnerSettings,
+        steady: Callable[[], bool],
         resumed: bool = False,
         trace: str | None = None,
     ):
@@ -66,6 +80,7 @@
         self._clock = clock
         self._telemetry = telemetry
         self._settings = settings
+        self._steady = steady
         self._trace = trace
         self._start_sent = resumed
         self._gang = Gang.of(self.record)
@@ -112,7 +127,9 @@
         reserved_at = self._clock.now()
         if not self._start_sent and not await self._reserve():
             return False
-        await placed.wait_durable()
+        await self._wait_intent(placed)
+        while not self._steady():
+            await self._clock.sleep(STEADY_PAUSE)
         if not await self._permit.wait(self._settings.fresh_wait):
             return False
         if self._clock.now() - reserved_at > self._settings.reservation_ttl / 3:
@@ -121,6 +138,15 @@
             return False
         return await self._start()
 
+    async def _wait_intent(self, placed: Change) -> None:
+        """Wait until the store has the placement, or need not have it.
+
+        Urgent repeatable work goes on without it while the store takes no changes.
+        """
+        while not (placed.durable or (self._ledger.stalled and starts_unrecorded(self.record))):
+            with trio.move_on_after(INTENT_CHECK_SECONDS):
+                await placed.wait_durable()
+
     def _may_start(self) -> bool:
         """Whether a start may be sent, asked after the reservation that it uses.
 
@@ -128,7 +154,8 @@
         """
         late = self._record_is_late() and not self._start_sent
         leaving = self._commands.any_leaving(self._gang)
-        return self._permit.given() and not (self._stop_wanted.is_set() or late or leaving)
+        barred = self._stop_wanted.is_set() or late or leaving
+        return self._steady() and self._permit.given() and not barred
 
     def _record_is_late(self) -> bool:
         """Whether the job's latest start has passed."""
--- a/packages/mimosapoint/src/mimosapoint/placement/owner.py
+++ b/packages/mimosapoint/src/mimosapoint/placement/owner.py
@@ -7,6 +7,7 @@
 import attrs
 import trio
 
+from mimosapoint.configuration import ZoneMode
 from mimosapoint.errors import (
     IdempotencyConflict,
     JobNotFound,
@@ -33,6 +34,7 @@
 from mimosapoint.ports import Clock, Peers, Store, Telemetry, Workers
 from mimosapoint.resilience import RateBudget
 from mimosapoint.scheduling import ZoneSummary
+from mimosapoint.scheduling.never_fits import allowed_zones
 
 __all__ = ["OwnerParts", "ZoneOwner"]
 
@@ -44,6 +46,10 @@
 BEAT_INTERVAL = timedelta(milliseconds=500)
 PAUSE_BOUND = timedelta(seconds=2)
 """Longest time without a beat after which the owner still trusts that it owns the zone."""
+STEADY_GAP = timedelta(seconds=1)
+"""Longest time without a beat after which the owner still starts tasks."""
+STEADY_AFTER = timedelta(seconds=2)
+"""Time after a pause until the list of VMs has been read anew."""
 DOUBT_PAUSE = timedelta(milliseconds=300)
 CANCEL_RETRY_AFTER = timedelta(seconds=2)
 QUEUE_RETRY_AFTER = timedelta(seconds=5)
@@ -93,7 +99,7 @@
         self._table = table
         self._parts = parts
         self._closing = False
-        self._beat_at = parts.clock.now()
+        self._beat_at = self._steady_at = parts.clock.now()
         self._watchers = Watchers(parts.peers, parts.clock)
         self._ledger = Ledger(
             table,
@@ -293,10 +299,17 @@
         """
         while True:
             await self._parts.clock.sleep(BEAT_INTERVAL)
+            if self._parts.clock.now() - self._beat_at > STEADY_GAP:
+                self._steady_at = self._parts.clock.now() + STEADY_AFTER
             while self._doubtful() and not await self._still_owner():
                 await self._parts.clock.sleep(DOUBT_PAUSE)
             self._beat_at = self._parts.clock.now()
 
+    def _steady(self) -> bool:
+        """Whether the list of VMs was followed without a pause."""
+        now = self._parts.clock.now()
+        return now >= self._steady_at and now - self._beat_at <= STEADY_GAP
+
     async def _still_owner(self) -> bool:
         """Whether the store could be asked, and this owner's fence is the newest.
 
@@ -349,10 +362,31 @@
                 self._spawn_attempt(record, resumed=True)
 
     def start_attempt(self, record: JobRecord) -> None:
-        """Run the gang of a record that has just been placed."""
+        """Run the gang of a record that has just been placed, if it may run in this zone."""
+        if not self._may_run_here(record):
+            self._send_away(record)
+            return
         self._ledger.put(record)
         self._spawn_attempt(record, resumed=False)
 
+    def _may_run_here(self, record: JobRecord) -> bool:
+        """Whether the request and its service allow this zone."""
+        return self.zone in allowed_zones(record.request, self._parts.configuration.current)
+
+    def _send_away(self, record: JobRecord) -> None:
+        """Move a waiting job to a zone that it may run in, if one is in service."""
+        configuration = self._parts.configuration.current
+        allowed = sorted(allowed_zones(record.request, configuration))
+        summaries = self._parts.summaries_by_zone()
+        in_service = [
+            zone
+            for zone in allowed
+            if zone in summaries and configuration.zones_by_id[zone].mode is ZoneMode.IN_SERVICE
+        ]
+        if in_service:
+            best = max(in_service, key=lambda zone: summaries[zone].free_slots)
+            self._mover.move(record.id, best)
+
     def _spawn_attempt(self, record: JobRecord, *, resumed: bool) -> None:
         self._roster.hold(record)
         attempt = Attempt(
@@ -364,6 +398,7 @@
             clock=self._parts.clock,
             telemetry=self._parts.telemetry,
             settings=self._parts.settings,
+            steady=self._steady,
             resumed=resumed,
             trace=self._traces_by_job.get(record.id),
         )
