--- a/packages/mimosapoint/src/mimosapoint/scheduling/moves.py
+++ b/packages/mimosapoint/src/mimosapoint/scheduling/moves.py
@@ -30,6 +30,9 @@
 OFFERED_SHARE = 0.5
 """Share of another zone's free room that is offered between two of its summaries."""
 
+RENEWED_AFTER = timedelta(seconds=1)
+"""Time between two summaries of a zone that count as different."""
+
 UNEVENNESS = 0.5
 """Difference of load, in zones full of work, that is left between zones."""
 
@@ -44,8 +47,9 @@
 class _Offer:
     """What is left of another zone's room, as its last summary gave it."""
 
-    def __init__(self, summary: ZoneSummary):
+    def __init__(self, summary: ZoneSummary, made_at: datetime):
         self.summary = summary
+        self.made_at = made_at
         self.accelerators = math.ceil(summary.free_accelerators * OFFERED_SHARE)
         self.slots = math.ceil(summary.free_slots * OFFERED_SHARE)
         self.unclaimed = dict(summary.unclaimed_by_guarantee)
@@ -113,7 +117,9 @@
             self._configuration = view.configuration
             zones = view.configuration.zones_by_id
             self._units = {zone: units_of(view.configuration, zone) for zone in zones}
-        self._offers = {id: self._offer(id, s) for id, s in view.other_zones_by_id.items()}
+        self._offers = {
+            id: self._offer(id, summary, view.now) for id, summary in view.other_zones_by_id.items()
+        }
 
     def _count_load(self, view: ZoneView) -> None:
         workers = [worker for worker in view.workers_by_id.values() if worker.usable]
@@ -127,10 +133,12 @@
         """Share of this zone that is used and waited for."""
         return (self._used + self._queued) / max(1, self._accelerators)
 
-    def _offer(self, zone: str, summary: ZoneSummary) -> _Offer:
+    def _offer(self, zone: str, summary: ZoneSummary, now: datetime) -> _Offer:
+        """Return what is left to offer to a zone; a later summary begins anew."""
+        made_at = now - timedelta(seconds=summary.age)
         known = self._offers.get(zone)
-        if known is None or summary.age < known.summary.age:
-            return _Offer(summary)
+        if known is None or made_at >= known.made_at + RENEWED_AFTER:
+            return _Offer(summary, made_at)
         known.summary = summary
         return known
 
--- a/packages/mimosapoint/src/mimosapoint/scheduling/tests/test_moves.py
+++ b/packages/mimosapoint/src/mimosapoint/scheduling/tests/test_moves.py
@@ -75,6 +75,16 @@
         zone.decide(1)
         self.assertEqual(3, len(moves(zone, 30)))
 
+    def test_a_summary_that_is_always_fresh_is_offered_to_again(self):
+        zone = two_zones()
+        zone.view.other_zones_by_id = {"b": attrs.evolve(ROOMY, free_accelerators=16)}
+        for _ in range(2):
+            zone.submit("guest", accelerators=8)
+        zone.decide(1)
+        (moved,) = moves(zone, 30)
+        zone.view.waiting = [record for record in zone.view.waiting if record.id != moved[0]]
+        self.assertEqual(1, len(moves(zone, 1)))
+
     def test_a_gang_goes_where_its_guarantee_is_unclaimed(self):
         guarantees = {"north": (Guarantee("g", 2, task(8), zones=("b",)),), "guest": ()}
         zone = two_zones(**guarantees)
