--- a/packages/mimosapoint/src/mimosapoint/scheduling/moves.py
+++ b/packages/mimosapoint/src/mimosapoint/scheduling/moves.py
@@ -27,12 +27,12 @@
 PATIENCE = timedelta(seconds=5)
 """Wait of other work before its first move; it doubles with each move."""
 
-SAME_SUMMARY = timedelta(milliseconds=1)
-"""Difference up to which two ages tell of the same summary."""
-
 OFFERED_SHARE = 0.5
 """Share of another zone's free room that is offered between two of its summaries."""
 
+RENEWED_AFTER = timedelta(seconds=1)
+"""Time between two summaries of a zone that count as different."""
+
 UNEVENNESS = 0.5
 """Difference of load, in zones full of work, that is left between zones."""
 
@@ -117,8 +117,9 @@
             self._configuration = view.configuration
             zones = view.configuration.zones_by_id
             self._units = {zone: units_of(view.configuration, zone) for zone in zones}
-        summaries = view.other_zones_by_id.items()
-        self._offers = {id: self._offer(id, s, view.now) for id, s in summaries}
+        self._offers = {
+            id: self._offer(id, summary, view.now) for id, summary in view.other_zones_by_id.items()
+        }
 
     def _count_load(self, view: ZoneView) -> None:
         workers = [worker for worker in view.workers_by_id.values() if worker.usable]
@@ -133,10 +134,10 @@
         return (self._used + self._queued) / max(1, self._accelerators)
 
     def _offer(self, zone: str, summary: ZoneSummary, now: datetime) -> _Offer:
-        """Return the known offer of a zone, or a new one when its summary is newer."""
+        """Return what is left to offer to a zone; a later summary begins anew."""
         made_at = now - timedelta(seconds=summary.age)
         known = self._offers.get(zone)
-        if known is None or made_at - known.made_at > SAME_SUMMARY:
+        if known is None or made_at >= known.made_at + RENEWED_AFTER:
             return _Offer(summary, made_at)
         known.summary = summary
         return known
