Send jobs on to a zone that they allow, and test parts by table

Jobs homed in a zone that they exclude waited there while the allowed zone was free; they now move at submission. A claim rides out a lost read of one bucket, which had ended it.

--- /dev/null
+++ b/packages/mimosapoint/src/mimosapoint/jobs/tests/test_committer.py
@@ -0,0 +1,183 @@
+"""Tests of the group commit and of the durability of records."""
+
+import random
+from datetime import datetime, timedelta, timezone
+
+import trio
+
+from mimosapoint.errors import JobNotFound, StaleEpoch
+from mimosapoint.jobs import Committer, JobTable, decode_bucket, job_id_of, view_of, zone_of
+from mimosapoint.memory import MemoryStore, TrioClock
+from mimosapoint.model import (
+    Cancelled,
+    Failed,
+    JobRecord,
+    JobRequest,
+    JobState,
+    MayHaveRun,
+    NotRun,
+    Succeeded,
+)
+from mimosapoint.ports import ABSENT
+from mimosapoint.resilience import RateBudget
+from mimosapoint.telemetry import MemoryTelemetry
+from mimosapoint.testing import TrioTestCase
+
+START = datetime(2026, 12, 3, tzinfo=timezone.utc)
+
+
+def record(key="k", state=JobState.QUEUED, payload=None, **fields):
+    request = JobRequest("w", "s", key, payload=payload)
+    return JobRecord(f"a~{key}", request, state, START, **fields)
+
+
+class CommitterTest(TrioTestCase):
+    """The store gets each change once, whatever becomes of the replies."""
+
+    mock_clock = True
+
+    def make(self):
+        self.clock = TrioClock(START)
+        self.store = MemoryStore(self.clock)
+        self.telemetry = MemoryTelemetry(strict=True)
+        self.table = JobTable("a", 1)
+        self.bucket = self.table.buckets[0]
+
+    def committer(self, epoch=1, writer="n1#1", rate=25.0):
+        return Committer(
+            self.store,
+            self.bucket,
+            epoch,
+            writer,
+            clock=self.clock,
+            telemetry=self.telemetry,
+            interval=timedelta(milliseconds=10),
+            budget=RateBudget(self.clock, rate, rate),
+            random=random.Random(1),
+        )
+
+    async def stored(self):
+        header, records = decode_bucket((await self.store.get(self.bucket.key)).value)
+        return header.sequence, [r.id for r in records]
+
+    async def test_lost_replies(self):
+        for lost, writes in ((1, 1), (2, 3), (3, 4)):
+            with self.subTest(lost=lost):
+                self.make()
+                self.table.put(record())
+                self.store.faults.lose_replies = lost
+                await self.committer().commit()
+                self.assertTrue(self.table.latest("a~k").durable)
+                self.assertEqual((await self.stored())[1], ["a~k"])
+                self.assertEqual(self.store.counts["compare_and_swap"], writes)
+
+    async def test_late_earlier_write_of_its_own(self):
+        """A write that timed out takes effect after the read back and before the repeat."""
+        self.make()
+        self.table.put(record("first"))
+        data = self.bucket.encode(1, "n1#1")
+        self.table.put(record("second"))
+        await self.store.compare_and_swap(self.bucket.key, data, ABSENT)
+        await self.committer().commit()
+        self.assertEqual(await self.stored(), (3, ["a~first", "a~second"]))
+
+    async def test_same_sequence_of_an_earlier_epoch_is_not_this_write(self):
+        self.make()
+        self.table.put(record("old"))
+        await self.committer(epoch=1).commit()
+        self.bucket.sequence = 0
+        self.bucket.revision = ABSENT
+        self.table.put(record("new"))
+        await self.committer(epoch=2).commit()
+        self.assertEqual((await self.stored())[1], ["a~old", "a~new"])
+
+    async def test_newer_owner_fences(self):
+        self.make()
+        self.table.put(record())
+        await self.committer(epoch=2, writer="n2#1").commit()
+        self.bucket.revision = ABSENT
+        with self.assertRaises(StaleEpoch):
+            await self.committer(epoch=1).commit()
+
+    async def test_outage_is_paced(self):
+        self.make()
+        self.table.put(record())
+        self.store.faults.refuse = True
+        with trio.move_on_after(60):
+            await self.committer().commit()
+        self.assertLess(self.store.counts["compare_and_swap"], 80)
+        self.store.faults.refuse = False
+        with trio.fail_after(3):
+            await self.committer().commit()
+
+    async def test_value_over_the_limit_waits_and_harms_nothing_else(self):
+        self.make()
+        self.table.put(record("big", payload="x" * 1_000_001))
+        with trio.move_on_after(10):
+            await self.committer().commit()
+        self.assertIn("bucket-too-large", self.telemetry.names())
+        self.table.remove("a~big")
+        with trio.fail_after(3):
+            await self.committer().commit()
+
+    async def test_changes_share_a_write(self):
+        self.make()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.committer().run)
+            for number in range(500):
+                self.table.put(record(f"k{number}"))
+            await self.table.latest("a~k499").wait_durable()
+            nursery.cancel_scope.cancel()
+        self.assertEqual(self.store.counts["compare_and_swap"], 1)
+
+    async def test_durability_is_that_of_the_record(self):
+        self.make()
+        self.table.put(record("one"))
+        await self.committer().commit()
+        self.table.put(record("other"))
+        self.assertTrue(self.table.latest("a~one").durable)
+        self.assertFalse(self.table.latest("a~other").durable)
+
+    async def test_reload_drops_what_the_store_dropped(self):
+        self.make()
+        self.table.load(self.bucket, [record("gone"), record("kept")], 1)
+        self.table.load(self.bucket, [record("kept")], 2)
+        self.assertEqual([r.id for r in self.table], ["a~kept"])
+
+
+class ViewTest(TrioTestCase):
+    """Callers see an outcome that another owner could still change only once it is durable."""
+
+    def test_outcomes(self):
+        cases = (
+            (Succeeded(("x",)), True),
+            (NotRun("late"), False),
+            (Cancelled(False), False),
+            (Failed("task-failed"), False),
+            (MayHaveRun("worker-lost"), False),
+        )
+        for outcome, shown in cases:
+            with self.subTest(outcome=outcome):
+                ended = record(state=JobState.ENDED, outcome=outcome, ended_at=START)
+                self.assertEqual(view_of(ended, "a", True).outcome, outcome)
+                early = view_of(ended, "a", False)
+                self.assertEqual(early.outcome is not None, shown)
+                self.assertEqual(early.state is JobState.ENDED, shown)
+                self.assertEqual(early.ended_at is not None, shown)
+
+
+class IdTest(TrioTestCase):
+    """Ids name the home zone, and keys do not run together."""
+
+    def test_ids(self):
+        zones = ("a", "b", "c")
+        ids = {job_id_of("w", f"k{n}", zones) for n in range(300)}
+        self.assertEqual(len(ids), 300)
+        self.assertEqual({zone_of(id) for id in ids}, set(zones))
+        self.assertNotEqual(job_id_of("ab", "c", zones), job_id_of("a", "bc", zones))
+        self.assertEqual(job_id_of("w", "k", zones), job_id_of("w", "k", reversed(zones)))
+
+    def test_malformed(self):
+        for bad in ("", "a", "a~", "~x"):
+            with self.subTest(id=bad), self.assertRaises(JobNotFound):
+                zone_of(bad)
--- a/packages/mimosapoint/src/mimosapoint/ownership/claim.py
+++ b/packages/mimosapoint/src/mimosapoint/ownership/claim.py
@@ -128,7 +128,10 @@
 
     :raises StaleEpoch: a newer owner has fenced the bucket.
     """
-    entry = await claimant.store.get(bucket.key)
+    try:
+        entry = await claimant.store.get(bucket.key)
+    except StoreTimeout:
+        return False
     records = []
     if entry is not None:
         header, records = decode_bucket(entry.value)
--- a/packages/mimosapoint/src/mimosapoint/placement/owner.py
+++ b/packages/mimosapoint/src/mimosapoint/placement/owner.py
@@ -175,6 +175,7 @@
             self._traces_by_job[job_id] = trace
             self._ledger.put(record)
             self._parts.telemetry.event("job-accepted", job=job_id, trace=trace or "")
+            self._keep_or_send(record)
         elif record.request != request:
             raise IdempotencyConflict("the idempotency key was used for another request")
         with trio.move_on_after(self._parts.settings.durable_wait.total_seconds()):
@@ -363,29 +364,31 @@
 
     def start_attempt(self, record: JobRecord) -> None:
         """Run the gang of a record that has just been placed, if it may run in this zone."""
-        if not self._may_run_here(record):
-            self._send_away(record)
+        if not self._keep_or_send(record):
             return
         self._ledger.put(record)
         self._spawn_attempt(record, resumed=False)
 
-    def _may_run_here(self, record: JobRecord) -> bool:
-        """Whether the request and its service allow this zone."""
-        return self.zone in allowed_zones(record.request, self._parts.configuration.current)
+    def _keep_or_send(self, record: JobRecord) -> bool:
+        """Move a job on that may not run in this zone; tell whether it may."""
+        allowed = allowed_zones(record.request, self._parts.configuration.current)
+        if self.zone not in allowed:
+            self._send_away(record)
+        return self.zone in allowed
 
     def _send_away(self, record: JobRecord) -> None:
         """Move a waiting job to a zone that it may run in, if one is in service."""
         configuration = self._parts.configuration.current
         allowed = sorted(allowed_zones(record.request, configuration))
-        summaries = self._parts.summaries_by_zone()
-        in_service = [
-            zone
-            for zone in allowed
-            if zone in summaries and configuration.zones_by_id[zone].mode is ZoneMode.IN_SERVICE
-        ]
+        zones = configuration.zones_by_id
+        in_service = [id for id in allowed if zones[id].mode is ZoneMode.IN_SERVICE]
         if in_service:
-            best = max(in_service, key=lambda zone: summaries[zone].free_slots)
-            self._mover.move(record.id, best)
+            self._mover.move(record.id, max(in_service, key=self._free_slots))
+
+    def _free_slots(self, zone: str) -> int:
+        """Return the slots that another zone last told to be free."""
+        summary = self._parts.summaries_by_zone().get(zone)
+        return summary.free_slots if summary else 0
 
     def _spawn_attempt(self, record: JobRecord, *, resumed: bool) -> None:
         self._roster.hold(record)
@@ -495,6 +498,8 @@
             await self._parts.clock.sleep(COMPACT_INTERVAL)
             self._watchers.expire()
             self._drop_traces()
+            for record in self._ledger.queued():
+                self._keep_or_send(record)
             oldest = self._parts.clock.now() - self._parts.settings.retention
             for record in self._ledger.records():
                 if record.state is JobState.ENDED and record.ended_at < oldest:
--- a/packages/mimosapoint/src/mimosapoint/testing/site.py
+++ b/packages/mimosapoint/src/mimosapoint/testing/site.py
@@ -165,9 +165,16 @@
             self.nodes_by_id[node].pause.thaw()
         self.network.thaw(self.vms_by_id[node].address)
 
-    def freeze_at(self, node: str, command: str) -> None:
-        """Freeze a node as it is about to send a command to a worker or the store."""
-        self.nodes_by_id[node].pause.before[command] = lambda: self.freeze(node)
+    def freeze_at(self, node: str, command: str, number: int = 1) -> None:
+        """Freeze a node as it is about to send a command to a worker or the store.
+
+        :param number: which of the coming commands it is.
+        """
+        before = self.nodes_by_id[node].pause.before
+        if number == 1:
+            before[command] = lambda: self.freeze(node)
+        else:
+            before[command] = lambda: self.freeze_at(node, command, number - 1)
 
     def cut(self, node: str, others: list[str] | None = None) -> None:
         """Cut a node off from other nodes."""
