--- a/benchmarks/slopes/parts.py
+++ b/benchmarks/slopes/parts.py
@@ -1,5 +1,6 @@
 """Cost of single calls and of single pieces of a node, each against its size."""
 
+import hashlib
 import os
 import time
 import tracemalloc
@@ -9,7 +10,10 @@
 from pathlib import Path
 
 import attrs
+from mimosapoint.configuration import ConfigurationState, PatchRecord, load_configuration
+from mimosapoint.configuration.state import FORMAT, encode_state
 from mimosapoint.jobs import Bucket
+from mimosapoint.membership import preferred_owners
 from mimosapoint.model import (
     JobRecord,
     JobRequest,
@@ -20,6 +24,8 @@
     Resources,
     StartRequest,
     TaskSpec,
+    Vm,
+    VmKind,
 )
 from mimosapoint.telemetry import LogTelemetry
 from mimosapoint_node.platform import HttpStore, HttpVmList, HttpWorkers
@@ -27,7 +33,7 @@
 
 from benchmarks.slopes.fit import Point, Slope, fit
 from benchmarks.slopes.relay import Relay
-from benchmarks.slopes.site import SizedSite
+from benchmarks.slopes.site import SizedSite, write_example
 from benchmarks.slopes.usage import KIB
 
 __all__ = [
@@ -38,6 +44,10 @@
     "measure_worker_call",
 ]
 
+ZONES = (4, 8, 16, 32)
+NODES = 48
+CHECKS = 40
+VERDICTS = (0, 25, 50, 100)
 VALUE_KIB = (1, 16, 64, 256, 512)
 STORE_CALLS = 60
 LISTED = (24, 220, 880, 3500)
@@ -70,11 +80,14 @@
 
 async def measure_store(folder: Path) -> list[Slope]:
     """Return the cost of a read and of a write against the size of the value."""
-    reads, writes = [], []
+    reads, writes, sizes = [], [], []
     async with AsyncExitStack() as stack:
         site = await _stand_ins(folder / "store", 1, stack)
         store = HttpStore(site.files.store_address, LogTelemetry("bench"))
         stack.push_async_callback(store.close)
+        relay = await stack.enter_async_context(Relay.opened())
+        through = HttpStore(await relay.to(site.files.store_address), LogTelemetry("bench"))
+        stack.push_async_callback(through.close)
         for size in VALUE_KIB:
             value = os.urandom(size * KIB)
             revision = 0
@@ -89,15 +102,20 @@
             await write()
             writes.append(Point(size, await _processor_ms(STORE_CALLS, write)))
             reads.append(Point(size, await _processor_ms(STORE_CALLS, read)))
+            before = relay.carried
+            await through.get(f"value-{size}")
+            sizes.append(Point(size, relay.carried - before))
     return [
         fit("store.read_cpu", "KiB", "ms", reads),
         fit("store.write_cpu", "KiB", "ms", writes),
+        fit("store.read_bytes", "KiB", "B", sizes),
     ]
 
 
 async def measure_list(folder: Path) -> list[Slope]:
     """Return the cost of reading the list of VMs against its length."""
-    costs, sizes = [], []
+    costs, changed, sizes = [], [], []
+    telemetry = LogTelemetry("bench")
     for count in LISTED:
         async with AsyncExitStack() as stack:
             relay = await stack.enter_async_context(Relay.opened())
@@ -112,8 +130,16 @@
             stack.push_async_callback(direct.close)
             await direct.vms()
             costs.append(Point(count, await _processor_ms(LIST_CALLS, direct.vms)))
+
+            async def read_anew(address: str = site.files.vm_list_address) -> None:
+                anew = HttpVmList(address, telemetry)
+                await anew.vms()
+                await anew.close()
+
+            changed.append(Point(count, await _processor_ms(LIST_CALLS, read_anew)))
     return [
         fit("list.read_cpu", "listed VM", "ms", costs),
+        fit("list.changed_cpu", "listed VM", "ms", changed),
         fit("list.read_bytes", "listed VM", "B", sizes),
     ]
 
@@ -189,6 +215,38 @@
     return JobRecord(f"r1-a~{number:032}", request, JobState.RUNNING, NOW, placement, NOW)
 
 
+async def measure_configuration(folder: Path) -> list[Slope]:
+    """Return the size of the stored configuration against the verdicts that it keeps."""
+    example = write_example(folder / "configuration", 1, 0)
+    configuration = load_configuration(str(example / "configuration.yaml"))
+    sizes = []
+    for count in VERDICTS:
+        patches = tuple(_verdict(number) for number in range(count))
+        state = ConfigurationState(FORMAT, 1 + count, configuration, patches)
+        sizes.append(Point(count, len(encode_state(state))))
+    return [fit("configuration.bytes", "verdict", "B", sizes)]
+
+
+def _verdict(number: int) -> PatchRecord:
+    mark = hashlib.sha256(str(number).encode()).hexdigest()
+    return PatchRecord(f"patch-{number}", mark, number, number + 1, True, at=NOW)
+
+
+async def measure_ownership(folder: Path) -> list[Slope]:
+    """Return the cost of working out who should own the zones, against their number."""
+    ids = [f"node-{number:03}" for number in range(NODES)]
+    nodes = {id: Vm(id, VmKind.ENTRY, f"zone-{at % 16}", "") for at, id in enumerate(ids)}
+    costs = []
+    for count in ZONES:
+        zones = {f"zone-{number}": f"region-{number % 7}" for number in range(count)}
+
+        async def check(zones: dict[str, str] = zones) -> None:
+            preferred_owners(zones, nodes, zones)
+
+        costs.append(Point(count, await _processor_ms(CHECKS, check)))
+    return [fit("ownership.check_cpu", "zone", "ms", costs)]
+
+
 async def measure_spans(folder: Path) -> list[Slope]:
     """Return the cost and the memory of recorded spans."""
     costs, memories = [], []
--- a/packages/mimosapoint/src/mimosapoint/scheduling/__init__.py
+++ b/packages/mimosapoint/src/mimosapoint/scheduling/__init__.py
@@ -1,7 +1,16 @@
 """Decisions: which gang runs where, and which gives way."""
 
 from mimosapoint.scheduling.fifo import FifoFirstFit
-from mimosapoint.scheduling.guaranteed import GuaranteedShapes, Packed, UrgentLane, ZoneMoves
+from mimosapoint.scheduling.guaranteed import (
+    Balanced,
+    GuaranteedShapes,
+    Packed,
+    Quarantining,
+    Refusing,
+    Reserving,
+    UrgentLane,
+    ZoneMoves,
+)
 from mimosapoint.scheduling.invariant import invariant_broken
 from mimosapoint.scheduling.registry import Policy, make_policy, policy_names, scheduling_policy
 from mimosapoint.scheduling.summary import summarize
@@ -18,14 +27,18 @@
 
 __all__ = [
     "Assignment",
+    "Balanced",
     "Decision",
     "FifoFirstFit",
     "GuaranteedShapes",
     "Move",
     "Packed",
     "Policy",
+    "Quarantining",
     "Reclaim",
     "Refusal",
+    "Refusing",
+    "Reserving",
     "UrgentLane",
     "WorkerView",
     "ZoneMoves",
