Renew leases when the owner and the store are gone

With the owner dead and the store out for 60 s the running gangs stopped after their 15 s lease and started a second time; the preferred node now renews the zone's leases with the last epoch heard, which starts nothing, and six jobs of 90 s run through with one start each, with the store refusing and silent.

--- a/packages/mimosapoint/src/mimosapoint/node/tests/_case.py
+++ b/packages/mimosapoint/src/mimosapoint/node/tests/_case.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from mimosapoint.jobs import zone_of
 from mimosapoint.testing import TrioTestCase
 from mimosapoint.testing.caller import Caller
 from mimosapoint.testing.site import MemorySite
@@ -38,6 +39,10 @@
         """Return the kinds of outcomes that callers got."""
         return {call.outcome for call in site.history.calls}
 
+    def home(self, site):
+        """Return the home zone of the first call's job."""
+        return zone_of(site.history.calls[0].job)
+
     def starts(self, site, job):
         """Return the starts of a job on all workers."""
         events = [event for event in site.tasks() if event.task.startswith(job + "/")]
--- /dev/null
+++ b/packages/mimosapoint/src/mimosapoint/node/tests/test_bounds.py
@@ -0,0 +1,97 @@
+"""Tests of bounds on what an owner holds, and of faults in the program itself."""
+
+import attrs
+import trio
+
+from mimosapoint.codec import encode
+from mimosapoint.errors import Overloaded
+from mimosapoint.jobs.bucket import bucket_key
+from mimosapoint.node import PartSettings
+from mimosapoint.node.tests._case import SiteCase
+from mimosapoint.ownership import OwnershipSettings
+from mimosapoint.placement import OwnerSettings
+from mimosapoint.testing.caller import Caller
+
+FEW_BUCKETS = PartSettings(ownership=OwnershipSettings(buckets=1))
+
+
+class BoundTest(SiteCase):
+    """Full tables refuse early, and nothing is kept for ever."""
+
+    async def test_bucket_near_its_limit_refuses(self):
+        settings = attrs.evolve(FEW_BUCKETS, owner=OwnerSettings(bucket_bytes_limit=3000))
+        async with self.site(zones=("a",), settings=settings) as site:
+            caller = Caller(site)
+            accepted = 0
+            with self.assertRaises(Overloaded) as caught:
+                for number in range(20):
+                    await caller.submit(caller.request(f"k{number}", 100.0))
+                    accepted += 1
+            self.assertIsNotNone(caught.exception.retry_after)
+            self.assertGreater(accepted, 1)
+
+    async def test_answer_that_the_table_cannot_hold_fails_alone(self):
+        async with self.site(zones=("a",), settings=FEW_BUCKETS) as site:
+            async with trio.open_nursery() as nursery:
+                big = {"value": "x" * 700_000}
+                caller = Caller(site)
+                nursery.start_soon(lambda: caller.call("big", 1.0, payload=big, gang=2))
+                nursery.start_soon(lambda: caller.call("small", 1.0))
+            by_key = {call.key: call for call in site.history.calls}
+            self.assertEqual(by_key["big"].code, "answer-too-large")
+            self.assertEqual(by_key["small"].outcome, "succeeded")
+
+    async def test_traces_and_watches_are_dropped(self):
+        async with self.site(zones=("a",)) as site:
+            caller = Caller(site)
+            async with trio.open_nursery() as nursery:
+                self.calls(nursery, site, 40, seconds=4.0)
+                await trio.sleep(1)
+                for number in range(40):
+                    await caller.cancel(f"k{number}")
+            await trio.sleep(20)
+            owner = site.nodes_by_id[site.owner_of("a")].core.keeper.owner("a")
+            self.assertEqual(owner._traces_by_job, {})
+            self.assertEqual(owner._watchers._expiry_by_address_by_job, {})
+            self.assertEqual(owner._attempts_by_job, {})
+            self.assertEqual(owner._roster._held_by_job, {})
+
+
+class ProgramFaultTest(SiteCase):
+    """A fault in the program drops one zone, which is claimed again, and not the node."""
+
+    async def test_fault_in_an_owner(self):
+        for part in ("_mover", "_watchers", "_scheduler"):
+            with self.subTest(part=part):
+                async with self.site() as site:
+                    await self.fail_part(site, part)
+                    self.assertEqual(self.outcomes(site), {"succeeded"})
+
+    async def fail_part(self, site, part):
+        node = site.nodes_by_id[site.owner_of("b")]
+        owner = node.core.keeper.owner("b")
+        async with trio.open_nursery() as nursery:
+            self.calls(nursery, site, 8, seconds=4.0, repeatable=False)
+            await trio.sleep(1)
+            owner._nursery.start_soon(self.fail, getattr(owner, part))
+            await trio.sleep(0.1)
+            await site.until(lambda: site.owner_of("b") is not None, timeout=10)
+        lost = [e.fields["code"] for e in node.telemetry.events if e.name == "zone-lost"]
+        self.assertEqual(lost, ["ZeroDivisionError"])
+
+    async def fail(self, part):
+        raise ZeroDivisionError(str(part))
+
+    async def test_newer_format_in_one_zone_leaves_the_others_alone(self):
+        async with self.site(zones=("a", "b")) as site:
+            newer = encode({"format": 99, "header": {}, "jobs": []})
+            key = bucket_key("b", 3)
+            entry = await site.store.get(key)
+            await site.store.compare_and_swap(key, newer, entry.revision)
+            site.kill(site.owner_of("b"))
+            async with trio.open_nursery() as nursery:
+                await trio.sleep(10)
+                caller = Caller(site)
+                nursery.start_soon(lambda: caller.call("k6", 1.0))
+            self.assertEqual((await site.store.get(key)).value, newer)
+            self.assertEqual(self.outcomes(site), {"succeeded"})
--- a/packages/mimosapoint/src/mimosapoint/node/tests/test_gangs.py
+++ b/packages/mimosapoint/src/mimosapoint/node/tests/test_gangs.py
@@ -108,7 +108,7 @@
                     async with trio.open_nursery() as nursery:
                         self.calls(nursery, site, 4, seconds=2.0, repeatable=False)
                         await trio.sleep(moment)
-                        site.kill(site.owner_of("a"))
+                        site.kill(site.owner_of(self.home(site)))
                     self.assertEqual(self.outcomes(site), {"succeeded"})
                     for call in site.history.calls:
                         self.assertEqual(len(self.starts(site, call.job)), 1)
--- a/packages/mimosapoint/src/mimosapoint/node/tests/test_outages.py
+++ b/packages/mimosapoint/src/mimosapoint/node/tests/test_outages.py
@@ -48,8 +48,7 @@
                 self.calls(nursery, site, 6, seconds=5.0, prefix="new")
                 site.store.faults.refuse = True
                 await trio.sleep(5)
-                owner = site.owner_of("a")
-                site.kill(owner)
+                site.kill(site.owner_of(self.home(site)))
                 await trio.sleep(20)
                 site.store.faults.refuse = False
             self.assertEqual(self.outcomes(site), {"succeeded"})
@@ -172,3 +171,26 @@
         if fault == "cut-store":
             site.heal_store(owner)
         site.thaw(owner)
+
+
+class OwnerAndStoreTest(SiteCase):
+    """The owner ends while the store is out."""
+
+    async def test_running_work_outlives_both(self):
+        for fault in ("refuse", "frozen"):
+            with self.subTest(fault=fault):
+                async with self.site() as site:
+                    await self.lose_both(site, fault)
+
+    async def lose_both(self, site, fault):
+        async with trio.open_nursery() as nursery:
+            self.calls(nursery, site, 6, seconds=90.0, repeatable=False, interruptible=False)
+            await trio.sleep(2)
+            setattr(site.store.faults, fault, True)
+            await trio.sleep(1)
+            site.kill(site.owner_of(self.home(site)))
+            await trio.sleep(OUTAGE_SECONDS)
+            setattr(site.store.faults, fault, False)
+        self.assertEqual(self.outcomes(site), {"succeeded"})
+        for call in site.history.calls:
+            self.assertEqual(len(self.starts(site, call.job)), 1)
--- a/packages/mimosapoint/src/mimosapoint/ownership/keeper.py
+++ b/packages/mimosapoint/src/mimosapoint/ownership/keeper.py
@@ -6,13 +6,14 @@
 import attrs
 import trio
 
-from mimosapoint.errors import MimosapointError
+from mimosapoint.errors import CircuitOpen, MimosapointError, StoreTimeout, StoreUnavailable
 from mimosapoint.jobs import Accepted
 from mimosapoint.membership import Membership, preferred_owners
 from mimosapoint.model import Vm
 from mimosapoint.ownership.claim import Claimant, OwnerRecord, claim_zone, read_owner
 from mimosapoint.ownership.directory import ZoneDirectory
 from mimosapoint.ownership.messages import TakeZone
+from mimosapoint.ownership.renewals import LeaseRenewals
 from mimosapoint.ownership.settings import OwnershipSettings
 from mimosapoint.placement import Holder, OwnerParts, ZoneOwner
 from mimosapoint.ports import Clock
@@ -58,6 +59,7 @@
             node.id, node.address, membership, clock, self.owners_by_zone
         )
         self._parts = parts(self.directory)
+        self._renewals = LeaseRenewals(node.id, self._parts)
         self._settings = settings
         self._clock = clock
         self._telemetry = self._parts.telemetry
@@ -77,6 +79,7 @@
             task_status.started()
             await self._clock.sleep(self._settings.settle)
             while True:
+                self._renewals.heard(self.directory.epochs_by_zone())
                 self._check_all()
                 await self._clock.sleep(self._settings.check_interval)
 
@@ -128,7 +131,11 @@
 
     async def _claim(self, zone: str) -> None:
         """Claim the zone unless a live node is at it, and start to own it."""
-        record, _ = await read_owner(self._parts.store, zone)
+        try:
+            record, _ = await read_owner(self._parts.store, zone)
+        except (StoreUnavailable, StoreTimeout, CircuitOpen):
+            await self._renewals.renew(zone)
+            raise
         if record is not None and not self._may_overtake(zone, record):
             return
         await self._take(zone)
--- a/packages/mimosapoint/src/mimosapoint/telemetry/_declarations.py
+++ b/packages/mimosapoint/src/mimosapoint/telemetry/_declarations.py
@@ -103,6 +103,7 @@
     ("placement-stale", "A decision did not fit any more when it was carried out."),
     ("zone-claimed", "This node owns an availability zone from now on."),
     ("zone-lost", "A newer owner has fenced this node, or a fault ended its ownership."),
+    ("leases-renewed", "The owner and the store are gone; the zone's running tasks go on."),
     ("bucket-too-large", "A bucket of the job table is over the store's limit; it waits."),
     ("zone-handed-over", "This node let go of an availability zone for another node."),
     ("ownership-failed", "A claim or a hand-over failed; it is tried again."),
