Bound the router's retries by a budget

Cause: each of many waiting requests retried on its own, and the last node of a planned stop let go of its zones without writing them. Before: 500 requests without an owner make more calls than the bound of 1,750 in 60 s, the new test is red without the budget. After: it passes. Conclusion: beyond the budget callers hear at once when to come back.

--- a/packages/mimosapoint/src/mimosapoint/entry/router.py
+++ b/packages/mimosapoint/src/mimosapoint/entry/router.py
@@ -8,7 +8,7 @@
 from mimosapoint.errors import CircuitOpen, NotOwner, OutcomeUnknown, Overloaded, PeerUnreachable
 from mimosapoint.peers import Dispatcher, message_name
 from mimosapoint.ports import Clock, Peers, Telemetry
-from mimosapoint.resilience import Backoff, Deadline
+from mimosapoint.resilience import Backoff, Deadline, RetryBudget
 
 __all__ = ["ZoneRouter"]
 
@@ -16,6 +16,12 @@
 MOST_WAIT = timedelta(milliseconds=800)
 RETRY_AFTER = timedelta(seconds=2)
 
+RETRY_RATIO = 0.5
+"""Retries that each request earns for all requests of the node."""
+
+RETRY_RESERVE = 1000.0
+"""Most retries that can be saved up."""
+
 
 class ZoneRouter:
     """Calls the owner of a zone, wherever it is, and tries again while ownership changes.
@@ -45,6 +51,7 @@
         self._telemetry = telemetry
         self._random = random
         self._call_timeout = call_timeout
+        self._budget = RetryBudget(RETRY_RATIO, RETRY_RESERVE)
 
     async def call(self, zone: str, message: Any, deadline: Deadline) -> Any:
         """Return the owner's reply.
@@ -54,6 +61,7 @@
         :raises Overloaded: no owner could be reached in time; there was no effect.
         """
         backoff = Backoff(self._random, FIRST_WAIT, MOST_WAIT)
+        self._budget.attempted()
         doubtful = False
         while True:
             try:
@@ -63,7 +71,7 @@
             except (NotOwner, CircuitOpen):
                 self._telemetry.count("routes_missed_total", message=message_name(type(message)))
             wait = backoff.next()
-            if deadline.remaining() <= wait:
+            if deadline.remaining() <= wait or not self._budget.try_retry():
                 raise self._give_up(zone, doubtful)
             await self._clock.sleep(wait)
 
--- a/packages/mimosapoint/src/mimosapoint/entry/tests/test_routing.py
+++ b/packages/mimosapoint/src/mimosapoint/entry/tests/test_routing.py
@@ -8,7 +8,7 @@
 
 from mimosapoint.configuration import Capacity, Configuration, Service, Workspace, Zone
 from mimosapoint.entry.admission import check_request
-from mimosapoint.entry.router import ZoneRouter
+from mimosapoint.entry.router import RETRY_RATIO, RETRY_RESERVE, ZoneRouter
 from mimosapoint.errors import (
     BadRequest,
     JobNotFound,
@@ -68,9 +68,11 @@
 
     def __init__(self, script):
         self.script = list(script)
+        self.calls = 0
 
     async def call(self, address, message, timeout):
         await trio.lowlevel.checkpoint()
+        self.calls += 1
         item = self.script.pop(0) if len(self.script) > 1 else self.script[0]
         if isinstance(item, Exception):
             raise item
@@ -116,6 +118,22 @@
         with self.assertRaises(Overloaded):
             await router.call("a", MESSAGE, Deadline.after(clock, timedelta(seconds=3)))
 
+    async def test_retries_of_many_requests_are_bounded(self):
+        clock = TrioClock(START)
+        peers = ScriptedPeers([NotOwner("a")])
+        router = self.router(clock, peers, "there")
+        requests = 500
+
+        async def ask():
+            with self.assertRaises(Overloaded):
+                await router.call("a", MESSAGE, Deadline.after(clock, timedelta(seconds=60)))
+
+        async with trio.open_nursery() as nursery:
+            for _ in range(requests):
+                nursery.start_soon(ask)
+        bound = requests + RETRY_RESERVE + RETRY_RATIO * requests
+        self.assertLessEqual(peers.calls, bound)
+
     def router(self, clock, peers, address):
         return ZoneRouter(
             "here",
--- a/packages/mimosapoint/src/mimosapoint/ownership/keeper.py
+++ b/packages/mimosapoint/src/mimosapoint/ownership/keeper.py
@@ -192,7 +192,7 @@
         return Accepted()
 
     async def hand_over_all(self) -> None:
-        """Hand every zone to the best other node."""
+        """Hand every zone to the best other node; the last node writes its tables and lets go."""
         self._stopping = True
         others = self._membership.live_nodes()
         others.pop(self._node.id, None)
@@ -202,6 +202,8 @@
                 if zone in preferred_by_zone:
                     preferred = preferred_by_zone[zone]
                     nursery.start_soon(self._guard, zone, self._hand_over, preferred)
+                else:
+                    nursery.start_soon(self.owners_by_zone[zone].close)
 
 
 def _code(error: Exception) -> str:
