Test that a worker's link outlives a pause of its owner

In one run of make faults an owner that had been frozen for 8 s while the store hung started nothing for 17 s more: the one call that had run out during the pause counted as a failure since the last answer, so the link gave up all six workers at once.

--- /dev/null
+++ b/packages/mimosapoint/src/mimosapoint/placement/tests/test_link.py
@@ -0,0 +1,59 @@
+"""Tests of the link to a worker around pauses of the owner's process."""
+
+import trio
+
+from mimosapoint.errors import WorkerUnreachable
+from mimosapoint.memory import MemoryWorker, TrioClock
+from mimosapoint.model import Resources, Vm, VmKind
+from mimosapoint.placement import Holder, WorkerLink
+from mimosapoint.placement.board import TaskBoard
+from mimosapoint.placement.roster import Roster
+from mimosapoint.placement.settings import OwnerSettings
+from mimosapoint.telemetry import MemoryTelemetry
+from mimosapoint.testing import TrioTestCase
+
+CAPACITY = Resources(slots=8, cores=128, memory_gib=256, accelerators=8)
+VM = Vm("w", VmKind.ENDPOINT, "a", "10.0.0.1:1", rack="r")
+PAUSE_SECONDS = 8.0
+AFTER_PAUSE_SECONDS = 3.0
+
+
+class PausedOnce:
+    """A worker of which the call in flight fails at the end of one long pause."""
+
+    def __init__(self, clock):
+        self._worker = MemoryWorker(VM.id, CAPACITY, clock)
+        self.calls = 0
+
+    async def lease(self, address, request):
+        self.calls += 1
+        if self.calls == 2:
+            await trio.sleep(PAUSE_SECONDS)
+            raise WorkerUnreachable("no reply")
+        return self._worker.lease(request)
+
+
+class PauseTest(TrioTestCase):
+    mock_clock = True
+
+    async def test_a_worker_that_answers_after_a_pause_is_used_again_at_once(self):
+        clock, roster = TrioClock(), Roster()
+        roster.list_vm(VM)
+        workers = PausedOnce(clock)
+        link = WorkerLink(
+            VM.id,
+            Holder("n", "a", 1),
+            workers=workers,
+            board=TaskBoard(),
+            roster=roster,
+            clock=clock,
+            telemetry=MemoryTelemetry(),
+            settings=OwnerSettings(),
+            on_report=lambda: None,
+        )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(link.run)
+            await trio.sleep(PAUSE_SECONDS + AFTER_PAUSE_SECONDS)
+            self.assertGreater(workers.calls, 2)
+            self.assertTrue(roster.usable(VM.id))
+            nursery.cancel_scope.cancel()
