--- a/packages/mimosapoint/src/mimosapoint/node/tests/test_outages.py
+++ b/packages/mimosapoint/src/mimosapoint/node/tests/test_outages.py
@@ -97,6 +97,17 @@
             view = await caller.ask(lambda api: api.job("w", job))
             self.assertEqual(type(view.outcome).__name__, "NotRun")
 
+    async def test_placed_job_does_not_start_after_its_latest_start(self):
+        async with self.site() as site:
+            site.store.faults.refuse = True
+            async with trio.open_nursery() as nursery:
+                start_by = site.clock.now() + timedelta(seconds=3)
+                self.calls(nursery, site, 4, seconds=1.0, start_by=start_by)
+                await trio.sleep(6)
+                site.store.faults.refuse = False
+            self.assertEqual(self.outcomes(site), {"not-run"})
+            self.assertEqual(site.tasks(), [])
+
 
 class WithdrawalTest(SiteCase):
     """Nothing starts in a zone 3 s after its withdrawal, however the owner fails."""
