--- a/packages/mimosapoint/src/mimosapoint/placement/scheduler.py
+++ b/packages/mimosapoint/src/mimosapoint/placement/scheduler.py
@@ -126,7 +126,10 @@
             self._left_at = view.now
         else:
             self._drain(view, policy)
-        self._apply(policy.decide(view))
+        decision = policy.decide(view)
+        self._apply(decision)
+        if decision.unfinished:
+            self.wake()
 
     def aged_summary(self) -> ZoneSummary | None:
         """Return the last summary with its age, or ``None`` before the first decision."""
