--- a/packages/mimosapoint/src/mimosapoint/testing/case.py
+++ b/packages/mimosapoint/src/mimosapoint/testing/case.py
@@ -5,10 +5,15 @@
 from typing import Any
 
 import trio
+import trio.abc
 import trio.testing
+from trio._core import _run
 
 __all__ = ["TrioTestCase"]
 
+SCHEDULING_SEED = 1
+"""Seed of the order in which trio runs tasks that are ready at once."""
+
 
 class TrioTestCase(unittest.TestCase):
     """Runs ``async def test_*`` methods on trio.
@@ -23,12 +28,20 @@
         if not inspect.iscoroutinefunction(method):
             super()._callTestMethod(method)
             return
-        clock = trio.testing.MockClock(autojump_threshold=0) if self.mock_clock else None
         try:
-            trio.run(method, clock=clock)
+            trio.run(method, clock=self._make_clock())
         except BaseExceptionGroup as group:
             raise _only_error(group) from group
 
+    def _make_clock(self) -> trio.abc.Clock | None:
+        """Return a mock clock with a fixed order of tasks, or ``None`` for the real one."""
+        if not self.mock_clock:
+            return None
+        # As trio's own plugin for hypothesis does: the order of tasks follows from the seed.
+        _run._ALLOW_DETERMINISTIC_SCHEDULING = True
+        _run._r.seed(SCHEDULING_SEED)
+        return trio.testing.MockClock(autojump_threshold=0)
+
 
 def _only_error(error: BaseException) -> BaseException:
     """Return the error within groups of one, so that the runner tells failures from errors."""
