--- a/benchmarks/slopes/site.py
+++ b/benchmarks/slopes/site.py
@@ -44,7 +44,7 @@
     ]
     for vm in entries:
         _write(folder / f"{vm['id']}.yaml", _settings(vm["id"], settings or {}))
-    _write(folder / "vms.yaml", [*entries, *endpoints])
+    _write(folder / "vms.yaml", {"vms": [*entries, *endpoints]})
     _write(folder / "configuration.yaml", _configuration(workers))
     return folder
 
--- a/tools/tests/test_slopes.py
+++ b/tools/tests/test_slopes.py
@@ -1,9 +1,14 @@
 """Tests of the lines through measured points and of what is worked out from them."""
 
+import tempfile
 import unittest
+from pathlib import Path
+
+from mimosapoint_standins import load_inventory
 
 from benchmarks.slopes.capacity import capacity, capacity_table
 from benchmarks.slopes.fit import Point, Slope, fit
+from benchmarks.slopes.site import SizedSite
 
 LINES = (
     ("exact", [(0, 1), (2, 5), (4, 9)], 2, 1, 0),
@@ -57,6 +62,16 @@
             fit("name", "thing", "ms", [Point(1, 1), Point(1, 2)])
 
 
+class SizedSiteTest(unittest.TestCase):
+    def test_a_site_has_the_size_that_is_asked_for(self):
+        with tempfile.TemporaryDirectory() as folder:
+            site = SizedSite(Path(folder) / "site", nodes=3, workers=5)
+            self.assertEqual(len(site.files.nodes_by_id), 3)
+            self.assertEqual(len(set(site.worker_addresses)), 5)
+            written = load_inventory(str(site.files.vms))
+        self.assertLessEqual(set(site.worker_addresses), {vm.address for vm in written.vms})
+
+
 class CapacityTest(unittest.TestCase):
     def test_every_term_names_the_slopes_that_it_follows_from(self):
         for term in capacity(slopes(1, 0)):
