--- a/packages/mimosapoint/src/mimosapoint/node/tests/test_bounds.py
+++ b/packages/mimosapoint/src/mimosapoint/node/tests/test_bounds.py
@@ -73,13 +73,24 @@
         async with trio.open_nursery() as nursery:
             self.calls(nursery, site, 8, seconds=4.0, repeatable=False)
             await trio.sleep(1)
-            owner._nursery.start_soon(self.fail, getattr(owner, part))
+            owner._nursery.start_soon(self.raise_fault, getattr(owner, part))
             await trio.sleep(0.1)
             await site.until(lambda: site.owner_of("b") is not None, timeout=10)
         lost = [e.fields["code"] for e in node.telemetry.events if e.name == "zone-lost"]
         self.assertEqual(lost, ["ZeroDivisionError"])
 
-    async def fail(self, part):
+    async def test_lasting_fault_does_not_flood_the_store(self):
+        async with self.site() as site:
+            node = site.nodes_by_id[site.owner_of("b")]
+            began, writes = trio.current_time(), site.store.counts["compare_and_swap"]
+            while trio.current_time() - began < 30:
+                owner = node.core.keeper.owner("b")
+                if owner is not None and owner._nursery is not None:
+                    owner._nursery.start_soon(self.raise_fault, owner)
+                await trio.sleep(0.1)
+            self.assertLess(site.store.counts["compare_and_swap"] - writes, 200)
+
+    async def raise_fault(self, part):
         raise ZeroDivisionError(str(part))
 
     async def test_newer_format_in_one_zone_leaves_the_others_alone(self):
--- a/packages/mimosapoint/src/mimosapoint/ownership/keeper.py
+++ b/packages/mimosapoint/src/mimosapoint/ownership/keeper.py
@@ -21,6 +21,7 @@
 __all__ = ["OwnershipKeeper"]
 
 TAKE_TIMEOUT = timedelta(seconds=2)
+FAULT_PAUSE = timedelta(seconds=3)
 
 
 @attrs.define
@@ -166,15 +167,25 @@
         """Run an owner until it is closed or fenced."""
         self.owners_by_zone[zone] = owner
         self._membership.refresh_attachments()
+        faulty = False
         try:
             await owner.run(task_status)
         except* Exception as group:
             codes = ",".join(sorted(set(map(_code, _leaves(group)))))
+            faulty = not all(isinstance(error, MimosapointError) for error in _leaves(group))
             self._telemetry.event("zone-lost", zone=zone, epoch=owner.epoch, code=codes)
         finally:
             if self.owners_by_zone.get(zone) is owner:
                 del self.owners_by_zone[zone]
             self._membership.refresh_attachments()
+        if faulty:
+            await self._rest(zone)
+
+    async def _rest(self, zone: str) -> None:
+        """Leave a zone alone for a while, so that a lasting fault does not flood the store."""
+        self._busy.add(zone)
+        await self._clock.sleep(FAULT_PAUSE)
+        self._busy.discard(zone)
 
     async def _hand_over(self, zone: str, preferred: str) -> None:
         """Close the owner and let the better node claim at once."""
