Split the owner of a zone into modules of one job

Cause: placement/owner.py had 524 lines that served requests, links, attempts and pauses at once; which zones a request may run in stood twice; and a job's trace context was lost with its owner. Conclusion: behaviour is as before but for the trace. The test of dropped traces became one of dropped watches and attempts, since nothing is kept beside the record any more.

--- a/packages/mimosapoint/src/mimosapoint/configuration/document.py
+++ b/packages/mimosapoint/src/mimosapoint/configuration/document.py
@@ -6,7 +6,7 @@
 import attrs
 
 from mimosapoint.codec.rules import RULE_KEY, Rule, between, digests, identifier
-from mimosapoint.model import Adjacency, JobClass, Resources
+from mimosapoint.model import Adjacency, JobClass, JobRequest, Resources
 
 __all__ = [
     "Capacity",
@@ -162,6 +162,21 @@
     policies: Policies = Policies()
     operator_token_digests: tuple[str, ...] = _ruled(digests(), ())
 
+    def allowed_zones(self, request: JobRequest) -> dict[str, Zone]:
+        """Return the zones that a request may run in, whatever their mode.
+
+        There are none for a workspace or a service that the configuration does not have.
+        """
+        workspace = self.workspaces_by_id.get(request.workspace)
+        service = workspace.services_by_id.get(request.service) if workspace else None
+        if service is None:
+            return {}
+        zones = self.zones_of(workspace.region)
+        for limit in (service.zones, request.zones):
+            if limit:
+                zones = {id: zone for id, zone in zones.items() if id in limit}
+        return zones
+
     def zones_of(self, region: str) -> dict[str, Zone]:
         """Return the availability zones of a region."""
         return {id: zone for id, zone in self.zones_by_id.items() if zone.region == region}
--- a/packages/mimosapoint/src/mimosapoint/entry/admission.py
+++ b/packages/mimosapoint/src/mimosapoint/entry/admission.py
@@ -5,7 +5,7 @@
 from mimosapoint.configuration import Configuration, Service, Workspace
 from mimosapoint.errors import BadRequest, Overloaded, UnknownService, UnknownWorkspace
 from mimosapoint.model import JobRequest
-from mimosapoint.placement import allowed_zones, check_fits
+from mimosapoint.placement import check_fits
 
 __all__ = ["check_request", "find_workspace"]
 
@@ -39,7 +39,7 @@
     reasons = _reasons(configuration, workspace, service, request)
     if reasons:
         raise BadRequest(reasons=reasons)
-    check_fits(request, allowed_zones(request, configuration).values())
+    check_fits(request, configuration.allowed_zones(request).values())
 
 
 def _reasons(
--- a/packages/mimosapoint/src/mimosapoint/model/job.py
+++ b/packages/mimosapoint/src/mimosapoint/model/job.py
@@ -135,6 +135,7 @@
     :param outcome: how the job ended.
     :param failures: number of attempts that failed.
     :param ever_started: whether a task of any attempt may have started.
+    :param trace: trace context of the request.
     """
 
     id: str
@@ -155,6 +156,7 @@
     outcome: Outcome | None = None
     failures: int = 0
     ever_started: bool = False
+    trace: str | None = None
 
     @property
     def live(self) -> bool:
--- a/packages/mimosapoint/src/mimosapoint/node/tests/test_bounds.py
+++ b/packages/mimosapoint/src/mimosapoint/node/tests/test_bounds.py
@@ -41,7 +41,7 @@
             self.assertEqual(by_key["big"].code, "answer-too-large")
             self.assertEqual(by_key["small"].outcome, "succeeded")
 
-    async def test_traces_and_watches_are_dropped(self):
+    async def test_watches_and_attempts_are_dropped(self):
         async with self.site(zones=("a",)) as site:
             caller = Caller(site)
             async with trio.open_nursery() as nursery:
@@ -51,17 +51,29 @@
                     await caller.cancel(f"k{number}")
             await trio.sleep(20)
             owner = site.nodes_by_id[site.owner_of("a")].core.keeper.owner("a")
-            self.assertEqual(owner._traces_by_job, {})
             self.assertEqual(owner._watchers._expiry_by_address_by_job, {})
-            self.assertEqual(owner._attempts_by_job, {})
-            self.assertEqual(owner._roster._held_by_job, {})
+            self.assertEqual(owner._attempts._attempts_by_job, {})
+            self.assertEqual(owner.roster._held_by_job, {})
+
+
+class TraceTest(SiteCase):
+    async def test_the_trace_of_a_request_outlives_its_owner(self):
+        async with self.site(zones=("a",)) as site:
+            async with trio.open_nursery() as nursery:
+                self.calls(nursery, site, 1, seconds=8.0)
+                await trio.sleep(2)
+                (call,) = site.history.calls
+                before = site.record(call.job).trace
+                site.kill(site.owner_of("a"))
+            self.assertTrue(before)
+            self.assertEqual(site.record(call.job).trace, before)
 
 
 class ProgramFaultTest(SiteCase):
     """A fault in the program drops one zone, which is claimed again, and not the node."""
 
     async def test_fault_in_an_owner(self):
-        for part in ("_mover", "_watchers", "_scheduler"):
+        for part in ("mover", "_watchers", "_scheduler"):
             with self.subTest(part=part):
                 async with self.site() as site:
                     await self.fail_part(site, part)
--- a/packages/mimosapoint/src/mimosapoint/placement/__init__.py
+++ b/packages/mimosapoint/src/mimosapoint/placement/__init__.py
@@ -3,10 +3,11 @@
 from mimosapoint.placement.attempt import Attempt
 from mimosapoint.placement.board import TaskBoard
 from mimosapoint.placement.commands import Gang, GangCommands
-from mimosapoint.placement.fits import allowed_zones, check_fits, largest_gang
+from mimosapoint.placement.fits import check_fits, largest_gang
 from mimosapoint.placement.ledger import Ledger
 from mimosapoint.placement.link import Holder, WorkerLink
-from mimosapoint.placement.owner import OwnerParts, ZoneOwner
+from mimosapoint.placement.owner import ZoneOwner
+from mimosapoint.placement.parts import OwnerParts
 from mimosapoint.placement.permit import StartPermit
 from mimosapoint.placement.roster import Roster
 from mimosapoint.placement.settings import OwnerSettings
@@ -24,7 +25,6 @@
     "TaskBoard",
     "WorkerLink",
     "ZoneOwner",
-    "allowed_zones",
     "check_fits",
     "largest_gang",
 ]
--- a/packages/mimosapoint/src/mimosapoint/placement/attempt.py
+++ b/packages/mimosapoint/src/mimosapoint/placement/attempt.py
@@ -54,7 +54,6 @@
     :param steady: tells whether the owner has run without a pause for long enough to know of
         leaving workers.
     :param resumed: whether an earlier owner may have sent starts.
-    :param trace: trace context of the request.
     """
 
     def __init__(
@@ -70,7 +69,6 @@
         settings: OwnerSettings,
         steady: Callable[[], bool],
         resumed: bool = False,
-        trace: str | None = None,
     ):
         self._job_id = job_id
         self._ledger = ledger
@@ -81,7 +79,6 @@
         self._telemetry = telemetry
         self._settings = settings
         self._steady = steady
-        self._trace = trace
         self._start_sent = resumed
         self._gang = Gang.of(self.record)
         self._stop_wanted = trio.Event()
@@ -174,7 +171,7 @@
 
     async def _reserve(self) -> bool:
         ttl = self._settings.reservation_ttl
-        return await self._commands.reserve(self.record, self._gang, ttl, self._trace)
+        return await self._commands.reserve(self.record, self._gang, ttl)
 
     async def _start(self) -> bool:
         """Start every task, completing a gang that started in part."""
@@ -205,7 +202,7 @@
             job=record.id,
             attempt=record.placement.attempt,
             workers=",".join(sorted(set(self._gang.workers))),
-            trace=self._trace or "",
+            trace=record.trace or "",
         )
 
     async def _withdraw(self) -> None:
--- a/packages/mimosapoint/src/mimosapoint/placement/commands.py
+++ b/packages/mimosapoint/src/mimosapoint/placement/commands.py
@@ -57,7 +57,7 @@
         return {worker: tuple(tasks) for worker, tasks in by_worker.items()}
 
 
-def task_specs(record: JobRecord, gang: Gang, trace: str | None) -> dict[str, list[TaskSpec]]:
+def task_specs(record: JobRecord, gang: Gang) -> dict[str, list[TaskSpec]]:
     """Return what to reserve on each worker."""
     request = record.request
     checkpoints = record.checkpoints or (None,) * request.gang
@@ -74,7 +74,7 @@
             payload=request.payload,
             checkpoint=checkpoint.name if checkpoint else None,
             progress=checkpoint.progress if checkpoint else 0.0,
-            trace=trace,
+            trace=record.trace,
         )
         by_worker.setdefault(worker, []).append(spec)
     return by_worker
@@ -99,11 +99,9 @@
         """Whether a worker of the gang should get no new work."""
         return any(self._roster.leaving(worker) for worker in gang.workers)
 
-    async def reserve(
-        self, record: JobRecord, gang: Gang, ttl: timedelta, trace: str | None = None
-    ) -> bool:
+    async def reserve(self, record: JobRecord, gang: Gang, ttl: timedelta) -> bool:
         """Reserve room for the whole gang; tell whether every worker agreed."""
-        specs = task_specs(record, gang, trace)
+        specs = task_specs(record, gang)
 
         async def call(worker: str, address: str) -> WorkerReport:
             request = ReserveRequest(self._epoch, tuple(specs[worker]), ttl.total_seconds())
--- a/packages/mimosapoint/src/mimosapoint/placement/fits.py
+++ b/packages/mimosapoint/src/mimosapoint/placement/fits.py
@@ -2,11 +2,11 @@
 
 from collections.abc import Iterable
 
-from mimosapoint.configuration import Capacity, Configuration, Zone
+from mimosapoint.configuration import Capacity, Zone
 from mimosapoint.errors import NeverFits
 from mimosapoint.model import Adjacency, JobRequest
 
-__all__ = ["allowed_zones", "check_fits", "largest_gang"]
+__all__ = ["check_fits", "largest_gang"]
 
 
 def largest_gang(request: JobRequest, capacity: Capacity) -> int:
@@ -20,17 +20,6 @@
     return per_rack * capacity.racks
 
 
-def allowed_zones(request: JobRequest, configuration: Configuration) -> dict[str, Zone]:
-    """Return the availability zones that the request may run in, whatever their mode."""
-    workspace = configuration.workspaces_by_id[request.workspace]
-    service = workspace.services_by_id[request.service]
-    zones = configuration.zones_of(workspace.region)
-    for limit in (service.zones, request.zones):
-        if limit:
-            zones = {id: zone for id, zone in zones.items() if id in limit}
-    return zones
-
-
 def check_fits(request: JobRequest, zones: Iterable[Zone]) -> None:
     """Check that an empty availability zone could hold the gang.
 
--- a/packages/mimosapoint/src/mimosapoint/placement/owner.py
+++ b/packages/mimosapoint/src/mimosapoint/placement/owner.py
@@ -1,86 +1,34 @@
 """The owner of one availability zone: the single writer of its jobs and placements."""
 
-from collections.abc import Callable
 from datetime import timedelta
-from random import Random
 
-import attrs
 import trio
 
 from mimosapoint.configuration import ZoneMode
-from mimosapoint.errors import (
-    IdempotencyConflict,
-    JobNotFound,
-    MimosapointError,
-    NotOwner,
-    OutcomeUnknown,
-    Overloaded,
-    StaleEpoch,
-)
-from mimosapoint.jobs import Change, Committer, JobReply, JobTable, decode_bucket
-from mimosapoint.model import Cancelled, JobRecord, JobRequest, JobState, JobView, Outcome, Vm
-from mimosapoint.placement.attempt import Attempt
+from mimosapoint.errors import NotOwner
+from mimosapoint.jobs import Bucket, Committer, JobReply, JobTable
+from mimosapoint.model import JobRecord, JobRequest, JobState, JobView, Outcome
+from mimosapoint.placement.attempts import Attempts
 from mimosapoint.placement.board import TaskBoard
 from mimosapoint.placement.commands import GangCommands
 from mimosapoint.placement.digest import ZoneDigest
 from mimosapoint.placement.ledger import Ledger
-from mimosapoint.placement.link import Holder, WorkerLink
+from mimosapoint.placement.link import Holder
+from mimosapoint.placement.links import WorkerLinks
 from mimosapoint.placement.mover import Mover
-from mimosapoint.placement.permit import FreshConfiguration, StartPermit
+from mimosapoint.placement.parts import OwnerParts
+from mimosapoint.placement.pauses import PauseWatch
+from mimosapoint.placement.permit import StartPermit
+from mimosapoint.placement.requests import JobRequests
 from mimosapoint.placement.roster import Roster
 from mimosapoint.placement.scheduler import Scheduler
-from mimosapoint.placement.settings import OwnerSettings
 from mimosapoint.placement.watchers import Watchers
-from mimosapoint.ports import Clock, Peers, Store, Telemetry, Workers
-from mimosapoint.resilience import RateBudget
 from mimosapoint.scheduling import ZoneSummary
-from mimosapoint.scheduling.never_fits import allowed_zones
 
-__all__ = ["OwnerParts", "ZoneOwner"]
+__all__ = ["ZoneOwner"]
 
-FOLLOW_INTERVAL = timedelta(milliseconds=500)
 COMPACT_INTERVAL = timedelta(seconds=5)
 FLUSH_BOUND_SECONDS = 3.0
-TASK_BYTES = 256
-"""Room that a task's worker, boot and checkpoint take in a record."""
-BEAT_INTERVAL = timedelta(milliseconds=500)
-PAUSE_BOUND = timedelta(seconds=2)
-"""Longest time without a beat after which the owner still trusts that it owns the zone."""
-STEADY_GAP = timedelta(seconds=1)
-"""Longest time without a beat after which the owner still starts tasks."""
-STEADY_AFTER = timedelta(seconds=2)
-"""Time after a pause until the list of VMs has been read anew."""
-DOUBT_PAUSE = timedelta(milliseconds=300)
-CANCEL_RETRY_AFTER = timedelta(seconds=2)
-QUEUE_RETRY_AFTER = timedelta(seconds=5)
-
-
-@attrs.frozen
-class OwnerParts:
-    """What an owner stands on.
-
-    :param store: the platform's store.
-    :param workers: the workers.
-    :param peers: the other nodes.
-    :param configuration: the configuration and its freshness.
-    :param endpoints: returns the workers of the platform's list, by id.
-    :param address_of: returns the peer address of a zone's owner, or ``None``.
-    :param summaries_by_zone: returns what is known of every zone that has an owner.
-    :param budget: store writes per second of this node.
-    """
-
-    store: Store
-    workers: Workers
-    peers: Peers
-    configuration: FreshConfiguration
-    endpoints: Callable[[], dict[str, Vm]]
-    address_of: Callable[[str], str | None]
-    summaries_by_zone: Callable[[], dict[str, ZoneSummary]]
-    budget: RateBudget
-    clock: Clock
-    telemetry: Telemetry
-    settings: OwnerSettings
-    random: Random
 
 
 class ZoneOwner:
@@ -94,183 +42,98 @@
     def __init__(self, table: JobTable, holder: Holder, writer: str, parts: OwnerParts):
         self.zone = holder.zone
         self.epoch = holder.epoch
-        self._holder = holder
+        self.parts = parts
         self._writer = writer
         self._table = table
-        self._parts = parts
         self._closing = False
-        self._beat_at = self._steady_at = parts.clock.now()
+        self._nursery: trio.Nursery | None = None
         self._watchers = Watchers(parts.peers, parts.clock)
-        self._ledger = Ledger(
+        self.ledger = self._make_ledger()
+        self.board = TaskBoard()
+        self.roster = Roster()
+        self.permit = StartPermit(self.zone, parts.configuration, parts.clock)
+        self.mover = self._make_mover()
+        self._pauses = PauseWatch(parts.store, table.buckets[0].key, self.epoch, parts.clock)
+        self._links = WorkerLinks(holder, parts, self.board, self.roster, self._wake)
+        self._scheduler = Scheduler(self)
+        self._attempts = self._make_attempts()
+        self._requests = JobRequests(
+            self.ledger,
             table,
-            clock=parts.clock,
-            telemetry=parts.telemetry,
+            self._watchers,
+            parts,
+            keep_or_send=self.keep_or_send,
+            end_waiting=self.end_waiting,
+            stop_job=self.stop_job,
+        )
+
+    def _make_ledger(self) -> Ledger:
+        return Ledger(
+            self._table,
+            clock=self.parts.clock,
+            telemetry=self.parts.telemetry,
             on_change=self._wake,
             on_ended=self._watchers.ended,
         )
-        self._board = TaskBoard()
-        self._roster = Roster()
-        self._permit = StartPermit(self.zone, parts.configuration, parts.clock)
-        self._commands = GangCommands(
-            parts.workers, self._board, self._roster, parts.clock, self.epoch
-        )
-        self._mover = Mover(
-            self._ledger,
-            parts.peers,
-            clock=parts.clock,
-            telemetry=parts.telemetry,
-            address_of=parts.address_of,
-        )
-        self._attempts_by_job: dict[str, Attempt] = {}
-        self._traces_by_job: dict[str, str | None] = {}
-        self._link_scopes_by_worker: dict[str, trio.CancelScope] = {}
-        self._scheduler = Scheduler(self)
-        self._nursery: trio.Nursery | None = None
-
-    # What the scheduler uses.
-
-    @property
-    def parts(self) -> OwnerParts:
-        """What the owner stands on."""
-        return self._parts
 
-    @property
-    def ledger(self) -> Ledger:
-        """Records of the zone."""
-        return self._ledger
-
-    @property
-    def roster(self) -> Roster:
-        """Workers of the zone."""
-        return self._roster
-
-    @property
-    def board(self) -> TaskBoard:
-        """Reports of the workers."""
-        return self._board
-
-    @property
-    def permit(self) -> StartPermit:
-        """Permission to start tasks."""
-        return self._permit
+    def _make_mover(self) -> Mover:
+        return Mover(
+            self.ledger,
+            self.parts.peers,
+            clock=self.parts.clock,
+            telemetry=self.parts.telemetry,
+            address_of=self.parts.address_of,
+        )
 
-    @property
-    def mover(self) -> Mover:
-        """Moves jobs to other zones."""
-        return self._mover
+    def _make_attempts(self) -> Attempts:
+        parts = self.parts
+        commands = GangCommands(parts.workers, self.board, self.roster, parts.clock, self.epoch)
+        return Attempts(
+            parts,
+            ledger=self.ledger,
+            commands=commands,
+            board=self.board,
+            roster=self.roster,
+            permit=self.permit,
+            pauses=self._pauses,
+            on_ended=self._scheduler.ended,
+            on_change=self._wake,
+        )
 
     # Requests of callers, which any node may pass on.
 
-    async def submit(self, job_id: str, request: JobRequest, trace: str | None = None) -> JobReply:
-        """Accept a job once per id.
+    def _open_requests(self) -> JobRequests:
+        """Return the requests' side.
 
-        :raises IdempotencyConflict: the id was used for another request.
-        :raises Overloaded: the workspace's queue or the table is full.
+        :raises NotOwner: the owner closes, or cannot know whether it still owns the zone.
         """
-        self._require_open()
-        record = self._ledger.find(job_id)
-        if record is None:
-            self._check_room(job_id, request)
-            record = JobRecord(job_id, request, JobState.QUEUED, self._parts.clock.now())
-            self._traces_by_job[job_id] = trace
-            self._ledger.put(record)
-            self._parts.telemetry.event("job-accepted", job=job_id, trace=trace or "")
-            self._keep_or_send(record)
-        elif record.request != request:
-            raise IdempotencyConflict("the idempotency key was used for another request")
-        with trio.move_on_after(self._parts.settings.durable_wait.total_seconds()):
-            await self._ledger.latest(job_id).wait_durable()
-        return self._reply(self._ledger.get(job_id))
-
-    def _check_room(self, job_id: str, request: JobRequest) -> None:
-        """Refuse a job early when a bound is reached."""
-        workspace = self._parts.configuration.current.workspaces_by_id.get(request.workspace)
-        limit = workspace.queue_limit if workspace else 0
-        if self._ledger.queued_count(request.workspace) >= limit:
-            raise Overloaded("the workspace's queue is full", retry_after=QUEUE_RETRY_AFTER)
-        self._check_bucket(job_id, request.gang)
-
-    def _check_bucket(self, job_id: str, gang: int) -> None:
-        """Refuse a job whose placement the table may not be able to hold."""
-        size = self._table.bucket_of(job_id).size + gang * TASK_BYTES
-        if size > self._parts.settings.bucket_bytes_limit:
-            raise Overloaded("the job table is full", retry_after=self._parts.settings.retention)
+        if self._closing or self._nursery is None or self._pauses.doubtful():
+            raise NotOwner(self.zone)
+        return self._requests
 
-    def get(self, workspace: str, job_id: str) -> JobReply:
-        """Return a job of the workspace.
+    async def submit(self, job_id: str, request: JobRequest, trace: str | None = None) -> JobReply:
+        """Accept a job; see :meth:`JobRequests.submit`."""
+        return await self._open_requests().submit(job_id, request, trace)
 
-        :raises JobNotFound: the workspace has no such job.
-        """
-        self._require_open()
-        return self._reply(self._of_workspace(workspace, job_id))
+    def get(self, workspace: str, job_id: str) -> JobReply:
+        """Return a job; see :meth:`JobRequests.get`."""
+        return self._open_requests().get(workspace, job_id)
 
     def watch(self, workspace: str, job_id: str, address: str) -> JobReply:
         """Return a job, and tell the address when it ends."""
-        reply = self.get(workspace, job_id)
-        if reply.view.outcome is None and reply.moved_to is None:
-            self._watchers.watch(job_id, address)
-        return reply
+        return self._open_requests().watch(workspace, job_id, address)
 
     async def cancel(self, workspace: str, job_id: str) -> JobReply:
-        """Cancel a job; an ended one stays as it is."""
-        self._require_open()
-        record = self._of_workspace(workspace, job_id)
-        if record.state is JobState.QUEUED:
-            self.end_waiting(job_id, Cancelled(started=record.ever_started))
-        elif record.live and not record.cancel_requested:
-            self._ledger.put(attrs.evolve(record, cancel_requested=True))
-            self.stop_job(job_id, "cancel", timedelta(0))
-        await self._require_durable(self._ledger.latest(job_id))
-        return self._reply(self._ledger.get(job_id))
-
-    async def _require_durable(self, change: Change) -> None:
-        """Wait for a change to be durable, for a bounded time.
-
-        :raises OutcomeUnknown: the store has not confirmed it in time.
-        """
-        with trio.move_on_after(self._parts.settings.durable_wait.total_seconds()):
-            await change.wait_durable()
-        if not change.durable:
-            raise OutcomeUnknown("the store is out of reach", retry_after=CANCEL_RETRY_AFTER)
+        """Cancel a job; see :meth:`JobRequests.cancel`."""
+        return await self._open_requests().cancel(workspace, job_id)
 
     def jobs(self, workspace: str) -> tuple[JobView, ...]:
         """Return the jobs that this zone has of a workspace, oldest first."""
-        self._require_open()
-        records = [r for r in self._ledger.records() if r.request.workspace == workspace]
-        here = [record for record in records if record.state is not JobState.MOVED]
-        return tuple(self._ledger.view(r) for r in sorted(here, key=lambda r: r.submitted_at))
+        return self._open_requests().jobs(workspace)
 
     async def adopt(self, record: JobRecord) -> None:
-        """Take over a job that has moved here, once per move number.
-
-        :raises Overloaded: the move is so old that the job may have ended here already.
-        """
-        self._require_open()
-        known = self._ledger.find(record.id)
-        if known is None or known.moves < record.moves:
-            age = self._parts.clock.now() - record.moved_at
-            if age > self._parts.settings.retention / 2:
-                raise Overloaded("the move is too old to be adopted")
-            self._check_bucket(record.id, record.request.gang)
-            self._ledger.put(record)
-        await self._require_durable(self._ledger.latest(record.id))
-
-    def _of_workspace(self, workspace: str, job_id: str) -> JobRecord:
-        record = self._ledger.get(job_id)
-        if record.request.workspace != workspace:
-            raise JobNotFound(f"no job {job_id}")
-        return record
-
-    def _reply(self, record: JobRecord) -> JobReply:
-        return JobReply(self._ledger.view(record), record.moved_to)
-
-    def _require_open(self) -> None:
-        if self._closing or self._nursery is None or self._doubtful():
-            raise NotOwner(self.zone)
-
-    def _doubtful(self) -> bool:
-        """Whether the process was paused for so long that another node may own the zone."""
-        return self._parts.clock.now() - self._beat_at > PAUSE_BOUND
+        """Take over a job that has moved here; see :meth:`JobRequests.adopt`."""
+        await self._open_requests().adopt(record)
 
     # The owner's work.
 
@@ -280,52 +143,18 @@
         :raises StaleEpoch: a newer owner has fenced this one.
         """
         async with trio.open_nursery() as nursery:
-            self._nursery = nursery
             for bucket in self._table.buckets:
                 nursery.start_soon(self._committer(bucket).run)
-            self._follow_list()
-            self._resume_attempts()
-            nursery.start_soon(self._follow_endpoints)
+            await nursery.start(self._links.run)
+            await nursery.start(self._attempts.run)
             nursery.start_soon(self._watchers.run)
-            nursery.start_soon(self._mover.run)
+            nursery.start_soon(self.mover.run)
             nursery.start_soon(self._compact)
-            nursery.start_soon(self._beat)
+            nursery.start_soon(self._pauses.run)
             nursery.start_soon(self._scheduler.run)
+            self._nursery = nursery
             task_status.started()
 
-    async def _beat(self) -> None:
-        """Notice pauses; after one, serve nobody until the store shows no newer owner.
-
-        :raises StaleEpoch: a newer owner has fenced this one.
-        """
-        while True:
-            await self._parts.clock.sleep(BEAT_INTERVAL)
-            if self._parts.clock.now() - self._beat_at > STEADY_GAP:
-                self._steady_at = self._parts.clock.now() + STEADY_AFTER
-            while self._doubtful() and not await self._still_owner():
-                await self._parts.clock.sleep(DOUBT_PAUSE)
-            self._beat_at = self._parts.clock.now()
-
-    def _steady(self) -> bool:
-        """Whether the list of VMs was followed without a pause."""
-        now = self._parts.clock.now()
-        return now >= self._steady_at and now - self._beat_at <= STEADY_GAP
-
-    async def _still_owner(self) -> bool:
-        """Whether the store could be asked, and this owner's fence is the newest.
-
-        :raises StaleEpoch: it is not.
-        """
-        try:
-            entry = await self._parts.store.get(self._table.buckets[0].key)
-        except MimosapointError:
-            return False
-        if entry is not None:
-            header, _ = decode_bucket(entry.value)
-            if header.epoch > self.epoch:
-                raise StaleEpoch(header.epoch)
-        return True
-
     async def close(self) -> None:
         """Refuse requests, flush the table for a bounded time and stop working."""
         self._closing = True
@@ -335,8 +164,8 @@
         if self._nursery is not None:
             self._nursery.cancel_scope.cancel()
 
-    def _committer(self, bucket: object) -> Committer:
-        parts = self._parts
+    def _committer(self, bucket: Bucket) -> Committer:
+        parts = self.parts
         return Committer(
             parts.store,
             bucket,
@@ -353,167 +182,59 @@
         if self._nursery is not None:
             self._scheduler.wake()
 
-    # Attempts.
-
-    def _resume_attempts(self) -> None:
-        """Go on with the gangs that an earlier owner placed."""
-        placed = (JobState.PLACED, JobState.RUNNING, JobState.STOPPING)
-        for record in self._ledger.records():
-            if record.state in placed:
-                self._spawn_attempt(record, resumed=True)
+    # What the scheduler and requests ask for.
 
     def start_attempt(self, record: JobRecord) -> None:
         """Run the gang of a record that has just been placed, if it may run in this zone."""
-        if not self._keep_or_send(record):
-            return
-        self._ledger.put(record)
-        self._spawn_attempt(record, resumed=False)
+        if self.keep_or_send(record):
+            self._attempts.start(record)
+
+    def stop_job(self, job_id: str, reason: str, grace: timedelta) -> None:
+        """Ask the attempt of a job to stop its gang."""
+        self._attempts.stop(job_id, reason, grace)
 
-    def _keep_or_send(self, record: JobRecord) -> bool:
+    def end_waiting(self, job_id: str, outcome: Outcome) -> None:
+        """End a waiting job without making the scheduler wait for the store."""
+        self.ledger.set_outcome(job_id, outcome)
+        self._nursery.start_soon(self.ledger.tell, job_id)
+
+    def keep_or_send(self, record: JobRecord) -> bool:
         """Move a job on that may not run in this zone; tell whether it may."""
-        allowed = allowed_zones(record.request, self._parts.configuration.current)
-        if self.zone not in allowed:
-            self._send_away(record)
-        return self.zone in allowed
-
-    def _send_away(self, record: JobRecord) -> None:
-        """Move a waiting job to a zone that it may run in, if one is in service."""
-        configuration = self._parts.configuration.current
-        allowed = sorted(allowed_zones(record.request, configuration))
-        zones = configuration.zones_by_id
-        in_service = [id for id in allowed if zones[id].mode is ZoneMode.IN_SERVICE]
+        allowed = self.parts.configuration.current.allowed_zones(record.request)
+        if self.zone in allowed:
+            return True
+        in_service = [id for id, zone in allowed.items() if zone.mode is ZoneMode.IN_SERVICE]
         if in_service:
-            self._mover.move(record.id, max(in_service, key=self._free_slots))
+            self.mover.move(record.id, max(sorted(in_service), key=self._free_slots))
+        return False
 
     def _free_slots(self, zone: str) -> int:
         """Return the slots that another zone last told to be free."""
-        summary = self._parts.summaries_by_zone().get(zone)
+        summary = self.parts.summaries_by_zone().get(zone)
         return summary.free_slots if summary else 0
 
-    def _spawn_attempt(self, record: JobRecord, *, resumed: bool) -> None:
-        self._roster.hold(record)
-        attempt = Attempt(
-            record.id,
-            ledger=self._ledger,
-            commands=self._commands,
-            board=self._board,
-            permit=self._permit,
-            clock=self._parts.clock,
-            telemetry=self._parts.telemetry,
-            settings=self._parts.settings,
-            steady=self._steady,
-            resumed=resumed,
-            trace=self._traces_by_job.get(record.id),
-        )
-        self._attempts_by_job[record.id] = attempt
-        for worker in set(record.placement.workers):
-            if self._roster.address(worker) is None:
-                self._nursery.start_soon(self._let_unlisted_lapse, worker)
-        self._nursery.start_soon(self._run_attempt, attempt)
-
-    async def _run_attempt(self, attempt: Attempt) -> None:
-        job_id = attempt.record.id
-        try:
-            await attempt.run()
-        finally:
-            self._attempts_by_job.pop(job_id, None)
-            self._roster.release(job_id)
-        record = self._ledger.find(job_id)
-        if record is not None and record.live:
-            self._nursery.start_soon(attempt.forget)
-        else:
-            self._traces_by_job.pop(job_id, None)
-            if record is not None:
-                self._scheduler.ended(record)
-        self._wake()
-
-    async def _let_unlisted_lapse(self, worker: str) -> None:
-        """Declare a worker lost that the list does not have, once its lease has lapsed."""
-        settings = self._parts.settings
-        await self._parts.clock.sleep(settings.lease_ttl + settings.call_timeout)
-        if self._roster.address(worker) is None:
-            self._board.mark_lost(worker)
-
-    def end_waiting(self, job_id: str, outcome: Outcome) -> None:
-        """End a waiting job without making the scheduler wait for the store."""
-        self._ledger.set_outcome(job_id, outcome)
-        self._nursery.start_soon(self._ledger.tell, job_id)
-
-    def stop_job(self, job_id: str, reason: str, grace: timedelta) -> None:
-        """Ask the attempt of a job to stop its gang."""
-        attempt = self._attempts_by_job.get(job_id)
-        if attempt is not None:
-            attempt.stop(reason, grace)
-
-    # Workers.
-
-    async def _follow_endpoints(self) -> None:
-        """Keep a link to each worker of the zone."""
-        while True:
-            await self._parts.clock.sleep(FOLLOW_INTERVAL)
-            self._follow_list()
-
-    def _follow_list(self) -> None:
-        listed = {vm.id: vm for vm in self._parts.endpoints().values() if vm.zone == self.zone}
-        for vm in listed.values():
-            self._roster.list_vm(vm)
-            if vm.id not in self._link_scopes_by_worker:
-                self._add_link(vm.id)
-        for worker in set(self._link_scopes_by_worker) - set(listed):
-            self._retire(worker)
-
-    def _add_link(self, worker: str) -> None:
-        scope = self._link_scopes_by_worker[worker] = trio.CancelScope()
-        self._nursery.start_soon(self._run_link, worker, scope)
-
-    def _retire(self, worker: str) -> None:
-        """Give a worker that left the list no new work; drop it when nothing runs there."""
-        self._roster.mark_leaving(worker)
-        if self._board.lost(worker) or not self._roster.holds_any(worker):
-            self._link_scopes_by_worker.pop(worker).cancel()
-            self._board.mark_lost(worker)
-            self._roster.drop_vm(worker)
-
-    async def _run_link(self, worker: str, scope: trio.CancelScope) -> None:
-        parts = self._parts
-        link = WorkerLink(
-            worker,
-            self._holder,
-            workers=parts.workers,
-            board=self._board,
-            roster=self._roster,
-            clock=parts.clock,
-            telemetry=parts.telemetry,
-            settings=parts.settings,
-            on_report=self._wake,
-        )
-        with scope:
-            await link.run()
-
     # Upkeep.
 
     async def _compact(self) -> None:
         """Drop ended jobs after their retention and watches that have run out."""
         while True:
-            await self._parts.clock.sleep(COMPACT_INTERVAL)
+            await self.parts.clock.sleep(COMPACT_INTERVAL)
             self._watchers.expire()
-            self._drop_traces()
-            for record in self._ledger.queued():
-                self._keep_or_send(record)
-            oldest = self._parts.clock.now() - self._parts.settings.retention
-            for record in self._ledger.records():
-                if record.state is JobState.ENDED and record.ended_at < oldest:
-                    self._ledger.remove(record.id)
-                elif record.state is JobState.MOVED and record.adopted:
-                    if record.moved_at < oldest - self._parts.settings.retention:
-                        self._ledger.remove(record.id)
-
-    def _drop_traces(self) -> None:
-        """Forget the trace contexts of jobs that ended or moved without an attempt."""
-        for job_id in list(self._traces_by_job):
-            record = self._ledger.find(job_id)
-            if record is None or not record.live:
-                del self._traces_by_job[job_id]
+            for record in self.ledger.queued():
+                self.keep_or_send(record)
+            for record in self.ledger.records():
+                if self._may_be_dropped(record):
+                    self.ledger.remove(record.id)
+
+    def _may_be_dropped(self, record: JobRecord) -> bool:
+        """Whether nobody may ask for a record any more."""
+        retention = self.parts.settings.retention
+        oldest = self.parts.clock.now() - retention
+        if record.state is JobState.ENDED:
+            return record.ended_at < oldest
+        if record.state is JobState.MOVED and record.adopted:
+            return record.moved_at < oldest - retention
+        return False
 
     def digest(self) -> ZoneDigest:
         """Return what other nodes should know of the zone."""
--- a/packages/mimosapoint/src/mimosapoint/scheduling/never_fits.py
+++ b/packages/mimosapoint/src/mimosapoint/scheduling/never_fits.py
@@ -11,20 +11,7 @@
 from mimosapoint.scheduling._vectors import Vector, minus, plus, scaled, vector
 from mimosapoint.scheduling.places import first_place, groups
 
-__all__ = ["FitCheck", "allowed_zones"]
-
-
-def allowed_zones(request: JobRequest, configuration: Configuration) -> set[str]:
-    """Return the availability zones that the request may run in, whatever their mode."""
-    workspace = configuration.workspaces_by_id.get(request.workspace)
-    if workspace is None:
-        return set()
-    zones = set(configuration.zones_of(workspace.region))
-    service = workspace.services_by_id.get(request.service)
-    for limit in (service.zones if service else (), request.zones):
-        if limit:
-            zones &= set(limit)
-    return zones
+__all__ = ["FitCheck"]
 
 
 @attrs.frozen
@@ -61,7 +48,7 @@
         key = (kind, request.zones)
         found = self._zones.get(key)
         if found is None:
-            zones = allowed_zones(request, self.configuration)
+            zones = self.configuration.allowed_zones(request)
             found = frozenset(zone for zone in zones if self._fits(kind, zone))
             self._zones[key] = found
         return found
