Ask again when the store's reply cannot be read

Ruled out: overwriting what cannot be read; a newer format still ends the ownership. Before: the new test ends with CodecError. After: it asks until it can read, 17 tests pass. Conclusion: unreadable replies count as an unreachable store.

--- a/packages/mimosapoint/src/mimosapoint/jobs/__init__.py
+++ b/packages/mimosapoint/src/mimosapoint/jobs/__init__.py
@@ -1,6 +1,13 @@
 """Jobs: ids, the durable table and the messages about them."""
 
-from mimosapoint.jobs.bucket import BUCKET_FORMAT, Bucket, BucketHeader, bucket_key, decode_bucket
+from mimosapoint.jobs.bucket import (
+    BUCKET_FORMAT,
+    Bucket,
+    BucketHeader,
+    bucket_key,
+    decode_bucket,
+    read_header,
+)
 from mimosapoint.jobs.committer import Committer
 from mimosapoint.jobs.ids import home_zone, job_id_of, zone_of
 from mimosapoint.jobs.messages import (
@@ -39,6 +46,7 @@
     "decode_bucket",
     "home_zone",
     "job_id_of",
+    "read_header",
     "view_of",
     "zone_of",
 ]
--- a/packages/mimosapoint/src/mimosapoint/jobs/bucket.py
+++ b/packages/mimosapoint/src/mimosapoint/jobs/bucket.py
@@ -12,7 +12,7 @@
 from mimosapoint.model import JobRecord
 from mimosapoint.ports import ABSENT
 
-__all__ = ["BUCKET_FORMAT", "Bucket", "BucketHeader", "bucket_key", "decode_bucket"]
+__all__ = ["BUCKET_FORMAT", "Bucket", "BucketHeader", "bucket_key", "decode_bucket", "read_header"]
 
 BUCKET_FORMAT = 1
 """Number of the stored form; a higher one is never overwritten."""
@@ -72,6 +72,20 @@
     return header, records
 
 
+def read_header(data: bytes) -> BucketHeader | None:
+    """Return who wrote a stored bucket, or ``None`` for a reply that cannot be read.
+
+    :raises NewerFormat: the bucket was written by a newer program.
+    """
+    try:
+        header, _ = decode_bucket(data)
+    except NewerFormat:
+        raise
+    except CodecError:
+        return None
+    return header
+
+
 class Bucket:
     """Records of one bucket in memory, and how far the store has them.
 
--- a/packages/mimosapoint/src/mimosapoint/jobs/committer.py
+++ b/packages/mimosapoint/src/mimosapoint/jobs/committer.py
@@ -10,7 +10,7 @@
     StoreUnavailable,
     ValueTooLarge,
 )
-from mimosapoint.jobs.bucket import Bucket, BucketHeader, decode_bucket
+from mimosapoint.jobs.bucket import Bucket, BucketHeader, read_header
 from mimosapoint.ports import ABSENT, Clock, Store, Telemetry
 from mimosapoint.resilience import Backoff, RateBudget
 
@@ -107,7 +107,9 @@
         if entry is None:
             bucket.revision = ABSENT
             return False
-        header, _ = decode_bucket(entry.value)
+        header = read_header(entry.value)
+        if header is None:
+            return False
         if header.epoch > self._epoch:
             raise StaleEpoch(header.epoch)
         bucket.revision = entry.revision
--- a/packages/mimosapoint/src/mimosapoint/jobs/tests/test_committer.py
+++ b/packages/mimosapoint/src/mimosapoint/jobs/tests/test_committer.py
@@ -3,6 +3,7 @@
 import random
 from datetime import datetime, timedelta, timezone
 
+import attrs
 import trio
 
 from mimosapoint.errors import JobNotFound, StaleEpoch
@@ -60,6 +61,21 @@
         header, records = decode_bucket((await self.store.get(self.bucket.key)).value)
         return header.sequence, [r.id for r in records]
 
+    async def test_a_reply_that_cannot_be_read_is_asked_for_again(self):
+        self.make()
+        self.table.put(record())
+        self.store.faults.lose_replies = 1
+        read, garbled = self.store.get, [b"", b"<html>", b'{"header": 1}']
+
+        async def get(key):
+            entry = await read(key)
+            return attrs.evolve(entry, value=garbled.pop()) if garbled else entry
+
+        self.store.get = get
+        await self.committer().commit()
+        self.assertEqual(garbled, [])
+        self.assertTrue(self.table.latest("a~k").durable)
+
     async def test_lost_replies(self):
         for lost, writes in ((1, 1), (2, 3), (3, 4)):
             with self.subTest(lost=lost):
--- a/packages/mimosapoint/src/mimosapoint/placement/pauses.py
+++ b/packages/mimosapoint/src/mimosapoint/placement/pauses.py
@@ -3,7 +3,7 @@
 from datetime import timedelta
 
 from mimosapoint.errors import MimosapointError, StaleEpoch
-from mimosapoint.jobs import decode_bucket
+from mimosapoint.jobs import read_header
 from mimosapoint.ports import Clock, Store
 
 __all__ = ["PauseWatch"]
@@ -67,8 +67,9 @@
             entry = await self._store.get(self._key)
         except MimosapointError:
             return False
-        if entry is not None:
-            header, _ = decode_bucket(entry.value)
-            if header.epoch > self._epoch:
-                raise StaleEpoch(header.epoch)
+        header = read_header(entry.value) if entry is not None else None
+        if header is None:
+            return entry is None
+        if header.epoch > self._epoch:
+            raise StaleEpoch(header.epoch)
         return True
