--- a/packages/mimosapoint/src/mimosapoint/placement/attempt.py
+++ b/packages/mimosapoint/src/mimosapoint/placement/attempt.py
@@ -6,12 +6,10 @@
 import attrs
 import trio
 
-from mimosapoint.jobs import Change
 from mimosapoint.model import (
     Cancelled,
     Checkpoint,
     Failed,
-    JobClass,
     JobRecord,
     JobState,
     MayHaveRun,
@@ -24,25 +22,18 @@
 )
 from mimosapoint.placement.board import TaskBoard
 from mimosapoint.placement.commands import Gang, GangCommands
+from mimosapoint.placement.launch import Launch
 from mimosapoint.placement.ledger import Ledger
 from mimosapoint.placement.permit import StartPermit
 from mimosapoint.placement.settings import OwnerSettings
 from mimosapoint.ports import Clock, Telemetry
 
-__all__ = ["Attempt", "starts_unrecorded"]
+__all__ = ["Attempt"]
 
 RETRY_PAUSE = timedelta(milliseconds=100)
-STEADY_PAUSE = timedelta(milliseconds=50)
 CANCEL_GRACE = timedelta(0)
 KEPT_STATES = (TaskState.STOPPED, TaskState.SUCCEEDED)
 
-INTENT_CHECK_SECONDS = 0.1
-
-
-def starts_unrecorded(record: JobRecord) -> bool:
-    """Whether a job may start while the store takes no changes; it may then run twice."""
-    return record.request.job_class is JobClass.URGENT and record.request.repeatable
-
 
 class Attempt:
     """Runs the gang of one placed job and records how it went.
@@ -74,15 +65,26 @@
         self._ledger = ledger
         self._commands = commands
         self._board = board
-        self._permit = permit
         self._clock = clock
         self._telemetry = telemetry
         self._settings = settings
-        self._steady = steady
-        self._start_sent = resumed
         self._gang = Gang.of(self.record)
         self._stop_wanted = trio.Event()
         self._grace = timedelta(0)
+        self._launch = Launch(
+            job_id,
+            self._gang,
+            ledger=ledger,
+            commands=commands,
+            board=board,
+            permit=permit,
+            clock=clock,
+            telemetry=telemetry,
+            settings=settings,
+            steady=steady,
+            stop_wanted=self._stop_wanted,
+            resumed=resumed,
+        )
 
     @property
     def record(self) -> JobRecord:
@@ -108,107 +110,15 @@
         await self._board.wait_known(set(self._gang.workers))
         if self.record.stop_reason is not None:
             self._stop_wanted.set()
-        if self.record.state is JobState.PLACED and not await self._launch():
+        if self.record.state is JobState.PLACED and not await self._launch.run():
             await self._withdraw()
             return
         await self._supervise()
 
-    async def _launch(self) -> bool:
-        """Reserve, commit and start; tell whether the whole gang was started."""
-        placed = self._ledger.latest(self._job_id)
-        if not self._same_boots():
-            return False
-        if self._start_sent and self._all_started():
-            self._mark_running()
-            return True
-        reserved_at = self._clock.now()
-        if not self._start_sent and not await self._reserve():
-            return False
-        await self._wait_intent(placed)
-        while not self._steady():
-            await self._clock.sleep(STEADY_PAUSE)
-        if not await self._permit.wait(self._settings.fresh_wait):
-            return False
-        if self._clock.now() - reserved_at > self._settings.reservation_ttl / 3:
-            await self._reserve()
-        if not self._may_start():
-            return False
-        return await self._start()
-
-    async def _wait_intent(self, placed: Change) -> None:
-        """Wait until the store has the placement, or need not have it.
-
-        Urgent repeatable work goes on without it while the store takes no changes.
-        """
-        while not (placed.durable or (self._ledger.stalled and starts_unrecorded(self.record))):
-            with trio.move_on_after(INTENT_CHECK_SECONDS):
-                await placed.wait_durable()
-
-    def _may_start(self) -> bool:
-        """Whether a start may be sent, asked after the reservation that it uses.
-
-        A start that is held up after this is refused when the reservation has lapsed.
-        """
-        late = self._record_is_late() and not self._start_sent
-        leaving = self._commands.any_leaving(self._gang)
-        barred = self._stop_wanted.is_set() or late or leaving
-        return self._steady() and self._permit.given() and not barred
-
-    def _record_is_late(self) -> bool:
-        """Whether the job's latest start has passed."""
-        start_by = self.record.request.start_by
-        return start_by is not None and start_by <= self._clock.now()
-
-    def _same_boots(self) -> bool:
-        """Whether every worker still has the boot that it was chosen in."""
-        boots = self.record.placement.boots
-        pairs = zip(self._gang.workers, boots)
-        return all(self._board.boot(worker) == boot for worker, boot in pairs)
-
-    def _all_started(self) -> bool:
-        """Whether an earlier owner got every task started."""
-        return all(s in (TaskState.RUNNING, TaskState.SUCCEEDED) for s in self._states())
-
-    async def _reserve(self) -> bool:
-        ttl = self._settings.reservation_ttl
-        return await self._commands.reserve(self.record, self._gang, ttl)
-
-    async def _start(self) -> bool:
-        """Start every task, completing a gang that started in part."""
-        deadline = self._clock.now() + self._settings.start_bound
-        self._start_sent = True
-        missing = await self._commands.start(self._gang)
-        while missing and self._clock.now() < deadline and self._permit.given():
-            await self._clock.sleep(RETRY_PAUSE)
-            await self._reserve()
-            if not self._may_start():
-                return False
-            missing = await self._commands.start(self._gang)
-        if missing:
-            return False
-        self._mark_running()
-        return True
-
-    def _mark_running(self) -> None:
-        record = self.record
-        now = self._clock.now()
-        self._ledger.put(
-            attrs.evolve(record, state=JobState.RUNNING, started_at=now, ever_started=True)
-        )
-        waited = (now - record.submitted_at).total_seconds()
-        self._telemetry.observe("start_seconds", waited, job_class=record.request.job_class.value)
-        self._telemetry.event(
-            "job-started",
-            job=record.id,
-            attempt=record.placement.attempt,
-            workers=",".join(sorted(set(self._gang.workers))),
-            trace=record.trace or "",
-        )
-
     async def _withdraw(self) -> None:
         """Take back a gang that was not started as a whole."""
         await self._commands.stop_surely(self._gang, StopMode.DISCARD, CANCEL_GRACE)
-        started = self._start_sent and self._any_may_have_started()
+        started = self._launch.may_have_started()
         record = attrs.evolve(self.record, ever_started=self.record.ever_started or started)
         self._ledger.put(record)
         if record.cancel_requested:
@@ -218,15 +128,6 @@
         else:
             await self._end(MayHaveRun("partial-start", "the gang was not started as a whole"))
 
-    def _any_may_have_started(self) -> bool:
-        """Whether a task ran, or its worker can no longer tell."""
-        pairs = list(zip(self._gang.tasks, self._gang.workers))
-        if any(self._board.lost(worker) for _, worker in pairs):
-            return True
-        if not self._same_boots():
-            return True
-        return any(self._board.task(worker, task) is not None for task, worker in pairs)
-
     async def _supervise(self) -> None:
         """Wait for the end of the gang, or for a stop."""
         while not self._over():
--- a/packages/mimosapoint/src/mimosapoint/placement/scheduler.py
+++ b/packages/mimosapoint/src/mimosapoint/placement/scheduler.py
@@ -10,7 +10,7 @@
 
 from mimosapoint.configuration import Configuration, LeavingMode, ZoneMode
 from mimosapoint.model import Failed, JobRecord, JobState, NotRun, Outcome, Placement
-from mimosapoint.placement.attempt import starts_unrecorded
+from mimosapoint.placement.launch import starts_unrecorded
 from mimosapoint.scheduling import (
     Assignment,
     Decision,
