--- a/packages/mimosapoint-node/src/mimosapoint_node/main.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/main.py
@@ -3,12 +3,15 @@
 import logging
 import signal
 import sys
+from collections.abc import AsyncIterator
+from typing import NoReturn
 
 import fire
 import trio
+from mimosapoint.configuration import Configuration
 from mimosapoint.configuration.loading import load_configuration
 from mimosapoint.errors import MimosapointError
-from mimosapoint.settings import load_settings
+from mimosapoint.settings import NodeSettings, load_settings
 from mimosapoint.telemetry import LogExporter, LogTelemetry
 
 from mimosapoint_node.node import Node
@@ -28,33 +31,47 @@
         loaded = load_settings(settings)
         initial = load_configuration(initial_configuration) if initial_configuration else None
     except MimosapointError as error:
-        for reason in getattr(error, "reasons", ()) or (error.detail,):
-            print(f"mimosapoint-node: {reason}", file=sys.stderr)
-        sys.exit(BAD_INPUT_EXIT)
-    level = loaded.telemetry.log_level.upper()
-    logging.basicConfig(level=level, format="time=%(asctime)s level=%(levelname)s %(message)s")
-    for noisy in ("hypercorn.error", "httpcore"):
-        logging.getLogger(noisy).setLevel(logging.WARNING)
+        _refuse(error)
+    _set_up_logging(loaded.telemetry.log_level)
     exporter = LogExporter() if loaded.telemetry.trace_exporter == "log" else None
     telemetry = LogTelemetry(loaded.id, exporter=exporter)
-
-    async def serve() -> None:
-        telemetry.event("node-starting", zone=loaded.zone)
-        stop = trio.Event()
-        node = Node(loaded, telemetry, initial)
-        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(_set_on_signal, signals, stop)
-                await node.run(stop)
-                nursery.cancel_scope.cancel()
-
     try:
-        trio.run(serve)
+        trio.run(_serve, loaded, telemetry, initial)
     finally:
         telemetry.close()
 
 
-async def _set_on_signal(signals: object, stop: trio.Event) -> None:
+def _refuse(error: MimosapointError) -> NoReturn:
+    """Print every reason and exit."""
+    for reason in getattr(error, "reasons", ()) or (error.detail,):
+        print(f"mimosapoint-node: {reason}", file=sys.stderr)
+    sys.exit(BAD_INPUT_EXIT)
+
+
+def _set_up_logging(level: str) -> None:
+    """Write one line for each event, and only warnings of the libraries."""
+    logging.basicConfig(
+        level=level.upper(), format="time=%(asctime)s level=%(levelname)s %(message)s"
+    )
+    for library in ("hypercorn.error", "httpcore"):
+        logging.getLogger(library).setLevel(logging.WARNING)
+
+
+async def _serve(
+    settings: NodeSettings, telemetry: LogTelemetry, initial: Configuration | None
+) -> None:
+    """Run the node until a signal asks for a planned stop."""
+    telemetry.event("node-starting", zone=settings.zone)
+    stop = trio.Event()
+    node = Node(settings, telemetry, initial)
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_set_on_signal, signals, stop)
+            await node.run(stop)
+            nursery.cancel_scope.cancel()
+
+
+async def _set_on_signal(signals: AsyncIterator[int], stop: trio.Event) -> None:
     async for _ in signals:
         stop.set()
 
--- a/packages/mimosapoint/src/mimosapoint/configuration/document.py
+++ b/packages/mimosapoint/src/mimosapoint/configuration/document.py
@@ -165,14 +165,15 @@
     def allowed_zones(self, request: JobRequest) -> dict[str, Zone]:
         """Return the zones that a request may run in, whatever their mode.
 
-        There are none for a workspace or a service that the configuration does not have.
+        There are none for a workspace that the configuration does not have; work of a service
+        that was dropped goes on in the region of its workspace.
         """
         workspace = self.workspaces_by_id.get(request.workspace)
-        service = workspace.services_by_id.get(request.service) if workspace else None
-        if service is None:
+        if workspace is None:
             return {}
+        service = workspace.services_by_id.get(request.service)
         zones = self.zones_of(workspace.region)
-        for limit in (service.zones, request.zones):
+        for limit in (service.zones if service else (), request.zones):
             if limit:
                 zones = {id: zone for id, zone in zones.items() if id in limit}
         return zones
--- a/packages/mimosapoint/src/mimosapoint/entry/core.py
+++ b/packages/mimosapoint/src/mimosapoint/entry/core.py
@@ -4,7 +4,6 @@
 from datetime import timedelta
 from typing import Any
 
-import attrs
 import trio
 
 from mimosapoint.configuration import Configuration
@@ -30,16 +29,10 @@
 __all__ = ["Entry"]
 
 MOVES_FOLLOWED = 8
+RESUBMITS_AT_ONCE = 32
 FULL_RETRY_AFTER = timedelta(seconds=5)
 
 
-@attrs.frozen
-class _Undurable:
-    """An accepted job that the store does not have yet."""
-
-    message: SubmitJob
-
-
 class Entry:
     """Serves callers; implements :class:`~mimosapoint.ports.JobApi`.
 
@@ -67,7 +60,7 @@
         self._clock = clock
         self._telemetry = telemetry
         self._settings = settings
-        self._undurable_by_job: dict[str, _Undurable] = {}
+        self._undurable_by_job: dict[str, SubmitJob] = {}
 
     async def submit(self, request: JobRequest, trace: str | None = None) -> JobView:
         """Accept a job; see :class:`~mimosapoint.ports.JobApi`."""
@@ -88,7 +81,7 @@
         if reply.view.durable:
             self._undurable_by_job.pop(message.job_id, None)
         else:
-            self._undurable_by_job[message.job_id] = _Undurable(message)
+            self._undurable_by_job[message.job_id] = message
         if reply.moved_to is None:
             return reply.view
         return await self.job(message.request.workspace, message.job_id)
@@ -171,11 +164,16 @@
 
     async def run(self) -> None:
         """Bring accepted jobs into the store for as long as it takes."""
+        limiter = trio.CapacityLimiter(RESUBMITS_AT_ONCE)
         while True:
             await self._clock.sleep(self._settings.resubmit_interval)
-            for undurable in list(self._undurable_by_job.values()):
-                try:
-                    await self._submit(undurable.message)
-                except MimosapointError as error:
-                    job = undurable.message.job_id
-                    self._telemetry.event("resubmit-failed", job=job, code=error.code)
+            async with trio.open_nursery() as nursery:
+                for message in list(self._undurable_by_job.values()):
+                    nursery.start_soon(self._resubmit, message, limiter)
+
+    async def _resubmit(self, message: SubmitJob, limiter: trio.CapacityLimiter) -> None:
+        try:
+            async with limiter:
+                await self._submit(message)
+        except MimosapointError as error:
+            self._telemetry.event("resubmit-failed", job=message.job_id, code=error.code)
--- a/packages/mimosapoint/src/mimosapoint/telemetry/memory.py
+++ b/packages/mimosapoint/src/mimosapoint/telemetry/memory.py
@@ -9,6 +9,7 @@
 import attrs
 
 from mimosapoint.ports import Span
+from mimosapoint.telemetry._trace_context import parse_traceparent
 from mimosapoint.telemetry.events import events_by_name
 from mimosapoint.telemetry.metrics import metrics_by_name
 
@@ -97,7 +98,7 @@
     @contextmanager
     def span(self, name: str, parent: str | None = None) -> Iterator[Span]:
         """Record a span, below the caller's or the span around it."""
-        above = parent or self._current.get()
+        above = parent if parse_traceparent(parent) else self._current.get()
         number = next(self._numbers)
         trace_id = above.split("-")[1] if above else f"{number:032x}"
         span = MemorySpan(name, trace_id, f"{number:016x}", above)
