Keep the home of each idempotency key when zones come and go

Cause: keys were hashed over the region's present zones, so a patch that added or dropped a zone gave some keys another home, and a repeated non-repeatable request became a new job. Ruled out: asking every zone for each key, which would make a request wait for a region that is cut off. Before: such a patch is accepted. Conclusion: the row that drops all zones now gets the new reason first, and a test of its own still asks for the old one. Also dropped: an error class that nothing raised.

--- a/packages/mimosapoint-node/src/mimosapoint_node/http/problems.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/http/problems.py
@@ -13,7 +13,6 @@
 PROBLEM_TYPE = "application/problem+json"
 
 STATUS_BY_CODE = {
-    "answer-not-ready": 409,
     "bad-request": 400,
     "body-timeout": 408,
     "body-too-large": 413,
--- a/packages/mimosapoint/src/mimosapoint/configuration/document.py
+++ b/packages/mimosapoint/src/mimosapoint/configuration/document.py
@@ -73,12 +73,15 @@
     :param capacity: declared capacity.
     :param mode: whether tasks may start.
     :param leaving: what becomes of running work when the zone goes out.
+    :param keeps_keys: whether idempotency keys may have their home here; fixed for good, and false
+        for a zone that joins a region later, since keys would change their homes.
     """
 
     region: str = _ruled(identifier())
     capacity: Capacity
     mode: ZoneMode = ZoneMode.IN_SERVICE
     leaving: LeavingMode = LeavingMode.CHECKPOINT_AND_MOVE
+    keeps_keys: bool = True
 
 
 @attrs.frozen
@@ -178,6 +181,10 @@
                 zones = {id: zone for id, zone in zones.items() if id in limit}
         return zones
 
+    def home_zones(self, region: str) -> list[str]:
+        """Return the ids of the zones of a region that keep idempotency keys."""
+        return [id for id, zone in self.zones_of(region).items() if zone.keeps_keys]
+
     def zones_of(self, region: str) -> dict[str, Zone]:
         """Return the availability zones of a region."""
         return {id: zone for id, zone in self.zones_by_id.items() if zone.region == region}
--- a/packages/mimosapoint/src/mimosapoint/configuration/operations.py
+++ b/packages/mimosapoint/src/mimosapoint/configuration/operations.py
@@ -46,6 +46,8 @@
     for group in ("zones", "workspaces"):
         for id, item in sorted(document[group].items()):
             yield pointer(group, id, "region"), item["region"]
+    for id, zone in sorted(document["zones"].items()):
+        yield pointer("zones", id, "keeps_keys"), zone["keeps_keys"]
 
 
 def _changed_values(before: dict[str, Any], after: Any) -> tuple[str, ...]:
@@ -57,6 +59,21 @@
     )
 
 
+def _moved_keys(before: dict[str, Any], after: Any) -> Iterator[str]:
+    """Yield a reason for each change by which idempotency keys would get other homes."""
+    zones = after.get("zones") if isinstance(after, dict) else None
+    if not isinstance(zones, dict):
+        return
+    keeping = {id: zone["region"] for id, zone in before["zones"].items() if zone["keeps_keys"]}
+    for id in sorted(keeping.keys() - zones.keys()):
+        yield f"{pointer('zones', id)}: cannot be dropped, since it keeps idempotency keys"
+    for id in sorted(zones.keys() - before["zones"].keys()):
+        zone = zones[id] if isinstance(zones[id], dict) else {}
+        if zone.get("region") in keeping.values() and zone.get("keeps_keys", True):
+            path = pointer("zones", id, "keeps_keys")
+            yield f"{path}: must be false for a zone that joins a region"
+
+
 def patched(before: Configuration, patch: Patch) -> Configuration:
     """Return the version that a patch makes.
 
@@ -65,5 +82,6 @@
     """
     old = to_document(before)
     new = _changed(old, patch)
-    after = parse_configuration(new, known=_changed_values(old, new))
+    known = (*_changed_values(old, new), *_moved_keys(old, new))
+    after = parse_configuration(new, known=known)
     return attrs.evolve(after, version=before.version + 1)
--- a/packages/mimosapoint/src/mimosapoint/configuration/tests/test_validation.py
+++ b/packages/mimosapoint/src/mimosapoint/configuration/tests/test_validation.py
@@ -39,6 +39,7 @@
     "/zones/a/region": BAD_TEXTS,
     "/zones/a/mode": BAD_CHOICES,
     "/zones/a/leaving": BAD_CHOICES,
+    "/zones/a/keeps_keys": (1, "yes", None),
     C: ([], None, 2),
     f"{C}/racks": BAD_COUNTS,
     f"{C}/workers_per_rack": BAD_COUNTS,
@@ -233,13 +234,42 @@
             ({"op": "replace", "path": "", "value": []}, "/: must be a mapping"),
             ({"op": "replace", "path": "/version", "value": 7}, "/version: cannot change from 1"),
             ({"op": "replace", "path": "/zones/b", "value": other}, "/zones/b/region: cannot"),
-            ({"op": "replace", "path": "/zones", "value": {}}, "/workspaces/desk/region: no"),
+            ({"op": "replace", "path": "/zones", "value": {}}, "/zones/a: cannot be dropped"),
         )
         for operation, start in cases:
             with self.subTest(operation=operation):
                 found = patch_reasons(before, operation)
                 self.assertTrue(found and found[0].startswith(start), found)
 
+    def test_zones_that_are_all_dropped_leave_a_workspace_without_a_region(self):
+        found = patch_reasons(
+            site(rack_gang("g", 8), version=1), {"op": "replace", "path": "/zones", "value": {}}
+        )
+        self.assertTrue(found[-1].startswith("/workspaces/desk/region: no"), found)
+
+    def test_idempotency_keys_keep_their_homes(self):
+        before = site(rack_gang("g", 8, zones=("a",)), version=1)
+        joining = to_document(before)["zones"]["b"]
+        late = {**joining, "keeps_keys": False}
+        elsewhere = {**joining, "region": "q"}
+        cases = (
+            ([{"op": "add", "path": "/zones/c", "value": joining}], "/zones/c/keeps_keys: must be"),
+            ([{"op": "add", "path": "/zones/c", "value": late}], None),
+            ([{"op": "add", "path": "/zones/c", "value": elsewhere}], None),
+            ([{"op": "remove", "path": "/zones/b"}], "/zones/b: cannot be dropped"),
+            (
+                [{"op": "replace", "path": "/zones/b/keeps_keys", "value": False}],
+                "/zones/b/keeps_keys: cannot change",
+            ),
+        )
+        for operations, start in cases:
+            with self.subTest(operations=operations):
+                found = patch_reasons(before, *operations)
+                if start is None:
+                    self.assertEqual(found, ())
+                else:
+                    self.assertTrue(found and found[0].startswith(start), found)
+
     def test_a_workspace_keeps_its_region(self):
         before = site(rack_gang("g", 8), version=1)
         other = attrs.evolve(before.zones_by_id["a"], region="q")
--- a/packages/mimosapoint/src/mimosapoint/entry/core.py
+++ b/packages/mimosapoint/src/mimosapoint/entry/core.py
@@ -69,7 +69,7 @@
         if len(self._undurable_by_job) >= self._settings.undurable_limit:
             raise Overloaded("the store is out of reach", retry_after=FULL_RETRY_AFTER)
         region = configuration.workspaces_by_id[request.workspace].region
-        zones = configuration.zones_of(region)
+        zones = configuration.home_zones(region)
         job_id = job_id_of(request.workspace, request.idempotency_key, zones)
         with self._telemetry.span("entry-submit", trace) as span:
             span.set("job", job_id)
--- a/packages/mimosapoint/src/mimosapoint/errors.py
+++ b/packages/mimosapoint/src/mimosapoint/errors.py
@@ -4,7 +4,6 @@
 from typing import ClassVar
 
 __all__ = [
-    "AnswerNotReady",
     "BadRequest",
     "CircuitOpen",
     "BodyTimeout",
@@ -147,12 +146,6 @@
     code = "job-not-found"
 
 
-class AnswerNotReady(MimosapointError):
-    """The job has not ended yet."""
-
-    code = "answer-not-ready"
-
-
 class Overloaded(MimosapointError):
     """A bound is reached; the request was not accepted."""
 
--- a/packages/mimosapoint/src/mimosapoint/jobs/ids.py
+++ b/packages/mimosapoint/src/mimosapoint/jobs/ids.py
@@ -22,7 +22,7 @@
 
     :param workspace: id of the workspace.
     :param key: idempotency key.
-    :param zones: every availability zone of the workspace's region.
+    :param zones: the availability zones that keep keys of the workspace's region.
     """
     return max(zones, key=lambda zone: _digest(zone, workspace, key))
 
