Tell callers at once when their job has moved

Cause: a node watches a job at its owner; when the job moved, the next look came up to 2 s later, so that answers of moved jobs were late. Conclusion: the message that tells of an end now tells of moves, too; a lost one is still made good by the look.

--- a/packages/mimosapoint/src/mimosapoint/entry/core.py
+++ b/packages/mimosapoint/src/mimosapoint/entry/core.py
@@ -98,12 +98,13 @@
         deadline = Deadline.after(self._clock, wait)
         with self._waiters.waiting(job_id) as waiter:
             while True:
+                news = waiter.news
                 view = await self._watch(workspace, job_id)
                 if view.outcome is not None or deadline.expired:
                     return view
                 pause = deadline.as_timeout(self._settings.watch_interval)
                 with trio.move_on_after(pause.total_seconds()):
-                    await waiter.ended.wait()
+                    await news.wait()
                 if waiter.view is not None and waiter.view.workspace == workspace:
                     return waiter.view
 
--- a/packages/mimosapoint/src/mimosapoint/entry/waiters.py
+++ b/packages/mimosapoint/src/mimosapoint/entry/waiters.py
@@ -6,7 +6,7 @@
 import attrs
 import trio
 
-from mimosapoint.jobs import Accepted, JobsEnded
+from mimosapoint.jobs import Accepted, JobsChanged
 from mimosapoint.model import JobView
 from mimosapoint.peers import Dispatcher
 
@@ -18,21 +18,21 @@
     """Callers that wait for one job.
 
     :param callers: number of callers.
-    :param ended: set when the job has ended.
+    :param news: set when the job has ended or moved, and replaced after a move.
     :param view: the ended job.
     """
 
     callers: int = 0
-    ended: trio.Event = attrs.field(factory=trio.Event)
+    news: trio.Event = attrs.field(factory=trio.Event)
     view: JobView | None = None
 
 
 class Waiters:
-    """Wakes callers when an owner tells that their job has ended."""
+    """Wakes callers when an owner tells that their job has ended or moved."""
 
     def __init__(self, dispatcher: Dispatcher):
         self._waiters_by_job: dict[str, Waiter] = {}
-        dispatcher.handle(JobsEnded, self._jobs_ended)
+        dispatcher.handle(JobsChanged, self._jobs_changed)
 
     @contextmanager
     def waiting(self, job_id: str) -> Iterator[Waiter]:
@@ -46,10 +46,18 @@
             if waiter.callers == 0:
                 self._waiters_by_job.pop(job_id, None)
 
-    async def _jobs_ended(self, message: JobsEnded) -> Accepted:
+    async def _jobs_changed(self, message: JobsChanged) -> Accepted:
         for view in message.views:
             waiter = self._waiters_by_job.get(view.id)
             if waiter is not None:
-                waiter.view = view
-                waiter.ended.set()
+                _tell(waiter, view)
         return Accepted()
+
+
+def _tell(waiter: Waiter, view: JobView) -> None:
+    """Wake the callers of a job; after a move they ask its new zone and wait again."""
+    waiter.news.set()
+    if view.outcome is not None:
+        waiter.view = view
+    else:
+        waiter.news = trio.Event()
--- a/packages/mimosapoint/src/mimosapoint/jobs/messages.py
+++ b/packages/mimosapoint/src/mimosapoint/jobs/messages.py
@@ -11,7 +11,7 @@
     "CancelJob",
     "GetJob",
     "JobReply",
-    "JobsEnded",
+    "JobsChanged",
     "JobsReply",
     "ListJobs",
     "SubmitJob",
@@ -86,7 +86,7 @@
     :param zone: availability zone that the receiver should own.
     :param workspace: workspace of the caller.
     :param job_id: id of the job.
-    :param address: peer address that gets :class:`JobsEnded`.
+    :param address: peer address that gets :class:`JobsChanged`.
     """
 
     zone: str
@@ -123,10 +123,10 @@
     workspace: str
 
 
-@peer_message("jobs-ended", reply=Accepted)
+@peer_message("jobs-changed", reply=Accepted)
 @attrs.frozen
-class JobsEnded:
-    """Jobs that the receiver watches have ended.
+class JobsChanged:
+    """Jobs that the receiver watches have ended, or have moved and should be asked for again.
 
     :param views: the jobs.
     """
--- a/packages/mimosapoint/src/mimosapoint/node/tests/test_gangs.py
+++ b/packages/mimosapoint/src/mimosapoint/node/tests/test_gangs.py
@@ -146,6 +146,10 @@
                 nursery.start_soon(one, item)
 
 
+SLACK_SECONDS = 0.5
+"""Time for the commits and calls of a job that moves, well below the pause between two looks."""
+
+
 class MoveTest(SiteCase):
     """A job goes to another zone while owners end."""
 
@@ -176,6 +180,24 @@
             self.assertEqual(self.outcomes(site), {"succeeded"})
             self.assertEqual(len(self.starts(site, job)), 2)
 
+    async def test_the_answer_of_a_moved_job_does_not_wait_for_the_next_look(self):
+        async with self.site() as site:
+            blocked = Caller(site)
+            for number in range(2):
+                request = blocked.request(f"block-{number}", 30.0, gang=8, zones=("a",))
+                await blocked.submit(request)
+            await trio.sleep(1)
+            key = next(f"k{n}" for n in range(9) if job_id_of("w", f"k{n}", ZONES)[0] == "a")
+            job = job_id_of("w", key, ZONES)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(blocked.call, key, 0.5)
+                await trio.sleep(0.1)
+                view = await blocked.ask(lambda api: api.job("w", job))
+                owner_of_job(site, view).mover.move(job, "b")
+            (call,) = [call for call in site.history.calls if call.key == key]
+            waited = (call.ended_at - call.sent_at).total_seconds()
+            self.assertLess(waited, 0.1 + 0.5 + SLACK_SECONDS)
+
     async def test_move_that_is_sent_again_is_adopted_once(self):
         async with self.site() as site:
             caller = Caller(site)
--- a/packages/mimosapoint/src/mimosapoint/placement/mover.py
+++ b/packages/mimosapoint/src/mimosapoint/placement/mover.py
@@ -8,7 +8,7 @@
 
 from mimosapoint.errors import MimosapointError
 from mimosapoint.jobs import AdoptJob
-from mimosapoint.model import JobRecord, JobState
+from mimosapoint.model import JobRecord, JobState, JobView
 from mimosapoint.placement.ledger import Ledger
 from mimosapoint.ports import Clock, Peers, Telemetry
 
@@ -26,6 +26,7 @@
     owner; the destination adopts each move number once.
 
     :param address_of: returns the peer address of a zone's owner, or ``None``.
+    :param on_moved: called with each job that its destination has adopted.
     """
 
     def __init__(
@@ -36,12 +37,14 @@
         clock: Clock,
         telemetry: Telemetry,
         address_of: Callable[[str], str | None],
+        on_moved: Callable[[JobView], None],
     ):
         self._ledger = ledger
         self._peers = peers
         self._clock = clock
         self._telemetry = telemetry
         self._address_of = address_of
+        self._on_moved = on_moved
         self._limiter = trio.CapacityLimiter(SENDS_AT_ONCE)
         self._pending: dict[str, JobRecord] = {}
         self._ready = trio.Event()
@@ -87,6 +90,7 @@
         known = self._ledger.find(record.id)
         if known is not None and known.state is JobState.MOVED and known.moves == record.moves:
             self._ledger.put(attrs.evolve(known, adopted=True))
+            self._on_moved(self._ledger.view(known))
 
     async def _send(self, record: JobRecord) -> bool:
         address = self._address_of(record.moved_to)
--- a/packages/mimosapoint/src/mimosapoint/placement/owner.py
+++ b/packages/mimosapoint/src/mimosapoint/placement/owner.py
@@ -73,7 +73,7 @@
             clock=self.parts.clock,
             telemetry=self.parts.telemetry,
             on_change=self._wake,
-            on_ended=self._watchers.ended,
+            on_ended=self._watchers.changed,
         )
 
     def _make_mover(self) -> Mover:
@@ -83,6 +83,7 @@
             clock=self.parts.clock,
             telemetry=self.parts.telemetry,
             address_of=self.parts.address_of,
+            on_moved=self._watchers.changed,
         )
 
     def _make_attempts(self) -> Attempts:
--- a/packages/mimosapoint/src/mimosapoint/placement/watchers.py
+++ b/packages/mimosapoint/src/mimosapoint/placement/watchers.py
@@ -6,7 +6,7 @@
 import trio
 
 from mimosapoint.errors import MimosapointError
-from mimosapoint.jobs import JobsEnded
+from mimosapoint.jobs import JobsChanged
 from mimosapoint.model import JobView
 from mimosapoint.ports import Clock, Peers
 
@@ -18,7 +18,7 @@
 
 
 class Watchers:
-    """Tells nodes of the end of the jobs that their callers wait for.
+    """Tells nodes when a job that their callers wait for has ended or moved.
 
     A lost message is made good by the watcher, which asks again now and then.
     """
@@ -35,8 +35,8 @@
         expiry = self._clock.now() + WATCH_TTL
         self._expiry_by_address_by_job.setdefault(job_id, {})[address] = expiry
 
-    def ended(self, view: JobView) -> None:
-        """Queue the news of an ended job."""
+    def changed(self, view: JobView) -> None:
+        """Queue the news of a job that has ended or moved."""
         addresses = self._expiry_by_address_by_job.pop(view.id, {})
         now = self._clock.now()
         for address, expiry in addresses.items():
@@ -70,6 +70,6 @@
 
     async def _send(self, address: str, views: Iterable[JobView]) -> None:
         try:
-            await self._peers.call(address, JobsEnded(tuple(views)), SEND_TIMEOUT)
+            await self._peers.call(address, JobsChanged(tuple(views)), SEND_TIMEOUT)
         except MimosapointError:
             return
