Let an interrupted job go on after its latest start

Cause: start_by was asked again when a job that had started was reclaimed and waited, so it ended as failed with start-deadline, or was never started again. Before: the new test gets failed. Conclusion: a latest start binds the first start only.

--- a/packages/mimosapoint/src/mimosapoint/node/tests/test_gangs.py
+++ b/packages/mimosapoint/src/mimosapoint/node/tests/test_gangs.py
@@ -150,6 +150,21 @@
 """Time for the commits and calls of a job that moves, well below the pause between two looks."""
 
 
+class InterruptedTest(SiteCase):
+    async def test_a_latest_start_does_not_end_a_job_that_was_interrupted(self):
+        async with self.site() as site:
+            start_by = site.clock.now() + timedelta(seconds=3)
+            async with trio.open_nursery() as nursery:
+                self.calls(nursery, site, 1, seconds=10.0, gang=2, start_by=start_by)
+                await trio.sleep(5)
+                (call,) = site.history.calls
+                view = await Caller(site).ask(lambda api: api.job("w", call.job))
+                owner = owner_of_job(site, view)
+                owner.stop_job(call.job, "reclaim", timedelta(seconds=2))
+            self.assertEqual(self.outcomes(site), {"succeeded"})
+            self.assertEqual(len(self.starts(site, call.job)), 4)
+
+
 class MoveTest(SiteCase):
     """A job goes to another zone while owners end."""
 
--- a/packages/mimosapoint/src/mimosapoint/placement/launch.py
+++ b/packages/mimosapoint/src/mimosapoint/placement/launch.py
@@ -108,16 +108,11 @@
 
         A start that is held up after this is refused when the reservation has lapsed.
         """
-        late = self._record_is_late() and not self._start_sent
+        late = self._record.late(self._clock.now()) and not self._start_sent
         leaving = self._commands.any_leaving(self._gang)
         barred = self._stop_wanted.is_set() or late or leaving
         return self._steady() and self._permit.given() and not barred
 
-    def _record_is_late(self) -> bool:
-        """Whether the job's latest start has passed."""
-        start_by = self._record.request.start_by
-        return start_by is not None and start_by <= self._clock.now()
-
     def _same_boots(self) -> bool:
         """Whether every worker still has the boot that it was chosen in."""
         boots = self._record.placement.boots
--- a/packages/mimosapoint/src/mimosapoint/placement/scheduler.py
+++ b/packages/mimosapoint/src/mimosapoint/placement/scheduler.py
@@ -79,8 +79,7 @@
     def _give_up_late(self, now: datetime) -> None:
         """End waiting jobs whose latest start has passed."""
         for record in self._owner.ledger.queued():
-            start_by = record.request.start_by
-            if start_by is not None and start_by <= now:
+            if record.late(now):
                 self._refuse(record.id, NotRun("start-deadline", "no start before start_by"))
 
     def _refuse(self, job_id: str, outcome: NotRun) -> None:
