--- a/packages/mimosapoint/src/mimosapoint/placement/launch.py
+++ b/packages/mimosapoint/src/mimosapoint/placement/launch.py
@@ -157,6 +157,7 @@
             job=record.id,
             attempt=record.placement.attempt,
             workers=",".join(sorted(set(self._gang.workers))),
+            version=self._permit.version,
             trace=record.trace or "",
         )
 
--- a/packages/mimosapoint/src/mimosapoint/placement/permit.py
+++ b/packages/mimosapoint/src/mimosapoint/placement/permit.py
@@ -38,6 +38,11 @@
         self._configuration = configuration
         self._clock = clock
 
+    @property
+    def version(self) -> int:
+        """Version of the configuration that permissions are given by."""
+        return self._configuration.current.version
+
     def in_service(self) -> bool:
         """Whether the zone is in service by the version in force here."""
         zone = self._configuration.current.zones_by_id.get(self._zone)
