Sort the queue once for each decision, forget the digests of nodes that are gone

Cause: looking for late jobs sorted the whole queue beside the sort for the policy, and what replaced nodes once said of their zones was kept for ever.

--- a/packages/mimosapoint/src/mimosapoint/ownership/directory.py
+++ b/packages/mimosapoint/src/mimosapoint/ownership/directory.py
@@ -96,12 +96,18 @@
 
     def epochs_by_zone(self) -> dict[str, int]:
         """Return the newest epoch of every zone that some live node owns."""
+        self._forget_unknown()
         epochs = {zone: owner.epoch for zone, owner in self._owners_by_zone.items()}
         for node in self._others():
             for zone, digest in self._heard(node).digests_by_zone.items():
                 epochs[zone] = max(epochs.get(zone, 0), digest.epoch)
         return epochs
 
+    def _forget_unknown(self) -> None:
+        """Drop what nodes said that the membership has forgotten."""
+        for node in self._heard_by_node.keys() - self._membership.known_nodes().keys():
+            del self._heard_by_node[node]
+
     def _own_digests(self) -> dict[str, ZoneDigest]:
         return {zone: owner.digest() for zone, owner in self._owners_by_zone.items()}
 
--- a/packages/mimosapoint/src/mimosapoint/placement/ledger.py
+++ b/packages/mimosapoint/src/mimosapoint/placement/ledger.py
@@ -1,6 +1,7 @@
 """Changes of job records, with their effects on the queue and on those who wait for an end."""
 
 from collections.abc import Callable
+from datetime import datetime
 
 import attrs
 
@@ -101,6 +102,10 @@
         """Return the waiting jobs, oldest first."""
         return sorted(self._queued_by_id.values(), key=lambda record: record.submitted_at)
 
+    def late(self, now: datetime) -> list[JobRecord]:
+        """Return the waiting jobs whose latest start has passed, in no order."""
+        return [record for record in self._queued_by_id.values() if record.late(now)]
+
     def queued_count(self, workspace: str | None = None) -> int:
         """Return how many jobs wait, of one workspace or of all."""
         if workspace is None:
--- a/packages/mimosapoint/src/mimosapoint/placement/scheduler.py
+++ b/packages/mimosapoint/src/mimosapoint/placement/scheduler.py
@@ -78,9 +78,8 @@
 
     def _give_up_late(self, now: datetime) -> None:
         """End waiting jobs whose latest start has passed."""
-        for record in self._owner.ledger.queued():
-            if record.late(now):
-                self._refuse(record.id, NotRun("start-deadline", "no start before start_by"))
+        for record in self._owner.ledger.late(now):
+            self._refuse(record.id, NotRun("start-deadline", "no start before start_by"))
 
     def _refuse(self, job_id: str, outcome: NotRun) -> None:
         record = self._owner.ledger.get(job_id)
