Test the cell under faults over a platform in memory

Cause: the cell had no tests of its own. New stand-ins in mimosapoint.memory: a store with transactions, leases, watches and late writes; workers that gather gangs, keep leases and fences and list ends. 23 tests kill, cut and suspend owners, workers and the store and check from the workers' history that no task runs twice, that runs fit, and that accepted jobs complete.

--- /dev/null
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of a cell."""
--- /dev/null
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/_site.py
@@ -0,0 +1,282 @@
+"""A cell of several nodes over the platform in memory."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from datetime import timedelta
+from random import Random
+from typing import Any
+
+import attrs
+import trio
+
+from mimosapoint.cell import CellNode, CellSettings, Submission
+from mimosapoint.cell.keys import progress_key
+from mimosapoint.codec import decode, encode
+from mimosapoint.errors import CodecError, StoreTimeout, StoreUnavailable, WorkerUnreachable
+from mimosapoint.memory import (
+    MemoryRunWorker,
+    MemoryRunWorkers,
+    MemoryTransactionStore,
+    RunRecord,
+    TrioClock,
+    WorkerPool,
+)
+from mimosapoint.ports import Entry, Registration, WithdrawnZone
+from mimosapoint.telemetry import MemoryTelemetry
+from mimosapoint.workload import (
+    Amounts,
+    Catalog,
+    JobProgress,
+    Phase,
+    Queue,
+    RunEnd,
+    Step,
+    Tenant,
+)
+
+CAPACITY = Amounts(128_000, 262_144, 8)
+SMALL = Amounts(11_000, 16_000, 1)
+WIDE = Amounts(15_000, 22_000, 8)
+POOL = "composer"
+RACK_SIZE = 3
+SETTLE = timedelta(seconds=1)
+
+QUEUES = (
+    Queue("urgent", "h", "/urgent/", POOL, 0, 3, 1.5, timedelta(milliseconds=250)),
+    Queue("normal", "h", "/normal/", POOL, 1, 3, 3.0, timedelta(seconds=1)),
+    Queue("low", "h", "/low/", POOL, 2, 3, 3.0, timedelta(seconds=3)),
+)
+CATALOG = Catalog(1, QUEUES, (Tenant("t", frozenset({"key"}), 16),))
+
+
+class Operators:
+    """Format of the operators' entries: the configuration is looked up by its version."""
+
+    prefix = "op/"
+
+    def __init__(self):
+        self.catalogs_by_version = {CATALOG.version: CATALOG}
+
+    def decode(self, entry: Entry) -> Catalog | WithdrawnZone | None:
+        zone = self.withdrawn_zone(entry.key)
+        if zone:
+            return WithdrawnZone(zone)
+        try:
+            return self.catalogs_by_version[int(entry.value)]
+        except (ValueError, KeyError) as error:
+            raise CodecError(f"no configuration: {entry.value!r}") from error
+
+    def withdrawn_zone(self, key: str) -> str | None:
+        return key.removeprefix("op/out/") if key.startswith("op/out/") else None
+
+
+class WorkerEntries:
+    """Format of the workers' entries."""
+
+    prefix = "workers/"
+
+    def decode(self, entry: Entry) -> Registration:
+        return decode(entry.value, Registration)
+
+
+class NodeStore:
+    """The store as one node reaches it."""
+
+    def __init__(self, store: MemoryTransactionStore):
+        self._store = store
+        self.fault = ""
+
+    def __getattr__(self, name: str) -> Any:
+        call = getattr(self._store, name)
+
+        async def reach(*args: Any) -> Any:
+            await self._pass()
+            reply = await call(*args)
+            await self._pass()
+            return reply
+
+        return reach
+
+    async def _pass(self) -> None:
+        if self.fault == "refused":
+            raise StoreUnavailable("refused")
+        if self.fault == "silent":
+            await trio.sleep(1)
+            raise StoreTimeout("no answer")
+
+
+class NodeWorkers:
+    """The workers as one node reaches them."""
+
+    def __init__(self, workers: MemoryRunWorkers):
+        self._workers = workers
+        self.unreachable: set[str] = set()
+
+    def __getattr__(self, name: str) -> Any:
+        call = getattr(self._workers, name)
+
+        async def reach(worker: Registration, order: Any) -> Any:
+            if worker.id in self.unreachable:
+                await trio.sleep(0.8)
+                raise WorkerUnreachable("cut")
+            return await call(worker, order)
+
+        return reach
+
+
+@attrs.define(eq=False)
+class SiteNode:
+    name: str
+    cell: CellNode
+    store: NodeStore
+    workers: NodeWorkers
+    scope: trio.CancelScope
+    telemetry: MemoryTelemetry
+
+    @property
+    def is_owner(self) -> bool:
+        return self.cell.owner is not None
+
+    def kill(self) -> None:
+        self.scope.cancel()
+        self.cell.owner = None
+
+
+class Site:
+    """Nodes, workers and the store of one cell."""
+
+    def __init__(self, nursery: trio.Nursery, settings: CellSettings):
+        self.clock = TrioClock()
+        self.store = MemoryTransactionStore(self.clock)
+        self.operators = Operators()
+        self.pool = WorkerPool(self.clock, nursery)
+        self.workers = MemoryRunWorkers()
+        self.nodes: list[SiteNode] = []
+        self.settings = settings
+        self.nursery = nursery
+        self.put_catalog(CATALOG)
+
+    def put_catalog(self, catalog: Catalog) -> None:
+        self.operators.catalogs_by_version[catalog.version] = catalog
+        self.store.put("op/config", str(catalog.version).encode())
+
+    def add_worker(self, number: int, **changes: Any) -> MemoryRunWorker:
+        rack = f"r{number // RACK_SIZE}"
+        registration = Registration(
+            id=f"w{number}",
+            address=f"10.0.0.{number}:1",
+            pool=POOL,
+            zone=f"z{number // RACK_SIZE}",
+            rack=rack,
+            labels=frozenset({"a", rack}),
+            capacity=CAPACITY,
+            born=1,
+        )
+        worker = MemoryRunWorker(attrs.evolve(registration, **changes), self.pool)
+        self.workers.add(worker)
+        self.nursery.start_soon(worker.lapse)
+        self.register(worker)
+        return worker
+
+    def register(self, worker: MemoryRunWorker, **changes: Any) -> None:
+        worker.registration = attrs.evolve(worker.registration, **changes)
+        self.store.put(f"workers/{worker.registration.id}", encode(worker.registration))
+
+    def unregister(self, worker: MemoryRunWorker) -> None:
+        self.store.apply({}, (), [f"workers/{worker.registration.id}"])
+
+    def add_node(self) -> SiteNode:
+        name = f"n{len(self.nodes)}"
+        store, workers = NodeStore(self.store), NodeWorkers(self.workers)
+        telemetry = MemoryTelemetry()
+        cell = CellNode(
+            name,
+            store,
+            workers,
+            self.operators,
+            WorkerEntries(),
+            self.clock,
+            telemetry,
+            self.settings,
+            Random(name),
+        )
+        node = SiteNode(name, cell, store, workers, trio.CancelScope(), telemetry)
+        self.nodes.append(node)
+        self.nursery.start_soon(self._run_node, node)
+        return node
+
+    async def _run_node(self, node: SiteNode) -> None:
+        with node.scope:
+            await node.cell.run()
+
+    @property
+    def owner(self) -> SiteNode:
+        return next(node for node in self.nodes if node.is_owner)
+
+    @property
+    def other(self) -> SiteNode:
+        return next(
+            node for node in self.nodes if not node.is_owner and not node.scope.cancel_called
+        )
+
+    async def submit(
+        self, job: str, *steps: Step, queue: int = 1, node: SiteNode | None = None, **more: Any
+    ) -> str:
+        entry = (node or self.other).cell.entry
+        submission = Submission(job, "spec", steps, **more)
+        await entry.submit(QUEUES[queue], "t", submission, timedelta(seconds=1))
+        return job
+
+    async def wait_phase(self, job: str, phase: Phase, within: float = 20) -> None:
+        with trio.fail_after(within):
+            while self.phase(job) is not phase:
+                await trio.sleep(0.05)
+
+    async def wait_running(self, job: str, count: int = 1, within: float = 10) -> None:
+        with trio.fail_after(within):
+            while len(self.running(job)) < count:
+                await trio.sleep(0.02)
+
+    def phase(self, job: str) -> Phase:
+        value = self.store.value(progress_key(job))
+        return decode(value, JobProgress).phase if value else Phase.QUEUED
+
+    def runs(self, job: str) -> list[RunRecord]:
+        return [record for record in self.pool.history if record.task.job == job]
+
+    def running(self, job: str) -> list[RunRecord]:
+        return [record for record in self.runs(job) if record.ended is None]
+
+    def broken_promises(self) -> list[str]:
+        """Return what the workers saw that must never happen."""
+        found = [f"{worker} is over its capacity" for worker in self.pool.overfull]
+        by_task: dict[Any, list[RunRecord]] = {}
+        for record in self.pool.history:
+            by_task.setdefault(record.task, []).append(record)
+        for task, records in by_task.items():
+            for earlier, later in zip(records, records[1:]):
+                if earlier.ended is None or earlier.ended > later.began:
+                    found.append(f"{task} runs twice at once")
+                if earlier.end is RunEnd.DONE:
+                    found.append(f"{task} starts again after it was done")
+                if later.run <= earlier.run:
+                    found.append(f"{task} has run {later.run} after {earlier.run}")
+        return found
+
+
+@asynccontextmanager
+async def open_site(
+    nodes: int = 3, workers: int = 6, settings: CellSettings | None = None
+) -> AsyncIterator[Site]:
+    """Open a cell that has an owner and knows its workers."""
+    async with trio.open_nursery() as nursery:
+        site = Site(nursery, settings or CellSettings())
+        for number in range(workers):
+            site.add_worker(number)
+        for _ in range(nodes):
+            site.add_node()
+        await trio.sleep(SETTLE.total_seconds())
+        yield site
+        nursery.cancel_scope.cancel()
--- /dev/null
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_faults.py
@@ -0,0 +1,274 @@
+"""Tests of a cell under faults: nothing runs twice, whole gangs, nothing accepted is lost."""
+
+from datetime import timedelta
+
+import trio
+
+from mimosapoint.cell.tests._site import SMALL, WIDE, open_site
+from mimosapoint.errors import Overloaded, StoreUnavailable
+from mimosapoint.testing import TrioTestCase
+from mimosapoint.workload import Phase, RunEnd, Step
+
+
+class CellFaultTest(TrioTestCase):
+    mock_clock = True
+
+    def check(self, site):
+        self.assertEqual([], site.broken_promises())
+
+    async def test_steps_run_in_order_and_the_job_completes(self):
+        async with open_site() as site:
+            await site.submit("a", Step(4, SMALL), Step(2, WIDE, gang=True, after=(0,)))
+            await site.wait_phase("a", Phase.COMPLETE)
+            first = [record for record in site.runs("a") if record.task.step == 0]
+            second = [record for record in site.runs("a") if record.task.step == 1]
+            self.assertEqual((4, 2), (len(first), len(second)))
+            self.assertLessEqual(
+                max(record.ended for record in first), min(record.began for record in second)
+            )
+            self.check(site)
+
+    async def test_a_killed_owner_costs_no_run_and_repeats_none(self):
+        async with open_site() as site:
+            await site.submit("a", Step(6, SMALL))
+            await site.submit("b", Step(3, WIDE, gang=True))
+            await site.wait_running("b", 3)
+            site.owner.kill()
+            await site.wait_phase("a", Phase.COMPLETE)
+            await site.wait_phase("b", Phase.COMPLETE)
+            self.assertEqual(9, len(site.pool.history))
+            self.check(site)
+
+    async def test_ends_that_nobody_stored_are_found_by_the_next_owner(self):
+        async with open_site() as site:
+            await site.submit("a", Step(3, SMALL))
+            await site.wait_running("a", 3)
+            site.owner.kill()
+            await trio.sleep(2.1)
+            self.assertEqual(Phase.RUNNING, site.phase("a"))
+            await site.wait_phase("a", Phase.COMPLETE)
+            self.assertEqual(3, len(site.runs("a")))
+            self.check(site)
+
+    async def test_an_owner_cut_from_the_store_is_replaced_and_gives_no_orders(self):
+        async with open_site() as site:
+            old = site.owner
+            for fault in ("silent",):
+                old.store.fault = fault
+                await site.submit("a", Step(4, SMALL), node=site.other)
+                await site.wait_phase("a", Phase.COMPLETE)
+                self.assertFalse(old.cell.is_ready())
+                with self.assertRaises(Overloaded):
+                    old.cell.entry.catalog()
+            self.check(site)
+
+    async def test_runs_on_a_silent_worker_wait_for_its_lease_at_a_takeover(self):
+        async with open_site() as site:
+            site.pool.run_time = timedelta(seconds=60)
+            await site.submit("a", Step(1, SMALL))
+            await site.wait_running("a")
+            worker = site.running("a")[0].worker
+            old = site.owner
+            for node in site.nodes:
+                if node is not old:
+                    node.workers.unreachable.add(worker)
+            old.store.fault = "silent"
+            await trio.sleep(20)
+            self.assertGreaterEqual(len(site.runs("a")), 2)
+            self.check(site)
+
+    async def test_a_job_of_the_new_owner_does_not_wait_for_a_silent_worker(self):
+        async with open_site() as site:
+            await site.submit("a", Step(1, SMALL))
+            await site.wait_running("a")
+            worker = site.running("a")[0].worker
+            site.workers.links_by_address[f"10.0.0.{worker[1:]}:1"].cut = True
+            site.owner.kill()
+            await trio.sleep(3.5)
+            await site.submit("b", Step(1, SMALL))
+            await site.wait_running("b", within=1)
+            self.check(site)
+
+    async def test_a_worker_that_is_cut_off_keeps_its_runs_until_its_lease_is_over(self):
+        async with open_site() as site:
+            site.pool.run_time = timedelta(seconds=30)
+            await site.submit("a", Step(2, WIDE, gang=True))
+            await site.wait_running("a", 2)
+            worker = site.running("a")[0].worker
+            site.workers.links_by_address[f"10.0.0.{worker[1:]}:1"].cut = True
+            await trio.sleep(15)
+            self.assertEqual(2, len(site.running("a")))
+            self.assertNotIn(worker, {record.worker for record in site.running("a")})
+            self.check(site)
+
+    async def test_a_reborn_worker_has_lost_its_runs_and_gets_new_ones(self):
+        async with open_site(workers=1) as site:
+            await site.submit("a", Step(2, SMALL))
+            await site.wait_running("a", 2)
+            worker = site.workers.workers_by_address["10.0.0.0:1"]
+            worker.reborn(2)
+            site.register(worker, born=2)
+            await site.wait_phase("a", Phase.COMPLETE)
+            self.assertEqual(4, len(site.runs("a")))
+            self.check(site)
+
+    async def test_a_start_without_an_answer_takes_effect_in_its_window_or_never(self):
+        for late in (0.3, 1.5, 4.0):
+            with self.subTest(late=late):
+                async with open_site(workers=2) as site:
+                    site.workers.links_by_address["10.0.0.0:1"].late_by = timedelta(seconds=late)
+                    await site.submit("a", Step(2, WIDE, gang=True))
+                    await trio.sleep(2)
+                    site.workers.links_by_address["10.0.0.0:1"].late_by = None
+                    await site.wait_phase("a", Phase.COMPLETE)
+                    self.check(site)
+
+    async def test_commits_whose_answers_are_lost_or_late_do_no_harm(self):
+        for late in (0.0, 2.0):
+            with self.subTest(late=late):
+                async with open_site() as site:
+                    await site.submit("a", Step(3, SMALL))
+                    await site.wait_running("a", 3)
+                    site.store.late_by = timedelta(seconds=late)
+                    site.store.faults.lose_replies = 8
+                    await site.wait_phase("a", Phase.COMPLETE)
+                    self.assertEqual(3, len(site.runs("a")))
+                    self.check(site)
+
+    async def test_a_store_outage_of_4500_ms_costs_no_run(self):
+        async with open_site() as site:
+            site.pool.run_time = timedelta(seconds=8)
+            await site.submit("a", Step(3, SMALL))
+            await site.wait_running("a", 3)
+            site.store.faults.refuse = True
+            await trio.sleep(1)
+            with self.assertRaises((Overloaded, StoreUnavailable)):
+                await site.submit("b", Step(1, SMALL))
+            await trio.sleep(3.5)
+            site.store.faults.refuse = False
+            await site.wait_phase("a", Phase.COMPLETE)
+            self.assertEqual(3, len(site.runs("a")))
+            self.assertEqual([], site.runs("b"))
+            self.check(site)
+
+    async def test_a_dropped_history_loses_no_job(self):
+        async with open_site() as site:
+            for job in ("a", "b", "c"):
+                await site.submit(job, Step(1, SMALL))
+                site.store.drop_history()
+            for job in ("a", "b", "c"):
+                await site.wait_phase(job, Phase.COMPLETE)
+            self.check(site)
+
+    async def test_a_cancelled_job_stops_and_starts_nothing_more(self):
+        async with open_site() as site:
+            site.pool.run_time = timedelta(seconds=30)
+            await site.submit("a", Step(3, SMALL))
+            await site.wait_running("a", 3)
+            await site.other.cell.entry.cancel("t", "a")
+            await trio.sleep(1)
+            self.assertEqual([], site.running("a"))
+            self.assertEqual(Phase.CANCELLED, site.phase("a"))
+            self.check(site)
+
+    async def test_a_cancellation_survives_the_owner(self):
+        async with open_site() as site:
+            site.pool.run_time = timedelta(seconds=30)
+            await site.submit("a", Step(3, SMALL))
+            await site.wait_running("a", 3)
+            site.owner.kill()
+            await site.nodes[-1].cell.entry.cancel("t", "a")
+            await trio.sleep(5)
+            self.assertEqual([], site.running("a"))
+            self.check(site)
+
+    async def test_a_job_that_always_fails_gets_its_attempts_and_no_more(self):
+        async with open_site() as site:
+            site.pool.failing = {f"w{number}" for number in range(6)}
+            await site.submit("a", Step(2, WIDE, gang=True))
+            await site.wait_phase("a", Phase.FAILED)
+            self.assertEqual(6, len(site.runs("a")))
+            self.check(site)
+
+    async def test_a_failure_counts_once_over_a_change_of_owner(self):
+        async with open_site() as site:
+            site.pool.failing = {f"w{number}" for number in range(6)}
+            await site.submit("a", Step(1, SMALL))
+            await trio.sleep(0.01)
+            site.owner.kill()
+            await site.wait_phase("a", Phase.FAILED)
+            failed = [record for record in site.runs("a") if record.end is RunEnd.FAILED]
+            self.assertEqual(3, len(failed))
+            self.check(site)
+
+    async def test_a_gang_whose_member_is_refused_leaves_no_member_alone(self):
+        async with open_site(workers=3) as site:
+            site.workers.links_by_address["10.0.0.0:1"].unhealthy = True
+            await site.submit("a", Step(2, WIDE, gang=True))
+            await site.wait_phase("a", Phase.COMPLETE)
+            self.assertNotIn(RunEnd.ALONE, {record.end for record in site.runs("a")})
+            self.check(site)
+
+    async def test_nothing_starts_in_a_withdrawn_zone_or_on_a_draining_worker(self):
+        async with open_site() as site:
+            site.store.put("op/out/z0", b"{}")
+            worker = site.workers.workers_by_address["10.0.0.3:1"]
+            site.register(worker, draining=True)
+            await trio.sleep(1)
+            await site.submit("a", Step(10, SMALL))
+            await site.wait_phase("a", Phase.COMPLETE)
+            self.assertEqual({"w4", "w5"}, {record.worker for record in site.runs("a")})
+            site.store.apply({}, (), ["op/out/z0"])
+            await trio.sleep(1)
+            await site.submit("b", Step(3, WIDE, gang=True, rack_local=True))
+            await site.wait_phase("b", Phase.COMPLETE)
+            self.check(site)
+
+    async def test_a_planned_stop_hands_the_cell_over_at_once(self):
+        async with open_site() as site:
+            await site.submit("a", Step(2, SMALL))
+            old = site.owner
+            old.cell.leave()
+            await trio.sleep(0.5)
+            self.assertIsNot(old, site.owner)
+            await site.wait_phase("a", Phase.COMPLETE)
+            self.assertEqual(2, len(site.runs("a")))
+            self.check(site)
+
+    async def test_every_node_killed_at_once_loses_no_accepted_job(self):
+        async with open_site() as site:
+            await site.submit("a", Step(2, SMALL))
+            await site.wait_running("a", 2)
+            await site.submit("b", Step(2, SMALL))
+            for node in site.nodes:
+                node.kill()
+            site.add_node()
+            for job in ("a", "b"):
+                await site.wait_phase(job, Phase.COMPLETE)
+            self.check(site)
+
+    async def test_an_unreadable_entry_of_another_writer_stops_nothing(self):
+        async with open_site() as site:
+            site.store.put("workers/strange", b"\xff{")
+            site.store.put("op/config", b"nothing")
+            await trio.sleep(1)
+            await site.submit("a", Step(1, SMALL))
+            await site.wait_phase("a", Phase.COMPLETE)
+            self.check(site)
+
+    async def test_the_same_id_again_is_the_same_job(self):
+        async with open_site() as site:
+            await site.submit("a", Step(1, SMALL))
+            await site.submit("a", Step(1, SMALL), node=site.nodes[0])
+            await site.wait_phase("a", Phase.COMPLETE)
+            await site.submit("a", Step(1, SMALL))
+            await trio.sleep(3)
+            self.assertEqual(1, len(site.runs("a")))
+
+    async def test_ended_jobs_are_removed_after_their_time(self):
+        async with open_site() as site:
+            await site.submit("a", Step(1, SMALL))
+            await site.wait_phase("a", Phase.COMPLETE)
+            await trio.sleep(200)
+            self.assertIsNone(site.store.value("inbox/job/a"))
+            self.assertIsNone(site.store.value("progress/a"))
--- /dev/null
+++ b/packages/mimosapoint/src/mimosapoint/memory/run_worker.py
@@ -0,0 +1,227 @@
+"""A worker that runs tasks under a lease, in memory."""
+
+from datetime import timedelta
+
+import attrs
+import trio
+
+from mimosapoint.errors import StaleEpoch
+from mimosapoint.ports import (
+    Clock,
+    EndedRun,
+    HoldOrder,
+    Registration,
+    RunStatus,
+    StartOrder,
+    StartRefused,
+    StopOrder,
+    WorkerLists,
+)
+from mimosapoint.workload import Amounts, RunEnd, Step, TaskId
+
+__all__ = ["MemoryRunWorker", "RunRecord", "WorkerPool"]
+
+STOP_TIME = timedelta(milliseconds=200)
+"""Time that a stop takes."""
+
+ALONE_AFTER = timedelta(seconds=3)
+"""Time for which a member of a gang waits for the others."""
+
+MILLISECOND = timedelta(milliseconds=1)
+
+
+@attrs.define(eq=False)
+class RunRecord:
+    """A run as a worker saw it.
+
+    :param task: the task.
+    :param run: number of the run.
+    :param worker: id of the worker.
+    :param step: step of the task.
+    :param began: time at which the worker took it, in seconds.
+    :param ended: time at which it was no longer there; ``None`` before.
+    :param end: how it ended; ``None`` before.
+    :param checkpoint: checkpoint that it was started from.
+    """
+
+    task: TaskId
+    run: int
+    worker: str
+    step: Step
+    began: float
+    ended: float | None = None
+    end: RunEnd | None = None
+    checkpoint: str = ""
+    scope: trio.CancelScope = attrs.field(factory=trio.CancelScope, repr=False)
+
+
+@attrs.define
+class WorkerPool:
+    """What workers share: the members of gangs, and the history of runs.
+
+    :param clock: clock of the workers.
+    :param nursery: where tasks run.
+    :param run_time: duration of every task.
+    :param failing: ids of workers that fail every run at once.
+    """
+
+    clock: Clock
+    nursery: trio.Nursery
+    run_time: timedelta = timedelta(seconds=2)
+    failing: set[str] = attrs.field(factory=set)
+    history: list[RunRecord] = attrs.field(factory=list)
+    overfull: list[str] = attrs.field(factory=list)
+    _members: dict[tuple, list[RunRecord]] = attrs.field(factory=dict)
+    _complete: dict[tuple, trio.Event] = attrs.field(factory=dict)
+
+    def join(self, record: RunRecord) -> trio.Event:
+        """Add a member of a gang and return the event that all are there."""
+        key = (record.task.job, record.task.occurrence, record.task.step, record.run)
+        members = self._members.setdefault(key, [])
+        members.append(record)
+        event = self._complete.setdefault(key, trio.Event())
+        if len({member.task for member in members}) == record.step.count:
+            event.set()
+        return event
+
+    def others(self, record: RunRecord) -> list[RunRecord]:
+        """Return the members of the same run of a gang."""
+        key = (record.task.job, record.task.occurrence, record.task.step, record.run)
+        return [member for member in self._members.get(key, ()) if member is not record]
+
+
+class MemoryRunWorker:
+    """One worker.
+
+    :param registration: what it says of itself.
+    :param pool: what it shares with others.
+    """
+
+    def __init__(self, registration: Registration, pool: WorkerPool):
+        self.registration = registration
+        self.pool = pool
+        self.reborn(registration.born)
+
+    def reborn(self, born: int) -> None:
+        """Begin a new incarnation that knows nothing of before."""
+        for record in list(getattr(self, "running", {}).values()):
+            self._finish(record, RunEnd.LOST, listed=False)
+        self.born = born
+        self.running: dict[tuple[TaskId, int], RunRecord] = {}
+        self.ended: list[EndedRun] = []
+        self.token = 0
+        self.lease_until_ms = 0
+        self.acknowledged = 0
+        self._number = 0
+        self._barred: dict[TaskId, int] = {}
+        self._started_at = self.pool.clock.now()
+        self._changed = trio.Event()
+
+    @property
+    def clock_ms(self) -> int:
+        """The worker's clock."""
+        return int((self.pool.clock.now() - self._started_at) / MILLISECOND)
+
+    async def hold(self, order: HoldOrder) -> WorkerLists:
+        """Renew the lease and return what runs and what ended."""
+        self._check(order.token)
+        if order.lease_until_ms is not None:
+            self.lease_until_ms = max(self.lease_until_ms, order.lease_until_ms)
+        self.acknowledged = max(self.acknowledged, order.acknowledged)
+        self.ended = [ended for ended in self.ended if ended.number > order.acknowledged]
+        if order.wait and not self.ended:
+            with trio.move_on_after(order.wait.total_seconds()):
+                await self._changed.wait()
+        return self.lists()
+
+    def lists(self) -> WorkerLists:
+        """Return what runs and what ended."""
+        running = tuple(
+            RunStatus(record.task, record.run, record.checkpoint)
+            for record in self.running.values()
+        )
+        return WorkerLists(self.clock_ms, self.born, running, tuple(self.ended))
+
+    def start(self, order: StartOrder) -> int:
+        """Start a run and return the clock."""
+        self._check(order.token)
+        key = (order.task, order.run)
+        if key in self.running:
+            return self.clock_ms
+        if self.clock_ms > order.not_after_ms:
+            raise StartRefused("late")
+        if order.run <= self._barred.get(order.task, 0):
+            raise StartRefused("old")
+        self.lease_until_ms = max(self.lease_until_ms, order.not_after_ms)
+        step = order.job.steps[order.task.step]
+        began = trio.current_time()
+        record = RunRecord(
+            order.task, order.run, self.registration.id, step, began, checkpoint=order.checkpoint
+        )
+        self.running[key] = record
+        self.pool.history.append(record)
+        self._note_room()
+        self.pool.nursery.start_soon(self._run, record)
+        return self.clock_ms
+
+    def stop(self, order: StopOrder) -> None:
+        """Stop a run, or bar it."""
+        self._check(order.token)
+        self._barred[order.task] = max(self._barred.get(order.task, 0), order.run)
+        record = self.running.get((order.task, order.run))
+        if record is not None:
+            self.pool.nursery.start_soon(self._stop_later, record)
+
+    async def lapse(self) -> None:
+        """End everything whenever the lease is over, until cancelled."""
+        while True:
+            await trio.sleep(0.05)
+            if self.clock_ms > self.lease_until_ms:
+                for record in list(self.running.values()):
+                    self._finish(record, RunEnd.LAPSED)
+
+    async def _stop_later(self, record: RunRecord) -> None:
+        await trio.sleep(STOP_TIME.total_seconds())
+        self._finish(record, RunEnd.STOPPED)
+
+    async def _run(self, record: RunRecord) -> None:
+        with record.scope:
+            if record.step.gang:
+                complete = self.pool.join(record)
+                with trio.move_on_after(ALONE_AFTER.total_seconds()):
+                    await complete.wait()
+                if not complete.is_set():
+                    self._finish(record, RunEnd.ALONE)
+                    return
+            if self.registration.id in self.pool.failing:
+                self._finish(record, RunEnd.FAILED)
+                return
+            await trio.sleep(self.pool.run_time.total_seconds())
+            self._finish(record, RunEnd.DONE)
+
+    def _finish(self, record: RunRecord, end: RunEnd, listed: bool = True) -> None:
+        if record.ended is not None:
+            return
+        record.ended = trio.current_time()
+        record.end = end
+        record.scope.cancel()
+        self.running.pop((record.task, record.run), None)
+        self._barred[record.task] = max(self._barred.get(record.task, 0), record.run)
+        if listed:
+            self._number += 1
+            checkpoint = f"saved-{record.run}" if record.step.checkpoints else ""
+            self.ended.append(EndedRun(self._number, record.task, record.run, end, checkpoint))
+        self._changed.set()
+        self._changed = trio.Event()
+
+    def _note_room(self) -> None:
+        used = Amounts()
+        for record in self.running.values():
+            used += record.step.amounts
+        if not used.times_in(self.registration.capacity):
+            self.pool.overfull.append(self.registration.id)
+
+    def _check(self, token: int) -> None:
+        if token < self.token:
+            raise StaleEpoch(self.token)
+        self.token = token
--- /dev/null
+++ b/packages/mimosapoint/src/mimosapoint/memory/transactions.py
@@ -0,0 +1,229 @@
+"""Key-value service with transactions, leases and watches, in memory."""
+
+from collections import Counter
+from collections.abc import Mapping, Sequence
+from datetime import datetime, timedelta
+
+import attrs
+import trio
+
+from mimosapoint.errors import LeaseLost, StoreTimeout, StoreUnavailable
+from mimosapoint.memory.faults import FaultGate, Faults
+from mimosapoint.ports import Changes, Clock, Conflict, Entry, HistoryLost, Scan, Write
+
+__all__ = ["MemoryTransactionStore"]
+
+CALL_TIMEOUT = timedelta(seconds=1)
+"""Time after which a call that waits on a fault gives up."""
+
+
+@attrs.define
+class _Lease:
+    ttl: timedelta
+    ends_at: datetime
+    keys: set[str] = attrs.field(factory=set)
+
+
+@attrs.frozen
+class _Change:
+    revision: int
+    key: str
+    entry: Entry | None
+
+
+class MemoryTransactionStore:
+    """Linearizable store whose transactions take effect in one step.
+
+    :param clock: the clock that leases lapse on.
+    :param faults: faults in force; none by default.
+    """
+
+    def __init__(self, clock: Clock, faults: Faults | None = None):
+        self.faults = faults or Faults()
+        self.counts: Counter[str] = Counter()
+        self.late_by = timedelta(0)
+        self._clock = clock
+        self._gate = FaultGate(self.faults, clock, CALL_TIMEOUT, StoreUnavailable, StoreTimeout)
+        self._revision = 1
+        self._oldest = 1
+        self._leases_granted = 0
+        self._entries_by_key: dict[str, Entry] = {}
+        self._leases_by_id: dict[int, _Lease] = {}
+        self._history: list[_Change] = []
+        self._changed = trio.Event()
+
+    async def get(self, key: str) -> Entry | None:
+        """Return the current entry, or ``None`` when the key is absent."""
+        await self._enter("get")
+        entry = self._entries_by_key.get(key)
+        self._gate.after()
+        return entry
+
+    async def scan(self, prefix: str) -> Scan:
+        """Return every entry whose key begins with the prefix."""
+        await self._enter("scan")
+        found = sorted(key for key in self._entries_by_key if key.startswith(prefix))
+        scan = Scan(tuple(self._entries_by_key[key] for key in found), self._revision)
+        self._gate.after()
+        return scan
+
+    async def watch(self, prefix: str, after: int, wait: timedelta) -> Changes:
+        """Wait until something under the prefix changes after a revision."""
+        await self._enter("watch")
+        found: list[_Change] = []
+        with trio.move_on_after(wait.total_seconds()):
+            while not (found := self._changes(prefix, after)):
+                await self._changed.wait()
+        await self._gate.before()
+        if after < self._oldest:
+            raise HistoryLost(f"history begins at {self._oldest}")
+        self._gate.after()
+        written = tuple(change.entry for change in found if change.entry)
+        removed = tuple(change.key for change in found if change.entry is None)
+        return Changes(written, removed, self._revision)
+
+    async def commit(
+        self,
+        conditions: Mapping[str, int],
+        writes: Sequence[Write] = (),
+        removals: Sequence[str] = (),
+    ) -> int:
+        """Apply all writes and removals, or none, and return the revision."""
+        await self._enter("commit")
+        if self.faults.lose_replies and self.late_by:
+            await self._lose(conditions, writes, removals)
+        revision = self.apply(conditions, writes, removals)
+        self._gate.after()
+        return revision
+
+    async def grant_lease(self, ttl: timedelta) -> int:
+        """Return the id of a new lease."""
+        await self._enter("grant_lease")
+        self._leases_granted += 1
+        self._leases_by_id[self._leases_granted] = _Lease(ttl, self._clock.now() + ttl)
+        self._gate.after()
+        return self._leases_granted
+
+    async def renew_lease(self, lease: int) -> None:
+        """Renew a lease for its time to live."""
+        await self._enter("renew_lease")
+        held = self._live_lease(lease)
+        held.ends_at = self._clock.now() + held.ttl
+        self._gate.after()
+
+    async def end_lease(self, lease: int) -> None:
+        """End a lease; its keys go."""
+        await self._enter("end_lease")
+        if lease in self._leases_by_id:
+            self._end(lease)
+        self._gate.after()
+
+    def apply(
+        self,
+        conditions: Mapping[str, int],
+        writes: Sequence[Write] = (),
+        removals: Sequence[str] = (),
+    ) -> int:
+        """Apply a transaction at once, as an operator or a worker would."""
+        self._drop_lapsed()
+        for key, revision in conditions.items():
+            entry = self._entries_by_key.get(key)
+            if (entry.revision if entry else 0) != revision:
+                named = {name: self._entries_by_key.get(name) for name in conditions}
+                raise Conflict({name: found for name, found in named.items() if found})
+        for write in writes:
+            if write.lease is not None:
+                self._live_lease(write.lease)
+        self._revision += 1
+        for write in writes:
+            self._write(write)
+        for key in removals:
+            self._remove(key)
+        self._wake()
+        return self._revision
+
+    def put(self, key: str, value: bytes) -> int:
+        """Write a key at once, as an operator or a worker would."""
+        return self.apply({}, [Write(key, value)])
+
+    def drop_history(self) -> None:
+        """Forget every change, as the service may at any time."""
+        self._history.clear()
+        self._revision += 1
+        self._oldest = self._revision
+        self._wake()
+
+    def value(self, key: str) -> bytes | None:
+        """Return what is stored, without a call."""
+        entry = self._entries_by_key.get(key)
+        return entry.value if entry else None
+
+    async def _lose(
+        self, conditions: Mapping[str, int], writes: Sequence[Write], removals: Sequence[str]
+    ) -> None:
+        """Answer nothing, and carry the transaction out later if its conditions still hold."""
+        self.faults.lose_replies -= 1
+        trio.lowlevel.spawn_system_task(self._apply_late, conditions, writes, removals)
+        raise StoreTimeout("the answer was lost")
+
+    async def _apply_late(
+        self, conditions: Mapping[str, int], writes: Sequence[Write], removals: Sequence[str]
+    ) -> None:
+        await trio.sleep(self.late_by.total_seconds())
+        try:
+            self.apply(conditions, writes, removals)
+        except (Conflict, LeaseLost):
+            self.counts["late_refused"] += 1
+
+    async def _enter(self, kind: str) -> None:
+        self.counts[kind] += 1
+        await trio.lowlevel.checkpoint()
+        await self._gate.before()
+        self._drop_lapsed()
+
+    def _changes(self, prefix: str, after: int) -> list[_Change]:
+        self._drop_lapsed()
+        if after < self._oldest:
+            return [_Change(self._revision, "", None)]
+        return [
+            change
+            for change in self._history
+            if change.revision > after and change.key.startswith(prefix)
+        ]
+
+    def _live_lease(self, lease: int) -> _Lease:
+        held = self._leases_by_id.get(lease)
+        if held is None:
+            raise LeaseLost(f"{lease} is unknown or has lapsed")
+        return held
+
+    def _drop_lapsed(self) -> None:
+        now = self._clock.now()
+        for lease, held in list(self._leases_by_id.items()):
+            if held.ends_at <= now:
+                self._end(lease)
+
+    def _end(self, lease: int) -> None:
+        keys = self._leases_by_id.pop(lease).keys
+        if keys:
+            self._revision += 1
+        for key in sorted(keys):
+            self._remove(key)
+        self._wake()
+
+    def _write(self, write: Write) -> None:
+        for held in self._leases_by_id.values():
+            held.keys.discard(write.key)
+        if write.lease is not None:
+            self._leases_by_id[write.lease].keys.add(write.key)
+        entry = Entry(write.key, bytes(write.value), self._revision)
+        self._entries_by_key[write.key] = entry
+        self._history.append(_Change(self._revision, write.key, entry))
+
+    def _remove(self, key: str) -> None:
+        if self._entries_by_key.pop(key, None) is not None:
+            self._history.append(_Change(self._revision, key, None))
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = trio.Event()
--- /dev/null
+++ b/packages/mimosapoint/src/mimosapoint/workload/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of jobs of steps."""
