Open later steps on stored ends, start no task beside an unwanted run of it

The owner was killed; the next owner had not opened the step yet, took its run for unwanted, and started the task again while the run was still stopping. Ruled out: leases and fences, both runs were on one worker and in order.

Two tests fail first and pass now: a step waits for the stored end; a task waits for an unwanted run of it.

--- a/packages/mimosapoint/src/mimosapoint/cell/book.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/book.py
@@ -73,12 +73,14 @@
 
     def _open_job(self, job: Job, now: datetime) -> datetime | None:
         record = job.record
+        # A later step starts on what is stored, so that the next owner finds the same steps open.
+        stored = job.stored_version == job.version
         for occurrence in range(record.occurrences):
             due = job.due(occurrence)
             if due > now:
                 return due
             for number, step in enumerate(record.steps):
-                if (occurrence, number) in job.opened:
+                if (occurrence, number) in job.opened or (step.after and not stored):
                     continue
                 if all(job.step_is_done(occurrence, before) for before in step.after):
                     self._open_step(job, occurrence, number, now)
@@ -130,8 +132,6 @@
         self._touch(job)
         if job.remaining == 0:
             self._end(job, Phase.COMPLETE)
-        elif job.step_is_done(unit.id.occurrence, unit.id.step):
-            self.open_due()
 
     def fail_run(self, unit: Unit, run: int) -> None:
         """Record a failed run; the job fails with the last attempt."""
--- a/packages/mimosapoint/src/mimosapoint/cell/committer.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/committer.py
@@ -1,6 +1,6 @@
 """Group commit of progress, fenced by the epoch of the cell."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import trio
 
@@ -28,6 +28,7 @@
     :param epoch_rev: revision of the epoch's key; it changes with every claim.
     :param settings: times.
     :param telemetry: told of commits that fail.
+    :param on_stored: called after each commit.
     """
 
     def __init__(
@@ -38,7 +39,9 @@
         epoch_rev: int,
         settings: CellSettings,
         telemetry: Telemetry,
+        on_stored: Callable[[], None],
     ):
+        self._on_stored = on_stored
         self._store = store
         self._book = book
         self._epoch = epoch
@@ -127,6 +130,7 @@
     def _announce(self) -> None:
         self._stored.set()
         self._stored = trio.Event()
+        self._on_stored()
 
 
 def _decoded(value: bytes) -> JobProgress | None:
--- a/packages/mimosapoint/src/mimosapoint/cell/owner.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/owner.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Iterable
 from datetime import datetime, timedelta
 
@@ -28,7 +29,7 @@
     TransactionStore,
     WorkerFormat,
 )
-from mimosapoint.workload import Amounts, RunEnd
+from mimosapoint.workload import Amounts, RunEnd, TaskId
 
 __all__ = ["Owner", "Ports"]
 
@@ -84,16 +85,23 @@
         self._settings = settings
         self._clock = ports.clock
         self._telemetry = ports.telemetry
+        self._wake = trio.Event()
         self.book = JobBook(ports.clock, ports.telemetry)
         self.committer = Committer(
-            ports.store, self.book, claim.epoch, claim.epoch_rev, settings, ports.telemetry
+            ports.store,
+            self.book,
+            claim.epoch,
+            claim.epoch_rev,
+            settings,
+            ports.telemetry,
+            self.changed,
         )
         self.fleet = Fleet(claim, ports.store, ports.worker_format, ports.clock, settings)
         self._inbox = Inbox(ports, self.book, settings, self._cancel, self.changed)
         self._summary = SummaryWriter(ports, self.book, claim, settings)
         self._planner = Planner()
-        self._wake = trio.Event()
         self._runs = 0
+        self._unwanted: Counter[TaskId] = Counter()
         self._settled = False
         self._deposed = False
         self._nursery: trio.Nursery | None = None
@@ -149,6 +157,7 @@
                 self.book.activate(unit, status.run)
             unit.assignments_by_task[status.task] = assignment
         else:
+            self._unwanted[status.task] += 1
             self._stop_assignment(assignment)
         return assignment
 
@@ -167,6 +176,8 @@
         )
         self._telemetry.count("cell_runs_over", end=end.value)
         if unit is None:
+            self._unwanted -= Counter({assignment.task: 1})
+            self.changed()
             return
         if unit.assignments_by_task.get(assignment.task) is assignment:
             del unit.assignments_by_task[assignment.task]
@@ -251,11 +262,15 @@
     def _startable(self) -> Iterable[Unit]:
         """Yield the waiting units of which no earlier owner can have a run on a silent worker."""
         for unit in self.book.waiting_by_id.values():
-            if unit.assignments_by_task:
+            if unit.assignments_by_task or self._has_unwanted(unit):
                 continue
             if self._settled or unit.job.accepted_rev > self._claim.epoch_rev:
                 yield unit
 
+    def _has_unwanted(self, unit: Unit) -> bool:
+        """Tell whether a run that is being stopped is one of the unit's tasks."""
+        return bool(self._unwanted) and any(task in self._unwanted for task in unit.tasks)
+
     def _may_start(self, now: datetime) -> bool:
         view = self._ports.view
         return (
--- a/packages/mimosapoint/src/mimosapoint/cell/tests/test_faults.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_faults.py
@@ -4,10 +4,12 @@
 
 import trio
 
-from mimosapoint.cell.tests._site import SMALL, WIDE, open_site
+from mimosapoint.cell.tests._site import POOL, SMALL, WIDE, open_site
+from mimosapoint.codec import encode
 from mimosapoint.errors import Overloaded, StoreUnavailable
+from mimosapoint.ports import StartOrder
 from mimosapoint.testing import TrioTestCase
-from mimosapoint.workload import Phase, RunEnd, Step
+from mimosapoint.workload import JobRecord, Phase, RunEnd, Step, TaskId
 
 
 class CellFaultTest(TrioTestCase):
@@ -28,6 +30,47 @@
             )
             self.check(site)
 
+    async def test_a_step_waits_until_the_end_of_the_one_before_is_stored(self):
+        async with open_site() as site:
+            site.pool.run_time = timedelta(seconds=1)
+            await site.submit("a", Step(1, SMALL), Step(1, SMALL, after=(0,)))
+            await site.wait_running("a")
+            site.store.faults.refuse = True
+            await trio.sleep(1.3)
+            self.assertEqual([RunEnd.DONE], [record.end for record in site.runs("a")])
+            site.store.faults.refuse = False
+            await site.wait_phase("a", Phase.COMPLETE)
+            self.check(site)
+
+    async def test_a_task_waits_for_an_unwanted_run_of_it_to_stop(self):
+        async with open_site(nodes=0, workers=1) as site:
+            site.pool.stop_time = timedelta(seconds=1)
+            step = Step(1, SMALL)
+            record = JobRecord(
+                id="a",
+                queue="normal",
+                tenant="t",
+                pool=POOL,
+                spec="",
+                steps=(step, Step(1, SMALL, after=(0,))),
+                priority=1,
+                max_attempts=3,
+                slack_factor=1.0,
+                target=timedelta(0),
+                accepted_at=site.clock.now(),
+            )
+            site.store.put("inbox/job/a", encode(record))
+            worker = site.workers.workers_by_address["10.0.0.0:1"]
+            worker.lease_until_ms = 10_000
+            for number, seconds in enumerate((0.1, 30)):
+                site.pool.run_time = timedelta(seconds=seconds)
+                worker.start(StartOrder(TaskId("a", 0, number, 0), 1, record, 1, 5000))
+                await trio.sleep(0.2)
+            site.pool.run_time = timedelta(seconds=1)
+            site.add_node()
+            await site.wait_phase("a", Phase.COMPLETE)
+            self.check(site)
+
     async def test_a_killed_owner_costs_no_run_and_repeats_none(self):
         async with open_site() as site:
             await site.submit("a", Step(6, SMALL))
--- a/packages/mimosapoint/src/mimosapoint/memory/run_worker.py
+++ b/packages/mimosapoint/src/mimosapoint/memory/run_worker.py
@@ -22,7 +22,7 @@
 __all__ = ["MemoryRunWorker", "RunRecord", "WorkerPool"]
 
 STOP_TIME = timedelta(milliseconds=200)
-"""Time that a stop takes."""
+"""Time that a stop takes, as on the first site."""
 
 ALONE_AFTER = timedelta(seconds=3)
 """Time for which a member of a gang waits for the others."""
@@ -62,12 +62,14 @@
     :param clock: clock of the workers.
     :param nursery: where tasks run.
     :param run_time: duration of every task.
+    :param stop_time: time that a stop takes.
     :param failing: ids of workers that fail every run at once.
     """
 
     clock: Clock
     nursery: trio.Nursery
     run_time: timedelta = timedelta(seconds=2)
+    stop_time: timedelta = STOP_TIME
     failing: set[str] = attrs.field(factory=set)
     history: list[RunRecord] = attrs.field(factory=list)
     overfull: list[str] = attrs.field(factory=list)
@@ -181,7 +183,7 @@
                     self._finish(record, RunEnd.LAPSED)
 
     async def _stop_later(self, record: RunRecord) -> None:
-        await trio.sleep(STOP_TIME.total_seconds())
+        await trio.sleep(self.pool.stop_time.total_seconds())
         self._finish(record, RunEnd.STOPPED)
 
     async def _run(self, record: RunRecord) -> None:
