Keep room for two waiting gangs

Room on the workers that suit the first two waiting gangs best is now kept from what comes after them.

Stops log the work they lose, new jobs their objective.

--- a/packages/mimosapoint/src/mimosapoint/cell/book.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/book.py
@@ -58,6 +58,8 @@
             revision=accepted_rev,
             phase=job.progress.phase,
             units=job.remaining,
+            priority=record.priority,
+            objective=(record.slack_factor * record.chain() + record.target).total_seconds(),
         )
         return job
 
--- a/packages/mimosapoint/src/mimosapoint/cell/owner.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/owner.py
@@ -16,6 +16,7 @@
 from mimosapoint.cell.link import WorkerLink
 from mimosapoint.cell.operators import OperatorView
 from mimosapoint.cell.planner import Plan, Planner
+from mimosapoint.cell.preemption import loss_of
 from mimosapoint.cell.settings import CellSettings
 from mimosapoint.cell.summary import SummaryWriter
 from mimosapoint.cell.units import Assignment, Job, Unit, UnitState
@@ -323,7 +324,13 @@
             return
         unit.stop_reason = reason
         self._telemetry.event(
-            "unit-stopped", job=unit.id.job, unit=unit.id, run=unit.run, reason=reason
+            "unit-stopped",
+            job=unit.id.job,
+            unit=unit.id,
+            run=unit.run,
+            reason=reason,
+            priority=unit.job.record.priority,
+            lost_core_seconds=round(loss_of(unit, self._clock.now())),
         )
         self._telemetry.count("cell_units_stopped")
         for assignment in list(unit.assignments_by_task.values()):
--- a/packages/mimosapoint/src/mimosapoint/cell/planner.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/planner.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from mimosapoint.cell.holding import hold_room
 from mimosapoint.cell.link import WorkerLink
 from mimosapoint.cell.placing import fits_one_rack, place
 from mimosapoint.cell.preemption import choose_victims
@@ -20,6 +21,9 @@
 """Time for which room that is being freed is kept for the unit that needs it; above the
 longest stop of both sites, 400 ms, and the worker's answers."""
 
+HELD_UNITS = 2
+"""Most waiting gangs for which room is kept at once; more would leave too much of it idle."""
+
 FIRST_PRIORITY = 0
 """Priority whose units may stop others."""
 
@@ -96,12 +100,14 @@
         self._drop_old(order, now)
         victims: list[Unit] | None = None
         blocked: set[tuple] = set()
+        held = 0
         for unit in order:
             pool = pool_of(unit, catalog)
             shape = _shape(unit)
             if shape in blocked:
                 continue
-            spots = place(room, unit, pool, _may_spread(room, unit, pool))
+            spread = _may_spread(room, unit, pool)
+            spots = place(room, unit, pool, spread)
             if spots is not None:
                 room.take(spots, unit)
                 self._reservations.pop(unit.id, None)
@@ -112,6 +118,16 @@
                 self._make_room(plan, room, unit, pool, victims, now)
             else:
                 blocked.add(shape)
+                if held < HELD_UNITS and _is_large(unit):
+                    held += 1
+                    priority = priority_of(unit, catalog)
+                    hold_room(
+                        room,
+                        unit,
+                        pool,
+                        not spread,
+                        lambda other, priority=priority: priority_of(other, catalog) > priority,
+                    )
         return plan
 
     def _make_room(
@@ -178,6 +194,11 @@
     return (unit.job.record.queue, size, step.amounts, step.label, step.rack_local, spread)
 
 
+def _is_large(unit: Unit) -> bool:
+    """Tell whether smaller work could starve the unit."""
+    return unit.step.gang
+
+
 def _may_stop(unit: Unit, catalog: Catalog) -> bool:
     return (
         unit.state is UnitState.ACTIVE
