Take a cell over with fewer calls in a row, read a state with one round trip

Now the epoch is known from the watch, jobs and roster are read at once, and a state is read by two parallel calls. Failing parts of a node log the loss and the return of the store once, not every try. The pause that callers are told grows with the age of the outage, from 1 to 4 s.

--- a/packages/mimosapoint/src/mimosapoint/cell/claim.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/claim.py
@@ -7,6 +7,7 @@
 import trio
 
 from mimosapoint.cell.keys import EPOCH_KEY, OWNER_KEY, OWNER_PREFIX
+from mimosapoint.cell.reach import Reach
 from mimosapoint.cell.settings import CellSettings
 from mimosapoint.errors import LeaseLost, StoreTimeout, StoreUnavailable
 from mimosapoint.ports import (
@@ -69,10 +70,10 @@
         """Return when this node has claimed the cell."""
         while True:
             try:
-                await self._wait_free()
+                epoch = await self._wait_free()
                 jitter = self._random.random() * self._settings.claim_jitter.total_seconds()
                 await trio.sleep(jitter)
-                claim = await self._try()
+                claim = await self._try(epoch)
                 if claim is not None:
                     return claim
             except (StoreUnavailable, StoreTimeout, HistoryLost, LeaseLost) as error:
@@ -84,21 +85,17 @@
 
         :raises LeaseLost: it is lost.
         """
+        reach = Reach("ownership", self._telemetry)
         while True:
             await trio.sleep(self._settings.ownership_renewal.total_seconds())
             asked_at = self._clock.now()
             try:
                 await self._store.renew_lease(claim.lease)
             except (StoreUnavailable, StoreTimeout) as error:
-                left = (claim.valid_until - asked_at).total_seconds()
-                self._telemetry.event(
-                    "ownership-not-renewed",
-                    epoch=claim.epoch,
-                    left=round(left, 3),
-                    error=error.code,
-                )
-                continue
-            claim.valid_until = self._end_of(asked_at)
+                reach.lost(error, epoch=claim.epoch, valid_until=claim.valid_until)
+            else:
+                reach.regained()
+                claim.valid_until = self._end_of(asked_at)
 
     async def release(self, claim: Claim) -> None:
         """Give the cell up, so that another node claims it at once."""
@@ -107,22 +104,27 @@
         except (StoreUnavailable, StoreTimeout, LeaseLost) as error:
             self._telemetry.event("release-failed", epoch=claim.epoch, error=error.code)
 
-    async def _wait_free(self) -> None:
-        entry = await self._store.get(OWNER_KEY)
-        while entry is not None:
-            changes = await self._store.watch(
-                OWNER_PREFIX, entry.revision, self._settings.ownership_ttl
-            )
-            if OWNER_KEY in changes.removed:
-                return
-            if changes.written:
-                entry = changes.written[-1]
-
-    async def _try(self) -> Claim | None:
-        """Claim the cell once; return ``None`` when another node has it."""
+    async def _wait_free(self) -> Entry | None:
+        """Return the entry of the epoch when the cell has no owner."""
+        scan = await self._store.scan(OWNER_PREFIX)
+        entries_by_key = {entry.key: entry for entry in scan.entries}
+        revision = scan.revision
+        while OWNER_KEY in entries_by_key:
+            changes = await self._store.watch(OWNER_PREFIX, revision, self._settings.owner_wait)
+            revision = changes.revision
+            for key in changes.removed:
+                entries_by_key.pop(key, None)
+            for entry in changes.written:
+                entries_by_key[entry.key] = entry
+        return entries_by_key.get(EPOCH_KEY)
+
+    async def _try(self, stored: Entry | None) -> Claim | None:
+        """Claim the cell once; return ``None`` when another node was faster.
+
+        :param stored: entry of the last epoch.
+        """
         asked_at = self._clock.now()
         lease = await self._store.grant_lease(self._settings.ownership_ttl)
-        stored = await self._store.get(EPOCH_KEY)
         epoch = _number(stored) + 1
         conditions = {OWNER_KEY: 0, EPOCH_KEY: stored.revision if stored else 0}
         writes = [
--- a/packages/mimosapoint/src/mimosapoint/cell/committer.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/committer.py
@@ -6,6 +6,7 @@
 
 from mimosapoint.cell.book import JobBook
 from mimosapoint.cell.keys import EPOCH_KEY, progress_key
+from mimosapoint.cell.reach import Reach
 from mimosapoint.cell.settings import CellSettings
 from mimosapoint.cell.units import Job
 from mimosapoint.codec import decode, encode
@@ -48,6 +49,7 @@
         self._epoch_rev = epoch_rev
         self._settings = settings
         self._telemetry = telemetry
+        self._reach = Reach("commits", telemetry)
         self._wanted = trio.Event()
         self._stored = trio.Event()
 
@@ -93,11 +95,10 @@
         except Conflict as conflict:
             self._settle(conflict, batch)
         except (StoreUnavailable, StoreTimeout) as error:
-            self._telemetry.event(
-                "commit-failed", epoch=self._epoch, jobs=len(batch), error=error.code
-            )
+            self._reach.lost(error, epoch=self._epoch, jobs=len(batch))
             await trio.sleep(self._settings.retry_pause.total_seconds())
         else:
+            self._reach.regained()
             for job, version in versions:
                 self._mark_stored(job, version, revision)
             self._announce()
--- a/packages/mimosapoint/src/mimosapoint/cell/entry.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/entry.py
@@ -13,6 +13,7 @@
     CodecError,
     IdempotencyConflict,
     JobNotFound,
+    MimosapointError,
     OutcomeUnknown,
     Overloaded,
     RouteNotFound,
@@ -33,8 +34,11 @@
 
 __all__ = ["CellEntry", "Submission"]
 
-RETRY_AFTER = timedelta(seconds=1)
-"""Pause that refused callers are told: the time after which a node reads the store again."""
+RETRY_AFTER_MIN = timedelta(seconds=1)
+"""Shortest pause that refused callers are told: the unit of the header."""
+
+RETRY_AFTER_MAX = timedelta(seconds=4)
+"""Longest such pause, a little above the patience of the sites' callers, 3 s."""
 
 
 @attrs.frozen
@@ -90,7 +94,8 @@
         if not self._view.is_fresh():
             age = self._view.age
             raise Overloaded(
-                f"the configuration was confirmed {age or 'never'} ago", retry_after=RETRY_AFTER
+                f"the configuration was confirmed {age or 'never'} ago",
+                retry_after=self._retry_after(),
             )
         return self._view.catalog
 
@@ -167,26 +172,38 @@
                     return "known"
                 except StoreUnavailable as error:
                     if not doubtful:
-                        raise StoreUnavailable(error.detail, retry_after=RETRY_AFTER) from error
+                        raise self._unavailable(error) from error
                 except StoreTimeout:
                     doubtful = True
                 await trio.sleep(self._settings.retry_pause.total_seconds())
-        raise OutcomeUnknown("the store did not answer", retry_after=RETRY_AFTER)
+        raise OutcomeUnknown("the store did not answer", retry_after=self._retry_after())
 
     async def phase(self, tenant: str, job_id: str) -> Phase:
         """Return the state of a job.
 
         :raises JobNotFound: the workspace has no such job.
         """
-        progress = await self._store.get(progress_key(job_id))
-        record = await self._record(tenant, job_id)
+        entries_by_key: dict[str, Entry | None] = {}
+
+        async def read(key: str) -> None:
+            entries_by_key[key] = await self._store.get(key)
+
+        keys = (job_key(job_id), progress_key(job_id))
+        try:
+            async with trio.open_nursery() as nursery:
+                for key in keys:
+                    nursery.start_soon(read, key)
+        except* (StoreUnavailable, StoreTimeout) as group:
+            raise self._unavailable(_first(group)) from group
+        _check_tenant(entries_by_key[keys[0]], tenant)
+        progress = entries_by_key[keys[1]]
         if progress is None:
             return Phase.QUEUED
         try:
             return decode(progress.value, JobProgress).phase
         except CodecError as error:
-            self._telemetry.event("job-unreadable", key=progress_key(job_id), error=str(error))
-            raise StoreTimeout(f"the progress of {record.id} cannot be read") from error
+            self._telemetry.event("job-unreadable", key=keys[1], error=str(error))
+            raise StoreTimeout(f"the progress of {job_id} cannot be read") from error
 
     async def cancel(self, tenant: str, job_id: str) -> None:
         """Cancel a job; an ended one stays as it is.
@@ -207,14 +224,34 @@
         entry = await self._store.get(SUMMARY_KEY)
         return decode(entry.value, dict[str, int]).get(queue.name, 0) if entry else 0
 
-    async def _record(self, tenant: str, job_id: str) -> JobRecord:
-        return decode((await self._job_entry(tenant, job_id)).value, JobRecord)
-
     async def _job_entry(self, tenant: str, job_id: str) -> Entry:
-        entry = await self._store.get(job_key(job_id))
-        if entry is None or decode(entry.value, JobRecord).tenant != tenant:
-            raise JobNotFound("no such job")
-        return entry
+        return _check_tenant(await self._store.get(job_key(job_id)), tenant)
+
+    def _unavailable(self, error: StoreUnavailable | StoreTimeout) -> MimosapointError:
+        """Return the error with the pause that suits the outage."""
+        return type(error)(error.detail, retry_after=self._retry_after())
+
+    def _retry_after(self) -> timedelta:
+        """Return how long callers should stay away.
+
+        An outage that has gone on for some time is likely to go on about as long again, and a
+        caller has only so many attempts.
+        """
+        age = self._view.age or RETRY_AFTER_MIN
+        return min(max(age, RETRY_AFTER_MIN), RETRY_AFTER_MAX)
+
+
+def _check_tenant(entry: Entry | None, tenant: str) -> Entry:
+    if entry is None or decode(entry.value, JobRecord).tenant != tenant:
+        raise JobNotFound("no such job")
+    return entry
+
+
+def _first(group: BaseExceptionGroup) -> BaseException:
+    error: BaseException = group
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    return error
 
 
 def _check_same(entry: Entry, record: JobRecord) -> None:
--- a/packages/mimosapoint/src/mimosapoint/cell/fleet.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/fleet.py
@@ -8,6 +8,7 @@
 from mimosapoint.cell.claim import Claim
 from mimosapoint.cell.keys import EPOCH_KEY, ROSTER_KEY
 from mimosapoint.cell.link import WorkerLink
+from mimosapoint.cell.reach import Reach
 from mimosapoint.cell.settings import CellSettings
 from mimosapoint.codec import decode, encode
 from mimosapoint.errors import CodecError, StaleEpoch, StoreTimeout, StoreUnavailable
@@ -70,16 +71,19 @@
             link.is_settled(now) for link in self.links_by_id.values()
         )
 
-    async def load(self, add_link: Callable[[Registration], WorkerLink]) -> None:
-        """Read the roster of the earlier owner.
-
-        :param add_link: makes a link to a worker.
-        """
-        self._add_link = add_link
+    async def read_roster(self) -> None:
+        """Read the roster of the earlier owner."""
         entry = await self._store.get(ROSTER_KEY)
         if entry is not None:
             self._roster_rev = entry.revision
             self._roster = decode(entry.value, tuple[Registration, ...])
+
+    def link_roster(self, add_link: Callable[[Registration], WorkerLink]) -> None:
+        """Begin to talk to the workers of the roster.
+
+        :param add_link: makes a link to a worker.
+        """
+        self._add_link = add_link
         for registration in self._roster:
             link = add_link(registration)
             link.listed = False
@@ -91,13 +95,15 @@
 
         :raises StaleEpoch: another node has claimed the cell.
         """
+        reach = Reach("workers", telemetry)
         while True:
             try:
                 await self._read(telemetry)
                 await self._write_roster(telemetry)
                 changed()
+                reach.regained()
             except (StoreUnavailable, StoreTimeout) as error:
-                telemetry.event("workers-not-read", error=error.code, detail=str(error))
+                reach.lost(error)
             await trio.sleep(self._settings.registration_poll.total_seconds())
 
     async def run_link(self, link: WorkerLink) -> None:
--- a/packages/mimosapoint/src/mimosapoint/cell/inbox.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/inbox.py
@@ -18,11 +18,12 @@
     job_key,
     progress_key,
 )
+from mimosapoint.cell.reach import Reach
 from mimosapoint.cell.settings import CellSettings
 from mimosapoint.cell.units import Job
 from mimosapoint.codec import decode
 from mimosapoint.errors import CodecError, StoreTimeout, StoreUnavailable
-from mimosapoint.ports import Conflict, Entry, HistoryLost, Telemetry, TransactionStore
+from mimosapoint.ports import Conflict, Entry, HistoryLost, Scan, Telemetry, TransactionStore
 from mimosapoint.workload import JobProgress, JobRecord
 
 if TYPE_CHECKING:
@@ -33,14 +34,20 @@
 
 async def load_jobs(store: TransactionStore, book: JobBook, telemetry: Telemetry) -> int:
     """Fill the book from the store and return the revision to follow the inbox from."""
-    accepted = await store.scan(INBOX_PREFIX)
-    stored = await store.scan(PROGRESS_PREFIX)
+    scans_by_prefix: dict[str, Scan] = {}
+
+    async def read(prefix: str) -> None:
+        scans_by_prefix[prefix] = await store.scan(prefix)
+
+    async with trio.open_nursery() as nursery:
+        for prefix in (INBOX_PREFIX, PROGRESS_PREFIX):
+            nursery.start_soon(read, prefix)
+    accepted, stored = scans_by_prefix[INBOX_PREFIX], scans_by_prefix[PROGRESS_PREFIX]
     progress_by_job = {entry.key.removeprefix(PROGRESS_PREFIX): entry for entry in stored.entries}
     for entry in accepted.entries:
         if entry.key.startswith(JOB_PREFIX):
-            _add_job(
-                entry, progress_by_job.get(entry.key.removeprefix(JOB_PREFIX)), book, telemetry
-            )
+            stored_progress = progress_by_job.get(entry.key.removeprefix(JOB_PREFIX))
+            _add_job(entry, stored_progress, book, telemetry)
     for entry in accepted.entries:
         if entry.key.startswith(CANCEL_PREFIX):
             job = book.jobs_by_id.get(entry.key.removeprefix(CANCEL_PREFIX))
@@ -91,6 +98,7 @@
         self._cancel = cancel
         self._changed = changed
         self._confirmed_at: datetime | None = None
+        self._reach = Reach("inbox", ports.telemetry)
 
     def is_fresh(self) -> bool:
         """Tell whether the inbox was read lately."""
@@ -107,14 +115,13 @@
         while True:
             try:
                 revision = await self._follow(revision)
+                self._reach.regained()
                 await self._remove_old()
             except HistoryLost as error:
                 self._telemetry.event("watch-reset", prefix=INBOX_PREFIX, error=error.code)
                 revision = await self._read_anew(revision)
             except (StoreUnavailable, StoreTimeout) as error:
-                self._telemetry.event(
-                    "inbox-not-read", revision=revision, error=error.code, detail=str(error)
-                )
+                self._reach.lost(error, revision=revision)
                 await trio.sleep(self._settings.retry_pause.total_seconds())
 
     async def _follow(self, revision: int) -> int:
@@ -127,7 +134,7 @@
         try:
             scan = await self._store.scan(INBOX_PREFIX)
         except (StoreUnavailable, StoreTimeout) as error:
-            self._telemetry.event("inbox-not-read", revision=revision, error=error.code)
+            self._reach.lost(error, revision=revision)
             await trio.sleep(self._settings.retry_pause.total_seconds())
             return revision
         self._apply(scan.entries)
--- a/packages/mimosapoint/src/mimosapoint/cell/keys.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/keys.py
@@ -16,10 +16,12 @@
 ]
 
 OWNER_PREFIX = "cell/owner"
+"""Beginning of the keys that candidates watch: the owner's and the epoch's."""
+
 OWNER_KEY = "cell/owner"
 """Name of the owner, under the owner's lease."""
 
-EPOCH_KEY = "cell/epoch"
+EPOCH_KEY = "cell/owner-epoch"
 """Number of the newest claim; it outlives the owner."""
 
 ROSTER_KEY = "cell/roster"
--- a/packages/mimosapoint/src/mimosapoint/cell/link.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/link.py
@@ -215,7 +215,6 @@
         while True:
             if not self._events.may_order():
                 await trio.sleep(self._settings.retry_pause.total_seconds())
-                self._check_lapse()
                 continue
             try:
                 await self._hold()
--- a/packages/mimosapoint/src/mimosapoint/cell/operators.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/operators.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from mimosapoint.cell.reach import Reach
 from mimosapoint.cell.settings import CellSettings
 from mimosapoint.errors import CodecError, StoreTimeout, StoreUnavailable
 from mimosapoint.ports import (
@@ -48,7 +49,7 @@
         self._telemetry = telemetry
         self._confirmed_at: datetime | None = None
         self._revision: int | None = None
-        self._available = True
+        self._reach = Reach("operators", telemetry)
 
     @property
     def age(self) -> timedelta | None:
@@ -67,12 +68,12 @@
         while True:
             try:
                 await self._follow()
-                self._note_available(True)
+                self._reach.regained()
             except HistoryLost as error:
                 self._telemetry.event("watch-reset", prefix=self._format.prefix, error=error.code)
                 self._revision = None
             except (StoreUnavailable, StoreTimeout) as error:
-                self._note_available(False, str(error))
+                self._reach.lost(error)
                 self._revision = None
                 await trio.sleep(self._settings.retry_pause.total_seconds())
 
@@ -129,9 +130,3 @@
         if zone is not None:
             self.withdrawn_zones.discard(zone)
             self._telemetry.event("zone-returned", zone=zone)
-
-    def _note_available(self, available: bool, detail: str = "") -> None:
-        if available != self._available:
-            self._available = available
-            name = "store-regained" if available else "store-lost"
-            self._telemetry.event(name, reader="operators", detail=detail)
--- a/packages/mimosapoint/src/mimosapoint/cell/owner.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/owner.py
@@ -109,10 +109,13 @@
 
     async def run(self) -> None:
         """Serve the cell until cancelled, or until the ownership is lost."""
-        revision = await load_jobs(self._ports.store, self.book, self._telemetry)
+        store = self._ports.store
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
-            await self.fleet.load(self._add_link)
+            async with trio.open_nursery() as loading:
+                loading.start_soon(self.fleet.read_roster)
+                revision = await load_jobs(store, self.book, self._telemetry)
+            self.fleet.link_roster(self._add_link)
             nursery.start_soon(self._inbox.run, revision)
             nursery.start_soon(self.fleet.run, self._ports.telemetry, self.changed)
             nursery.start_soon(self.committer.run)
--- a/packages/mimosapoint/src/mimosapoint/cell/settings.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/settings.py
@@ -20,6 +20,8 @@
     :param ownership_renewal: time between renewals; three fit into the life.
     :param ownership_margin: part of the life in which the owner no longer acts; covers its own
         delays between a check and the order that follows.
+    :param owner_wait: longest wait of the watch on the owner's key; bounds how long a connection
+        that went silent hides the end of an ownership.
     :param worker_lease: lease that workers get; longer than an outage of the store of 4.5 s.
     :param worker_wait: longest time that a worker may hold back an answer.
     :param start_window: time in which a start takes effect or never does; below the time that
@@ -43,6 +45,7 @@
     ownership_ttl: timedelta = _ms(1000)
     ownership_renewal: timedelta = _ms(250)
     ownership_margin: timedelta = _ms(150)
+    owner_wait: timedelta = _ms(2000)
     worker_lease: timedelta = _ms(7000)
     worker_wait: timedelta = _ms(1000)
     start_window: timedelta = _ms(1000)
