--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -30,6 +30,10 @@
         for package in sorted(source.iterdir()):
             if (package / "__init__.py").exists():
                 suite.addTests(loader.discover(str(package), "test_*.py", str(source)))
+    adapter = ROOT / "platform"
+    suite.addTests(
+        loader.discover(str(adapter / "mimosapoint_platform"), "test_*.py", str(adapter))
+    )
     suite.addTests(loader.discover(str(ROOT / "tools" / "tests"), "test_*.py", str(ROOT)))
     return suite
 
