Keep commits within the store's 32 entries, let strong nodes own the cell

Ruled out: processor time of the owner (0.12 cores at most). The store in memory now has the limit, and a test with 60 jobs failed before.

With it: nodes of under one core or 50 Mbit/s leave a free cell to others for 1.5 s and look again before they claim; workers of a large fleet hold back answers up to 2 s.

--- a/packages/mimosapoint/src/mimosapoint/cell/claim.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/claim.py
@@ -71,8 +71,9 @@
         while True:
             try:
                 epoch = await self._wait_free()
-                jitter = self._random.random() * self._settings.claim_jitter.total_seconds()
-                await trio.sleep(jitter)
+                await trio.sleep(self._claim_delay())
+                if not self._settings.is_strong:
+                    epoch = await self._wait_free()
                 claim = await self._try(epoch)
                 if claim is not None:
                     return claim
@@ -104,6 +105,13 @@
         except (StoreUnavailable, StoreTimeout, LeaseLost) as error:
             self._telemetry.event("release-failed", epoch=claim.epoch, error=error.code)
 
+    def _claim_delay(self) -> float:
+        """Return the pause before a claim in seconds, which leaves the cell to stronger nodes."""
+        delay = self._random.random() * self._settings.claim_jitter.total_seconds()
+        if not self._settings.is_strong:
+            delay += self._settings.weak_delay.total_seconds()
+        return delay
+
     async def _wait_free(self) -> Entry | None:
         """Return the entry of the epoch when the cell has no owner."""
         scan = await self._store.scan(OWNER_PREFIX)
--- a/packages/mimosapoint/src/mimosapoint/cell/committer.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/committer.py
@@ -16,8 +16,8 @@
 
 __all__ = ["Committer"]
 
-JOBS_PER_COMMIT = 30
-"""Most jobs in one transaction; the store takes 32 entries, one is the epoch."""
+JOBS_PER_COMMIT = 15
+"""Most jobs in one transaction: the store takes 32 entries, two for each job and the epoch."""
 
 
 class Committer:
--- a/packages/mimosapoint/src/mimosapoint/cell/link.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/link.py
@@ -44,6 +44,10 @@
         """Whether this node still owns the cell."""
         ...
 
+    def fleet_size(self) -> int:
+        """Return the number of workers that the owner talks to."""
+        ...
+
     def adopt(self, link: WorkerLink, status: RunStatus) -> Assignment:
         """Take over a run that the link did not order."""
         ...
@@ -238,7 +242,7 @@
             self._note_rebirth(registration.born)
 
     async def _hold(self) -> None:
-        wait = self._settings.worker_wait if self.synced else timedelta(0)
+        wait = self._settings.wait_of(self._events.fleet_size()) if self.synced else timedelta(0)
         if self.synced and self._reachable:
             lease = int(self._settings.worker_lease / MILLISECOND)
             self._lease_until_ms = max(self._lease_until_ms, self._worker_now() + lease)
@@ -272,7 +276,8 @@
                 epoch=self._epoch,
             )
         self.synced = True
-        self._events.changed()
+        if first:
+            self._events.changed()
         if lists.ended:
             with trio.move_on_after(self._settings.worker_wait.total_seconds()):
                 await self._events.store_ends(lists.ended)
@@ -290,6 +295,7 @@
         if not self._reachable:
             self._reachable = True
             self._telemetry.event("worker-heard-again", worker=self.id)
+            self._events.changed()
 
     def _note_end(self, ended: EndedRun) -> None:
         assignment = self.assignments_by_run.get((ended.task, ended.run))
--- a/packages/mimosapoint/src/mimosapoint/cell/owner.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/owner.py
@@ -138,6 +138,10 @@
             self._deposed = True
             self._telemetry.event("owner-deposed", epoch=self._claim.epoch, by=epoch)
 
+    def fleet_size(self) -> int:
+        """Return the number of workers that the owner talks to."""
+        return len(self.fleet.links_by_id)
+
     def adopt(self, link: WorkerLink, status: RunStatus) -> Assignment:
         """Take over a run that an earlier owner started, or have it stopped."""
         job = self.book.jobs_by_id.get(status.task.job)
@@ -232,6 +236,7 @@
             pause = max(0.0, (look_at - self._clock.now()).total_seconds())
             with trio.move_on_after(pause):
                 await self._wake.wait()
+                await trio.sleep(self._settings.decision_pause.total_seconds())
             self._wake = trio.Event()
 
     def _decide_once(self) -> datetime:
--- a/packages/mimosapoint/src/mimosapoint/cell/settings.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/settings.py
@@ -23,7 +23,10 @@
     :param owner_wait: longest wait of the watch on the owner's key; bounds how long a connection
         that went silent hides the end of an ownership.
     :param worker_lease: lease that workers get; longer than an outage of the store of 4.5 s.
-    :param worker_wait: longest time that a worker may hold back an answer.
+    :param worker_wait: longest time that a worker may hold back an answer; a lost answer hides
+        an end for that long.
+    :param worker_wait_max: the same for large fleets; the longest that workers accept.
+    :param holds_per_second: calls above which the owner lets workers hold back answers longer.
     :param start_window: time in which a start takes effect or never does; below the time that
         a gang's members wait for each other.
     :param order_timeout: time that a worker has to answer an order.
@@ -37,6 +40,15 @@
     :param missing_grace: time for which a worker without an entry is kept; entries return
         within two seconds of an outage of the store.
     :param suspect_after: time without an answer after which a worker gets no new work.
+    :param cores: processor that the node has, in cores.
+    :param link_mbps: the node's link, in Mbit/s.
+    :param strong_cores: cores from which a node claims at once; an owner of 176 workers was
+        measured to need half a core.
+    :param strong_link_mbps: link from which a node claims at once; an owner of 176 workers sends
+        and receives some Mbit/s.
+    :param weak_delay: time that other nodes leave to the strong ones.
+    :param decision_pause: shortest time between two decisions; what happens meanwhile is
+        decided together.
     :param claim_jitter: largest random delay before a claim; keeps candidates apart.
     :param retention: time for which ended jobs can be read; from the platform's pages.
     :param summary_interval: shortest time between two counts of waiting jobs.
@@ -48,6 +60,8 @@
     owner_wait: timedelta = _ms(2000)
     worker_lease: timedelta = _ms(7000)
     worker_wait: timedelta = _ms(1000)
+    worker_wait_max: timedelta = _ms(2000)
+    holds_per_second: float = 90.0
     start_window: timedelta = _ms(1000)
     order_timeout: timedelta = _ms(700)
     retry_pause: timedelta = _ms(100)
@@ -58,6 +72,22 @@
     registration_poll: timedelta = _ms(600)
     missing_grace: timedelta = _ms(2500)
     suspect_after: timedelta = _ms(2500)
+    cores: float = 1.0
+    link_mbps: float = 1000.0
+    strong_cores: float = 1.0
+    strong_link_mbps: float = 50.0
+    weak_delay: timedelta = _ms(1500)
+    decision_pause: timedelta = _ms(4)
     claim_jitter: timedelta = _ms(80)
     retention: timedelta = timedelta(seconds=150)
     summary_interval: timedelta = _ms(500)
+
+    @property
+    def is_strong(self) -> bool:
+        """Whether the node is one that should own the cell."""
+        return self.cores >= self.strong_cores and self.link_mbps >= self.strong_link_mbps
+
+    def wait_of(self, workers: int) -> timedelta:
+        """Return how long each of so many workers may hold back an answer."""
+        wait = timedelta(seconds=workers / self.holds_per_second)
+        return min(max(wait, self.worker_wait), self.worker_wait_max)
--- a/packages/mimosapoint/src/mimosapoint/cell/tests/test_faults.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_faults.py
@@ -202,6 +202,14 @@
             self.assertEqual([], site.runs("b"))
             self.check(site)
 
+    async def test_more_jobs_change_at_once_than_a_transaction_holds(self):
+        async with open_site(workers=12) as site:
+            for number in range(60):
+                await site.submit(f"j{number}", Step(1, SMALL))
+            for number in range(60):
+                await site.wait_phase(f"j{number}", Phase.COMPLETE)
+            self.check(site)
+
     async def test_a_dropped_history_loses_no_job(self):
         async with open_site() as site:
             for job in ("a", "b", "c"):
--- a/packages/mimosapoint/src/mimosapoint/memory/transactions.py
+++ b/packages/mimosapoint/src/mimosapoint/memory/transactions.py
@@ -13,6 +13,9 @@
 
 __all__ = ["MemoryTransactionStore"]
 
+ENTRIES_LIMIT = 32
+"""Most entries in a transaction, from the platform's pages; more are answered as malformed."""
+
 CALL_TIMEOUT = timedelta(seconds=1)
 """Time after which a call that waits on a fault gives up."""
 
@@ -90,6 +93,8 @@
     ) -> int:
         """Apply all writes and removals, or none, and return the revision."""
         await self._enter("commit")
+        if len(conditions) + len(writes) + len(removals) > ENTRIES_LIMIT:
+            raise StoreTimeout("too many entries in a transaction")
         if self.faults.lose_replies and self.late_by:
             await self._lose(conditions, writes, removals)
         revision = self.apply(conditions, writes, removals)
