Put workers aside on which several jobs fail, try failed units elsewhere

A worker on which two jobs fail with nothing done in between now gets no work for 3 s, then 6 and 12; a unit that has failed waits up to 2 s for workers that are not suspect. Failures of a job that fails on more than two workers count against none.

--- a/packages/mimosapoint/src/mimosapoint/cell/link.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/link.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from mimosapoint.cell.health import WorkerHealth
 from mimosapoint.cell.settings import CellSettings
 from mimosapoint.cell.units import Assignment, Unit
 from mimosapoint.errors import StaleEpoch, WorkerRefused, WorkerUnreachable
@@ -101,6 +102,7 @@
         self.synced = False
         self.used = Amounts()
         self.assignments_by_run: dict[tuple[TaskId, int], Assignment] = {}
+        self.health = WorkerHealth()
         self.unhealthy_until: datetime | None = None
         self.answered_at: datetime | None = None
         self._epoch = epoch
@@ -140,6 +142,7 @@
             and self.answered_at is not None
             and now - self.answered_at < self._settings.suspect_after
             and (self.unhealthy_until is None or now >= self.unhealthy_until)
+            and not self.health.is_aside(now)
         )
 
     def is_settled(self, now: datetime) -> bool:
@@ -351,6 +354,7 @@
         )
         self._generation += 1
         self._born = born
+        self.health = WorkerHealth()
         self._stored_ends = 0
         self._lease_until_ms = self._clock_ms = 0
         self._unsynced_lapse_at = self._clock.now() + self._lease_life(self._settings.worker_lease)
--- a/packages/mimosapoint/src/mimosapoint/cell/owner.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/owner.py
@@ -40,6 +40,9 @@
 IDLE_LOOK = timedelta(seconds=1)
 """Longest time between two decisions."""
 
+BLAMED_WORKERS = 2
+"""Workers that one job's failures count against; a job that fails on more is itself at fault."""
+
 UNKNOWN_AMOUNTS = Amounts(1 << 40, 1 << 40, 1 << 20)
 """What a run of an unknown job is taken to occupy: more than any worker has."""
 
@@ -361,9 +364,10 @@
         if unit.state is UnitState.ACTIVE and assignment.run == unit.run:
             unit.end = unit.end or end
             if end is RunEnd.DONE:
+                assignment.link.health.note_done()
                 self.book.finish_unit(unit)
             elif end is RunEnd.FAILED:
-                unit.failed_on.add(assignment.link.id)
+                self._blame(unit, assignment.link)
                 self.book.fail_run(unit, assignment.run)
                 self._after_failure(unit)
             elif end in (RunEnd.REFUSED, RunEnd.LOST, RunEnd.LAPSED, RunEnd.STOPPED):
@@ -371,6 +375,21 @@
         if unit.state is UnitState.ACTIVE and not unit.assignments_by_task:
             self.book.wait_again(unit)
 
+    def _blame(self, unit: Unit, link: WorkerLink) -> None:
+        """Count a failure against its worker, unless the job fails everywhere."""
+        unit.failed_on.add(link.id)
+        unit.job.failed_on.add(link.id)
+        if len(unit.job.failed_on) > BLAMED_WORKERS:
+            return
+        if link.health.note_failed(unit.id.job, self._clock.now()):
+            self._telemetry.event(
+                "worker-put-aside",
+                job=unit.id.job,
+                worker=link.id,
+                until=link.health.aside_until,
+            )
+            self._telemetry.count("cell_workers_put_aside")
+
     def _after_failure(self, unit: Unit) -> None:
         job = unit.job
         if job.progress.phase.ended:
--- a/packages/mimosapoint/src/mimosapoint/cell/placing.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/placing.py
@@ -53,7 +53,7 @@
             continue
         left = spot.free - step.amounts
         score = (
-            spot.link.id in unit.failed_on,
+            spot.link.health.is_suspect,
             bool(step.data_rack) and spot.rack != step.data_rack,
             left.accelerators,
             left.cpu_millis,
@@ -83,5 +83,5 @@
     return chosen
 
 
-def _emptiness(spot: Spot) -> tuple[int, int]:
-    return (spot.free.accelerators, spot.free.cpu_millis)
+def _emptiness(spot: Spot) -> tuple[bool, int, int]:
+    return (spot.link.health.is_suspect, spot.free.accelerators, spot.free.cpu_millis)
--- a/packages/mimosapoint/src/mimosapoint/cell/planner.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/planner.py
@@ -95,7 +95,7 @@
         :param links: workers that may take new work.
         """
         plan = Plan()
-        room = Room(links)
+        room = Room(links, now)
         order = sorted(waiting, key=lambda unit: _rank(unit, catalog, now))
         self._drop_old(order, now)
         victims: list[Unit] | None = None
--- a/packages/mimosapoint/src/mimosapoint/cell/room.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/room.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from datetime import datetime, timedelta
 
 from mimosapoint.cell.link import WorkerLink
 from mimosapoint.cell.units import Assignment, Unit
@@ -10,15 +11,20 @@
 
 __all__ = ["Room", "Spot"]
 
+AVOID_TIME = timedelta(seconds=2)
+"""Time for which a unit that failed waits for other workers; about the work of an urgent job."""
+
 
 class Spot:
     """A worker and the room that is left on it.
 
     :param link: the worker.
+    :param now: time of the decision.
     """
 
-    def __init__(self, link: WorkerLink):
+    def __init__(self, link: WorkerLink, now: datetime):
         self.link = link
+        self.now = now
         self.free = link.free
         self.rack = link.registration.rack
         self.zone = link.registration.zone
@@ -27,9 +33,17 @@
         self._taken: dict[tuple[str, int, int], int] = {}
 
     def serves(self, unit: Unit, pool: str) -> bool:
-        """Tell whether tasks of the unit may run here, room aside."""
+        """Tell whether tasks of the unit may run here, room aside.
+
+        A unit that has failed goes neither to the same workers again nor to suspect ones, unless
+        it would wait too long for others.
+        """
         step = unit.step
-        return self.pool == pool and (not step.label or step.label in self.labels)
+        if self.pool != pool or (step.label and step.label not in self.labels):
+            return False
+        if unit.failed_on and self.now - unit.since < AVOID_TIME:
+            return self.link.id not in unit.failed_on and not self.link.health.is_suspect
+        return True
 
     def holds(self, unit: Unit) -> int:
         """Return how many tasks of the unit's step the worker has, or is about to get."""
@@ -58,10 +72,11 @@
     """The usable workers with their room, which placements and reservations take away.
 
     :param links: usable workers.
+    :param now: time of the decision.
     """
 
-    def __init__(self, links: Iterable[WorkerLink]):
-        self.spots = [Spot(link) for link in links]
+    def __init__(self, links: Iterable[WorkerLink], now: datetime):
+        self.spots = [Spot(link, now) for link in links]
         self.spots_by_rack: dict[str, list[Spot]] = {}
         for spot in self.spots:
             self.spots_by_rack.setdefault(spot.rack, []).append(spot)
--- a/packages/mimosapoint/src/mimosapoint/cell/tests/test_faults.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_faults.py
@@ -249,6 +249,33 @@
             self.assertEqual(6, len(site.runs("a")))
             self.check(site)
 
+    async def test_a_job_that_failed_on_the_only_worker_is_tried_there_again(self):
+        async with open_site(workers=1) as site:
+            site.pool.failing = {"w0"}
+            await site.submit("a", Step(1, SMALL))
+            await site.wait_phase("a", Phase.FAILED)
+            self.assertEqual(3, len(site.runs("a")))
+
+    async def test_jobs_survive_workers_that_fail_all_they_start(self):
+        async with open_site(workers=12) as site:
+            site.pool.failing = {"w0", "w1"}
+            for number in range(12):
+                await site.submit(f"u{number}", Step(2, WIDE, gang=True), queue=0)
+                await trio.sleep(0.3)
+            for number in range(12):
+                await site.wait_phase(f"u{number}", Phase.COMPLETE, within=30)
+            self.check(site)
+
+    async def test_a_job_that_fails_everywhere_puts_no_sound_worker_aside(self):
+        async with open_site() as site:
+            site.pool.failing_jobs = {"bad"}
+            await site.submit("bad", Step(6, SMALL))
+            await site.wait_phase("bad", Phase.FAILED)
+            links = site.owner.cell.owner.fleet.links_by_id.values()
+            now = site.clock.now()
+            self.assertEqual([], [link.id for link in links if link.health.is_aside(now)])
+            self.check(site)
+
     async def test_a_failure_counts_once_over_a_change_of_owner(self):
         async with open_site() as site:
             site.pool.failing = {f"w{number}" for number in range(6)}
--- a/packages/mimosapoint/src/mimosapoint/cell/units.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/units.py
@@ -116,6 +116,7 @@
     :param remaining: number of units that are not done, of all occurrences.
     :param version: counts changes of the progress.
     :param stored_version: newest version that is stored.
+    :param failed_on: workers on which runs of the job failed.
     :param ended_at: time at which it ended; ``None`` before.
     """
 
@@ -130,6 +131,7 @@
     remaining: int = 0
     version: int = 0
     stored_version: int = 0
+    failed_on: set[str] = attrs.field(factory=set)
     ended_at: datetime | None = None
 
     def __attrs_post_init__(self) -> None:
--- a/packages/mimosapoint/src/mimosapoint/memory/run_worker.py
+++ b/packages/mimosapoint/src/mimosapoint/memory/run_worker.py
@@ -64,6 +64,7 @@
     :param run_time: duration of every task.
     :param stop_time: time that a stop takes.
     :param failing: ids of workers that fail every run at once.
+    :param failing_jobs: ids of jobs whose every run fails at once.
     """
 
     clock: Clock
@@ -71,6 +72,7 @@
     run_time: timedelta = timedelta(seconds=2)
     stop_time: timedelta = STOP_TIME
     failing: set[str] = attrs.field(factory=set)
+    failing_jobs: set[str] = attrs.field(factory=set)
     history: list[RunRecord] = attrs.field(factory=list)
     overfull: list[str] = attrs.field(factory=list)
     _members: dict[tuple, list[RunRecord]] = attrs.field(factory=dict)
@@ -195,7 +197,8 @@
                 if not complete.is_set():
                     self._finish(record, RunEnd.ALONE)
                     return
-            if self.registration.id in self.pool.failing:
+            faulty = self.registration.id in self.pool.failing
+            if faulty or record.task.job in self.pool.failing_jobs:
                 self._finish(record, RunEnd.FAILED)
                 return
             await trio.sleep(self.pool.run_time.total_seconds())
--- a/packages/mimosapoint/src/mimosapoint/telemetry/_cell_declarations.py
+++ b/packages/mimosapoint/src/mimosapoint/telemetry/_cell_declarations.py
@@ -40,6 +40,12 @@
         "entries",
         ("prefix",),
     ),
+    Metric(
+        "cell_workers_put_aside",
+        MetricKind.COUNTER,
+        "Times that a worker was put aside because jobs failed there.",
+        "times",
+    ),
     Metric(
         "cell_wait_seconds",
         MetricKind.HISTOGRAM,
@@ -85,6 +91,7 @@
     ("worker-found", "A worker registered itself."),
     ("worker-silent", "A worker does not answer; its lease goes on for a while."),
     ("worker-missing", "A worker's entry is gone; it gets no new work."),
+    ("worker-put-aside", "Several jobs failed on a worker; it gets no work for a while."),
     ("worker-reborn", "A worker restarted; what ran on it is lost."),
     ("worker-heard-again", "A worker answers again."),
     ("worker-synced", "It is known what runs on a worker."),
