--- a/packages/mimosapoint/src/mimosapoint/cell/claim.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/claim.py
@@ -84,19 +84,26 @@
     async def keep(self, claim: Claim) -> None:
         """Renew the ownership until it is lost.
 
+        A renewal does not wait for the answer to the one before, which may be lost: its timeout
+        is as long as the ownership.
+
         :raises LeaseLost: it is lost.
         """
         reach = Reach("ownership", self._telemetry)
-        while True:
-            await trio.sleep(self._settings.ownership_renewal.total_seconds())
-            asked_at = self._clock.now()
-            try:
-                await self._store.renew_lease(claim.lease)
-            except (StoreUnavailable, StoreTimeout) as error:
-                reach.lost(error, epoch=claim.epoch, valid_until=claim.valid_until)
-            else:
-                reach.regained()
-                claim.valid_until = self._end_of(asked_at)
+        async with trio.open_nursery() as nursery:
+            while True:
+                await trio.sleep(self._settings.ownership_renewal.total_seconds())
+                nursery.start_soon(self._renew, claim, reach)
+
+    async def _renew(self, claim: Claim, reach: Reach) -> None:
+        asked_at = self._clock.now()
+        try:
+            await self._store.renew_lease(claim.lease)
+        except (StoreUnavailable, StoreTimeout) as error:
+            reach.lost(error, epoch=claim.epoch, valid_until=claim.valid_until)
+        else:
+            reach.regained()
+            claim.valid_until = max(claim.valid_until, self._end_of(asked_at))
 
     async def release(self, claim: Claim) -> None:
         """Give the cell up, so that another node claims it at once."""
--- a/packages/mimosapoint/src/mimosapoint/cell/tests/_site.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/_site.py
@@ -87,6 +87,7 @@
     def __init__(self, store: MemoryTransactionStore):
         self._store = store
         self.fault = ""
+        self.lost_renewals = 0
 
     def __getattr__(self, name: str) -> Any:
         call = getattr(self._store, name)
@@ -95,6 +96,11 @@
             await self._pass()
             reply = await call(*args)
             await self._pass()
+            if name == "renew_lease" and self.lost_renewals:
+                self.lost_renewals -= 1
+                if self.lost_renewals % 2:
+                    await trio.sleep(1)
+                    raise StoreTimeout("the answer was lost")
             return reply
 
         return reach
--- a/packages/mimosapoint/src/mimosapoint/cell/tests/test_faults.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_faults.py
@@ -113,6 +113,15 @@
                     old.cell.entry.catalog()
             self.check(site)
 
+    async def test_an_ownership_outlasts_lost_answers_to_renewals(self):
+        async with open_site() as site:
+            owner = site.owner
+            owner.store.lost_renewals = 20
+            await trio.sleep(8)
+            self.assertEqual(0, owner.store.lost_renewals)
+            self.assertIs(owner, site.owner)
+            self.assertEqual(b"1", site.store.value("cell/owner-epoch"))
+
     async def test_runs_on_a_silent_worker_wait_for_its_lease_at_a_takeover(self):
         async with open_site() as site:
             site.pool.run_time = timedelta(seconds=60)
