Add a fault soak of real nodes on loopback

make soak starts nodes as separate processes over a stand-in of the platform behind TCP proxies that delay, reset, silence and cut one way; it kills, stops, suspends and restarts nodes, cuts workers and the store, loses answers, drops history, in series that overlap. Callers repeat with the same id. It checks from the workers' history and the callers' answers.

--- a/packages/mimosapoint/src/mimosapoint/memory/run_worker.py
+++ b/packages/mimosapoint/src/mimosapoint/memory/run_worker.py
@@ -42,6 +42,7 @@
     :param ended: time at which it was no longer there; ``None`` before.
     :param end: how it ended; ``None`` before.
     :param checkpoint: checkpoint that it was started from.
+    :param forgotten: whether its worker restarted before the end was acknowledged.
     """
 
     task: TaskId
@@ -52,6 +53,7 @@
     ended: float | None = None
     end: RunEnd | None = None
     checkpoint: str = ""
+    forgotten: bool = False
     scope: trio.CancelScope = attrs.field(factory=trio.CancelScope, repr=False)
 
 
@@ -110,6 +112,8 @@
         """Begin a new incarnation that knows nothing of before."""
         for record in list(getattr(self, "running", {}).values()):
             self._finish(record, RunEnd.LOST, listed=False)
+        for ended in getattr(self, "ended", []):
+            self._forget(ended)
         self.born = born
         self.running: dict[tuple[TaskId, int], RunRecord] = {}
         self.ended: list[EndedRun] = []
@@ -219,6 +223,13 @@
         self._changed.set()
         self._changed = trio.Event()
 
+    def _forget(self, ended: EndedRun) -> None:
+        """Mark the record of an end that nobody acknowledged before the restart."""
+        for record in self.pool.history:
+            same = record.task == ended.task and record.run == ended.run
+            if same and record.worker == self.registration.id:
+                record.forgotten = True
+
     def _note_room(self) -> None:
         used = Amounts()
         for record in self.running.values():
--- /dev/null
+++ b/tools/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak of real nodes on loopback under faults from outside."""
--- /dev/null
+++ b/tools/soak/run.py
@@ -0,0 +1,82 @@
+"""One seed of the soak."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from random import Random
+
+import trio
+from mimosapoint.testing.runs import broken_run_promises
+
+from tools.soak.callers import Callers
+from tools.soak.faults import faults_by_name
+from tools.soak.site import SoakSite
+
+__all__ = ["play"]
+
+NODES = 3
+WORKERS = 6
+SETTLE_SECONDS = 3.0
+FAULT_SECONDS = 10.0
+END_SECONDS = 40.0
+ENDED = ("complete", "cancelled")
+
+
+async def play(seed: int, folder: Path) -> tuple[list[str], list[str], int]:
+    """Play a seed.
+
+    :returns: what is broken, the faults that were played, and the number of accepted jobs.
+    """
+    random = Random(seed)
+    async with trio.open_nursery() as nursery:
+        site = SoakSite(folder, nursery)
+        try:
+            await site.start(NODES, WORKERS)
+            await trio.sleep(SETTLE_SECONDS)
+            callers = Callers(site, Random(seed + 1))
+            played: list[str] = []
+            async with trio.open_nursery() as playing:
+                playing.start_soon(callers.submit_for, FAULT_SECONDS)
+                playing.start_soon(_play_faults, site, random, played)
+            broken = await _unended(callers)
+        finally:
+            with trio.CancelScope(shield=True):
+                await site.stop()
+        broken += judge(site, callers)
+        nursery.cancel_scope.cancel()
+    return broken, played, len(callers.accepted)
+
+
+async def _play_faults(site: SoakSite, random: Random, played: list[str]) -> None:
+    """Play faults in series that overlap."""
+    async with trio.open_nursery() as nursery:
+        with trio.move_on_after(FAULT_SECONDS):
+            while True:
+                name = random.choice(sorted(faults_by_name))
+                played.append(name)
+                nursery.start_soon(faults_by_name[name], site, Random(random.random()))
+                await trio.sleep(random.expovariate(0.7))
+
+
+async def _unended(callers: Callers) -> list[str]:
+    """Wait until every accepted job has ended and return those that have not."""
+    open_jobs = set(callers.accepted)
+    states: dict[str, str] = {}
+    with trio.move_on_after(END_SECONDS):
+        while open_jobs:
+            for job in sorted(open_jobs):
+                states[job] = await callers.state(job)
+                if states[job] in ENDED:
+                    open_jobs.discard(job)
+            await trio.sleep(0.2)
+    return [f"{job} is accepted and {states.get(job)}" for job in sorted(open_jobs)]
+
+
+def judge(site: SoakSite, callers: Callers) -> list[str]:
+    """Return what the workers saw that contradicts the promises or the callers' answers."""
+    broken = broken_run_promises(site.pool.history, site.pool.overfull)
+    started = {record.task.job for record in site.pool.history}
+    broken += [f"{job} ran though it was refused" for job in sorted(started & callers.refused)]
+    running = {r.task.job for r in site.pool.history if r.ended is None}
+    broken += [f"{job} runs on though cancelled" for job in sorted(running & callers.cancelled)]
+    return broken
--- /dev/null
+++ b/tools/soak/site.py
@@ -0,0 +1,162 @@
+"""Real nodes as processes, over a stand-in of the platform behind proxies."""
+
+from __future__ import annotations
+
+import os
+import signal
+import sys
+from datetime import timedelta
+from functools import partial
+from pathlib import Path
+
+import trio
+from mimosapoint.cell.keys import JOB_PREFIX
+from mimosapoint.codec import decode
+from mimosapoint.memory import (
+    MemoryRunWorker,
+    MemoryTransactionStore,
+    TrioClock,
+    WorkerPool,
+)
+from mimosapoint.ports import Registration
+from mimosapoint.telemetry import MemoryTelemetry
+from mimosapoint.workload import Amounts, Catalog, JobRecord, Queue, Tenant
+from mimosapoint_node.http import HttpLimits, serve
+from mimosapoint_platform.tests.standin import (
+    StandinFaults,
+    configuration_entry,
+    store_app,
+    worker_app,
+    worker_entry,
+)
+
+from tools.site.ports import free_addresses
+from tools.soak.proxy import Proxy
+
+__all__ = ["CATALOG", "SoakSite"]
+
+ROOT = Path(__file__).resolve().parents[2]
+CAPACITY = Amounts(16_000, 16_000, 8)
+RACK_SIZE = 3
+RUN_TIME = timedelta(milliseconds=700)
+POOL = "pool"
+CATALOG = Catalog(
+    1,
+    (
+        Queue("urgent", "h", "/urgent/", POOL, 0, 3, 1.5, timedelta(seconds=1)),
+        Queue("low", "h", "/low/", POOL, 2, 3, 3.0, timedelta(seconds=1)),
+    ),
+    (Tenant("t", frozenset({"key"})),),
+)
+
+
+class _Jobs(dict):
+    """Accepted jobs by id, read from the store when a worker first meets them."""
+
+    def __init__(self, store: MemoryTransactionStore):
+        super().__init__()
+        self._store = store
+
+    def __missing__(self, job: str) -> JobRecord:
+        self[job] = decode(self._store.value(JOB_PREFIX + job), JobRecord)
+        return self[job]
+
+
+class SoakSite:
+    """Nodes, workers and the store.
+
+    :param folder: where settings and logs of the nodes go.
+    :param nursery: where stand-ins and proxies run.
+    """
+
+    def __init__(self, folder: Path, nursery: trio.Nursery):
+        self.folder = folder
+        self.nursery = nursery
+        self.store = MemoryTransactionStore(TrioClock())
+        self.pool = WorkerPool(TrioClock(), nursery, RUN_TIME)
+        self.workers: list[MemoryRunWorker] = []
+        self.worker_proxies: list[Proxy] = []
+        self.store_proxies: list[Proxy] = []
+        self.processes: list[trio.Process | None] = []
+        self.addresses: list[str] = []
+
+    async def start(self, nodes: int, workers: int) -> None:
+        """Start everything."""
+        self.store.put("op/config", configuration_entry(1, CATALOG))
+        store_port = await self._serve(store_app(self.store, StandinFaults()))
+        jobs = _Jobs(self.store)
+        for number in range(workers):
+            await self._add_worker(number, jobs)
+        for number in range(nodes):
+            self.store_proxies.append(await self._proxy(store_port))
+            self.addresses += free_addresses(1)
+            self.processes.append(None)
+            await self.start_node(number)
+        self.nursery.start_soon(self._beat)
+
+    async def start_node(self, number: int) -> None:
+        """Start a node's process."""
+        probe, metrics = free_addresses(2)
+        settings = self.folder / f"node-{number}.yaml"
+        settings.write_text(
+            f"id: node-{number}\nzone: z{number}\nregion: r\n"
+            f"callers_address: {self.addresses[number]}\n"
+            f"probe_address: {probe}\nmetrics_address: {metrics}\n"
+            f"store_address: {self.store_proxies[number].address}\n"
+        )
+        environment = {**os.environ, "MIMOSAPOINT_CONFIG": str(settings)}
+        with (self.folder / f"node-{number}.log").open("ab") as log:
+            self.processes[number] = await trio.lowlevel.open_process(
+                [sys.executable, str(ROOT / "platform" / "run.py")],
+                stdout=log,
+                stderr=log,
+                env=environment,
+            )
+
+    async def signal_node(self, number: int, name: str) -> None:
+        """Send a signal to a node's process, if it runs."""
+        process = self.processes[number]
+        if process is not None and process.returncode is None:
+            process.send_signal(getattr(signal, name))
+
+    async def wait_node(self, number: int) -> None:
+        """Return when a node's process has ended."""
+        process = self.processes[number]
+        if process is not None:
+            await process.wait()
+
+    async def stop(self) -> None:
+        """End every process that was started here."""
+        for process in self.processes:
+            if process is not None and process.returncode is None:
+                process.kill()
+                await process.wait()
+
+    async def _add_worker(self, number: int, jobs: _Jobs) -> None:
+        rack = f"r{number // RACK_SIZE}"
+        registration = Registration(
+            f"w{number}", "", POOL, rack, rack, frozenset({"a", rack}), CAPACITY, born=1
+        )
+        worker = MemoryRunWorker(registration, self.pool)
+        self.nursery.start_soon(worker.lapse)
+        self.workers.append(worker)
+        port = await self._serve(worker_app(worker, jobs, StandinFaults()))
+        self.worker_proxies.append(await self._proxy(port))
+
+    async def _serve(self, app: object) -> int:
+        serving = partial(serve, app, "127.0.0.1:0", HttpLimits(), trio.Event(), MemoryTelemetry())
+        address = await self.nursery.start(serving)
+        return int(address.rpartition(":")[2])
+
+    async def _proxy(self, port: int) -> Proxy:
+        proxy = Proxy(port)
+        await self.nursery.start(proxy.run)
+        return proxy
+
+    async def _beat(self) -> None:
+        """Let every worker write its entry, as long as the site runs."""
+        while True:
+            for worker, proxy in zip(self.workers, self.worker_proxies, strict=True):
+                entry = worker_entry(worker, proxy.address)
+                self.store.put(f"servers/{worker.registration.id}", entry)
+            await trio.sleep(1)
