Test the planner's decisions under load

Cause: the gains so far (spread limit within a decision, room kept for gangs, cheapest eviction, workers put aside) had no test of their load without a cell around them. 13 tests in one module name the patterns.

--- /dev/null
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_planner.py
@@ -0,0 +1,222 @@
+"""Decisions under load, each test named after the pattern that it answers."""
+
+import unittest
+from datetime import datetime, timedelta, timezone
+
+import attrs
+
+from mimosapoint.cell.book import JobBook
+from mimosapoint.cell.link import WorkerLink
+from mimosapoint.cell.planner import Planner
+from mimosapoint.cell.settings import CellSettings
+from mimosapoint.cell.tests._site import CAPACITY, CATALOG, POOL, SMALL, WIDE
+from mimosapoint.cell.units import UnitState
+from mimosapoint.ports import Registration
+from mimosapoint.telemetry import MemoryTelemetry
+from mimosapoint.workload import Amounts, JobRecord, Step
+
+START = datetime(2026, 1, 1, tzinfo=timezone.utc)
+QUEUES = ("urgent", "normal", "low")
+HALF = Amounts(52_000, 110_000, 4)
+RACK_SIZE = 3
+
+
+class FixedClock:
+    """A clock that tests move."""
+
+    def __init__(self):
+        self.time = START
+
+    def now(self):
+        return self.time
+
+
+class PlannerCase(unittest.TestCase):
+    def setUp(self):
+        self.clock = FixedClock()
+        self.book = JobBook(self.clock, MemoryTelemetry())
+        self.planner = Planner()
+        self.links = []
+        self.runs = 0
+
+    def add_workers(self, count):
+        for number in range(count):
+            rack = f"r{number // RACK_SIZE}"
+            registration = Registration(
+                f"w{number}", "a:1", POOL, rack, rack, frozenset({"a", rack}), CAPACITY
+            )
+            link = WorkerLink(
+                registration, 1, None, None, self.clock, CellSettings(), MemoryTelemetry()
+            )
+            self.links.append(link)
+
+    def submit(self, job, queue, *steps):
+        record = JobRecord(
+            job, QUEUES[queue], "t", POOL, "", steps, queue, 3, 3.0, timedelta(seconds=1), START
+        )
+        self.book.add(record, 1)
+
+    def decide(self):
+        """Carry a decision out at once and return it."""
+        plan = self.planner.plan(
+            self.book.waiting_by_id.values(),
+            self.book.active_units(),
+            self.links,
+            CATALOG,
+            self.clock.now(),
+        )
+        for stop in plan.stops:
+            stop.unit.stop_reason = stop.reason
+        for start in plan.starts:
+            self.runs += 1
+            self.book.activate(start.unit, self.runs)
+            for task, link in zip(start.unit.tasks, start.links, strict=True):
+                link.assign(start.unit, task, self.runs)
+        return plan
+
+    def end(self, unit):
+        """Take a unit's runs off their workers."""
+        for assignment in list(unit.assignments_by_task.values()):
+            link = assignment.link
+            del link.assignments_by_run[assignment.task, assignment.run]
+            link.used -= assignment.amounts
+        unit.assignments_by_task.clear()
+        if unit.stop_reason:
+            self.book.wait_again(unit)
+        else:
+            self.book.finish_unit(unit)
+
+    def started(self, plan):
+        return [start.unit.id.job for start in plan.starts]
+
+    def workers_of(self, plan, job):
+        return [
+            link.id for start in plan.starts if start.unit.id.job == job for link in start.links
+        ]
+
+
+class BurstOfLooseTasksTest(PlannerCase):
+    def test_many_tasks_of_a_step_in_one_decision_keep_its_spread_limit(self):
+        self.add_workers(2)
+        self.submit("a", 2, Step(10, SMALL, spread_limit=2))
+        plan = self.decide()
+        self.assertEqual({"w0": 2, "w1": 2}, _counts(self.workers_of(plan, "a")))
+
+    def test_a_waiting_gang_is_not_starved_by_loose_tasks_that_come_after_it(self):
+        self.add_workers(3)
+        self.submit("first", 2, Step(24, SMALL))
+        self.decide()
+        self.submit("gang", 1, Step(3, attrs.evolve(WIDE, accelerators=8), gang=True))
+        self.submit("later", 2, Step(24, SMALL))
+        for unit in list(self.book.active_units()):
+            self.end(unit)
+            plan = self.decide()
+            self.assertNotIn("later", self.started(plan)[:1])
+            if "gang" in self.started(plan):
+                break
+        self.assertIn("gang", self.started(plan))
+
+    def test_small_tasks_fill_used_workers_and_leave_empty_ones_whole(self):
+        self.add_workers(3)
+        self.submit("a", 2, Step(1, SMALL))
+        self.decide()
+        self.submit("b", 2, Step(6, SMALL))
+        plan = self.decide()
+        self.assertEqual(1, len(set(self.workers_of(plan, "b"))))
+
+
+class UrgentGangOnAFullFleetTest(PlannerCase):
+    def fill(self):
+        self.add_workers(6)
+        for number in range(6):
+            saves = number == 5
+            self.submit(f"n{number}", 1, Step(2, HALF, gang=True, checkpoints=saves))
+        self.decide()
+        self.clock.time += timedelta(seconds=3)
+
+    def test_it_stops_what_loses_least_and_no_more_than_it_needs(self):
+        self.fill()
+        self.submit("u", 0, Step(1, WIDE, gang=True))
+        plan = self.decide()
+        self.assertEqual(["n5"], [stop.unit.id.job for stop in plan.stops])
+
+    def test_it_gets_the_room_that_was_freed_for_it(self):
+        self.fill()
+        self.submit("u", 0, Step(2, WIDE, gang=True, rack_local=True))
+        stopped = [stop.unit for stop in self.decide().stops]
+        self.submit("other", 1, Step(1, HALF, gang=True))
+        for unit in stopped:
+            self.end(unit)
+            plan = self.decide()
+            self.assertNotIn("other", self.started(plan))
+        self.assertIn("u", self.started(plan))
+        self.assertEqual(1, len({link.registration.rack for link in plan.starts[0].links}))
+
+    def test_it_stops_nothing_when_stopping_does_not_help(self):
+        self.fill()
+        self.submit("u", 0, Step(7, WIDE, gang=True))
+        self.assertEqual([], self.decide().stops)
+
+    def test_it_never_stops_another_urgent_unit(self):
+        self.add_workers(1)
+        self.submit("u1", 0, Step(1, WIDE, gang=True))
+        self.decide()
+        self.submit("u2", 0, Step(1, WIDE, gang=True))
+        self.assertEqual([], self.decide().stops)
+
+
+class RackTest(PlannerCase):
+    def test_a_gang_that_wants_one_rack_waits_for_it_when_one_could_hold_it(self):
+        self.add_workers(6)
+        self.submit("a", 1, Step(2, WIDE, gang=True))
+        self.submit("b", 1, Step(2, WIDE, gang=True))
+        self.decide()
+        self.submit("c", 1, Step(3, WIDE, gang=True, rack_local=True))
+        self.assertEqual([], self.started(self.decide()))
+
+    def test_a_gang_that_no_rack_can_hold_spans_racks(self):
+        self.add_workers(6)
+        self.submit("a", 1, Step(5, WIDE, gang=True, rack_local=True))
+        self.assertEqual(["a"], self.started(self.decide()))
+
+    def test_tasks_go_to_the_rack_of_their_data(self):
+        self.add_workers(6)
+        self.submit("a", 2, Step(4, SMALL, data_rack="r1"))
+        plan = self.decide()
+        self.assertLessEqual(set(self.workers_of(plan, "a")), {"w3", "w4", "w5"})
+
+    def test_a_label_is_never_ignored(self):
+        self.add_workers(3)
+        self.submit("a", 0, Step(1, SMALL, label="missing"))
+        plan = self.decide()
+        self.assertEqual(([], []), (plan.starts, plan.stops))
+
+
+class FailingWorkerTest(PlannerCase):
+    def test_a_failed_unit_goes_to_a_worker_that_is_not_suspect(self):
+        self.add_workers(3)
+        self.links[0].health.note_failed("x", self.clock.now())
+        self.submit("a", 0, Step(1, WIDE, gang=True))
+        unit = next(iter(self.book.waiting_by_id.values()))
+        unit.failed_on.add("w1")
+        plan = self.decide()
+        self.assertEqual(["w2"], self.workers_of(plan, "a"))
+        self.assertIs(UnitState.ACTIVE, unit.state)
+
+    def test_a_worker_is_put_aside_after_two_jobs_and_trusted_after_a_success(self):
+        self.add_workers(1)
+        health = self.links[0].health
+        now = self.clock.now()
+        self.assertFalse(health.note_failed("a", now))
+        self.assertFalse(health.note_failed("a", now))
+        self.assertTrue(health.note_failed("b", now))
+        self.assertTrue(health.is_aside(now))
+        self.assertFalse(health.is_aside(now + timedelta(seconds=4)))
+        self.assertTrue(health.note_failed("c", now + timedelta(seconds=4)))
+        self.assertTrue(health.is_aside(now + timedelta(seconds=9)))
+        health.note_done()
+        self.assertFalse(health.is_aside(now + timedelta(seconds=9)))
+
+
+def _counts(names):
+    return {name: names.count(name) for name in sorted(set(names))}
