Keep starts that reached the next incarnation of a worker

When the owner learned of the restart it took every run on that worker for lost, the new one too, and started the task elsewhere. Now the first lists of the new incarnation decide, after the token was raised; a start is not sent while they are missing. A test with two restarted workers fails without the change.

--- a/packages/mimosapoint/src/mimosapoint/cell/link.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/link.py
@@ -175,8 +175,8 @@
             assignment.not_after_ms,
             checkpoint,
         )
-        if not self._events.may_order() or not self._is_kept(assignment):
-            self._drop(assignment, RunEnd.REFUSED, reason="not-owner")
+        if not (self._events.may_order() and self.synced and self._is_kept(assignment)):
+            self._drop(assignment, RunEnd.REFUSED, reason="not-sent")
             return
         try:
             assignment.confirmed_ms = await self._workers.start(self.registration, order)
@@ -323,7 +323,9 @@
             if key in listed:
                 continue
             confirmed = assignment.confirmed_ms
-            if confirmed is not None and lists.clock_ms > confirmed and not first:
+            if first:
+                self._drop(assignment, RunEnd.LOST, reason="reborn")
+            elif confirmed is not None and lists.clock_ms > confirmed:
                 self._drop(assignment, RunEnd.LOST, reason="not-listed")
             elif confirmed is None and lists.clock_ms > assignment.not_after_ms:
                 self._drop(assignment, RunEnd.REFUSED, reason="window-over")
@@ -348,9 +350,13 @@
         self._events.changed()
 
     def _note_rebirth(self, born: int) -> None:
-        """Forget an earlier incarnation; the token's rise bars orders that are still under way."""
+        """Begin anew with another incarnation; its first lists tell which runs it has.
+
+        Orders may have reached it before this link knew of it. The raised token bars what is
+        still under way, so what the first lists lack is lost.
+        """
         self._telemetry.event(
-            "worker-reborn", worker=self.id, born=born, lost=len(self.assignments_by_run)
+            "worker-reborn", worker=self.id, born=born, assignments=len(self.assignments_by_run)
         )
         self._generation += 1
         self._born = born
@@ -359,7 +365,6 @@
         self._lease_until_ms = self._clock_ms = 0
         self._unsynced_lapse_at = self._clock.now() + self._lease_life(self._settings.worker_lease)
         self.synced = False
-        self._drop_all(RunEnd.LOST, "reborn")
 
     def _note_silence(self, code: str) -> None:
         if self._reachable:
--- a/packages/mimosapoint/src/mimosapoint/cell/owner.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/owner.py
@@ -304,6 +304,7 @@
 
     def _carry_out(self, plan: Plan) -> None:
         for stop in plan.stops:
+            stop.unit.stops += 1
             self._stop_unit(stop.unit, stop.reason)
         for start in plan.starts:
             self._start_unit(start.unit, start.links)
--- a/packages/mimosapoint/src/mimosapoint/cell/tests/test_faults.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_faults.py
@@ -172,6 +172,15 @@
             self.assertEqual(4, len(site.runs("a")))
             self.check(site)
 
+    async def test_a_start_that_reaches_the_next_incarnation_runs_once(self):
+        async with open_site(workers=2) as site:
+            for worker in site.workers.workers_by_address.values():
+                worker.reborn(2)
+            await site.submit("a", Step(2, SMALL))
+            await site.wait_phase("a", Phase.COMPLETE)
+            self.assertEqual(2, len(site.runs("a")))
+            self.check(site)
+
     async def test_a_start_without_an_answer_takes_effect_in_its_window_or_never(self):
         for late in (0.3, 1.5, 4.0):
             with self.subTest(late=late):
--- a/packages/mimosapoint/src/mimosapoint/cell/units.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/units.py
@@ -67,6 +67,7 @@
     :param assignments_by_task: runs that are, or may be, on workers.
     :param end: how the newest run ends, once the first of its members has ended.
     :param stop_reason: why the newest run is being stopped; empty when it is not.
+    :param stops: number of times that it was stopped for others.
     :param failed_on: workers on which runs of the unit failed.
     """
 
@@ -78,6 +79,7 @@
     assignments_by_task: dict[TaskId, Assignment] = attrs.field(factory=dict)
     end: RunEnd | None = None
     stop_reason: str = ""
+    stops: int = 0
     failed_on: set[str] = attrs.field(factory=set)
 
     @property
--- a/packages/mimosapoint/src/mimosapoint/memory/run_worker.py
+++ b/packages/mimosapoint/src/mimosapoint/memory/run_worker.py
@@ -42,7 +42,8 @@
     :param ended: time at which it was no longer there; ``None`` before.
     :param end: how it ended; ``None`` before.
     :param checkpoint: checkpoint that it was started from.
-    :param forgotten: whether its worker restarted before the end was acknowledged.
+    :param forgotten: whether its worker restarted, or its lease lapsed, before the end was
+        acknowledged; the task may then start again.
     """
 
     task: TaskId
@@ -185,6 +186,8 @@
         while True:
             await trio.sleep(0.05)
             if self.clock_ms > self.lease_until_ms:
+                for ended in self.ended:
+                    self._forget(ended)
                 for record in list(self.running.values()):
                     self._finish(record, RunEnd.LAPSED)
 
@@ -224,7 +227,7 @@
         self._changed = trio.Event()
 
     def _forget(self, ended: EndedRun) -> None:
-        """Mark the record of an end that nobody acknowledged before the restart."""
+        """Mark the record of an end that nobody had acknowledged in time."""
         for record in self.pool.history:
             same = record.task == ended.task and record.run == ended.run
             if same and record.worker == self.registration.id:
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -1,41 +1,62 @@
-"""Plays seeds of the soak: ``python -m tools.soak --seeds 5 --first 1 [--seconds 60]``."""
+"""Plays seeds of the soak, of the failed ones, or fresh ones for some time."""
 
 import sys
 import tempfile
 import time
+from collections.abc import Iterator
+from itertools import count
 from pathlib import Path
 
 import fire
 import trio
 
 ROOT = Path(__file__).resolve().parents[2]
+FAILED_SEEDS = Path(__file__).with_name("failed-seeds.txt")
 sys.path.insert(0, str(ROOT / "platform"))
 
 from tools.soak.run import play  # noqa: E402 (needs the path)
 
 
-def main(seeds: int = 5, first: int = 1, seconds: float = 0) -> None:
+def failed_seeds() -> list[int]:
+    """Return the seeds that ever failed."""
+    lines = FAILED_SEEDS.read_text().splitlines()
+    return [int(line.split()[0]) for line in lines if line and not line.startswith("#")]
+
+
+def choose_seeds(seeds: int, first: int, seconds: float, failed: bool) -> Iterator[int]:
+    """Yield the seeds to play; fresh ones for some seconds where these are given."""
+    if failed:
+        yield from failed_seeds()
+    elif not seconds:
+        yield from range(first, first + seeds)
+    else:
+        began = time.monotonic()
+        for seed in count(int(time.time())):
+            if time.monotonic() - began >= seconds:
+                return
+            yield seed
+
+
+def main(seeds: int = 5, first: int = 1, seconds: float = 0, failed: bool = False) -> None:
     """Play seeds and exit with 1 when a promise was broken.
 
     :param seeds: number of seeds.
     :param first: first seed.
     :param seconds: play fresh seeds for this long in place of a number of them.
+    :param failed: play the seeds that ever failed.
     """
-    began = time.monotonic()
-    seed = first if not seconds else int(time.time())
-    failed = played = 0
-    while (played < seeds) if not seconds else (time.monotonic() - began < seconds):
+    played = broken_seeds = 0
+    for seed in choose_seeds(seeds, first, seconds, failed):
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
         broken, faults, accepted = trio.run(play, seed, folder)
         verdict = "broken" if broken else "kept"
         print(f"seed={seed} {verdict} accepted={accepted} faults={','.join(faults)}", flush=True)
         for line in broken:
             print(f"  {line}; logs in {folder}", flush=True)
-        failed += bool(broken)
         played += 1
-        seed += 1
-    print(f"{played - failed} passed, {failed} failed")
-    sys.exit(1 if failed else 0)
+        broken_seeds += bool(broken)
+    print(f"{played - broken_seeds} passed, {broken_seeds} failed")
+    sys.exit(1 if broken_seeds else 0)
 
 
 if __name__ == "__main__":
