--- a/packages/mimosapoint/src/mimosapoint/cell/core.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/core.py
@@ -8,7 +8,8 @@
 from mimosapoint.cell.claim import Claim, Claimant
 from mimosapoint.cell.entry import CellEntry
 from mimosapoint.cell.operators import OperatorView
-from mimosapoint.cell.owner import Owner, Ports
+from mimosapoint.cell.owner import Owner
+from mimosapoint.cell.ports import Ports
 from mimosapoint.cell.settings import CellSettings
 from mimosapoint.errors import MimosapointError
 from mimosapoint.ports import (
--- a/packages/mimosapoint/src/mimosapoint/cell/inbox.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/inbox.py
@@ -1,10 +1,7 @@
 """Jobs and cancellations that entries have stored for the owner."""
 
-from __future__ import annotations
-
 from collections.abc import Callable
 from datetime import datetime
-from typing import TYPE_CHECKING
 
 import trio
 
@@ -18,6 +15,7 @@
     job_key,
     progress_key,
 )
+from mimosapoint.cell.ports import Ports
 from mimosapoint.cell.reach import Reach
 from mimosapoint.cell.settings import CellSettings
 from mimosapoint.cell.units import Job
@@ -26,9 +24,6 @@
 from mimosapoint.ports import Conflict, Entry, HistoryLost, Scan, Telemetry, TransactionStore
 from mimosapoint.workload import JobProgress, JobRecord
 
-if TYPE_CHECKING:
-    from mimosapoint.cell.owner import Ports
-
 __all__ = ["Inbox", "load_jobs"]
 
 
--- a/packages/mimosapoint/src/mimosapoint/cell/owner.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/owner.py
@@ -14,25 +14,16 @@
 from mimosapoint.cell.fleet import Fleet
 from mimosapoint.cell.inbox import Inbox, load_jobs
 from mimosapoint.cell.link import WorkerLink
-from mimosapoint.cell.operators import OperatorView
 from mimosapoint.cell.planner import Plan, Planner
+from mimosapoint.cell.ports import Ports
 from mimosapoint.cell.preemption import loss_of
 from mimosapoint.cell.settings import CellSettings
 from mimosapoint.cell.summary import SummaryWriter
 from mimosapoint.cell.units import Assignment, Job, Unit, UnitState
-from mimosapoint.ports import (
-    Clock,
-    EndedRun,
-    Registration,
-    RunStatus,
-    RunWorkers,
-    Telemetry,
-    TransactionStore,
-    WorkerFormat,
-)
+from mimosapoint.ports import EndedRun, Registration, RunStatus
 from mimosapoint.workload import Amounts, RunEnd, TaskId
 
-__all__ = ["Owner", "Ports"]
+__all__ = ["Owner"]
 
 RUN_SHIFT = 20
 """Low bits of a run's number, which count the runs of one owner."""
@@ -47,34 +38,6 @@
 """What a run of an unknown job is taken to occupy: more than any worker has."""
 
 
-class Ports:
-    """What an owner stands on.
-
-    :param store: the store.
-    :param workers: the workers.
-    :param worker_format: how workers register.
-    :param view: what operators have written.
-    :param clock: clock of the node.
-    :param telemetry: logs and metrics.
-    """
-
-    def __init__(
-        self,
-        store: TransactionStore,
-        workers: RunWorkers,
-        worker_format: WorkerFormat,
-        view: OperatorView,
-        clock: Clock,
-        telemetry: Telemetry,
-    ):
-        self.store = store
-        self.workers = workers
-        self.worker_format = worker_format
-        self.view = view
-        self.clock = clock
-        self.telemetry = telemetry
-
-
 class Owner:
     """Runs the jobs of a cell for the time of one ownership.
 
--- a/packages/mimosapoint/src/mimosapoint/cell/summary.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/summary.py
@@ -1,22 +1,16 @@
 """Counts of waiting jobs, published for every node."""
 
-from __future__ import annotations
-
-from typing import TYPE_CHECKING
-
 import trio
 
 from mimosapoint.cell.book import JobBook
 from mimosapoint.cell.claim import Claim
 from mimosapoint.cell.keys import EPOCH_KEY, SUMMARY_KEY
+from mimosapoint.cell.ports import Ports
 from mimosapoint.cell.settings import CellSettings
 from mimosapoint.codec import to_json
 from mimosapoint.errors import StoreTimeout, StoreUnavailable
 from mimosapoint.ports import Conflict, Write
 
-if TYPE_CHECKING:
-    from mimosapoint.cell.owner import Ports
-
 __all__ = ["SummaryWriter"]
 
 
