End every process that the soak started

Cause: seven nodes of the first soak were still running ten minutes later. Two faults may restart the same node at once; the second replaced the first in the list, and only the list was ended. Every started process is remembered now, and a node that runs is not started again.

--- a/tools/soak/site.py
+++ b/tools/soak/site.py
@@ -78,6 +78,7 @@
         self.worker_proxies: list[Proxy] = []
         self.store_proxies: list[Proxy] = []
         self.processes: list[trio.Process | None] = []
+        self._started: list[trio.Process] = []
         self.addresses: list[str] = []
 
     async def start(self, nodes: int, workers: int) -> None:
@@ -95,7 +96,10 @@
         self.nursery.start_soon(self._beat)
 
     async def start_node(self, number: int) -> None:
-        """Start a node's process."""
+        """Start a node's process, unless another fault has started it again."""
+        running = self.processes[number]
+        if running is not None and running.returncode is None:
+            return
         probe, metrics = free_addresses(2)
         settings = self.folder / f"node-{number}.yaml"
         settings.write_text(
@@ -106,12 +110,14 @@
         )
         environment = {**os.environ, "MIMOSAPOINT_CONFIG": str(settings)}
         with (self.folder / f"node-{number}.log").open("ab") as log:
-            self.processes[number] = await trio.lowlevel.open_process(
+            process = await trio.lowlevel.open_process(
                 [sys.executable, str(ROOT / "platform" / "run.py")],
                 stdout=log,
                 stderr=log,
                 env=environment,
             )
+        self.processes[number] = process
+        self._started.append(process)
 
     async def signal_node(self, number: int, name: str) -> None:
         """Send a signal to a node's process, if it runs."""
@@ -127,8 +133,8 @@
 
     async def stop(self) -> None:
         """End every process that was started here."""
-        for process in self.processes:
-            if process is not None and process.returncode is None:
+        for process in self._started:
+            if process.returncode is None:
                 process.kill()
                 await process.wait()
 
