Count a failure that an earlier owner could not store, also beside a newer run

A run failed at 1.18 s; it could not store that, but started the next run, which it may until its ownership is over. The next owner adopted the newer run first and then met the unacknowledged failure of the older one, which it took for superseded and dropped, so the unit got four attempts of three. Ruled out by the log of a repeat: lost commits (the second and third failure were stored), lapsed leases, early acknowledgement. A failure now counts whenever it is found; it does not stop the newer run. The test fails without the change.

--- a/packages/mimosapoint/src/mimosapoint/cell/owner.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/owner.py
@@ -166,7 +166,8 @@
         unit = self.book.find(unit_id) if unit_id else None
         if unit is None or unit.state in (UnitState.DONE, UnitState.DROPPED):
             return
-        if ended.run < unit.run and unit.state is UnitState.ACTIVE:
+        superseded = ended.run < unit.run and unit.state is UnitState.ACTIVE
+        if superseded and ended.end is not RunEnd.FAILED:
             return
         self._telemetry.event(
             "run-over",
@@ -177,13 +178,16 @@
             end=ended.end,
             reason="found",
         )
-        self.book.save_checkpoint(unit, ended.checkpoint, durable=True)
+        if not superseded:
+            self.book.save_checkpoint(unit, ended.checkpoint, durable=True)
         if ended.end is RunEnd.DONE:
             self.book.finish_unit(unit)
             self._stop_unit(unit, "done-elsewhere")
         elif ended.end is RunEnd.FAILED:
             self.book.fail_run(unit, ended.run)
-            self._after_failure(unit)
+            # A failure counts whenever it is found; it does not end a run that began after it.
+            if job.progress.phase.ended or not superseded:
+                self._after_failure(unit)
         self.changed()
 
     async def store_ends(self, ended: tuple[EndedRun, ...]) -> None:
--- a/packages/mimosapoint/src/mimosapoint/cell/tests/test_faults.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_faults.py
@@ -305,6 +305,26 @@
             self.assertEqual(3, len(failed))
             self.check(site)
 
+    async def test_an_unstored_failure_counts_though_a_newer_run_has_begun(self):
+        async with open_site(workers=2) as site:
+            site.pool.run_time = timedelta(seconds=6)
+            site.pool.failing = {"w0"}
+            await site.submit("a", Step(1, WIDE, gang=True))
+            with trio.fail_after(1):
+                while not site.runs("a"):
+                    await trio.sleep(0.001)
+            site.owner.store.fault = "silent"
+            await site.wait_running("a")
+            self.assertEqual("w1", site.running("a")[0].worker)
+            await trio.sleep(3)
+            owners = [node.cell.owner for node in site.nodes if node.store.fault == ""]
+            book = next(owner.book for owner in owners if owner is not None)
+            failed = book.jobs_by_id["a"].progress.failed_runs
+            self.assertEqual([1], [len(runs) for runs in failed.values()])
+            await site.wait_phase("a", Phase.COMPLETE)
+            self.assertEqual(2, len(site.runs("a")))
+            self.check(site)
+
     async def test_a_gang_whose_member_is_refused_leaves_no_member_alone(self):
         async with open_site(workers=3) as site:
             site.workers.links_by_address["10.0.0.0:1"].unhealthy = True
