Keep the room freed for an urgent gang from other urgent units

Ruled out: stops without an answer, a change of owner. Units for which room is being freed now come before others of their priority, in the order in which they came.

--- a/packages/mimosapoint/src/mimosapoint/cell/planner.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/planner.py
@@ -96,8 +96,9 @@
         """
         plan = Plan()
         room = Room(links, now)
-        order = sorted(waiting, key=lambda unit: _rank(unit, catalog, now))
+        order = list(waiting)
         self._drop_old(order, now)
+        order.sort(key=lambda unit: self._rank(unit, catalog, now))
         victims: list[Unit] | None = None
         blocked: set[tuple] = set()
         held = 0
@@ -130,6 +131,25 @@
                     )
         return plan
 
+    def _rank(self, unit: Unit, catalog: Catalog, now: datetime) -> tuple:
+        """Return the sort key of a waiting unit: urgent first, then by latest start in time.
+
+        Units for which room is being freed come before others of their priority, which would take
+        that room, and in the order in which they came.
+        """
+        job = unit.job
+        latest_start = job.latest_end(unit.id.occurrence) - job.record.chain()
+        is_holder = unit.id in self._reservations
+        return (
+            priority_of(unit, catalog),
+            not is_holder,
+            not is_holder and latest_start < now,
+            unit.since if is_holder else latest_start,
+            unit.id.job,
+            unit.id.step,
+            unit.id.index,
+        )
+
     def _make_room(
         self, plan: Plan, room: Room, unit: Unit, pool: str, victims: list[Unit], now: datetime
     ) -> None:
@@ -172,20 +192,6 @@
     return queue.priority if queue else unit.job.record.priority
 
 
-def _rank(unit: Unit, catalog: Catalog, now: datetime) -> tuple:
-    """Return the sort key of a waiting unit: urgent first, then by latest start in time."""
-    job = unit.job
-    latest_start = job.latest_end(unit.id.occurrence) - job.record.chain()
-    return (
-        priority_of(unit, catalog),
-        latest_start < now,
-        latest_start,
-        unit.id.job,
-        unit.id.step,
-        unit.id.index,
-    )
-
-
 def _shape(unit: Unit) -> tuple:
     """Return what decides whether a unit fits; of units that look alike, one tells for all."""
     step = unit.step
--- a/packages/mimosapoint/src/mimosapoint/cell/tests/test_planner.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_planner.py
@@ -152,6 +152,21 @@
         self.assertIn("u", self.started(plan))
         self.assertEqual(1, len({link.registration.rack for link in plan.starts[0].links}))
 
+    def test_no_other_urgent_unit_takes_the_room_that_is_freed_for_it(self):
+        self.fill()
+        longer = Step(3, WIDE, timedelta(seconds=9), gang=True, rack_local=True)
+        self.submit("u", 0, longer)
+        stopped = [stop.unit for stop in self.decide().stops]
+        self.assertGreater(len(stopped), 1)
+        for number, unit in enumerate(stopped):
+            self.clock.time += timedelta(milliseconds=100)
+            self.submit(f"small{number}", 0, Step(1, SMALL, gang=True))
+            self.end(unit)
+            plan = self.decide()
+            if "u" in self.started(plan):
+                break
+        self.assertIn("u", self.started(plan))
+
     def test_it_stops_nothing_when_stopping_does_not_help(self):
         self.fill()
         self.submit("u", 0, Step(7, WIDE, gang=True))
