--- /dev/null
+++ b/tools/tests/test_build.py
@@ -0,0 +1,61 @@
+"""The build for the users' platform, also beside nodes that run."""
+
+import shutil
+import subprocess
+import tempfile
+import unittest
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parents[2]
+COPIED = ("deploy", "platform", "packages/mimosapoint", "packages/mimosapoint-node")
+LOCK = "# no dependencies\n"
+
+
+class BuildTest(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.root = Path(folder.name)
+        for name in COPIED:
+            ignored = shutil.ignore_patterns("__pycache__")
+            shutil.copytree(ROOT / name, self.root / name, ignore=ignored)
+        # With the lock in place the build installs nothing, so no network is needed.
+        (self.root / "requirements.lock").write_text(LOCK)
+        (self.root / "target/deps").mkdir(parents=True)
+        (self.root / "target/deps/.lock").write_text(LOCK)
+
+    def build(self) -> Path:
+        """Build and return the folder that a node started now runs from."""
+        subprocess.run(["sh", "deploy/build.sh"], cwd=self.root, check=True)
+        return (self.root / "target/program").resolve()
+
+    def test_a_node_runs_from_target_alone(self):
+        program = self.build()
+        shutil.rmtree(self.root / "packages")
+        shutil.rmtree(self.root / "platform")
+        for name in ("run.py", "mimosapoint_platform", "mimosapoint", "mimosapoint_node"):
+            self.assertTrue((program / name).exists(), name)
+
+    def test_a_build_leaves_the_files_of_running_nodes_as_they_are(self):
+        earlier = self.build()
+        before = {path: path.read_bytes() for path in earlier.rglob("*.py")}
+        with (self.root / "packages/mimosapoint/src/mimosapoint/errors.py").open("a") as source:
+            source.write("CHANGED = True\n")
+        later = self.build()
+        self.assertNotEqual(earlier, later)
+        self.assertEqual(before, {path: path.read_bytes() for path in earlier.rglob("*.py")})
+        self.assertIn("CHANGED", (later / "mimosapoint/errors.py").read_text())
+
+    def test_a_build_of_the_same_sources_changes_nothing(self):
+        self.assertEqual(self.build(), self.build())
+
+    def test_the_library_and_the_adapter_are_of_one_version(self):
+        earlier = self.build()
+        with (self.root / "platform/mimosapoint_platform/settings.py").open("a") as source:
+            source.write("CHANGED = True\n")
+        self.build()
+        self.assertNotIn("CHANGED", (earlier / "mimosapoint_platform/settings.py").read_text())
+
+
+if __name__ == "__main__":
+    unittest.main()
