Let a call look at one connection in place of the whole pool

Change: the client keeps idle connections itself, newest first, and asks the library's own connection only of the one that it takes; connections idle for 30 s are closed, as before.

Tests: mimosapoint_node.platform.tests.test_client; two of six failed before.

--- a/packages/mimosapoint-node/src/mimosapoint_node/platform/_client.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/platform/_client.py
@@ -1,7 +1,8 @@
 """HTTP calls whose failures are typed by whether the call may have had its effect."""
 
-from collections import OrderedDict
-from collections.abc import Callable
+from collections import OrderedDict, deque
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
 from datetime import timedelta
 from typing import TypeVar
 from urllib.parse import quote, urlencode
@@ -53,6 +54,89 @@
     body: bytes
 
 
+class _Pool:
+    """Connections to one address.
+
+    The library's own pool looks at every connection, with a system call each, at every request;
+    here a request looks only at the one that it takes.
+
+    :param address: ``IP:port``.
+    :param limit: number of connections at most.
+    """
+
+    def __init__(self, address: str, limit: int):
+        host, _, port = address.rpartition(":")
+        self._origin = httpcore.Origin(b"http", host.encode(), int(port))
+        self._idle: deque[tuple[float, httpcore.AsyncHTTPConnection]] = deque()
+        self._limit = trio.CapacityLimiter(limit)
+
+    def request(
+        self, method: str, path: str, body: bytes, headers: dict[str, str], connect_time: float
+    ) -> httpcore.Request:
+        """Return a request to the address.
+
+        :param connect_time: time that a new connection may take, in seconds.
+        """
+        origin = self._origin
+        fields = [
+            (b"Host", b"%b:%d" % (origin.host, origin.port)),
+            (b"Content-Length", b"%d" % len(body)),
+        ]
+        fields += [(name.encode(), value.encode()) for name, value in headers.items()]
+        url = httpcore.URL(
+            scheme=origin.scheme, host=origin.host, port=origin.port, target=path.encode()
+        )
+        limits = {"connect": connect_time}
+        return httpcore.Request(
+            method, url, headers=fields, content=body, extensions={"timeout": limits}
+        )
+
+    @asynccontextmanager
+    async def stream(self, request: httpcore.Request) -> AsyncIterator[httpcore.Response]:
+        """Send a request and give the beginning of its response."""
+        async with self._limit:
+            connection = await self._take()
+            try:
+                response = await connection.handle_async_request(request)
+                try:
+                    yield response
+                finally:
+                    await response.aclose()
+            except BaseException:
+                await _close(connection)
+                raise
+            await self._put_back(connection)
+
+    async def close(self) -> None:
+        """Close the connections that are not in use."""
+        while self._idle:
+            await _close(self._idle.pop()[1])
+
+    async def _take(self) -> httpcore.AsyncHTTPConnection:
+        """Return the connection that was used last and is still open, or a new one."""
+        while self._idle:
+            _, connection = self._idle.pop()
+            if not connection.has_expired():
+                return connection
+            await _close(connection)
+        return httpcore.AsyncHTTPConnection(self._origin)
+
+    async def _put_back(self, connection: httpcore.AsyncHTTPConnection) -> None:
+        """Keep the connection for the next request; close those that were idle for too long."""
+        now = trio.current_time()
+        if connection.is_idle():
+            self._idle.append((now, connection))
+        else:
+            await _close(connection)
+        while self._idle and now - self._idle[0][0] > IDLE_TIMEOUT.total_seconds():
+            await _close(self._idle.popleft()[1])
+
+
+async def _close(connection: httpcore.AsyncHTTPConnection) -> None:
+    with trio.CancelScope(shield=True):
+        await connection.aclose()
+
+
 @attrs.frozen
 class Client:
     """Calls to one service of the platform.
@@ -71,9 +155,7 @@
     timeout: timedelta = CALL_TIMEOUT
     connect_timeout: timedelta = CONNECT_TIMEOUT
     connections: int = 16
-    _pools_by_address: OrderedDict[str, httpcore.AsyncConnectionPool] = attrs.field(
-        init=False, factory=OrderedDict
-    )
+    _pools_by_address: OrderedDict[str, _Pool] = attrs.field(init=False, factory=OrderedDict)
 
     async def call(
         self,
@@ -120,7 +202,7 @@
     async def close(self) -> None:
         """Close the connections."""
         while self._pools_by_address:
-            await self._pools_by_address.popitem()[1].aclose()
+            await self._pools_by_address.popitem()[1].close()
 
     async def _send(
         self,
@@ -144,16 +226,11 @@
         self, method: str, address: str, path: str, body: bytes, headers: dict[str, str]
     ) -> Reply:
         pool = await self._pool(address)
-        limits = {"connect": self.connect_timeout.total_seconds()}
-        async with pool.stream(
-            method,
-            f"http://{address}{path}",
-            headers={"Host": address, **headers},
-            content=body,
-            extensions={"timeout": limits},
-        ) as response:
-            headers = {name.lower(): value for name, value in response.headers}
-            return Reply(response.status, headers, await self._read_body(response))
+        connect_time = self.connect_timeout.total_seconds()
+        request = pool.request(method, path, body, headers, connect_time)
+        async with pool.stream(request) as response:
+            answered = {name.lower(): value for name, value in response.headers}
+            return Reply(response.status, answered, await self._read_body(response))
 
     async def _read_body(self, response: httpcore.Response) -> bytes:
         parts = []
@@ -165,21 +242,16 @@
                 raise self.doubtful(f"reply over {BODY_LIMIT_BYTES} bytes")
         return b"".join(parts)
 
-    async def _pool(self, address: str) -> httpcore.AsyncConnectionPool:
+    async def _pool(self, address: str) -> _Pool:
         """Return the address's own pool; one pool for all is searched through at each call."""
-        pool = self._pools_by_address.get(address) or self._make_pool()
-        self._pools_by_address[address] = pool
+        pool = self._pools_by_address.get(address)
+        if pool is None:
+            pool = self._pools_by_address[address] = _Pool(address, self.connections)
         self._pools_by_address.move_to_end(address)
         if len(self._pools_by_address) > ADDRESS_LIMIT:
-            await self._pools_by_address.popitem(last=False)[1].aclose()
+            await self._pools_by_address.popitem(last=False)[1].close()
         return pool
 
-    def _make_pool(self) -> httpcore.AsyncConnectionPool:
-        return httpcore.AsyncConnectionPool(
-            max_connections=self.connections,
-            keepalive_expiry=IDLE_TIMEOUT.total_seconds(),
-        )
-
     def _error(self, reply: Reply) -> MimosapointError:
         problem = self.read(reply, Problem)
         error = error_of(problem)
--- /dev/null
+++ b/packages/mimosapoint-node/src/mimosapoint_node/platform/tests/test_client.py
@@ -0,0 +1,137 @@
+"""Connections of the HTTP client."""
+
+import unittest
+from datetime import timedelta
+from functools import partial
+from unittest import mock
+
+import trio
+from mimosapoint.errors import WorkerRefused, WorkerUnreachable
+
+from mimosapoint_node.platform import Client, _client
+
+REPLY = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+CLOSING = b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok"
+
+
+class Server:
+    """Answers every request on a connection; counts connections and open ones."""
+
+    def __init__(self, reply=REPLY):
+        self.reply = reply
+        self.delay = 0.0
+        self.accepted = 0
+        self.open = 0
+
+    async def handle(self, stream):
+        self.accepted += 1
+        self.open += 1
+        try:
+            async for part in stream:
+                # A body comes apart from its head, which alone has the protocol's name.
+                for _ in range(part.count(b" HTTP/1.1\r\n")):
+                    await trio.sleep(self.delay)
+                    await stream.send_all(self.reply)
+        except trio.BrokenResourceError:
+            pass  # the client closed the connection, which tests do
+        finally:
+            self.open -= 1
+
+
+class ClientTest(unittest.TestCase):
+    def play(self, test, server, **options):
+        async def run():
+            client = Client(WorkerRefused, WorkerUnreachable, **options)
+            async with trio.open_nursery() as nursery:
+                listeners = await nursery.start(
+                    partial(trio.serve_tcp, server.handle, 0, host="127.0.0.1")
+                )
+                port = listeners[0].socket.getsockname()[1]
+                with trio.fail_after(5):
+                    await test(client, f"127.0.0.1:{port}")
+                    await client.close()
+                nursery.cancel_scope.cancel()
+
+        trio.run(run)
+
+    def test_calls_in_a_row_use_one_connection(self):
+        async def test(client, address):
+            for _ in range(3):
+                reply = await client.call("POST", address, "/", b"body")
+                self.assertEqual(b"ok", reply.body)
+
+        server = Server()
+        self.play(test, server)
+        self.assertEqual(1, server.accepted)
+
+    def test_a_call_looks_at_one_idle_connection(self):
+        looks = []
+
+        async def test(client, address):
+            await self.call_at_once(client, address, 4)
+            expired = _client.httpcore.AsyncHTTPConnection.has_expired
+            with mock.patch.object(
+                _client.httpcore.AsyncHTTPConnection,
+                "has_expired",
+                lambda connection: looks.append(1) or expired(connection),
+            ):
+                await client.call("GET", address, "/")
+
+        server = Server()
+        server.delay = 0.01
+        self.play(test, server)
+        self.assertEqual((4, 1), (server.accepted, len(looks)))
+
+    def test_connections_are_bounded(self):
+        async def test(client, address):
+            await self.call_at_once(client, address, 9)
+
+        server = Server()
+        server.delay = 0.01
+        self.play(test, server, connections=3)
+        self.assertEqual(3, server.accepted)
+
+    def test_a_connection_that_the_server_closes_is_not_used_again(self):
+        async def test(client, address):
+            for _ in range(3):
+                await client.call("GET", address, "/")
+
+        server = Server(CLOSING)
+        self.play(test, server)
+        self.assertEqual(3, server.accepted)
+
+    def test_a_call_that_takes_too_long_closes_its_connection(self):
+        async def test(client, address):
+            with self.assertRaises(WorkerUnreachable):
+                await client.call("GET", address, "/")
+            await trio.sleep(0.2)
+            server.delay = 0.0
+            await client.call("GET", address, "/")
+            self.assertEqual(1, server.open)
+
+        server = Server()
+        server.delay = 0.2
+        self.play(test, server, timeout=timedelta(milliseconds=100))
+        self.assertEqual(2, server.accepted)
+
+    def test_connections_that_are_idle_for_too_long_are_closed(self):
+        async def test(client, address):
+            await self.call_at_once(client, address, 3)
+            await trio.sleep(0.05)
+            with mock.patch.object(_client, "IDLE_TIMEOUT", timedelta(milliseconds=20)):
+                await client.call("GET", address, "/")
+            await trio.sleep(0.01)
+            self.assertEqual(1, server.open)
+
+        server = Server()
+        server.delay = 0.01
+        self.play(test, server)
+
+    async def call_at_once(self, client, address, count):
+        async with trio.open_nursery() as nursery:
+            for _ in range(count):
+                nursery.start_soon(client.call, "GET", address, "/")
+
+
+if __name__ == "__main__":
+    unittest.main()
