Keep a small owner within its processor, enforce guarantees in time

The planner did not know guarantees.

Changes: starts under way are bounded by a window that late timers halve (cell/load.py); a decision is followed by a pause of four times its length, 100 ms at most; a small node lets workers hold answers for 2 s; victims and held room are found with less counting; guarantees (cell/guarantees.py): a covered job that has waited for 800 ms goes before all others and may stop urgent work that borrows.

Tests: cell.tests.test_load; GuaranteeTest in test_planner, which failed before. One test changed: in test_no_other_urgent_unit_takes_the_room_that_is_freed_for_it both jobs now belong to a workspace without a guarantee, as a covered job may go first; the check itself is as it was.

--- a/packages/mimosapoint/src/mimosapoint/cell/holding.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/holding.py
@@ -21,34 +21,43 @@
     :param is_lower: whether another unit gives way to this one.
     """
     groups = list(room.spots_by_rack.values()) if one_rack else [room.spots]
+    candidates = [
+        _Candidates([spot for spot in group if spot.serves(unit, pool)], unit) for group in groups
+    ]
     for counts_as_free in (
         lambda assignment: assignment.unit is None or is_lower(assignment.unit),
         lambda assignment: True,
     ):
-        best: list[Spot] | None = None
-        best_now = -1
-        for group in groups:
-            spots = [spot for spot in group if spot.serves(unit, pool)]
-            chosen = _choose(spots, unit, counts_as_free)
-            now = sum(spot.times(unit) for spot in spots)
-            if chosen is not None and now > best_now:
-                best, best_now = chosen, now
-        if best is not None:
-            room.take(best, unit)
-            return True
+        # The group with the most room now comes first, so the first that will do is the best.
+        for group in sorted(candidates, key=lambda each: each.times_now, reverse=True):
+            chosen = group.choose(unit, counts_as_free)
+            if chosen is not None:
+                room.take(chosen, unit)
+                return True
     return False
 
 
-def _choose(
-    spots: list[Spot], unit: Unit, counts_as_free: Callable[[Assignment], bool]
-) -> list[Spot] | None:
-    chosen: list[Spot] = []
-    for spot in sorted(spots, key=lambda spot: spot.times(unit), reverse=True):
-        times = spot.times(unit, _later_free(spot, counts_as_free))
-        chosen += [spot] * min(times, unit.size - len(chosen))
-        if len(chosen) == unit.size:
-            return chosen
-    return None
+class _Candidates:
+    """Workers on which a unit may be placed together, those with the most room first.
+
+    :param spots: the workers.
+    :param unit: the unit.
+    """
+
+    def __init__(self, spots: list[Spot], unit: Unit):
+        times_by_spot = {spot: spot.times(unit) for spot in spots}
+        self.times_now = sum(times_by_spot.values())
+        self._spots = sorted(spots, key=times_by_spot.__getitem__, reverse=True)
+
+    def choose(self, unit: Unit, counts_as_free: Callable[[Assignment], bool]) -> list[Spot] | None:
+        """Return a spot for each task, or ``None`` when the unit will not fit."""
+        chosen: list[Spot] = []
+        for spot in self._spots:
+            times = spot.times(unit, _later_free(spot, counts_as_free))
+            chosen += [spot] * min(times, unit.size - len(chosen))
+            if len(chosen) == unit.size:
+                return chosen
+        return None
 
 
 def _later_free(spot: Spot, counts_as_free: Callable[[Assignment], bool]) -> Amounts:
--- a/packages/mimosapoint/src/mimosapoint/cell/owner.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/owner.py
@@ -12,8 +12,10 @@
 from mimosapoint.cell.claim import Claim
 from mimosapoint.cell.committer import Committer
 from mimosapoint.cell.fleet import Fleet
+from mimosapoint.cell.guarantees import covered_jobs
 from mimosapoint.cell.inbox import Inbox, load_jobs
 from mimosapoint.cell.link import WorkerLink
+from mimosapoint.cell.load import OrderWindow
 from mimosapoint.cell.planner import Plan, Planner
 from mimosapoint.cell.ports import Ports
 from mimosapoint.cell.preemption import loss_of
@@ -21,7 +23,7 @@
 from mimosapoint.cell.summary import SummaryWriter
 from mimosapoint.cell.units import Assignment, Job, Unit, UnitState
 from mimosapoint.ports import EndedRun, Registration, RunStatus
-from mimosapoint.workload import Amounts, RunEnd, TaskId
+from mimosapoint.workload import Amounts, JobRecord, RunEnd, TaskId
 
 __all__ = ["Owner"]
 
@@ -66,7 +68,8 @@
         self.fleet = Fleet(claim, ports.store, ports.worker_format, ports.clock, settings)
         self._inbox = Inbox(ports, self.book, settings, self._cancel, self.changed)
         self._summary = SummaryWriter(ports, self.book, claim, settings)
-        self._planner = Planner()
+        self._window = OrderWindow(settings, ports.telemetry)
+        self._planner = Planner(self._window.admits)
         self._runs = 0
         self._unwanted: Counter[TaskId] = Counter()
         self._settled = False
@@ -86,6 +89,7 @@
             nursery.start_soon(self.fleet.run, self._ports.telemetry, self.changed)
             nursery.start_soon(self.committer.run)
             nursery.start_soon(self._summary.run)
+            nursery.start_soon(self._window.run)
             nursery.start_soon(self._decide)
 
     # What links ask and tell
@@ -202,11 +206,13 @@
         """Decide whenever something has changed."""
         while True:
             self.committer.wake()
+            began = trio.current_time()
             look_at = self._decide_once()
+            took = timedelta(seconds=trio.current_time() - began)
             pause = max(0.0, (look_at - self._clock.now()).total_seconds())
             with trio.move_on_after(pause):
                 await self._wake.wait()
-                await trio.sleep(self._settings.decision_pause.total_seconds())
+                await trio.sleep(self._settings.pause_after(took).total_seconds())
             self._wake = trio.Event()
 
     def _decide_once(self) -> datetime:
@@ -232,8 +238,9 @@
             if link.is_usable(now) and link.registration.zone not in view.withdrawn_zones
         ]
         began = trio.current_time()
+        covered = covered_jobs(self.book.jobs_by_id.values(), view.catalog)
         plan = self._planner.plan(
-            self._startable(), self.book.active_units(), links, view.catalog, now
+            self._startable(), self.book.active_units(), links, view.catalog, now, covered
         )
         self._telemetry.observe("cell_decision_seconds", trio.current_time() - began)
         return plan
@@ -293,10 +300,18 @@
             view_age=round(self._ports.view.age.total_seconds(), 3),
         )
         self._telemetry.observe("cell_wait_seconds", waited, priority=str(unit.job.record.priority))
+        self._window.begin(len(links))
         checkpoint = unit.checkpoint
         for task, link in zip(unit.tasks, links, strict=True):
             assignment = link.assign(unit, task, run)
-            self._nursery.start_soon(link.start, assignment, unit.job.record, checkpoint)
+            self._nursery.start_soon(self._order_start, assignment, unit.job.record, checkpoint)
+
+    async def _order_start(self, assignment: Assignment, job: JobRecord, checkpoint: str) -> None:
+        try:
+            await assignment.link.start(assignment, job, checkpoint)
+        finally:
+            if self._window.end():
+                self.changed()
 
     def _stop_unit(self, unit: Unit, reason: str) -> None:
         if not unit.assignments_by_task or unit.stop_reason:
--- a/packages/mimosapoint/src/mimosapoint/cell/placing.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/placing.py
@@ -6,11 +6,12 @@
 __all__ = ["fits_one_rack", "place"]
 
 
-def place(room: Room, unit: Unit, pool: str, spread: bool = False) -> list[Spot] | None:
+def place(room: Room, unit: Unit, pool: str) -> list[Spot] | None:
     """Return a spot for each task of the unit, or ``None`` when it does not fit.
 
+    A gang that wants one rack spans several only when none can hold it.
+
     :param pool: service whose workers may run it.
-    :param spread: whether a gang that wants one rack may span racks.
     """
     step = unit.step
     if not step.gang:
@@ -25,7 +26,7 @@
         score = (bool(step.data_rack) and rack != step.data_rack, left)
         if best is None or score < best_score:
             best, best_score = _fill(counts, step.count), score
-    if best is not None or (step.rack_local and not spread):
+    if best is not None or (step.rack_local and fits_one_rack(room, unit, pool)):
         return best
     counts = _counts(room.spots, unit, pool)
     return _fill(counts, step.count) if sum(counts.values()) >= step.count else None
--- a/packages/mimosapoint/src/mimosapoint/cell/planner.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/planner.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from datetime import datetime, timedelta
 
 import attrs
@@ -24,6 +24,10 @@
 HELD_UNITS = 2
 """Most waiting gangs for which room is kept at once; more would leave too much of it idle."""
 
+RECLAIM_PATIENCE = timedelta(milliseconds=800)
+"""Time after which a covered job goes before all others and stops urgent work that borrows; a third
+of the time in which guarantees must be met, 2.7 s, so that a stop and a start fit into the rest."""
+
 FIRST_PRIORITY = 0
 """Priority whose units may stop others."""
 
@@ -65,6 +69,11 @@
     stops: list[Stop] = attrs.field(factory=list)
     next_look: datetime | None = None
 
+    @property
+    def task_count(self) -> int:
+        """Number of tasks that start."""
+        return sum(len(start.links) for start in self.starts)
+
 
 @attrs.define
 class _Reservation:
@@ -74,10 +83,43 @@
     until: datetime
 
 
+@attrs.define
+class _Victims:
+    """Units that may be stopped.
+
+    :param lower: units of other priorities, for any urgent unit.
+    :param borrowing: urgent units that no guarantee covers, for those that one does.
+    """
+
+    lower: list[Unit]
+    borrowing: list[Unit]
+
+    @classmethod
+    def among(cls, active: Iterable[Unit], catalog: Catalog, covered: frozenset[str]) -> _Victims:
+        """Return those among the units that have runs."""
+        stoppable = [
+            unit
+            for unit in active
+            if unit.state is UnitState.ACTIVE and not unit.stop_reason and unit.end is None
+        ]
+        lower = [unit for unit in stoppable if priority_of(unit, catalog) > FIRST_PRIORITY]
+        urgent = [unit for unit in stoppable if priority_of(unit, catalog) == FIRST_PRIORITY]
+        return cls(lower, [unit for unit in urgent if unit.id.job not in covered])
+
+    def remove(self, unit: Unit) -> None:
+        """Take out a unit that is being stopped."""
+        victims = self.lower if unit in self.lower else self.borrowing
+        victims.remove(unit)
+
+
 class Planner:
-    """Makes decisions; it remembers the room that is being freed for urgent units."""
+    """Makes decisions; it remembers the room that is being freed for urgent units.
 
-    def __init__(self) -> None:
+    :param admits: whether so many starts may be ordered beside those that are planned already.
+    """
+
+    def __init__(self, admits: Callable[[int, int], bool] = lambda starts, planned: True) -> None:
+        self._admits = admits
         self._reservations: dict[UnitId, _Reservation] = {}
 
     def plan(
@@ -87,19 +129,21 @@
         links: Iterable[WorkerLink],
         catalog: Catalog,
         now: datetime,
+        covered: frozenset[str] = frozenset(),
     ) -> Plan:
         """Return the starts and stops of one decision.
 
         :param waiting: units that may start.
         :param active: units that have runs.
         :param links: workers that may take new work.
+        :param covered: jobs that the guarantees of their workspaces cover.
         """
         plan = Plan()
         room = Room(links, now)
         order = list(waiting)
         self._drop_old(order, now)
-        order.sort(key=lambda unit: self._rank(unit, catalog, now))
-        victims: list[Unit] | None = None
+        order.sort(key=lambda unit: self._rank(unit, catalog, now, covered))
+        victims: _Victims | None = None
         blocked: set[tuple] = set()
         held = 0
         for unit in order:
@@ -107,16 +151,19 @@
             shape = _shape(unit)
             if shape in blocked:
                 continue
-            spread = _may_spread(room, unit, pool)
-            spots = place(room, unit, pool, spread)
+            spots = place(room, unit, pool)
             if spots is not None:
+                if not self._admits(unit.size, plan.task_count):
+                    # Later units wait as well, or small ones would keep large gangs out.
+                    break
                 room.take(spots, unit)
                 self._reservations.pop(unit.id, None)
                 plan.starts.append(Start(unit, tuple(spot.link for spot in spots)))
             elif priority_of(unit, catalog) == FIRST_PRIORITY:
                 if victims is None:
-                    victims = [each for each in active if _may_stop(each, catalog)]
-                self._make_room(plan, room, unit, pool, victims, now)
+                    victims = _Victims.among(active, catalog, covered)
+                owed = _is_owed(unit, covered, now)
+                self._make_room(plan, room, unit, pool, victims, owed, now)
             else:
                 blocked.add(shape)
                 if held < HELD_UNITS and _is_large(unit):
@@ -126,22 +173,24 @@
                         room,
                         unit,
                         pool,
-                        not spread,
+                        unit.step.rack_local and fits_one_rack(room, unit, pool),
                         lambda other, priority=priority: priority_of(other, catalog) > priority,
                     )
         return plan
 
-    def _rank(self, unit: Unit, catalog: Catalog, now: datetime) -> tuple:
+    def _rank(self, unit: Unit, catalog: Catalog, now: datetime, covered: frozenset[str]) -> tuple:
         """Return the sort key of a waiting unit: urgent first, then by latest start in time.
 
-        Units for which room is being freed come before others of their priority, which would take
-        that room, and in the order in which they came.
+        What a guarantee covers and has waited for long comes before all others. Units for which
+        room is being freed come before others of their priority, which would take that room, and
+        in the order in which they came.
         """
         job = unit.job
         latest_start = job.latest_end(unit.id.occurrence) - job.record.chain()
         is_holder = unit.id in self._reservations
         return (
             priority_of(unit, catalog),
+            not _is_owed(unit, covered, now),
             not is_holder,
             not is_holder and latest_start < now,
             unit.since if is_holder else latest_start,
@@ -151,13 +200,23 @@
         )
 
     def _make_room(
-        self, plan: Plan, room: Room, unit: Unit, pool: str, victims: list[Unit], now: datetime
+        self,
+        plan: Plan,
+        room: Room,
+        unit: Unit,
+        pool: str,
+        victims: _Victims,
+        owed: bool,
+        now: datetime,
     ) -> None:
         """Reserve room that is being freed, or free some."""
         reservation = self._reservations.get(unit.id)
         spots_by_worker = {spot.link.id: spot for spot in room.spots}
         if reservation is None:
-            found = choose_victims(room, unit, pool, victims, now)
+            found = choose_victims(room, unit, pool, victims.lower, now)
+            if found is None and owed and victims.borrowing:
+                everything = victims.lower + victims.borrowing
+                found = choose_victims(room, unit, pool, everything, now)
             if found is None:
                 return
             for victim in found.victims:
@@ -205,16 +264,6 @@
     return unit.step.gang
 
 
-def _may_stop(unit: Unit, catalog: Catalog) -> bool:
-    return (
-        unit.state is UnitState.ACTIVE
-        and not unit.stop_reason
-        and unit.end is None
-        and priority_of(unit, catalog) > FIRST_PRIORITY
-    )
-
-
-def _may_spread(room: Room, unit: Unit, pool: str) -> bool:
-    """Tell whether a gang may span racks: when that costs nothing, or no rack can hold it."""
-    step = unit.step
-    return not (step.gang and step.rack_local) or not fits_one_rack(room, unit, pool)
+def _is_owed(unit: Unit, covered: frozenset[str], now: datetime) -> bool:
+    """Tell whether the unit's guarantee would soon be broken."""
+    return unit.id.job in covered and now - unit.job.seen_at >= RECLAIM_PATIENCE
--- a/packages/mimosapoint/src/mimosapoint/cell/preemption.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/preemption.py
@@ -50,67 +50,82 @@
 
     :param candidates: units that may be stopped.
     """
-    victims = sorted(candidates, key=lambda victim: loss_of(victim, now))
-    groups = (
-        list(room.spots_by_rack.values())
-        if unit.step.gang and unit.step.rack_local
-        else [room.spots]
-    )
+    losses_by_unit = {victim: loss_of(victim, now) for victim in candidates}
+    victims = sorted(losses_by_unit, key=losses_by_unit.__getitem__)
+    one_rack = unit.step.gang and unit.step.rack_local
+    groups = list(room.spots_by_rack.values()) if one_rack else [room.spots]
     best: Eviction | None = None
-    for spots in groups:
-        usable = [spot for spot in spots if spot.serves(unit, pool)]
-        found = _evict_within(usable, unit, victims, now)
+    for group in _Group.all_of(groups, unit, pool, victims):
+        found = group.evict(losses_by_unit)
         if found and (best is None or found.loss < best.loss):
             best = found
     return best
 
 
-def _evict_within(
-    spots: list[Spot], unit: Unit, victims: list[Unit], now: datetime
-) -> Eviction | None:
-    spots_by_worker = {spot.link.id: spot for spot in spots}
-    free_by_worker = {spot.link.id: spot.free for spot in spots}
-    chosen: list[Unit] = []
-    for victim in victims:
-        if _count(spots, unit, free_by_worker) >= unit.size:
-            break
-        gains = _gains(victim, spots_by_worker)
-        if gains:
-            _add(free_by_worker, gains, 1)
+class _Group:
+    """Workers that may hold a unit together, with the room that victims would free there.
+
+    :param spots: the workers.
+    :param unit: the unit that needs room.
+    """
+
+    def __init__(self, spots: list[Spot], unit: Unit):
+        self.spots_by_worker = {spot.link.id: spot for spot in spots}
+        self._unit = unit
+        self._free_by_worker = {spot.link.id: spot.free for spot in spots}
+        self._times_by_worker = {spot.link.id: spot.times(unit) for spot in spots}
+        self._total = sum(self._times_by_worker.values())
+        self._gains_by_victim: dict[Unit, list[tuple[str, Amounts]]] = {}
+
+    @classmethod
+    def all_of(
+        cls, groups: list[list[Spot]], unit: Unit, pool: str, victims: list[Unit]
+    ) -> list[_Group]:
+        """Return the groups, each with the victims that run on its workers, in their order."""
+        found = [cls([spot for spot in spots if spot.serves(unit, pool)], unit) for spots in groups]
+        group_by_worker = {worker: group for group in found for worker in group.spots_by_worker}
+        for victim in victims:
+            for assignment in victim.assignments_by_task.values():
+                group = group_by_worker.get(assignment.link.id)
+                if group is not None:
+                    gains = group._gains_by_victim.setdefault(victim, [])
+                    gains.append((assignment.link.id, assignment.amounts))
+        return found
+
+    def evict(self, losses_by_unit: dict[Unit, float]) -> Eviction | None:
+        """Return the cheapest victims first, without those that turn out not to be needed."""
+        chosen: list[Unit] = []
+        for victim in self._gains_by_victim:
+            if self._fits():
+                break
+            self._add(victim, 1)
             chosen.append(victim)
-    if _count(spots, unit, free_by_worker) < unit.size:
-        return None
-    for victim in sorted(chosen, key=lambda each: loss_of(each, now), reverse=True):
-        gains = _gains(victim, spots_by_worker)
-        _add(free_by_worker, gains, -1)
-        if _count(spots, unit, free_by_worker) >= unit.size:
-            chosen.remove(victim)
-        else:
-            _add(free_by_worker, gains, 1)
-    filled = _fill(spots, unit, free_by_worker)
-    return Eviction(tuple(chosen), filled, sum(loss_of(each, now) for each in chosen))
-
-
-def _count(spots: list[Spot], unit: Unit, free_by_worker: dict[str, Amounts]) -> int:
-    return sum(spot.times(unit, free_by_worker[spot.link.id]) for spot in spots)
-
-
-def _gains(victim: Unit, spots_by_worker: dict[str, Spot]) -> list[tuple[str, Amounts]]:
-    return [
-        (assignment.link.id, assignment.amounts)
-        for assignment in victim.assignments_by_task.values()
-        if assignment.link.id in spots_by_worker
-    ]
-
-
-def _add(free_by_worker: dict[str, Amounts], gains: list[tuple[str, Amounts]], sign: int) -> None:
-    for worker, amounts in gains:
-        free_by_worker[worker] += amounts.scaled(sign)
-
-
-def _fill(spots: list[Spot], unit: Unit, free_by_worker: dict[str, Amounts]) -> tuple[Spot, ...]:
-    filled: list[Spot] = []
-    for spot in spots:
-        times = spot.times(unit, free_by_worker[spot.link.id])
-        filled += [spot] * min(times, unit.size - len(filled))
-    return tuple(filled)
+        if not self._fits():
+            return None
+        for victim in sorted(chosen, key=losses_by_unit.__getitem__, reverse=True):
+            self._add(victim, -1)
+            if self._fits():
+                chosen.remove(victim)
+            else:
+                self._add(victim, 1)
+        return Eviction(
+            tuple(chosen), self._fill(), sum(losses_by_unit[victim] for victim in chosen)
+        )
+
+    def _fits(self) -> bool:
+        return self._total >= self._unit.size
+
+    def _add(self, victim: Unit, sign: int) -> None:
+        """Add the room that the victim frees, or take it away again."""
+        for worker, amounts in self._gains_by_victim[victim]:
+            free = self._free_by_worker[worker] + amounts.scaled(sign)
+            times = self.spots_by_worker[worker].times(self._unit, free)
+            self._free_by_worker[worker] = free
+            self._total += times - self._times_by_worker[worker]
+            self._times_by_worker[worker] = times
+
+    def _fill(self) -> tuple[Spot, ...]:
+        filled: list[Spot] = []
+        for worker, times in self._times_by_worker.items():
+            filled += [self.spots_by_worker[worker]] * min(times, self._unit.size - len(filled))
+        return tuple(filled)
--- a/packages/mimosapoint/src/mimosapoint/cell/settings.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/settings.py
@@ -26,7 +26,8 @@
     :param worker_wait: longest time that a worker may hold back an answer; a lost answer hides
         an end for that long.
     :param worker_wait_max: the same for large fleets; the longest that workers accept.
-    :param holds_per_second: calls above which the owner lets workers hold back answers longer.
+    :param holds_per_second: calls above which the owner lets workers hold back answers longer,
+        on a node with one core or more.
     :param start_window: time in which a start takes effect or never does; below the time that
         a gang's members wait for each other.
     :param order_timeout: time that a worker has to answer an order.
@@ -49,6 +50,17 @@
     :param weak_delay: time that other nodes leave to the strong ones.
     :param decision_pause: shortest time between two decisions; what happens meanwhile is
         decided together.
+    :param decision_share: largest share of the time that decisions take, so that links and
+        commits go on while many units wait; a fifth leaves them most of the processor.
+    :param decision_pause_max: longest pause between two decisions; below half of the shortest
+        latency objective of both sites, 250 ms.
+    :param lag_tick: time between two looks at how late this process's timers are.
+    :param lag_limit: delay of a timer from which the processor counts as short; three renewals
+        fit into an ownership, so a quarter of it leaves room for two delays.
+    :param orders_max: most starts under way while there is processor enough; above the largest
+        step of both sites, 230 tasks.
+    :param orders_min: fewest starts that may always be under way.
+    :param orders_step: starts by which the window grows with each look.
     :param claim_jitter: largest random delay before a claim; keeps candidates apart.
     :param retention: time for which ended jobs can be read; from the platform's pages.
     :param summary_interval: shortest time between two counts of waiting jobs.
@@ -78,6 +90,13 @@
     strong_link_mbps: float = 50.0
     weak_delay: timedelta = _ms(1500)
     decision_pause: timedelta = _ms(4)
+    decision_share: float = 0.2
+    decision_pause_max: timedelta = _ms(100)
+    lag_tick: timedelta = _ms(100)
+    lag_limit: timedelta = _ms(150)
+    orders_max: int = 512
+    orders_min: int = 4
+    orders_step: int = 4
     claim_jitter: timedelta = _ms(80)
     retention: timedelta = timedelta(seconds=150)
     summary_interval: timedelta = _ms(500)
@@ -89,5 +108,10 @@
 
     def wait_of(self, workers: int) -> timedelta:
         """Return how long each of so many workers may hold back an answer."""
-        wait = timedelta(seconds=workers / self.holds_per_second)
+        wait = timedelta(seconds=workers / (self.holds_per_second * min(1.0, self.cores)))
         return min(max(wait, self.worker_wait), self.worker_wait_max)
+
+    def pause_after(self, decision: timedelta) -> timedelta:
+        """Return the pause after a decision that took so long."""
+        pause = decision * (1 / self.decision_share - 1)
+        return min(max(pause, self.decision_pause), self.decision_pause_max)
--- a/packages/mimosapoint/src/mimosapoint/cell/tests/test_planner.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_planner.py
@@ -1,98 +1,17 @@
 """Decisions under load, each test named after the pattern that it answers."""
 
-import unittest
-from datetime import datetime, timedelta, timezone
+from datetime import timedelta
 
 import attrs
 
-from mimosapoint.cell.book import JobBook
-from mimosapoint.cell.link import WorkerLink
-from mimosapoint.cell.planner import Planner
-from mimosapoint.cell.settings import CellSettings
-from mimosapoint.cell.tests._site import CAPACITY, CATALOG, POOL, SMALL, WIDE
+from mimosapoint.cell.guarantees import covered_jobs
+from mimosapoint.cell.planner import RECLAIM_PATIENCE
+from mimosapoint.cell.tests._planning import PlannerCase
+from mimosapoint.cell.tests._site import CATALOG, SMALL, WIDE
 from mimosapoint.cell.units import UnitState
-from mimosapoint.ports import Registration
-from mimosapoint.telemetry import MemoryTelemetry
-from mimosapoint.workload import Amounts, JobRecord, Step
+from mimosapoint.workload import Amounts, Step
 
-START = datetime(2026, 1, 1, tzinfo=timezone.utc)
-QUEUES = ("urgent", "normal", "low")
 HALF = Amounts(52_000, 110_000, 4)
-RACK_SIZE = 3
-
-
-class FixedClock:
-    """A clock that tests move."""
-
-    def __init__(self):
-        self.time = START
-
-    def now(self):
-        return self.time
-
-
-class PlannerCase(unittest.TestCase):
-    def setUp(self):
-        self.clock = FixedClock()
-        self.book = JobBook(self.clock, MemoryTelemetry())
-        self.planner = Planner()
-        self.links = []
-        self.runs = 0
-
-    def add_workers(self, count):
-        for number in range(count):
-            rack = f"r{number // RACK_SIZE}"
-            registration = Registration(
-                f"w{number}", "a:1", POOL, rack, rack, frozenset({"a", rack}), CAPACITY
-            )
-            link = WorkerLink(
-                registration, 1, None, None, self.clock, CellSettings(), MemoryTelemetry()
-            )
-            self.links.append(link)
-
-    def submit(self, job, queue, *steps):
-        record = JobRecord(
-            job, QUEUES[queue], "t", POOL, "", steps, queue, 3, 3.0, timedelta(seconds=1), START
-        )
-        self.book.add(record, 1)
-
-    def decide(self):
-        """Carry a decision out at once and return it."""
-        plan = self.planner.plan(
-            self.book.waiting_by_id.values(),
-            self.book.active_units(),
-            self.links,
-            CATALOG,
-            self.clock.now(),
-        )
-        for stop in plan.stops:
-            stop.unit.stop_reason = stop.reason
-        for start in plan.starts:
-            self.runs += 1
-            self.book.activate(start.unit, self.runs)
-            for task, link in zip(start.unit.tasks, start.links, strict=True):
-                link.assign(start.unit, task, self.runs)
-        return plan
-
-    def end(self, unit):
-        """Take a unit's runs off their workers."""
-        for assignment in list(unit.assignments_by_task.values()):
-            link = assignment.link
-            del link.assignments_by_run[assignment.task, assignment.run]
-            link.used -= assignment.amounts
-        unit.assignments_by_task.clear()
-        if unit.stop_reason:
-            self.book.wait_again(unit)
-        else:
-            self.book.finish_unit(unit)
-
-    def started(self, plan):
-        return [start.unit.id.job for start in plan.starts]
-
-    def workers_of(self, plan, job):
-        return [
-            link.id for start in plan.starts if start.unit.id.job == job for link in start.links
-        ]
 
 
 class BurstOfLooseTasksTest(PlannerCase):
@@ -155,12 +74,12 @@
     def test_no_other_urgent_unit_takes_the_room_that_is_freed_for_it(self):
         self.fill()
         longer = Step(3, WIDE, timedelta(seconds=9), gang=True, rack_local=True)
-        self.submit("u", 0, longer)
+        self.submit("u", 0, longer, tenant="other")
         stopped = [stop.unit for stop in self.decide().stops]
         self.assertGreater(len(stopped), 1)
         for number, unit in enumerate(stopped):
             self.clock.time += timedelta(milliseconds=100)
-            self.submit(f"small{number}", 0, Step(1, SMALL, gang=True))
+            self.submit(f"small{number}", 0, Step(1, SMALL, gang=True), tenant="other")
             self.end(unit)
             plan = self.decide()
             if "u" in self.started(plan):
@@ -180,6 +99,68 @@
         self.assertEqual([], self.decide().stops)
 
 
+class GuaranteeTest(PlannerCase):
+    """The workspace "t" has 16 accelerators guaranteed, "other" has none."""
+
+    def test_a_covered_job_that_waits_comes_before_a_burst_of_others(self):
+        self.add_workers(1)
+        self.submit("running", 0, Step(1, WIDE, gang=True), tenant="other")
+        unit = self.decide().starts[0].unit
+        for number in range(4):
+            self.submit(f"burst{number}", 0, Step(1, WIDE, gang=True), tenant="other")
+        self.clock.time += timedelta(milliseconds=200)
+        self.submit("own", 0, Step(1, WIDE, gang=True))
+        self.clock.time += RECLAIM_PATIENCE
+        self.end(unit)
+        self.assertEqual(["own"], self.started(self.decide()))
+
+    def test_a_covered_job_takes_its_turn_while_its_guarantee_is_not_at_risk(self):
+        self.add_workers(1)
+        self.submit("earlier", 0, Step(1, WIDE, gang=True), tenant="other")
+        self.clock.time += timedelta(milliseconds=200)
+        self.submit("own", 0, Step(1, WIDE, gang=True))
+        self.assertEqual(["earlier"], self.started(self.decide()))
+
+    def test_a_covered_job_stops_urgent_work_that_borrows(self):
+        self.add_workers(2)
+        self.submit("lent", 0, Step(2, WIDE, gang=True), tenant="other")
+        self.decide()
+        self.submit("own", 0, Step(1, WIDE, gang=True))
+        self.assertEqual([], self.decide().stops)
+        self.clock.time += RECLAIM_PATIENCE
+        plan = self.decide()
+        self.assertEqual(["lent"], [stop.unit.id.job for stop in plan.stops])
+        self.end(plan.stops[0].unit)
+        self.assertEqual(["own"], self.started(self.decide()))
+
+    def test_other_work_is_stopped_before_urgent_work_that_borrows(self):
+        self.add_workers(2)
+        self.submit("lent", 0, Step(1, WIDE, gang=True), tenant="other")
+        self.submit("normal", 1, Step(1, WIDE, gang=True), tenant="other")
+        self.decide()
+        self.submit("own", 0, Step(1, WIDE, gang=True))
+        self.assertEqual(["normal"], [stop.unit.id.job for stop in self.decide().stops])
+
+    def test_a_workspace_beyond_its_guarantee_stops_no_urgent_work(self):
+        self.add_workers(4)
+        self.submit("lent", 0, Step(2, WIDE, gang=True), tenant="other")
+        self.submit("own", 0, Step(2, WIDE, gang=True))
+        self.decide()
+        self.submit("more", 0, Step(1, WIDE, gang=True))
+        self.clock.time += RECLAIM_PATIENCE
+        self.assertEqual([], self.decide().stops)
+
+    def test_ended_jobs_leave_the_guarantee_to_others(self):
+        self.add_workers(2)
+        self.submit("first", 0, Step(2, WIDE, gang=True))
+        unit = self.decide().starts[0].unit
+        self.submit("second", 0, Step(2, WIDE, gang=True))
+        jobs = self.book.jobs_by_id.values()
+        self.assertEqual({"first"}, covered_jobs(jobs, CATALOG))
+        self.end(unit)
+        self.assertEqual({"second"}, covered_jobs(jobs, CATALOG))
+
+
 class RackTest(PlannerCase):
     def test_a_gang_that_wants_one_rack_waits_for_it_when_one_could_hold_it(self):
         self.add_workers(6)
--- a/packages/mimosapoint/src/mimosapoint/cell/units.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/units.py
@@ -69,6 +69,8 @@
     :param stop_reason: why the newest run is being stopped; empty when it is not.
     :param stops: number of times that it was stopped for others.
     :param failed_on: workers on which runs of the unit failed.
+    :param step: step of the unit.
+    :param size: number of tasks.
     """
 
     id: UnitId
@@ -81,22 +83,18 @@
     stop_reason: str = ""
     stops: int = 0
     failed_on: set[str] = attrs.field(factory=set)
+    step: Step = attrs.field(init=False, repr=False)
+    size: int = attrs.field(init=False)
 
-    @property
-    def step(self) -> Step:
-        """Step of the unit."""
-        return self.job.record.steps[self.id.step]
+    def __attrs_post_init__(self) -> None:
+        self.step = self.job.record.steps[self.id.step]
+        self.size = self.step.count if self.step.gang else 1
 
     @property
     def tasks(self) -> tuple[TaskId, ...]:
         """Tasks of the unit."""
         return self.job.record.tasks_of(self.id)
 
-    @property
-    def size(self) -> int:
-        """Number of tasks."""
-        return self.step.count if self.step.gang else 1
-
     @property
     def checkpoint(self) -> str:
         """Newest checkpoint; empty for none."""
--- a/packages/mimosapoint/src/mimosapoint/telemetry/_cell_declarations.py
+++ b/packages/mimosapoint/src/mimosapoint/telemetry/_cell_declarations.py
@@ -25,6 +25,18 @@
     Metric(
         "cell_runs_over", MetricKind.COUNTER, "Runs of tasks by how they ended.", "runs", ("end",)
     ),
+    Metric(
+        "cell_starts_deferred",
+        MetricKind.COUNTER,
+        "Decisions in which a start had to wait for the answers to others.",
+        "decisions",
+    ),
+    Metric(
+        "cell_timer_lag_seconds",
+        MetricKind.HISTOGRAM,
+        "Delay of the owner's timers, which tells whether processor is short.",
+        "seconds",
+    ),
     Metric("cell_units_stopped", MetricKind.COUNTER, "Gangs and tasks that were ordered to stop."),
     Metric(
         "cell_store_failures",
@@ -79,6 +91,8 @@
     ("settings-refused", "The changed settings file has faults; the old settings hold."),
     ("settings-reloaded", "The settings file was read again."),
     ("start-unanswered", "A start got no answer; the worker's lists will tell."),
+    ("starts-limited", "Timers are late; fewer starts are under way at once."),
+    ("starts-unlimited", "Timers are in time again; starts are no longer limited."),
     ("stop-unanswered", "A stop got no answer; it is repeated."),
     ("store-lost", "A part of the node does not reach the store; it goes on trying."),
     ("store-regained", "A part of the node reaches the store again."),
--- a/packages/mimosapoint/src/mimosapoint/workload/core.py
+++ b/packages/mimosapoint/src/mimosapoint/workload/core.py
@@ -51,11 +51,16 @@
         times = MILLIS * MILLIS
         if self.cpu_millis:
             times = room.cpu_millis // self.cpu_millis
+        # Comparisons in place of min() and max(): a decision asks this thousands of times.
         if self.memory_mb:
-            times = min(times, room.memory_mb // self.memory_mb)
+            by_memory = room.memory_mb // self.memory_mb
+            if by_memory < times:
+                times = by_memory
         if self.accelerators:
-            times = min(times, room.accelerators // self.accelerators)
-        return max(0, times)
+            by_accelerators = room.accelerators // self.accelerators
+            if by_accelerators < times:
+                times = by_accelerators
+        return times if times > 0 else 0
 
     @property
     def cores(self) -> float:
