Carry the orders of a small owner by way of other nodes

Ruled out: the link; decisions, which take 1.5 of 7.2 s of the owner's profile; sending a few orders at a time.

Change: mimosapoint.relay, a RunWorkers over streams from nodes that join the owner, orders of one turn in one frame; cell.carriers joins and accepts; the owner's key names the address. Only owners below one core want it. Fences travel with the orders. docs/design/relay.md weighs the ways.

Tests: relay.tests.test_relay, cell.tests.test_carriers (killed carrier, cut carrier, next owner, silent, garbage).

--- /dev/null
+++ b/packages/mimosapoint-node/src/mimosapoint_node/tcp_links.py
@@ -0,0 +1,46 @@
+"""TCP streams between nodes."""
+
+import socket
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+
+import trio
+
+__all__ = ["TcpLinks"]
+
+CONNECT_TIMEOUT = timedelta(seconds=1)
+"""Time that another node has to take a connection."""
+
+
+class TcpLinks:
+    """Streams between nodes over TCP.
+
+    :param address: ``IP:port`` on which this node listens.
+    """
+
+    def __init__(self, address: str):
+        self.address = address
+
+    async def connect(self, address: str) -> trio.abc.Stream:
+        """Open a stream to another node.
+
+        :raises OSError: the node does not answer.
+        """
+        host, _, port = address.rpartition(":")
+        with trio.move_on_after(CONNECT_TIMEOUT.total_seconds()):
+            return _without_delay(await trio.open_tcp_stream(host, int(port)))
+        raise OSError(f"{address} does not answer")
+
+    async def serve(self, handler: Callable[[trio.abc.Stream], Awaitable[None]]) -> None:
+        """Give each stream that other nodes open to the handler, until cancelled."""
+
+        async def handle(stream: trio.SocketStream) -> None:
+            await handler(_without_delay(stream))
+
+        host, _, port = self.address.rpartition(":")
+        await trio.serve_tcp(handle, int(port), host=host)
+
+
+def _without_delay(stream: trio.SocketStream) -> trio.SocketStream:
+    stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return stream
--- a/packages/mimosapoint/src/mimosapoint/cell/claim.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/claim.py
@@ -9,7 +9,8 @@
 from mimosapoint.cell.keys import EPOCH_KEY, OWNER_KEY, OWNER_PREFIX
 from mimosapoint.cell.reach import Reach
 from mimosapoint.cell.settings import CellSettings
-from mimosapoint.errors import LeaseLost, StoreTimeout, StoreUnavailable
+from mimosapoint.codec import decode, encode
+from mimosapoint.errors import CodecError, LeaseLost, StoreTimeout, StoreUnavailable
 from mimosapoint.ports import (
     Clock,
     Conflict,
@@ -20,7 +21,19 @@
     Write,
 )
 
-__all__ = ["Claim", "Claimant"]
+__all__ = ["Claim", "Claimant", "OwnerRecord"]
+
+
+@attrs.frozen
+class OwnerRecord:
+    """What the owner's key says.
+
+    :param node: id of the node.
+    :param carriers_address: where nodes join that carry orders for it; empty when it wants none.
+    """
+
+    node: str
+    carriers_address: str = ""
 
 
 @attrs.define
@@ -48,6 +61,7 @@
     :param settings: times.
     :param telemetry: told of claims.
     :param random: source of the delays before claims.
+    :param carriers_address: where nodes join that carry orders; empty to want none.
     """
 
     def __init__(
@@ -58,8 +72,11 @@
         settings: CellSettings,
         telemetry: Telemetry,
         random: Random,
+        carriers_address: str = "",
     ):
-        self._node = node
+        self.owner = OwnerRecord("")
+        self.owner_changed = trio.Event()
+        self._record = OwnerRecord(node, carriers_address)
         self._store = store
         self._clock = clock
         self._settings = settings
@@ -124,6 +141,7 @@
         scan = await self._store.scan(OWNER_PREFIX)
         entries_by_key = {entry.key: entry for entry in scan.entries}
         revision = scan.revision
+        self._note_owner(entries_by_key.get(OWNER_KEY))
         while OWNER_KEY in entries_by_key:
             changes = await self._store.watch(OWNER_PREFIX, revision, self._settings.owner_wait)
             revision = changes.revision
@@ -131,8 +149,23 @@
                 entries_by_key.pop(key, None)
             for entry in changes.written:
                 entries_by_key[entry.key] = entry
+            self._note_owner(entries_by_key.get(OWNER_KEY))
         return entries_by_key.get(EPOCH_KEY)
 
+    def _note_owner(self, entry: Entry | None) -> None:
+        """Keep what the owner's key says; one that cannot be read wants no carriers."""
+        owner = OwnerRecord("")
+        if entry is not None:
+            try:
+                owner = decode(entry.value, OwnerRecord)
+            except CodecError as error:
+                self._telemetry.count("cell_unreadable_entries", prefix=OWNER_PREFIX)
+                self._telemetry.event("owner-unreadable", error=error.detail)
+        if owner != self.owner:
+            self.owner = owner
+            self.owner_changed.set()
+            self.owner_changed = trio.Event()
+
     async def _try(self, stored: Entry | None) -> Claim | None:
         """Claim the cell once; return ``None`` when another node was faster.
 
@@ -143,7 +176,7 @@
         epoch = _number(stored) + 1
         conditions = {OWNER_KEY: 0, EPOCH_KEY: stored.revision if stored else 0}
         writes = [
-            Write(OWNER_KEY, self._node.encode(), lease),
+            Write(OWNER_KEY, encode(self._record), lease),
             Write(EPOCH_KEY, str(epoch).encode()),
         ]
         try:
--- a/packages/mimosapoint/src/mimosapoint/cell/core.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/core.py
@@ -3,8 +3,10 @@
 import traceback
 from random import Random
 
+import attrs
 import trio
 
+from mimosapoint.cell.carriers import Carriers
 from mimosapoint.cell.claim import Claim, Claimant
 from mimosapoint.cell.entry import CellEntry
 from mimosapoint.cell.operators import OperatorView
@@ -14,6 +16,7 @@
 from mimosapoint.errors import MimosapointError
 from mimosapoint.ports import (
     Clock,
+    NodeLinks,
     OperatorFormat,
     RunWorkers,
     Telemetry,
@@ -39,6 +42,7 @@
     :param telemetry: logs and metrics.
     :param settings: times.
     :param random: source of delays.
+    :param links: streams to other nodes; ``None`` when there are none.
     """
 
     def __init__(
@@ -52,6 +56,7 @@
         telemetry: Telemetry,
         settings: CellSettings,
         random: Random,
+        links: NodeLinks | None = None,
     ):
         self.view = OperatorView(store, operator_format, clock, settings, telemetry)
         self.entry = CellEntry(store, self.view, clock, settings, telemetry)
@@ -59,7 +64,18 @@
         self._ports = Ports(store, workers, worker_format, self.view, clock, telemetry)
         self._settings = settings
         self._telemetry = telemetry
-        self._claimant = Claimant(node, store, clock, settings, telemetry, random)
+        wants_carriers = links is not None and not settings.is_strong
+        self._claimant = Claimant(
+            node,
+            store,
+            clock,
+            settings,
+            telemetry,
+            random,
+            links.address if wants_carriers else "",
+        )
+        self._carriers = Carriers(links, workers, self._claimant, telemetry) if links else None
+        self._wants_carriers = wants_carriers
         self._leaving = trio.Event()
 
     def is_ready(self) -> bool:
@@ -70,6 +86,8 @@
         """Take part until cancelled."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.view.run)
+            if self._carriers is not None:
+                nursery.start_soon(self._carriers.run)
             while not self._leaving.is_set():
                 claim = await self._claim()
                 if claim is not None:
@@ -96,7 +114,10 @@
 
     async def _own(self, claim: Claim) -> None:
         """Own the cell until the ownership is lost or given up."""
-        self.owner = Owner(claim, self._ports, self._settings)
+        ports = self._ports
+        if self._wants_carriers:
+            ports = attrs.evolve(ports, workers=self._carriers.relay())
+        self.owner = Owner(claim, ports, self._settings)
         reason = "leaving"
         try:
             async with trio.open_nursery() as nursery:
@@ -111,6 +132,8 @@
             reason = "fault"
             self._telemetry.event("owner-fault", epoch=claim.epoch, trace=_trace(group))
         self.owner = None
+        if self._wants_carriers:
+            self._carriers.dismiss()
         self._telemetry.event("cell-given-up", epoch=claim.epoch, reason=reason)
         with trio.move_on_after(self._settings.ownership_renewal.total_seconds()):
             await self._claimant.release(claim)
--- a/packages/mimosapoint/src/mimosapoint/cell/tests/_site.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/_site.py
@@ -16,6 +16,7 @@
 from mimosapoint.codec import decode, encode
 from mimosapoint.errors import CodecError, StoreTimeout, StoreUnavailable, WorkerUnreachable
 from mimosapoint.memory import (
+    MemoryNetwork,
     MemoryRunWorker,
     MemoryRunWorkers,
     MemoryTransactionStore,
@@ -159,6 +160,7 @@
         self.operators = Operators()
         self.pool = WorkerPool(self.clock, nursery)
         self.workers = MemoryRunWorkers()
+        self.network = MemoryNetwork()
         self.nodes: list[SiteNode] = []
         self.settings = settings
         self.nursery = nursery
@@ -207,6 +209,7 @@
             telemetry,
             self.settings,
             Random(name),
+            self.network.add(name),
         )
         node = SiteNode(name, cell, store, workers, trio.CancelScope(), telemetry)
         self.nodes.append(node)
--- a/packages/mimosapoint/src/mimosapoint/memory/__init__.py
+++ b/packages/mimosapoint/src/mimosapoint/memory/__init__.py
@@ -4,6 +4,7 @@
 from mimosapoint.memory.faults import Faults
 from mimosapoint.memory.history import TaskEvent, TaskEventKind
 from mimosapoint.memory.kinds import TaskFailure, task_kind
+from mimosapoint.memory.links import MemoryLinks, MemoryNetwork
 from mimosapoint.memory.run_worker import MemoryRunWorker, RunRecord, WorkerPool
 from mimosapoint.memory.run_workers import MemoryRunWorkers
 from mimosapoint.memory.store import MemoryStore
@@ -14,6 +15,8 @@
 
 __all__ = [
     "Faults",
+    "MemoryLinks",
+    "MemoryNetwork",
     "MemoryRunWorker",
     "MemoryRunWorkers",
     "MemoryStore",
--- a/packages/mimosapoint/src/mimosapoint/ports/__init__.py
+++ b/packages/mimosapoint/src/mimosapoint/ports/__init__.py
@@ -2,6 +2,7 @@
 
 from mimosapoint.ports.api import JobApi, OperatorApi
 from mimosapoint.ports.clock import Clock
+from mimosapoint.ports.links import NodeLinks
 from mimosapoint.ports.peers import PeerHandler, Peers
 from mimosapoint.ports.runs import (
     EndedRun,
@@ -41,6 +42,7 @@
     "HistoryLost",
     "HoldOrder",
     "JobApi",
+    "NodeLinks",
     "OperatorApi",
     "OperatorFormat",
     "PeerHandler",
--- a/packages/mimosapoint/src/mimosapoint/telemetry/_cell_declarations.py
+++ b/packages/mimosapoint/src/mimosapoint/telemetry/_cell_declarations.py
@@ -58,6 +58,13 @@
         "Times that a worker was put aside because jobs failed there.",
         "times",
     ),
+    Metric(
+        "relay_orders_carried",
+        MetricKind.COUNTER,
+        "Orders that this node carried for an owner, by kind.",
+        "orders",
+        ("kind",),
+    ),
     Metric(
         "cell_wait_seconds",
         MetricKind.HISTOGRAM,
@@ -70,6 +77,9 @@
 
 for _name, _meaning in (
     ("cancel-accepted", "A caller's cancellation is stored."),
+    ("carrier-gone", "A node no longer carries orders for this owner."),
+    ("carrier-joined", "A node carries orders for this owner from now on."),
+    ("carriers-not-served", "This node's address for others cannot be used; it gets no carriers."),
     ("cell-claimed", "This node owns the cell from now on."),
     ("cell-given-up", "This node no longer owns the cell."),
     ("cell-settled", "The new owner knows what runs on every worker."),
@@ -82,6 +92,10 @@
     ("operator-entry-unreadable", "An entry of the operators cannot be read; the last one holds."),
     ("owner-deposed", "A worker obeys a newer owner; this one gives no more orders."),
     ("owner-fault", "An unexpected error ended an ownership; the trace follows."),
+    ("owner-joined", "This node carries orders for the owner."),
+    ("owner-left", "This node no longer carries orders for the owner."),
+    ("owner-not-joined", "The owner that wants carriers does not answer; it is tried again."),
+    ("owner-unreadable", "The owner's entry cannot be read; it gets no carriers."),
     ("release-failed", "The store was not told that the ownership is over; its lease will lapse."),
     ("request-refused", "A request got an error for an answer."),
     ("roster-stored", "The list of workers on which something may run is stored."),
