Show a cell and its jobs of several steps by HTTP, command line and demo

Change: cell.report and cell.explain tell of status, queues, workers and jobs, with one of eleven reasons for each unit that waits; /v1/cell serves them at the metrics address and takes jobs of several steps by a body whose faults are all told at once; mimosapoint cell wraps it; make demo plays a second part on a cell of real nodes: two steps, a gang, occurrences, a job that never can run, a withdrawn zone, a killed owner, a cancel. The soak plays small nodes with carriers on odd seeds from 500 on.

Tests: cell.tests.test_report, http.tests.test_cell, mimosapoint_cli.tests.test_cell, test_tcp_links.

--- a/packages/mimosapoint-cli/src/mimosapoint_cli/core.py
+++ b/packages/mimosapoint-cli/src/mimosapoint_cli/core.py
@@ -10,6 +10,7 @@
 from mimosapoint.errors import MimosapointError
 
 from mimosapoint_cli._output import print_yaml
+from mimosapoint_cli.cell import CellCommands
 from mimosapoint_cli.config import ConfigCommands
 from mimosapoint_cli.errors import ExitCode
 from mimosapoint_cli.job import JobCommands
@@ -38,6 +39,7 @@
         self.job = JobCommands(self._session)
         self.config = ConfigCommands(self._session)
         self.zone = ZoneCommands(self._session)
+        self.cell = CellCommands(self._session)
         self.settings = SettingsCommands()
 
     @SetParseFn(str)
--- a/packages/mimosapoint-cli/src/mimosapoint_cli/errors.py
+++ b/packages/mimosapoint-cli/src/mimosapoint_cli/errors.py
@@ -64,7 +64,7 @@
 
 BAD_INPUT_STATUSES = (400, 408, 413)
 
-REPEAT_CODES = frozenset({"outcome-unknown", "shutting-down"})
+REPEAT_CODES = frozenset({"not-cell-owner", "outcome-unknown", "shutting-down"})
 """Problems after which another server may be asked the same thing."""
 
 
--- a/packages/mimosapoint-node/src/mimosapoint_node/http/__init__.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/http/__init__.py
@@ -9,6 +9,7 @@
 from mimosapoint_node.http._disconnect import CallerGone
 from mimosapoint_node.http._exchange import Exchange, Receive, Send
 from mimosapoint_node.http.authentication import Authenticator, Caller, authenticator
+from mimosapoint_node.http.cell import CELL_PATH, make_cell_app
 from mimosapoint_node.http.core import make_app
 from mimosapoint_node.http.limits import HttpLimits
 from mimosapoint_node.http.message import Reply, Request, json_reply
@@ -17,6 +18,7 @@
 from mimosapoint_node.http.server import serve
 
 __all__ = [
+    "CELL_PATH",
     "Authenticator",
     "Caller",
     "CallerGone",
@@ -29,6 +31,7 @@
     "authenticator",
     "json_reply",
     "make_app",
+    "make_cell_app",
     "problem",
     "route",
     "routes",
--- /dev/null
+++ b/packages/mimosapoint-node/src/mimosapoint_node/http/cell.py
@@ -0,0 +1,125 @@
+"""The product's own interface to a cell, for callers and operators."""
+
+import re
+import traceback
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+from typing import Any
+
+from mimosapoint.cell import CellNode, CellReport
+from mimosapoint.codec import to_value
+from mimosapoint.errors import BadRequest, MethodNotAllowed, MimosapointError, RouteNotFound
+from mimosapoint.ports import Telemetry
+
+from mimosapoint_node.http._cell_body import read_submission
+from mimosapoint_node.http._disconnect import CallerGone
+from mimosapoint_node.http._exchange import Exchange, Receive, Send
+from mimosapoint_node.http.limits import HttpLimits
+from mimosapoint_node.http.message import Reply, json_reply
+from mimosapoint_node.http.problems import problem
+
+__all__ = ["CELL_PATH", "make_cell_app"]
+
+CELL_PATH = "/v1/cell"
+"""Beginning of the paths that the application serves."""
+
+JOB_ID = re.compile(r"[0-9a-zA-Z-]{1,64}")
+
+SUBMIT_TIME = timedelta(seconds=2)
+"""Time for which an unanswered write is repeated; below the time that the command line waits."""
+
+App = Callable[[dict[str, Any], Receive, Send], Awaitable[None]]
+
+
+def make_cell_app(cell: CellNode, telemetry: Telemetry, limits: HttpLimits) -> App:
+    """Return the application that tells of a cell and takes jobs of several steps.
+
+    :param cell: the node's part in the cell.
+    :param telemetry: told of every refusal.
+    :param limits: bounds on requests.
+    """
+    interface = _Interface(cell)
+
+    async def app(scope: dict[str, Any], receive: Receive, send: Send) -> None:
+        if scope["type"] != "http":
+            return
+        exchange = Exchange(scope, receive, send, limits)
+        try:
+            reply = await interface.answer(exchange)
+        except CallerGone:
+            telemetry.count("http_disconnects_total")
+            return
+        except MimosapointError as error:
+            reply = problem(error)
+            telemetry.event(
+                "request-refused",
+                job=exchange.path.rpartition("/")[2],
+                method=exchange.method,
+                status=reply.status,
+                error=error.code,
+                detail=error.detail,
+                view_age=cell.entry.view_age,
+            )
+        except Exception as error:
+            trace = "".join(traceback.format_exception(error))[-1000:]
+            telemetry.event("http-error", route=exchange.path, error=repr(error), at=trace)
+            reply = problem(MimosapointError("an unexpected error; it is in the node's log"))
+        await exchange.reply(reply, None)
+
+    return app
+
+
+class _Interface:
+    def __init__(self, cell: CellNode):
+        self._cell = cell
+        self._report = CellReport(cell)
+        self._lists = {"queues": self._report.queues, "workers": self._report.workers}
+
+    async def answer(self, exchange: Exchange) -> Reply:
+        parts = exchange.path.removeprefix(CELL_PATH).strip("/").split("/")
+        if parts[0] == "jobs" and len(parts) in (2, 3):
+            return await self._job(exchange, *parts[1:])
+        if exchange.method != "GET":
+            raise MethodNotAllowed(("GET",))
+        if parts == [""]:
+            return json_reply(to_value(self._report.status()))
+        if len(parts) == 1 and parts[0] in self._lists:
+            return json_reply([to_value(each) for each in self._lists[parts[0]]()])
+        raise RouteNotFound("no such resource")
+
+    async def _job(self, exchange: Exchange, job_id: str, part: str = "") -> Reply:
+        if not JOB_ID.fullmatch(job_id):
+            raise BadRequest("a job's id has 1 to 64 of 0-9, a-z, A-Z and -")
+        if part == "phase" and exchange.method == "GET":
+            phase = await self._cell.entry.phase(self._workspace(exchange), job_id)
+            return json_reply({"id": job_id, "phase": phase.value})
+        if part:
+            raise RouteNotFound("no such resource")
+        if exchange.method == "GET":
+            return json_reply(to_value(self._report.job(job_id)))
+        if exchange.method == "PUT":
+            return await self._submit(exchange, job_id)
+        if exchange.method == "DELETE":
+            await self._cell.entry.cancel(self._workspace(exchange), job_id)
+            return json_reply({"id": job_id})
+        raise MethodNotAllowed(("DELETE", "GET", "PUT"))
+
+    async def _submit(self, exchange: Exchange, job_id: str) -> Reply:
+        entry = self._cell.entry
+        queue_name, submission = read_submission(job_id, await exchange.body())
+        queue = entry.catalog().queues_by_name.get(queue_name)
+        if queue is None:
+            raise RouteNotFound(f"no queue {queue_name}")
+        workspace = entry.authenticate(queue, _key(exchange))
+        await entry.submit(queue, workspace, submission, SUBMIT_TIME)
+        return json_reply({"id": job_id, "queue": queue.name, "workspace": workspace}, 202)
+
+    def _workspace(self, exchange: Exchange) -> str:
+        """Return the workspace of the caller's key; empty without one, for public queues."""
+        key = _key(exchange)
+        return "" if key is None else self._cell.entry.workspace_of(key)
+
+
+def _key(exchange: Exchange) -> str | None:
+    scheme, _, key = exchange.headers().get("authorization", "").partition(" ")
+    return key.strip() if scheme.lower() == "bearer" and key.strip() else None
--- a/packages/mimosapoint-node/src/mimosapoint_node/http/problems.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/http/problems.py
@@ -30,6 +30,7 @@
     "method-not-allowed": 405,
     "never-fits": 422,
     "newer-format": 500,
+    "not-cell-owner": 503,
     "not-owner": 503,
     "outcome-unknown": 503,
     "overloaded": 429,
--- a/packages/mimosapoint/src/mimosapoint/cell/__init__.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/__init__.py
@@ -2,6 +2,7 @@
 
 from mimosapoint.cell.core import CellNode
 from mimosapoint.cell.entry import CellEntry, Submission
+from mimosapoint.cell.report import CellReport
 from mimosapoint.cell.settings import CellSettings
 
-__all__ = ["CellEntry", "CellNode", "CellSettings", "Submission"]
+__all__ = ["CellEntry", "CellNode", "CellReport", "CellSettings", "Submission"]
--- a/packages/mimosapoint/src/mimosapoint/cell/core.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/core.py
@@ -60,6 +60,7 @@
     ):
         self.view = OperatorView(store, operator_format, clock, settings, telemetry)
         self.entry = CellEntry(store, self.view, clock, settings, telemetry)
+        self.name = node
         self.owner: Owner | None = None
         self._ports = Ports(store, workers, worker_format, self.view, clock, telemetry)
         self._settings = settings
@@ -78,6 +79,11 @@
         self._wants_carriers = wants_carriers
         self._leaving = trio.Event()
 
+    @property
+    def owner_name(self) -> str:
+        """Id of the cell's owner, as far as this node knows; empty for none."""
+        return self.name if self.owner is not None else self._claimant.owner.node
+
     def is_ready(self) -> bool:
         """Tell whether callers should be sent here."""
         return self.view.is_fresh() and not self._leaving.is_set()
--- a/packages/mimosapoint/src/mimosapoint/cell/entry.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/entry.py
@@ -116,8 +116,13 @@
         :param key: the key that the caller shows, if any.
         :raises Unauthenticated: the queue needs a key, and this is none.
         """
-        if queue.public:
-            return ""
+        return "" if queue.public else self.workspace_of(key)
+
+    def workspace_of(self, key: str | None) -> str:
+        """Return the workspace of a key.
+
+        :raises Unauthenticated: it is none.
+        """
         tenant = self.catalog().find_tenant(key) if key else None
         if tenant is None:
             raise Unauthenticated("unknown key")
--- /dev/null
+++ b/packages/mimosapoint/src/mimosapoint/cell/explain.py
@@ -0,0 +1,84 @@
+"""Why a unit waits, as far as the owner can tell now."""
+
+from collections.abc import Iterable
+from datetime import datetime
+from enum import Enum
+
+import attrs
+
+from mimosapoint.cell.link import WorkerLink
+from mimosapoint.cell.placing import place
+from mimosapoint.cell.room import Room, Spot
+from mimosapoint.cell.units import Unit
+
+__all__ = ["Reason", "Waiting", "why_no_room"]
+
+
+class Reason(Enum):
+    """Why a unit waits."""
+
+    CONFIGURATION_OLD = "configuration-old"
+    """The owner has not confirmed the configuration lately and starts nothing."""
+    EARLIER_OWNER = "earlier-owner"
+    """An earlier owner may have started it on a worker that has not answered yet."""
+    LAST_RUN = "last-run"
+    """Its last run is still being stopped."""
+    ROOM_BEING_FREED = "room-being-freed"
+    """Others are being stopped for it."""
+    NO_WORKER = "no-worker"
+    """No worker of the service has the label that it needs."""
+    WORKERS_UNUSABLE = "workers-unusable"
+    """The workers that could run it are silent, draining, put aside or in a withdrawn zone."""
+    NEVER_FITS = "never-fits"
+    """It would not fit if nothing else ran."""
+    NO_ROOM = "no-room"
+    """Other work has the room."""
+    NEXT = "next"
+    """It fits and starts with one of the next decisions."""
+
+
+@attrs.frozen
+class Waiting:
+    """Why a unit waits.
+
+    :param reason: the reason.
+    :param detail: for people.
+    """
+
+    reason: Reason
+    detail: str
+
+
+def why_no_room(
+    unit: Unit, pool: str, links: Iterable[WorkerLink], usable: Iterable[WorkerLink], now: datetime
+) -> Waiting:
+    """Tell how the unit and the room on the workers compare.
+
+    :param links: every worker.
+    :param usable: those that may get new work.
+    """
+    step = unit.step
+    serving = _serving(unit, pool, links, now)
+    if not serving:
+        label = f" with label {step.label}" if step.label else ""
+        return Waiting(Reason.NO_WORKER, f"no worker of {pool}{label}")
+    room = Room(usable, now)
+    spots = [spot for spot in room.spots if spot.serves(unit, pool)]
+    if not spots:
+        return Waiting(Reason.WORKERS_UNUSABLE, f"none of {len(serving)} workers takes new work")
+    most = sum(spot.times(unit, spot.link.registration.capacity) for spot in spots)
+    need = f"{unit.size} of {step.amounts.cpu_millis} millicores, {step.amounts.memory_mb} MB, "
+    need += f"{step.amounts.accelerators} accelerators"
+    if most < unit.size:
+        return Waiting(Reason.NEVER_FITS, f"needs {need}; {most} would fit on empty workers")
+    if place(room, unit, pool) is not None:
+        return Waiting(Reason.NEXT, f"needs {need}; they fit")
+    fits = sum(spot.times(unit) for spot in spots)
+    within = " within one rack" if step.gang and step.rack_local else ""
+    return Waiting(Reason.NO_ROOM, f"needs {need}{within}; {fits} fit now on {len(spots)} workers")
+
+
+def _serving(unit: Unit, pool: str, links: Iterable[WorkerLink], now: datetime) -> list[Spot]:
+    spots = (Spot(link, now) for link in links)
+    label = unit.step.label
+    return [spot for spot in spots if spot.pool == pool and (not label or label in spot.labels)]
--- a/packages/mimosapoint/src/mimosapoint/cell/link.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/link.py
@@ -145,6 +145,20 @@
             and not self.health.is_aside(now)
         )
 
+    def state(self, now: datetime) -> str:
+        """Return ``usable``, or why the worker takes no new work."""
+        if self.is_usable(now):
+            return "usable"
+        reasons = {
+            "unlisted": not self.listed,
+            "draining": self.registration.draining,
+            "unknown": not self.synced,
+            "new": not self.on_roster,
+            "put-aside": self.health.is_aside(now),
+            "unhealthy": self.unhealthy_until is not None and now < self.unhealthy_until,
+        }
+        return next((reason for reason, holds in reasons.items() if holds), "silent")
+
     def is_settled(self, now: datetime) -> bool:
         """Tell whether it is known what runs on the worker."""
         return self.synced or now >= self._lapse_at
--- a/packages/mimosapoint/src/mimosapoint/cell/owner.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/owner.py
@@ -11,12 +11,13 @@
 from mimosapoint.cell.book import JobBook
 from mimosapoint.cell.claim import Claim
 from mimosapoint.cell.committer import Committer
+from mimosapoint.cell.explain import Reason, Waiting, why_no_room
 from mimosapoint.cell.fleet import Fleet
 from mimosapoint.cell.guarantees import covered_jobs
 from mimosapoint.cell.inbox import Inbox, load_jobs
 from mimosapoint.cell.link import WorkerLink
 from mimosapoint.cell.load import OrderWindow
-from mimosapoint.cell.planner import Plan, Planner
+from mimosapoint.cell.planner import Plan, Planner, pool_of
 from mimosapoint.cell.ports import Ports
 from mimosapoint.cell.preemption import loss_of
 from mimosapoint.cell.settings import CellSettings
@@ -194,6 +195,46 @@
                 self._after_failure(unit)
         self.changed()
 
+    # What reports ask
+
+    @property
+    def epoch(self) -> int:
+        """Number of the ownership."""
+        return self._claim.epoch
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether it is known what runs on every worker."""
+        return self._settled
+
+    def now(self) -> datetime:
+        """Return the time on the owner's clock."""
+        return self._clock.now()
+
+    def usable_links(self) -> list[WorkerLink]:
+        """Return the workers that may get new work."""
+        now = self._clock.now()
+        withdrawn = self._ports.view.withdrawn_zones
+        return [
+            link
+            for link in self.fleet.links_by_id.values()
+            if link.is_usable(now) and link.registration.zone not in withdrawn
+        ]
+
+    def why_waiting(self, unit: Unit) -> Waiting:
+        """Tell why a waiting unit has not started."""
+        if not self._may_start():
+            return Waiting(Reason.CONFIGURATION_OLD, "entries in the store were not confirmed")
+        if not self._settled and unit.job.accepted_rev <= self._claim.epoch_rev:
+            return Waiting(Reason.EARLIER_OWNER, "not every worker has told what it runs")
+        if unit.assignments_by_task or self._has_unwanted(unit):
+            return Waiting(Reason.LAST_RUN, "its last run is being stopped")
+        if self._planner.is_holding(unit.id):
+            return Waiting(Reason.ROOM_BEING_FREED, "others are being stopped for it")
+        pool = pool_of(unit, self._ports.view.catalog)
+        links = self.fleet.links_by_id.values()
+        return why_no_room(unit, pool, links, self.usable_links(), self._clock.now())
+
     async def store_ends(self, ended: tuple[EndedRun, ...]) -> None:
         """Return when the progress that the ends made is stored."""
         jobs = {run.task.job for run in ended}
@@ -222,7 +263,7 @@
         if due is not None:
             look_at = min(look_at, due)
         self._settle(now)
-        if not self._may_start(now):
+        if not self._may_start():
             return look_at
         plan = self._plan(now)
         self._carry_out(plan)
@@ -232,11 +273,7 @@
 
     def _plan(self, now: datetime) -> Plan:
         view = self._ports.view
-        links = [
-            link
-            for link in self.fleet.links_by_id.values()
-            if link.is_usable(now) and link.registration.zone not in view.withdrawn_zones
-        ]
+        links = self.usable_links()
         began = trio.current_time()
         covered = covered_jobs(self.book.jobs_by_id.values(), view.catalog)
         plan = self._planner.plan(
@@ -257,7 +294,7 @@
         """Tell whether a run that is being stopped is one of the unit's tasks."""
         return bool(self._unwanted) and any(task in self._unwanted for task in unit.tasks)
 
-    def _may_start(self, now: datetime) -> bool:
+    def _may_start(self) -> bool:
         view = self._ports.view
         return (
             self.may_order()
--- a/packages/mimosapoint/src/mimosapoint/cell/planner.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/planner.py
@@ -178,6 +178,10 @@
                     )
         return plan
 
+    def is_holding(self, unit: UnitId) -> bool:
+        """Tell whether room is being freed for the unit."""
+        return unit in self._reservations
+
     def _rank(self, unit: Unit, catalog: Catalog, now: datetime, covered: frozenset[str]) -> tuple:
         """Return the sort key of a waiting unit: urgent first, then by latest start in time.
 
--- /dev/null
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_report.py
@@ -0,0 +1,100 @@
+"""What operators are told about a cell."""
+
+import attrs
+import trio
+
+from mimosapoint.cell import CellReport
+from mimosapoint.cell.tests._site import SMALL, WIDE, open_site
+from mimosapoint.errors import JobNotFound, NotCellOwner
+from mimosapoint.testing import TrioTestCase
+from mimosapoint.workload import Step
+
+HUGE = attrs.evolve(SMALL, cpu_millis=10**9)
+
+
+class CellReportTest(TrioTestCase):
+    mock_clock = True
+
+    async def reasons(self, site, job, step=0):
+        await trio.sleep(0.5)
+        report = CellReport(site.owner.cell)
+        return next(each for each in report.job(job).steps if each.step == step).waiting
+
+    def assert_reason(self, reason, waiting):
+        self.assertEqual([reason], [text.partition(":")[0] for text in waiting])
+
+    async def test_every_node_tells_who_owns_the_cell(self):
+        async with open_site() as site:
+            await site.submit("a", Step(2, SMALL))
+            await site.wait_running("a", 2)
+            for node in site.nodes:
+                status = CellReport(node.cell).status()
+                self.assertEqual((node.name, site.owner.name), (status.node, status.owner))
+                self.assertEqual((1, True), (status.version, status.ready))
+            status = CellReport(site.owner.cell).status()
+            self.assertEqual(
+                (True, 1, 2, 6, 6),
+                (
+                    status.settled,
+                    status.jobs,
+                    status.active,
+                    status.workers,
+                    status.usable_workers,
+                ),
+            )
+
+    async def test_only_the_owner_tells_of_jobs(self):
+        async with open_site() as site:
+            for ask in ("queues", "workers"):
+                with self.assertRaises(NotCellOwner):
+                    getattr(CellReport(site.other.cell), ask)()
+            with self.assertRaises(JobNotFound):
+                CellReport(site.owner.cell).job("none")
+
+    async def test_queues_count_what_waits_and_runs(self):
+        async with open_site(workers=1) as site:
+            await site.submit("a", Step(1, WIDE, gang=True))
+            await site.submit("b", Step(1, WIDE, gang=True))
+            await trio.sleep(0.5)
+            queue = next(each for each in CellReport(site.owner.cell).queues() if each.jobs)
+            self.assertEqual(
+                (2, 1, 1, 1), (queue.jobs, queue.unstarted, queue.waiting, queue.active)
+            )
+            self.assertGreater(queue.longest_wait_seconds, 0.3)
+
+    async def test_workers_tell_why_they_take_no_work(self):
+        async with open_site(workers=3) as site:
+            first, second, third = site.workers.workers_by_address.values()
+            site.register(first, draining=True)
+            site.workers.links_by_address[second.registration.address].cut = True
+            await trio.sleep(5)
+            states = {each.id: each.state for each in CellReport(site.owner.cell).workers()}
+            self.assertEqual({"w0": "draining", "w1": "silent", "w2": "usable"}, states)
+
+    async def test_a_job_tells_that_others_have_the_room(self):
+        async with open_site(workers=1) as site:
+            await site.submit("a", Step(1, WIDE, gang=True))
+            await site.submit("b", Step(1, WIDE, gang=True))
+            self.assert_reason("no-room", await self.reasons(site, "b"))
+
+    async def test_a_job_tells_that_it_never_fits(self):
+        async with open_site(workers=1) as site:
+            await site.submit("a", Step(1, HUGE))
+            self.assert_reason("never-fits", await self.reasons(site, "a"))
+
+    async def test_a_job_tells_that_no_worker_has_its_label(self):
+        async with open_site(workers=1) as site:
+            await site.submit("a", Step(1, SMALL, label="missing"))
+            self.assert_reason("no-worker", await self.reasons(site, "a"))
+
+    async def test_a_job_tells_that_its_workers_are_out(self):
+        async with open_site(workers=1) as site:
+            site.store.put("op/out/z0", b"{}")
+            await trio.sleep(1)
+            await site.submit("a", Step(1, SMALL))
+            self.assert_reason("workers-unusable", await self.reasons(site, "a"))
+
+    async def test_a_job_tells_that_earlier_steps_are_not_done(self):
+        async with open_site() as site:
+            await site.submit("a", Step(1, SMALL), Step(3, SMALL, after=(0,)))
+            self.assertEqual({"earlier-steps": 3}, await self.reasons(site, "a", 1))
--- a/packages/mimosapoint/src/mimosapoint/errors.py
+++ b/packages/mimosapoint/src/mimosapoint/errors.py
@@ -21,6 +21,7 @@
     "MimosapointError",
     "NeverFits",
     "NewerFormat",
+    "NotCellOwner",
     "NotOwner",
     "OutcomeUnknown",
     "Overloaded",
@@ -158,6 +159,12 @@
     code = "outcome-unknown"
 
 
+class NotCellOwner(MimosapointError):
+    """Only the owner of the cell can tell; another node may be asked."""
+
+    code = "not-cell-owner"
+
+
 class NotOwner(MimosapointError):
     """The node does not own the availability zone.
 
--- a/tools/demo/__main__.py
+++ b/tools/demo/__main__.py
@@ -7,6 +7,7 @@
 import trio
 from mimosapoint.testing import Finding, check_all
 
+from tools.demo.cell import CellFindings, play_cell
 from tools.demo.measures import Measures, measure
 from tools.demo.scenario import ROOT, play
 from tools.site import Site
@@ -38,21 +39,23 @@
                 await recorder.collect_tasks()
         finally:
             await site.stop()
-        return _report(site, recorder)
+        cell = await play_cell(Path(folder), say)
+        return _report(site, recorder, cell)
 
 
-def _report(site: Site, recorder: Recorder) -> int:
+def _report(site: Site, recorder: Recorder, cell: CellFindings) -> int:
     findings = check_all(recorder.history)
     _print_promises(findings)
     slots = SLOTS_PER_WORKER * len(site.files.workers_by_id)
     _print_measures(measure(recorder.history, recorder.classes_by_key, slots))
     _print_outcomes(recorder)
+    _print_cell(cell)
     broken = [finding for finding in findings if finding.broken or not finding.checked]
     print("every promise was kept" if not broken else f"{len(broken)} promises broken")
     unanswered = [call.key for call in recorder.history.calls if call.outcome is None]
     if unanswered:
         print(f"unanswered: {', '.join(unanswered)}")
-    return 1 if broken or unanswered else 0
+    return 1 if broken or unanswered or cell.broken else 0
 
 
 def _print_promises(findings: list[Finding]) -> None:
@@ -74,6 +77,15 @@
     )
 
 
+def _print_cell(cell: CellFindings) -> None:
+    print("\njobs on the cell      ended        runs")
+    for job, phase in cell.phases_by_job.items():
+        print(f"  {job:<20}{phase:<10}{cell.runs_by_job.get(job, 0):>7}")
+    print(f"broken on the cell: {len(cell.broken)}")
+    for line in cell.broken[:10]:
+        print(f"    {line}")
+
+
 def _print_outcomes(recorder: Recorder) -> None:
     counts: dict[str, int] = {}
     for call in recorder.history.calls:
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -19,6 +19,8 @@
 SETTLE_SECONDS = 3.0
 FAULT_SECONDS = 10.0
 END_SECONDS = 40.0
+SMALL_CORES = 0.5
+FIRST_SMALL_SEED = 500
 ENDED = ("complete", "cancelled")
 
 
@@ -29,7 +31,7 @@
     """
     random = Random(seed)
     async with trio.open_nursery() as nursery:
-        site = SoakSite(folder, nursery)
+        site = SoakSite(folder, nursery, _cores(seed))
         try:
             await site.start(NODES, WORKERS)
             await trio.sleep(SETTLE_SECONDS)
@@ -47,6 +49,14 @@
     return broken, played, len(callers.accepted)
 
 
+def _cores(seed: int) -> float:
+    """Return the size of the nodes; the owner of small ones has its orders carried by others.
+
+    Seeds below the first are older than small nodes and stay the cases that they were.
+    """
+    return SMALL_CORES if seed >= FIRST_SMALL_SEED and seed % 2 else 1.0
+
+
 async def _play_faults(site: SoakSite, random: Random, played: list[str]) -> None:
     """Play faults in series that overlap."""
     async with trio.open_nursery() as nursery:
--- a/tools/soak/site.py
+++ b/tools/soak/site.py
@@ -67,9 +67,11 @@
 
     :param folder: where settings and logs of the nodes go.
     :param nursery: where stand-ins and proxies run.
+    :param cores: processor that the nodes believe to have; below 1 other nodes carry orders.
     """
 
-    def __init__(self, folder: Path, nursery: trio.Nursery):
+    def __init__(self, folder: Path, nursery: trio.Nursery, cores: float = 1.0):
+        self.cores = cores
         self.folder = folder
         self.nursery = nursery
         self.store = MemoryTransactionStore(TrioClock())
@@ -80,6 +82,8 @@
         self.processes: list[trio.Process | None] = []
         self._started: list[trio.Process] = []
         self.addresses: list[str] = []
+        self.operator_addresses: list[str] = []
+        self.node_addresses: list[str] = []
 
     async def start(self, nodes: int, workers: int) -> None:
         """Start everything."""
@@ -90,7 +94,8 @@
             await self._add_worker(number, jobs)
         for number in range(nodes):
             self.store_proxies.append(await self._proxy(store_port))
-            self.addresses += free_addresses(1)
+            for addresses in (self.addresses, self.operator_addresses, self.node_addresses):
+                addresses += free_addresses(1)
             self.processes.append(None)
             await self.start_node(number)
         self.nursery.start_soon(self._beat)
@@ -100,12 +105,14 @@
         running = self.processes[number]
         if running is not None and running.returncode is None:
             return
-        probe, metrics = free_addresses(2)
+        (probe,) = free_addresses(1)
         settings = self.folder / f"node-{number}.yaml"
         settings.write_text(
             f"id: node-{number}\nzone: z{number}\nregion: r\n"
             f"callers_address: {self.addresses[number]}\n"
-            f"probe_address: {probe}\nmetrics_address: {metrics}\n"
+            f"probe_address: {probe}\nmetrics_address: {self.operator_addresses[number]}\n"
+            f"nodes_address: {self.node_addresses[number]}\n"
+            f"processor_share: {self.cores}\n"
             f"store_address: {self.store_proxies[number].address}\n"
         )
         environment = {**os.environ, "MIMOSAPOINT_CONFIG": str(settings)}
