Wait for no worker that can have nothing at a take-over, order lost starts again

Changes: an empty draining worker leaves the stored roster; only workers of the inherited roster hold up older jobs; WorkerReplaced ends that life of the worker at once; a start without an answer is ordered again after 200 ms; a node is not ready while the store does not answer it.

--- a/packages/mimosapoint/src/mimosapoint/cell/core.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/core.py
@@ -85,8 +85,12 @@
         return self.name if self.owner is not None else self._claimant.owner.node
 
     def is_ready(self) -> bool:
-        """Tell whether callers should be sent here."""
-        return self.view.is_fresh() and not self._leaving.is_set()
+        """Tell whether callers should be sent here.
+
+        A node that the store turns away says so before its view is too old to serve: the balancer
+        takes two seconds to notice.
+        """
+        return self.view.is_fresh() and self.view.reaches_store and not self._leaving.is_set()
 
     async def run(self) -> None:
         """Take part until cancelled."""
--- a/packages/mimosapoint/src/mimosapoint/cell/fleet.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/fleet.py
@@ -55,6 +55,7 @@
         self._confirmed_at: datetime | None = None
         self._roster_rev = 0
         self._roster: tuple[Registration, ...] = ()
+        self._inherited: frozenset[str] = frozenset()
         self._missing_since: dict[str, datetime] = {}
         self._unreadable: dict[str, int] = {}
         self._add_link: Callable[[Registration], WorkerLink] | None = None
@@ -66,9 +67,9 @@
         return self._clock.now() - self._confirmed_at <= self._settings.freshness
 
     def is_settled(self, now: datetime) -> bool:
-        """Tell whether it is known what runs on every worker that an earlier owner used."""
+        """Tell whether it is known what runs on every worker that earlier owners may have used."""
         return self._confirmed_at is not None and all(
-            link.is_settled(now) for link in self.links_by_id.values()
+            link.is_settled(now) for link in self.links_by_id.values() if link.id in self._inherited
         )
 
     async def read_roster(self) -> None:
@@ -77,6 +78,7 @@
         if entry is not None:
             self._roster_rev = entry.revision
             self._roster = decode(entry.value, tuple[Registration, ...])
+            self._inherited = frozenset(each.id for each in self._roster)
 
     def link_roster(self, add_link: Callable[[Registration], WorkerLink]) -> None:
         """Begin to talk to the workers of the roster.
@@ -176,7 +178,7 @@
 
         :raises StaleEpoch: another node has claimed the cell.
         """
-        links = list(self.links_by_id.values())
+        links = [link for link in self.links_by_id.values() if not link.is_leaving_empty]
         wanted = tuple(link.registration for link in links)
         if {each.id for each in wanted} != {each.id for each in self._roster}:
             conditions = {EPOCH_KEY: self._claim.epoch_rev, ROSTER_KEY: self._roster_rev}
@@ -193,5 +195,5 @@
                 return
             self._roster = wanted
             telemetry.event("roster-stored", workers=len(wanted), revision=self._roster_rev)
-        for link in links:
-            link.on_roster = True
+        for link in self.links_by_id.values():
+            link.on_roster = not link.is_leaving_empty
--- a/packages/mimosapoint/src/mimosapoint/cell/link.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/link.py
@@ -49,6 +49,10 @@
         """Return the number of workers that the owner talks to."""
         ...
 
+    def is_unhurried(self) -> bool:
+        """Whether this process has processor to spare, so that late answers are not its doing."""
+        ...
+
     def adopt(self, link: WorkerLink, status: RunStatus) -> Assignment:
         """Take over a run that the link did not order."""
         ...
@@ -119,6 +123,7 @@
         self._lease_until_ms = 0
         self._unsynced_lapse_at = clock.now() + self._lease_life(settings.worker_lease)
         self._reachable = True
+        self._replaced = False
 
     # What the planner asks
 
@@ -161,7 +166,15 @@
 
     def is_settled(self, now: datetime) -> bool:
         """Tell whether it is known what runs on the worker."""
-        return self.synced or now >= self._lapse_at
+        return self.synced or self._replaced or now >= self._lapse_at
+
+    @property
+    def is_leaving_empty(self) -> bool:
+        """Whether the worker drains and has told that nothing is left on it.
+
+        The next owner need not wait for such a worker, which soon goes away.
+        """
+        return self.registration.draining and self.synced and not self.assignments_by_run
 
     def is_removable(self, now: datetime) -> bool:
         """Tell whether the worker has gone for good."""
@@ -177,7 +190,11 @@
         return assignment
 
     async def start(self, assignment: Assignment, job: JobRecord, checkpoint: str) -> None:
-        """Order a start; an unanswered one is settled by the worker's next lists."""
+        """Order a start; an unanswered one is settled by the worker's next lists.
+
+        It is ordered once more, without waiting for the first order's time to be over: the order
+        or its answer may be lost, and a run that is there already is not started again.
+        """
         window = self._settings.start_window / MILLISECOND
         assignment.not_after_ms = self._worker_now() + int(window)
         self._lease_until_ms = max(self._lease_until_ms, assignment.not_after_ms)
@@ -193,7 +210,7 @@
             self._drop(assignment, RunEnd.REFUSED, reason="not-sent")
             return
         try:
-            assignment.confirmed_ms = await self._workers.start(self.registration, order)
+            assignment.confirmed_ms = await self._order_start(order)
         except StartRefused as refusal:
             self._note_refusal(assignment, refusal.reason)
         except WorkerReplaced:
@@ -211,6 +228,13 @@
                 detail=str(error),
             )
 
+    async def _order_start(self, order: StartOrder) -> int:
+        if self._events.is_unhurried():
+            with trio.move_on_after(self._settings.repeat_start_after.total_seconds()):
+                return await self._workers.start(self.registration, order)
+            self._telemetry.count("cell_starts_repeated")
+        return await self._workers.start(self.registration, order)
+
     async def stop(self, assignment: Assignment) -> None:
         """Order a stop until the run is no longer on the worker."""
         while self._is_kept(assignment):
@@ -242,7 +266,10 @@
             except StaleEpoch as error:
                 self._events.deposed(error.current)
                 await trio.sleep(self._settings.order_timeout.total_seconds())
-            except (WorkerUnreachable, WorkerRefused, WorkerReplaced) as error:
+            except WorkerReplaced:
+                self._note_replaced()
+                await trio.sleep(self._settings.order_timeout.total_seconds())
+            except (WorkerUnreachable, WorkerRefused) as error:
                 self._note_silence(error.code)
                 self._check_lapse()
                 await trio.sleep(self._settings.retry_pause.total_seconds())
@@ -277,6 +304,7 @@
             self._note_rebirth(lists.born)
             return
         self._born = lists.born or self._born
+        self._replaced = False
         first = not self.synced
         self._note_answer(lists.clock_ms)
         for ended in lists.ended:
@@ -380,6 +408,23 @@
         self._unsynced_lapse_at = self._clock.now() + self._lease_life(self._settings.worker_lease)
         self.synced = False
 
+    def _note_replaced(self) -> None:
+        """Give up this life of the worker: another one answers at its address.
+
+        A worker is one life of a machine, so nothing of this one runs any more. The raised token
+        bars what is still under way.
+        """
+        if self._replaced:
+            return
+        self._telemetry.event(
+            "worker-replaced", worker=self.id, assignments=len(self.assignments_by_run)
+        )
+        self._replaced = True
+        self._generation += 1
+        self.synced = False
+        self._drop_all(RunEnd.LOST, "replaced")
+        self._events.changed()
+
     def _note_silence(self, code: str) -> None:
         if self._reachable:
             self._reachable = False
--- a/packages/mimosapoint/src/mimosapoint/cell/load.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/load.py
@@ -51,6 +51,11 @@
                 lag=round(lag, 3),
             )
 
+    @property
+    def is_open(self) -> bool:
+        """Whether the window is as wide as it gets."""
+        return self._limit == self._settings.orders_max
+
     def admits(self, starts: int, planned: int = 0) -> bool:
         """Tell whether so many starts may begin now; a single gang of any size may.
 
--- a/packages/mimosapoint/src/mimosapoint/cell/operators.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/operators.py
@@ -63,6 +63,11 @@
         age = self.age
         return self.catalog is not None and age is not None and age <= self._settings.freshness
 
+    @property
+    def reaches_store(self) -> bool:
+        """Whether the store answered the last call."""
+        return self._reach.reached
+
     async def run(self) -> None:
         """Follow the operators' entries until cancelled."""
         while True:
--- a/packages/mimosapoint/src/mimosapoint/cell/owner.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/owner.py
@@ -113,6 +113,10 @@
         """Return the number of workers that the owner talks to."""
         return len(self.fleet.links_by_id)
 
+    def is_unhurried(self) -> bool:
+        """Whether this process has processor to spare."""
+        return self._window.is_open
+
     def adopt(self, link: WorkerLink, status: RunStatus) -> Assignment:
         """Take over a run that an earlier owner started, or have it stopped."""
         job = self.book.jobs_by_id.get(status.task.job)
--- a/packages/mimosapoint/src/mimosapoint/cell/reach.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/reach.py
@@ -18,6 +18,11 @@
         self._telemetry = telemetry
         self._reached = True
 
+    @property
+    def reached(self) -> bool:
+        """Whether the last call was answered."""
+        return self._reached
+
     def lost(self, error: MimosapointError, **fields: object) -> None:
         """Note a failed call."""
         self._telemetry.count("cell_store_failures", part=self._part, error=error.code)
--- a/packages/mimosapoint/src/mimosapoint/cell/settings.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/settings.py
@@ -31,6 +31,8 @@
     :param start_window: time in which a start takes effect or never does; below the time that
         a gang's members wait for each other.
     :param order_timeout: time that a worker has to answer an order.
+    :param repeat_start_after: time after which an unanswered start is ordered again; workers answer
+        within 5 ms, the farthest zone is some ms away, and most of the start's window is left.
     :param retry_pause: pause before a failed order or commit is repeated.
     :param clock_drift: largest share by which a worker's clock is slow; from the platform's pages.
     :param lapse_slack: time added before a lease counts as lapsed; covers a worker's own pause.
@@ -76,6 +78,7 @@
     holds_per_second: float = 90.0
     start_window: timedelta = _ms(1000)
     order_timeout: timedelta = _ms(700)
+    repeat_start_after: timedelta = _ms(200)
     retry_pause: timedelta = _ms(100)
     clock_drift: float = 0.02
     lapse_slack: timedelta = _ms(500)
--- /dev/null
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_takeover.py
@@ -0,0 +1,129 @@
+"""What a new owner waits for, and what it need not wait for."""
+
+import trio
+
+from mimosapoint.cell.tests._site import SMALL, WIDE, open_site
+from mimosapoint.testing import TrioTestCase
+from mimosapoint.workload import Phase, RunEnd, Step
+
+SOON_SECONDS = 2.5
+"""A claim and a start; far below the 6 s after which a silent worker's lease has lapsed."""
+
+
+class TakeoverTest(TrioTestCase):
+    mock_clock = True
+
+    def check(self, site):
+        self.assertEqual([], site.broken_promises())
+
+    def gone(self, site, worker):
+        """Take a worker away: its entry is removed and it answers no more."""
+        site.unregister(worker)
+        site.workers.links_by_address[worker.registration.address].cut = True
+
+    async def accept_and_kill(self, site):
+        """Have a job accepted that the owner never hears of, and kill the owner."""
+        owner, entry = site.owner, site.other
+        owner.kill()
+        await site.submit("late", Step(1, SMALL), node=entry)
+
+    async def test_a_drained_worker_that_has_gone_holds_nothing_up(self):
+        async with open_site(workers=3) as site:
+            worker = next(iter(site.workers.workers_by_address.values()))
+            await site.submit("early", Step(3, SMALL))
+            site.register(worker, draining=True)
+            await site.wait_phase("early", Phase.COMPLETE)
+            await trio.sleep(1)
+            self.gone(site, worker)
+            await self.accept_and_kill(site)
+            await site.wait_running("late", within=SOON_SECONDS)
+            self.check(site)
+
+    async def test_a_worker_that_drains_with_work_is_waited_for(self):
+        async with open_site(workers=1) as site:
+            worker = next(iter(site.workers.workers_by_address.values()))
+            await site.submit("early", Step(1, SMALL))
+            await site.wait_running("early")
+            site.register(worker, draining=True)
+            await trio.sleep(0.7)
+            self.gone(site, worker)
+            site.add_worker(1)
+            site.owner.kill()
+            await trio.sleep(SOON_SECONDS)
+            self.assertEqual(1, len(site.runs("early")))
+            await site.wait_phase("early", Phase.COMPLETE)
+            self.check(site)
+
+    async def test_a_drained_worker_that_stays_gets_work_again(self):
+        async with open_site(workers=1) as site:
+            worker = next(iter(site.workers.workers_by_address.values()))
+            site.register(worker, draining=True)
+            await trio.sleep(2)
+            site.register(worker, draining=False)
+            await site.submit("a", Step(1, SMALL))
+            await site.wait_running("a")
+            site.owner.kill()
+            await site.wait_phase("a", Phase.COMPLETE)
+            self.assertEqual(1, len(site.runs("a")))
+            self.check(site)
+
+    async def test_a_silent_worker_that_no_owner_used_holds_nothing_up(self):
+        async with open_site(workers=2) as site:
+            await self.accept_and_kill(site)
+            worker = site.add_worker(7)
+            site.workers.links_by_address[worker.registration.address].cut = True
+            await site.wait_running("late", within=SOON_SECONDS)
+            self.check(site)
+
+    async def test_a_worker_whose_place_another_life_has_taken_holds_nothing_up(self):
+        async with open_site(workers=2) as site:
+            worker = next(iter(site.workers.workers_by_address.values()))
+            site.unregister(worker)
+            site.workers.links_by_address[worker.registration.address].replaced = True
+            await self.accept_and_kill(site)
+            await site.wait_running("late", within=SOON_SECONDS)
+            self.check(site)
+
+    async def test_the_work_of_a_replaced_worker_starts_elsewhere_at_once(self):
+        async with open_site(workers=2) as site:
+            await site.submit("a", Step(1, WIDE, gang=True))
+            await site.wait_running("a")
+            record = site.runs("a")[0]
+            number = int(record.worker.removeprefix("w"))
+            worker = site.workers.workers_by_address[f"10.0.0.{number}:1"]
+            worker.reborn(2)
+            site.workers.links_by_address[worker.registration.address].replaced = True
+            with trio.fail_after(SOON_SECONDS):
+                while len(site.runs("a")) < 2:
+                    await trio.sleep(0.02)
+            await site.wait_phase("a", Phase.COMPLETE)
+            self.check(site)
+
+
+class LostStartTest(TrioTestCase):
+    mock_clock = True
+
+    async def test_a_start_that_is_lost_is_ordered_again_within_its_time(self):
+        async with open_site(workers=1) as site:
+            for link in site.workers.links_by_address.values():
+                link.lost_starts = 1
+            await site.submit("a", Step(1, WIDE, gang=True))
+            await site.wait_running("a", within=0.5)
+            await site.wait_phase("a", Phase.COMPLETE)
+            self.assertEqual([RunEnd.DONE], [record.end for record in site.runs("a")])
+
+
+class ReadinessTest(TrioTestCase):
+    mock_clock = True
+
+    async def test_a_node_that_the_store_turns_away_is_not_ready_before_its_view_is_old(self):
+        async with open_site() as site:
+            node = site.other
+            self.assertTrue(node.cell.is_ready())
+            node.store.fault = "refused"
+            await trio.sleep(1)
+            self.assertTrue(node.cell.view.is_fresh())
+            self.assertFalse(node.cell.is_ready())
+            node.store.fault = ""
+            await trio.sleep(0.5)
+            self.assertTrue(node.cell.is_ready())
--- a/packages/mimosapoint/src/mimosapoint/memory/run_workers.py
+++ b/packages/mimosapoint/src/mimosapoint/memory/run_workers.py
@@ -14,6 +14,7 @@
     StartRefused,
     StopOrder,
     WorkerLists,
+    WorkerReplaced,
 )
 
 __all__ = ["Link", "MemoryRunWorkers"]
@@ -33,12 +34,16 @@
     :param refused: connections are refused.
     :param late_by: starts get no answer and are carried out after this time.
     :param unhealthy: starts are refused by the worker.
+    :param replaced: another life of the worker answers.
+    :param lost_starts: number of the next starts that get no answer and have no effect.
     """
 
     cut: bool = False
     refused: bool = False
     late_by: timedelta | None = None
     unhealthy: bool = False
+    replaced: bool = False
+    lost_starts: int = 0
 
 
 class MemoryRunWorkers:
@@ -70,6 +75,10 @@
             trio.lowlevel.spawn_system_task(self._start_late, worker, order, link.late_by)
             await trio.sleep(TIMEOUT_SECONDS)
             raise WorkerUnreachable("no answer")
+        if link.lost_starts:
+            link.lost_starts -= 1
+            await trio.sleep(TIMEOUT_SECONDS)
+            raise WorkerUnreachable("no answer")
         found = await self._reach(worker)
         if link.unhealthy:
             raise StartRefused("unhealthy")
@@ -96,4 +105,6 @@
         if link.cut:
             await trio.sleep(TIMEOUT_SECONDS)
             raise WorkerUnreachable("no answer")
+        if link.replaced:
+            raise WorkerReplaced("another life answers")
         return self.workers_by_address[worker.address]
--- a/packages/mimosapoint/src/mimosapoint/telemetry/_cell_declarations.py
+++ b/packages/mimosapoint/src/mimosapoint/telemetry/_cell_declarations.py
@@ -31,6 +31,12 @@
         "Decisions in which a start had to wait for the answers to others.",
         "decisions",
     ),
+    Metric(
+        "cell_starts_repeated",
+        MetricKind.COUNTER,
+        "Starts that were ordered again before their time was over.",
+        "orders",
+    ),
     Metric(
         "cell_timer_lag_seconds",
         MetricKind.HISTOGRAM,
@@ -122,6 +128,7 @@
     ("worker-put-aside", "Several jobs failed on a worker; it gets no work for a while."),
     ("worker-reborn", "A worker restarted; what ran on it is lost."),
     ("worker-heard-again", "A worker answers again."),
+    ("worker-replaced", "Another life of the worker answers at its address; this one is over."),
     ("worker-synced", "It is known what runs on a worker."),
     ("zone-returned", "An availability zone is back in service."),
     ("zone-withdrawn", "An availability zone was taken out of service."),
