--- a/packages/mimosapoint-node/src/mimosapoint_node/http/__init__.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/http/__init__.py
@@ -11,6 +11,7 @@
 from mimosapoint_node.http.authentication import Authenticator, Caller, authenticator
 from mimosapoint_node.http.cell import CELL_PATH, make_cell_app
 from mimosapoint_node.http.core import make_app
+from mimosapoint_node.http.forward import FORWARDED_HEADER, Forwarder
 from mimosapoint_node.http.limits import HttpLimits
 from mimosapoint_node.http.message import Reply, Request, json_reply
 from mimosapoint_node.http.problems import problem
@@ -23,6 +24,8 @@
     "Caller",
     "CallerGone",
     "Exchange",
+    "FORWARDED_HEADER",
+    "Forwarder",
     "HttpLimits",
     "Receive",
     "Reply",
--- a/packages/mimosapoint-node/src/mimosapoint_node/http/problems.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/http/problems.py
@@ -36,6 +36,7 @@
     "overloaded": 429,
     "patch-conflict": 409,
     "patch-not-found": 404,
+    "peer-refused": 503,
     "peer-unreachable": 503,
     "route-not-found": 404,
     "settings-invalid": 400,
--- a/packages/mimosapoint-node/src/mimosapoint_node/platform/_client.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/platform/_client.py
@@ -78,10 +78,9 @@
         :param connect_time: time that a new connection may take, in seconds.
         """
         origin = self._origin
-        fields = [
-            (b"Host", b"%b:%d" % (origin.host, origin.port)),
-            (b"Content-Length", b"%d" % len(body)),
-        ]
+        fields = [(b"Content-Length", b"%d" % len(body))]
+        if "host" not in headers:
+            fields.append((b"Host", b"%b:%d" % (origin.host, origin.port)))
         fields += [(name.encode(), value.encode()) for name, value in headers.items()]
         url = httpcore.URL(
             scheme=origin.scheme, host=origin.host, port=origin.port, target=path.encode()
--- a/packages/mimosapoint/src/mimosapoint/cell/core.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/core.py
@@ -9,6 +9,7 @@
 from mimosapoint.cell.carriers import Carriers
 from mimosapoint.cell.claim import Claim, Claimant
 from mimosapoint.cell.entry import CellEntry
+from mimosapoint.cell.members import Members
 from mimosapoint.cell.operators import OperatorView
 from mimosapoint.cell.owner import Owner
 from mimosapoint.cell.ports import Ports
@@ -43,6 +44,7 @@
     :param settings: times.
     :param random: source of delays.
     :param links: streams to other nodes; ``None`` when there are none.
+    :param peers_address: where other nodes hand requests over to this one; empty for none.
     """
 
     def __init__(
@@ -57,6 +59,7 @@
         settings: CellSettings,
         random: Random,
         links: NodeLinks | None = None,
+        peers_address: str = "",
     ):
         self.view = OperatorView(store, operator_format, clock, settings, telemetry)
         self.entry = CellEntry(store, self.view, clock, settings, telemetry)
@@ -77,6 +80,8 @@
         )
         self._carriers = Carriers(links, workers, self._claimant, telemetry) if links else None
         self._wants_carriers = wants_carriers
+        self._members = Members(node, peers_address, store, settings, telemetry)
+        self._has_peers = bool(peers_address)
         self._leaving = trio.Event()
 
     @property
@@ -84,6 +89,10 @@
         """Id of the cell's owner, as far as this node knows; empty for none."""
         return self.name if self.owner is not None else self._claimant.owner.node
 
+    def other_nodes(self) -> dict[str, str]:
+        """Return where other nodes take over requests, by their ids."""
+        return self._members.addresses_by_node
+
     def is_ready(self) -> bool:
         """Tell whether callers should be sent here.
 
@@ -96,12 +105,16 @@
         """Take part until cancelled."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.view.run)
+            if self._has_peers:
+                nursery.start_soon(self._members.run)
             if self._carriers is not None:
                 nursery.start_soon(self._carriers.run)
             while not self._leaving.is_set():
                 claim = await self._claim()
                 if claim is not None:
                     await self._own(claim)
+            if self._has_peers:
+                await self._members.leave()
             await trio.sleep_forever()
 
     def leave(self) -> None:
--- a/packages/mimosapoint/src/mimosapoint/cell/keys.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/keys.py
@@ -5,6 +5,7 @@
     "EPOCH_KEY",
     "INBOX_PREFIX",
     "JOB_PREFIX",
+    "MEMBER_PREFIX",
     "OWNER_KEY",
     "OWNER_PREFIX",
     "PROGRESS_PREFIX",
@@ -12,6 +13,7 @@
     "SUMMARY_KEY",
     "cancel_key",
     "job_key",
+    "member_key",
     "progress_key",
 ]
 
@@ -30,6 +32,9 @@
 SUMMARY_KEY = "cell/queues"
 """Numbers of waiting jobs by queue."""
 
+MEMBER_PREFIX = "cell/member/"
+"""Addresses of the nodes, each under the node's id and lease."""
+
 INBOX_PREFIX = "inbox/"
 JOB_PREFIX = "inbox/job/"
 CANCEL_PREFIX = "inbox/cancel/"
@@ -46,6 +51,11 @@
     return CANCEL_PREFIX + job_id
 
 
+def member_key(node: str) -> str:
+    """Return the key of a node's address."""
+    return MEMBER_PREFIX + node
+
+
 def progress_key(job_id: str) -> str:
     """Return the key of a job's progress."""
     return PROGRESS_PREFIX + job_id
--- /dev/null
+++ b/packages/mimosapoint/src/mimosapoint/cell/members.py
@@ -0,0 +1,83 @@
+"""The nodes of a cell: each keeps an entry under a lease, and reads those of the others."""
+
+import trio
+
+from mimosapoint.cell.keys import MEMBER_PREFIX, member_key
+from mimosapoint.cell.reach import Reach
+from mimosapoint.cell.settings import CellSettings
+from mimosapoint.errors import LeaseLost, StoreTimeout, StoreUnavailable
+from mimosapoint.ports import Telemetry, TransactionStore, Write
+
+__all__ = ["Members"]
+
+
+class Members:
+    """Addresses at which other nodes take over requests that this one cannot serve.
+
+    What was read last is kept while the store is away: it is then that the others are needed.
+
+    :param node: id of this node.
+    :param address: where other nodes hand requests over to this one.
+    :param store: the store.
+    :param settings: times.
+    :param telemetry: told of changes.
+    """
+
+    def __init__(
+        self,
+        node: str,
+        address: str,
+        store: TransactionStore,
+        settings: CellSettings,
+        telemetry: Telemetry,
+    ):
+        self.addresses_by_node: dict[str, str] = {}
+        self._node = node
+        self._address = address
+        self._store = store
+        self._settings = settings
+        self._telemetry = telemetry
+        self._lease: int | None = None
+
+    async def run(self) -> None:
+        """Keep the entry and follow the others until cancelled."""
+        reach = Reach("members", self._telemetry)
+        while True:
+            try:
+                await self._keep()
+                await self._read()
+                reach.regained()
+            except LeaseLost:
+                self._lease = None
+                continue
+            except (StoreUnavailable, StoreTimeout) as error:
+                reach.lost(error)
+            await trio.sleep(self._settings.member_renewal.total_seconds())
+
+    async def leave(self) -> None:
+        """Take the entry back, so that nobody hands requests over to a node that stops."""
+        if self._lease is None:
+            return
+        try:
+            await self._store.end_lease(self._lease)
+        except (StoreUnavailable, StoreTimeout, LeaseLost) as error:
+            self._telemetry.event("release-failed", part="members", error=error.code)
+
+    async def _keep(self) -> None:
+        if self._lease is not None:
+            await self._store.renew_lease(self._lease)
+            return
+        lease = await self._store.grant_lease(self._settings.member_ttl)
+        await self._store.commit({}, [Write(member_key(self._node), self._address.encode(), lease)])
+        self._lease = lease
+
+    async def _read(self) -> None:
+        scan = await self._store.scan(MEMBER_PREFIX)
+        found = {
+            entry.key.removeprefix(MEMBER_PREFIX): entry.value.decode("ascii", "replace")
+            for entry in scan.entries
+        }
+        found.pop(self._node, None)
+        if found.keys() != self.addresses_by_node.keys():
+            self._telemetry.event("members-changed", nodes=sorted(found), revision=scan.revision)
+        self.addresses_by_node = found
--- a/packages/mimosapoint/src/mimosapoint/cell/settings.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/settings.py
@@ -63,6 +63,10 @@
         step of both sites, 230 tasks.
     :param orders_min: fewest starts that may always be under way.
     :param orders_step: starts by which the window grows with each look.
+    :param member_ttl: life of a node's entry without renewal; requests that are handed over to a
+        node that has died cost a connection that fails, so it may be some seconds.
+    :param member_renewal: time between renewals, and between readings of the others' entries;
+        three fit into the life.
     :param claim_jitter: largest random delay before a claim; keeps candidates apart.
     :param retention: time for which ended jobs can be read; from the platform's pages.
     :param summary_interval: shortest time between two counts of waiting jobs.
@@ -100,6 +104,8 @@
     orders_max: int = 512
     orders_min: int = 4
     orders_step: int = 4
+    member_ttl: timedelta = _ms(10_000)
+    member_renewal: timedelta = _ms(3000)
     claim_jitter: timedelta = _ms(80)
     retention: timedelta = timedelta(seconds=150)
     summary_interval: timedelta = _ms(500)
--- a/packages/mimosapoint/src/mimosapoint/errors.py
+++ b/packages/mimosapoint/src/mimosapoint/errors.py
@@ -27,6 +27,7 @@
     "Overloaded",
     "PatchConflict",
     "PatchNotFound",
+    "PeerRefused",
     "PeerUnreachable",
     "RouteNotFound",
     "SettingsInvalid",
@@ -247,6 +248,12 @@
         self.found = found
 
 
+class PeerRefused(MimosapointError):
+    """The peer did not take the call; it had no effect."""
+
+    code = "peer-refused"
+
+
 class PeerUnreachable(MimosapointError):
     """The peer did not answer; the call may have had its effect."""
 
