Settle a refused repeat of a start by the worker's lists, avoid workers that hang

Two changes, in one commit as both are in cell/link.py.

Now a refusal of the repeat leaves the effect open, and the worker's lists settle it. Test: test_a_run_that_ends_before_its_start_is_repeated_counts, which failed before.

Ruled out: fixed speeds of workers.

--- a/packages/mimosapoint/src/mimosapoint/cell/link.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/link.py
@@ -8,6 +8,7 @@
 import trio
 
 from mimosapoint.cell.health import WorkerHealth
+from mimosapoint.cell.pace import WorkerPace
 from mimosapoint.cell.settings import CellSettings
 from mimosapoint.cell.units import Assignment, Unit
 from mimosapoint.errors import StaleEpoch, WorkerRefused, WorkerUnreachable
@@ -107,6 +108,7 @@
         self.used = Amounts()
         self.assignments_by_run: dict[tuple[TaskId, int], Assignment] = {}
         self.health = WorkerHealth()
+        self.pace = WorkerPace()
         self.unhealthy_until: datetime | None = None
         self.answered_at: datetime | None = None
         self._epoch = epoch
@@ -229,11 +231,16 @@
             )
 
     async def _order_start(self, order: StartOrder) -> int:
-        if self._events.is_unhurried():
-            with trio.move_on_after(self._settings.repeat_start_after.total_seconds()):
-                return await self._workers.start(self.registration, order)
-            self._telemetry.count("cell_starts_repeated")
-        return await self._workers.start(self.registration, order)
+        if not self._events.is_unhurried():
+            return await self._workers.start(self.registration, order)
+        with trio.move_on_after(self._settings.repeat_start_after.total_seconds()):
+            return await self._workers.start(self.registration, order)
+        self._telemetry.count("cell_starts_repeated")
+        try:
+            return await self._workers.start(self.registration, order)
+        except StartRefused as refusal:
+            # The first order may have been carried out, and its run may have ended since.
+            raise WorkerUnreachable(f"refused when repeated: {refusal.reason}") from refusal
 
     async def stop(self, assignment: Assignment) -> None:
         """Order a stop until the run is no longer on the worker."""
@@ -358,7 +365,8 @@
             if assignment is None:
                 assignment = self._events.adopt(self, status)
                 self._keep(assignment)
-            self._note_status(assignment, status, lists.clock_ms, now)
+            self._note_status(assignment, status, lists.clock_ms)
+        self._judge_pace(now)
         if len(lists.ended) >= ENDS_PER_LIST:
             return
         for key, assignment in list(self.assignments_by_run.items()):
@@ -372,14 +380,23 @@
             elif confirmed is None and lists.clock_ms > assignment.not_after_ms:
                 self._drop(assignment, RunEnd.REFUSED, reason="window-over")
 
-    def _note_status(
-        self, assignment: Assignment, status: RunStatus, clock_ms: int, now: datetime
-    ) -> None:
+    def _judge_pace(self, now: datetime) -> None:
+        runs = [each.pace for each in self.assignments_by_run.values() if not each.stopping]
+        if self.pace.judge(runs, now):
+            self._telemetry.event(
+                "worker-slow",
+                worker=self.id,
+                assignments=len(self.assignments_by_run),
+                shares=sorted(round(run.share, 2) for run in runs if run.share is not None),
+                until=self.pace.slow_until,
+            )
+            self._telemetry.count("cell_workers_slow")
+
+    def _note_status(self, assignment: Assignment, status: RunStatus, clock_ms: int) -> None:
         if assignment.confirmed_ms is None:
             assignment.confirmed_ms = clock_ms
-        if assignment.moved_at is None or status.percent != assignment.percent:
-            assignment.percent = status.percent
-            assignment.moved_at = now
+        assignment.percent = status.percent
+        assignment.pace.note(status.percent, clock_ms)
         if status.checkpoint and assignment.unit is not None:
             unit = assignment.unit
             if assignment.run == unit.run:
--- a/packages/mimosapoint/src/mimosapoint/cell/owner.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/owner.py
@@ -37,6 +37,10 @@
 BLAMED_WORKERS = 2
 """Workers that one job's failures count against; a job that fails on more is itself at fault."""
 
+SLOW_WORKERS_SHARE = 1 / 3
+"""Largest share of the workers that get no new work for being slow; the faults of the platform's
+pages slow a seventh of the workers down."""
+
 UNKNOWN_AMOUNTS = Amounts(1 << 40, 1 << 40, 1 << 20)
 """What a run of an unknown job is taken to occupy: more than any worker has."""
 
@@ -219,11 +223,16 @@
         """Return the workers that may get new work."""
         now = self._clock.now()
         withdrawn = self._ports.view.withdrawn_zones
-        return [
+        usable = [
             link
             for link in self.fleet.links_by_id.values()
             if link.is_usable(now) and link.registration.zone not in withdrawn
         ]
+        slow = sum(link.pace.is_slow(now) for link in usable)
+        # Where many workers are slow it is their work, or the way it is measured.
+        if not slow or slow > SLOW_WORKERS_SHARE * len(usable):
+            return usable
+        return [link for link in usable if not link.pace.is_slow(now)]
 
     def why_waiting(self, unit: Unit) -> Waiting:
         """Tell why a waiting unit has not started."""
--- a/packages/mimosapoint/src/mimosapoint/cell/tests/test_takeover.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_takeover.py
@@ -1,5 +1,7 @@
 """What a new owner waits for, and what it need not wait for."""
 
+from datetime import timedelta
+
 import trio
 
 from mimosapoint.cell.tests._site import SMALL, WIDE, open_site
@@ -112,6 +114,18 @@
             await site.wait_phase("a", Phase.COMPLETE)
             self.assertEqual([RunEnd.DONE], [record.end for record in site.runs("a")])
 
+    async def test_a_run_that_ends_before_its_start_is_repeated_counts(self):
+        async with open_site(workers=2) as site:
+            site.pool.run_time = timedelta(milliseconds=100)
+            for link in site.workers.links_by_address.values():
+                link.lost_start_answers = 1
+                link.lost_lists = 1
+            await site.submit("a", Step(1, SMALL))
+            await site.wait_phase("a", Phase.COMPLETE)
+            await trio.sleep(2)
+            self.assertEqual([RunEnd.DONE], [record.end for record in site.runs("a")])
+            self.assertEqual([], site.broken_promises())
+
 
 class ReadinessTest(TrioTestCase):
     mock_clock = True
--- a/packages/mimosapoint/src/mimosapoint/cell/units.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/units.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from mimosapoint.cell.pace import RunPace
 from mimosapoint.workload import Amounts, JobProgress, JobRecord, RunEnd, Step, TaskId, UnitId
 
 if TYPE_CHECKING:
@@ -40,7 +41,7 @@
     :param confirmed_ms: worker's clock at which the run was there; ``None`` before.
     :param stopping: whether a stop was ordered.
     :param percent: progress in percent, as last reported.
-    :param moved_at: time at which the progress last changed.
+    :param pace: how fast it gets on.
     """
 
     task: TaskId
@@ -52,7 +53,7 @@
     confirmed_ms: int | None = None
     stopping: bool = False
     percent: int = 0
-    moved_at: datetime | None = None
+    pace: RunPace = attrs.field(factory=RunPace)
 
 
 @attrs.define(eq=False)
--- a/packages/mimosapoint/src/mimosapoint/memory/run_worker.py
+++ b/packages/mimosapoint/src/mimosapoint/memory/run_worker.py
@@ -24,6 +24,9 @@
 STOP_TIME = timedelta(milliseconds=200)
 """Time that a stop takes, as on the first site."""
 
+TICK_SECONDS = 0.25
+"""Parts in which a task gets on."""
+
 ALONE_AFTER = timedelta(seconds=3)
 """Time for which a member of a gang waits for the others."""
 
@@ -42,6 +45,7 @@
     :param ended: time at which it was no longer there; ``None`` before.
     :param end: how it ended; ``None`` before.
     :param checkpoint: checkpoint that it was started from.
+    :param percent: progress in percent.
     :param forgotten: whether its worker restarted, or its lease lapsed, before the end was
         acknowledged; the task may then start again.
     """
@@ -54,6 +58,7 @@
     ended: float | None = None
     end: RunEnd | None = None
     checkpoint: str = ""
+    percent: int = 0
     forgotten: bool = False
     scope: trio.CancelScope = attrs.field(factory=trio.CancelScope, repr=False)
 
@@ -68,6 +73,7 @@
     :param stop_time: time that a stop takes.
     :param failing: ids of workers that fail every run at once.
     :param failing_jobs: ids of jobs whose every run fails at once.
+    :param hanging: ids of workers on which runs make no progress.
     """
 
     clock: Clock
@@ -76,6 +82,7 @@
     stop_time: timedelta = STOP_TIME
     failing: set[str] = attrs.field(factory=set)
     failing_jobs: set[str] = attrs.field(factory=set)
+    hanging: set[str] = attrs.field(factory=set)
     history: list[RunRecord] = attrs.field(factory=list)
     overfull: list[str] = attrs.field(factory=list)
     _members: dict[tuple, list[RunRecord]] = attrs.field(factory=dict)
@@ -146,7 +153,7 @@
     def lists(self) -> WorkerLists:
         """Return what runs and what ended."""
         running = tuple(
-            RunStatus(record.task, record.run, record.checkpoint)
+            RunStatus(record.task, record.run, record.checkpoint, record.percent)
             for record in self.running.values()
         )
         return WorkerLists(self.clock_ms, self.born, running, tuple(self.ended))
@@ -208,9 +215,18 @@
             if faulty or record.task.job in self.pool.failing_jobs:
                 self._finish(record, RunEnd.FAILED)
                 return
-            await trio.sleep(self.pool.run_time.total_seconds())
+            await self._work(record)
             self._finish(record, RunEnd.DONE)
 
+    async def _work(self, record: RunRecord) -> None:
+        whole = left = self.pool.run_time.total_seconds()
+        while left > 0:
+            part = min(left, TICK_SECONDS)
+            await trio.sleep(part)
+            if self.registration.id not in self.pool.hanging:
+                left -= part
+                record.percent = int(100 * (1 - left / whole))
+
     def _finish(self, record: RunRecord, end: RunEnd, listed: bool = True) -> None:
         if record.ended is not None:
             return
--- a/packages/mimosapoint/src/mimosapoint/memory/run_workers.py
+++ b/packages/mimosapoint/src/mimosapoint/memory/run_workers.py
@@ -36,6 +36,8 @@
     :param unhealthy: starts are refused by the worker.
     :param replaced: another life of the worker answers.
     :param lost_starts: number of the next starts that get no answer and have no effect.
+    :param lost_lists: number of the next renewals that get no answer.
+    :param lost_start_answers: number of the next starts that get no answer but are carried out.
     """
 
     cut: bool = False
@@ -44,6 +46,8 @@
     unhealthy: bool = False
     replaced: bool = False
     lost_starts: int = 0
+    lost_lists: int = 0
+    lost_start_answers: int = 0
 
 
 class MemoryRunWorkers:
@@ -65,6 +69,11 @@
         """Renew the lease and return what runs and what ended."""
         found = await self._reach(worker)
         lists = await found.hold(order)
+        link = self.links_by_address[worker.address]
+        if link.lost_lists:
+            link.lost_lists -= 1
+            await trio.sleep(TIMEOUT_SECONDS)
+            raise WorkerUnreachable("no answer")
         await self._reach(worker)
         return lists
 
@@ -82,7 +91,12 @@
         found = await self._reach(worker)
         if link.unhealthy:
             raise StartRefused("unhealthy")
-        return found.start(order)
+        clock_ms = found.start(order)
+        if link.lost_start_answers:
+            link.lost_start_answers -= 1
+            await trio.sleep(TIMEOUT_SECONDS)
+            raise WorkerUnreachable("no answer")
+        return clock_ms
 
     async def stop(self, worker: Registration, order: StopOrder) -> None:
         """Stop a run."""
--- a/packages/mimosapoint/src/mimosapoint/telemetry/_cell_declarations.py
+++ b/packages/mimosapoint/src/mimosapoint/telemetry/_cell_declarations.py
@@ -78,6 +78,12 @@
         "orders",
         ("kind",),
     ),
+    Metric(
+        "cell_workers_slow",
+        MetricKind.COUNTER,
+        "Times that a worker was found slow or hanging by the progress of its runs.",
+        "times",
+    ),
     Metric(
         "cell_wait_seconds",
         MetricKind.HISTOGRAM,
@@ -132,6 +138,7 @@
     ("worker-draining", "A worker takes no new work."),
     ("worker-entry-unreadable", "An entry names no worker that can be used."),
     ("worker-found", "A worker registered itself."),
+    ("worker-slow", "Runs on a worker make little progress; new work goes elsewhere for a while."),
     ("worker-silent", "A worker does not answer; its lease goes on for a while."),
     ("worker-missing", "A worker's entry is gone; it gets no new work."),
     ("worker-put-aside", "Several jobs failed on a worker; it gets no work for a while."),
