--- a/packages/mimosapoint/src/mimosapoint/cell/link.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/link.py
@@ -238,9 +238,9 @@
         self._telemetry.count("cell_starts_repeated")
         try:
             return await self._workers.start(self.registration, order)
-        except StartRefused as refusal:
-            # The first order may have been carried out, and its run may have ended since.
-            raise WorkerUnreachable(f"refused when repeated: {refusal.reason}") from refusal
+        except (StartRefused, WorkerRefused) as refusal:
+            # The first order may have been carried out; its run may go on, or have ended since.
+            raise WorkerUnreachable(f"refused when repeated: {refusal.detail}") from refusal
 
     async def stop(self, assignment: Assignment) -> None:
         """Order a stop until the run is no longer on the worker."""
--- a/packages/mimosapoint/src/mimosapoint/cell/tests/test_takeover.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_takeover.py
@@ -126,6 +126,23 @@
             self.assertEqual([RunEnd.DONE], [record.end for record in site.runs("a")])
             self.assertEqual([], site.broken_promises())
 
+    async def test_a_run_goes_on_when_its_worker_is_cut_off_before_its_start_is_repeated(self):
+        async with open_site(workers=2) as site:
+            site.pool.run_time = timedelta(seconds=3)
+            for link in site.workers.links_by_address.values():
+                link.lost_start_answers = 1
+            await site.submit("a", Step(1, SMALL))
+            await site.wait_running("a")
+            worker = site.workers.workers_by_address[f"10.0.0.{site.runs('a')[0].worker[1:]}:1"]
+            link = site.workers.links_by_address[worker.registration.address]
+            link.refused = True
+            await trio.sleep(2)
+            self.assertEqual(1, len(site.runs("a")))
+            link.refused = False
+            await site.wait_phase("a", Phase.COMPLETE)
+            self.assertEqual([RunEnd.DONE], [record.end for record in site.runs("a")])
+            self.assertEqual([], site.broken_promises())
+
 
 class ReadinessTest(TrioTestCase):
     mock_clock = True
