--- /dev/null
+++ b/packages/mimosapoint/src/mimosapoint/cell/lease.py
@@ -0,0 +1,68 @@
+"""What an owner knows of a worker's clock and of the lease of the runs there."""
+
+from datetime import datetime, timedelta
+
+from mimosapoint.cell.settings import CellSettings
+from mimosapoint.ports import Clock
+
+__all__ = ["WorkerLease"]
+
+MILLISECOND = timedelta(milliseconds=1)
+
+
+class WorkerLease:
+    """The lease of everything on one worker, as a time on that worker's clock.
+
+    :param clock: clock of the owner.
+    :param settings: times.
+    """
+
+    def __init__(self, clock: Clock, settings: CellSettings):
+        self._clock = clock
+        self._settings = settings
+        self._measured_at = clock.now()
+        self.begin()
+
+    def begin(self) -> None:
+        """Begin with a life of the worker of which nothing is known yet."""
+        self.until_ms = 0
+        self._clock_ms = 0
+        self._is_known = False
+        self._unknown_lapse_at = self._clock.now() + self._life(self._settings.worker_lease)
+
+    def note_clock(self, clock_ms: int) -> None:
+        """Note the worker's clock of an answer that has just arrived."""
+        self._clock_ms = clock_ms
+        self._measured_at = self._clock.now()
+        if not self._is_known:
+            # An earlier owner may have set a longer lease than this one knows of.
+            self.cover(clock_ms + self._whole_ms)
+        self._is_known = True
+
+    def worker_now(self) -> int:
+        """Return the worker's clock in milliseconds, as far as it can be told."""
+        return self._clock_ms + int((self._clock.now() - self._measured_at) / MILLISECOND)
+
+    def extend(self) -> None:
+        """Reckon with a whole lease from now on."""
+        self.cover(self.worker_now() + self._whole_ms)
+
+    def cover(self, until_ms: int) -> None:
+        """Reckon with a lease up to a time on the worker's clock, if it is later."""
+        self.until_ms = max(self.until_ms, until_ms)
+
+    @property
+    def lapse_at(self) -> datetime:
+        """Time at which nothing that was ordered can run any more."""
+        if not self._is_known:
+            return self._unknown_lapse_at
+        left = max(0, self.until_ms - self._clock_ms) * MILLISECOND
+        return self._measured_at + self._life(left)
+
+    @property
+    def _whole_ms(self) -> int:
+        return int(self._settings.worker_lease / MILLISECOND)
+
+    def _life(self, lease: timedelta) -> timedelta:
+        """Return the time after which a lease has surely lapsed."""
+        return lease * (1 + self._settings.clock_drift) + self._settings.lapse_slack
--- a/packages/mimosapoint/src/mimosapoint/cell/link.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/link.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 from datetime import datetime, timedelta
-from typing import Protocol
 
 import trio
 
 from mimosapoint.cell.health import WorkerHealth
+from mimosapoint.cell.lease import WorkerLease
+from mimosapoint.cell.link_events import LinkEvents
 from mimosapoint.cell.pace import WorkerPace
 from mimosapoint.cell.settings import CellSettings
 from mimosapoint.cell.units import Assignment, Unit
@@ -28,7 +29,7 @@
 )
 from mimosapoint.workload import Amounts, JobRecord, RunEnd, TaskId
 
-__all__ = ["LinkEvents", "WorkerLink"]
+__all__ = ["WorkerLink"]
 
 EPOCH_SHIFT = 20
 """Low bits of a fencing token, which number the incarnations that this owner has seen."""
@@ -39,46 +40,6 @@
 MILLISECOND = timedelta(milliseconds=1)
 
 
-class LinkEvents(Protocol):
-    """What a link tells the owner."""
-
-    def may_order(self) -> bool:
-        """Whether this node still owns the cell."""
-        ...
-
-    def fleet_size(self) -> int:
-        """Return the number of workers that the owner talks to."""
-        ...
-
-    def is_unhurried(self) -> bool:
-        """Whether this process has processor to spare, so that late answers are not its doing."""
-        ...
-
-    def adopt(self, link: WorkerLink, status: RunStatus) -> Assignment:
-        """Take over a run that the link did not order."""
-        ...
-
-    def gone(self, assignment: Assignment, end: RunEnd, checkpoint: str, reason: str = "") -> None:
-        """Note that a run is no longer on the worker."""
-        ...
-
-    def ended_unknown(self, link: WorkerLink, ended: EndedRun) -> None:
-        """Note the end of a run that the link did not know."""
-        ...
-
-    async def store_ends(self, ended: tuple[EndedRun, ...]) -> None:
-        """Return when the progress that the ends made is stored."""
-        ...
-
-    def changed(self) -> None:
-        """Look again at what can be started."""
-        ...
-
-    def deposed(self, epoch: int) -> None:
-        """Note that a worker obeys a newer owner."""
-        ...
-
-
 class WorkerLink:
     """One worker of the cell.
 
@@ -120,10 +81,7 @@
         self._generation = 1
         self._born = 0
         self._stored_ends = 0
-        self._measured_at = clock.now()
-        self._clock_ms = 0
-        self._lease_until_ms = 0
-        self._unsynced_lapse_at = clock.now() + self._lease_life(settings.worker_lease)
+        self._lease = WorkerLease(clock, settings)
         self._reachable = True
         self._replaced = False
 
@@ -168,7 +126,7 @@
 
     def is_settled(self, now: datetime) -> bool:
         """Tell whether it is known what runs on the worker."""
-        return self.synced or self._replaced or now >= self._lapse_at
+        return self.synced or self._replaced or now >= self._lease.lapse_at
 
     @property
     def is_leaving_empty(self) -> bool:
@@ -198,8 +156,8 @@
         or its answer may be lost, and a run that is there already is not started again.
         """
         window = self._settings.start_window / MILLISECOND
-        assignment.not_after_ms = self._worker_now() + int(window)
-        self._lease_until_ms = max(self._lease_until_ms, assignment.not_after_ms)
+        assignment.not_after_ms = self._lease.worker_now() + int(window)
+        self._lease.cover(assignment.not_after_ms)
         order = StartOrder(
             assignment.task,
             assignment.run,
@@ -295,9 +253,8 @@
     async def _hold(self) -> None:
         wait = self._settings.wait_of(self._events.fleet_size()) if self.synced else timedelta(0)
         if self.synced and self._reachable:
-            lease = int(self._settings.worker_lease / MILLISECOND)
-            self._lease_until_ms = max(self._lease_until_ms, self._worker_now() + lease)
-        until = self._lease_until_ms if self.synced else None
+            self._lease.extend()
+        until = self._lease.until_ms if self.synced else None
         order = HoldOrder(self._token, until, self._stored_ends, wait)
         generation = self._generation
         lists = await self._workers.hold(self.registration, order)
@@ -337,13 +294,8 @@
 
     def _note_answer(self, clock_ms: int) -> None:
         now = self._clock.now()
-        self._clock_ms = clock_ms
-        self._measured_at = now
+        self._lease.note_clock(clock_ms)
         self.answered_at = now
-        if not self.synced:
-            # An earlier owner may have set a longer lease than this one knows of.
-            lease = int(self._settings.worker_lease / MILLISECOND)
-            self._lease_until_ms = max(self._lease_until_ms, clock_ms + lease)
         if not self._reachable:
             self._reachable = True
             self._telemetry.event("worker-heard-again", worker=self.id)
@@ -421,8 +373,7 @@
         self._born = born
         self.health = WorkerHealth()
         self._stored_ends = 0
-        self._lease_until_ms = self._clock_ms = 0
-        self._unsynced_lapse_at = self._clock.now() + self._lease_life(self._settings.worker_lease)
+        self._lease.begin()
         self.synced = False
 
     def _note_replaced(self) -> None:
@@ -450,12 +401,12 @@
                 worker=self.id,
                 error=code,
                 assignments=len(self.assignments_by_run),
-                lapse_in=round((self._lapse_at - self._clock.now()).total_seconds(), 3),
+                lapse_in=round((self._lease.lapse_at - self._clock.now()).total_seconds(), 3),
             )
             self._events.changed()
 
     def _check_lapse(self) -> None:
-        if self._clock.now() >= self._lapse_at and self.assignments_by_run:
+        if self._clock.now() >= self._lease.lapse_at and self.assignments_by_run:
             self._drop_all(RunEnd.LAPSED, "lease-over")
 
     def _drop_all(self, end: RunEnd, reason: str) -> None:
@@ -478,22 +429,6 @@
         self.used -= assignment.amounts
         self._events.gone(assignment, end, checkpoint, reason)
 
-    def _worker_now(self) -> int:
-        """Return the worker's clock, as far as it can be told."""
-        return self._clock_ms + int((self._clock.now() - self._measured_at) / MILLISECOND)
-
-    @property
-    def _lapse_at(self) -> datetime:
-        """Time at which nothing that was ordered can run any more."""
-        if not self.synced:
-            return self._unsynced_lapse_at
-        left = max(0, self._lease_until_ms - self._clock_ms) * MILLISECOND
-        return self._measured_at + self._lease_life(left)
-
-    def _lease_life(self, lease: timedelta) -> timedelta:
-        """Return the time after which a lease has surely lapsed."""
-        return lease * (1 + self._settings.clock_drift) + self._settings.lapse_slack
-
     @property
     def _token(self) -> int:
         return (self._epoch << EPOCH_SHIFT) + self._generation
