Keep a node that stops off the list of members

Cause, found by reading: the renewal that followed the end of the lease found it lost and wrote the entry anew, so that other nodes handed requests over to a node that had gone, for up to ten seconds. Test: test_a_node_that_leaves_does_not_come_back_while_it_stops, which failed before.

--- a/packages/mimosapoint/src/mimosapoint/cell/members.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/members.py
@@ -38,11 +38,12 @@
         self._settings = settings
         self._telemetry = telemetry
         self._lease: int | None = None
+        self._left = False
 
     async def run(self) -> None:
-        """Keep the entry and follow the others until cancelled."""
+        """Keep the entry and follow the others until the node leaves."""
         reach = Reach("members", self._telemetry)
-        while True:
+        while not self._left:
             try:
                 await self._keep()
                 await self._read()
@@ -56,6 +57,7 @@
 
     async def leave(self) -> None:
         """Take the entry back, so that nobody hands requests over to a node that stops."""
+        self._left = True
         if self._lease is None:
             return
         try:
--- a/packages/mimosapoint/src/mimosapoint/cell/tests/test_members.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_members.py
@@ -47,6 +47,17 @@
             self.assertEqual({}, first.addresses_by_node)
             nursery.cancel_scope.cancel()
 
+    async def test_a_node_that_leaves_does_not_come_back_while_it_stops(self):
+        store = MemoryTransactionStore(TrioClock())
+        async with trio.open_nursery() as nursery:
+            first, _ = self.start(nursery, store, "a")
+            leaving, _ = self.start(nursery, store, "b")
+            await trio.sleep(POLL + 1)
+            await leaving.leave()
+            await trio.sleep(2 * POLL + 1)
+            self.assertEqual({}, first.addresses_by_node)
+            nursery.cancel_scope.cancel()
+
     async def test_the_others_are_remembered_while_the_store_is_away(self):
         store = MemoryTransactionStore(TrioClock())
         async with trio.open_nursery() as nursery:
