Settle a doubtful write by another node's success alone

Cause: a write got no answer within 600 ms; the request was handed over; meanwhile its key had been revoked, and the other node answered 401, which was passed on. The write was stored, and the job ran.

Change: after a doubt here only a success there settles a submission or a cancel; anything else leaves it unknown.

--- a/packages/mimosapoint-node/src/mimosapoint_node/http/forward.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/http/forward.py
@@ -36,6 +36,9 @@
 """Errors after which it may have had one; repeats are harmless, as the caller chose the id."""
 
 REFUSALS = (429, 503)
+FIRST_FAILURE = 300
+"""Least status of answers that are no success."""
+
 UNSERVED = 500
 """Least status of answers that settle nothing."""
 
@@ -109,6 +112,9 @@
                 if answer.status in REFUSALS or method != "POST":
                     return None
                 raise PeerUnreachable(f"{node} answered {answer.status}")
+            if doubtful and method != "GET" and answer.status >= FIRST_FAILURE:
+                # What this node wrote may be stored, whatever the other one says of the request.
+                return None
             return _reply(answer)
         return None
 
--- a/packages/mimosapoint-node/src/mimosapoint_node/http/tests/test_forward.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/http/tests/test_forward.py
@@ -117,11 +117,29 @@
         async with self.open(Peer(cut=True)) as forwarder:
             self.assertIsNone(await self.forward(forwarder, method="GET"))
 
-    async def test_what_another_node_settles_settles_a_doubt(self):
+    async def test_only_a_success_settles_a_doubt(self):
+        # The write may be stored: a key that was revoked since does not undo it.
+        for method in ("POST", "DELETE"):
+            for status in (401, 404, 409, 410):
+                with self.subTest(method=method, status=status):
+                    async with self.open(Peer(status)) as forwarder:
+                        self.assertIsNone(await self.forward(forwarder, UNKNOWN, method))
+            async with self.open(Peer(200)) as forwarder:
+                reply = await self.forward(forwarder, UNKNOWN, method)
+                self.assertEqual(200, reply.status)
+
+    async def test_every_answer_of_another_node_settles_a_question(self):
+        for status in (200, 401, 404, 410):
+            with self.subTest(status=status):
+                async with self.open(Peer(status)) as forwarder:
+                    reply = await self.forward(forwarder, UNKNOWN, "GET")
+                    self.assertEqual(status, reply.status)
+
+    async def test_every_answer_settles_what_had_no_effect_here(self):
         for status in (200, 401, 404, 409, 410):
             with self.subTest(status=status):
                 async with self.open(Peer(status)) as forwarder:
-                    reply = await self.forward(forwarder, UNKNOWN)
+                    reply = await self.forward(forwarder)
                     self.assertEqual(status, reply.status)
 
 
