Give each rule of the cell, its HTTP interface and its stand-ins one place

Cause, found by reading the whole change: the same logic stood in two or three places. - priority and pool of a job as configured now: planner and guarantees; now Catalog.priority_of and pool_of - conflict over the epoch: committer and fleet; now Claim.check - age of what was read from the store: operators, fleet, inbox; now cell.freshness - why a worker takes no work: is_usable and state; now WorkerLink.obstacle - which waiting units may start: decisions and why_waiting; now two predicates of the owner - bearer tokens: tokens, cell, ingress; now bearer_token. Errors that are not typed: core, cell, ingress; now problems.unexpected, so that /v1/cell logs the place as the other two do, in place of the end of the trace - leases of both stores in memory: now memory._leases - log fields of a run: four times; now Assignment.log_fields Dead code goes: Committer.commit_all, OperatorView.changed, Catalog.tenants_by_name, Spot.zone. Work on the hot path goes: the number of planned tasks was summed for each unit, the chain of a job computed for each rank.

No test keeps less: two calls in tests pass open jobs, where the function asked for jobs that have not ended.

Conclusion: behaviour is meant to be as it was.

--- a/packages/mimosapoint-node/src/mimosapoint_node/http/__init__.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/http/__init__.py
@@ -14,9 +14,10 @@
 from mimosapoint_node.http.forward import FORWARDED_HEADER, Forwarder
 from mimosapoint_node.http.limits import HttpLimits
 from mimosapoint_node.http.message import Reply, Request, json_reply
-from mimosapoint_node.http.problems import problem
+from mimosapoint_node.http.problems import problem, unexpected
 from mimosapoint_node.http.routing import route, routes
 from mimosapoint_node.http.server import serve
+from mimosapoint_node.http.tokens import bearer_token
 
 __all__ = [
     "CELL_PATH",
@@ -32,6 +33,7 @@
     "Request",
     "Send",
     "authenticator",
+    "bearer_token",
     "json_reply",
     "make_app",
     "make_cell_app",
@@ -39,4 +41,5 @@
     "route",
     "routes",
     "serve",
+    "unexpected",
 ]
--- a/packages/mimosapoint-node/src/mimosapoint_node/http/cell.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/http/cell.py
@@ -1,7 +1,6 @@
 """The product's own interface to a cell, for callers and operators."""
 
 import re
-import traceback
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 from typing import Any
@@ -16,7 +15,8 @@
 from mimosapoint_node.http._exchange import Exchange, Receive, Send
 from mimosapoint_node.http.limits import HttpLimits
 from mimosapoint_node.http.message import Reply, json_reply
-from mimosapoint_node.http.problems import problem
+from mimosapoint_node.http.problems import problem, unexpected
+from mimosapoint_node.http.tokens import bearer_token
 
 __all__ = ["CELL_PATH", "make_cell_app"]
 
@@ -61,9 +61,7 @@
                 view_age=cell.entry.view_age,
             )
         except Exception as error:
-            trace = "".join(traceback.format_exception(error))[-1000:]
-            telemetry.event("http-error", route=exchange.path, error=repr(error), at=trace)
-            reply = problem(MimosapointError("an unexpected error; it is in the node's log"))
+            reply = unexpected(error, exchange.path, telemetry)
         await exchange.reply(reply, None)
 
     return app
@@ -110,16 +108,11 @@
         queue = entry.catalog().queues_by_name.get(queue_name)
         if queue is None:
             raise RouteNotFound(f"no queue {queue_name}")
-        workspace = entry.authenticate(queue, _key(exchange))
+        workspace = entry.authenticate(queue, bearer_token(exchange.headers()))
         await entry.submit(queue, workspace, submission, SUBMIT_TIME)
         return json_reply({"id": job_id, "queue": queue.name, "workspace": workspace}, 202)
 
     def _workspace(self, exchange: Exchange) -> str:
         """Return the workspace of the caller's key; empty without one, for public queues."""
-        key = _key(exchange)
+        key = bearer_token(exchange.headers())
         return "" if key is None else self._cell.entry.workspace_of(key)
-
-
-def _key(exchange: Exchange) -> str | None:
-    scheme, _, key = exchange.headers().get("authorization", "").partition(" ")
-    return key.strip() if scheme.lower() == "bearer" and key.strip() else None
--- a/packages/mimosapoint-node/src/mimosapoint_node/http/core.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/http/core.py
@@ -1,6 +1,5 @@
 """The ASGI application of a node."""
 
-import traceback
 from collections.abc import Awaitable, Callable
 from contextlib import nullcontext
 from datetime import datetime
@@ -16,7 +15,7 @@
 from mimosapoint_node.http.context import Context
 from mimosapoint_node.http.limits import HttpLimits
 from mimosapoint_node.http.message import Reply, Request
-from mimosapoint_node.http.problems import problem
+from mimosapoint_node.http.problems import problem, unexpected
 from mimosapoint_node.http.routing import Route, find_route
 
 __all__ = ["App", "make_app"]
@@ -103,8 +102,7 @@
     except CallerGone:
         raise
     except Exception as error:
-        context.telemetry.event("http-error", route=label, error=repr(error), at=_place(error))
-        return label, problem(MimosapointError("an unexpected error; it is in the node's log"))
+        return label, unexpected(error, label, context.telemetry)
 
 
 async def _handle(
@@ -131,9 +129,3 @@
     span.set("http.status", reply.status)
     context.telemetry.count("http_requests_total", route=label, status=str(reply.status))
     context.telemetry.observe("http_seconds", seconds, route=label)
-
-
-def _place(error: Exception) -> str:
-    """Return the file and line that raised the error."""
-    frames = traceback.extract_tb(error.__traceback__)
-    return f"{frames[-1].filename}:{frames[-1].lineno}" if frames else "unknown"
--- a/packages/mimosapoint-node/src/mimosapoint_node/http/problems.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/http/problems.py
@@ -1,14 +1,16 @@
 """Errors as ``application/problem+json``."""
 
 import math
+import traceback
 from typing import Any
 
 from mimosapoint.codec import to_json
 from mimosapoint.errors import MethodNotAllowed, MimosapointError
+from mimosapoint.ports import Telemetry
 
 from mimosapoint_node.http.message import Reply
 
-__all__ = ["PROBLEM_TYPE", "STATUS_BY_CODE", "problem"]
+__all__ = ["PROBLEM_TYPE", "STATUS_BY_CODE", "problem", "unexpected"]
 
 PROBLEM_TYPE = "application/problem+json"
 
@@ -92,6 +94,17 @@
     return Reply(status, to_json(body), PROBLEM_TYPE, tuple(headers))
 
 
+def unexpected(error: Exception, route: str, telemetry: Telemetry) -> Reply:
+    """Log an error that is not typed, and return what the caller is told.
+
+    :param route: label of the route.
+    """
+    frames = traceback.extract_tb(error.__traceback__)
+    place = f"{frames[-1].filename}:{frames[-1].lineno}" if frames else "unknown"
+    telemetry.event("http-error", route=route, error=repr(error), at=place)
+    return problem(MimosapointError("an unexpected error; it is in the node's log"))
+
+
 def _detail(error: MimosapointError) -> str:
     if error.code in UNKNOWN_EFFECT:
         return f"{error.detail}; {REPEAT_HINT}"
--- a/packages/mimosapoint-node/src/mimosapoint_node/http/tokens.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/http/tokens.py
@@ -1,7 +1,7 @@
 """Callers who show a bearer token."""
 
 import hmac
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Mapping
 from hashlib import sha256
 
 from mimosapoint.configuration import Configuration
@@ -11,7 +11,7 @@
 from mimosapoint_node.http.authentication import Caller, authenticator, named_workspace
 from mimosapoint_node.http.message import Request
 
-__all__ = ["TokenAuthenticator", "token_digest"]
+__all__ = ["TokenAuthenticator", "bearer_token", "token_digest"]
 
 SCHEME = "bearer"
 
@@ -52,11 +52,20 @@
         return found[0]
 
 
+def bearer_token(headers: Mapping[str, str]) -> str | None:
+    """Return the bearer token of a request, or ``None`` when it shows none.
+
+    :param headers: values by lower-case name.
+    """
+    scheme, _, token = headers.get("authorization", "").partition(" ")
+    return token.strip() if scheme.lower() == SCHEME and token.strip() else None
+
+
 def _read_token(request: Request) -> str:
-    scheme, _, token = request.headers.get("authorization", "").partition(" ")
-    if scheme.lower() != SCHEME or not token.strip():
+    token = bearer_token(request.headers)
+    if token is None:
         raise Unauthenticated("send the header Authorization: Bearer TOKEN")
-    return token.strip()
+    return token
 
 
 def _services(configuration: Configuration) -> Iterator[tuple[tuple[str, ...], Caller]]:
--- a/packages/mimosapoint/src/mimosapoint/cell/book.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/book.py
@@ -166,6 +166,10 @@
         self.jobs_by_id.pop(job.record.id, None)
         self.changed_by_id.pop(job.record.id, None)
 
+    def open_jobs(self) -> Iterator[Job]:
+        """Yield the jobs that have not ended."""
+        return (job for job in self.jobs_by_id.values() if not job.progress.phase.ended)
+
     def unstarted_by_queue(self) -> dict[str, int]:
         """Return the number of jobs of each queue of which no task has started."""
         counts: dict[str, int] = {}
--- a/packages/mimosapoint/src/mimosapoint/cell/claim.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/claim.py
@@ -10,7 +10,7 @@
 from mimosapoint.cell.reach import Reach
 from mimosapoint.cell.settings import CellSettings
 from mimosapoint.codec import decode, encode
-from mimosapoint.errors import CodecError, LeaseLost, StoreTimeout, StoreUnavailable
+from mimosapoint.errors import CodecError, LeaseLost, StaleEpoch, StoreTimeout, StoreUnavailable
 from mimosapoint.ports import (
     Clock,
     Conflict,
@@ -51,6 +51,16 @@
     lease: int
     valid_until: datetime
 
+    def check(self, conflict: Conflict) -> None:
+        """Tell a conflict over what was read from one over the ownership itself.
+
+        :param conflict: of a commit that had the epoch's revision as a condition.
+        :raises StaleEpoch: another node has claimed the cell.
+        """
+        entry = conflict.entries_by_key.get(EPOCH_KEY)
+        if entry is None or entry.revision != self.epoch_rev:
+            raise StaleEpoch(self.epoch + 1) from conflict
+
 
 class Claimant:
     """Waits for the cell to be free and claims it.
--- a/packages/mimosapoint/src/mimosapoint/cell/committer.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/committer.py
@@ -5,12 +5,13 @@
 import trio
 
 from mimosapoint.cell.book import JobBook
+from mimosapoint.cell.claim import Claim
 from mimosapoint.cell.keys import EPOCH_KEY, progress_key
 from mimosapoint.cell.reach import Reach
 from mimosapoint.cell.settings import CellSettings
 from mimosapoint.cell.units import Job
 from mimosapoint.codec import decode, encode
-from mimosapoint.errors import CodecError, StaleEpoch, StoreTimeout, StoreUnavailable
+from mimosapoint.errors import CodecError, StoreTimeout, StoreUnavailable
 from mimosapoint.ports import Conflict, Telemetry, TransactionStore, Write
 from mimosapoint.workload import JobProgress
 
@@ -25,8 +26,7 @@
 
     :param store: the store.
     :param book: the jobs.
-    :param epoch: number of this ownership.
-    :param epoch_rev: revision of the epoch's key; it changes with every claim.
+    :param claim: the ownership.
     :param settings: times.
     :param telemetry: told of commits that fail.
     :param on_stored: called after each commit.
@@ -36,8 +36,7 @@
         self,
         store: TransactionStore,
         book: JobBook,
-        epoch: int,
-        epoch_rev: int,
+        claim: Claim,
         settings: CellSettings,
         telemetry: Telemetry,
         on_stored: Callable[[], None],
@@ -45,8 +44,7 @@
         self._on_stored = on_stored
         self._store = store
         self._book = book
-        self._epoch = epoch
-        self._epoch_rev = epoch_rev
+        self._claim = claim
         self._settings = settings
         self._telemetry = telemetry
         self._reach = Reach("commits", telemetry)
@@ -77,14 +75,9 @@
                 batch = list(self._book.changed_by_id.values())[:JOBS_PER_COMMIT]
                 await self._commit(batch)
 
-    async def commit_all(self) -> None:
-        """Commit everything that has changed, once, for a planned stop."""
-        while self._book.changed_by_id:
-            await self._commit(list(self._book.changed_by_id.values())[:JOBS_PER_COMMIT])
-
     async def _commit(self, batch: list[Job]) -> None:
         versions = [(job, job.version) for job in batch]
-        conditions = {EPOCH_KEY: self._epoch_rev}
+        conditions = {EPOCH_KEY: self._claim.epoch_rev}
         writes = []
         for job in batch:
             key = progress_key(job.record.id)
@@ -95,7 +88,7 @@
         except Conflict as conflict:
             self._settle(conflict, batch)
         except (StoreUnavailable, StoreTimeout) as error:
-            self._reach.lost(error, epoch=self._epoch, jobs=len(batch))
+            self._reach.lost(error, epoch=self._claim.epoch, jobs=len(batch))
             await trio.sleep(self._settings.retry_pause.total_seconds())
         else:
             self._reach.regained()
@@ -108,10 +101,8 @@
 
         :raises StaleEpoch: another node has claimed the cell.
         """
+        self._claim.check(conflict)
         stored = conflict.entries_by_key
-        epoch = stored.get(EPOCH_KEY)
-        if epoch is None or epoch.revision != self._epoch_rev:
-            raise StaleEpoch(self._epoch + 1)
         for job in batch:
             entry = stored.get(progress_key(job.record.id))
             if entry is None or entry.revision == job.progress_rev:
--- a/packages/mimosapoint/src/mimosapoint/cell/explain.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/explain.py
@@ -8,7 +8,7 @@
 
 from mimosapoint.cell.link import WorkerLink
 from mimosapoint.cell.placing import place
-from mimosapoint.cell.room import Room, Spot
+from mimosapoint.cell.room import Room
 from mimosapoint.cell.units import Unit
 
 __all__ = ["Reason", "Waiting", "why_no_room"]
@@ -58,14 +58,14 @@
     :param usable: those that may get new work.
     """
     step = unit.step
-    serving = _serving(unit, pool, links, now)
-    if not serving:
+    offering = sum(spot.offers(unit, pool) for spot in Room(links, now).spots)
+    if not offering:
         label = f" with label {step.label}" if step.label else ""
         return Waiting(Reason.NO_WORKER, f"no worker of {pool}{label}")
     room = Room(usable, now)
     spots = [spot for spot in room.spots if spot.serves(unit, pool)]
     if not spots:
-        return Waiting(Reason.WORKERS_UNUSABLE, f"none of {len(serving)} workers takes new work")
+        return Waiting(Reason.WORKERS_UNUSABLE, f"none of {offering} workers takes new work")
     most = sum(spot.times(unit, spot.link.registration.capacity) for spot in spots)
     need = f"{unit.size} of {step.amounts.cpu_millis} millicores, {step.amounts.memory_mb} MB, "
     need += f"{step.amounts.accelerators} accelerators"
@@ -76,9 +76,3 @@
     fits = sum(spot.times(unit) for spot in spots)
     within = " within one rack" if step.gang and step.rack_local else ""
     return Waiting(Reason.NO_ROOM, f"needs {need}{within}; {fits} fit now on {len(spots)} workers")
-
-
-def _serving(unit: Unit, pool: str, links: Iterable[WorkerLink], now: datetime) -> list[Spot]:
-    spots = (Spot(link, now) for link in links)
-    label = unit.step.label
-    return [spot for spot in spots if spot.pool == pool and (not label or label in spot.labels)]
--- a/packages/mimosapoint/src/mimosapoint/cell/fleet.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/fleet.py
@@ -6,12 +6,13 @@
 import trio
 
 from mimosapoint.cell.claim import Claim
+from mimosapoint.cell.freshness import Freshness
 from mimosapoint.cell.keys import EPOCH_KEY, ROSTER_KEY
 from mimosapoint.cell.link import WorkerLink
 from mimosapoint.cell.reach import Reach
 from mimosapoint.cell.settings import CellSettings
 from mimosapoint.codec import decode, encode
-from mimosapoint.errors import CodecError, StaleEpoch, StoreTimeout, StoreUnavailable
+from mimosapoint.errors import CodecError, StoreTimeout, StoreUnavailable
 from mimosapoint.ports import (
     Clock,
     Conflict,
@@ -52,7 +53,7 @@
         self._format = format
         self._clock = clock
         self._settings = settings
-        self._confirmed_at: datetime | None = None
+        self._freshness = Freshness(clock, settings)
         self._roster_rev = 0
         self._roster: tuple[Registration, ...] = ()
         self._inherited: frozenset[str] = frozenset()
@@ -62,13 +63,11 @@
 
     def is_fresh(self) -> bool:
         """Tell whether the workers' entries were read lately."""
-        if self._confirmed_at is None:
-            return False
-        return self._clock.now() - self._confirmed_at <= self._settings.freshness
+        return self._freshness.is_fresh()
 
     def is_settled(self, now: datetime) -> bool:
         """Tell whether it is known what runs on every worker that earlier owners may have used."""
-        return self._confirmed_at is not None and all(
+        return self._freshness.age is not None and all(
             link.is_settled(now) for link in self.links_by_id.values() if link.id in self._inherited
         )
 
@@ -128,7 +127,7 @@
                 self._note_unreadable(entry.key, entry.revision, str(error), telemetry)
             else:
                 found[registration.id] = registration
-        self._confirmed_at = asked_at
+        self._freshness.confirm(asked_at)
         for registration in found.values():
             self._update(registration, telemetry)
         self._retire(found, telemetry)
@@ -187,9 +186,7 @@
                     conditions, [Write(ROSTER_KEY, encode(wanted))]
                 )
             except Conflict as conflict:
-                entry = conflict.entries_by_key.get(EPOCH_KEY)
-                if entry is None or entry.revision != self._claim.epoch_rev:
-                    raise StaleEpoch(self._claim.epoch + 1) from conflict
+                self._claim.check(conflict)
                 roster = conflict.entries_by_key.get(ROSTER_KEY)
                 self._roster_rev = roster.revision if roster else 0
                 return
--- a/packages/mimosapoint/src/mimosapoint/cell/guarantees.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/guarantees.py
@@ -3,22 +3,21 @@
 from collections.abc import Iterable
 
 from mimosapoint.cell.units import Job
-from mimosapoint.workload import Catalog, JobRecord
+from mimosapoint.workload import FIRST_PRIORITY, Catalog, JobRecord
 
 __all__ = ["covered_jobs"]
 
-FIRST_PRIORITY = 0
-"""Priority of the jobs that guarantees are for."""
-
 
 def covered_jobs(jobs: Iterable[Job], catalog: Catalog) -> frozenset[str]:
-    """Return the ids of the urgent jobs that have not ended and that a guarantee covers.
+    """Return the ids of the urgent jobs that a guarantee covers.
 
     The jobs of a workspace are covered in the order in which they were accepted, as far as its
     guarantee reaches; one that needs more than what is left of it is passed over.
+
+    :param jobs: jobs that have not ended.
     """
     left_by_tenant = {tenant.name: tenant.guaranteed_accelerators for tenant in catalog.tenants}
-    urgent = [job for job in jobs if _is_urgent(job, catalog)]
+    urgent = [job for job in jobs if catalog.priority_of(job.record) == FIRST_PRIORITY]
     covered = set()
     for job in sorted(urgent, key=lambda job: job.accepted_rev):
         need = accelerators_of(job.record)
@@ -31,10 +30,3 @@
 def accelerators_of(record: JobRecord) -> int:
     """Return the accelerators that the job's largest step needs."""
     return max(step.count * step.amounts.accelerators for step in record.steps)
-
-
-def _is_urgent(job: Job, catalog: Catalog) -> bool:
-    if job.progress.phase.ended:
-        return False
-    queue = catalog.queues_by_name.get(job.record.queue)
-    return (queue.priority if queue else job.record.priority) == FIRST_PRIORITY
--- a/packages/mimosapoint/src/mimosapoint/cell/inbox.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/inbox.py
@@ -1,11 +1,11 @@
 """Jobs and cancellations that entries have stored for the owner."""
 
 from collections.abc import Callable
-from datetime import datetime
 
 import trio
 
 from mimosapoint.cell.book import JobBook
+from mimosapoint.cell.freshness import Freshness
 from mimosapoint.cell.keys import (
     CANCEL_PREFIX,
     INBOX_PREFIX,
@@ -84,7 +84,6 @@
         cancel: Callable[[Job], None],
         changed: Callable[[], None],
     ):
-        self._ports = ports
         self._store = ports.store
         self._telemetry = ports.telemetry
         self._clock = ports.clock
@@ -92,21 +91,19 @@
         self._settings = settings
         self._cancel = cancel
         self._changed = changed
-        self._confirmed_at: datetime | None = None
+        self._freshness = Freshness(ports.clock, settings)
         self._reach = Reach("inbox", ports.telemetry)
 
     def is_fresh(self) -> bool:
         """Tell whether the inbox was read lately."""
-        if self._confirmed_at is None:
-            return False
-        return self._clock.now() - self._confirmed_at <= self._settings.freshness
+        return self._freshness.is_fresh()
 
     async def run(self, revision: int) -> None:
         """Follow the inbox until cancelled.
 
         :param revision: revision up to which the book is filled.
         """
-        self._confirmed_at = self._clock.now()
+        self._freshness.confirm(self._clock.now())
         while True:
             try:
                 revision = await self._follow(revision)
@@ -122,7 +119,7 @@
     async def _follow(self, revision: int) -> int:
         changes = await self._store.watch(INBOX_PREFIX, revision, self._settings.operator_wait)
         self._apply(changes.written)
-        self._confirmed_at = self._clock.now()
+        self._freshness.confirm(self._clock.now())
         return changes.revision
 
     async def _read_anew(self, revision: int) -> int:
@@ -133,7 +130,7 @@
             await trio.sleep(self._settings.retry_pause.total_seconds())
             return revision
         self._apply(scan.entries)
-        self._confirmed_at = self._clock.now()
+        self._freshness.confirm(self._clock.now())
         return scan.revision
 
     def _apply(self, entries: tuple[Entry, ...]) -> None:
--- a/packages/mimosapoint/src/mimosapoint/cell/lease.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/lease.py
@@ -5,7 +5,7 @@
 from mimosapoint.cell.settings import CellSettings
 from mimosapoint.ports import Clock
 
-__all__ = ["WorkerLease"]
+__all__ = ["MILLISECOND", "WorkerLease"]
 
 MILLISECOND = timedelta(milliseconds=1)
 
--- a/packages/mimosapoint/src/mimosapoint/cell/link.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/link.py
@@ -7,7 +7,7 @@
 import trio
 
 from mimosapoint.cell.health import WorkerHealth
-from mimosapoint.cell.lease import WorkerLease
+from mimosapoint.cell.lease import MILLISECOND, WorkerLease
 from mimosapoint.cell.link_events import LinkEvents
 from mimosapoint.cell.pace import WorkerPace
 from mimosapoint.cell.settings import CellSettings
@@ -37,8 +37,6 @@
 ENDS_PER_LIST = 500
 """Most ends in one answer, from the platform's pages; a full list may leave some out."""
 
-MILLISECOND = timedelta(milliseconds=1)
-
 
 class WorkerLink:
     """One worker of the cell.
@@ -99,30 +97,24 @@
 
     def is_usable(self, now: datetime) -> bool:
         """Tell whether new work may go to the worker."""
-        return (
-            self.synced
-            and self.listed
-            and self.on_roster
-            and not self.registration.draining
-            and self.answered_at is not None
-            and now - self.answered_at < self._settings.suspect_after
-            and (self.unhealthy_until is None or now >= self.unhealthy_until)
-            and not self.health.is_aside(now)
-        )
-
-    def state(self, now: datetime) -> str:
-        """Return ``usable``, or why the worker takes no new work."""
-        if self.is_usable(now):
-            return "usable"
-        reasons = {
-            "unlisted": not self.listed,
-            "draining": self.registration.draining,
-            "unknown": not self.synced,
-            "new": not self.on_roster,
-            "put-aside": self.health.is_aside(now),
-            "unhealthy": self.unhealthy_until is not None and now < self.unhealthy_until,
-        }
-        return next((reason for reason, holds in reasons.items() if holds), "silent")
+        return not self.obstacle(now)
+
+    def obstacle(self, now: datetime) -> str:
+        """Return why the worker takes no new work; empty when it does."""
+        if not self.listed:
+            return "unlisted"
+        if self.registration.draining:
+            return "draining"
+        if not self.synced:
+            return "unknown"
+        if not self.on_roster:
+            return "new"
+        if self.health.is_aside(now):
+            return "put-aside"
+        if self.unhealthy_until is not None and now < self.unhealthy_until:
+            return "unhealthy"
+        silent = self.answered_at is None or now - self.answered_at >= self._settings.suspect_after
+        return "silent" if silent else ""
 
     def is_settled(self, now: datetime) -> bool:
         """Tell whether it is known what runs on the worker."""
@@ -180,10 +172,7 @@
         except (WorkerUnreachable, StaleEpoch) as error:
             self._telemetry.event(
                 "start-unanswered",
-                job=assignment.task.job,
-                task=assignment.task,
-                run=assignment.run,
-                worker=self.id,
+                **assignment.log_fields(),
                 error=error.code,
                 detail=str(error),
             )
@@ -209,12 +198,7 @@
                     await self._workers.stop(self.registration, order)
                 except (WorkerUnreachable, WorkerRefused, StaleEpoch, WorkerReplaced) as error:
                     self._telemetry.event(
-                        "stop-unanswered",
-                        job=assignment.task.job,
-                        task=assignment.task,
-                        run=assignment.run,
-                        worker=self.id,
-                        error=error.code,
+                        "stop-unanswered", **assignment.log_fields(), error=error.code
                     )
             await trio.sleep(self._settings.order_timeout.total_seconds())
 
@@ -293,9 +277,8 @@
                 self._stored_ends = max(self._stored_ends, lists.ended[-1].number)
 
     def _note_answer(self, clock_ms: int) -> None:
-        now = self._clock.now()
         self._lease.note_clock(clock_ms)
-        self.answered_at = now
+        self.answered_at = self._clock.now()
         if not self._reachable:
             self._reachable = True
             self._telemetry.event("worker-heard-again", worker=self.id)
--- a/packages/mimosapoint/src/mimosapoint/cell/operators.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/operators.py
@@ -1,9 +1,10 @@
 """What operators have written, followed by every node."""
 
-from datetime import datetime, timedelta
+from datetime import timedelta
 
 import trio
 
+from mimosapoint.cell.freshness import Freshness
 from mimosapoint.cell.reach import Reach
 from mimosapoint.cell.settings import CellSettings
 from mimosapoint.errors import CodecError, StoreTimeout, StoreUnavailable
@@ -41,27 +42,23 @@
     ):
         self.catalog: Catalog | None = None
         self.withdrawn_zones: set[str] = set()
-        self.changed = trio.Event()
         self._store = store
         self._format = format
         self._clock = clock
         self._settings = settings
         self._telemetry = telemetry
-        self._confirmed_at: datetime | None = None
+        self._freshness = Freshness(clock, settings)
         self._revision: int | None = None
         self._reach = Reach("operators", telemetry)
 
     @property
     def age(self) -> timedelta | None:
         """Time since the view was last known to be the newest; ``None`` before the first."""
-        if self._confirmed_at is None:
-            return None
-        return self._clock.now() - self._confirmed_at
+        return self._freshness.age
 
     def is_fresh(self) -> bool:
         """Tell whether the view may be acted on."""
-        age = self.age
-        return self.catalog is not None and age is not None and age <= self._settings.freshness
+        return self.catalog is not None and self._freshness.is_fresh()
 
     @property
     def reaches_store(self) -> bool:
@@ -90,7 +87,7 @@
             for entry in scan.entries:
                 self._apply(entry)
             self._revision = scan.revision
-            self._confirmed_at = asked_at
+            self._freshness.confirm(asked_at)
         else:
             changes = await self._store.watch(
                 self._format.prefix, self._revision, self._settings.operator_wait
@@ -101,9 +98,8 @@
                 self._remove(key)
             self._revision = changes.revision
             # An empty answer tells that nothing had changed when it was given.
-            self._confirmed_at = max(asked_at, self._clock.now() - self._settings.retry_pause)
-        self.changed.set()
-        self.changed = trio.Event()
+            told_at = self._clock.now() - self._settings.retry_pause
+            self._freshness.confirm(max(asked_at, told_at))
 
     def _apply(self, entry: Entry) -> None:
         try:
--- a/packages/mimosapoint/src/mimosapoint/cell/owner.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/owner.py
@@ -17,7 +17,7 @@
 from mimosapoint.cell.inbox import Inbox, load_jobs
 from mimosapoint.cell.link import WorkerLink
 from mimosapoint.cell.load import OrderWindow
-from mimosapoint.cell.planner import Plan, Planner, pool_of
+from mimosapoint.cell.planner import Plan, Planner
 from mimosapoint.cell.ports import Ports
 from mimosapoint.cell.preemption import loss_of
 from mimosapoint.cell.settings import CellSettings
@@ -64,8 +64,7 @@
         self.committer = Committer(
             ports.store,
             self.book,
-            claim.epoch,
-            claim.epoch_rev,
+            claim,
             settings,
             ports.telemetry,
             self.changed,
@@ -133,10 +132,7 @@
         assignment = Assignment(status.task, status.run, link, amounts, unit if wanted else None)
         self._telemetry.event(
             "run-adopted" if wanted else "run-unwanted",
-            job=status.task.job,
-            task=status.task,
-            run=status.run,
-            worker=link.id,
+            **assignment.log_fields(),
             unit_state=unit.state if unit else "unknown",
         )
         if wanted:
@@ -153,10 +149,7 @@
         unit = assignment.unit
         self._telemetry.event(
             "run-over",
-            job=assignment.task.job,
-            task=assignment.task,
-            run=assignment.run,
-            worker=assignment.link.id,
+            **assignment.log_fields(),
             end=end,
             reason=reason or "reported",
             percent=assignment.percent,
@@ -238,13 +231,13 @@
         """Tell why a waiting unit has not started."""
         if not self._may_start():
             return Waiting(Reason.CONFIGURATION_OLD, "entries in the store were not confirmed")
-        if not self._settled and unit.job.accepted_rev <= self._claim.epoch_rev:
+        if self._may_run_unknown(unit):
             return Waiting(Reason.EARLIER_OWNER, "not every worker has told what it runs")
-        if unit.assignments_by_task or self._has_unwanted(unit):
+        if self._is_ending(unit):
             return Waiting(Reason.LAST_RUN, "its last run is being stopped")
         if self._planner.is_holding(unit.id):
             return Waiting(Reason.ROOM_BEING_FREED, "others are being stopped for it")
-        pool = pool_of(unit, self._ports.view.catalog)
+        pool = self._ports.view.catalog.pool_of(unit.job.record)
         links = self.fleet.links_by_id.values()
         return why_no_room(unit, pool, links, self.usable_links(), self._clock.now())
 
@@ -288,7 +281,7 @@
         view = self._ports.view
         links = self.usable_links()
         began = trio.current_time()
-        covered = covered_jobs(self.book.jobs_by_id.values(), view.catalog)
+        covered = covered_jobs(self.book.open_jobs(), view.catalog)
         plan = self._planner.plan(
             self._startable(), self.book.active_units(), links, view.catalog, now, covered
         )
@@ -298,13 +291,17 @@
     def _startable(self) -> Iterable[Unit]:
         """Yield the waiting units of which no earlier owner can have a run on a silent worker."""
         for unit in self.book.waiting_by_id.values():
-            if unit.assignments_by_task or self._has_unwanted(unit):
-                continue
-            if self._settled or unit.job.accepted_rev > self._claim.epoch_rev:
+            if not self._is_ending(unit) and not self._may_run_unknown(unit):
                 yield unit
 
-    def _has_unwanted(self, unit: Unit) -> bool:
-        """Tell whether a run that is being stopped is one of the unit's tasks."""
+    def _may_run_unknown(self, unit: Unit) -> bool:
+        """Tell whether an earlier owner may have a run of the unit on a silent worker."""
+        return not self._settled and unit.job.accepted_rev <= self._claim.epoch_rev
+
+    def _is_ending(self, unit: Unit) -> bool:
+        """Tell whether a run of one of the unit's tasks is still being stopped."""
+        if unit.assignments_by_task:
+            return True
         return bool(self._unwanted) and any(task in self._unwanted for task in unit.tasks)
 
     def _may_start(self) -> bool:
--- a/packages/mimosapoint/src/mimosapoint/cell/planner.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/planner.py
@@ -13,7 +13,7 @@
 from mimosapoint.cell.preemption import choose_victims
 from mimosapoint.cell.room import Room
 from mimosapoint.cell.units import Unit, UnitState
-from mimosapoint.workload import Catalog, UnitId
+from mimosapoint.workload import FIRST_PRIORITY, Catalog, UnitId
 
 __all__ = ["Plan", "Planner", "Start", "Stop"]
 
@@ -28,9 +28,6 @@
 """Time after which a covered job goes before all others and stops urgent work that borrows; a third
 of the time in which guarantees must be met, 2.7 s, so that a stop and a start fit into the rest."""
 
-FIRST_PRIORITY = 0
-"""Priority whose units may stop others."""
-
 
 @attrs.frozen
 class Start:
@@ -63,16 +60,18 @@
     :param starts: units to start.
     :param stops: units to stop.
     :param next_look: time at which another decision is due; ``None`` for none.
+    :param task_count: number of tasks that start.
     """
 
     starts: list[Start] = attrs.field(factory=list)
     stops: list[Stop] = attrs.field(factory=list)
     next_look: datetime | None = None
+    task_count: int = 0
 
-    @property
-    def task_count(self) -> int:
-        """Number of tasks that start."""
-        return sum(len(start.links) for start in self.starts)
+    def start(self, unit: Unit, links: tuple[WorkerLink, ...]) -> None:
+        """Add a unit to start."""
+        self.starts.append(Start(unit, links))
+        self.task_count += len(links)
 
 
 @attrs.define
@@ -102,9 +101,13 @@
             for unit in active
             if unit.state is UnitState.ACTIVE and not unit.stop_reason and unit.end is None
         ]
-        lower = [unit for unit in stoppable if priority_of(unit, catalog) > FIRST_PRIORITY]
-        urgent = [unit for unit in stoppable if priority_of(unit, catalog) == FIRST_PRIORITY]
-        return cls(lower, [unit for unit in urgent if unit.id.job not in covered])
+        victims = cls([], [])
+        for unit in stoppable:
+            if catalog.priority_of(unit.job.record) > FIRST_PRIORITY:
+                victims.lower.append(unit)
+            elif unit.id.job not in covered:
+                victims.borrowing.append(unit)
+        return victims
 
     def remove(self, unit: Unit) -> None:
         """Take out a unit that is being stopped."""
@@ -147,7 +150,7 @@
         blocked: set[tuple] = set()
         held = 0
         for unit in order:
-            pool = pool_of(unit, catalog)
+            pool = catalog.pool_of(unit.job.record)
             shape = _shape(unit)
             if shape in blocked:
                 continue
@@ -158,8 +161,8 @@
                     break
                 room.take(spots, unit)
                 self._reservations.pop(unit.id, None)
-                plan.starts.append(Start(unit, tuple(spot.link for spot in spots)))
-            elif priority_of(unit, catalog) == FIRST_PRIORITY:
+                plan.start(unit, tuple(spot.link for spot in spots))
+            elif catalog.priority_of(unit.job.record) == FIRST_PRIORITY:
                 if victims is None:
                     victims = _Victims.among(active, catalog, covered)
                 owed = _is_owed(unit, covered, now)
@@ -168,13 +171,14 @@
                 blocked.add(shape)
                 if held < HELD_UNITS and _is_large(unit):
                     held += 1
-                    priority = priority_of(unit, catalog)
+                    priority = catalog.priority_of(unit.job.record)
                     hold_room(
                         room,
                         unit,
                         pool,
                         unit.step.rack_local and fits_one_rack(room, unit, pool),
-                        lambda other, priority=priority: priority_of(other, catalog) > priority,
+                        lambda other, priority=priority: catalog.priority_of(other.job.record)
+                        > priority,
                     )
         return plan
 
@@ -190,10 +194,10 @@
         in the order in which they came.
         """
         job = unit.job
-        latest_start = job.latest_end(unit.id.occurrence) - job.record.chain()
+        latest_start = job.latest_end(unit.id.occurrence) - job.chain
         is_holder = unit.id in self._reservations
         return (
-            priority_of(unit, catalog),
+            catalog.priority_of(unit.job.record),
             not _is_owed(unit, covered, now),
             not is_holder,
             not is_holder and latest_start < now,
@@ -243,18 +247,6 @@
                 del self._reservations[unit_id]
 
 
-def pool_of(unit: Unit, catalog: Catalog) -> str:
-    """Return the service whose workers run the unit now."""
-    queue = catalog.queues_by_name.get(unit.job.record.queue)
-    return queue.pool if queue else unit.job.record.pool
-
-
-def priority_of(unit: Unit, catalog: Catalog) -> int:
-    """Return the unit's priority as it is configured now."""
-    queue = catalog.queues_by_name.get(unit.job.record.queue)
-    return queue.priority if queue else unit.job.record.priority
-
-
 def _shape(unit: Unit) -> tuple:
     """Return what decides whether a unit fits; of units that look alike, one tells for all."""
     step = unit.step
--- a/packages/mimosapoint/src/mimosapoint/cell/report.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/report.py
@@ -171,7 +171,7 @@
             status,
             epoch=owner.epoch,
             settled=owner.is_settled,
-            jobs=sum(not job.progress.phase.ended for job in owner.book.jobs_by_id.values()),
+            jobs=sum(1 for _ in owner.book.open_jobs()),
             waiting=len(owner.book.waiting_by_id),
             active=sum(1 for _ in owner.book.active_units()),
             workers=len(links),
@@ -185,7 +185,6 @@
         """
         owner = self._owner()
         now = owner.now()
-        jobs = [job for job in owner.book.jobs_by_id.values() if not job.progress.phase.ended]
         unstarted = owner.book.unstarted_by_queue()
         waiting = Counter(unit.job.record.queue for unit in owner.book.waiting_by_id.values())
         active = Counter(unit.job.record.queue for unit in owner.book.active_units())
@@ -194,7 +193,7 @@
             queue = unit.job.record.queue
             seconds = (now - unit.since).total_seconds()
             longest[queue] = max(longest.get(queue, 0.0), seconds)
-        counts = Counter(job.record.queue for job in jobs)
+        counts = Counter(job.record.queue for job in owner.book.open_jobs())
         catalog = self._node.view.catalog
         return tuple(
             QueueStatus(
@@ -220,15 +219,15 @@
         statuses = []
         for link in sorted(owner.fleet.links_by_id.values(), key=lambda link: link.id):
             answered = link.answered_at
-            state = link.state(now)
-            if state == "usable" and link.registration.zone in withdrawn:
-                state = "zone-withdrawn"
+            obstacle = link.obstacle(now)
+            if not obstacle and link.registration.zone in withdrawn:
+                obstacle = "zone-withdrawn"
             statuses.append(
                 WorkerStatus(
                     link.id,
                     link.registration.zone,
                     link.registration.rack,
-                    state,
+                    obstacle or "usable",
                     len(link.assignments_by_run),
                     link.free.accelerators,
                     link.free.cpu_millis,
@@ -250,9 +249,7 @@
         record = job.record
         occurrences = sorted({occurrence for occurrence, _ in job.opened}) or [0]
         catalog = self._node.view.catalog
-        covered = catalog is not None and job_id in covered_jobs(
-            owner.book.jobs_by_id.values(), catalog
-        )
+        covered = catalog is not None and job_id in covered_jobs(owner.book.open_jobs(), catalog)
         return JobStatus(
             record.id,
             record.queue,
--- a/packages/mimosapoint/src/mimosapoint/cell/room.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/room.py
@@ -27,7 +27,6 @@
         self.now = now
         self.free = link.free
         self.rack = link.registration.rack
-        self.zone = link.registration.zone
         self.labels = link.registration.labels
         self.pool = link.registration.pool
         self._taken: dict[tuple[str, int, int], int] = {}
@@ -38,13 +37,17 @@
         A unit that has failed goes neither to the same workers again nor to suspect ones, unless
         it would wait too long for others.
         """
-        step = unit.step
-        if self.pool != pool or (step.label and step.label not in self.labels):
+        if not self.offers(unit, pool):
             return False
         if unit.failed_on and self.now - unit.since < AVOID_TIME:
             return self.link.id not in unit.failed_on and not self.link.health.is_suspect
         return True
 
+    def offers(self, unit: Unit, pool: str) -> bool:
+        """Tell whether the worker is one of the service's and has the label that is needed."""
+        label = unit.step.label
+        return self.pool == pool and (not label or label in self.labels)
+
     def holds(self, unit: Unit) -> int:
         """Return how many tasks of the unit's step the worker has, or is about to get."""
         return self._taken.get(_step_of(unit), 0) + sum(
--- a/packages/mimosapoint/src/mimosapoint/cell/tests/_planning.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/_planning.py
@@ -61,7 +61,7 @@
             self.links,
             CATALOG,
             self.clock.now(),
-            covered_jobs(self.book.jobs_by_id.values(), CATALOG),
+            covered_jobs(self.book.open_jobs(), CATALOG),
         )
         for stop in plan.stops:
             stop.unit.stop_reason = stop.reason
--- a/packages/mimosapoint/src/mimosapoint/cell/tests/test_planner.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_planner.py
@@ -155,10 +155,9 @@
         self.submit("first", 0, Step(2, WIDE, gang=True))
         unit = self.decide().starts[0].unit
         self.submit("second", 0, Step(2, WIDE, gang=True))
-        jobs = self.book.jobs_by_id.values()
-        self.assertEqual({"first"}, covered_jobs(jobs, CATALOG))
+        self.assertEqual({"first"}, covered_jobs(self.book.open_jobs(), CATALOG))
         self.end(unit)
-        self.assertEqual({"second"}, covered_jobs(jobs, CATALOG))
+        self.assertEqual({"second"}, covered_jobs(self.book.open_jobs(), CATALOG))
 
 
 class RackTest(PlannerCase):
--- a/packages/mimosapoint/src/mimosapoint/cell/units.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/units.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from datetime import datetime
+from datetime import datetime, timedelta
 from enum import Enum
 from typing import TYPE_CHECKING
 
@@ -55,6 +55,15 @@
     percent: int = 0
     pace: RunPace = attrs.field(factory=RunPace)
 
+    def log_fields(self) -> dict[str, object]:
+        """Return what every log line about the run names."""
+        return {
+            "job": self.task.job,
+            "task": self.task,
+            "run": self.run,
+            "worker": self.link.id,
+        }
+
 
 @attrs.define(eq=False)
 class Unit:
@@ -119,6 +128,7 @@
     :param stored_version: newest version that is stored.
     :param failed_on: workers on which runs of the job failed.
     :param ended_at: time at which it ended; ``None`` before.
+    :param chain: duration of its longest chain of steps, by the estimates.
     """
 
     record: JobRecord
@@ -134,8 +144,10 @@
     stored_version: int = 0
     failed_on: set[str] = attrs.field(factory=set)
     ended_at: datetime | None = None
+    chain: timedelta = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
+        self.chain = self.record.chain()
         per_occurrence = sum(1 if step.gang else step.count for step in self.record.steps)
         total = per_occurrence * self.record.occurrences
         self.remaining = total - sum(len(indexes) for indexes in self.progress.done.values())
@@ -154,4 +166,4 @@
     def latest_end(self, occurrence: int) -> datetime:
         """Return the end of an occurrence up to which it has its full value."""
         record = self.record
-        return self.due(occurrence) + record.slack_factor * record.chain() + record.target
+        return self.due(occurrence) + record.slack_factor * self.chain + record.target
--- a/packages/mimosapoint/src/mimosapoint/memory/store.py
+++ b/packages/mimosapoint/src/mimosapoint/memory/store.py
@@ -1,18 +1,17 @@
 """Key-value service in memory."""
 
 from collections import Counter
-from datetime import datetime, timedelta
+from datetime import timedelta
 
-import attrs
 import trio
 
 from mimosapoint.errors import (
     CompareFailed,
-    LeaseLost,
     StoreTimeout,
     StoreUnavailable,
     ValueTooLarge,
 )
+from mimosapoint.memory._leases import LeaseTable
 from mimosapoint.memory.faults import FaultGate, Faults
 from mimosapoint.ports import ABSENT, VALUE_LIMIT_BYTES, Clock, Entry
 
@@ -22,13 +21,7 @@
 """Time after which a call that waits on a fault gives up."""
 
 
-@attrs.define
-class _Lease:
-    """A lease and the keys that live under it."""
-
-    ttl: timedelta
-    ends_at: datetime
-    keys: set[str] = attrs.field(factory=set)
+LEASE_PREFIX = "lease-"
 
 
 class MemoryStore:
@@ -44,12 +37,10 @@
     ):
         self.faults = faults or Faults()
         self.counts: Counter[str] = Counter()
-        self._clock = clock
         self._gate = FaultGate(self.faults, clock, timeout, StoreUnavailable, StoreTimeout)
         self._revision = ABSENT
-        self._leases_granted = 0
         self._entries_by_key: dict[str, Entry] = {}
-        self._leases_by_id: dict[str, _Lease] = {}
+        self._leases = LeaseTable(clock)
         self._changed = trio.Event()
 
     async def get(self, key: str) -> Entry | None:
@@ -74,11 +65,7 @@
             raise ValueTooLarge(f"{len(value)} bytes are over {VALUE_LIMIT_BYTES}")
         await self._enter("compare_and_swap")
         self._compare(key, expected)
-        if lease is not None:
-            self._live_lease(lease)
-        self._detach(key)
-        if lease is not None:
-            self._leases_by_id[lease].keys.add(key)
+        self._leases.attach(key, None if lease is None else _number(lease))
         self._revision += 1
         self._entries_by_key[key] = Entry(key, bytes(value), self._revision)
         revision = self._revision
@@ -91,24 +78,21 @@
         await self._enter("delete")
         self._compare(key, expected)
         if expected != ABSENT:
-            self._detach(key)
+            self._leases.attach(key, None)
             self._remove(key)
         self._gate.after()
 
     async def grant_lease(self, ttl: timedelta) -> str:
         """Return the id of a new lease."""
         await self._enter("grant_lease")
-        self._leases_granted += 1
-        lease = f"lease-{self._leases_granted}"
-        self._leases_by_id[lease] = _Lease(ttl, self._clock.now() + ttl)
+        lease = f"{LEASE_PREFIX}{self._leases.grant(ttl)}"
         self._gate.after()
         return lease
 
     async def renew_lease(self, lease: str) -> None:
         """Renew the lease for its time to live."""
         await self._enter("renew_lease")
-        held = self._live_lease(lease)
-        held.ends_at = self._clock.now() + held.ttl
+        self._leases.renew(_number(lease))
         self._gate.after()
 
     async def watch(self, prefix: str, after: int, timeout: timedelta) -> list[Entry]:
@@ -140,23 +124,11 @@
         if current != expected:
             raise CompareFailed(current)
 
-    def _live_lease(self, lease: str) -> _Lease:
-        held = self._leases_by_id.get(lease)
-        if held is None:
-            raise LeaseLost(f"{lease} is unknown or has lapsed")
-        return held
-
     def _drop_lapsed(self) -> None:
-        now = self._clock.now()
-        lapsed = [name for name, held in self._leases_by_id.items() if held.ends_at <= now]
-        for name in lapsed:
-            for key in sorted(self._leases_by_id.pop(name).keys):
+        for keys in self._leases.end_lapsed():
+            for key in keys:
                 self._remove(key)
 
-    def _detach(self, key: str) -> None:
-        for held in self._leases_by_id.values():
-            held.keys.discard(key)
-
     def _remove(self, key: str) -> None:
         del self._entries_by_key[key]
         self._revision += 1
@@ -165,3 +137,9 @@
     def _wake(self) -> None:
         self._changed.set()
         self._changed = trio.Event()
+
+
+def _number(lease: str) -> int:
+    """Return the number in a lease's id; 0, which no lease has, when there is none."""
+    text = lease.removeprefix(LEASE_PREFIX)
+    return int(text) if text.isdecimal() else 0
--- a/packages/mimosapoint/src/mimosapoint/memory/transactions.py
+++ b/packages/mimosapoint/src/mimosapoint/memory/transactions.py
@@ -2,12 +2,13 @@
 
 from collections import Counter
 from collections.abc import Mapping, Sequence
-from datetime import datetime, timedelta
+from datetime import timedelta
 
 import attrs
 import trio
 
 from mimosapoint.errors import LeaseLost, StoreTimeout, StoreUnavailable
+from mimosapoint.memory._leases import LeaseTable
 from mimosapoint.memory.faults import FaultGate, Faults
 from mimosapoint.ports import Changes, Clock, Conflict, Entry, HistoryLost, Scan, Write
 
@@ -20,13 +21,6 @@
 """Time after which a call that waits on a fault gives up."""
 
 
-@attrs.define
-class _Lease:
-    ttl: timedelta
-    ends_at: datetime
-    keys: set[str] = attrs.field(factory=set)
-
-
 @attrs.frozen
 class _Change:
     revision: int
@@ -45,13 +39,11 @@
         self.faults = faults or Faults()
         self.counts: Counter[str] = Counter()
         self.late_by = timedelta(0)
-        self._clock = clock
         self._gate = FaultGate(self.faults, clock, CALL_TIMEOUT, StoreUnavailable, StoreTimeout)
         self._revision = 1
         self._oldest = 1
-        self._leases_granted = 0
         self._entries_by_key: dict[str, Entry] = {}
-        self._leases_by_id: dict[int, _Lease] = {}
+        self._leases = LeaseTable(clock)
         self._history: list[_Change] = []
         self._changed = trio.Event()
 
@@ -104,23 +96,20 @@
     async def grant_lease(self, ttl: timedelta) -> int:
         """Return the id of a new lease."""
         await self._enter("grant_lease")
-        self._leases_granted += 1
-        self._leases_by_id[self._leases_granted] = _Lease(ttl, self._clock.now() + ttl)
+        lease = self._leases.grant(ttl)
         self._gate.after()
-        return self._leases_granted
+        return lease
 
     async def renew_lease(self, lease: int) -> None:
         """Renew a lease for its time to live."""
         await self._enter("renew_lease")
-        held = self._live_lease(lease)
-        held.ends_at = self._clock.now() + held.ttl
+        self._leases.renew(lease)
         self._gate.after()
 
     async def end_lease(self, lease: int) -> None:
         """End a lease; its keys go."""
         await self._enter("end_lease")
-        if lease in self._leases_by_id:
-            self._end(lease)
+        self._remove_all(self._leases.end(lease))
         self._gate.after()
 
     def apply(
@@ -138,7 +127,7 @@
                 raise Conflict({name: found for name, found in named.items() if found})
         for write in writes:
             if write.lease is not None:
-                self._live_lease(write.lease)
+                self._leases.check(write.lease)
         self._revision += 1
         for write in writes:
             self._write(write)
@@ -196,31 +185,20 @@
             if change.revision > after and change.key.startswith(prefix)
         ]
 
-    def _live_lease(self, lease: int) -> _Lease:
-        held = self._leases_by_id.get(lease)
-        if held is None:
-            raise LeaseLost(f"{lease} is unknown or has lapsed")
-        return held
-
     def _drop_lapsed(self) -> None:
-        now = self._clock.now()
-        for lease, held in list(self._leases_by_id.items()):
-            if held.ends_at <= now:
-                self._end(lease)
+        for keys in self._leases.end_lapsed():
+            self._remove_all(keys)
 
-    def _end(self, lease: int) -> None:
-        keys = self._leases_by_id.pop(lease).keys
+    def _remove_all(self, keys: list[str]) -> None:
+        """Remove the keys of a lease that has ended, in one step."""
         if keys:
             self._revision += 1
-        for key in sorted(keys):
+        for key in keys:
             self._remove(key)
         self._wake()
 
     def _write(self, write: Write) -> None:
-        for held in self._leases_by_id.values():
-            held.keys.discard(write.key)
-        if write.lease is not None:
-            self._leases_by_id[write.lease].keys.add(write.key)
+        self._leases.attach(write.key, write.lease)
         entry = Entry(write.key, bytes(write.value), self._revision)
         self._entries_by_key[write.key] = entry
         self._history.append(_Change(self._revision, write.key, entry))
--- a/packages/mimosapoint/src/mimosapoint/workload/__init__.py
+++ b/packages/mimosapoint/src/mimosapoint/workload/__init__.py
@@ -1,6 +1,6 @@
 """Jobs of several steps: what callers submit, how far it has come, and the queues it waits in."""
 
-from mimosapoint.workload.catalog import Catalog, Queue, Tenant
+from mimosapoint.workload.catalog import FIRST_PRIORITY, Catalog, Queue, Tenant
 from mimosapoint.workload.core import (
     Amounts,
     JobRecord,
@@ -14,6 +14,7 @@
 from mimosapoint.workload.progress import JobProgress
 
 __all__ = [
+    "FIRST_PRIORITY",
     "Amounts",
     "Catalog",
     "JobProgress",
--- a/packages/mimosapoint/src/mimosapoint/workload/catalog.py
+++ b/packages/mimosapoint/src/mimosapoint/workload/catalog.py
@@ -4,7 +4,12 @@
 
 import attrs
 
-__all__ = ["Catalog", "Queue", "Tenant"]
+from mimosapoint.workload.core import JobRecord
+
+__all__ = ["FIRST_PRIORITY", "Catalog", "Queue", "Tenant"]
+
+FIRST_PRIORITY = 0
+"""Priority before all others: its jobs may stop others, and guarantees are for them."""
 
 
 @attrs.frozen
@@ -68,7 +73,6 @@
     header_bytes: int = 16_384
     idle: timedelta = timedelta(seconds=15)
     queues_by_name: dict[str, Queue] = attrs.field(init=False, repr=False)
-    tenants_by_name: dict[str, Tenant] = attrs.field(init=False, repr=False)
     _tenant_by_key: dict[str, Tenant] = attrs.field(init=False, repr=False)
     _queues_by_host: dict[str, list[Queue]] = attrs.field(init=False, repr=False)
 
@@ -81,12 +85,21 @@
         tenant_by_key = {key: tenant for tenant in self.tenants for key in tenant.keys}
         for name, value in (
             ("queues_by_name", {queue.name: queue for queue in self.queues}),
-            ("tenants_by_name", {tenant.name: tenant for tenant in self.tenants}),
             ("_tenant_by_key", tenant_by_key),
             ("_queues_by_host", by_host),
         ):
             object.__setattr__(self, name, value)
 
+    def pool_of(self, record: JobRecord) -> str:
+        """Return the service whose workers run a job now."""
+        queue = self.queues_by_name.get(record.queue)
+        return queue.pool if queue else record.pool
+
+    def priority_of(self, record: JobRecord) -> int:
+        """Return a job's priority as it is configured now."""
+        queue = self.queues_by_name.get(record.queue)
+        return queue.priority if queue else record.priority
+
     def find_queue(self, host: str, path: str) -> Queue | None:
         """Return the queue with the longest prefix of the path, or ``None``."""
         for queue in self._queues_by_host.get(host, ()):
