Count a drained worker as empty only once its ends are stored

Since an empty draining worker leaves the stored roster, so that the next owner does not wait for it. "Empty" held as soon as the end of the run was listed, before the progress of the task was stored. The next owner neither knew the end nor waited for the worker, and started run 3145729 of the same task at 20.958 s.

Change: a link keeps the highest end it has seen beside the highest one stored; a worker whose ends are not all stored is not empty. The new test in cell/tests/test_takeover.py failed before.

--- a/packages/mimosapoint/src/mimosapoint/cell/link.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/link.py
@@ -78,6 +78,7 @@
         self._telemetry = telemetry
         self._generation = 1
         self._born = 0
+        self._seen_ends = 0
         self._stored_ends = 0
         self._lease = WorkerLease(clock, settings)
         self._reachable = True
@@ -122,11 +123,13 @@
 
     @property
     def is_leaving_empty(self) -> bool:
-        """Whether the worker drains and has told that nothing is left on it.
+        """Whether the worker drains, and nothing is left on it that the next owner has to know.
 
-        The next owner need not wait for such a worker, which soon goes away.
+        That owner need not wait for such a worker, which soon goes away. An end that is not stored
+        has to be known: without it the task would start again.
         """
-        return self.registration.draining and self.synced and not self.assignments_by_run
+        is_empty = self.synced and not self.assignments_by_run
+        return self.registration.draining and is_empty and self._seen_ends <= self._stored_ends
 
     def is_removable(self, now: datetime) -> bool:
         """Tell whether the worker has gone for good."""
@@ -256,6 +259,7 @@
         first = not self.synced
         self._note_answer(lists.clock_ms)
         for ended in lists.ended:
+            self._seen_ends = max(self._seen_ends, ended.number)
             if ended.number > self._stored_ends:
                 self._note_end(ended)
         self._reconcile(lists, first)
@@ -355,6 +359,7 @@
         self._generation += 1
         self._born = born
         self.health = WorkerHealth()
+        self._seen_ends = 0
         self._stored_ends = 0
         self._lease.begin()
         self.synced = False
--- a/packages/mimosapoint/src/mimosapoint/cell/tests/test_takeover.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_takeover.py
@@ -4,9 +4,14 @@
 
 import trio
 
-from mimosapoint.cell.tests._site import SMALL, WIDE, open_site
+from mimosapoint.cell.link import WorkerLink
+from mimosapoint.cell.settings import CellSettings
+from mimosapoint.cell.tests._site import CAPACITY, POOL, SMALL, WIDE, open_site
+from mimosapoint.memory import TrioClock
+from mimosapoint.ports import EndedRun, Registration, WorkerLists
+from mimosapoint.telemetry import MemoryTelemetry
 from mimosapoint.testing import TrioTestCase
-from mimosapoint.workload import Phase, RunEnd, Step
+from mimosapoint.workload import Phase, RunEnd, Step, TaskId
 
 SOON_SECONDS = 2.5
 """A claim and a start; far below the 6 s after which a silent worker's lease has lapsed."""
@@ -102,6 +107,55 @@
             self.check(site)
 
 
+class DrainedWorkers:
+    """A draining worker on which a run has ended, as the owner's link asks it."""
+
+    def __init__(self):
+        self.acknowledged = []
+
+    async def hold(self, worker, order):
+        self.acknowledged.append(order.acknowledged)
+        await trio.sleep(0.1)
+        ended = EndedRun(1, TaskId("a", 0, 0, 0), 7, RunEnd.DONE)
+        return WorkerLists(1000, 1, (), () if order.acknowledged else (ended,))
+
+
+class OwnerThatStores:
+    """The owner's side of a link; it stores ends when it is told to."""
+
+    def __init__(self):
+        self.may_store = trio.Event()
+
+    def __getattr__(self, name):
+        return lambda *arguments: True
+
+    async def store_ends(self, ended):
+        await self.may_store.wait()
+
+
+class LeavingWorkerTest(TrioTestCase):
+    mock_clock = True
+
+    async def test_a_drained_worker_is_not_empty_before_its_ends_are_stored(self):
+        registration = Registration(
+            "w", "a:1", POOL, "z", "r", frozenset(), CAPACITY, draining=True, born=1
+        )
+        events, workers = OwnerThatStores(), DrainedWorkers()
+        link = WorkerLink(
+            registration, 1, workers, events, TrioClock(), CellSettings(), MemoryTelemetry()
+        )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(link.run)
+            await trio.sleep(5)
+            self.assertTrue(link.synced)
+            self.assertFalse(link.is_leaving_empty)
+            events.may_store.set()
+            await trio.sleep(2)
+            self.assertTrue(link.is_leaving_empty)
+            self.assertIn(1, workers.acknowledged)
+            nursery.cancel_scope.cancel()
+
+
 class LostStartTest(TrioTestCase):
     mock_clock = True
 
