Let running work outlive a store outage, and refuse truly and early in one

In a known outage nothing is written and the refusal is 503; an unknown outcome is settled while the caller waits; a failed read is 503; Retry-After stays within a third of Deadline-Ms. A worker whose last renewal failed gets no start, and is asked for an immediate reply.

--- a/packages/mimosapoint/src/mimosapoint/cell/gateway.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/gateway.py
@@ -1,6 +1,9 @@
 """Gateway for requests of callers, on each node of a cell."""
 
+from collections.abc import Iterator
+from contextlib import contextmanager
 from datetime import timedelta
+from typing import TypeVar
 
 import attrs
 import trio
@@ -34,12 +37,16 @@
 
 __all__ = ["CellGateway", "Submission"]
 
+T = TypeVar("T")
+
 RETRY_AFTER_MIN = timedelta(seconds=1)
 """Minimum retry delay that callers are told; the header counts whole seconds."""
 
 RETRY_AFTER_MAX = timedelta(seconds=4)
-"""Maximum retry delay that callers are told; slightly above the 3 s for which the sites' callers
-wait."""
+"""Maximum retry delay that callers are told; most outages of the store are shorter."""
+
+ATTEMPTS_IN_TIME = 3
+"""Attempts that a caller should be able to make in the time for which it waits."""
 
 
 @attrs.frozen
@@ -133,14 +140,20 @@
         return workspace.name
 
     async def submit(
-        self, queue: Queue, workspace: str, submission: Submission, timeout: timedelta
+        self,
+        queue: Queue,
+        workspace: str,
+        submission: Submission,
+        timeout: timedelta,
+        maybe_stored: bool = False,
     ) -> None:
         """Accept a job and store it.
 
         :param queue: queue of the job.
         :param workspace: workspace of the caller.
         :param submission: the job.
-        :param timeout: time for which the caller waits.
+        :param timeout: time for which the write may be repeated.
+        :param maybe_stored: whether an earlier call for this request left the outcome unknown.
         :raises StoreUnavailable: the job was not accepted and will never run.
         :raises OutcomeUnknown: the job may have been accepted.
         :raises IdempotencyConflict: the id belongs to a job of another workspace or with other
@@ -160,7 +173,11 @@
             accepted_at=self._clock.now(),
             schedule=submission.schedule,
         )
-        outcome = await self._store_job(record, timeout)
+        if self._view.is_store_outage and not maybe_stored:
+            # A write now would likely leave its outcome unknown; without one, the refusal is true
+            # and another node can be tried at once.
+            raise StoreUnavailable("the store is unavailable", retry_after=self._retry_after())
+        outcome = await self._store_job(record, timeout, maybe_stored)
         self._telemetry.event(
             "job-accepted",
             job=record.id,
@@ -171,24 +188,26 @@
             view_age=self._view.age,
         )
 
-    async def _store_job(self, record: AcceptedJob, timeout: timedelta) -> str:
+    async def _store_job(
+        self, record: AcceptedJob, timeout: timedelta, outcome_unknown: bool
+    ) -> str:
         """Write the job, and repeat the write while its outcome is unknown.
 
         Repeats are idempotent because the key contains the job id.
         """
         write = Write(job_key(record.id), encode(record))
-        outcome_unknown = False
         with trio.move_on_after(timeout.total_seconds()):
             while True:
                 try:
                     revision = await self._store.commit({write.key: 0}, [write])
                     return f"stored-{revision}"
                 except TransactionConflict as conflict:
-                    _check_idempotent(conflict.entries_by_key[write.key], record)
+                    self._check_idempotent(conflict.entries_by_key[write.key], record)
                     return "known"
                 except StoreUnavailable as error:
                     if not outcome_unknown:
-                        raise self._unavailable(error) from error
+                        delay = self._retry_after()
+                        raise StoreUnavailable(error.detail, retry_after=delay) from error
                 except StoreTimeout:
                     outcome_unknown = True
                 await trio.sleep(self._settings.retry_delay.total_seconds())
@@ -205,47 +224,87 @@
             entries_by_key[key] = await self._store.get(key)
 
         keys = (job_key(job_id), progress_key(job_id))
-        try:
+        with self._telling_retry_delay(is_read=True):
             async with trio.open_nursery() as nursery:
                 for key in keys:
                     nursery.start_soon(read, key)
-        except* (StoreUnavailable, StoreTimeout) as group:
-            raise self._unavailable(_first_error(group)) from group
-        _check_workspace(entries_by_key[keys[0]], workspace)
+        self._check_workspace(entries_by_key[keys[0]], workspace)
         progress = entries_by_key[keys[1]]
-        if progress is None:
-            return Phase.QUEUED
-        try:
-            return decode(progress.value, JobProgress).phase
-        except CodecError as error:
-            self._telemetry.event("job-unreadable", key=keys[1], error=str(error))
-            raise StoreTimeout(f"the progress of {job_id} cannot be read") from error
+        return Phase.QUEUED if progress is None else self._decode(progress, JobProgress).phase
 
     async def cancel(self, workspace: str, job_id: str) -> None:
         """Cancel a job; has no effect on an ended one.
 
         :raises JobNotFound: the workspace has no such job.
         """
-        entry = await self._job_entry(workspace, job_id)
         write = Write(cancel_key(job_id), b"{}")
-        try:
-            await self._store.commit({entry.key: entry.revision, write.key: 0}, [write])
-        except TransactionConflict as conflict:
-            if entry.key not in conflict.entries_by_key:
-                raise JobNotFound("no such job") from conflict
+        with self._telling_retry_delay():
+            entry = await self._job_entry(workspace, job_id)
+            try:
+                await self._store.commit({entry.key: entry.revision, write.key: 0}, [write])
+            except TransactionConflict as conflict:
+                if entry.key not in conflict.entries_by_key:
+                    raise JobNotFound("no such job") from conflict
         self._telemetry.event("cancel-accepted", job=job_id, workspace=workspace)
 
     async def backlog(self, queue: Queue) -> int:
         """Return the number of the queue's jobs without a started task, as last published."""
-        entry = await self._store.get(BACKLOG_KEY)
-        return decode(entry.value, dict[str, int]).get(queue.name, 0) if entry else 0
+        with self._telling_retry_delay(is_read=True):
+            entry = await self._store.get(BACKLOG_KEY)
+        return self._decode(entry, dict[str, int]).get(queue.name, 0) if entry else 0
+
+    def retry_delay(self, error: MimosapointError, patience: timedelta) -> timedelta | None:
+        """Return after which time a caller should try again; ``None`` if it should not.
+
+        A caller that is told to come back when it no longer waits is not served at all, so the
+        delay is limited by the time for which it waits.
+
+        :param error: error that the caller gets.
+        :param patience: time for which the caller waits in total.
+        """
+        if error.retry_after is None:
+            return None
+        return max(RETRY_AFTER_MIN, min(error.retry_after, patience / ATTEMPTS_IN_TIME))
 
     async def _job_entry(self, workspace: str, job_id: str) -> Entry:
-        return _check_workspace(await self._store.get(job_key(job_id)), workspace)
+        return self._check_workspace(await self._store.get(job_key(job_id)), workspace)
 
-    def _unavailable(self, error: StoreUnavailable | StoreTimeout) -> MimosapointError:
-        """Return a copy of the error that carries the retry delay."""
-        return type(error)(error.detail, retry_after=self._retry_after())
+    @contextmanager
+    def _telling_retry_delay(self, is_read: bool = False) -> Iterator[None]:
+        """Add the retry delay to errors of the store.
+
+        :param is_read: whether the calls only read, so that an unanswered one has no effect.
+        """
+        try:
+            yield
+        except* (StoreUnavailable, StoreTimeout) as group:
+            error = _first_error(group)
+        else:
+            return
+        kind = StoreUnavailable if is_read else type(error)
+        raise kind(error.detail, retry_after=self._retry_after()) from error
+
+    def _decode(self, entry: Entry, kind: type[T]) -> T:
+        """Decode an entry.
+
+        :raises StoreTimeout: it is unreadable, so that what it holds is unknown.
+        """
+        try:
+            return decode(entry.value, kind)
+        except CodecError as error:
+            self._telemetry.event("job-unreadable", key=entry.key, error=str(error))
+            raise StoreTimeout(f"{entry.key} cannot be read") from error
+
+    def _check_workspace(self, entry: Entry | None, workspace: str) -> Entry:
+        if entry is None or self._decode(entry, AcceptedJob).tenant != workspace:
+            raise JobNotFound("no such job")
+        return entry
+
+    def _check_idempotent(self, entry: Entry, record: AcceptedJob) -> None:
+        stored = self._decode(entry, AcceptedJob)
+        same = (stored.tenant, stored.spec, stored.steps, stored.schedule)
+        if same != (record.tenant, record.spec, record.steps, record.schedule):
+            raise IdempotencyConflict("the id belongs to another job")
 
     def _retry_after(self) -> timedelta:
         """Return the retry delay for callers.
@@ -257,21 +316,8 @@
         return min(max(age, RETRY_AFTER_MIN), RETRY_AFTER_MAX)
 
 
-def _check_workspace(entry: Entry | None, workspace: str) -> Entry:
-    if entry is None or decode(entry.value, AcceptedJob).tenant != workspace:
-        raise JobNotFound("no such job")
-    return entry
-
-
 def _first_error(group: BaseExceptionGroup) -> BaseException:
     error: BaseException = group
     while isinstance(error, BaseExceptionGroup):
         error = error.exceptions[0]
     return error
-
-
-def _check_idempotent(entry: Entry, record: AcceptedJob) -> None:
-    stored = decode(entry.value, AcceptedJob)
-    same = (stored.tenant, stored.spec, stored.steps, stored.schedule)
-    if same != (record.tenant, record.spec, record.steps, record.schedule):
-        raise IdempotencyConflict("the id belongs to another job")
--- a/packages/mimosapoint/src/mimosapoint/cell/health.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/health.py
@@ -11,7 +11,8 @@
 single failing job may itself be faulty."""
 
 QUARANTINE_MIN = timedelta(seconds=3)
-"""First quarantine time: half of the shortest fault of this kind on the sites."""
+"""First quarantine time. A worker on which everything fails is tried again this much later, which
+costs one attempt of two jobs."""
 
 QUARANTINE_MAX = timedelta(seconds=12)
 """Longest quarantine time before a worker gets work again."""
--- a/packages/mimosapoint/src/mimosapoint/cell/operators.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/operators.py
@@ -65,6 +65,11 @@
         """Whether the last call to the store succeeded."""
         return self._store_availability.is_available
 
+    @property
+    def is_store_outage(self) -> bool:
+        """Whether several calls to the store have failed in a row."""
+        return self._store_availability.is_outage
+
     async def run(self) -> None:
         """Read and watch the operators' entries until cancelled."""
         while True:
--- a/packages/mimosapoint/src/mimosapoint/cell/owner.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/owner.py
@@ -82,7 +82,7 @@
         )
         self._backlog_writer = BacklogWriter(dependencies, self.job_table, ownership, settings)
         self._start_limiter = StartLimiter(settings, dependencies.telemetry)
-        self._planner = Planner(self._start_limiter.admits)
+        self._planner = Planner(settings, self._start_limiter.admits)
         self._run_count = 0
         self._unwanted_run_counts: Counter[TaskId] = Counter()
         self._recovered = False
@@ -114,6 +114,19 @@
         """Return whether this node still owns the cell."""
         return not self._fenced and self._clock.now() < self._ownership.valid_until
 
+    def may_renew_leases(self) -> bool:
+        """Return whether this node may renew the leases of the workers.
+
+        It may for some time after its ownership has ended: during a store outage no other node can
+        become the owner, and a renewal starts nothing. If another node has become the owner, the
+        workers that it reached refuse the renewal, and it waits for the leases of all others.
+        """
+        orphaned_at = self._ownership.valid_until
+        return (
+            not self._fenced
+            and self._clock.now() < orphaned_at + self._settings.orphan_renewal_time
+        )
+
     def request_decision(self) -> None:
         """Request a new scheduling decision."""
         self._decision_requested.set()
--- a/packages/mimosapoint/src/mimosapoint/cell/planner.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/planner.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
-from datetime import datetime, timedelta
+from datetime import datetime
 
 import attrs
 
@@ -11,24 +11,17 @@
 from mimosapoint.cell.placement_state import PlacementState
 from mimosapoint.cell.placing import fits_one_rack, place
 from mimosapoint.cell.preemption import choose_victims
+from mimosapoint.cell.settings import CellSettings
 from mimosapoint.cell.units import Unit, UnitState
 from mimosapoint.cell.worker_session import WorkerSession
 from mimosapoint.workload import URGENT_PRIORITY, CellConfiguration, UnitId
 
 __all__ = ["Plan", "Planner", "Start", "Stop"]
 
-CAPACITY_HOLD_TTL = timedelta(milliseconds=1500)
-"""Lifetime of a capacity hold; longer than the slowest stop of both sites, 400 ms, plus the
-worker's reply."""
-
 MAX_RESERVED_GANGS = 2
 """Maximum number of gangs with a reservation in one decision; more would leave too much capacity
 idle."""
 
-RECLAIM_DELAY = timedelta(milliseconds=800)
-"""Wait after which a covered job takes precedence and may preempt urgent borrowers; a third of the
-time in which guarantees must be met, 2.7 s, which leaves time for a stop and a start."""
-
 
 @attrs.frozen
 class Start:
@@ -125,11 +118,17 @@
 class Planner:
     """Plans decisions and keeps the capacity holds of preemptors between them.
 
+    :param settings: times of stops and guarantees.
     :param admits: function of a number of starts and of the number already planned in the same
         decision; returns whether the starts may be ordered.
     """
 
-    def __init__(self, admits: Callable[[int, int], bool] = lambda starts, planned: True) -> None:
+    def __init__(
+        self,
+        settings: CellSettings,
+        admits: Callable[[int, int], bool] = lambda starts, planned: True,
+    ) -> None:
+        self._settings = settings
         self._admits = admits
         self._holds: dict[UnitId, _CapacityHold] = {}
 
@@ -175,7 +174,7 @@
             elif configuration.priority_of(unit.job.record) == URGENT_PRIORITY:
                 if victims is None:
                     victims = _Victims.classify(active, configuration, covered)
-                guarantee_due = _is_guarantee_due(unit, covered, now)
+                guarantee_due = self._is_guarantee_due(unit, covered, now)
                 self._preempt(plan, placement_state, unit, pool, victims, guarantee_due, now)
             else:
                 blocked_fit_keys.add(fit_key)
@@ -210,7 +209,7 @@
         has_hold = unit.id in self._holds
         return (
             configuration.priority_of(unit.job.record),
-            not _is_guarantee_due(unit, covered, now),
+            not self._is_guarantee_due(unit, covered, now),
             not has_hold,
             not has_hold and latest_start < now,
             unit.since if has_hold else latest_start,
@@ -245,7 +244,7 @@
                 victims.remove(victim)
                 plan.stops.append(Stop(victim, f"room-for-{unit.id}"))
             workers = [candidate.session.id for candidate in preemption.candidates]
-            hold = _CapacityHold(workers, now + CAPACITY_HOLD_TTL)
+            hold = _CapacityHold(workers, now + self._settings.capacity_hold_ttl)
             self._holds[unit.id] = hold
         held_candidates = [
             candidates_by_worker[worker]
@@ -256,6 +255,11 @@
         if plan.next_decision_at is None or hold.until < plan.next_decision_at:
             plan.next_decision_at = hold.until
 
+    def _is_guarantee_due(self, unit: Unit, covered: frozenset[str], now: datetime) -> bool:
+        """Return whether the unit's guarantee is at risk and has to be enforced now."""
+        waited = now - unit.job.waiting_since
+        return unit.id.job in covered and waited >= self._settings.reclaim_delay
+
     def _drop_expired_holds(self, waiting: list[Unit], now: datetime) -> None:
         waiting_ids = {unit.id for unit in waiting}
         for unit_id, hold in list(self._holds.items()):
@@ -274,8 +278,3 @@
 def _needs_reservation(unit: Unit) -> bool:
     """Return whether smaller units could starve the unit."""
     return unit.step.gang
-
-
-def _is_guarantee_due(unit: Unit, covered: frozenset[str], now: datetime) -> bool:
-    """Return whether the unit's guarantee is at risk and has to be enforced now."""
-    return unit.id.job in covered and now - unit.job.waiting_since >= RECLAIM_DELAY
--- a/packages/mimosapoint/src/mimosapoint/cell/session_owner.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/session_owner.py
@@ -21,6 +21,10 @@
         """Return whether this node still owns the cell."""
         ...
 
+    def may_renew_leases(self) -> bool:
+        """Return whether this node may renew the leases of the workers."""
+        ...
+
     def fleet_size(self) -> int:
         """Return the number of worker sessions."""
         ...
--- a/packages/mimosapoint/src/mimosapoint/cell/settings.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/settings.py
@@ -22,7 +22,10 @@
         covers its own delays between a check and the order that follows.
     :param owner_watch_timeout: timeout of the watch on the owner's key; bounds how long a dead
         connection hides the end of an ownership.
-    :param worker_lease: duration of the workers' leases; longer than a store outage of 4.5 s.
+    :param worker_lease: duration of the workers' leases; covers the gap between two owners.
+    :param orphan_renewal_time: time after the end of its ownership for which an owner goes on
+        renewing the workers' leases, and gives no other order, unless a worker refuses it; lets
+        runs outlive a store outage. The next owner waits that much longer for silent workers.
     :param long_poll_wait: longest time for which a worker may hold back a long-poll reply; a lost
         reply hides the end of a run for that long. Also the longest wait for the storage of ended
         runs before the next renewal.
@@ -31,6 +34,9 @@
         workers hold back replies longer.
     :param start_window: time within which a start takes effect or never does; shorter than the
         time for which the tasks of a gang wait for each other.
+    :param run_stop_time: longest time that a worker takes to stop a run.
+    :param reclaim_delay: wait after which a covered job takes precedence and may preempt urgent
+        borrowers; leaves time for a stop and a start before the guarantee must be met.
     :param order_timeout: interval at which a stop is repeated, and delay of a renewal after a fence
         or a replacement; it does not bound the wait for a worker's reply.
     :param start_retry_after: time after which an unanswered start is ordered again. Workers reply
@@ -48,8 +54,10 @@
     :param registration_poll: interval between reads of the workers' registrations.
     :param missing_grace: time for which a worker without a registration is kept; registrations
         reappear within two seconds of a store outage.
-    :param silent_after: time without a reply after which a worker gets no new work; also the time
-        for which it gets none after it refused a start as unhealthy.
+    :param silent_after: time without a reply, beyond the long-poll wait, after which a worker gets
+        no new work.
+    :param refusal_backoff: time for which a worker gets no work after it refused a start as
+        unhealthy.
     :param cores: processor capacity of the node, in cores.
     :param link_mbps: network bandwidth of the node, in Mbit/s.
     :param preferred_owner_cores: processor capacity from which a node claims the cell without the
@@ -61,13 +69,13 @@
         decided together.
     :param max_decision_share: maximum share of time spent on decisions while many units wait; a
         fifth leaves most of the processor to worker sessions and commits.
-    :param decision_pause_max: maximum pause between two decisions; less than half of the shortest
-        latency objective of both sites, 250 ms.
+    :param decision_pause_max: maximum pause between two decisions; a small part of the 1.7 s within
+        which an urgent job should start.
     :param lag_probe_interval: interval between measurements of the timer lag.
     :param lag_limit: timer lag above which the node counts as overloaded. Three renewals fit into
         an ownership lease, so that even a lag of a quarter of it leaves time for two such delays.
-    :param max_concurrent_starts: limit of concurrent starts without overload; above the largest
-        step of both sites, 230 tasks.
+    :param max_concurrent_starts: limit of concurrent starts without overload; room
+        for several gangs of the largest size, 128 tasks.
     :param min_concurrent_starts: limit of concurrent starts under the worst overload.
     :param concurrent_starts_step: number of starts by which the limit grows after a measurement
         without overload.
@@ -85,10 +93,13 @@
     ownership_margin: timedelta = _ms(150)
     owner_watch_timeout: timedelta = _ms(2000)
     worker_lease: timedelta = _ms(7000)
+    orphan_renewal_time: timedelta = _ms(5000)
     long_poll_wait: timedelta = _ms(1000)
     long_poll_wait_max: timedelta = _ms(2000)
     renewals_per_second: float = 90.0
     start_window: timedelta = _ms(1000)
+    run_stop_time: timedelta = _ms(400)
+    reclaim_delay: timedelta = _ms(800)
     order_timeout: timedelta = _ms(700)
     start_retry_after: timedelta = _ms(200)
     retry_delay: timedelta = _ms(100)
@@ -98,7 +109,8 @@
     freshness_bound: timedelta = _ms(1700)
     registration_poll: timedelta = _ms(600)
     missing_grace: timedelta = _ms(2500)
-    silent_after: timedelta = _ms(2500)
+    silent_after: timedelta = _ms(1500)
+    refusal_backoff: timedelta = _ms(2500)
     cores: float = 1.0
     link_mbps: float = 1000.0
     preferred_owner_cores: float = 1.0
@@ -118,6 +130,14 @@
     retention: timedelta = timedelta(seconds=150)
     backlog_interval: timedelta = _ms(500)
 
+    @property
+    def capacity_hold_ttl(self) -> timedelta:
+        """Lifetime of a capacity hold.
+
+        It covers a stop, one repetition of a lost stop order, and the report of the end.
+        """
+        return self.run_stop_time + self.order_timeout + self.start_retry_after * 2
+
     @property
     def is_preferred_owner(self) -> bool:
         """Whether the node has enough processor and bandwidth to be preferred as owner."""
--- a/packages/mimosapoint/src/mimosapoint/cell/slow_workers.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/slow_workers.py
@@ -8,8 +8,11 @@
 __all__ = ["ProgressRate", "SlowWorkerDetector"]
 
 MIN_SAMPLE_INTERVAL_MS = 600
-"""Minimum interval between two progress samples, in milliseconds. The longest tasks of the sites
-progress by 5 percent in it, and progress is reported in whole percent."""
+"""Minimum interval between two progress samples, in milliseconds."""
+
+MIN_SAMPLE_SHARE = 0.05
+"""Minimum interval between two progress samples as a share of the run's estimated duration:
+progress is reported in whole percent, so that a sample of 5 percent is exact to a fifth."""
 
 SLOW_RELATIVE_RATE = 0.5
 """Share of a run's best progress rate below which it counts as slow. The faults that the platform
@@ -27,9 +30,12 @@
 class ProgressRate:
     """Progress rate of one run.
 
+    :param estimate: estimated duration of the run.
     :param relative_rate: newest rate as a share of the run's best rate; ``None`` if unknown.
     """
 
+    estimate: timedelta = timedelta(0)
+
     relative_rate: float | None = None
     _clock_ms: int | None = None
     _percent: int = 0
@@ -46,7 +52,7 @@
             self._clock_ms, self._percent = clock_ms, percent
             return
         elapsed = clock_ms - self._clock_ms
-        if elapsed < MIN_SAMPLE_INTERVAL_MS:
+        if elapsed < self._min_interval_ms:
             return
         rate = (percent - self._percent) / elapsed
         self._clock_ms, self._percent = clock_ms, percent
@@ -58,6 +64,11 @@
         self._best_rate = max(self._best_rate, rate)
         self.relative_rate = rate / self._best_rate if self._best_rate else None
 
+    @property
+    def _min_interval_ms(self) -> float:
+        estimate_ms = self.estimate / timedelta(milliseconds=1)
+        return max(MIN_SAMPLE_INTERVAL_MS, MIN_SAMPLE_SHARE * estimate_ms)
+
 
 @attrs.define
 class SlowWorkerDetector:
--- a/packages/mimosapoint/src/mimosapoint/cell/store_availability.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/store_availability.py
@@ -5,6 +5,9 @@
 
 __all__ = ["StoreAvailability"]
 
+FAILURES_OF_OUTAGE = 2
+"""Consecutive failures that show an outage; a single one may be a lost reply."""
+
 
 class StoreAvailability:
     """Availability of the store, judged by the last call of one component.
@@ -18,12 +21,17 @@
     def __init__(self, part: str, telemetry: Telemetry):
         self._part = part
         self._telemetry = telemetry
-        self._available = True
+        self._failures = 0
 
     @property
     def is_available(self) -> bool:
         """Whether the last call succeeded; true before the first."""
-        return self._available
+        return not self._failures
+
+    @property
+    def is_outage(self) -> bool:
+        """Whether several calls have failed in a row."""
+        return self._failures >= FAILURES_OF_OUTAGE
 
     def record_failure(self, error: MimosapointError, **fields: object) -> None:
         """Record a failed call.
@@ -32,14 +40,14 @@
         :param fields: further fields of the log line.
         """
         self._telemetry.count("cell_store_failures", part=self._part, error=error.code)
-        if self._available:
-            self._available = False
+        self._failures += 1
+        if self._failures == 1:
             self._telemetry.event(
                 "store-lost", part=self._part, error=error.code, detail=error.detail, **fields
             )
 
     def record_success(self) -> None:
         """Record a successful call."""
-        if not self._available:
-            self._available = True
+        if self._failures:
+            self._failures = 0
             self._telemetry.event("store-regained", part=self._part)
--- a/packages/mimosapoint/src/mimosapoint/cell/tests/_planning.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/_planning.py
@@ -32,7 +32,7 @@
     def setUp(self):
         self.clock = ManualClock()
         self.job_table = CellJobTable(self.clock, MemoryTelemetry())
-        self.planner = Planner()
+        self.planner = Planner(CellSettings())
         self.sessions = []
         self.runs = 0
 
--- a/packages/mimosapoint/src/mimosapoint/cell/tests/test_failover.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_failover.py
@@ -112,6 +112,34 @@
             self.assert_no_violations(site)
 
 
+class SilentWorkerTest(TrioTestCase):
+    """Workers cut off while jobs arrive: nothing is started on a worker that does not reply."""
+
+    mock_clock = True
+
+    async def test_a_worker_gets_no_start_after_a_renewal_without_reply(self):
+        async with open_site(workers=2) as site:
+            faults = site.workers.network_faults_by_address["10.0.0.0:1"]
+            faults.partitioned = True
+            with trio.fail_after(5):
+                while "worker-silent" not in {event.name for event in site.owner.telemetry.events}:
+                    await trio.sleep(0.01)
+            await site.submit("a", Step(2, WIDE))
+            await site.wait_running("a", within=0.5)
+            session = site.owner.cell.owner.fleet.sessions_by_id["w0"]
+            self.assertEqual("silent", session.unusable_reason(site.clock.now()))
+            self.assertEqual({}, session.task_runs_by_key)
+
+    async def test_a_worker_that_replies_again_gets_work_before_a_long_poll_ends(self):
+        async with open_site(workers=1) as site:
+            faults = site.workers.network_faults_by_address["10.0.0.0:1"]
+            faults.refused = True
+            await trio.sleep(3)
+            await site.submit("a", Step(1, SMALL))
+            faults.refused = False
+            await site.wait_running("a", within=0.5)
+
+
 class DrainedWorkerStub:
     """Port to a draining worker that reports one ended run until it is acknowledged."""
 
--- a/packages/mimosapoint/src/mimosapoint/cell/tests/test_planner.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_planner.py
@@ -5,7 +5,7 @@
 import attrs
 
 from mimosapoint.cell.guarantees import covered_jobs
-from mimosapoint.cell.planner import RECLAIM_DELAY
+from mimosapoint.cell.settings import CellSettings
 from mimosapoint.cell.tests._planning import PlannerCase
 from mimosapoint.cell.tests._site import CONFIGURATION, SMALL, WIDE
 from mimosapoint.cell.units import UnitState
@@ -110,7 +110,7 @@
             self.submit(f"burst{number}", 0, Step(1, WIDE, gang=True), tenant="other")
         self.clock.time += timedelta(milliseconds=200)
         self.submit("own", 0, Step(1, WIDE, gang=True))
-        self.clock.time += RECLAIM_DELAY
+        self.clock.time += CellSettings().reclaim_delay
         self.end(unit)
         self.assertEqual(["own"], self.started_jobs(self.decide()))
 
@@ -127,7 +127,7 @@
         self.decide()
         self.submit("own", 0, Step(1, WIDE, gang=True))
         self.assertEqual([], self.decide().stops)
-        self.clock.time += RECLAIM_DELAY
+        self.clock.time += CellSettings().reclaim_delay
         plan = self.decide()
         self.assertEqual(["lent"], [stop.unit.id.job for stop in plan.stops])
         self.end(plan.stops[0].unit)
@@ -147,7 +147,7 @@
         self.submit("own", 0, Step(2, WIDE, gang=True))
         self.decide()
         self.submit("more", 0, Step(1, WIDE, gang=True))
-        self.clock.time += RECLAIM_DELAY
+        self.clock.time += CellSettings().reclaim_delay
         self.assertEqual([], self.decide().stops)
 
     def test_ended_job_releases_the_guarantee(self):
--- a/packages/mimosapoint/src/mimosapoint/cell/tests/test_slow_workers.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_slow_workers.py
@@ -24,6 +24,13 @@
     def test_steady_run_keeps_its_rate(self):
         self.assertGreater(rate_of(0, 9, 20, 30, 39).relative_rate, 0.8)
 
+    def test_a_long_run_is_not_slow_because_its_progress_is_reported_in_whole_percent(self):
+        run = ProgressRate(timedelta(minutes=2))
+        for seconds in range(0, 60):
+            run.add_sample(int(seconds / 1.2), 1000 * seconds)
+            if run.relative_rate is not None:
+                self.assertGreater(run.relative_rate, 0.8)
+
     def test_hanging_or_slower_run_has_a_low_rate(self):
         self.assertEqual(0.0, rate_of(0, 10, 20, 20).relative_rate)
         self.assertLess(rate_of(0, 10, 20, 23).relative_rate, 0.5)
--- a/packages/mimosapoint/src/mimosapoint/cell/tests/test_start_limiter.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_start_limiter.py
@@ -6,6 +6,7 @@
 import trio
 import trio.testing
 
+from mimosapoint.cell.planner import Planner
 from mimosapoint.cell.settings import CellSettings
 from mimosapoint.cell.start_limiter import StartLimiter
 from mimosapoint.cell.tests._site import SMALL, WIDE
@@ -76,7 +77,7 @@
     def setUp(self):
         super().setUp()
         self.limiter = StartLimiter(CellSettings(), MemoryTelemetry())
-        self.planner = type(self.planner)(self.limiter.admits)
+        self.planner = Planner(CellSettings(), self.limiter.admits)
         for _ in range(10):
             self.limiter.record_lag(LAG_SECONDS)
 
--- a/packages/mimosapoint/src/mimosapoint/cell/units.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/units.py
@@ -66,7 +66,11 @@
     confirmed_ms: int | None = None
     stopping: bool = False
     percent: int = 0
-    progress_rate: ProgressRate = attrs.field(factory=ProgressRate)
+    progress_rate: ProgressRate = attrs.field(init=False)
+
+    @progress_rate.default
+    def _new_progress_rate(self) -> ProgressRate:
+        return ProgressRate(self.unit.step.estimate) if self.unit else ProgressRate()
 
     def log_fields(self) -> dict[str, object]:
         """Return the fields that identify the run in log lines."""
--- a/packages/mimosapoint/src/mimosapoint/cell/worker_lease.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/worker_lease.py
@@ -22,6 +22,8 @@
         self._settings = settings
         self._measured_at = clock.now()
         self.reset()
+        # An earlier owner may still be renewing this lease.
+        self._assumed_expires_at += settings.orphan_renewal_time
 
     def reset(self) -> None:
         """Start over for a new incarnation of the worker, whose clock is not known yet."""
--- a/packages/mimosapoint/src/mimosapoint/cell/worker_session.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/worker_session.py
@@ -126,10 +126,20 @@
         if self.refusing_until is not None and now < self.refusing_until:
             return "unhealthy"
         is_silent = (
-            self.answered_at is None or now - self.answered_at >= self._settings.silent_after
+            not self._is_reachable
+            or self.answered_at is None
+            or now - self.answered_at >= self._silent_after
         )
         return "silent" if is_silent else ""
 
+    @property
+    def _silent_after(self) -> timedelta:
+        return self._long_poll_wait + self._settings.silent_after
+
+    @property
+    def _long_poll_wait(self) -> timedelta:
+        return self._settings.long_poll_wait_for(self._owner.fleet_size())
+
     def runs_known(self, now: datetime) -> bool:
         """Return whether the runs on the worker are known.
 
@@ -235,7 +245,7 @@
     async def run(self) -> None:
         """Renew the lease and apply the run reports until cancelled."""
         while True:
-            if not self._owner.holds_ownership():
+            if not self._owner.may_renew_leases():
                 await trio.sleep(self._settings.retry_delay.total_seconds())
                 continue
             try:
@@ -263,12 +273,10 @@
             self._handle_restart(registration.born)
 
     async def _renew_lease(self) -> None:
-        wait = (
-            self._settings.long_poll_wait_for(self._owner.fleet_size())
-            if self.synced
-            else timedelta(0)
-        )
-        if self.synced and self._is_reachable:
+        # A worker that failed to reply is asked for an immediate reply: it gets no work before.
+        is_immediate = not (self.synced and self._is_reachable)
+        wait = timedelta(0) if is_immediate else self._long_poll_wait
+        if not is_immediate:
             self._lease.extend()
         lease_until_ms = self._lease.expires_at_ms if self.synced else None
         order = RenewLeaseOrder(self._token, lease_until_ms, self._last_stored_end, wait)
@@ -379,7 +387,7 @@
 
     def _handle_refusal(self, task_run: TaskRun, reason: str) -> None:
         if reason == "unhealthy":
-            self.refusing_until = self._clock.now() + self._settings.silent_after
+            self.refusing_until = self._clock.now() + self._settings.refusal_backoff
         self._remove_task_run(task_run, RunEnd.REFUSED, reason=reason)
         self._owner.request_decision()
 
