Resume within a retry delay after an outage of the store

Change: the first watch of the inbox after a failure is answered at once, and failed polls of the workers' entries are repeated after the retry delay. Result: the new test fails on the old code in all 4 phases of the long poll and passes; the module passes, 7 tests.

--- a/packages/mimosapoint/src/mimosapoint/cell/fleet.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/fleet.py
@@ -111,7 +111,10 @@
                 availability.record_success()
             except (StoreUnavailable, StoreTimeout) as error:
                 availability.record_failure(error)
-            await trio.sleep(self._settings.registration_poll.total_seconds())
+            pause = self._settings.registration_poll
+            if not availability.is_available:
+                pause = self._settings.retry_delay
+            await trio.sleep(pause.total_seconds())
 
     async def run_session(self, session: WorkerSession) -> None:
         """Run a session until its worker can be removed."""
--- a/packages/mimosapoint/src/mimosapoint/cell/inbox.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/inbox.py
@@ -1,6 +1,7 @@
 """Inbox of the owner: jobs and cancellations that the gateways store."""
 
 from collections.abc import Callable
+from datetime import timedelta
 
 import trio
 
@@ -124,7 +125,11 @@
                 await trio.sleep(self._settings.retry_delay.total_seconds())
 
     async def _watch(self, revision: int) -> int:
-        changes = await self._store.watch(INBOX_PREFIX, revision, self._settings.watch_timeout)
+        # Nothing starts before the inbox is confirmed, so the first watch after a failure is
+        # answered at once.
+        is_confirmed = self._availability.is_available
+        timeout = self._settings.watch_timeout if is_confirmed else timedelta(0)
+        changes = await self._store.watch(INBOX_PREFIX, revision, timeout)
         self._apply(changes.written)
         self._freshness.confirm(self._clock.now())
         return changes.revision
--- a/packages/mimosapoint/src/mimosapoint/cell/tests/test_store_outages.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_store_outages.py
@@ -2,6 +2,7 @@
 
 from datetime import timedelta
 
+import attrs
 import trio
 
 from mimosapoint.cell.settings import CellSettings
@@ -51,6 +52,23 @@
             self.assertEqual(5, len(site.runs("a")))
             self.assert_no_violations(site)
 
+    async def test_waiting_jobs_start_soon_after_an_outage_in_which_leases_pause(self):
+        """The owner keeps the cell; nothing starts before it has confirmed all that it reads."""
+        settings = attrs.evolve(SETTINGS, ownership_ttl=timedelta(seconds=20))
+        for phase in range(4):
+            with self.subTest(phase=phase):
+                async with open_site(workers=1, settings=settings) as site:
+                    site.simulation.run_time = timedelta(seconds=3)
+                    await site.submit("first", Step(1, WIDE))
+                    await site.submit("second", Step(1, WIDE))
+                    await site.wait_running("first")
+                    await trio.sleep(0.2 * phase)
+                    site.store.faults.refuse = True
+                    await trio.sleep(4)
+                    self.assertEqual([], site.runs("second"))
+                    site.store.faults.refuse = False
+                    await site.wait_running("second", within=0.4)
+
     async def test_nothing_is_preempted_during_an_outage(self):
         async with open_site(workers=1, settings=SETTINGS) as site:
             site.simulation.run_time = timedelta(seconds=20)
