--- a/packages/mimosapoint/src/mimosapoint/cell/slow_workers.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/slow_workers.py
@@ -40,6 +40,7 @@
     _clock_ms: int | None = None
     _percent: int = 0
     _samples: int = 0
+    _rate: float = 0.0
     _best_rate: float = 0.0
 
     def add_sample(self, percent: int, clock_ms: int) -> None:
@@ -61,9 +62,21 @@
         if self._samples == 1 or percent >= MAX_SAMPLED_PERCENT or rate < 0:
             self.relative_rate = None
             return
+        self._rate = rate
         self._best_rate = max(self._best_rate, rate)
         self.relative_rate = rate / self._best_rate if self._best_rate else None
 
+    def remaining(self, percent: int, clock_ms: int) -> timedelta:
+        """Return the time that the run still needs, by its newest rate or by its estimate.
+
+        :param percent: last reported progress, in percent.
+        :param clock_ms: present time on the worker's clock, in milliseconds.
+        """
+        if not self._rate or self._clock_ms is None:
+            return self.estimate * (1 - percent / 100)
+        ends_at_ms = self._clock_ms + (100 - self._percent) / self._rate
+        return timedelta(milliseconds=max(0.0, ends_at_ms - clock_ms))
+
     @property
     def _min_interval_ms(self) -> float:
         estimate_ms = self.estimate / timedelta(milliseconds=1)
--- a/packages/mimosapoint/src/mimosapoint/ports/runs.py
+++ b/packages/mimosapoint/src/mimosapoint/ports/runs.py
@@ -59,6 +59,8 @@
     :param draining: whether it accepts no new tasks.
     :param born: start of this incarnation, in milliseconds of the worker's wall clock; 0 when it
         is not published.
+    :param leaves_at_ms: earliest time at which a draining worker leaves, in milliseconds of its
+        steady clock; 0 when it is not published.
     """
 
     id: str
@@ -70,6 +72,7 @@
     capacity: ResourceAmounts
     draining: bool = False
     born: int = 0
+    leaves_at_ms: int = 0
 
 
 @attrs.frozen
