Mend seven faults of the cell that reading had found

Cause: a first run report with 500 ends counted as complete, so that a new owner could start a task whose end was omitted; a renewal overtaken by an order with the owner's own raised token fenced that owner; a call that never got a connection counted as sent; a unit that avoids a worker blocked equal units that may use it; the owner's relay tables only grew; three causes of a wait had one text; slow workers were shown as usable. Change: each is mended where it arises.

--- a/packages/mimosapoint-node/src/mimosapoint_node/platform/_client.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/platform/_client.py
@@ -92,9 +92,15 @@
         )
 
     @asynccontextmanager
-    async def stream(self, request: httpcore.Request) -> AsyncIterator[httpcore.Response]:
-        """Send a request and yield its response, whose body is not read yet."""
+    async def stream(
+        self, request: httpcore.Request, on_connection: Callable[[], None]
+    ) -> AsyncIterator[httpcore.Response]:
+        """Send a request and yield its response, whose body is not read yet.
+
+        :param on_connection: called once a connection may be used, before anything is sent.
+        """
         async with self._limit:
+            on_connection()
             connection = await self._acquire()
             try:
                 response = await connection.handle_async_request(request)
@@ -216,26 +222,35 @@
         timeout: timedelta,
         headers: dict[str, str],
     ) -> Reply:
-        # The timeout includes the wait for a free connection, after which the outcome counts as
-        # unknown although nothing was sent.
+        # The timeout includes the wait for a free connection.
+        may_be_sent = trio.Event()
         with trio.move_on_after(timeout.total_seconds()):
             try:
-                return await self._exchange(method, address, path, body, headers)
+                return await self._exchange(method, address, path, body, headers, may_be_sent.set)
             except NOT_SENT_ERRORS as error:
                 raise self.no_effect_error(f"{address}: not connected: {error!r}") from error
             except UNKNOWN_OUTCOME_ERRORS as error:
                 raise self.unknown_outcome_error(
                     f"{address}: connection failed: {error!r}"
                 ) from error
-        raise self.unknown_outcome_error(f"{address}: no reply within {timeout.total_seconds()} s")
+        seconds = timeout.total_seconds()
+        if not may_be_sent.is_set():
+            raise self.no_effect_error(f"{address}: no free connection within {seconds} s")
+        raise self.unknown_outcome_error(f"{address}: no reply within {seconds} s")
 
     async def _exchange(
-        self, method: str, address: str, path: str, body: bytes, headers: dict[str, str]
+        self,
+        method: str,
+        address: str,
+        path: str,
+        body: bytes,
+        headers: dict[str, str],
+        on_connection: Callable[[], None],
     ) -> Reply:
         pool = await self._pool(address)
         connect_seconds = self.connect_timeout.total_seconds()
         request = pool.request(method, path, body, headers, connect_seconds)
-        async with pool.stream(request) as response:
+        async with pool.stream(request, on_connection) as response:
             headers_by_name = {name.lower(): value for name, value in response.headers}
             return Reply(response.status, headers_by_name, await self._read_body(response))
 
--- a/packages/mimosapoint-node/src/mimosapoint_node/platform/tests/test_client.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/platform/tests/test_client.py
@@ -114,6 +114,23 @@
         self.run_with_server(test, server, timeout=timedelta(milliseconds=100))
         self.assertEqual(2, server.accepted)
 
+    def test_a_call_that_gets_no_connection_in_time_has_no_effect(self):
+        async def test(client, address):
+            async with trio.open_nursery() as nursery:
+
+                async def occupy():
+                    with self.assertRaises(WorkerUnreachable):
+                        await client.call("GET", address, "/", extra_time=timedelta(seconds=1))
+
+                nursery.start_soon(occupy)
+                await trio.sleep(0.05)
+                with self.assertRaises(WorkerRefused):
+                    await client.call("GET", address, "/")
+
+        server = Server()
+        server.delay = 2.0
+        self.run_with_server(test, server, timeout=timedelta(milliseconds=100), connections=1)
+
     def test_connections_that_are_idle_for_too_long_are_closed(self):
         async def test(client, address):
             await self.call_at_once(client, address, 3)
--- a/packages/mimosapoint/src/mimosapoint/cell/explain.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/explain.py
@@ -17,9 +17,14 @@
 class WaitReason(Enum):
     """Reason why a unit waits."""
 
+    OWNERSHIP_LOST = "ownership-lost"
+    """The node does not hold the ownership any more."""
     CONFIGURATION_OLD = "configuration-old"
-    """The owner may start nothing: it does not hold the ownership, or the configuration, the inbox
-    or the worker registrations are not fresh."""
+    """The configuration was not confirmed within the freshness bound."""
+    INBOX_OLD = "inbox-old"
+    """Accepted and cancelled jobs were not read within the freshness bound."""
+    REGISTRATIONS_OLD = "registrations-old"
+    """The workers' registrations were not read within the freshness bound."""
     EARLIER_OWNER = "earlier-owner"
     """An earlier owner may have started it on a worker whose runs are not known yet."""
     LAST_RUN = "last-run"
--- a/packages/mimosapoint/src/mimosapoint/cell/owner.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/owner.py
@@ -10,6 +10,7 @@
 
 from mimosapoint.cell.backlog import BacklogWriter
 from mimosapoint.cell.committer import ProgressCommitter
+from mimosapoint.cell.departures import find_departures
 from mimosapoint.cell.dependencies import CellOwnerDependencies
 from mimosapoint.cell.election import Ownership
 from mimosapoint.cell.explain import WaitExplanation, WaitReason, explain_capacity
@@ -269,10 +270,9 @@
 
     def explain_wait(self, unit: Unit) -> WaitExplanation:
         """Return why a waiting unit has not started."""
-        if not self._may_start_units():
-            return WaitExplanation(
-                WaitReason.CONFIGURATION_OLD, "entries in the store were not confirmed"
-            )
+        obstacle = self._start_obstacle()
+        if obstacle is not None:
+            return obstacle
         if self._may_have_unknown_run(unit):
             return WaitExplanation(
                 WaitReason.EARLIER_OWNER, "not every worker has told what it runs"
@@ -313,8 +313,13 @@
         if due is not None:
             next_decision_at = min(next_decision_at, due)
         self._complete_recovery(now)
-        if not self._may_start_units():
+        if self._start_obstacle() is not None:
             return next_decision_at
+        departures = find_departures(self.fleet.sessions_by_id.values(), self._settings)
+        for unit in departures.units:
+            self._stop_unit(unit, "worker-leaving")
+        if departures.next_after is not None:
+            next_decision_at = min(next_decision_at, now + departures.next_after)
         plan = self._plan(now)
         self._execute(plan)
         if plan.next_decision_at is not None:
@@ -355,14 +360,18 @@
             task in self._unwanted_run_counts for task in unit.tasks
         )
 
-    def _may_start_units(self) -> bool:
-        view = self._dependencies.view
-        return (
-            self.holds_ownership()
-            and view.is_fresh()
-            and self._inbox.is_fresh()
-            and self.fleet.is_fresh()
-        )
+    def _start_obstacle(self) -> WaitExplanation | None:
+        """Return why nothing may start at present; ``None`` if units may start."""
+        if not self.holds_ownership():
+            return WaitExplanation(WaitReason.OWNERSHIP_LOST, "the ownership was not renewed")
+        for reason, part in (
+            (WaitReason.CONFIGURATION_OLD, self._dependencies.view),
+            (WaitReason.INBOX_OLD, self._inbox),
+            (WaitReason.REGISTRATIONS_OLD, self.fleet),
+        ):
+            if not part.is_fresh():
+                return WaitExplanation(reason, "not confirmed within the freshness bound")
+        return None
 
     def _complete_recovery(self, now: datetime) -> None:
         """Complete the recovery once the runs on every worker of earlier owners are known.
--- a/packages/mimosapoint/src/mimosapoint/cell/planner.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/planner.py
@@ -272,7 +272,8 @@
     step = unit.step
     size = unit.size
     spread = (unit.id.job, unit.id.occurrence) if step.spread_limit else None
-    return (unit.job.record.queue, size, step.amounts, step.label, step.rack_local, spread)
+    avoided = frozenset(unit.failed_on)
+    return (unit.job.record.queue, size, step.amounts, step.label, step.rack_local, spread, avoided)
 
 
 def _needs_reservation(unit: Unit) -> bool:
--- a/packages/mimosapoint/src/mimosapoint/cell/report.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/report.py
@@ -220,12 +220,15 @@
         owner = self._owner()
         now = owner.now()
         withdrawn = self._node.view.withdrawn_zones
+        usable = {session.id for session in owner.usable_sessions()}
         statuses = []
         for session in sorted(owner.fleet.sessions_by_id.values(), key=lambda session: session.id):
             answered_at = session.answered_at
             state = session.unusable_reason(now)
             if not state and session.registration.zone in withdrawn:
                 state = "zone-withdrawn"
+            if not state and session.id not in usable:
+                state = "slow"
             statuses.append(
                 WorkerStatus(
                     session.id,
--- a/packages/mimosapoint/src/mimosapoint/cell/tests/test_planner.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_planner.py
@@ -15,6 +15,15 @@
 
 
 class BurstOfSingleTasksTest(PlannerCase):
+    def test_a_unit_that_avoids_a_worker_does_not_block_equal_units_that_may_use_it(self):
+        """Jobs of one kind wait while a worker fails some of them."""
+        self.add_workers(1)
+        for job in ("failed", "other"):
+            self.submit(job, 1, Step(1, WIDE))
+        failed = next(iter(self.job_table.jobs_by_id["failed"].units_by_id.values()))
+        failed.failed_on.add("w0")
+        self.assertEqual(["other"], self.started_jobs(self.decide()))
+
     def test_spread_limit_holds_within_one_decision(self):
         self.add_workers(2)
         self.submit("a", 2, Step(10, SMALL, spread_limit=2))
--- a/packages/mimosapoint/src/mimosapoint/cell/tests/test_report.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_report.py
@@ -4,6 +4,7 @@
 import trio
 
 from mimosapoint.cell import CellReport
+from mimosapoint.cell.slow_workers import SLOW_DURATION
 from mimosapoint.cell.tests._site import SMALL, WIDE, open_site
 from mimosapoint.errors import JobNotFound, NotCellOwner
 from mimosapoint.testing import TrioTestCase
@@ -71,6 +72,26 @@
             states = {each.id: each.state for each in CellReport(site.owner.cell).workers()}
             self.assertEqual({"w0": "draining", "w1": "silent", "w2": "usable"}, states)
 
+    async def test_a_worker_left_out_for_being_slow_is_not_usable(self):
+        async with open_site(workers=4) as site:
+            owner = site.owner.cell.owner
+            slow = owner.fleet.sessions_by_id["w2"]
+            slow.slow_detector.slow_until = site.clock.now() + SLOW_DURATION
+            states = {each.id: each.state for each in CellReport(site.owner.cell).workers()}
+            self.assertEqual("slow", states["w2"])
+            self.assertEqual("usable", states["w1"])
+
+    async def test_job_waits_because_the_ownership_is_lost(self):
+        async with open_site(workers=1) as site:
+            await site.submit("a", Step(1, WIDE, gang=True))
+            await site.submit("b", Step(1, WIDE, gang=True))
+            await trio.sleep(0.3)
+            node = site.owner
+            node.store.fault = "refused"
+            await trio.sleep(0.9)
+            job = CellReport(node.cell).job("b")
+            self.assert_reason("ownership-lost", job.steps[0].waiting)
+
     async def test_job_waits_for_capacity(self):
         async with open_site(workers=1) as site:
             await site.submit("a", Step(1, WIDE, gang=True))
--- /dev/null
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_worker_session.py
@@ -0,0 +1,122 @@
+"""Tests of one worker session with scripted replies of the worker."""
+
+import trio
+
+from mimosapoint.cell.settings import CellSettings
+from mimosapoint.cell.tests._site import CAPACITY, POOL
+from mimosapoint.cell.worker_session import MAX_ENDS_PER_REPORT, WorkerSession
+from mimosapoint.errors import StaleEpoch
+from mimosapoint.memory import TrioClock
+from mimosapoint.ports import EndedRun, WorkerRegistration, WorkerRunReport
+from mimosapoint.telemetry import MemoryTelemetry
+from mimosapoint.testing import TrioTestCase
+from mimosapoint.workload import RunEnd, TaskId
+
+BORN = 5
+
+
+class ScriptedWorkers:
+    """Port to a worker that takes 100 ms for a reply: a report, or an error to raise."""
+
+    def __init__(self, reply):
+        self.reply = reply
+        self.orders = []
+
+    async def renew_lease(self, worker, order):
+        self.orders.append(order)
+        await trio.sleep(0.1)
+        reply = self.reply(order)
+        if isinstance(reply, Exception):
+            raise reply
+        return reply
+
+
+class OwnerStub:
+    """Owner of a session that stores ends at once and records fences."""
+
+    def __init__(self):
+        self.fenced_by = []
+        self.ended = []
+
+    def may_renew_leases(self):
+        return True
+
+    def fleet_size(self):
+        return 1
+
+    def request_decision(self):
+        pass
+
+    def on_fenced(self, token):
+        self.fenced_by.append(token)
+
+    def on_unknown_run_ended(self, session, ended):
+        self.ended.append(ended)
+
+    async def wait_ends_stored(self, ended):
+        pass
+
+
+class WorkerSessionTest(TrioTestCase):
+    mock_clock = True
+
+    async def open_session(self, nursery, reply):
+        owner, workers = OwnerStub(), ScriptedWorkers(reply)
+        registration = WorkerRegistration(
+            "w", "a:1", POOL, "z", "r", frozenset(), CAPACITY, born=BORN
+        )
+        session = WorkerSession(
+            registration, 1, workers, owner, TrioClock(), CellSettings(), MemoryTelemetry()
+        )
+        nursery.start_soon(session.run)
+        return session, owner, workers
+
+    async def test_the_runs_are_known_only_after_a_report_without_omitted_ends(self):
+        """A new owner must not start a task whose end is among the omitted ones."""
+        ends = [
+            EndedRun(number, TaskId("a", 0, 0, number), 7, RunEnd.DONE)
+            for number in range(1, MAX_ENDS_PER_REPORT + 2)
+        ]
+
+        def reply(order):
+            left = [ended for ended in ends if ended.number > order.acknowledged]
+            return WorkerRunReport(1000, BORN, (), tuple(left[:MAX_ENDS_PER_REPORT]))
+
+        async with trio.open_nursery() as nursery:
+            session, owner, _ = await self.open_session(nursery, reply)
+            await trio.sleep(0.15)
+            self.assertEqual(MAX_ENDS_PER_REPORT, len(owner.ended))
+            self.assertFalse(session.runs_known(session._clock.now()))
+            await trio.sleep(0.15)
+            self.assertEqual(len(ends), len(owner.ended))
+            self.assertTrue(session.runs_known(session._clock.now()))
+            nursery.cancel_scope.cancel()
+
+    async def test_a_renewal_that_an_order_of_the_same_owner_overtakes_is_no_fence(self):
+        """The session raises its token after a restart, while an older renewal is on its way."""
+        async with trio.open_nursery() as nursery:
+            first_token = []
+
+            def reply(order):
+                first_token[:] = first_token or [order.token]
+                if session.registration.born > BORN and order.token == first_token[0]:
+                    return StaleEpoch(order.token + 1)
+                return WorkerRunReport(1000, session.registration.born, (), ())
+
+            session, owner, workers = await self.open_session(nursery, reply)
+            await trio.sleep(0.25)
+            restarted = WorkerRegistration(
+                "w", "a:1", POOL, "z", "r", frozenset(), CAPACITY, born=BORN + 1
+            )
+            session.update_registration(restarted)
+            await trio.sleep(1)
+            self.assertEqual([], owner.fenced_by)
+            self.assertGreater(workers.orders[-1].token, first_token[0])
+            nursery.cancel_scope.cancel()
+
+    async def test_a_renewal_that_a_newer_token_refuses_fences_the_owner(self):
+        async with trio.open_nursery() as nursery:
+            _, owner, _ = await self.open_session(nursery, lambda order: StaleEpoch(99))
+            await trio.sleep(0.2)
+            self.assertEqual([99], owner.fenced_by)
+            nursery.cancel_scope.cancel()
--- a/packages/mimosapoint/src/mimosapoint/cell/worker_session.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/worker_session.py
@@ -162,6 +162,17 @@
             and self._last_reported_end <= self._last_stored_end
         )
 
+    def time_to_departure(self) -> timedelta | None:
+        """Return the time after which a draining worker may leave; ``None`` if it is not known."""
+        registration = self.registration
+        if not (registration.draining and registration.leaves_at_ms and self.synced):
+            return None
+        return (registration.leaves_at_ms - self._lease.worker_now()) * MILLISECOND
+
+    def remaining_run_time(self, task_run: TaskRun) -> timedelta:
+        """Return the time that a run on this worker is expected to need."""
+        return task_run.progress_rate.remaining(task_run.percent, self._lease.worker_now())
+
     def is_removable(self, now: datetime) -> bool:
         """Return whether the worker is not registered and is known to have no runs."""
         return not self.is_registered and not self.task_runs_by_key and self.runs_known(now)
@@ -281,7 +292,13 @@
         lease_until_ms = self._lease.expires_at_ms if self.synced else None
         order = RenewLeaseOrder(self._token, lease_until_ms, self._last_stored_end, wait)
         generation = self._generation
-        report = await self._workers.renew_lease(self.registration, order)
+        try:
+            report = await self._workers.renew_lease(self.registration, order)
+        except StaleEpoch:
+            # An order of this owner may have brought the token that it raised in the meantime.
+            if generation != self._generation:
+                return
+            raise
         if generation == self._generation:
             await self._apply_report(report)
 
@@ -299,8 +316,10 @@
             self._last_reported_end = max(self._last_reported_end, ended.number)
             if ended.number > self._last_stored_end:
                 self._handle_end(ended)
-        self._reconcile(report, is_first)
-        if is_first:
+        # A full report omits further ends, of which a task that ended must not be started again.
+        is_complete = len(report.ended) < MAX_ENDS_PER_REPORT
+        self._reconcile(report, is_first, is_complete)
+        if is_first and is_complete:
             self._telemetry.event(
                 "worker-synced",
                 worker=self.id,
@@ -309,8 +328,8 @@
                 ended=len(report.ended),
                 epoch=self._epoch,
             )
-        self.synced = True
-        if is_first:
+        self.synced = self.synced or is_complete
+        if is_first and is_complete:
             self._owner.request_decision()
         if report.ended:
             with trio.move_on_after(self._settings.long_poll_wait.total_seconds()):
@@ -332,12 +351,12 @@
         else:
             self._remove_task_run(task_run, ended.end, ended.checkpoint)
 
-    def _reconcile(self, report: WorkerRunReport, is_first: bool) -> None:
+    def _reconcile(self, report: WorkerRunReport, is_first: bool, is_complete: bool) -> None:
         """Adopt the reported runs that are not known, and remove known runs that are not reported.
 
         A run that is not reported remains while its start may still have an effect, and if the
-        report may be incomplete. The first report of a session or incarnation is decisive at once
-        unless it may be incomplete; the next one is then treated as any other.
+        report may be incomplete. The first complete report of a session or incarnation is decisive
+        at once.
         """
         now = self._clock.now()
         listed = {(status.task, status.run): status for status in report.running}
@@ -348,7 +367,7 @@
                 self._add_task_run(task_run)
             self._update_task_run(task_run, status, report.clock_ms)
         self._detect_slowness(now)
-        if len(report.ended) >= MAX_ENDS_PER_REPORT:
+        if not is_complete:
             return
         for key, task_run in list(self.task_runs_by_key.items()):
             if key in listed:
--- a/packages/mimosapoint/src/mimosapoint/relay/client.py
+++ b/packages/mimosapoint/src/mimosapoint/relay/client.py
@@ -32,6 +32,9 @@
 SPARE_RELAYS = 1
 """Connected relay nodes beyond those in use; each costs heartbeats in both directions."""
 
+IDLE_WORKER_SECONDS = 60.0
+"""Time without orders after which a worker is forgotten; present workers get one every 2 s."""
+
 DIRECT_FALLBACK_SECONDS = 5.0
 """Time for which orders go directly to a worker after one failed through its relay node."""
 
@@ -116,12 +119,12 @@
         self._direct = direct
         self._telemetry = telemetry
         self._connections: list[_RelayConnection] = []
-        self._worker_ids: set[str] = set()
+        self._last_order_by_worker: OrderedDict[str, float] = OrderedDict()
         self._direct_until_by_worker: dict[str, float] = {}
 
     async def accept(self, stream: trio.abc.Stream) -> None:
         """Use a joining relay node until it disconnects; return immediately if there are enough."""
-        if len(self._connections) >= self._needed_relays() + SPARE_RELAYS:
+        if len(self._connections) >= self.needed_relays() + SPARE_RELAYS:
             return
         connection = _RelayConnection(stream)
         self._connections.append(connection)
@@ -162,15 +165,26 @@
 
     def _connection_for(self, worker: WorkerRegistration) -> _RelayConnection | None:
         """Return the connection for orders to the worker; ``None`` to send them directly."""
-        self._worker_ids.add(worker.id)
-        if self._direct_until_by_worker.get(worker.id, 0.0) > trio.current_time():
+        now = trio.current_time()
+        self._record_order(worker.id, now)
+        if self._direct_until_by_worker.get(worker.id, 0.0) > now:
             return None
-        in_use = self._connections[: self._needed_relays()]
+        self._direct_until_by_worker.pop(worker.id, None)
+        in_use = self._connections[: self.needed_relays()]
         return in_use[crc32(worker.id.encode()) % len(in_use)] if in_use else None
 
-    def _needed_relays(self) -> int:
-        """Return the number of relay nodes to use for the known workers, at least one."""
-        return max(1, ceil(len(self._worker_ids) / WORKERS_PER_RELAY))
+    def _record_order(self, worker: str, now: float) -> None:
+        """Record an order, and forget workers that got none for :data:`IDLE_WORKER_SECONDS`."""
+        self._last_order_by_worker[worker] = now
+        self._last_order_by_worker.move_to_end(worker)
+        oldest, last_order = next(iter(self._last_order_by_worker.items()))
+        if now - last_order > IDLE_WORKER_SECONDS:
+            del self._last_order_by_worker[oldest]
+            self._direct_until_by_worker.pop(oldest, None)
+
+    def needed_relays(self) -> int:
+        """Return the number of relay nodes to use for the present workers, at least one."""
+        return max(1, ceil(len(self._last_order_by_worker) / WORKERS_PER_RELAY))
 
     async def _send_via(
         self,
--- a/packages/mimosapoint/src/mimosapoint/relay/tests/test_relay.py
+++ b/packages/mimosapoint/src/mimosapoint/relay/tests/test_relay.py
@@ -21,7 +21,12 @@
     WorkerRunReport,
 )
 from mimosapoint.relay import RelayedWorkers, _messages, serve_relay
-from mimosapoint.relay.client import DIRECT_FALLBACK_SECONDS, SPARE_RELAYS, WORKERS_PER_RELAY
+from mimosapoint.relay.client import (
+    DIRECT_FALLBACK_SECONDS,
+    IDLE_WORKER_SECONDS,
+    SPARE_RELAYS,
+    WORKERS_PER_RELAY,
+)
 from mimosapoint.telemetry import MemoryTelemetry
 from mimosapoint.workload import AcceptedJob, ResourceAmounts, RunEnd, Step, TaskId
 
@@ -299,6 +304,20 @@
 
         self.run_test(test)
 
+    def test_workers_that_are_gone_are_forgotten(self):
+        """Workers are replaced one after the other during one long ownership."""
+
+        async def test(fixture):
+            for number in range(10 * WORKERS_PER_RELAY):
+                await fixture.relayed.renew_lease(make_worker(f"old-{number}"), RENEWAL)
+            await trio.sleep(IDLE_WORKER_SECONDS + 1)
+            for _ in range(20):
+                for number in range(WORKERS_PER_RELAY):
+                    await fixture.relayed.renew_lease(make_worker(f"new-{number}"), RENEWAL)
+            self.assertEqual(1, fixture.relayed.needed_relays())
+
+        self.run_test(test)
+
     def test_relay_nodes_beyond_the_spare_ones_are_refused(self):
         async def test(fixture):
             await fixture.join(4)
