Use relay nodes for large fleets of strong owners

Change: from 600 workers a core on an owner publishes its relay address and sends its orders through at most 48 relay nodes; smaller fleets are as before.

--- a/packages/mimosapoint/src/mimosapoint/cell/core.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/core.py
@@ -14,7 +14,7 @@
 from mimosapoint.cell.owner import Owner
 from mimosapoint.cell.relay_manager import RelayManager
 from mimosapoint.cell.settings import CellSettings
-from mimosapoint.errors import MimosapointError
+from mimosapoint.errors import MimosapointError, StoreTimeout, StoreUnavailable
 from mimosapoint.ports import (
     Clock,
     NodeTransport,
@@ -70,7 +70,6 @@
         )
         self._settings = settings
         self._telemetry = telemetry
-        wants_relays = transport is not None and not settings.is_preferred_owner
         self._election = OwnerElection(
             node,
             store,
@@ -78,12 +77,11 @@
             settings,
             telemetry,
             random,
-            transport.address if wants_relays else "",
+            transport.address if transport else "",
         )
         self._relay_manager = (
             RelayManager(transport, workers, self._election, telemetry) if transport else None
         )
-        self._wants_relays = wants_relays
         self._directory = NodeDirectory(node, peers_address, store, settings, telemetry)
         self._has_peers = bool(peers_address)
         self._leaving = trio.Event()
@@ -142,14 +140,17 @@
     async def _run_as_owner(self, ownership: Ownership) -> None:
         """Run the owner until the ownership is lost or the node leaves."""
         dependencies = self._dependencies
-        if self._wants_relays:
-            dependencies = attrs.evolve(dependencies, workers=self._relay_manager.begin_ownership())
+        if self._relay_manager is not None:
+            workers = self._relay_manager.begin_ownership(self._settings.direct_workers)
+            dependencies = attrs.evolve(dependencies, workers=workers)
         self.owner = Owner(ownership, dependencies, self._settings)
         reason = "leaving"
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._election.renew_until_lost, ownership)
                 nursery.start_soon(self.owner.run)
+                if self._relay_manager is not None:
+                    nursery.start_soon(self._request_relays_for_large_fleet, ownership)
                 await self._leaving.wait()
                 nursery.cancel_scope.cancel()
         except* MimosapointError as group:
@@ -161,12 +162,27 @@
                 "owner-fault", epoch=ownership.epoch, trace=_format_traceback(group)
             )
         self.owner = None
-        if self._wants_relays:
+        if self._relay_manager is not None:
             self._relay_manager.end_ownership()
         self._telemetry.event("cell-given-up", epoch=ownership.epoch, reason=reason)
         with trio.move_on_after(self._settings.ownership_renewal.total_seconds()):
             await self._election.release(ownership)
 
+    async def _request_relays_for_large_fleet(self, ownership: Ownership) -> None:
+        """Request relay nodes once there are more workers than this node serves itself."""
+        limit = self._settings.direct_workers
+        while limit:
+            await trio.sleep(self._settings.registration_poll.total_seconds())
+            if self.owner is None or self.owner.fleet_size() <= limit:
+                continue
+            try:
+                await self._election.request_relays(ownership)
+            except (StoreUnavailable, StoreTimeout) as error:
+                self._telemetry.event("relays-not-requested", error=error.code)
+            else:
+                self._telemetry.event("relays-requested", workers=self.owner.fleet_size())
+                return
+
 
 def _format_traceback(group: BaseExceptionGroup) -> str:
     return "".join(traceback.format_exception(group))[-MAX_TRACEBACK_CHARACTERS:]
--- a/packages/mimosapoint/src/mimosapoint/cell/election.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/election.py
@@ -74,7 +74,7 @@
     :param telemetry: logs and metrics.
     :param random: source of the random delays before claims.
     :param relay_address: address to which relay nodes connect while this node is the owner; empty
-        if it wants none.
+        if it never wants any.
     """
 
     def __init__(
@@ -89,7 +89,8 @@
     ):
         self.owner = CellOwnerRecord("")
         self.owner_changed = trio.Event()
-        self._record = CellOwnerRecord(node, relay_address)
+        self._record = CellOwnerRecord(node)
+        self._record_with_relays = CellOwnerRecord(node, relay_address)
         self._store = store
         self._clock = clock
         self._settings = settings
@@ -137,6 +138,18 @@
             availability.record_success()
             ownership.valid_until = max(ownership.valid_until, self._validity_end(requested_at))
 
+    async def request_relays(self, ownership: Ownership) -> None:
+        """Publish the address to which relay nodes connect.
+
+        :param ownership: ownership of this node.
+        :raises LeaseLost: the ownership is lost.
+        """
+        write = Write(OWNER_KEY, encode(self._record_with_relays), ownership.lease)
+        try:
+            await self._store.commit({EPOCH_KEY: ownership.epoch_rev}, [write])
+        except TransactionConflict as conflict:
+            ownership.raise_if_fenced(conflict)
+
     async def release(self, ownership: Ownership) -> None:
         """Release the ownership, so that another node can claim the cell at once."""
         try:
@@ -195,8 +208,10 @@
         lease = await self._store.grant_lease(self._settings.ownership_ttl)
         epoch = _epoch_of(stored) + 1
         conditions = {OWNER_KEY: 0, EPOCH_KEY: stored.revision if stored else 0}
+        needs_relays = not self._settings.direct_workers
+        record = self._record_with_relays if needs_relays else self._record
         writes = [
-            Write(OWNER_KEY, encode(self._record), lease),
+            Write(OWNER_KEY, encode(record), lease),
             Write(EPOCH_KEY, str(epoch).encode()),
         ]
         try:
--- a/packages/mimosapoint/src/mimosapoint/cell/relay_manager.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/relay_manager.py
@@ -39,9 +39,12 @@
         self._relay: RelayedWorkers | None = None
         self._ownership_ended = trio.Event()
 
-    def begin_ownership(self) -> RelayedWorkers:
-        """Return the port to the workers for a new ownership, and accept relay nodes for it."""
-        self._relay = RelayedWorkers(self._workers, self._telemetry)
+    def begin_ownership(self, direct_workers: int) -> RelayedWorkers:
+        """Return the port to the workers for a new ownership, and accept relay nodes for it.
+
+        :param direct_workers: number of workers up to which no relay node is used.
+        """
+        self._relay = RelayedWorkers(self._workers, self._telemetry, direct_workers)
         self._ownership_ended = trio.Event()
         return self._relay
 
--- a/packages/mimosapoint/src/mimosapoint/cell/settings.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/settings.py
@@ -64,6 +64,9 @@
         fallback delay; an owner of 176 workers needs half a core.
     :param preferred_owner_link_mbps: bandwidth from which a node claims the cell without the
         fallback delay; an owner of 176 workers sends and receives some Mbit/s.
+    :param direct_workers_per_core: number of workers for each core up to which a preferred owner
+        sends all orders itself; with more, relay nodes carry them. A renewal costs 0.4 to 0.7 ms of
+        processor time and is due every two seconds, so that this many take a fifth of a core.
     :param fallback_claim_delay: delay before other nodes claim, to leave preferred owners time.
     :param decision_pause: minimum pause between two decisions; changes in the meantime are
         decided together.
@@ -115,6 +118,7 @@
     link_mbps: float = 1000.0
     preferred_owner_cores: float = 1.0
     preferred_owner_link_mbps: float = 50.0
+    direct_workers_per_core: int = 600
     fallback_claim_delay: timedelta = _ms(1500)
     decision_pause: timedelta = _ms(4)
     max_decision_share: float = 0.2
@@ -130,6 +134,11 @@
     retention: timedelta = timedelta(seconds=150)
     backlog_interval: timedelta = _ms(500)
 
+    @property
+    def direct_workers(self) -> int:
+        """Number of workers up to which the node as owner uses no relay nodes."""
+        return int(self.direct_workers_per_core * self.cores) if self.is_preferred_owner else 0
+
     @property
     def capacity_hold_ttl(self) -> timedelta:
         """Lifetime of a capacity hold.
--- a/packages/mimosapoint/src/mimosapoint/cell/tests/test_relays.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_relays.py
@@ -40,6 +40,17 @@
             await site.wait_phase("a", Phase.COMPLETE)
             self.assertEqual({0}, set(self.relayed_orders(site).values()))
 
+    async def test_a_preferred_owner_of_a_large_fleet_uses_relays(self):
+        settings = CellSettings(direct_workers_per_core=10)
+        async with open_site(workers=18, settings=settings) as site:
+            await trio.sleep(STARTUP_SECONDS)
+            await site.submit("a", Step(20, SMALL), Step(3, WIDE, gang=True, after=(0,)))
+            await site.wait_phase("a", Phase.COMPLETE)
+            relayed_orders = self.relayed_orders(site)
+            self.assertEqual(0, relayed_orders.pop(site.owner.name))
+            self.assertGreater(min(relayed_orders.values()), 0)
+            self.assert_no_violations(site)
+
     async def test_a_killed_relay_node_loses_and_repeats_no_run(self):
         async with open_site(settings=SMALL_NODE) as site:
             await trio.sleep(STARTUP_SECONDS)
--- a/packages/mimosapoint/src/mimosapoint/relay/client.py
+++ b/packages/mimosapoint/src/mimosapoint/relay/client.py
@@ -29,6 +29,9 @@
 WORKERS_PER_RELAY = 16
 """Workers for each relay node in use; more relay nodes would make the batches smaller."""
 
+MAX_RELAYS = 48
+"""Most relay nodes in use, for the same reason."""
+
 SPARE_RELAYS = 1
 """Connected relay nodes beyond those in use; each costs heartbeats in both directions."""
 
@@ -113,11 +116,13 @@
 
     :param direct: connection of this node to the workers.
     :param telemetry: receives an event when a relay node joins or leaves.
+    :param direct_workers: number of workers up to which no relay node is used.
     """
 
-    def __init__(self, direct: RunWorkers, telemetry: Telemetry):
+    def __init__(self, direct: RunWorkers, telemetry: Telemetry, direct_workers: int = 0):
         self._direct = direct
         self._telemetry = telemetry
+        self._direct_workers = direct_workers
         self._connections: list[_RelayConnection] = []
         self._last_order_by_worker: OrderedDict[str, float] = OrderedDict()
         self._direct_until_by_worker: dict[str, float] = {}
@@ -183,8 +188,11 @@
             self._direct_until_by_worker.pop(oldest, None)
 
     def needed_relays(self) -> int:
-        """Return the number of relay nodes to use for the present workers, at least one."""
-        return max(1, ceil(len(self._last_order_by_worker) / WORKERS_PER_RELAY))
+        """Return the number of relay nodes to use for the present workers."""
+        workers = len(self._last_order_by_worker)
+        if 0 < workers <= self._direct_workers:
+            return 0
+        return min(MAX_RELAYS, max(1, ceil(workers / WORKERS_PER_RELAY)))
 
     async def _send_via(
         self,
--- a/packages/mimosapoint/src/mimosapoint/telemetry/_cell_declarations.py
+++ b/packages/mimosapoint/src/mimosapoint/telemetry/_cell_declarations.py
@@ -98,6 +98,8 @@
     ("cancel-accepted", "A caller's cancellation is stored."),
     ("carrier-gone", "A relay node no longer transmits orders for this owner."),
     ("carrier-joined", "A relay node now transmits orders for this owner."),
+    ("relays-requested", "This owner has more workers than it serves without relay nodes."),
+    ("relays-not-requested", "The store did not take this owner's request for relay nodes."),
     ("carriers-not-served", "This node's relay address cannot be used; it gets no relay nodes."),
     ("cell-claimed", "This node now owns the cell."),
     ("cell-given-up", "This node no longer owns the cell."),
