Restart a broken gang before the lease of a lost worker expires

And the checkpoint of a broken task, which is that of its last interval, replaced the newer one that the stop of another task had saved. Change: if all reported ends of a gang are broken and the rest of it ran on one silent worker, its runs are over; the checkpoint of a stop is kept. The simulated workers break gangs as the platform's do.

--- a/packages/mimosapoint/src/mimosapoint/cell/owner.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/owner.py
@@ -198,10 +198,19 @@
             return
         if unit.task_runs_by_task.get(task_run.task) is task_run:
             del unit.task_runs_by_task[task_run.task]
-        self.job_table.save_checkpoint(unit, checkpoint, durable=True)
+        # A stop saves the progress up to it; the tasks that it breaks have an older checkpoint.
+        if not (end is RunEnd.BROKEN and unit.end is RunEnd.STOPPED):
+            self.job_table.save_checkpoint(unit, checkpoint, durable=True)
         self._handle_run_end(unit, task_run, end)
+        self._end_broken_gang(unit)
         self.request_decision()
 
+    def on_silent(self, session: WorkerSession) -> None:
+        """Handle a worker that does not reply; a gang of which it ran a part may have ended."""
+        units = {task_run.unit for task_run in session.task_runs_by_key.values()}
+        for unit in units - {None}:
+            self._end_broken_gang(unit)
+
     def on_unknown_run_ended(self, session: WorkerSession, ended: EndedRun) -> None:
         """Handle the end of a run that an earlier owner started, or that was removed."""
         job = self.job_table.jobs_by_id.get(ended.task.job)
@@ -458,7 +467,7 @@
         After the ends ``ALONE`` and ``BROKEN`` the other runs of a gang are not stopped here.
         """
         if unit.state is UnitState.ACTIVE and task_run.run == unit.run:
-            unit.end = unit.end or end
+            unit.end = end if unit.end in (None, RunEnd.BROKEN) else unit.end
             if end is RunEnd.DONE:
                 task_run.session.health.record_success()
                 self.job_table.finish_unit(unit)
@@ -471,6 +480,23 @@
         if unit.state is UnitState.ACTIVE and not unit.task_runs_by_task:
             self.job_table.requeue(unit)
 
+    def _end_broken_gang(self, unit: Unit) -> None:
+        """End the runs of a broken gang on the silent worker whose run must have ended first.
+
+        A task ends as broken when another one of its gang has ended. If all tasks on the workers
+        that reply are broken, the first end was on the silent one, and the rest ended with it. The
+        gang need not wait until the lease of that worker has expired.
+        """
+        runs = list(unit.task_runs_by_task.values())
+        sessions = {task_run.session for task_run in runs}
+        if unit.end is not RunEnd.BROKEN or len(sessions) != 1:
+            return
+        session = sessions.pop()
+        is_started = all(task_run.confirmed_ms is not None for task_run in runs)
+        if is_started and not session.is_reachable:
+            for task_run in runs:
+                session.end_task_run(task_run, RunEnd.BROKEN, reason="gang-broken")
+
     def _record_failure(self, unit: Unit, session: WorkerSession) -> None:
         """Count a failure against the worker, unless the job has failed on too many workers."""
         unit.failed_on.add(session.id)
--- a/packages/mimosapoint/src/mimosapoint/cell/session_owner.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/session_owner.py
@@ -43,6 +43,10 @@
         """Handle a run that is no longer on its worker."""
         ...
 
+    def on_silent(self, session: WorkerSession) -> None:
+        """Handle a worker that does not reply."""
+        ...
+
     def on_unknown_run_ended(self, session: WorkerSession, ended: EndedRun) -> None:
         """Handle the reported end of a run that the session does not know."""
         ...
--- a/packages/mimosapoint/src/mimosapoint/cell/worker_session.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/worker_session.py
@@ -140,6 +140,11 @@
     def _long_poll_wait(self) -> timedelta:
         return self._settings.long_poll_wait_for(self._owner.fleet_size())
 
+    @property
+    def is_reachable(self) -> bool:
+        """Whether the last renewal got a reply."""
+        return self._is_reachable
+
     def runs_known(self, now: datetime) -> bool:
         """Return whether the runs on the worker are known.
 
@@ -205,16 +210,16 @@
             checkpoint,
         )
         if not (self._owner.holds_ownership() and self.synced and self._has_task_run(task_run)):
-            self._remove_task_run(task_run, RunEnd.REFUSED, reason="not-sent")
+            self.end_task_run(task_run, RunEnd.REFUSED, reason="not-sent")
             return
         try:
             task_run.confirmed_ms = await self._send_start(order)
         except StartRefused as refusal:
             self._handle_refusal(task_run, refusal.reason)
         except WorkerReplaced:
-            self._remove_task_run(task_run, RunEnd.REFUSED, reason="replaced")
+            self.end_task_run(task_run, RunEnd.REFUSED, reason="replaced")
         except WorkerRefused:
-            self._remove_task_run(task_run, RunEnd.REFUSED, reason="not-sent")
+            self.end_task_run(task_run, RunEnd.REFUSED, reason="not-sent")
         except (WorkerUnreachable, StaleEpoch) as error:
             self._telemetry.event(
                 "start-unanswered",
@@ -349,7 +354,7 @@
         if task_run is None:
             self._owner.on_unknown_run_ended(self, ended)
         else:
-            self._remove_task_run(task_run, ended.end, ended.checkpoint)
+            self.end_task_run(task_run, ended.end, ended.checkpoint)
 
     def _reconcile(self, report: WorkerRunReport, is_first: bool, is_complete: bool) -> None:
         """Adopt the reported runs that are not known, and remove known runs that are not reported.
@@ -374,11 +379,11 @@
                 continue
             confirmed = task_run.confirmed_ms
             if is_first:
-                self._remove_task_run(task_run, RunEnd.LOST, reason="reborn")
+                self.end_task_run(task_run, RunEnd.LOST, reason="reborn")
             elif confirmed is not None and report.clock_ms > confirmed:
-                self._remove_task_run(task_run, RunEnd.LOST, reason="not-listed")
+                self.end_task_run(task_run, RunEnd.LOST, reason="not-listed")
             elif confirmed is None and report.clock_ms > task_run.not_after_ms:
-                self._remove_task_run(task_run, RunEnd.REFUSED, reason="window-over")
+                self.end_task_run(task_run, RunEnd.REFUSED, reason="window-over")
 
     def _detect_slowness(self, now: datetime) -> None:
         rates = [each.progress_rate for each in self.task_runs_by_key.values() if not each.stopping]
@@ -407,7 +412,7 @@
     def _handle_refusal(self, task_run: TaskRun, reason: str) -> None:
         if reason == "unhealthy":
             self.refusing_until = self._clock.now() + self._settings.refusal_backoff
-        self._remove_task_run(task_run, RunEnd.REFUSED, reason=reason)
+        self.end_task_run(task_run, RunEnd.REFUSED, reason=reason)
         self._owner.request_decision()
 
     def _handle_restart(self, born: int) -> None:
@@ -455,6 +460,7 @@
                 assignments=len(self.task_runs_by_key),
                 lapse_in=round((self._lease.expires_at - self._clock.now()).total_seconds(), 3),
             )
+            self._owner.on_silent(self)
             self._owner.request_decision()
 
     def _check_lease_expiry(self) -> None:
@@ -463,7 +469,7 @@
 
     def _remove_all_task_runs(self, end: RunEnd, reason: str) -> None:
         for task_run in list(self.task_runs_by_key.values()):
-            self._remove_task_run(task_run, end, reason=reason)
+            self.end_task_run(task_run, end, reason=reason)
         self._owner.request_decision()
 
     def _add_task_run(self, task_run: TaskRun) -> None:
@@ -473,9 +479,10 @@
     def _has_task_run(self, task_run: TaskRun) -> bool:
         return (task_run.task, task_run.run) in self.task_runs_by_key
 
-    def _remove_task_run(
+    def end_task_run(
         self, task_run: TaskRun, end: RunEnd, checkpoint: str = "", reason: str = ""
     ) -> None:
+        """Remove a run that is not, or no longer, on the worker, and report its end."""
         if self.task_runs_by_key.pop((task_run.task, task_run.run), None) is None:
             return
         self.used -= task_run.amounts
--- a/packages/mimosapoint/src/mimosapoint/memory/run_worker.py
+++ b/packages/mimosapoint/src/mimosapoint/memory/run_worker.py
@@ -76,6 +76,7 @@
     :param failing_jobs: ids of jobs whose every run fails at once.
     :param hanging_workers: ids of workers on which runs make no progress.
     :param history: records of all runs, in the order of their starts.
+    :param workers_by_id: all simulated workers.
     :param over_capacity_workers: ids of workers whose runs exceeded the capacity, once for each
         such start.
     """
@@ -89,6 +90,7 @@
     hanging_workers: set[str] = attrs.field(factory=set)
     history: list[RunRecord] = attrs.field(factory=list)
     over_capacity_workers: list[str] = attrs.field(factory=list)
+    workers_by_id: dict[str, "MemoryRunWorker"] = attrs.field(factory=dict)
     _members_by_gang: dict[tuple, list[RunRecord]] = attrs.field(factory=dict)
     _complete_by_gang: dict[tuple, trio.Event] = attrs.field(factory=dict)
 
@@ -118,6 +120,7 @@
     def __init__(self, registration: WorkerRegistration, simulation: RunSimulation):
         self.registration = registration
         self.simulation = simulation
+        simulation.workers_by_id[registration.id] = self
         self.restart(registration.born)
 
     def restart(self, born: int) -> None:
@@ -254,12 +257,21 @@
         )
         if reported:
             self._last_end_number += 1
-            checkpoint = f"saved-{record.run}" if record.step.checkpoints else ""
+            # A broken run has the value of its last interval, a stopped one a newer value.
+            value = "interval" if end is RunEnd.BROKEN else "saved"
+            checkpoint = f"{value}-{record.run}" if record.step.checkpoints else ""
             self.ended.append(
                 EndedRun(self._last_end_number, record.task, record.run, end, checkpoint)
             )
         self._run_ended.set()
         self._run_ended = trio.Event()
+        if record.step.gang and end not in (RunEnd.DONE, RunEnd.BROKEN):
+            self._break_gang(record)
+
+    def _break_gang(self, record: RunRecord) -> None:
+        """End the other runs of a gang one of which has ended."""
+        for member in self.simulation.other_gang_members(record):
+            self.simulation.workers_by_id[member.worker]._end_run(member, RunEnd.BROKEN)
 
     def _mark_end_unreported(self, ended: EndedRun) -> None:
         """Mark the record of a run whose end was not acknowledged in time."""
