Store that a job has started before its first start is ordered

Change: a start is ordered only when the stored progress says that its job has started, a commit that was made anyway; so only jobs with that mark wait for silent workers after a change of owner. A run that waits for it is not reported as lost, and a stop before the order means that no order is sent.

--- a/packages/mimosapoint/src/mimosapoint/cell/committer.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/committer.py
@@ -64,6 +64,12 @@
         while any(job.stored_progress_version < version for job, version in wanted):
             await self._stored.wait()
 
+    async def wait_start_stored(self, job: Job) -> None:
+        """Wait until the stored progress says that the job has started."""
+        self.wake()
+        while not job.is_start_stored:
+            await self._stored.wait()
+
     async def run(self) -> None:
         """Commit until cancelled.
 
--- a/packages/mimosapoint/src/mimosapoint/cell/job_table.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/job_table.py
@@ -46,6 +46,9 @@
         waiting_since = now if progress is None else min(now, record.accepted_at)
         job = Job(record, accepted_rev, progress or JobProgress(), progress_rev, waiting_since)
         self.jobs_by_id[record.id] = job
+        if job.progress.phase is not Phase.QUEUED:
+            job.may_have_runs = True
+            job.started_version = job.stored_progress_version
         if job.progress.phase.ended:
             job.ended_at = now
         else:
@@ -196,6 +199,8 @@
         if job.progress.phase is not phase and not job.progress.phase.ended:
             job.progress.phase = phase
             self._mark_changed(job)
+            if job.started_version is None:
+                job.started_version = job.progress_version
 
     def _end(self, job: Job, phase: Phase) -> None:
         if job.progress.phase.ended:
--- a/packages/mimosapoint/src/mimosapoint/cell/owner.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/owner.py
@@ -25,7 +25,7 @@
 from mimosapoint.cell.units import Job, TaskRun, Unit, UnitState
 from mimosapoint.cell.worker_session import WorkerSession
 from mimosapoint.ports import EndedRun, RunStatus, WorkerRegistration
-from mimosapoint.workload import AcceptedJob, ResourceAmounts, RunEnd, TaskId
+from mimosapoint.workload import ResourceAmounts, RunEnd, TaskId
 
 __all__ = ["Owner"]
 
@@ -359,7 +359,7 @@
 
     def _may_have_unknown_run(self, unit: Unit) -> bool:
         """Return whether a worker whose runs are not known may have a run of the unit."""
-        return not self._recovered and unit.job.accepted_rev <= self._ownership.epoch_rev
+        return not self._recovered and unit.job.may_have_runs
 
     def _has_remaining_run(self, unit: Unit) -> bool:
         """Return whether a run of the unit's tasks is left, such as one that is being stopped."""
@@ -423,11 +423,17 @@
         checkpoint = unit.checkpoint
         for task, session in zip(unit.tasks, sessions, strict=True):
             task_run = session.create_task_run(unit, task, run)
-            self._nursery.start_soon(self._order_start, task_run, unit.job.record, checkpoint)
+            self._nursery.start_soon(self._order_start, task_run, unit.job, checkpoint)
 
-    async def _order_start(self, task_run: TaskRun, job: AcceptedJob, checkpoint: str) -> None:
+    async def _order_start(self, task_run: TaskRun, job: Job, checkpoint: str) -> None:
+        """Order a start once it is stored that the job has started.
+
+        So the next owner knows that a job has no runs on workers that do not reply to it.
+        """
         try:
-            await task_run.session.start(task_run, job, checkpoint)
+            if not job.is_start_stored:
+                await self.committer.wait_start_stored(job)
+            await task_run.session.start(task_run, job.record, checkpoint)
         finally:
             if self._start_limiter.remove_finished():
                 self.request_decision()
--- a/packages/mimosapoint/src/mimosapoint/cell/tests/test_failover.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_failover.py
@@ -35,6 +35,41 @@
         owner.kill()
         await site.submit("late", Step(1, SMALL), node=other)
 
+    async def test_a_job_that_never_started_does_not_wait_for_a_silent_worker(self):
+        """Jobs arrive while there is no owner, and a worker with runs is gone."""
+        async with open_site(workers=2) as site:
+            site.simulation.run_time = timedelta(seconds=30)
+            await site.submit("early", Step(1, SMALL))
+            await site.wait_running("early")
+            number = site.running("early")[0].worker[1:]
+            site.workers.network_faults_by_address[f"10.0.0.{number}:1"].partitioned = True
+            await self.submit_without_owner(site)
+            await site.wait_running("late", within=CLAIM_AND_START_SECONDS)
+            self.assertEqual(1, len(site.runs("early")))
+            self.assert_no_violations(site)
+
+    async def test_no_run_starts_before_it_is_stored_that_its_job_has_started(self):
+        async with open_site(workers=2) as site:
+            site.store.faults.delay = 0.3
+            await site.submit("a", Step(2, WIDE, gang=True))
+            await site.wait_running("a", 2)
+            self.assertEqual(Phase.RUNNING, site.phase("a"))
+            await site.wait_phase("a", Phase.COMPLETE)
+            self.assertEqual(2, len(site.runs("a")))
+
+    async def test_a_job_cancelled_before_its_start_was_ordered_never_runs(self):
+        async with open_site(workers=2) as site:
+            site.store.faults.delay = 0.3
+            await site.submit("a", Step(2, WIDE, gang=True))
+            owner = site.owner.cell.owner
+            with trio.fail_after(1):
+                while not any(unit.run for unit in owner.job_table.active_units()):
+                    await trio.sleep(0.01)
+            owner._cancel(owner.job_table.jobs_by_id["a"])
+            await trio.sleep(1)
+            self.assertEqual([], site.runs("a"))
+            self.assertEqual(Phase.CANCELLED, site.phase("a"))
+
     async def test_a_removed_drained_worker_delays_no_start(self):
         async with open_site(workers=3) as site:
             worker = next(iter(site.workers.workers_by_address.values()))
--- a/packages/mimosapoint/src/mimosapoint/cell/worker_session.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/worker_session.py
@@ -198,6 +198,9 @@
         may be lost. The worker does not start a run again that it already has. A process that is
         short of CPU time does not repeat the order.
         """
+        if not self._may_order_start(task_run):
+            self.end_task_run(task_run, RunEnd.REFUSED, reason="not-sent")
+            return
         window_ms = self._settings.start_window / MILLISECOND
         task_run.not_after_ms = self._lease.worker_now() + int(window_ms)
         self._lease.extend_to(task_run.not_after_ms)
@@ -209,9 +212,6 @@
             task_run.not_after_ms,
             checkpoint,
         )
-        if not (self._owner.holds_ownership() and self.synced and self._has_task_run(task_run)):
-            self.end_task_run(task_run, RunEnd.REFUSED, reason="not-sent")
-            return
         try:
             task_run.confirmed_ms = await self._send_start(order)
         except StartRefused as refusal:
@@ -228,6 +228,14 @@
                 detail=str(error),
             )
 
+    def _may_order_start(self, task_run: TaskRun) -> bool:
+        return (
+            self._owner.holds_ownership()
+            and self.synced
+            and self._has_task_run(task_run)
+            and not task_run.stopping
+        )
+
     async def _send_start(self, order: StartOrder) -> int:
         if not self._owner.has_spare_cpu():
             return await self._workers.start(self.registration, order)
@@ -382,7 +390,11 @@
                 self.end_task_run(task_run, RunEnd.LOST, reason="reborn")
             elif confirmed is not None and report.clock_ms > confirmed:
                 self.end_task_run(task_run, RunEnd.LOST, reason="not-listed")
-            elif confirmed is None and report.clock_ms > task_run.not_after_ms:
+            elif (
+                confirmed is None
+                and task_run.not_after_ms is not None
+                and report.clock_ms > task_run.not_after_ms
+            ):
                 self.end_task_run(task_run, RunEnd.REFUSED, reason="window-over")
 
     def _detect_slowness(self, now: datetime) -> None:
