--- a/packages/mimosapoint/src/mimosapoint/cell/departures.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/departures.py
@@ -8,15 +8,11 @@
 import attrs
 
 from mimosapoint.cell.settings import CellSettings
-from mimosapoint.cell.units import TaskRun, Unit, UnitState
+from mimosapoint.cell.units import Unit, UnitState
 from mimosapoint.cell.worker_session import WorkerSession
 
 __all__ = ["Departures", "find_departures"]
 
-LATE_END_FACTOR = 1.5
-"""Factor by which the time that a run needs must exceed the time that is left before it is given
-up. Workers often leave later than announced, and the needed time is an estimate."""
-
 
 @attrs.define
 class Departures:
@@ -40,9 +36,9 @@
 def find_departures(sessions: Iterable[WorkerSession], settings: CellSettings) -> Departures:
     """Return the units that will not end before a worker of theirs leaves.
 
-    What runs on a worker that leaves is lost, and is noticed only when its lease has expired. A
-    unit with checkpoints works on until there is just time for a stop, which saves its progress.
-    Any other unit loses its progress in both cases, so it is stopped at once, to start again early.
+    What runs on a worker that leaves is lost. A unit with checkpoints works on until there is just
+    time for a stop, which saves its progress. Any other unit would lose its progress by the stop,
+    so it is left to end: workers often leave later than announced.
 
     :param sessions: sessions of all workers.
     :param settings: time that a stop takes.
@@ -54,17 +50,13 @@
             continue
         for task_run in session.task_runs_by_key.values():
             unit = task_run.unit
-            if unit is not None and _is_movable(unit) and not _ends_in_time(task_run, left):
-                is_saved = unit.step.checkpoints
-                stop_time = settings.run_stop_time + settings.order_timeout
-                departures.add(unit, left - stop_time if is_saved else timedelta(0))
+            if unit is None or not _is_movable(unit):
+                continue
+            if session.remaining_run_time(task_run) > left:
+                departures.add(unit, left - settings.run_stop_time - settings.order_timeout)
     return departures
 
 
 def _is_movable(unit: Unit) -> bool:
-    return unit.state is UnitState.ACTIVE and not unit.stop_reason and unit.end is None
-
-
-def _ends_in_time(task_run: TaskRun, left: timedelta) -> bool:
-    needed = task_run.session.remaining_run_time(task_run)
-    return needed <= left * (1 if task_run.unit.step.checkpoints else LATE_END_FACTOR)
+    is_running = unit.state is UnitState.ACTIVE and not unit.stop_reason and unit.end is None
+    return is_running and unit.step.checkpoints
