Test that an owner without the store orders no stop

Cause: a test was named after preemption and ordered none; two tests of relays had the same body. Change: the test orders a stop during the outage and the run goes on; the relay tests share an assertion.

--- a/packages/mimosapoint/src/mimosapoint/cell/tests/test_relays.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_relays.py
@@ -23,15 +23,18 @@
             node.name: node.telemetry.counts_by_name["relay_orders_carried"] for node in site.nodes
         }
 
+    async def assert_orders_are_relayed(self, site):
+        await trio.sleep(STARTUP_SECONDS)
+        await site.submit("a", Step(20, SMALL), Step(3, WIDE, gang=True, after=(0,)))
+        await site.wait_phase("a", Phase.COMPLETE)
+        relayed_orders = self.relayed_orders(site)
+        self.assertEqual(0, relayed_orders.pop(site.owner.name))
+        self.assertGreater(min(relayed_orders.values()), 0)
+        self.assert_no_violations(site)
+
     async def test_other_nodes_relay_the_orders_of_a_small_owner(self):
         async with open_site(workers=18, settings=SMALL_NODE) as site:
-            await trio.sleep(STARTUP_SECONDS)
-            await site.submit("a", Step(20, SMALL), Step(3, WIDE, gang=True, after=(0,)))
-            await site.wait_phase("a", Phase.COMPLETE)
-            relayed_orders = self.relayed_orders(site)
-            self.assertEqual(0, relayed_orders.pop(site.owner.name))
-            self.assertGreater(min(relayed_orders.values()), 0)
-            self.assert_no_violations(site)
+            await self.assert_orders_are_relayed(site)
 
     async def test_a_preferred_owner_uses_no_relays(self):
         async with open_site() as site:
@@ -43,13 +46,7 @@
     async def test_a_preferred_owner_of_a_large_fleet_uses_relays(self):
         settings = CellSettings(direct_workers_per_core=10)
         async with open_site(workers=18, settings=settings) as site:
-            await trio.sleep(STARTUP_SECONDS)
-            await site.submit("a", Step(20, SMALL), Step(3, WIDE, gang=True, after=(0,)))
-            await site.wait_phase("a", Phase.COMPLETE)
-            relayed_orders = self.relayed_orders(site)
-            self.assertEqual(0, relayed_orders.pop(site.owner.name))
-            self.assertGreater(min(relayed_orders.values()), 0)
-            self.assert_no_violations(site)
+            await self.assert_orders_are_relayed(site)
 
     async def test_a_killed_relay_node_loses_and_repeats_no_run(self):
         async with open_site(settings=SMALL_NODE) as site:
--- a/packages/mimosapoint/src/mimosapoint/cell/tests/test_store_outages.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_store_outages.py
@@ -69,7 +69,7 @@
                     site.store.faults.refuse = False
                     await site.wait_running("second", within=0.4)
 
-    async def test_nothing_is_preempted_during_an_outage(self):
+    async def test_an_owner_without_the_store_renews_leases_but_orders_no_stop(self):
         async with open_site(workers=1, settings=SETTINGS) as site:
             site.simulation.run_time = timedelta(seconds=20)
             await site.submit("a", Step(1, WIDE), queue=2)
@@ -79,6 +79,7 @@
             owner = site.owner.cell.owner
             self.assertFalse(owner.holds_ownership())
             self.assertTrue(owner.may_renew_leases())
+            owner._stop_unit(next(owner.job_table.active_units()), "test")
             await trio.sleep(4)
             self.assertEqual([None], self.ends(site))
 
