--- a/tools/site/core.py
+++ b/tools/site/core.py
@@ -85,7 +85,7 @@
             raise ChildProcessError(f"{id} ended with {code}; see {self.files.folder / id}.log")
 
     async def wait_owned(self) -> None:
-        """Wait until each node that replies knows of free slots in every availability zone.
+        """Wait until a node replies and each that does knows of free slots in every zone.
 
         A node learns of them from the owner of the zone.
         """
@@ -94,13 +94,16 @@
                 await trio.sleep(POLL_SECONDS)
 
     async def _all_owned(self) -> bool:
+        has_reply = False
         for address in self.files.http_by_id.values():
             reply = await self.client.call_at(address, "GET", "/v1/status")
-            zones = reply.body["zones"] if reply.status == 200 else {}
-            owned = [zone.get("free_slots", 0) > 0 for zone in zones.values()]
-            if reply.status == 200 and not (owned and all(owned)):
+            if reply.status != 200:
+                continue
+            has_reply = True
+            owned = [zone.get("free_slots", 0) > 0 for zone in reply.body["zones"].values()]
+            if not (owned and all(owned)):
                 return False
-        return True
+        return has_reply
 
     async def zones_by_owner(self) -> dict[str, set[str]]:
         """Return the owned availability zones of each running node that owns any."""
