Tell how much of a reply had arrived, and log store failures that last

Change: the error of a time-out holds the bytes received, store-still-lost logs failures 2, 4, 8 and so on, and cell_view_age_seconds shows the age of the operators' entries; no change of logic.

--- a/packages/mimosapoint-node/src/mimosapoint_node/platform/_client.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/platform/_client.py
@@ -55,6 +55,18 @@
     body: bytes
 
 
+@attrs.define(eq=False)
+class _Progress:
+    """Progress of a call.
+
+    :param has_connection: whether a connection may be used, so that the request may be sent.
+    :param received_bytes: size of the part of the body that has arrived.
+    """
+
+    has_connection: bool = False
+    received_bytes: int = 0
+
+
 class _ConnectionPool:
     """Connections to one address.
 
@@ -93,14 +105,14 @@
 
     @asynccontextmanager
     async def stream(
-        self, request: httpcore.Request, on_connection: Callable[[], None]
+        self, request: httpcore.Request, progress: _Progress
     ) -> AsyncIterator[httpcore.Response]:
         """Send a request and yield its response, whose body is not read yet.
 
-        :param on_connection: called once a connection may be used, before anything is sent.
+        :param progress: records that a connection may be used, before anything is sent.
         """
         async with self._limit:
-            on_connection()
+            progress.has_connection = True
             connection = await self._acquire()
             try:
                 response = await connection.handle_async_request(request)
@@ -223,10 +235,10 @@
         headers: dict[str, str],
     ) -> Reply:
         # The timeout includes the wait for a free connection.
-        may_be_sent = trio.Event()
+        progress = _Progress()
         with trio.move_on_after(timeout.total_seconds()):
             try:
-                return await self._exchange(method, address, path, body, headers, may_be_sent.set)
+                return await self._exchange(method, address, path, body, headers, progress)
             except NOT_SENT_ERRORS as error:
                 raise self.no_effect_error(f"{address}: not connected: {error!r}") from error
             except UNKNOWN_OUTCOME_ERRORS as error:
@@ -234,9 +246,11 @@
                     f"{address}: connection failed: {error!r}"
                 ) from error
         seconds = timeout.total_seconds()
-        if not may_be_sent.is_set():
+        if not progress.has_connection:
             raise self.no_effect_error(f"{address}: no free connection within {seconds} s")
-        raise self.unknown_outcome_error(f"{address}: no reply within {seconds} s")
+        received = progress.received_bytes
+        reason = f"only {received} bytes of the reply" if received else "no reply"
+        raise self.unknown_outcome_error(f"{address}: {reason} within {seconds} s")
 
     async def _exchange(
         self,
@@ -245,22 +259,22 @@
         path: str,
         body: bytes,
         headers: dict[str, str],
-        on_connection: Callable[[], None],
+        progress: _Progress,
     ) -> Reply:
         pool = await self._pool(address)
         connect_seconds = self.connect_timeout.total_seconds()
         request = pool.request(method, path, body, headers, connect_seconds)
-        async with pool.stream(request, on_connection) as response:
+        async with pool.stream(request, progress) as response:
             headers_by_name = {name.lower(): value for name, value in response.headers}
-            return Reply(response.status, headers_by_name, await self._read_body(response))
+            body = await self._read_body(response, progress)
+            return Reply(response.status, headers_by_name, body)
 
-    async def _read_body(self, response: httpcore.Response) -> bytes:
+    async def _read_body(self, response: httpcore.Response, progress: _Progress) -> bytes:
         chunks = []
-        size = 0
         async for chunk in response.aiter_stream():
             chunks.append(chunk)
-            size += len(chunk)
-            if size > BODY_LIMIT_BYTES:
+            progress.received_bytes += len(chunk)
+            if progress.received_bytes > BODY_LIMIT_BYTES:
                 raise self.unknown_outcome_error(f"reply over {BODY_LIMIT_BYTES} bytes")
         return b"".join(chunks)
 
--- a/packages/mimosapoint-node/src/mimosapoint_node/platform/tests/test_client.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/platform/tests/test_client.py
@@ -114,6 +114,15 @@
         self.run_with_server(test, server, timeout=timedelta(milliseconds=100))
         self.assertEqual(2, server.accepted)
 
+    # Guards against a time-out whose message hides that a part of the reply had arrived.
+    def test_the_error_of_an_incomplete_reply_tells_how_much_has_arrived(self):
+        async def test(client, address):
+            with self.assertRaisesRegex(WorkerUnreachable, "only 2 bytes of the reply within 0.1"):
+                await client.call("GET", address, "/")
+
+        server = Server(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok")
+        self.run_with_server(test, server, timeout=timedelta(milliseconds=100))
+
     def test_a_call_that_gets_no_connection_in_time_has_no_effect(self):
         async def test(client, address):
             async with trio.open_nursery() as nursery:
--- a/packages/mimosapoint/src/mimosapoint/cell/operators.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/operators.py
@@ -83,6 +83,8 @@
                 self._store_availability.record_failure(error)
                 self._revision = None
                 await trio.sleep(self._settings.retry_delay.total_seconds())
+            if self.age is not None:
+                self._telemetry.gauge("cell_view_age_seconds", self.age.total_seconds())
 
     async def _follow(self) -> None:
         requested_at = self._clock.now()
--- a/packages/mimosapoint/src/mimosapoint/cell/store_availability.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/store_availability.py
@@ -12,7 +12,8 @@
 class StoreAvailability:
     """Availability of the store, judged by the last call of one component.
 
-    Each change is logged and every failure is counted.
+    Each change is logged, and every failure is counted. Of repeated failures the second, the
+    fourth, the eighth and so on are logged.
 
     :param part: name of the component.
     :param telemetry: logs and metrics.
@@ -45,6 +46,15 @@
             self._telemetry.event(
                 "store-lost", part=self._part, error=error.code, detail=error.detail, **fields
             )
+        elif self._failures.bit_count() == 1:
+            self._telemetry.event(
+                "store-still-lost",
+                part=self._part,
+                failures=self._failures,
+                error=error.code,
+                detail=error.detail,
+                **fields,
+            )
 
     def record_success(self) -> None:
         """Record a successful call."""
--- a/packages/mimosapoint/src/mimosapoint/cell/tests/test_store_outages.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_store_outages.py
@@ -83,6 +83,20 @@
             await trio.sleep(4)
             self.assertEqual([None], self.ends(site))
 
+    # Guards against an outage of one component that leaves a single line in the log.
+    async def test_an_outage_that_lasts_is_logged_again_and_shows_in_the_view_age(self):
+        async with open_site(settings=SETTINGS) as site:
+            site.store.faults.refuse = True
+            await trio.sleep(3)
+            telemetry = site.nodes[0].telemetry
+            failures = [
+                event.fields["failures"]
+                for event in telemetry.events
+                if event.name == "store-still-lost" and event.fields["part"] == "operators"
+            ]
+            self.assertEqual([2, 4, 8, 16], failures[:4])
+            self.assertGreater(telemetry.gauges_by_name["cell_view_age_seconds"], 2.5)
+
     async def test_renewals_without_the_store_end_in_time(self):
         async with open_site(settings=SETTINGS) as site:
             await self.start_job(site, run_seconds=60)
--- a/packages/mimosapoint/src/mimosapoint/telemetry/_cell_declarations.py
+++ b/packages/mimosapoint/src/mimosapoint/telemetry/_cell_declarations.py
@@ -51,6 +51,12 @@
         "calls",
         ("part", "error"),
     ),
+    Metric(
+        "cell_view_age_seconds",
+        MetricKind.GAUGE,
+        "Time since the operators' entries were last confirmed to be current.",
+        "seconds",
+    ),
     Metric(
         "cell_unreadable_entries",
         MetricKind.COUNTER,
@@ -145,6 +151,7 @@
     ("stop-unanswered", "A stop got no reply or was refused; it is repeated."),
     ("store-lost", "A component of the node cannot reach the store; it retries."),
     ("store-regained", "A component of the node reaches the store again."),
+    ("store-still-lost", "Calls of a component keep failing; logged at the 2nd, 4th, 8th failure."),
     ("summary-not-stored", "The count of waiting jobs was not stored; it is stored again later."),
     ("unit-started", "A gang or a task was ordered to start."),
     ("unit-stopped", "A gang or a task was ordered to stop."),
