End a call that makes no progress, not one that takes long

Cause: the timeout of a call to the store (1.8 s for a watch, 1.0 s for a page) counted from the request to the last byte of the reply, whatever its size, and a failed transfer was begun anew. A reply that needs longer on a node's link never arrives, and the repeats occupy the link for good: a retry that cannot succeed. Evidence: only the 31 nodes with 5 Mbit/s, all 1.8 s after the watch that met version 19; 578 KB/s received on each until the end; every other call to the store answered. Change: the timeout counts from the last progress: until the reply begins, and then between parts of its body. A silent connection is still ended after the same time. The fix is in the client of all services, so workers, VM list and forwarded requests get it too.

--- a/packages/mimosapoint-node/src/mimosapoint_node/platform/_client.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/platform/_client.py
@@ -17,7 +17,7 @@
 __all__ = ["CALL_TIMEOUT", "CONNECT_TIMEOUT", "HttpClient", "Reply", "make_path"]
 
 CALL_TIMEOUT = timedelta(seconds=2)
-"""Timeout of a whole call."""
+"""Time without progress after which a call fails."""
 
 CONNECT_TIMEOUT = timedelta(milliseconds=500)
 """Timeout for opening a connection."""
@@ -57,15 +57,24 @@
 
 @attrs.define(eq=False)
 class _Progress:
-    """Progress of a call.
+    """Progress of a call; each step moves the deadline, as the size of a reply is not known.
 
+    :param scope: scope whose deadline ends the call.
+    :param timeout: longest time between two steps.
     :param has_connection: whether a connection may be used, so that the request may be sent.
     :param received_bytes: size of the part of the body that has arrived.
     """
 
+    scope: trio.CancelScope
+    timeout: timedelta
     has_connection: bool = False
     received_bytes: int = 0
 
+    def record(self, received_bytes: int = 0) -> None:
+        """Record that the reply has begun, or that a part of its body has arrived."""
+        self.received_bytes += received_bytes
+        self.scope.deadline = trio.current_time() + self.timeout.total_seconds()
+
 
 class _ConnectionPool:
     """Connections to one address.
@@ -162,7 +171,8 @@
     :param no_effect_error: error of a call that had no effect.
     :param unknown_outcome_error: error of a call that may have had its effect.
     :param known_errors: further errors that the service may reply with.
-    :param timeout: timeout of a whole call.
+    :param timeout: longest time until the reply begins, and then between parts of it. A large reply
+        may take longer in all on a slow link; ending it would only start the same transfer anew.
     :param connect_timeout: timeout for opening a connection.
     :param connections: largest number of connections to each address.
     """
@@ -192,7 +202,7 @@
         :param address: ``IP:port`` of the service.
         :param path: path and query, as from :func:`make_path`.
         :param accepted: status codes of success.
-        :param extra_time: time that the service may wait, added to the timeout.
+        :param extra_time: time that the service may wait before it replies, added to the timeout.
         :param headers: further headers of the request.
         :raises MimosapointError: ``no_effect_error``, ``unknown_outcome_error`` or one of the
             known errors.
@@ -235,8 +245,8 @@
         headers: dict[str, str],
     ) -> Reply:
         # The timeout includes the wait for a free connection.
-        progress = _Progress()
-        with trio.move_on_after(timeout.total_seconds()):
+        with trio.move_on_after(timeout.total_seconds()) as scope:
+            progress = _Progress(scope, self.timeout)
             try:
                 return await self._exchange(method, address, path, body, headers, progress)
             except NOT_SENT_ERRORS as error:
@@ -249,8 +259,12 @@
         if not progress.has_connection:
             raise self.no_effect_error(f"{address}: no free connection within {seconds} s")
         received = progress.received_bytes
-        reason = f"only {received} bytes of the reply" if received else "no reply"
-        raise self.unknown_outcome_error(f"{address}: {reason} within {seconds} s")
+        if received:
+            seconds = self.timeout.total_seconds()
+            detail = f"only {received} bytes of the reply, no more within {seconds} s"
+        else:
+            detail = f"no reply within {seconds} s"
+        raise self.unknown_outcome_error(f"{address}: {detail}")
 
     async def _exchange(
         self,
@@ -265,6 +279,7 @@
         connect_seconds = self.connect_timeout.total_seconds()
         request = pool.request(method, path, body, headers, connect_seconds)
         async with pool.stream(request, progress) as response:
+            progress.record()
             headers_by_name = {name.lower(): value for name, value in response.headers}
             body = await self._read_body(response, progress)
             return Reply(response.status, headers_by_name, body)
@@ -273,7 +288,7 @@
         chunks = []
         async for chunk in response.aiter_stream():
             chunks.append(chunk)
-            progress.received_bytes += len(chunk)
+            progress.record(len(chunk))
             if progress.received_bytes > BODY_LIMIT_BYTES:
                 raise self.unknown_outcome_error(f"reply over {BODY_LIMIT_BYTES} bytes")
         return b"".join(chunks)
