Count the age of a view from when its answer was sent

Callers could see: a node that handles requests with a configuration that is seconds older than it may be. Cause: a view counted as confirmed 0.1 s before the answer to its watch was complete, however long the answer took to arrive; an answer of 2.3 s made a view that was 2.4 s old look 0.1 s old, and the answer after it may take as long. Change: an answer carries the time that it took to arrive, and views and inbox are confirmed as of its beginning; a view that is then no longer fresh is confirmed by a watch that does not wait.

--- a/packages/mimosapoint-node/src/mimosapoint_node/platform/_client.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/platform/_client.py
@@ -48,11 +48,13 @@
     :param status: status code.
     :param headers: values by lower-case name.
     :param body: content of the reply.
+    :param transfer_time: time from the arrival of the head to that of the end of the body.
     """
 
     status: int
     headers: dict[bytes, bytes]
     body: bytes
+    transfer_time: timedelta = timedelta()
 
 
 @attrs.define(eq=False)
@@ -280,9 +282,11 @@
         request = pool.request(method, path, body, headers, connect_seconds)
         async with pool.stream(request, progress) as response:
             progress.record()
+            began_at = trio.current_time()
             headers_by_name = {name.lower(): value for name, value in response.headers}
             body = await self._read_body(response, progress)
-            return Reply(response.status, headers_by_name, body)
+            transfer_time = timedelta(seconds=trio.current_time() - began_at)
+            return Reply(response.status, headers_by_name, body, transfer_time)
 
     async def _read_body(self, response: httpcore.Response, progress: _Progress) -> bytes:
         chunks = []
--- a/packages/mimosapoint/src/mimosapoint/cell/freshness.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/freshness.py
@@ -12,7 +12,7 @@
     """Time since data was last confirmed to be current.
 
     :param clock: clock of the node.
-    :param settings: freshness bound.
+    :param settings: freshness bound and retry delay.
     """
 
     def __init__(self, clock: Clock, settings: CellSettings):
@@ -29,6 +29,18 @@
         """Record that the data was current at a time."""
         self._confirmed_at = at
 
+    def confirm_watched(self, requested_at: datetime, transfer_time: timedelta) -> None:
+        """Record that the answer to a watch has arrived; an empty one confirms the data too.
+
+        The data was current when the answer was sent, which is assumed to be at most
+        ``retry_delay`` before its first byte arrived.
+
+        :param requested_at: time at which the watch was sent.
+        :param transfer_time: time from the first byte of the answer to its last.
+        """
+        sent_at = self._clock.now() - transfer_time - self._settings.retry_delay
+        self.confirm(max(requested_at, sent_at))
+
     def is_fresh(self) -> bool:
         """Return whether the data was confirmed within the freshness bound."""
         age = self.age
--- a/packages/mimosapoint/src/mimosapoint/cell/inbox.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/inbox.py
@@ -125,16 +125,18 @@
                 await trio.sleep(self._settings.retry_delay.total_seconds())
 
     async def _watch(self, revision: int) -> int:
-        # Nothing starts before the inbox is confirmed, so the first watch after a failure is
-        # answered at once.
-        is_confirmed = self._availability.is_available
+        # Nothing starts before the inbox is confirmed, so the first watch after a failure or a long
+        # transfer is answered at once.
+        is_confirmed = self._availability.is_available and self._freshness.is_fresh()
         timeout = self._settings.watch_timeout if is_confirmed else timedelta(0)
+        requested_at = self._clock.now()
         changes = await self._store.watch(INBOX_PREFIX, revision, timeout)
         self._apply(changes.written)
-        self._freshness.confirm(self._clock.now())
+        self._freshness.confirm_watched(requested_at, changes.transfer_time)
         return changes.revision
 
     async def _rescan(self, revision: int) -> int:
+        requested_at = self._clock.now()
         try:
             scan = await self._store.scan(INBOX_PREFIX)
         except (StoreUnavailable, StoreTimeout) as error:
@@ -142,7 +144,7 @@
             await trio.sleep(self._settings.retry_delay.total_seconds())
             return revision
         self._apply(scan.entries)
-        self._freshness.confirm(self._clock.now())
+        self._freshness.confirm(requested_at)
         return scan.revision
 
     def _apply(self, entries: tuple[Entry, ...]) -> None:
--- a/packages/mimosapoint/src/mimosapoint/cell/operators.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/operators.py
@@ -96,18 +96,17 @@
             self._revision = scan.revision
             self._freshness.confirm(requested_at)
         else:
-            changes = await self._store.watch(
-                self._decoder.prefix, self._revision, self._settings.watch_timeout
-            )
+            # A view that is no longer fresh, as the last answer took long to arrive, is confirmed
+            # by the next one, which therefore does not wait for a change.
+            is_fresh = self._freshness.is_fresh()
+            timeout = self._settings.watch_timeout if is_fresh else timedelta(0)
+            changes = await self._store.watch(self._decoder.prefix, self._revision, timeout)
             for entry in changes.written:
                 self._apply(entry)
             for key in changes.removed:
                 self._remove(key)
             self._revision = changes.revision
-            # Even an empty reply confirms the view as of the time at which it was sent, which is
-            # assumed to be at most retry_delay ago.
-            answered_at = self._clock.now() - self._settings.retry_delay
-            self._freshness.confirm(max(requested_at, answered_at))
+            self._freshness.confirm_watched(requested_at, changes.transfer_time)
 
     def _apply(self, entry: Entry) -> None:
         try:
--- a/packages/mimosapoint/src/mimosapoint/ports/transactions.py
+++ b/packages/mimosapoint/src/mimosapoint/ports/transactions.py
@@ -71,11 +71,14 @@
     :param written: entries that were written, oldest first.
     :param removed: keys that were removed.
     :param revision: revision to pass to the next watch.
+    :param transfer_time: time that the answer took to arrive, from its first byte to its last; the
+        changes are complete only up to the beginning of it.
     """
 
     written: tuple[Entry, ...]
     removed: tuple[str, ...]
     revision: int
+    transfer_time: timedelta = timedelta()
 
 
 class TransactionStore(Protocol):
