Send relay frames in chunks, each with its own timeout

Callers could see: starts that wait while an owner drops a relay node that reads its orders, joins it again and sends the same orders anew. Change: frames are sent in chunks of 16 kB, and the timeout holds for each.

--- a/packages/mimosapoint/src/mimosapoint/relay/_framed_stream.py
+++ b/packages/mimosapoint/src/mimosapoint/relay/_framed_stream.py
@@ -20,11 +20,15 @@
 """Time without a message after which an empty frame is sent, so that the peer does not time out."""
 
 PEER_TIMEOUT_SECONDS = 1.6
-"""Timeout of receiving data and of sending a frame; a little above three heartbeat intervals."""
+"""Timeout of receiving data and of sending a chunk; a little above three heartbeat intervals."""
 
-CHUNK_BYTES = 65_536
+READ_BYTES = 65_536
 """Maximum size of one read."""
 
+CHUNK_BYTES = 16_384
+"""Size of the chunks in which a frame is sent; a slow link that several streams share carries one
+well within the timeout."""
+
 Message = list[Any]
 
 
@@ -68,16 +72,18 @@
                 await self._has_messages.wait()
             messages, self._messages, self._has_messages = self._messages, [], trio.Event()
             body = orjson.dumps(messages)
-            with trio.move_on_after(PEER_TIMEOUT_SECONDS) as scope:
-                await self._stream.send_all(len(body).to_bytes(LENGTH_BYTES, "big") + body)
-            if scope.cancelled_caught:
-                return "the other end does not read"
+            frame = len(body).to_bytes(LENGTH_BYTES, "big") + body
+            for start in range(0, len(frame), CHUNK_BYTES):
+                with trio.move_on_after(PEER_TIMEOUT_SECONDS) as scope:
+                    await self._stream.send_all(frame[start : start + CHUNK_BYTES])
+                if scope.cancelled_caught:
+                    return "the other end does not read"
 
     async def _receive(self, handle: Callable[[Message], None]) -> str:
         buffer = bytearray()
         while True:
             with trio.move_on_after(PEER_TIMEOUT_SECONDS) as scope:
-                chunk = await self._stream.receive_some(CHUNK_BYTES)
+                chunk = await self._stream.receive_some(READ_BYTES)
             if scope.cancelled_caught:
                 return "silent"
             if not chunk:
--- a/packages/mimosapoint/src/mimosapoint/relay/tests/test_relay.py
+++ b/packages/mimosapoint/src/mimosapoint/relay/tests/test_relay.py
@@ -21,6 +21,7 @@
     WorkerRunReport,
 )
 from mimosapoint.relay import RelayedWorkers, _messages, serve_relay
+from mimosapoint.relay._framed_stream import FramedStream
 from mimosapoint.relay.client import (
     DIRECT_FALLBACK_SECONDS,
     IDLE_WORKER_SECONDS,
@@ -234,6 +235,27 @@
 
         self.run_test(test)
 
+    # Guards against a relay node on a slow link that is dropped in the middle of a large frame.
+    def test_a_large_frame_may_take_longer_than_the_timeout_while_it_is_read(self):
+        async def test(fixture):
+            sender_end, reader_end = trio.testing.lockstep_stream_pair()
+            sender = FramedStream(sender_end)
+            reasons = []
+
+            async def send():
+                reasons.append(await sender.run(lambda message: None))
+
+            fixture.nursery.start_soon(send)
+            sender.send(["x" * 400_000])
+            received = 0
+            while received < 400_000 and not reasons:
+                received += len(await reader_end.receive_some(20_000))
+                await reader_end.send_all(b"\0\0\0\2[]")
+                await trio.sleep(0.2)
+            self.assertEqual([], reasons)
+
+        self.run_test(test)
+
     def test_idle_relay_node_stays_connected(self):
         async def test(fixture):
             await fixture.join()
