Give a transaction the time that its request needs on the link

Callers could see: work that never starts on a deployment whose owner has a slow link, as the roster of its workers is never stored. Progress cannot stand for it, as the operating system takes large parts of a request at once.

--- a/packages/mimosapoint-node/src/mimosapoint_node/platform/_client.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/platform/_client.py
@@ -1,5 +1,6 @@
 """HTTP client whose errors state whether a call may have had its effect."""
 
+import math
 from collections import OrderedDict, deque
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
@@ -177,6 +178,9 @@
         may take longer in all on a slow link; ending it would only start the same transfer anew.
     :param connect_timeout: timeout for opening a connection.
     :param connections: largest number of connections to each address.
+    :param upload_bytes_per_second: rate at which a request is sent at least; the timeout is
+        extended by the time that its body needs. The progress of a request is not seen, as the
+        operating system takes large parts of it at once.
     :param too_large_error: error of a reply over :data:`BODY_LIMIT_BYTES`;
         ``unknown_outcome_error`` by default.
     """
@@ -187,6 +191,7 @@
     timeout: timedelta = CALL_TIMEOUT
     connect_timeout: timedelta = CONNECT_TIMEOUT
     connections: int = 16
+    upload_bytes_per_second: float = math.inf
     too_large_error: type[MimosapointError] | None = None
     _pools_by_address: OrderedDict[str, _ConnectionPool] = attrs.field(
         init=False, factory=OrderedDict
@@ -212,7 +217,8 @@
         :raises MimosapointError: ``no_effect_error``, ``unknown_outcome_error`` or one of the
             known errors.
         """
-        timeout = self.timeout + extra_time
+        upload_time = timedelta(seconds=len(body) / self.upload_bytes_per_second)
+        timeout = self.timeout + upload_time + extra_time
         reply = await self._send(method, address, path, body, timeout, headers or {})
         if reply.status not in accepted:
             raise self._make_error(reply)
