Read the newest entries anew where a watch would return many versions

Cause: a watch returns every version of an entry, and repeats the watch after a failure. Change: the operators' view limits an answer to 1.5 times the size of its entries, at least 64 kB; by the length that the answer declares, or while it arrives, a larger one is given up for a scan, which returns each entry once.

--- a/packages/mimosapoint-node/src/mimosapoint_node/platform/_client.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/platform/_client.py
@@ -64,12 +64,14 @@
 
     :param scope: scope whose deadline ends the call.
     :param timeout: longest time between two steps.
+    :param limit_bytes: largest body that is read.
     :param has_connection: whether a connection may be used, so that the request may be sent.
     :param received_bytes: size of the part of the body that has arrived.
     """
 
     scope: trio.CancelScope
     timeout: timedelta
+    limit_bytes: int
     has_connection: bool = False
     received_bytes: int = 0
 
@@ -181,8 +183,8 @@
     :param upload_bytes_per_second: rate at which a request is sent at least; the timeout is
         extended by the time that its body needs. The progress of a request is not seen, as the
         operating system takes large parts of it at once.
-    :param too_large_error: error of a reply over :data:`BODY_LIMIT_BYTES`;
-        ``unknown_outcome_error`` by default.
+    :param too_large_error: error of a reply over the size limit; ``unknown_outcome_error`` by
+        default.
     """
 
     no_effect_error: type[MimosapointError]
@@ -206,6 +208,7 @@
         accepted: tuple[int, ...] = (200,),
         extra_time: timedelta = timedelta(),
         headers: dict[str, str] | None = None,
+        body_limit: int | None = None,
     ) -> Reply:
         """Send a request and return the reply.
 
@@ -214,12 +217,14 @@
         :param accepted: status codes of success.
         :param extra_time: time that the service may wait before it replies, added to the timeout.
         :param headers: further headers of the request.
+        :param body_limit: largest body of a reply, in bytes; :data:`BODY_LIMIT_BYTES` by default.
         :raises MimosapointError: ``no_effect_error``, ``unknown_outcome_error`` or one of the
             known errors.
         """
         upload_time = timedelta(seconds=len(body) / self.upload_bytes_per_second)
         timeout = self.timeout + upload_time + extra_time
-        reply = await self._send(method, address, path, body, timeout, headers or {})
+        limit = BODY_LIMIT_BYTES if body_limit is None else body_limit
+        reply = await self._send(method, address, path, body, timeout, headers or {}, limit)
         if reply.status not in accepted:
             raise self._make_error(reply)
         return reply
@@ -254,10 +259,11 @@
         body: bytes,
         timeout: timedelta,
         headers: dict[str, str],
+        body_limit: int,
     ) -> Reply:
         # The timeout includes the wait for a free connection.
         with trio.move_on_after(timeout.total_seconds()) as scope:
-            progress = _Progress(scope, self.timeout)
+            progress = _Progress(scope, self.timeout, body_limit)
             try:
                 return await self._exchange(method, address, path, body, headers, progress)
             except NOT_SENT_ERRORS as error:
@@ -293,6 +299,7 @@
             progress.record()
             began_at = trio.current_time()
             headers_by_name = {name.lower(): value for name, value in response.headers}
+            self._check_size(int(headers_by_name.get(b"content-length", 0)), progress)
             body = await self._read_body(response, progress)
             transfer_time = timedelta(seconds=trio.current_time() - began_at)
             return Reply(response.status, headers_by_name, body, transfer_time)
@@ -302,11 +309,14 @@
         async for chunk in response.aiter_stream():
             chunks.append(chunk)
             progress.record(len(chunk))
-            if progress.received_bytes > BODY_LIMIT_BYTES:
-                error = self.too_large_error or self.unknown_outcome_error
-                raise error(f"reply over {BODY_LIMIT_BYTES} bytes")
+            self._check_size(progress.received_bytes, progress)
         return b"".join(chunks)
 
+    def _check_size(self, size: int, progress: _Progress) -> None:
+        if size > progress.limit_bytes:
+            error = self.too_large_error or self.unknown_outcome_error
+            raise error(f"reply over {progress.limit_bytes} bytes")
+
     async def _pool(self, address: str) -> _ConnectionPool:
         """Return the pool of an address; a pool shared by all would be searched at each call."""
         pool = self._pools_by_address.get(address)
--- a/packages/mimosapoint/src/mimosapoint/cell/operators.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/operators.py
@@ -22,6 +22,14 @@
 __all__ = ["OperatorView"]
 
 
+WATCH_LIMIT = 1.5
+"""Size of changes above which all entries are read anew, as a multiple of the size of all entries:
+more than one version of the largest entry, and less than two."""
+
+MIN_WATCH_LIMIT_BYTES = 65_536
+"""Size of changes that are always read; slow links carry it in a fraction of a second."""
+
+
 class OperatorView:
     """Newest known configuration and withdrawn availability zones, and their age.
 
@@ -49,6 +57,7 @@
         self._telemetry = telemetry
         self._freshness = Freshness(clock, settings)
         self._revision: int | None = None
+        self._sizes_by_key: dict[str, int] = {}
         self._store_availability = StoreAvailability("operators", telemetry)
 
     @property
@@ -90,6 +99,7 @@
         if self._revision is None:
             scan = await self._store.scan(self._decoder.prefix)
             self.withdrawn_zones = set()
+            self._sizes_by_key = {}
             for entry in scan.entries:
                 self._apply(entry)
             self._revision = scan.revision
@@ -99,7 +109,9 @@
             # does not wait for a change.
             is_confirmed = self._store_availability.is_available and self._freshness.is_fresh()
             timeout = self._settings.watch_timeout if is_confirmed else timedelta(0)
-            changes = await self._store.watch(self._decoder.prefix, self._revision, timeout)
+            changes = await self._store.watch(
+                self._decoder.prefix, self._revision, timeout, self._watch_limit()
+            )
             for entry in changes.written:
                 self._apply(entry)
             for key in changes.removed:
@@ -107,7 +119,15 @@
             self._revision = changes.revision
             self._freshness.confirm_watched(requested_at, changes.transfer_time)
 
+    def _watch_limit(self) -> int:
+        """Return the size of changes, in bytes, above which reading all entries anew is shorter.
+
+        A watch returns every version of an entry, a scan only the newest.
+        """
+        return max(MIN_WATCH_LIMIT_BYTES, int(WATCH_LIMIT * sum(self._sizes_by_key.values())))
+
     def _apply(self, entry: Entry) -> None:
+        self._sizes_by_key[entry.key] = len(entry.value)
         try:
             decoded = self._decoder.decode(entry)
         except CodecError as error:
@@ -135,6 +155,7 @@
             )
 
     def _remove(self, key: str) -> None:
+        self._sizes_by_key.pop(key, None)
         zone = self._decoder.withdrawn_zone(key)
         if zone is not None:
             self.withdrawn_zones.discard(zone)
--- a/packages/mimosapoint/src/mimosapoint/memory/transaction_store.py
+++ b/packages/mimosapoint/src/mimosapoint/memory/transaction_store.py
@@ -75,7 +75,9 @@
         self._fault_injector.after_effect()
         return scan
 
-    async def watch(self, prefix: str, after: int, wait: timedelta) -> ChangeBatch:
+    async def watch(
+        self, prefix: str, after: int, wait: timedelta, limit_bytes: int | None = None
+    ) -> ChangeBatch:
         """Wait until an entry under the prefix changes after a revision, and return the changes."""
         await self._begin_call("watch")
         found: list[_Change] = []
@@ -87,6 +89,8 @@
             raise HistoryLost(f"the history of changes begins at revision {self._oldest_revision}")
         self._fault_injector.after_effect()
         written = tuple(change.entry for change in found if change.entry)
+        if limit_bytes is not None and sum(len(entry.value) for entry in written) > limit_bytes:
+            raise HistoryLost(f"the changes have over {limit_bytes} bytes")
         removed = tuple(change.key for change in found if change.entry is None)
         return ChangeBatch(written, removed, self._revision)
 
--- a/packages/mimosapoint/src/mimosapoint/ports/transactions.py
+++ b/packages/mimosapoint/src/mimosapoint/ports/transactions.py
@@ -97,12 +97,16 @@
         """Return every entry whose key begins with the prefix."""
         ...
 
-    async def watch(self, prefix: str, after: int, wait: timedelta) -> ChangeBatch:
+    async def watch(
+        self, prefix: str, after: int, wait: timedelta, limit_bytes: int | None = None
+    ) -> ChangeBatch:
         """Wait until an entry under the prefix changes after a revision, and return the changes.
 
         :param after: revision after which changes count.
         :param wait: timeout, after which the batch is empty.
-        :raises HistoryLost: the changes are no longer kept; a new scan is needed.
+        :param limit_bytes: size of the written values above which they are not read; ``None`` for
+            the limit of the store.
+        :raises HistoryLost: the changes are no longer kept, or too large; a new scan is needed.
         """
         ...
 
