End queries and cancellations in the time for which the caller waits

Cause: the time of the caller bounded only submissions; queries and cancellations relied on the timeout of each call to the store, which since holds between parts of a reply.

--- a/packages/mimosapoint/src/mimosapoint/cell/gateway.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/gateway.py
@@ -45,6 +45,9 @@
 RETRY_AFTER_MAX = timedelta(seconds=4)
 """Maximum retry delay that callers are told; most outages of the store are shorter."""
 
+DEFAULT_TIMEOUT = timedelta(seconds=3)
+"""Time of a call whose caller states none; allows for an unanswered call to the store."""
+
 ATTEMPTS_IN_TIME = 3
 """Attempts that a caller should be able to make in the time for which it waits."""
 
@@ -213,10 +216,14 @@
                 await trio.sleep(self._settings.retry_delay.total_seconds())
         raise OutcomeUnknown("the store did not answer", retry_after=self._retry_after())
 
-    async def phase(self, workspace: str, job_id: str) -> Phase:
+    async def phase(
+        self, workspace: str, job_id: str, timeout: timedelta = DEFAULT_TIMEOUT
+    ) -> Phase:
         """Return the phase of a job.
 
+        :param timeout: time within which the store must have answered.
         :raises JobNotFound: the workspace has no such job.
+        :raises StoreUnavailable: the store did not answer; the call had no effect.
         """
         entries_by_key: dict[str, Entry | None] = {}
 
@@ -224,7 +231,7 @@
             entries_by_key[key] = await self._store.get(key)
 
         keys = (job_key(job_id), progress_key(job_id))
-        with self._telling_retry_delay(is_read=True):
+        with self._telling_retry_delay(timeout, is_read=True):
             async with trio.open_nursery() as nursery:
                 for key in keys:
                     nursery.start_soon(read, key)
@@ -232,13 +239,18 @@
         progress = entries_by_key[keys[1]]
         return Phase.QUEUED if progress is None else self._decode(progress, JobProgress).phase
 
-    async def cancel(self, workspace: str, job_id: str) -> None:
+    async def cancel(
+        self, workspace: str, job_id: str, timeout: timedelta = DEFAULT_TIMEOUT
+    ) -> None:
         """Cancel a job; has no effect on an ended one.
 
+        :param timeout: time within which the store must have answered.
         :raises JobNotFound: the workspace has no such job.
+        :raises StoreUnavailable: the job was not cancelled.
+        :raises StoreTimeout: the job may have been cancelled.
         """
         write = Write(cancel_key(job_id), b"{}")
-        with self._telling_retry_delay():
+        with self._telling_retry_delay(timeout):
             entry = await self._job_entry(workspace, job_id)
             try:
                 await self._store.commit({entry.key: entry.revision, write.key: 0}, [write])
@@ -247,9 +259,13 @@
                     raise JobNotFound("no such job") from conflict
         self._telemetry.event("cancel-accepted", job=job_id, workspace=workspace)
 
-    async def backlog(self, queue: Queue) -> int:
-        """Return the number of the queue's jobs without a started task, as last published."""
-        with self._telling_retry_delay(is_read=True):
+    async def backlog(self, queue: Queue, timeout: timedelta = DEFAULT_TIMEOUT) -> int:
+        """Return the number of the queue's jobs without a started task, as last published.
+
+        :param timeout: time within which the store must have answered.
+        :raises StoreUnavailable: the store did not answer.
+        """
+        with self._telling_retry_delay(timeout, is_read=True):
             entry = await self._store.get(BACKLOG_KEY)
         return self._decode(entry, dict[str, int]).get(queue.name, 0) if entry else 0
 
@@ -270,13 +286,17 @@
         return self._check_workspace(await self._store.get(job_key(job_id)), workspace)
 
     @contextmanager
-    def _telling_retry_delay(self, is_read: bool = False) -> Iterator[None]:
-        """Add the retry delay to errors of the store.
+    def _telling_retry_delay(self, timeout: timedelta, is_read: bool = False) -> Iterator[None]:
+        """Limit the time of calls to the store, and add the retry delay to their errors.
 
+        :param timeout: time after which the calls are ended.
         :param is_read: whether the calls only read, so that an unanswered one has no effect.
         """
         try:
-            yield
+            with trio.move_on_after(timeout.total_seconds()) as scope:
+                yield
+            if scope.cancelled_caught:
+                raise StoreTimeout("the store did not answer in time")
         except* (StoreUnavailable, StoreTimeout) as group:
             error = _first_error(group)
         else:
