End a reply that trickles after 64 s

Cause: since any progress extends a call. Change: the transfer of a reply is ended 64 s after its head arrived, the time of the largest body on 2 Mbit/s.

--- a/packages/mimosapoint-node/src/mimosapoint_node/platform/_client.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/platform/_client.py
@@ -32,6 +32,10 @@
 BODY_LIMIT_BYTES = 16_000_000
 """Largest body of a reply, in bytes."""
 
+TRANSFER_LIMIT = timedelta(seconds=64)
+"""Longest time of a reply from its head to its end; the largest body needs it on 2 Mbit/s. It ends
+calls whose connection carries a few bytes now and then."""
+
 NOT_SENT_ERRORS = (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout)
 """Errors that occur before any part of the request is sent. ``PoolTimeout`` is raised only by the
 pool of httpcore, which is not used."""
@@ -67,6 +71,7 @@
     :param limit_bytes: largest body that is read.
     :param has_connection: whether a connection may be used, so that the request may be sent.
     :param received_bytes: size of the part of the body that has arrived.
+    :param began_at: time at which the head of the reply arrived, in seconds of trio's clock.
     """
 
     scope: trio.CancelScope
@@ -74,11 +79,15 @@
     limit_bytes: int
     has_connection: bool = False
     received_bytes: int = 0
+    began_at: float = math.inf
 
     def record(self, received_bytes: int = 0) -> None:
         """Record that the reply has begun, or that a part of its body has arrived."""
+        now = trio.current_time()
+        self.began_at = min(self.began_at, now)
         self.received_bytes += received_bytes
-        self.scope.deadline = trio.current_time() + self.timeout.total_seconds()
+        transfer_end = self.began_at + TRANSFER_LIMIT.total_seconds()
+        self.scope.deadline = min(now + self.timeout.total_seconds(), transfer_end)
 
 
 class _ConnectionPool:
@@ -272,16 +281,25 @@
                 raise self.unknown_outcome_error(
                     f"{address}: connection failed: {error!r}"
                 ) from error
+        raise self._timeout_error(address, timeout, progress)
+
+    def _timeout_error(
+        self, address: str, timeout: timedelta, progress: _Progress
+    ) -> MimosapointError:
         seconds = timeout.total_seconds()
         if not progress.has_connection:
-            raise self.no_effect_error(f"{address}: no free connection within {seconds} s")
+            return self.no_effect_error(f"{address}: no free connection within {seconds} s")
         received = progress.received_bytes
-        if received:
-            seconds = self.timeout.total_seconds()
-            detail = f"only {received} bytes of the reply, no more within {seconds} s"
+        if not received:
+            return self.unknown_outcome_error(f"{address}: no reply within {seconds} s")
+        limit = TRANSFER_LIMIT.total_seconds()
+        if trio.current_time() >= progress.began_at + limit:
+            detail = f"not complete after {limit} s"
         else:
-            detail = f"no reply within {seconds} s"
-        raise self.unknown_outcome_error(f"{address}: {detail}")
+            detail = f"no more within {self.timeout.total_seconds()} s"
+        return self.unknown_outcome_error(
+            f"{address}: only {received} bytes of the reply, {detail}"
+        )
 
     async def _exchange(
         self,
@@ -297,11 +315,10 @@
         request = pool.request(method, path, body, headers, connect_seconds)
         async with pool.stream(request, progress) as response:
             progress.record()
-            began_at = trio.current_time()
             headers_by_name = {name.lower(): value for name, value in response.headers}
             self._check_size(int(headers_by_name.get(b"content-length", 0)), progress)
             body = await self._read_body(response, progress)
-            transfer_time = timedelta(seconds=trio.current_time() - began_at)
+            transfer_time = timedelta(seconds=trio.current_time() - progress.began_at)
             return Reply(response.status, headers_by_name, body, transfer_time)
 
     async def _read_body(self, response: httpcore.Response, progress: _Progress) -> bytes:
--- a/packages/mimosapoint-node/src/mimosapoint_node/platform/tests/test_client.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/platform/tests/test_client.py
@@ -1,6 +1,7 @@
 """Tests of the HTTP client's use of connections."""
 
 import unittest
+from contextlib import suppress
 from datetime import timedelta
 from functools import partial
 from unittest import mock
@@ -131,6 +132,26 @@
         server.handle = handle
         self.run_with_server(test, server, timeout=timedelta(milliseconds=150))
 
+    # Guards against a call that never ends, as a few bytes of its reply arrive again and again.
+    def test_a_reply_that_trickles_is_ended(self):
+        async def handle(stream):
+            await stream.receive_some()
+            await stream.send_all(b"HTTP/1.1 200 OK\r\nContent-Length: 9999\r\n\r\n")
+            with suppress(trio.BrokenResourceError):
+                while True:
+                    await trio.sleep(0.05)
+                    await stream.send_all(b"x")
+
+        async def test(client, address):
+            limit = timedelta(milliseconds=300)
+            with mock.patch.object(_client, "TRANSFER_LIMIT", limit), trio.fail_after(1):
+                with self.assertRaisesRegex(WorkerUnreachable, "not complete after 0.3 s"):
+                    await client.call("GET", address, "/")
+
+        server = Server()
+        server.handle = handle
+        self.run_with_server(test, server, timeout=timedelta(milliseconds=150))
+
     # Guards against a time-out whose message hides that a part of the reply had arrived.
     def test_the_error_of_an_incomplete_reply_tells_how_much_has_arrived(self):
         async def test(client, address):
