Confirm a loaded inbox by its first watch

Callers could see: a job that a new owner starts although its cancellation was stored while the owner was still reading the inbox, which takes seconds on a slow link. Change: a new owner starts nothing before its first watch of the inbox, which does not wait, has been answered: one call to the store later.

--- a/packages/mimosapoint/src/mimosapoint/cell/inbox.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/inbox.py
@@ -111,7 +111,6 @@
 
         :param revision: revision up to which the inbox is loaded.
         """
-        self._freshness.confirm(self._clock.now())
         while True:
             try:
                 revision = await self._watch(revision)
@@ -125,8 +124,8 @@
                 await trio.sleep(self._settings.retry_delay.total_seconds())
 
     async def _watch(self, revision: int) -> int:
-        # Nothing starts before the inbox is confirmed, so the first watch after a failure or a long
-        # transfer is answered at once.
+        # Nothing starts before the inbox is confirmed, so the first watch, and that after a failure
+        # or a long transfer, is answered at once.
         is_confirmed = self._availability.is_available and self._freshness.is_fresh()
         timeout = self._settings.watch_timeout if is_confirmed else timedelta(0)
         requested_at = self._clock.now()
