Add the extra `report` of the command line, locked apart from the nodes' dependencies

Change: mimosapoint-cli has an extra `report` with matplotlib. A second lock file, requirements-report.lock, has what the extra adds; `make setup` installs both files, `make lock` writes both. requirements.lock is unchanged. Tests check that the build names the first file only, that it lacks the plot library, and that packages in both files have one version.

--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,8 @@
 VENV := .venv
 BIN := $(VENV)/bin
 PACKAGES := packages/mimosapoint packages/mimosapoint-node packages/mimosapoint-cli packages/mimosapoint-standins platform
+# The nodes on the users' platform install the first lock file only.
+LOCKS := requirements.lock requirements-report.lock
 SEEDS ?= 25
 UV := $(PYTHON) -m uv
 
@@ -10,10 +12,10 @@
 
 setup: $(VENV)/.ready
 
-$(VENV)/.ready: requirements.lock $(wildcard packages/*/pyproject.toml platform/pyproject.toml)
+$(VENV)/.ready: $(LOCKS) $(wildcard packages/*/pyproject.toml platform/pyproject.toml)
 	@$(UV) --version >/dev/null 2>&1 || $(PYTHON) -m pip install --quiet uv
 	@$(UV) venv --quiet --allow-existing --python 3.11 $(VENV)
-	@$(UV) pip install --quiet --python $(BIN)/python --require-hashes --no-deps -r requirements.lock
+	@$(UV) pip install --quiet --python $(BIN)/python --require-hashes --no-deps $(addprefix -r ,$(LOCKS))
 	@$(UV) pip install --quiet --python $(BIN)/python --no-deps --no-build-isolation $(addprefix -e ,$(PACKAGES))
 	@touch $@
 
@@ -55,7 +57,11 @@
 	@$(BIN)/black --quiet .
 	@$(BIN)/ruff check --quiet --fix .
 
-# Resolve the dependencies again; requirements.lock holds their hashes and names no package index.
+# Resolve the dependencies again; the lock files hold their hashes and name no package index. The
+# second one has what the extra `report` of the command line adds.
+EXPORT := $(UV) export --frozen --no-emit-workspace --no-annotate --no-header --quiet
 lock:
 	@$(UV) lock --quiet --upgrade
-	@$(UV) export --frozen --all-packages --no-emit-workspace --no-annotate --no-header --quiet > requirements.lock
+	@$(EXPORT) --all-packages > requirements.lock
+	@$(EXPORT) --package mimosapoint-cli --extra report --no-dev \
+		$(addprefix --prune ,mimosapoint mimosapoint-node fire httpcore) > requirements-report.lock
--- a/tools/tests/test_build.py
+++ b/tools/tests/test_build.py
@@ -1,5 +1,6 @@
 """Tests of the build for the users' platform, also while nodes run from an earlier build."""
 
+import re
 import shutil
 import subprocess
 import tempfile
@@ -9,6 +10,7 @@
 ROOT = Path(__file__).resolve().parents[2]
 COPIED = ("deploy", "platform", "packages/mimosapoint", "packages/mimosapoint-node")
 LOCK = "# no dependencies\n"
+PIN = re.compile(r"^([\w.-]+)==(\S+)", re.MULTILINE)
 
 
 class BuildTest(unittest.TestCase):
@@ -57,5 +59,23 @@
         self.assertNotIn("CHANGED", (earlier / "mimosapoint_platform/settings.py").read_text())
 
 
+class LockTest(unittest.TestCase):
+    def pins(self, name: str) -> dict[str, str]:
+        """Return the versions of a lock file by package."""
+        return dict(PIN.findall((ROOT / name).read_text()))
+
+    def test_nodes_do_not_install_what_only_the_report_needs(self):
+        script = (ROOT / "deploy/build.sh").read_text()
+        self.assertEqual({"requirements.lock"}, set(re.findall(r"requirements[\w-]*\.\w+", script)))
+        self.assertIn("matplotlib", self.pins("requirements-report.lock"))
+        for package in ("matplotlib", "numpy", "pillow"):
+            self.assertNotIn(package, self.pins("requirements.lock"))
+
+    def test_both_lock_files_have_the_same_version_of_a_package(self):
+        nodes, report = self.pins("requirements.lock"), self.pins("requirements-report.lock")
+        common = nodes.keys() & report.keys()
+        self.assertEqual({p: nodes[p] for p in common}, {p: report[p] for p in common})
+
+
 if __name__ == "__main__":
     unittest.main()
