--- a/packages/mimosapoint-cli/src/mimosapoint_cli/core.py
+++ b/packages/mimosapoint-cli/src/mimosapoint_cli/core.py
@@ -4,6 +4,7 @@
 import sys
 from collections.abc import Sequence
 
+import attrs
 import fire
 from fire.core import FireExit
 from fire.decorators import SetParseFn
@@ -47,10 +48,26 @@
         """Show what a node knows of the system."""
         return Action(self._status)
 
+    @SetParseFn(str)
+    def report(self, *logs, output="report.html"):
+        """Write a page with plots of a day, from logs and metrics of nodes, without a server.
+
+        :param logs: files of logs and of metrics in the text format of Prometheus; standard input
+            when there are none.
+        :param output: file of the page.
+        """
+        return Action(lambda: self._report(logs, output))
+
     def _status(self) -> None:
         value = self._session.client().call("GET", "/v1/status").value
         self._session.show(value, lambda: print_yaml(value))
 
+    def _report(self, logs: Sequence[str], output: str) -> None:
+        from mimosapoint_cli.report import write_report
+
+        summary = attrs.asdict(write_report(logs, output))
+        self._session.show(summary, lambda: print_yaml(summary))
+
 
 def main() -> None:
     """Run the command in the arguments of the process."""
