Refuse a bucket of a metric whose bound is not a number

Cause: the report took a malformed bound for the last bucket without a word. Change: such a sample is a broken line, counted and named like the others.

--- a/packages/mimosapoint-cli/src/mimosapoint_cli/report/metric_lines.py
+++ b/packages/mimosapoint-cli/src/mimosapoint_cli/report/metric_lines.py
@@ -20,6 +20,9 @@
 NODE_LABELS = ("node", "instance")
 """Labels that name the node; without them it is named by the file."""
 
+BUCKET_LABEL = "le"
+"""Label with the upper bound of a bucket of a histogram."""
+
 SERIES_LENGTH_LIMIT = 500
 """Longest name and labels of a series in characters."""
 
@@ -50,14 +53,21 @@
     label_text = label_text or ""
     if not LABELS.fullmatch(label_text):
         raise BrokenLine("the labels of a metric are malformed")
-    try:
-        value = float(value_text)
-    except ValueError as error:
-        raise BrokenLine("the value of a metric is not a number") from error
+    value = _parse_number(value_text, "the value of a metric")
     labels = tuple(sorted((key, _unescape(text)) for key, text in LABEL.findall(label_text)))
+    for key, text in labels:
+        if key == BUCKET_LABEL:
+            _parse_number(text, "the bound of a bucket")
     return MetricSample(name.removeprefix(METRIC_PREFIX), labels, value)
 
 
+def _parse_number(text: str, what: str) -> float:
+    try:
+        return float(text)
+    except ValueError as error:
+        raise BrokenLine(f"{what} is not a number") from error
+
+
 def _unescape(text: str) -> str:
     return ESCAPE.sub(lambda match: "\n" if match[1] == "n" else match[1], text)
 
@@ -147,8 +157,8 @@
         """Return the histograms of a metric by the values of some of its labels."""
         totals = self.totals(f"{name}_sum", *labels)
         counts_by_key: dict[tuple[str, ...], dict[float, float]] = {}
-        for (*key, bound), count in self.totals(f"{name}_bucket", *labels, "le").items():
-            counts_by_key.setdefault(tuple(key), {})[_bound(bound)] = count
+        for (*key, bound), count in self.totals(f"{name}_bucket", *labels, BUCKET_LABEL).items():
+            counts_by_key.setdefault(tuple(key), {})[float(bound)] = count
         return {
             key: Histogram(dict(sorted(counts.items())), totals.get(key, 0.0))
             for key, counts in sorted(counts_by_key.items())
@@ -164,10 +174,3 @@
 def _label_values(node: str, pairs: Labels, labels: Iterable[str]) -> tuple[str, ...]:
     values_by_label = {**dict(pairs), "node": node}
     return tuple(values_by_label.get(label, "") for label in labels)
-
-
-def _bound(text: str) -> float:
-    try:
-        return float(text)
-    except ValueError:
-        return math.inf
--- a/packages/mimosapoint-cli/src/mimosapoint_cli/report/tests/test_lines.py
+++ b/packages/mimosapoint-cli/src/mimosapoint_cli/report/tests/test_lines.py
@@ -34,7 +34,7 @@
     ('time=2026-03-20T09:00:00 event=a b="\\x1"', "malformed escape"),
 )
 
-BROKEN_SAMPLES = ("word", "a b c", 'a{b="1} 2', "a{b=1} 2", "a 1 2 3")
+BROKEN_SAMPLES = ("word", "a b c", 'a{b="1} 2', "a{b=1} 2", 'a_bucket{le="x"} 2', "a 1 2 3")
 
 
 def parse(text):
