Write an example report in make demo

Change: the demo keeps the nodes' metrics of both parts before it stops them, and runs `mimosapoint report` on logs and metrics; the page is run/report.html.

--- a/tools/demo/__main__.py
+++ b/tools/demo/__main__.py
@@ -9,6 +9,7 @@
 
 from tools.demo.cell import CellDemoResult, run_cell_demo
 from tools.demo.measures import Measures, measure
+from tools.demo.report import save_metrics, write_page
 from tools.demo.scenario import ROOT, run_scenario
 from tools.site import Site
 from tools.site.recorder import Recorder
@@ -37,10 +38,16 @@
             if time_limit.cancelled_caught:
                 print_progress("the time limit is reached; jobs without an answer count as broken")
                 await recorder.collect_tasks()
+            addresses = site.files.http_by_id.items()
+            await save_metrics({f"zone-{id}": address for id, address in addresses}, Path(folder))
         finally:
             await site.stop()
         cell = await run_cell_demo(Path(folder), print_progress)
-        return _report(site, recorder, cell)
+        print_progress("writing the report of the nodes' logs and metrics")
+        report = await write_page(Path(folder))
+        code = _report(site, recorder, cell)
+        print(f"\n{report}")
+        return code
 
 
 def _report(site: Site, recorder: Recorder, cell: CellDemoResult) -> int:
--- a/tools/demo/cell.py
+++ b/tools/demo/cell.py
@@ -15,6 +15,7 @@
 import yaml
 from mimosapoint.testing.run_checks import run_violations
 
+from tools.demo.report import save_metrics
 from tools.soak.site import SoakSite
 
 __all__ = ["CellDemoResult", "run_cell_demo"]
@@ -109,6 +110,8 @@
             await trio.sleep(WARM_UP_SECONDS)
             await _steps(demo)
             await _wait_ended(demo)
+            addresses = enumerate(site.operator_addresses)
+            await save_metrics({f"cell-node-{n}": address for n, address in addresses}, folder)
         finally:
             with trio.CancelScope(shield=True):
                 await site.stop()
