Resume a gang of which a task succeeded without a checkpoint

Callers could see: a repeatable gang that is reclaimed or moved after one of its tasks ended begins again without the progress of the others. Cause: a task that succeeded was asked for a checkpoint, which a worker need not keep of ended work. Evidence: the new test; the stand-in worker names a checkpoint for ended tasks, so no run showed it before. Its work is still done twice; to avoid that, the job's record would have to keep the outputs of ended tasks.

--- a/packages/mimosapoint/src/mimosapoint/node/tests/test_gangs.py
+++ b/packages/mimosapoint/src/mimosapoint/node/tests/test_gangs.py
@@ -6,7 +6,7 @@
 import trio
 
 from mimosapoint.jobs import make_job_id
-from mimosapoint.model import JobState
+from mimosapoint.model import JobState, TaskState
 from mimosapoint.node.tests._case import SiteCase
 from mimosapoint.testing.caller import Caller
 
@@ -92,6 +92,39 @@
             ]
             self.assertFalse(any(remaining), "a worker still keeps tasks of an earlier attempt")
 
+    # Guards against a gang that loses all progress when one of its tasks ended before the stop.
+    async def test_reclaimed_gang_resumes_when_a_task_succeeded_without_a_checkpoint(self):
+        async with self.site() as site:
+            call = await self.reclaim_half_done_gang(site, repeatable=True)
+            self.assertEqual(self.outcomes(site), {"succeeded"})
+            progress = [round(task.spec.progress) for task in self.restarted]
+            self.assertCountEqual([0, 7], progress)
+            self.assertEqual(len(self.starts(site, call.job)), 4)
+
+    async def reclaim_half_done_gang(self, site, keeps_checkpoint=False, **fields):
+        """Reclaim a gang of two when one task has succeeded, and return the ended call.
+
+        The other task has done 7 s of its 8 s of work when it is stopped after 10 s.
+        """
+        caller = Caller(site)
+        async with trio.open_nursery() as nursery:
+            self.start_calls(nursery, site, 1, seconds=8.0, gang=2, **fields)
+            await trio.sleep(0.5)
+            job = make_job_id("w", "k0", ZONES)
+            slow, done = (self.task(site, event) for event in self.starts(site, job))
+            slow.share = 0.7
+            await trio.sleep(9.5)
+            self.assertIs(TaskState.SUCCEEDED, done.state)
+            done.checkpoint = done.checkpoint if keeps_checkpoint else None
+            view = await caller.call_next_node(lambda gateway: gateway.job("w", job))
+            owner_of_job(site, view).stop_job(job, "reclaim", timedelta(seconds=5))
+            await trio.sleep(2)
+            self.restarted = [self.task(site, event) for event in self.starts(site, job)[2:]]
+        return site.history.calls[0]
+
+    def task(self, site, event):
+        return site.worker(event.worker)._tasks.get(event.task)
+
 
 class CallerTest(SiteCase):
     """Callers repeat a submission, lose their owner, or cancel many jobs at once."""
--- a/packages/mimosapoint/src/mimosapoint/placement/attempt.py
+++ b/packages/mimosapoint/src/mimosapoint/placement/attempt.py
@@ -189,7 +189,7 @@
         record = self.record
         if record.cancel_requested:
             await self._end(Cancelled(started=True))
-        elif self._all_checkpointed():
+        elif self._all_resumable():
             self._requeue(from_checkpoint=True)
         elif failure is None and not record.request.repeatable:
             await self._end(MayHaveRun("worker-lost", "a worker of the gang was lost"))
@@ -209,12 +209,18 @@
         failed = [out for out in outputs.values() if out.state is TaskState.FAILED]
         return failed[0] if failed else TaskOutput("", TaskState.FAILED, None, "no detail")
 
-    def _all_checkpointed(self) -> bool:
-        """Return whether every task stopped or succeeded and has a checkpoint."""
-        return all(
-            report is not None and report.state in RESUMABLE_STATES and report.checkpoint
-            for report in self._reports()
-        )
+    def _all_resumable(self) -> bool:
+        """Return whether the gang may resume from the checkpoints of its tasks."""
+        return all(report is not None and self._resumable(report) for report in self._reports())
+
+    def _resumable(self, report: TaskReport) -> bool:
+        """Return whether a task may start again from its checkpoint.
+
+        A task that succeeded needs none if the job is repeatable; it may then run again.
+        """
+        if report.state is TaskState.SUCCEEDED and self.record.request.repeatable:
+            return True
+        return report.state in RESUMABLE_STATES and bool(report.checkpoint)
 
     def _reports(self) -> list[TaskReport | None]:
         """Return the last report of each task; ``None`` for one that its worker does not list."""
@@ -233,7 +239,7 @@
             await self._finish()
         elif record.cancel_requested:
             await self._end(Cancelled(started=True))
-        elif self._all_checkpointed():
+        elif self._all_resumable():
             self._requeue(from_checkpoint=True)
         elif record.request.repeatable:
             self._requeue(from_checkpoint=False)
@@ -247,11 +253,11 @@
         """
         record = attrs.evolve(self.record, state=JobState.QUEUED, stop_reason=None)
         if from_checkpoint:
-            reports = self._reports()
+            checkpoints = tuple(map(_checkpoint, self._reports()))
             record = attrs.evolve(
                 record,
-                progress=min(report.progress for report in reports),
-                checkpoints=tuple(Checkpoint(r.checkpoint, r.progress) for r in reports),
+                progress=min(checkpoint.progress for checkpoint in checkpoints),
+                checkpoints=checkpoints,
             )
         self._indexed_table.put(record)
         self._telemetry.event(
@@ -267,3 +273,10 @@
         """Record the outcome; once it is durable, let the workers drop the tasks."""
         await self._indexed_table.end(self._job_id, outcome)
         await self._commands.acknowledge(self._gang)
+
+
+def _checkpoint(report: TaskReport) -> Checkpoint:
+    """Return the checkpoint of a task; a nameless one if the task has to start anew."""
+    if report.checkpoint:
+        return Checkpoint(report.checkpoint, report.progress)
+    return Checkpoint("", 0.0)
--- a/packages/mimosapoint/src/mimosapoint/placement/commands.py
+++ b/packages/mimosapoint/src/mimosapoint/placement/commands.py
@@ -72,7 +72,7 @@
             index=index,
             gang=request.gang,
             payload=request.payload,
-            checkpoint=checkpoint.name if checkpoint else None,
+            checkpoint=(checkpoint.name or None) if checkpoint else None,
             progress=checkpoint.progress if checkpoint else 0.0,
             trace=record.trace,
         )
