Start no succeeded task of a non-repeatable gang again

Callers could see: work that must run at most once runs twice: a non-repeatable gang that is reclaimed after one of its tasks succeeded resumes, and the succeeded task is started again from its last checkpoint. Cause: a task that succeeded counted as resumable like a stopped one. Change: such a gang ends as may-have-run with code no-checkpoint, as it does already when the worker names no checkpoint for ended work. To resume it without that task, the job's record would have to keep outputs. Result: the test failed before (0 passed, 1 failed) and passes now; the module passes, 12 and 0.

--- a/packages/mimosapoint/src/mimosapoint/node/tests/test_gangs.py
+++ b/packages/mimosapoint/src/mimosapoint/node/tests/test_gangs.py
@@ -101,6 +101,17 @@
             self.assertCountEqual([0, 7], progress)
             self.assertEqual(len(self.starts(site, call.job)), 4)
 
+    # Guards against a second run of a task that must not run twice.
+    async def test_reclaimed_non_repeatable_gang_starts_no_succeeded_task_again(self):
+        for keeps_checkpoint in (False, True):
+            with self.subTest(keeps_checkpoint=keeps_checkpoint):
+                async with self.site() as site:
+                    await self.reclaim_half_done_gang(
+                        site, repeatable=False, keeps_checkpoint=keeps_checkpoint
+                    )
+                    self.assertEqual(site.violations(), [])
+                    self.assertEqual(self.outcomes(site), {"may-have-run"})
+
     async def reclaim_half_done_gang(self, site, keeps_checkpoint=False, **fields):
         """Reclaim a gang of two when one task has succeeded, and return the ended call.
 
--- a/packages/mimosapoint/src/mimosapoint/placement/attempt.py
+++ b/packages/mimosapoint/src/mimosapoint/placement/attempt.py
@@ -32,7 +32,6 @@
 
 RETRY_DELAY = timedelta(milliseconds=100)
 CANCEL_GRACE = timedelta(0)
-RESUMABLE_STATES = (TaskState.STOPPED, TaskState.SUCCEEDED)
 
 
 class Attempt:
@@ -214,13 +213,13 @@
         return all(report is not None and self._resumable(report) for report in self._reports())
 
     def _resumable(self, report: TaskReport) -> bool:
-        """Return whether a task may start again from its checkpoint.
+        """Return whether a task may start again, from its checkpoint if it was stopped.
 
-        A task that succeeded needs none if the job is repeatable; it may then run again.
+        A task that succeeded may run again only if the job is repeatable.
         """
-        if report.state is TaskState.SUCCEEDED and self.record.request.repeatable:
-            return True
-        return report.state in RESUMABLE_STATES and bool(report.checkpoint)
+        if report.state is TaskState.SUCCEEDED:
+            return self.record.request.repeatable
+        return report.state is TaskState.STOPPED and bool(report.checkpoint)
 
     def _reports(self) -> list[TaskReport | None]:
         """Return the last report of each task; ``None`` for one that its worker does not list."""
@@ -244,7 +243,7 @@
         elif record.request.repeatable:
             self._requeue(from_checkpoint=False)
         else:
-            await self._end(MayHaveRun("no-checkpoint", "the work was stopped without one"))
+            await self._end(MayHaveRun("no-checkpoint", "the stopped work cannot resume"))
 
     def _requeue(self, *, from_checkpoint: bool) -> None:
         """Return the job to the queue.
