Answer a list of jobs with the error of a zone

Callers could see: 500 instead of the typed error (503 with Retry-After, or 504) when a zone of the region has no reachable owner while jobs are listed. Cause: the calls run in a nursery, which wraps their errors in an ExceptionGroup that no handler knows. Evidence: the new test; the status by reading. Change: the first error of a zone ends the other calls and is raised as itself. Result: the test failed before with 'ExceptionGroup: Exceptions from Trio nursery (1 sub-exception)' for each error (4 passed, 1 failed) and passes now; the module passes, 5 and 0.

--- a/packages/mimosapoint/src/mimosapoint/gateway/core.py
+++ b/packages/mimosapoint/src/mimosapoint/gateway/core.py
@@ -132,18 +132,29 @@
             await self._clock.sleep(timedelta(milliseconds=100))
 
     async def jobs(self, workspace: str) -> tuple[JobView, ...]:
-        """Return the jobs of a workspace; see :class:`~mimosapoint.ports.JobApi`."""
+        """Return the jobs of a workspace; see :class:`~mimosapoint.ports.JobApi`.
+
+        :raises MimosapointError: the first error of a zone; the calls to the others are cancelled.
+        """
         configuration = self._configuration()
         region = find_workspace(configuration, workspace).region
         views: list[JobView] = []
+        errors: list[MimosapointError] = []
 
         async def list_zone(zone: str) -> None:
-            reply = await self._router.call(zone, ListJobs(zone, workspace), self._deadline())
+            try:
+                reply = await self._router.call(zone, ListJobs(zone, workspace), self._deadline())
+            except MimosapointError as error:
+                errors.append(error)
+                nursery.cancel_scope.cancel()
+                return
             views.extend(reply.views)
 
         async with trio.open_nursery() as nursery:
             for zone in configuration.zones_of(region):
                 nursery.start_soon(list_zone, zone)
+        if errors:
+            raise errors[0]
         return tuple(sorted(views, key=lambda view: (view.submitted_at, view.id)))
 
     async def _call_record_owner(self, job_id: str, make_message: Callable[[str], Any]) -> JobReply:
--- a/packages/mimosapoint/src/mimosapoint/gateway/tests/test_routing.py
+++ b/packages/mimosapoint/src/mimosapoint/gateway/tests/test_routing.py
@@ -19,7 +19,10 @@
     UnknownWorkspace,
 )
 from mimosapoint.gateway.admission import check_request
+from mimosapoint.gateway.core import JobGateway
 from mimosapoint.gateway.router import MAX_RETRY_TOKENS, RETRY_RATIO, ZoneRouter
+from mimosapoint.gateway.settings import GatewaySettings
+from mimosapoint.gateway.waiters import JobWaiters
 from mimosapoint.jobs import GetJob
 from mimosapoint.memory import TrioClock
 from mimosapoint.model import JobClass, JobRequest, Resources
@@ -112,6 +115,25 @@
                 await router.call("a", MESSAGE, deadline)
         self.assertLessEqual(trio.current_time() - started, 12)
 
+    # Guards against a list of jobs that fails with an untyped error, which callers see as a fault.
+    async def test_a_list_of_jobs_fails_with_the_error_of_a_zone(self):
+        for error in (Overloaded("busy"), OutcomeUnknown("no reply")):
+            with self.subTest(error=error.code):
+                zones = {id: Zone("r", Capacity(1, 1, Resources(1, 1, 1, 1))) for id in "ab"}
+                configuration = Configuration(1, zones, {"w": Workspace("r")})
+                clock = TrioClock(START)
+                gateway = JobGateway(
+                    "here",
+                    lambda configuration=configuration: configuration,
+                    self.make_router(clock, ScriptedPeers([error]), "there"),
+                    JobWaiters(Dispatcher()),
+                    clock=clock,
+                    telemetry=MemoryTelemetry(strict=True),
+                    settings=GatewaySettings(),
+                )
+                with self.assertRaises(type(error)):
+                    await gateway.jobs("w")
+
     async def test_unknown_owner_raises_overloaded(self):
         clock = TrioClock(START)
         router = self.make_router(clock, ScriptedPeers(["never"]), None)
