Confirm no version in an outage after a commit of unknown outcome

Callers could see: tasks that start by an older version of the configuration during an outage of the store, although an operator's patch, such as the withdrawal of a zone, took effect just before it. Cause: a node reported itself as cut off as soon as the commit had ended, also when it ended with OutcomeUnknown or its caller left, so that all nodes could confirm the version before. Change: such a node is not cut off until a read of the store that was sent after that write succeeds. A write that takes effect only after this read is still not covered.

--- a/packages/mimosapoint/src/mimosapoint/configuration/_commit.py
+++ b/packages/mimosapoint/src/mimosapoint/configuration/_commit.py
@@ -4,6 +4,7 @@
 from typing import Protocol
 
 import attrs
+import trio
 
 from mimosapoint.configuration.document import Configuration
 from mimosapoint.configuration.operations import apply_patch
@@ -49,6 +50,10 @@
         """Install a state that this node has committed."""
         ...
 
+    def record_unsettled_write(self) -> None:
+        """Record that a write ended that may have had its effect, or may still have it."""
+        ...
+
 
 def _truncate_reasons(reasons: tuple[str, ...]) -> tuple[str, ...]:
     if len(reasons) <= MAX_RECORDED_REASONS:
@@ -186,6 +191,9 @@
     async def _swap(self, state: ConfigurationState, expected: int) -> None:
         try:
             await self._store.compare_and_swap(CONFIGURATION_KEY, encode_state(state), expected)
+        except (StoreTimeout, trio.Cancelled):
+            self._state_access.record_unsettled_write()
+            raise
         except ValueTooLarge as error:
             reason = "/: the configuration is larger than the store can hold"
             raise ConfigurationInvalid(reasons=(reason,)) from error
--- a/packages/mimosapoint/src/mimosapoint/configuration/service.py
+++ b/packages/mimosapoint/src/mimosapoint/configuration/service.py
@@ -69,6 +69,7 @@
         self._last_decoded_bytes = b""
         self._consecutive_failures = 0
         self._has_read = False
+        self._unsettled_write_at: datetime | None = None
         self._newer_version_known = trio.Event()
         self._last_read_at = clock.now()
         self._poll_interval = settings.poll_after
@@ -99,11 +100,12 @@
     def cut_off(self) -> bool:
         """Whether the last read of the store failed and this node has no commit in progress.
 
-        A commit in progress may have written a version that no node has seen. The same
-        holds for an earlier incarnation of this node, so the value is false until the first
-        successful read.
+        A commit in progress may have written a version that no node has seen, and so may one
+        that ended without an outcome and was not read back. The same holds for an earlier
+        incarnation of this node, so the value is false until the first successful read.
         """
-        return self._has_read and self._consecutive_failures > 0 and not self._commit_lock.locked()
+        may_have_written = self._commit_lock.locked() or self._unsettled_write_at is not None
+        return self._has_read and self._consecutive_failures > 0 and not may_have_written
 
     def on_install(self, callback: Callable[[Configuration], None]) -> None:
         """Register a callback for each version that comes into force on this node."""
@@ -216,6 +218,8 @@
             await self._restore_version_in_force(stored, revision)
         self._current_configuration.install(stored)
         self._current_configuration.confirm(sent_at)
+        if self._unsettled_write_at is not None and sent_at >= self._unsettled_write_at:
+            self._unsettled_write_at = None
         return stored, revision
 
     def install_committed(self, state: ConfigurationState, sent_at: datetime) -> None:
@@ -225,6 +229,10 @@
             self._archive.enqueue(previous)
         self._current_configuration.confirm(sent_at)
 
+    def record_unsettled_write(self) -> None:
+        """Record that a write ended that may have had its effect, or may still have it."""
+        self._unsettled_write_at = self._clock.now()
+
     def _decode_entry(self, entry: Entry | None) -> ConfigurationState:
         """Return the state in a store entry; decode it only if it differs from the last one."""
         if entry is None:
--- a/packages/mimosapoint/src/mimosapoint/configuration/tests/test_outage.py
+++ b/packages/mimosapoint/src/mimosapoint/configuration/tests/test_outage.py
@@ -4,10 +4,11 @@
 
 import trio
 
-from mimosapoint.configuration import Configuration
+from mimosapoint.configuration import Patch
 from mimosapoint.configuration.outage import StoreOutageDetector
 from mimosapoint.configuration.service import ConfigurationService
-from mimosapoint.errors import StoreUnavailable
+from mimosapoint.configuration.tests._sites import make_configuration
+from mimosapoint.errors import OutcomeUnknown, StoreTimeout, StoreUnavailable
 from mimosapoint.memory import MemoryStore, TrioClock
 from mimosapoint.peers import Dispatcher, LoopbackNetwork, LoopbackPeers
 from mimosapoint.settings import ConfigurationSettings
@@ -51,6 +52,18 @@
         nursery.start_soon(service.run)
         nursery.start_soon(self.detectors[id].run)
 
+    def lose_answer(self, scope, ending):
+        """Return a fault that cuts all nodes off before a write is answered."""
+
+        async def fault():
+            cut(self, NODES)
+            if ending == "timeout":
+                raise StoreTimeout()
+            scope.cancel()
+            await trio.sleep_forever()
+
+        return fault
+
     def is_fresh(self, id):
         return self.services[id].is_fresh(self.clock.now())
 
@@ -61,6 +74,7 @@
     def __init__(self, store):
         self._store = store
         self.cut = False
+        self.before_answer = None
 
     def __getattr__(self, name):
         call = getattr(self._store, name)
@@ -68,7 +82,10 @@
         async def guarded(*arguments, **options):
             if self.cut:
                 raise StoreUnavailable()
-            return await call(*arguments, **options)
+            answer = await call(*arguments, **options)
+            if name == "compare_and_swap" and self.before_answer is not None:
+                await self.before_answer()
+            return answer
 
         return guarded
 
@@ -76,14 +93,14 @@
 class OutageTest(TrioTestCase):
     mock_clock = True
 
-    async def check_freshness(self, disrupt, expected):
+    async def check_freshness(self, disrupt, expected, seconds=OUTAGE_SECONDS):
         async with trio.open_nursery() as nursery:
             cluster = Cluster(nursery)
-            await cluster.services["n1"].bootstrap(Configuration())
+            await cluster.services["n1"].bootstrap(make_configuration())
             await trio.sleep(5)
             self.assertTrue(all(map(cluster.is_fresh, NODES)))
             disrupt(cluster, nursery)
-            await trio.sleep(OUTAGE_SECONDS)
+            await trio.sleep(seconds)
             self.assertEqual(expected, cluster.is_fresh("n1"))
             nursery.cancel_scope.cancel()
 
@@ -100,6 +117,32 @@
 
         await self.check_freshness(disrupt, False)
 
+    # Guards against an older version that is confirmed after a commit that no node has seen.
+    async def test_a_commit_of_unknown_outcome_leaves_it_open(self):
+        for ending in ("timeout", "cancelled"):
+            with self.subTest(ending):
+
+                def disrupt(cluster, nursery, ending=ending):
+                    scope = trio.CancelScope()
+                    cluster.stores["n2"].before_answer = cluster.lose_answer(scope, ending)
+                    nursery.start_soon(commit_in_vain, cluster.services["n2"], scope)
+
+                await self.check_freshness(disrupt, False)
+
+    async def test_an_outage_is_confirmed_after_a_commit_was_read_back(self):
+        def disrupt(cluster, nursery):
+            async def settle():
+                scope = trio.CancelScope()
+                cluster.stores["n2"].before_answer = cluster.lose_answer(scope, "timeout")
+                await commit_in_vain(cluster.services["n2"], scope)
+                cut(cluster, NODES, False)
+                await trio.sleep(5)
+                cut(cluster, NODES)
+
+            nursery.start_soon(settle)
+
+        await self.check_freshness(disrupt, True, 3 * OUTAGE_SECONDS)
+
     async def test_a_node_that_never_read_the_store_leaves_it_open(self):
         def disrupt(cluster, nursery):
             cut(cluster, NODES)
@@ -109,6 +152,16 @@
         await self.check_freshness(disrupt, False)
 
 
-def cut(cluster, nodes):
+async def commit_in_vain(service, scope):
+    operation = {"op": "replace", "path": "/zones/a/mode", "value": "out"}
+    with scope:
+        try:
+            await service.apply(Patch("p", service.current.version, (operation,)))
+        except OutcomeUnknown:
+            return
+        raise AssertionError("the commit has an outcome")
+
+
+def cut(cluster, nodes, value=True):
     for id in nodes:
-        cluster.stores[id].cut = True
+        cluster.stores[id].cut = value
