Count the exchanges in progress with a peer

Operators could see: more gossip calls at once to a peer that replies slowly, up to its timeout, after a broadcast to it ended. Cause: a set holds the addresses with an exchange in progress, so that the end of a concurrent one (a broadcast) ended the other for it too. Change: the exchanges with an address are counted. Result: the test failed before ('True is not false', 0 passed, 1 failed) and passes now; the module of the membership passes, 17 and 0.

--- a/packages/mimosapoint/src/mimosapoint/membership/_exchange.py
+++ b/packages/mimosapoint/src/mimosapoint/membership/_exchange.py
@@ -1,5 +1,6 @@
 """Gossip exchanges, at the caller and at the callee."""
 
+from collections import Counter
 from datetime import datetime, timedelta
 
 from mimosapoint.errors import MimosapointError
@@ -38,7 +39,7 @@
         self._telemetry = telemetry
         self._timeout = timeout
         self._version_from_peer = 0
-        self._in_flight: set[str] = set()
+        self._in_flight: Counter[str] = Counter()
         self._versions_by_address: dict[str, int] = {}
         self._acknowledged_revisions_by_address: dict[str, tuple[int, int]] = {}
 
@@ -69,13 +70,15 @@
         """
         if address in self._in_flight and not concurrent:
             return False
-        self._in_flight.add(address)
+        self._in_flight[address] += 1
         try:
             await self._call(address)
             if self.may_lack_version(address):
                 await self._call(address)
         finally:
-            self._in_flight.discard(address)
+            self._in_flight[address] -= 1
+            if not self._in_flight[address]:
+                del self._in_flight[address]
         return True
 
     def serve(self, request: Gossip) -> GossipReply:
