Give a write to the HTTP store the time that its value needs on the link

Callers could see, in the zone form on a slow link: jobs that stay accepted without being durable, and zones whose claims fail, as buckets of the job table never reach the store. Change: the timeout grows by the time that the value needs at a quarter of 2 Mbit/s, as in the cell's store; the settings of this form name no bandwidth. A large write to a silent store is noticed up to 16 s later.

--- a/packages/mimosapoint-node/src/mimosapoint_node/platform/store.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/platform/store.py
@@ -1,6 +1,7 @@
 """Client of the platform's key-value store over HTTP."""
 
 from datetime import timedelta
+from functools import partial
 from typing import Any
 
 from mimosapoint.codec import encode
@@ -29,6 +30,10 @@
 KEY_ABSENT = "key-absent"
 """Problem code of an absent key."""
 
+UPLOAD_BYTES_PER_SECOND = 62_500.0
+"""Rate at which a value is sent at least: a quarter of a link of 2 Mbit/s. A write of the largest
+value may take 16 s longer than a small one; to end it earlier would only begin it anew."""
+
 KNOWN_ERRORS = frozenset({CompareFailed, LeaseLost, ValueTooLarge})
 
 
@@ -37,7 +42,8 @@
 
     :param address: ``IP:port`` of the store.
     :param telemetry: counts every call by kind as ``store_calls_total``.
-    :param timeout: timeout of a call, in addition to the wait of a watch.
+    :param timeout: longest time until the reply begins, and then between parts of it, in addition
+        to the wait of a watch and the time that a value needs at :data:`UPLOAD_BYTES_PER_SECOND`.
     :param connect_timeout: timeout for opening a connection.
     """
 
@@ -50,9 +56,13 @@
     ):
         self._address = address
         self._telemetry = telemetry
-        self._client = HttpClient(
-            StoreUnavailable, StoreTimeout, KNOWN_ERRORS, timeout, connect_timeout
+        make_client = partial(
+            HttpClient, StoreUnavailable, StoreTimeout, KNOWN_ERRORS, timeout, connect_timeout
         )
+        self._client = make_client()
+
+        # Large writes on a slow link must not occupy the connections of the other calls.
+        self._write_client = make_client(upload_bytes_per_second=UPLOAD_BYTES_PER_SECOND)
 
     async def get(self, key: str) -> Entry | None:
         """Return the current entry, or ``None`` when the key is absent."""
@@ -78,7 +88,7 @@
             raise ValueTooLarge(f"{len(value)} bytes are over {VALUE_LIMIT_BYTES}")
         self._count("compare_and_swap")
         path = make_path("keys", key, expected=expected, lease=lease or "")
-        reply = await self._call("PUT", path, value)
+        reply = await self._call("PUT", path, value, client=self._write_client)
         return self._client.decode_body(reply, WriteReply).revision
 
     async def delete(self, key: str, expected: int) -> None:
@@ -110,12 +120,21 @@
     async def close(self) -> None:
         """Close all idle connections."""
         await self._client.close()
+        await self._write_client.close()
 
-    async def _call(self, method: str, path: str, *body: bytes, **options: Any) -> Reply:
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        *body: bytes,
+        client: HttpClient | None = None,
+        **options: Any,
+    ) -> Reply:
         with self._telemetry.span("store-call") as span:
             span.set("method", method)
             span.set("path", path)
-            return await self._client.call(method, self._address, path, *body, **options)
+            client = client or self._client
+            return await client.call(method, self._address, path, *body, **options)
 
     def _count(self, kind: str) -> None:
         self._telemetry.count("store_calls_total", kind=kind)
