Let one oversized bucket of the job table stop no other job of its zone

Callers could see: no ordinary job of a zone starts for up to the retention of ended jobs (1 h, by reading) once one bucket of its job table is over the store's limit of 1 MB. Cause: a refusal of the size counted as a failing store, during which only urgent repeatable work is placed in the zone; the write was retried without end with the same bytes, each time with a permit of the node's writes. And a bucket could become too large, as the placement of a job that had been admitted was not checked, and the placements of ended jobs are kept. Change: such a write is tried again after the next change of the bucket only and does not count as an outage; a job stays queued while its placement would take its bucket over 900,000 bytes, which leaves the answers their space. The changes in an oversized bucket itself still wait until it shrinks.

--- a/packages/mimosapoint/src/mimosapoint/jobs/bucket.py
+++ b/packages/mimosapoint/src/mimosapoint/jobs/bucket.py
@@ -159,6 +159,12 @@
             self._changed = trio.Event()
             await self._changed.wait()
 
+    async def wait_change_after(self, changes: int) -> None:
+        """Wait until there is a change after the one with a number."""
+        while self.change_count <= changes:
+            self._changed = trio.Event()
+            await self._changed.wait()
+
     def mark_durable(self, changes: int, revision: int) -> None:
         """Mark all changes up to a number as durable.
 
--- a/packages/mimosapoint/src/mimosapoint/jobs/committer.py
+++ b/packages/mimosapoint/src/mimosapoint/jobs/committer.py
@@ -70,17 +70,38 @@
     async def commit(self) -> None:
         """Write the current state of the bucket; retry with backoff until it is durable.
 
+        A bucket over the store's limit is tried again after its next change only.
+
         :raises StaleEpoch: a newer owner has fenced the bucket.
         """
         self._backoff.reset()
         await self._write_limiter.acquire()
-        while not await self._try_commit():
-            self._bucket.writes_failing = True
-            await self._clock.sleep(self._backoff.next_delay())
+        while not await self._commit_or_wait():
             await self._write_limiter.acquire()
 
+    async def _commit_or_wait(self) -> bool:
+        """Write the bucket once; after a failure wait until another write may succeed."""
+        changes = self._bucket.change_count
+        try:
+            if await self._try_commit():
+                return True
+        except ValueTooLarge:
+            self._telemetry.event(
+                "bucket-too-large", bucket=self._bucket.key, size=self._bucket.size_bytes
+            )
+            self._bucket.writes_failing = False
+            await self._bucket.wait_change_after(changes)
+            await self._clock.sleep(self._interval)
+            return False
+        self._bucket.writes_failing = True
+        await self._clock.sleep(self._backoff.next_delay())
+        return False
+
     async def _try_commit(self) -> bool:
-        """Write the bucket once; return whether its changes are durable."""
+        """Write the bucket once; return whether its changes are durable.
+
+        :raises ValueTooLarge: the bucket is over the store's limit.
+        """
         bucket = self._bucket
         changes = bucket.change_count
         data = bucket.encode(self._epoch, self._writer)
@@ -88,9 +109,6 @@
             revision = await self._store.compare_and_swap(bucket.key, data, bucket.revision)
         except StoreUnavailable:
             return False
-        except ValueTooLarge:
-            self._telemetry.event("bucket-too-large", bucket=bucket.key, size=len(data))
-            return False
         except (StoreTimeout, CompareFailed):
             return await self._resolve_unknown_outcome(changes)
         self._telemetry.observe("commit_bytes", len(data))
--- a/packages/mimosapoint/src/mimosapoint/jobs/table.py
+++ b/packages/mimosapoint/src/mimosapoint/jobs/table.py
@@ -9,12 +9,18 @@
 from mimosapoint.jobs.bucket import Bucket
 from mimosapoint.model import JobRecord
 
-__all__ = ["Change", "JobTable"]
+__all__ = ["PLACEMENT_BYTES_PER_TASK", "Change", "JobTable"]
 
 DIGEST_BYTES = 4
 OUTCOME_BUCKET_BYTES_LIMIT = 950_000
 """Bucket size up to which outcomes may be added; the space above is left for other changes."""
 
+PLACEMENT_BUCKET_BYTES_LIMIT = 900_000
+"""Bucket size up to which placements may be added; the space above is left for the outcomes."""
+
+PLACEMENT_BYTES_PER_TASK = 256
+"""Size of a task's worker id, incarnation and checkpoint in a job record, in bytes."""
+
 
 @attrs.frozen
 class Change:
@@ -59,6 +65,16 @@
         """Return whether the job's bucket may grow by ``size`` bytes for an outcome."""
         return self.bucket_of(job_id).size_bytes + size <= OUTCOME_BUCKET_BYTES_LIMIT
 
+    def has_space_for_placement(self, job_id: str, gang: int) -> bool:
+        """Return whether the job's bucket may grow by the placement of a gang."""
+        size = self.bucket_of(job_id).size_bytes + gang * PLACEMENT_BYTES_PER_TASK
+        return size <= PLACEMENT_BUCKET_BYTES_LIMIT
+
+    @property
+    def any_bucket_half_full(self) -> bool:
+        """Whether a bucket is so large that a placement might not fit."""
+        return any(b.size_bytes > PLACEMENT_BUCKET_BYTES_LIMIT / 2 for b in self.buckets)
+
     def load(self, bucket: Bucket, records: list[JobRecord], revision: int) -> None:
         """Replace the records of a bucket by those read from the store.
 
--- a/packages/mimosapoint/src/mimosapoint/jobs/tests/test_committer.py
+++ b/packages/mimosapoint/src/mimosapoint/jobs/tests/test_committer.py
@@ -143,6 +143,24 @@
         with trio.fail_after(3):
             await self.committer().commit()
 
+    # Guards against a bucket over the store's limit that passes for an outage of the store and
+    # takes the permits of the other buckets.
+    async def test_an_oversized_bucket_is_tried_again_only_after_a_change(self):
+        self.set_up_store()
+        self.table.put(record("big", payload="x" * 1_000_001))
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.committer().run)
+            await trio.sleep(60)
+            self.assertEqual(1, self.telemetry.event_names().count("bucket-too-large"))
+            self.assertFalse(self.table.writes_failing)
+            change = self.table.put(record("small"))
+            await trio.sleep(1)
+            self.assertEqual(2, self.telemetry.event_names().count("bucket-too-large"))
+            self.table.remove("a~big")
+            with trio.fail_after(3):
+                await change.wait_durable()
+            nursery.cancel_scope.cancel()
+
     async def test_changes_share_a_write(self):
         self.set_up_store()
         async with trio.open_nursery() as nursery:
--- a/packages/mimosapoint/src/mimosapoint/node/tests/test_bounds.py
+++ b/packages/mimosapoint/src/mimosapoint/node/tests/test_bounds.py
@@ -5,11 +5,16 @@
 
 from mimosapoint.codec import encode
 from mimosapoint.errors import Overloaded
+from mimosapoint.jobs import JobTable, make_job_id
 from mimosapoint.jobs.bucket import bucket_key
+from mimosapoint.memory import TrioClock
+from mimosapoint.model import JobRecord, JobRequest, JobState
 from mimosapoint.node import ComponentSettings
 from mimosapoint.node.tests._case import SiteCase
 from mimosapoint.ownership import OwnershipSettings
 from mimosapoint.placement import ZoneOwnerSettings
+from mimosapoint.placement.indexed_job_table import IndexedJobTable
+from mimosapoint.telemetry import MemoryTelemetry
 from mimosapoint.testing.caller import Caller
 
 FEW_BUCKETS = ComponentSettings(ownership=OwnershipSettings(bucket_count=1))
@@ -43,6 +48,45 @@
             self.assertEqual(by_key["big"].code, "answer-too-large")
             self.assertEqual(by_key["small"].outcome, "succeeded")
 
+    # Guards against a zone in which nothing starts because one bucket is over the store's limit.
+    async def test_a_bucket_over_the_limit_stops_no_job_of_another_one(self):
+        async with self.site(zones=("a",)) as site:
+            table = site.nodes_by_id[site.owner_of("a")].core.ownership_manager.owner("a")._table
+            caller = Caller(site)
+            request = caller.request("big", payload={"value": "x" * 1_000_001})
+            now = site.clock.now()
+            table.put(JobRecord("a~big", request, JobState.ENDED, now, ended_at=now))
+            await trio.sleep(1)
+            full = table.bucket_of("a~big")
+            keys = [f"k{n}" for n in range(9)]
+            keys = [k for k in keys if table.bucket_of(make_job_id("w", k, ("a",))) is not full]
+            async with trio.open_nursery() as nursery:
+                for key in keys:
+                    nursery.start_soon(caller.submit_and_wait, key, 1.0)
+                await trio.sleep(20)
+                nursery.cancel_scope.cancel()
+            self.assertEqual(len(keys) * ["succeeded"], [c.outcome for c in site.history.calls])
+
+    # Guards against placements that make a bucket larger than the store can hold.
+    async def test_a_job_waits_while_its_placement_does_not_fit_into_its_bucket(self):
+        table = JobTable("a", 1)
+        indexed_table = IndexedJobTable(
+            table,
+            clock=TrioClock(),
+            telemetry=MemoryTelemetry(strict=True),
+            on_change=lambda: None,
+            on_ended=lambda view: None,
+        )
+        now = TrioClock().now()
+        large = JobRequest("w", "s", "large", payload="x" * 890_000)
+        indexed_table.put(JobRecord("a~large", large, JobState.ENDED, now))
+        for key, gang in (("one", 1), ("many", 128)):
+            request = JobRequest("w", "s", key, gang=gang)
+            indexed_table.put(JobRecord(f"a~{key}", request, JobState.QUEUED, now))
+        self.assertEqual(["a~one"], [record.id for record in indexed_table.placeable()])
+        indexed_table.remove("a~large")
+        self.assertEqual(2, len(indexed_table.placeable()))
+
     async def test_watches_and_attempts_are_dropped(self):
         async with self.site(zones=("a",)) as site:
             caller = Caller(site)
--- a/packages/mimosapoint/src/mimosapoint/placement/indexed_job_table.py
+++ b/packages/mimosapoint/src/mimosapoint/placement/indexed_job_table.py
@@ -102,6 +102,17 @@
         """Return the queued jobs, oldest first."""
         return sorted(self._queued_by_id.values(), key=lambda record: record.submitted_at)
 
+    def placeable(self) -> list[JobRecord]:
+        """Return the queued jobs whose placement fits into their buckets, oldest first."""
+        queued = self.queued()
+        if not self._table.any_bucket_half_full:
+            return queued
+        return [record for record in queued if self.has_space_for_placement(record)]
+
+    def has_space_for_placement(self, record: JobRecord) -> bool:
+        """Return whether the placement of a job fits into its bucket."""
+        return self._table.has_space_for_placement(record.id, record.request.gang)
+
     def past_start_deadline(self, now: datetime) -> list[JobRecord]:
         """Return the queued jobs whose start deadline has passed, in no particular order."""
         return [record for record in self._queued_by_id.values() if record.missed_start_by(now)]
--- a/packages/mimosapoint/src/mimosapoint/placement/request_handler.py
+++ b/packages/mimosapoint/src/mimosapoint/placement/request_handler.py
@@ -8,6 +8,7 @@
 
 from mimosapoint.errors import IdempotencyConflict, JobNotFound, OutcomeUnknown, Overloaded
 from mimosapoint.jobs import Change, JobReply, JobTable
+from mimosapoint.jobs.table import PLACEMENT_BYTES_PER_TASK
 from mimosapoint.model import Cancelled, JobRecord, JobRequest, JobState, JobView, Outcome
 from mimosapoint.placement.dependencies import ZoneOwnerDependencies
 from mimosapoint.placement.indexed_job_table import IndexedJobTable
@@ -15,9 +16,6 @@
 
 __all__ = ["JobRequestHandler"]
 
-PLACEMENT_BYTES_PER_TASK = 256
-"""Size of a task's worker id, incarnation and checkpoint in a job record, in bytes."""
-
 CANCEL_RETRY_AFTER = timedelta(seconds=2)
 QUEUE_RETRY_AFTER = timedelta(seconds=5)
 
--- a/packages/mimosapoint/src/mimosapoint/placement/scheduler.py
+++ b/packages/mimosapoint/src/mimosapoint/placement/scheduler.py
@@ -98,7 +98,7 @@
             configuration=configuration,
             workers_by_id=owner.worker_inventory.views_by_id(),
             running_by_id=owner.indexed_table.allocated(),
-            waiting=owner.indexed_table.queued(),
+            waiting=owner.indexed_table.placeable(),
             other_zones_by_id=self._other_zones(configuration),
         )
 
@@ -183,8 +183,15 @@
         )
 
     def _may_place(self, record: JobRecord) -> bool:
-        """Return whether store writes succeed or the job may start before it is durable."""
-        return not self._owner.indexed_table.writes_failing or may_start_before_durable(record)
+        """Return whether the job may be placed now.
+
+        Its placement has to fit into its bucket of the job table; and store writes succeed, or
+        the job may start before it is durable.
+        """
+        table = self._owner.indexed_table
+        if not table.has_space_for_placement(record):
+            return False
+        return not table.writes_failing or may_start_before_durable(record)
 
     def _preempt(self, preemption: Preemption) -> None:
         self._telemetry.event("job-reclaimed", job=preemption.job, claimant=preemption.preemptor)
