Go on with an unfinished claim of a zone instead of beginning it anew

Callers could see, in the zone form: a zone without an owner for long after a failover over a slow link; its requests are refused as no owner can be reached. Change: a repeated claim goes on with the buckets that it has not fenced, if the owner's record is still its own; a running claim publishes how many transfers have ended, and is superseded only 20 s after the last one; four buckets instead of eight are transferred at a time, so that each gets the quarter of the link that the store's client counts on. A node of the build before ignores the new attachment and supersedes after 5 s as before.

--- a/packages/mimosapoint/src/mimosapoint/ownership/__init__.py
+++ b/packages/mimosapoint/src/mimosapoint/ownership/__init__.py
@@ -1,6 +1,6 @@
 """Ownership of availability zones: claims, handover and the directory of owners."""
 
-from mimosapoint.ownership.claim import ClaimContext, OwnerRecord, claim_zone, read_owner
+from mimosapoint.ownership.claim import ClaimContext, OwnerRecord, ZoneClaim, claim_zone, read_owner
 from mimosapoint.ownership.directory import ZoneDirectory
 from mimosapoint.ownership.manager import OwnershipManager
 from mimosapoint.ownership.messages import TakeZone
@@ -12,6 +12,7 @@
     "OwnershipManager",
     "OwnershipSettings",
     "TakeZone",
+    "ZoneClaim",
     "ZoneDirectory",
     "claim_zone",
     "read_owner",
--- a/packages/mimosapoint/src/mimosapoint/ownership/claim.py
+++ b/packages/mimosapoint/src/mimosapoint/ownership/claim.py
@@ -11,13 +11,22 @@
 from mimosapoint.ports import ABSENT, Clock, Store
 from mimosapoint.resilience import RateLimiter
 
-__all__ = ["OWNER_FORMAT", "ClaimContext", "OwnerRecord", "claim_zone", "read_owner"]
+__all__ = [
+    "OWNER_FORMAT",
+    "ClaimContext",
+    "OwnerRecord",
+    "ZoneClaim",
+    "claim_zone",
+    "read_owner",
+]
 
 OWNER_FORMAT = 1
 """Version of the stored format; a record of a higher version is never overwritten."""
 
 RETRY_DELAY = timedelta(milliseconds=100)
-MAX_CONCURRENT_FENCES = 8
+MAX_CONCURRENT_FENCES = 4
+"""Buckets that are transferred at a time; each gets a quarter of a slow link, which the store's
+client allows for."""
 
 
 @attrs.frozen
@@ -75,25 +84,6 @@
     return record, entry.revision
 
 
-async def claim_zone(context: ClaimContext, zone: str, buckets: int) -> tuple[JobTable, int]:
-    """Make this node the owner of a zone.
-
-    Afterwards every write of an earlier owner fails, because each bucket carries the new epoch at
-    a new revision.
-
-    :param buckets: number of buckets if the zone was never claimed before.
-    :returns: the job table and the epoch.
-    :raises StaleEpoch: another node claimed the zone concurrently.
-    """
-    record = await _raise_epoch(context, zone, buckets)
-    table = JobTable(zone, record.buckets)
-    limiter = trio.CapacityLimiter(MAX_CONCURRENT_FENCES)
-    async with trio.open_nursery() as nursery:
-        for bucket in table.buckets:
-            nursery.start_soon(_fence, context, table, bucket, record.epoch, limiter)
-    return table, record.epoch
-
-
 async def _raise_epoch(context: ClaimContext, zone: str, buckets: int) -> OwnerRecord:
     """Write an owner record with the next epoch.
 
@@ -114,41 +104,103 @@
     return record
 
 
-async def _fence(
-    context: ClaimContext,
-    table: JobTable,
-    bucket: Bucket,
-    epoch: int,
-    limiter: trio.CapacityLimiter,
-) -> None:
-    """Load a bucket and write it back with the new epoch; retry if an earlier owner writes it."""
-    async with limiter:
-        while not await _fence_once(context, table, bucket, epoch):
-            await context.clock.sleep(RETRY_DELAY)
+class ZoneClaim:
+    """Claim of a zone by this node; a repeated run goes on with the buckets not fenced yet.
 
+    :param zone: id of the zone.
+    :param buckets: number of buckets if the zone was never claimed before.
+    """
 
-async def _fence_once(context: ClaimContext, table: JobTable, bucket: Bucket, epoch: int) -> bool:
-    """Try to fence a bucket once; return whether it carries the epoch.
+    def __init__(self, context: ClaimContext, zone: str, buckets: int):
+        self._context = context
+        self._zone = zone
+        self._bucket_count = buckets
+        self._record: OwnerRecord | None = None
+        self._table: JobTable | None = None
+        self._not_fenced: list[Bucket] = []
+        self._running = False
+        self._transfers = 0
+
+    @property
+    def progress(self) -> int | None:
+        """Number of transfers that have ended, or ``None`` while the claim does not run."""
+        return self._transfers if self._running else None
+
+    async def run(self) -> tuple[JobTable, int]:
+        """Make this node the owner of the zone.
+
+        Afterwards every write of an earlier owner fails, because each bucket carries the new epoch
+        at a new revision.
+
+        :returns: the job table and the epoch.
+        :raises StaleEpoch: another node claimed the zone concurrently.
+        """
+        self._running = True
+        try:
+            if not await self._still_recorded():
+                await self._begin()
+            limiter = trio.CapacityLimiter(MAX_CONCURRENT_FENCES)
+            async with trio.open_nursery() as nursery:
+                for bucket in self._not_fenced:
+                    nursery.start_soon(self._fence, bucket, limiter)
+        finally:
+            self._running = False
+        return self._table, self._record.epoch
+
+    async def _still_recorded(self) -> bool:
+        """Return whether an earlier run wrote the owner record, and no claim has followed it."""
+        if self._record is None:
+            return False
+        found, _ = await read_owner(self._context.store, self._zone)
+        return found == self._record
+
+    async def _begin(self) -> None:
+        self._record = None
+        self._record = await _raise_epoch(self._context, self._zone, self._bucket_count)
+        self._table = JobTable(self._zone, self._record.buckets)
+        self._not_fenced = list(self._table.buckets)
+
+    async def _fence(self, bucket: Bucket, limiter: trio.CapacityLimiter) -> None:
+        """Load a bucket and write it back with the new epoch.
+
+        This is retried if an earlier owner writes the bucket.
+        """
+        async with limiter:
+            while not await self._fence_once(bucket):
+                await self._context.clock.sleep(RETRY_DELAY)
+        self._not_fenced.remove(bucket)
+
+    async def _fence_once(self, bucket: Bucket) -> bool:
+        """Try to fence a bucket once; return whether it carries the epoch.
+
+        :raises StaleEpoch: a newer owner has fenced the bucket.
+        """
+        context, table, epoch = self._context, self._table, self._record.epoch
+        try:
+            entry = await context.store.get(bucket.key)
+        except StoreTimeout:
+            return False
+        self._transfers += 1
+        records = []
+        if entry is not None:
+            header, records = decode_bucket(entry.value)
+            if header.epoch > epoch:
+                raise StaleEpoch(header.epoch)
+            if header.epoch == epoch and header.writer == context.writer:
+                table.load(bucket, records, entry.revision)
+                return True
+        table.load(bucket, records, entry.revision if entry else ABSENT)
+        await context.write_limiter.acquire()
+        try:
+            data = bucket.encode(epoch, context.writer)
+            revision = await context.store.compare_and_swap(bucket.key, data, bucket.revision)
+        except (CompareFailed, StoreTimeout):
+            return False
+        bucket.revision = revision
+        self._transfers += 1
+        return True
 
-    :raises StaleEpoch: a newer owner has fenced the bucket.
-    """
-    try:
-        entry = await context.store.get(bucket.key)
-    except StoreTimeout:
-        return False
-    records = []
-    if entry is not None:
-        header, records = decode_bucket(entry.value)
-        if header.epoch > epoch:
-            raise StaleEpoch(header.epoch)
-        if header.epoch == epoch and header.writer == context.writer:
-            table.load(bucket, records, entry.revision)
-            return True
-    table.load(bucket, records, entry.revision if entry else ABSENT)
-    await context.write_limiter.acquire()
-    try:
-        data = bucket.encode(epoch, context.writer)
-        bucket.revision = await context.store.compare_and_swap(bucket.key, data, bucket.revision)
-    except (CompareFailed, StoreTimeout):
-        return False
-    return True
+
+async def claim_zone(context: ClaimContext, zone: str, buckets: int) -> tuple[JobTable, int]:
+    """Make this node the owner of a zone; see :class:`ZoneClaim`."""
+    return await ZoneClaim(context, zone, buckets).run()
--- a/packages/mimosapoint/src/mimosapoint/ownership/manager.py
+++ b/packages/mimosapoint/src/mimosapoint/ownership/manager.py
@@ -10,7 +10,7 @@
 from mimosapoint.jobs import Accepted
 from mimosapoint.membership import Membership, preferred_owners
 from mimosapoint.model import Vm
-from mimosapoint.ownership.claim import ClaimContext, OwnerRecord, claim_zone, read_owner
+from mimosapoint.ownership.claim import ClaimContext, OwnerRecord, ZoneClaim, read_owner
 from mimosapoint.ownership.directory import ZoneDirectory
 from mimosapoint.ownership.messages import TakeZone
 from mimosapoint.ownership.orphan_lease_renewer import OrphanLeaseRenewer
@@ -23,6 +23,9 @@
 TAKE_ZONE_TIMEOUT = timedelta(seconds=2)
 FAULT_BACKOFF = timedelta(seconds=3)
 
+CLAIMS_ATTACHMENT = "claims"
+"""Name of the membership attachment with the progress of the claims that run on a node, by zone."""
+
 
 @attrs.define
 class _Observation:
@@ -64,6 +67,8 @@
         self._telemetry = self._dependencies.telemetry
         self._zones_in_transition: set[str] = set()
         self._observations: dict[tuple[str, str], _Observation] = {}
+        self._claims_by_zone: dict[str, ZoneClaim] = {}
+        membership.attach(CLAIMS_ATTACHMENT, self._claims_progress)
         self._stopping = False
         self._nursery: trio.Nursery | None = None
 
@@ -135,8 +140,7 @@
     async def _claim_if_free(self, zone: str) -> None:
         """Claim the zone and run its owner, unless another node may be claiming it.
 
-        This is so while the owner record names another live node and has changed within
-        ``claim_timeout``.
+        This is so while the owner record names another live node that may still complete its claim.
 
         While the store cannot be read, the leases of the zone's workers are renewed instead.
         """
@@ -153,25 +157,47 @@
         """Return whether the recorded owner may be superseded.
 
         This is so if it is this node in an earlier incarnation, is not alive, or has not
-        completed its claim within ``claim_timeout``.
+        completed its claim within ``claim_timeout``. While its claim runs, the time counts from
+        the claim's last progress and is ``claim_progress_timeout``.
         """
         if record.node == self._node.id or not self._membership.is_alive(record.node):
             return True
-        return self._unchanged_for((zone, "claim"), record, self._settings.claim_timeout)
+        progress = self._membership.attachment(record.node, CLAIMS_ATTACHMENT) or {}
+        transfers = progress.get(zone)
+        settings = self._settings
+        bound = settings.claim_timeout if transfers is None else settings.claim_progress_timeout
+        return self._unchanged_for((zone, "claim"), (record, transfers), bound)
+
+    def _claims_progress(self) -> dict[str, int]:
+        """Return the number of transfers of each running claim, by zone."""
+        return {
+            zone: claim.progress
+            for zone, claim in self._claims_by_zone.items()
+            if claim.progress is not None
+        }
+
+    def _claim(self, zone: str) -> ZoneClaim:
+        """Return the unfinished claim of the zone, or a new one."""
+        claim = self._claims_by_zone.get(zone)
+        if claim is None:
+            dependencies = self._dependencies
+            context = ClaimContext(
+                self._node.id,
+                self._writer,
+                dependencies.store,
+                dependencies.clock,
+                dependencies.write_limiter,
+            )
+            claim = ZoneClaim(context, zone, self._settings.bucket_count)
+            self._claims_by_zone[zone] = claim
+        return claim
 
     async def _claim_and_run(self, zone: str) -> None:
-        dependencies = self._dependencies
-        context = ClaimContext(
-            self._node.id,
-            self._writer,
-            dependencies.store,
-            dependencies.clock,
-            dependencies.write_limiter,
-        )
         started_at = self._clock.now()
-        table, epoch = await claim_zone(context, zone, self._settings.bucket_count)
+        table, epoch = await self._claim(zone).run()
+        del self._claims_by_zone[zone]
         owner = ZoneOwner(
-            table, LeaseHolder(self._node.id, zone, epoch), self._writer, dependencies
+            table, LeaseHolder(self._node.id, zone, epoch), self._writer, self._dependencies
         )
         await self._nursery.start(self._run_owner, zone, owner)
         self._telemetry.event(
--- a/packages/mimosapoint/src/mimosapoint/ownership/settings.py
+++ b/packages/mimosapoint/src/mimosapoint/ownership/settings.py
@@ -15,6 +15,8 @@
     :param check_interval: time between two checks of which node should own which zone.
     :param startup_delay: time after the start of a node before it claims zones.
     :param claim_timeout: time after which the unfinished claim of another live node is superseded.
+    :param claim_progress_timeout: the same while the claim runs, from its last progress: time in
+        which the store's client sends the largest bucket on a slow link, or fails.
     :param hand_over_after: time for which another node is preferred before a handover to it.
     """
 
@@ -22,4 +24,5 @@
     check_interval: timedelta = timedelta(milliseconds=500)
     startup_delay: timedelta = timedelta(seconds=2)
     claim_timeout: timedelta = timedelta(seconds=5)
+    claim_progress_timeout: timedelta = timedelta(seconds=20)
     hand_over_after: timedelta = timedelta(seconds=10)
