--- a/tools/tests/test_soak.py
+++ b/tools/tests/test_soak.py
@@ -3,18 +3,23 @@
 import sys
 import tempfile
 import unittest
+from contextlib import suppress
+from functools import partial
 from pathlib import Path
 from types import SimpleNamespace
 
 import trio
 from mimosapoint.memory import RunRecord
+from mimosapoint.testing import TrioTestCase
 from mimosapoint.testing.run_checks import run_violations
 from mimosapoint.workload import ResourceAmounts, RunEnd, Step, TaskId
 
 ROOT = Path(__file__).resolve().parents[2]
 sys.path.insert(0, str(ROOT / "platform"))
 
-from tools.soak.run import find_violations, run_seed  # noqa: E402 (needs the path)
+from tools.soak.link import Link  # noqa: E402 (needs the path)
+from tools.soak.proxy import Proxy  # noqa: E402
+from tools.soak.run import find_violations, run_seed  # noqa: E402
 
 SEED = 1
 TASK = TaskId("a", 0, 0, 0)
@@ -56,6 +61,67 @@
         self.assertEqual(["a runs on though cancelled"], find_violations(site, cancelled))
 
 
+class ProxyTest(TrioTestCase):
+    async def open_proxy(self, nursery, link=None):
+        """Return a proxy to a server that sends back what it receives."""
+
+        async def echo(stream):
+            # Ends when the proxy resets the connection.
+            with suppress(trio.BrokenResourceError):
+                async for data in stream:
+                    await stream.send_all(data)
+
+        (listener,) = await nursery.start(partial(trio.serve_tcp, host="127.0.0.1"), echo, 0)
+        proxy = Proxy(listener.socket.getsockname()[1], link or Link())
+        await nursery.start(proxy.run)
+        return proxy
+
+    async def connect(self, proxy):
+        return await trio.open_tcp_stream("127.0.0.1", int(proxy.address.rpartition(":")[2]))
+
+    async def exchange(self, stream, data):
+        await stream.send_all(data)
+        received = b""
+        while len(received) < len(data):
+            received += await stream.receive_some()
+        self.assertEqual(data, received)
+
+    async def test_connections_share_the_bandwidth(self):
+        async with trio.open_nursery() as nursery:
+            proxy = await self.open_proxy(nursery, Link(100_000))
+            streams = [await self.connect(proxy) for _ in range(2)]
+            began = trio.current_time()
+            async with trio.open_nursery() as senders:
+                for stream in streams:
+                    senders.start_soon(self.exchange, stream, b"x" * 20_000)
+            self.assertGreaterEqual(trio.current_time() - began, 0.4)
+            nursery.cancel_scope.cancel()
+
+    async def test_silenced_connections_stay_silent_and_new_ones_work(self):
+        async with trio.open_nursery() as nursery:
+            proxy = await self.open_proxy(nursery)
+            stream = await self.connect(proxy)
+            await self.exchange(stream, b"x")
+            proxy.silence()
+            proxy.clear_faults()
+            with trio.move_on_after(0.2) as silence:
+                await self.exchange(stream, b"x")
+            self.assertTrue(silence.cancelled_caught)
+            await self.exchange(await self.connect(proxy), b"x")
+            nursery.cancel_scope.cancel()
+
+    async def test_connections_are_reset(self):
+        async with trio.open_nursery() as nursery:
+            proxy = await self.open_proxy(nursery)
+            stream = await self.connect(proxy)
+            await self.exchange(stream, b"x")
+            await proxy.reset()
+            with self.assertRaises(trio.BrokenResourceError) as caught:
+                await stream.receive_some()
+            self.assertIsInstance(caught.exception.__cause__, ConnectionResetError)
+            nursery.cancel_scope.cancel()
+
+
 class SeedTest(unittest.TestCase):
     def test_a_seed_keeps_every_promise(self):
         with tempfile.TemporaryDirectory() as folder:
