Let the soak change the configuration on slow links, in overlapping series of faults

Cause: the soak could not have found the incident LOST: its configuration never changed, and no check asked every node for the state of a job at the end. Change: seeds from 1000 on give each node a link for the whole run, half of the nodes 1 to 5 Mbit/s; every tenth has 16 nodes, the others 4. Each begins with a growth of the configuration whose transfer outlasts the client's timeouts on the slowest link, and starts faults in series while others are in force. New in the registry: growth, storm of versions, replaced API key, withdrawn zone, rolling stop, connections silent for good, series of resets. Lower seeds keep their faults and links. Callers keep connections open, one task stays at each node, and some requests use removed queues and revoked keys. New checks: replies that only an older version allows, later than configuration_ms after the confirmation; an accepted job that is unknown; a start in a withdrawn zone; at the end, the state of accepted jobs, a removed queue, a revoked and an added key at every node, which may not forward the request. Two starts of one node no longer overlap, and nodes listen on loopback addresses of their own, whose ports no outgoing connection takes. Result: every check has a broken history that it finds (tools.tests.test_soak).

--- a/Makefile
+++ b/Makefile
@@ -36,7 +36,7 @@
 
 # Run real nodes on loopback under random external faults: SEEDS=50, or SECONDS=300 with new seeds.
 SECONDS ?= 0
-FIRST ?= 1
+FIRST ?= 1001
 soak: setup
 	@$(BIN)/python -m tools.soak --seeds $(SEEDS) --first $(FIRST) --seconds $(SECONDS)
 
--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -5,18 +5,22 @@
 from random import Random
 
 import attrs
-import httpcore
 import orjson
 import trio
 
+from tools.soak.configurations import STABLE_KEY, STABLE_QUEUES
+from tools.soak.connections import Connections, Reply
 from tools.soak.site import SoakSite
 
-__all__ = ["Callers"]
+__all__ = ["Callers", "REFUSALS"]
 
 ATTEMPTS = 12
-CALL_SECONDS = 2.0
 RETRY_SECONDS = 0.4
 CANCEL_SHARE = 0.1
+RETIRED_SHARE = 0.2
+REFUSALS = (401, 404, 429, 503)
+"""Statuses of requests without effect."""
+
 STEPS = (
     {"count": 1, "cpu": 1000, "mem_mb": 500},
     {"count": 4, "cpu": 2000, "mem_mb": 500, "saves_progress": True},
@@ -31,70 +35,92 @@
 
     :param site: the site.
     :param random: source of the random choices.
-    :param accepted: jobs that were accepted.
-    :param refused: jobs that must not run, as each reply refused them with 429 or 503.
+    :param connections: connections to the nodes.
+    :param accepted_at_by_job: time of the reply that accepted a job, on the trio clock.
+    :param refused: jobs that must not run, as each reply refused them.
     :param cancelled: jobs whose cancellation was confirmed.
-    :param paths_by_job: path of each submitted job.
     """
 
     site: SoakSite
     random: Random
-    accepted: set[str] = attrs.field(factory=set)
+    connections: Connections
+    accepted_at_by_job: dict[str, float] = attrs.field(factory=dict)
     refused: set[str] = attrs.field(factory=set)
     cancelled: set[str] = attrs.field(factory=set)
-    paths_by_job: dict[str, str] = attrs.field(factory=dict)
-    _pool: httpcore.AsyncConnectionPool = attrs.field(factory=httpcore.AsyncConnectionPool)
 
-    async def submit_for(self, seconds: float) -> None:
-        """Submit jobs for some seconds, each from a separate task."""
+    async def submit_until(self, finished: trio.Event) -> None:
+        """Submit jobs until an event, each from a separate task, and from one task at each node."""
         async with trio.open_nursery() as nursery:
-            with trio.move_on_after(seconds):
-                while True:
-                    nursery.start_soon(self._submit)
-                    await trio.sleep(self.random.expovariate(4))
+            for node in range(len(self.site.addresses)):
+                nursery.start_soon(self._stay_at, node, finished)
+            while not finished.is_set():
+                nursery.start_soon(self._submit)
+                await trio.sleep(self.random.expovariate(4))
 
     async def state(self, job: str) -> str:
         """Return the state of a job as a random node reports it.
 
         It is ``status-`` and the HTTP status on an error; the status is 0 without a reply.
         """
-        status, body = await self._call("GET", self.paths_by_job[job])
-        return orjson.loads(body).get("state", "") if status == 200 else f"status-{status}"
+        # A job can be read through every queue of its workspace; its own may be gone.
+        reply = await self.connections.call(
+            self._random_node(), "GET", STABLE_QUEUES[0].name, job, STABLE_KEY
+        )
+        return reply.state
+
+    async def _stay_at(self, node: int, finished: trio.Event) -> None:
+        """Submit through one node only, over connections that stay open until its process ends."""
+        while not finished.is_set():
+            await self._submit(node)
+            await trio.sleep(self.random.uniform(0.2, 1.5))
 
-    async def _submit(self) -> None:
+    async def _submit(self, node: int | None = None) -> None:
         job = f"{self.random.getrandbits(64):016x}"
-        queue = self.random.choice(["urgent", "low"])
-        self.paths_by_job[job] = path = f"/{queue}/{job}"
+        queue, key = self._choose_queue(), self._choose_key()
         steps = [self.random.choice(STEPS)]
         if self.random.random() < 0.3:
             steps.append({**self.random.choice(STEPS), "after": [0]})
         body = orjson.dumps({"spec": "x", "steps": steps})
-        outcome_unknown = False
-        for _ in range(ATTEMPTS):
-            status, _ = await self._call("POST", path, body)
-            if status == 200:
-                self.accepted.add(job)
+        if await self._submit_repeatedly(node, queue, job, key, body):
+            if self.random.random() < CANCEL_SHARE:
+                await self._cancel(job)
+
+    async def _submit_repeatedly(
+        self, node: int | None, queue: str, job: str, key: str, body: bytes
+    ) -> bool:
+        """Submit a job until a reply is final; return whether it was accepted."""
+        statuses: list[int] = []
+        while len(statuses) < ATTEMPTS:
+            chosen = self._random_node() if node is None else node
+            reply = await self.connections.call(chosen, "POST", queue, job, key, body)
+            statuses.append(reply.status)
+            if reply.status == 200:
+                self.accepted_at_by_job[job] = trio.current_time()
+                return True
+            if reply.status in (401, 404):
                 break
-            outcome_unknown = outcome_unknown or status not in (429, 503)
             await trio.sleep(RETRY_SECONDS)
-        else:
-            if not outcome_unknown:
-                self.refused.add(job)
-            return
-        if self.random.random() < CANCEL_SHARE:
-            status, _ = await self._call("DELETE", path)
-            if status == 200:
-                self.cancelled.add(job)
-
-    async def _call(self, method: str, path: str, body: bytes = b"") -> tuple[int, bytes]:
-        address = self.random.choice(self.site.addresses)
-        headers = {"Host": "h", "Authorization": "Bearer key"}
-        with trio.move_on_after(CALL_SECONDS):
-            try:
-                reply = await self._pool.request(
-                    method, f"http://{address}{path}", headers=headers, content=body
-                )
-                return reply.status, reply.content
-            except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException):
-                return 0, b""
-        return 0, b""
+        if all(status in REFUSALS for status in statuses):
+            self.refused.add(job)
+        return False
+
+    async def _cancel(self, job: str) -> None:
+        node, queue = self._random_node(), STABLE_QUEUES[0].name
+        reply: Reply = await self.connections.call(node, "DELETE", queue, job, STABLE_KEY)
+        if reply.status == 200:
+            self.cancelled.add(job)
+
+    def _random_node(self) -> int:
+        return self.random.randrange(len(self.site.addresses))
+
+    def _choose_queue(self) -> str:
+        configurations = self.site.configurations
+        if configurations.retired_queues and self.random.random() < RETIRED_SHARE:
+            return self.random.choice(configurations.retired_queues)
+        return self.random.choice(configurations.caller_queues)
+
+    def _choose_key(self) -> str:
+        configurations = self.site.configurations
+        if configurations.retired_keys and self.random.random() < RETIRED_SHARE:
+            return self.random.choice(configurations.retired_keys)
+        return self.random.choice(configurations.keys)
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -7,28 +7,41 @@
 
 import trio
 
+from tools.soak.profile import FIRST_CHANGES_SEED, Profile
 from tools.soak.site import SoakSite
 
-__all__ = ["faults_by_name"]
+__all__ = ["fault", "fault_names", "faults_by_name"]
+
+ROLLING_GROUPS = 4
 
 Fault = Callable[[SoakSite, Random], Awaitable[None]]
 
 faults_by_name: dict[str, Fault] = {}
+first_seeds_by_name: dict[str, int] = {}
 
 
-def fault(name: str) -> Callable[[Fault], Fault]:
+def fault(name: str, first_seed: int = 0) -> Callable[[Fault], Fault]:
     """Return a decorator that registers a fault function.
 
     The function returns once the fault is cleared.
+
+    :param name: name of the fault.
+    :param first_seed: first seed that injects it.
     """
 
     def register(function: Fault) -> Fault:
         faults_by_name[name] = function
+        first_seeds_by_name[name] = first_seed
         return function
 
     return register
 
 
+def fault_names(profile: Profile) -> list[str]:
+    """Return the names of the faults of a seed, sorted."""
+    return sorted(name for name, seed in first_seeds_by_name.items() if profile.seed >= seed)
+
+
 @fault("kill-node")
 async def kill_node(site: SoakSite, random: Random) -> None:
     """Kill a node and start it again."""
@@ -42,7 +55,10 @@
 @fault("stop-node")
 async def stop_node(site: SoakSite, random: Random) -> None:
     """Stop a node with SIGTERM, or SIGKILL after a timeout, and start it again."""
-    number = random.randrange(len(site.processes))
+    await _stop_and_start(site, random.randrange(len(site.processes)))
+
+
+async def _stop_and_start(site: SoakSite, number: int) -> None:
     await site.signal_node(number, "SIGTERM")
     with trio.move_on_after(8):
         await site.wait_node(number)
@@ -113,3 +129,31 @@
 async def drop_history(site: SoakSite, random: Random) -> None:
     """Make the store discard its history of changes."""
     site.store.compact_history()
+
+
+@fault("silence-connections", FIRST_CHANGES_SEED)
+async def silence_connections(site: SoakSite, random: Random) -> None:
+    """Make the open connections from some nodes to the store silent for good; new ones work."""
+    for proxy in random.sample(site.store_proxies, random.randint(1, len(site.store_proxies))):
+        proxy.silence()
+
+
+@fault("reset-connections", FIRST_CHANGES_SEED)
+async def reset_connections(site: SoakSite, random: Random) -> None:
+    """Reset the open connections of a node to the store, or of the nodes to a worker, in series."""
+    proxy = random.choice(site.store_proxies + site.worker_proxies)
+    for _ in range(random.randint(1, 5)):
+        await proxy.reset()
+        await trio.sleep(random.uniform(0.1, 1))
+
+
+@fault("rolling-stop", FIRST_CHANGES_SEED)
+async def rolling_stop(site: SoakSite, random: Random) -> None:
+    """Stop all nodes in turn, a quarter of a large site at once, and start each again."""
+    numbers = list(range(len(site.processes)))
+    random.shuffle(numbers)
+    size = max(1, len(numbers) // ROLLING_GROUPS)
+    for start in range(0, len(numbers), size):
+        async with trio.open_nursery() as nursery:
+            for number in numbers[start : start + size]:
+                nursery.start_soon(_stop_and_start, site, number)
--- /dev/null
+++ b/tools/soak/final_checks.py
@@ -0,0 +1,60 @@
+"""Checks that every node serves callers after all faults have been cleared."""
+
+from __future__ import annotations
+
+import trio
+
+from tools.soak.callers import Callers
+from tools.soak.configurations import STABLE_KEY, STABLE_QUEUES
+from tools.soak.connections import CALL_SECONDS
+
+__all__ = ["check_nodes"]
+
+JOBS_READ = 5
+RETRY_SECONDS = 0.2
+
+
+async def check_nodes(callers: Callers) -> list[str]:
+    """Return a line for each wrong or missing reply of a node to requests of its own callers.
+
+    Each node must report the state of accepted jobs, and refuse a removed queue and a revoked key,
+    within the time for which callers wait.
+    """
+    violations: list[str] = []
+    async with trio.open_nursery() as nursery:
+        for node in range(len(callers.connections.addresses)):
+            nursery.start_soon(_check_node, callers, node, violations)
+    return sorted(violations)
+
+
+async def _check_node(callers: Callers, node: int, violations: list[str]) -> None:
+    configurations = callers.site.configurations
+    queue = STABLE_QUEUES[0].name
+    accepted = sorted(callers.accepted_at_by_job)
+    jobs = callers.random.sample(accepted, min(JOBS_READ, len(accepted)))
+    expected = [(queue, job, STABLE_KEY, 200) for job in jobs]
+    for job in jobs[:1]:
+        expected += [(each, job, STABLE_KEY, 404) for each in configurations.retired_queues[-1:]]
+        expected += [(queue, job, each, 401) for each in configurations.retired_keys[-1:]]
+        expected += [(queue, job, each, 200) for each in configurations.keys]
+    async with trio.open_nursery() as nursery:
+        for item in expected:
+            nursery.start_soon(_expect, callers, node, item, violations)
+
+
+async def _expect(
+    callers: Callers, node: int, expected: tuple[str, str, str, int], violations: list[str]
+) -> None:
+    queue, job, key, status = expected
+    got = "no reply"
+    with trio.move_on_after(CALL_SECONDS):
+        while True:
+            # Not forwardable, as another node would hide that this one cannot reply.
+            reply = await callers.connections.call(node, "GET", queue, job, key, forwardable=False)
+            if reply.status == status:
+                return
+            got = reply.status or got
+            await trio.sleep(RETRY_SECONDS)
+    violations.append(
+        f"node {node} got GET of {job} in {queue} with {key} and replied {got}, not {status}"
+    )
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -6,21 +6,24 @@
 from random import Random
 
 import trio
-from mimosapoint.testing.run_checks import run_violations
 
 from tools.soak.callers import Callers
-from tools.soak.faults import faults_by_name
+from tools.soak.checks import find_violations
+from tools.soak.connections import Connections
+from tools.soak.final_checks import check_nodes
+from tools.soak.profile import profile_of
+from tools.soak.schedule import inject_faults
 from tools.soak.site import SoakSite
 
 __all__ = ["run_seed"]
 
-NODES = 3
-WORKERS = 6
 WARM_UP_SECONDS = 3.0
 FAULT_SECONDS = 10.0
 JOBS_END_SECONDS = 40.0
-SMALL_CORES = 0.5
-FIRST_SMALL_SEED = 500
+CALM_SECONDS = 4.0
+"""Time after the last fault and change, in addition to the time that the links need, after which
+every node must serve callers."""
+
 ENDED = ("complete", "cancelled")
 
 
@@ -30,48 +33,37 @@
     :returns: the violations, the names of the injected faults, and the number of accepted jobs.
     """
     random = Random(seed)
+    profile = profile_of(seed)
     async with trio.open_nursery() as nursery:
-        site = SoakSite(folder, nursery, _cores(seed))
+        site = SoakSite(folder, nursery, profile)
         try:
-            await site.start(NODES, WORKERS)
+            await site.start()
             await trio.sleep(WARM_UP_SECONDS)
-            callers = Callers(site, Random(seed + 1))
+            callers = Callers(site, Random(seed + 1), Connections(site.addresses))
             injected: list[str] = []
             async with trio.open_nursery() as background:
-                background.start_soon(callers.submit_for, FAULT_SECONDS)
-                background.start_soon(_inject_faults, site, random, injected)
+                finished = trio.Event()
+                background.start_soon(callers.submit_until, finished)
+                await inject_faults(site, random, FAULT_SECONDS, injected)
+                calm_seconds = CALM_SECONDS + site.configurations.transfer_seconds(
+                    profile.slowest_bytes_per_second
+                )
+                calm_at = trio.current_time() + calm_seconds
+                finished.set()
             violations = await _wait_unfinished_jobs(callers)
+            await trio.sleep_until(calm_at)
+            violations += await check_nodes(callers)
         finally:
             with trio.CancelScope(shield=True):
                 await site.stop()
         violations += find_violations(site, callers)
         nursery.cancel_scope.cancel()
-    return violations, injected, len(callers.accepted)
-
-
-def _cores(seed: int) -> float:
-    """Return the cores of each node; with fewer than one, other nodes relay an owner's orders.
-
-    Seeds below ``FIRST_SMALL_SEED`` were recorded before small nodes were added. They use one core,
-    so that they still reproduce the same cases.
-    """
-    return SMALL_CORES if seed >= FIRST_SMALL_SEED and seed % 2 else 1.0
-
-
-async def _inject_faults(site: SoakSite, random: Random, injected: list[str]) -> None:
-    """Inject random faults, which may overlap, for ``FAULT_SECONDS``."""
-    async with trio.open_nursery() as nursery:
-        with trio.move_on_after(FAULT_SECONDS):
-            while True:
-                name = random.choice(sorted(faults_by_name))
-                injected.append(name)
-                nursery.start_soon(faults_by_name[name], site, Random(random.random()))
-                await trio.sleep(random.expovariate(0.7))
+    return violations, injected, len(callers.accepted_at_by_job)
 
 
 async def _wait_unfinished_jobs(callers: Callers) -> list[str]:
     """Wait until all accepted jobs have ended; return one line for each that has not."""
-    unfinished_jobs = set(callers.accepted)
+    unfinished_jobs = set(callers.accepted_at_by_job)
     states: dict[str, str] = {}
     with trio.move_on_after(JOBS_END_SECONDS):
         while unfinished_jobs:
@@ -81,13 +73,3 @@
                     unfinished_jobs.discard(job)
             await trio.sleep(0.2)
     return [f"{job} is accepted and {states.get(job)}" for job in sorted(unfinished_jobs)]
-
-
-def find_violations(site: SoakSite, callers: Callers) -> list[str]:
-    """Return contradictions of the workers' history to the promises or to the callers' replies."""
-    violations = run_violations(site.simulation.history, site.simulation.over_capacity_workers)
-    started = {record.task.job for record in site.simulation.history}
-    violations += [f"{job} ran though it was refused" for job in sorted(started & callers.refused)]
-    running = {r.task.job for r in site.simulation.history if r.ended_at is None}
-    violations += [f"{job} runs on though cancelled" for job in sorted(running & callers.cancelled)]
-    return violations
--- /dev/null
+++ b/tools/soak/schedule.py
@@ -0,0 +1,46 @@
+"""Random schedule of the faults of a run."""
+
+from __future__ import annotations
+
+from random import Random
+
+import trio
+
+from tools.soak.changes import GROWTH
+from tools.soak.faults import fault_names, faults_by_name
+from tools.soak.site import SoakSite
+
+__all__ = ["inject_faults"]
+
+SERIES_LENGTHS = (1, 1, 2, 3, 4)
+SERIES_GAP_SECONDS = 0.4
+
+
+async def inject_faults(
+    site: SoakSite, random: Random, seconds: float, injected: list[str]
+) -> None:
+    """Start faults for some seconds, and return once all are cleared.
+
+    Seeds with changes begin with a growth of the configuration, and start faults in series while
+    others are in force.
+
+    :param injected: receives the names of the faults.
+    """
+    names = fault_names(site.profile)
+    async with trio.open_nursery() as nursery:
+
+        def start(name: str) -> None:
+            injected.append(name)
+            nursery.start_soon(faults_by_name[name], site, Random(random.random()))
+
+        with trio.move_on_after(seconds):
+            if site.profile.has_changes:
+                start(GROWTH)
+            while True:
+                if site.profile.has_changes:
+                    for _ in range(random.choice(SERIES_LENGTHS)):
+                        start(random.choice(names))
+                        await trio.sleep(random.uniform(0, SERIES_GAP_SECONDS))
+                else:
+                    start(random.choice(names))
+                await trio.sleep(random.expovariate(0.7))
--- a/tools/soak/site.py
+++ b/tools/soak/site.py
@@ -4,6 +4,7 @@
 
 import os
 import signal
+import socket
 import sys
 from datetime import timedelta
 from functools import partial
@@ -20,39 +21,34 @@
 )
 from mimosapoint.ports import WorkerRegistration
 from mimosapoint.telemetry import MemoryTelemetry
-from mimosapoint.workload import (
-    AcceptedJob,
-    CellConfiguration,
-    CellWorkspace,
-    Queue,
-    ResourceAmounts,
-)
+from mimosapoint.workload import AcceptedJob, ResourceAmounts
 from mimosapoint_node.http import HttpLimits, serve
 from mimosapoint_platform.tests.standin import (
     StandinFaults,
-    configuration_entry,
     store_app,
     worker_app,
     worker_entry,
 )
 
-from tools.site.ports import free_addresses
+from tools.soak.configurations import POOL, Configurations
+from tools.soak.link import Link
+from tools.soak.profile import Profile
 from tools.soak.proxy import Proxy
+from tools.soak.zones import Zones
 
-__all__ = ["CONFIGURATION", "SoakSite"]
+__all__ = ["CONFIGURATION_MS", "SoakSite"]
 
 ROOT = Path(__file__).resolve().parents[2]
 CAPACITY = ResourceAmounts(16_000, 16_000, 8)
 WORKERS_PER_RACK = 3
 RUN_TIME = timedelta(milliseconds=700)
-POOL = "pool"
-CONFIGURATION = CellConfiguration(
-    1,
-    (
-        Queue("urgent", "h", "/urgent/", POOL, 0, 3, 1.5, timedelta(seconds=1)),
-        Queue("low", "h", "/low/", POOL, 2, 3, 3.0, timedelta(seconds=1)),
-    ),
-    (CellWorkspace("t", frozenset({"key"})),),
+CONFIGURATION_MS = 2000
+ADDRESS_NAMES = (
+    "callers_address",
+    "probe_address",
+    "metrics_address",
+    "nodes_address",
+    "peers_address",
 )
 
 
@@ -73,54 +69,49 @@
 
     :param folder: folder for the settings and logs of the nodes.
     :param nursery: nursery that runs the stand-ins and proxies.
-    :param cores: ``processor_share`` of each node; below 1, other nodes relay an owner's orders.
+    :param profile: size of the site.
     """
 
-    def __init__(self, folder: Path, nursery: trio.Nursery, cores: float = 1.0):
-        self.cores = cores
+    def __init__(self, folder: Path, nursery: trio.Nursery, profile: Profile):
+        self.profile = profile
         self.folder = folder
         self.nursery = nursery
         self.store = MemoryTransactionStore(TrioClock())
+        self.configurations = Configurations(self.store)
+        self.zones = Zones(self.store)
         self.simulation = RunSimulation(TrioClock(), nursery, RUN_TIME)
         self.workers: list[MemoryRunWorker] = []
         self.worker_proxies: list[Proxy] = []
         self.store_proxies: list[Proxy] = []
         self.processes: list[trio.Process | None] = []
-        self._started: list[trio.Process] = []
         self.addresses: list[str] = []
-        self.operator_addresses: list[str] = []
-        self.node_addresses: list[str] = []
+        self._started: list[trio.Process] = []
+        self._start_locks: list[trio.Lock] = []
 
-    async def start(self, nodes: int, workers: int) -> None:
+    async def start(self) -> None:
         """Start the stand-ins, the proxies and the nodes."""
-        self.store.put("op/config", configuration_entry(1, CONFIGURATION))
+        self.configurations.publish()
         store_port = await self._serve(store_app(self.store, StandinFaults()))
         jobs = _JobsFromStore(self.store)
-        for number in range(workers):
+        for number in range(self.profile.workers):
             await self._add_worker(number, jobs)
-        for number in range(nodes):
-            self.store_proxies.append(await self._proxy(store_port))
-            for addresses in (self.addresses, self.operator_addresses, self.node_addresses):
-                addresses += free_addresses(1)
+        for number, mbps in self.profile.mbps_by_node.items():
+            self.store_proxies.append(await self._proxy(store_port, Link(mbps * 1e6 / 8)))
+            self._write_settings(number, mbps)
             self.processes.append(None)
+            self._start_locks.append(trio.Lock())
             await self.start_node(number)
         self.nursery.start_soon(self._write_heartbeats)
 
     async def start_node(self, number: int) -> None:
         """Start the process of a node, unless it runs already, as after another fault."""
-        running = self.processes[number]
-        if running is not None and running.returncode is None:
-            return
-        (probe,) = free_addresses(1)
-        settings = self.folder / f"node-{number}.yaml"
-        settings.write_text(
-            f"id: node-{number}\nzone: z{number}\nregion: r\n"
-            f"callers_address: {self.addresses[number]}\n"
-            f"probe_address: {probe}\nmetrics_address: {self.operator_addresses[number]}\n"
-            f"nodes_address: {self.node_addresses[number]}\n"
-            f"processor_share: {self.cores}\n"
-            f"store_address: {self.store_proxies[number].address}\n"
-        )
+        async with self._start_locks[number]:
+            running = self.processes[number]
+            if running is None or running.returncode is not None:
+                await self._start_process(number)
+
+    async def _start_process(self, number: int) -> None:
+        settings = self._settings_path(number)
         environment = {**os.environ, "MIMOSAPOINT_CONFIG": str(settings)}
         with (self.folder / f"node-{number}.log").open("ab") as log:
             process = await trio.lowlevel.open_process(
@@ -132,6 +123,22 @@
         self.processes[number] = process
         self._started.append(process)
 
+    def _settings_path(self, number: int) -> Path:
+        return self.folder / f"node-{number}.yaml"
+
+    def _write_settings(self, number: int, mbps: float) -> None:
+        address_by_name = dict(zip(ADDRESS_NAMES, _node_addresses(number), strict=True))
+        if not self.profile.has_changes:
+            del address_by_name["peers_address"]
+        self.addresses.append(address_by_name["callers_address"])
+        self._settings_path(number).write_text(
+            f"id: node-{number}\nzone: z{number}\nregion: r\n"
+            + "".join(f"{name}: {address}\n" for name, address in address_by_name.items())
+            + f"processor_share: {self.profile.cores}\nlink_mbps: {mbps}\n"
+            f"store_address: {self.store_proxies[number].address}\n"
+            f"bounds: {{configuration_ms: {CONFIGURATION_MS}}}\n"
+        )
+
     async def signal_node(self, number: int, name: str) -> None:
         """Send a signal to the process of a node, if it runs.
 
@@ -170,8 +177,8 @@
         address = await self.nursery.start(serving)
         return int(address.rpartition(":")[2])
 
-    async def _proxy(self, port: int) -> Proxy:
-        proxy = Proxy(port)
+    async def _proxy(self, port: int, link: Link | None = None) -> Proxy:
+        proxy = Proxy(port, link or Link())
         await self.nursery.start(proxy.run)
         return proxy
 
@@ -182,3 +189,20 @@
                 entry = worker_entry(worker, proxy.address)
                 self.store.put(f"servers/{worker.registration.id}", entry)
             await trio.sleep(1)
+
+
+def _node_addresses(number: int) -> list[str]:
+    """Return free addresses on a loopback IP of the node.
+
+    Connections leave from 127.0.0.1, so that none takes a port of a node that is restarting.
+    """
+    process = os.getpid()
+    host = f"127.{1 + process // 256 % 254}.{process % 256}.{number + 1}"
+    sockets = [socket.socket() for _ in ADDRESS_NAMES]
+    try:
+        for each in sockets:
+            each.bind((host, 0))
+        return [f"{host}:{each.getsockname()[1]}" for each in sockets]
+    finally:
+        for each in sockets:
+            each.close()
--- a/tools/tests/test_soak.py
+++ b/tools/tests/test_soak.py
@@ -6,10 +6,11 @@
 from contextlib import suppress
 from functools import partial
 from pathlib import Path
+from random import Random
 from types import SimpleNamespace
 
 import trio
-from mimosapoint.memory import RunRecord
+from mimosapoint.memory import MemoryTransactionStore, RunRecord, TrioClock
 from mimosapoint.testing import TrioTestCase
 from mimosapoint.testing.run_checks import run_violations
 from mimosapoint.workload import ResourceAmounts, RunEnd, Step, TaskId
@@ -17,11 +18,20 @@
 ROOT = Path(__file__).resolve().parents[2]
 sys.path.insert(0, str(ROOT / "platform"))
 
-from tools.soak.link import Link  # noqa: E402 (needs the path)
+from tools.soak import checks  # noqa: E402 (needs the path)
+from tools.soak.callers import Callers  # noqa: E402
+from tools.soak.configurations import Configurations  # noqa: E402
+from tools.soak.connections import Reply, Request  # noqa: E402
+from tools.soak.final_checks import check_nodes  # noqa: E402
+from tools.soak.link import Link  # noqa: E402
 from tools.soak.proxy import Proxy  # noqa: E402
-from tools.soak.run import find_violations, run_seed  # noqa: E402
+from tools.soak.run import run_seed  # noqa: E402
+from tools.soak.zones import Zones  # noqa: E402
 
 SEED = 1
+CHANGES_SEED = 1001
+"""Seed with slow links and a growth of the configuration, as in the incident LOST."""
+
 TASK = TaskId("a", 0, 0, 0)
 STEP = Step(1, ResourceAmounts(1))
 
@@ -30,6 +40,10 @@
     return RunRecord(TASK, run, "w", STEP, began, ended, end, **more)
 
 
+def request(status, sent_at, queue="urgent", key="key", job="a"):
+    return Request(0, "POST", queue, job, key, sent_at, sent_at + 0.1, status)
+
+
 class CheckTest(unittest.TestCase):
     def test_a_correct_history_has_no_violations(self):
         history = [record(1, 0, 1), record(2, 1, 2, RunEnd.DONE)]
@@ -53,12 +67,128 @@
                 self.assertTrue(any(expected in line for line in found), found)
 
     def test_replies_that_contradict_the_workers_are_found(self):
-        simulation = SimpleNamespace(history=[record(1, 0, None, None)], over_capacity_workers=[])
-        site = SimpleNamespace(simulation=simulation)
-        refused = SimpleNamespace(refused={"a"}, cancelled=set())
-        self.assertEqual(["a ran though it was refused"], find_violations(site, refused))
-        cancelled = SimpleNamespace(refused=set(), cancelled={"a"})
-        self.assertEqual(["a runs on though cancelled"], find_violations(site, cancelled))
+        history = [record(1, 0, None, None)]
+        found = checks.run_reply_contradictions(history, {"a"}, set())
+        self.assertEqual(["a ran though it was refused"], found)
+        found = checks.run_reply_contradictions(history, set(), {"a"})
+        self.assertEqual(["a runs on though cancelled"], found)
+        self.assertEqual([], checks.run_reply_contradictions(history, {"b"}, {"b"}))
+
+    def test_a_job_that_is_unknown_after_its_acceptance_is_found(self):
+        for sent_at, expected in ((4, []), (6, ["a is accepted and unknown to node 0"])):
+            with self.subTest(sent_at=sent_at):
+                self.assertEqual(expected, checks.unknown_jobs([request(410, sent_at)], {"a": 5}))
+
+    def test_a_start_in_a_withdrawn_zone_is_found(self):
+        worker = SimpleNamespace(registration=SimpleNamespace(zone="z"))
+        zones = Zones(None, {"z": [(0, 10)]})
+        for began, count in ((2.9, 0), (3.1, 1), (9.9, 1), (10.1, 0)):
+            with self.subTest(began=began):
+                simulation = SimpleNamespace(
+                    history=[record(1, began, began + 1)], workers_by_id={"w": worker}
+                )
+                self.assertEqual(count, len(checks.starts_in_withdrawn_zones(simulation, zones)))
+
+    def test_every_check_takes_part_in_a_run(self):
+        requests = [request(410, 6), request(200, 6, queue="unknown")]
+        worker = SimpleNamespace(registration=SimpleNamespace(zone="z"))
+        simulation = SimpleNamespace(
+            history=[record(1, 9, None, None)],
+            over_capacity_workers=["w"],
+            workers_by_id={"w": worker},
+        )
+        site = SimpleNamespace(
+            simulation=simulation,
+            configurations=Configurations(None),
+            zones=Zones(None, {"z": [(0, None)]}),
+        )
+        callers = SimpleNamespace(
+            connections=SimpleNamespace(requests=requests),
+            accepted_at_by_job={"a": 5},
+            refused={"a"},
+            cancelled={"a"},
+        )
+        found = "\n".join(checks.find_violations(site, callers))
+        for part in ("capacity", "refused", "cancelled", "unknown to", "not allow", "withdrawn"):
+            self.assertIn(part, found)
+
+
+class ConfigurationCheckTest(TrioTestCase):
+    mock_clock = True
+
+    async def make_versions(self):
+        """Return versions at 0, 10 and 20 s: one, one with another queue and key, one without."""
+        configurations = Configurations(MemoryTransactionStore(TrioClock()))
+        configurations.publish()
+        configurations.add_queues(1)
+        configurations.replace_key(None, "other")
+        queue = configurations.latest.queues[-1].name
+        configurations.remove_queue(queue)
+        configurations.replace_key("other", "third")
+        one, _, both, _, without = configurations.versions
+        configurations.versions = [
+            type(one)(at, each.entry_bytes, each.configuration)
+            for at, each in ((0, one), (10, both), (20, without))
+        ]
+        self.assertEqual([queue], configurations.retired_queues)
+        self.assertEqual(["other"], configurations.retired_keys)
+        return configurations, queue
+
+    async def test_replies_of_an_older_version_are_found(self):
+        configurations, queue = await self.make_versions()
+        cases = (
+            ("removed queue", [request(200, at, queue=queue) for at in (21.9, 22.1)]),
+            ("revoked key", [request(200, at, key="other") for at in (21.9, 22.1)]),
+            ("revoked key, job read", [request(410, at, key="other") for at in (21.9, 22.1)]),
+            ("new queue", [request(404, at, queue=queue) for at in (11.9, 12.1)]),
+            ("new key", [request(401, at, key="other") for at in (11.9, 12.1)]),
+        )
+        for name, (in_time, late) in cases:
+            with self.subTest(name=name):
+                self.assertEqual([], checks.outdated_replies([in_time], configurations))
+                self.assertEqual(1, len(checks.outdated_replies([late], configurations)))
+
+    async def test_refusals_without_a_version_are_allowed(self):
+        configurations, queue = await self.make_versions()
+        replies = [request(status, 25, queue=queue) for status in (0, 429, 503, 504)]
+        self.assertEqual([], checks.outdated_replies(replies, configurations))
+
+    async def test_a_node_that_does_not_serve_callers_at_the_end_is_found(self):
+        configurations, queue = await self.make_versions()
+
+        def right(node, asked_queue, key):
+            return 404 if asked_queue == queue else 401 if key == "other" else 200
+
+        cases = {
+            "right replies": (right, 0),
+            "no reply": (lambda *asked: 0 if asked[0] == 1 else right(*asked), 5),
+            "only refusals, as in the incident LOST": (
+                lambda *asked: 503 if asked[0] == 1 else right(*asked),
+                5,
+            ),
+            "removed queue served": (
+                lambda node, asked_queue, key: right(node, "urgent", key),
+                2,
+            ),
+            "revoked key served": (lambda node, asked_queue, key: right(node, asked_queue, ""), 2),
+            "added key refused": (lambda *asked: 401 if asked[2] == "third" else right(*asked), 2),
+        }
+        for name, (status_of, count) in cases.items():
+            with self.subTest(name=name):
+                connections = FakeConnections(status_of)
+                site = SimpleNamespace(configurations=configurations)
+                callers = Callers(site, Random(1), connections, {"a": 1.0})
+                self.assertEqual(count, len(await check_nodes(callers)))
+
+
+class FakeConnections:
+    def __init__(self, status_of):
+        self.addresses = ["first", "second"]
+        self.status_of = status_of
+
+    async def call(self, node, method, queue, job, key, body=b"", forwardable=True):
+        await trio.sleep(0)
+        return Reply(self.status_of(node, queue, key))
 
 
 class ProxyTest(TrioTestCase):
@@ -123,8 +253,14 @@
 
 
 class SeedTest(unittest.TestCase):
-    def test_a_seed_keeps_every_promise(self):
+    def check_seed(self, seed):
         with tempfile.TemporaryDirectory() as folder:
-            violations, faults, accepted = trio.run(run_seed, SEED, Path(folder))
+            violations, faults, accepted = trio.run(run_seed, seed, Path(folder))
         self.assertEqual([], violations, faults)
         self.assertGreater(accepted, 0)
+
+    def test_a_seed_keeps_every_promise(self):
+        self.check_seed(SEED)
+
+    def test_a_seed_with_changes_keeps_every_promise(self):
+        self.check_seed(CHANGES_SEED)
