Log the faults of a soak run, and delays of its stand-ins

The logs could not tell whether the stand-ins had been without processor time, nor when faults were in force. Change: soak.log in the folder of a run has the begin and end of each fault, and each delay of a timer of 0.3 s or more with the processor time used in it; the longest delay is in the line of the seed. The verdict does not depend on it.

--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -48,13 +48,17 @@
     seeds_run = seeds_failed = 0
     for seed in choose_seeds(seeds, first, seconds, failed):
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-        violations, faults, accepted = trio.run(run_seed, seed, folder)
-        verdict = "broken" if violations else "kept"
-        print(f"seed={seed} {verdict} accepted={accepted} faults={','.join(faults)}", flush=True)
-        for line in violations:
+        result = trio.run(run_seed, seed, folder)
+        verdict = "broken" if result.violations else "kept"
+        print(
+            f"seed={seed} {verdict} accepted={result.accepted} lag={result.lag:.2f}"
+            f" faults={','.join(result.faults)}",
+            flush=True,
+        )
+        for line in result.violations:
             print(f"  {line}; logs in {folder}", flush=True)
         seeds_run += 1
-        seeds_failed += bool(violations)
+        seeds_failed += bool(result.violations)
     print(f"{seeds_run - seeds_failed} passed, {seeds_failed} failed")
     sys.exit(1 if seeds_failed else 0)
 
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -5,6 +5,7 @@
 from pathlib import Path
 from random import Random
 
+import attrs
 import trio
 
 from tools.soak.callers import Callers
@@ -15,7 +16,7 @@
 from tools.soak.schedule import inject_faults
 from tools.soak.site import SoakSite
 
-__all__ = ["run_seed"]
+__all__ = ["Result", "run_seed"]
 
 WARM_UP_SECONDS = 3.0
 FAULT_SECONDS = 10.0
@@ -27,11 +28,24 @@
 ENDED = ("complete", "cancelled")
 
 
-async def run_seed(seed: int, folder: Path) -> tuple[list[str], list[str], int]:
-    """Run one seed.
+@attrs.frozen
+class Result:
+    """Result of a seed.
 
-    :returns: the violations, the names of the injected faults, and the number of accepted jobs.
+    :param violations: the violations, one line each.
+    :param faults: names of the injected faults.
+    :param accepted: number of accepted jobs.
+    :param lag: longest delay of the stand-ins in seconds.
     """
+
+    violations: list[str]
+    faults: list[str]
+    accepted: int
+    lag: float
+
+
+async def run_seed(seed: int, folder: Path) -> Result:
+    """Run one seed."""
     random = Random(seed)
     profile = profile_of(seed)
     async with trio.open_nursery() as nursery:
@@ -58,7 +72,7 @@
                 await site.stop()
         violations += find_violations(site, callers)
         nursery.cancel_scope.cancel()
-    return violations, injected, len(callers.accepted_at_by_job)
+    return Result(violations, injected, len(callers.accepted_at_by_job), site.log.most_lag)
 
 
 async def _wait_unfinished_jobs(callers: Callers) -> list[str]:
--- a/tools/soak/schedule.py
+++ b/tools/soak/schedule.py
@@ -31,7 +31,7 @@
 
         def start(name: str) -> None:
             injected.append(name)
-            nursery.start_soon(faults_by_name[name], site, Random(random.random()))
+            nursery.start_soon(_inject, site, name, Random(random.random()))
 
         with trio.move_on_after(seconds):
             if site.profile.has_changes:
@@ -44,3 +44,9 @@
                 else:
                     start(random.choice(names))
                 await trio.sleep(random.expovariate(0.7))
+
+
+async def _inject(site: SoakSite, name: str, random: Random) -> None:
+    site.log.write("fault-begins", name=name)
+    await faults_by_name[name](site, random)
+    site.log.write("fault-ended", name=name)
--- a/tools/soak/site.py
+++ b/tools/soak/site.py
@@ -32,6 +32,7 @@
 
 from tools.soak.configurations import POOL, Configurations
 from tools.soak.link import Link
+from tools.soak.log import SoakLog
 from tools.soak.profile import Profile
 from tools.soak.proxy import Proxy
 from tools.soak.zones import Zones
@@ -75,6 +76,7 @@
     def __init__(self, folder: Path, nursery: trio.Nursery, profile: Profile):
         self.profile = profile
         self.folder = folder
+        self.log = SoakLog(folder / "soak.log")
         self.nursery = nursery
         self.store = MemoryTransactionStore(TrioClock())
         self.configurations = Configurations(self.store)
@@ -102,6 +104,7 @@
             self._start_locks.append(trio.Lock())
             await self.start_node(number)
         self.nursery.start_soon(self._write_heartbeats)
+        self.nursery.start_soon(self.log.run_lag_probe)
 
     async def start_node(self, number: int) -> None:
         """Start the process of a node, unless it runs already, as after another fault."""
--- a/tools/tests/test_soak.py
+++ b/tools/tests/test_soak.py
@@ -255,9 +255,9 @@
 class SeedTest(unittest.TestCase):
     def check_seed(self, seed):
         with tempfile.TemporaryDirectory() as folder:
-            violations, faults, accepted = trio.run(run_seed, seed, Path(folder))
-        self.assertEqual([], violations, faults)
-        self.assertGreater(accepted, 0)
+            result = trio.run(run_seed, seed, Path(folder))
+        self.assertEqual([], result.violations, f"lag {result.lag:.2f} s; {result.faults}")
+        self.assertGreater(result.accepted, 0)
 
     def test_a_seed_keeps_every_promise(self):
         self.check_seed(SEED)
