Repeat the last check of a soak run after a delay of its stand-ins

So the stand-in of the store did not run in the time of the check, as the machine had no processor time for it; the refusals were true. Change: the check requires that no fault is in force, and such a delay is one. After a delay of 0.5 s or more within it, a check that failed is repeated after 2 s, at most four times, and the last one counts in any case. Without a delay nothing changes. soak.log has final-check-repeated.

--- a/tools/soak/final_checks.py
+++ b/tools/soak/final_checks.py
@@ -12,14 +12,31 @@
 
 JOBS_READ = 5
 RETRY_SECONDS = 0.2
+ROUNDS = 5
+OUTAGE_SECONDS = 0.5
+LAG_PROBE_SECONDS = 0.2
+CALM_SECONDS = 2.0
 
 
 async def check_nodes(callers: Callers) -> list[str]:
     """Return a line for each wrong or missing reply of a node to requests of its own callers.
 
     Each node must report the state of accepted jobs, and refuse a removed queue and a revoked key,
-    within the time for which callers wait.
+    within the time for which callers wait. A delay of the stand-ins is an outage of the store, so
+    the check is repeated after one; the last repetition counts in any case.
     """
+    for _ in range(ROUNDS):
+        began = trio.current_time()
+        violations = await _check_once(callers)
+        await trio.sleep(LAG_PROBE_SECONDS)
+        if not violations or callers.site.log.longest_lag(began) < OUTAGE_SECONDS:
+            break
+        callers.site.log.write("final-check-repeated", violations=len(violations))
+        await trio.sleep(CALM_SECONDS)
+    return violations
+
+
+async def _check_once(callers: Callers) -> list[str]:
     violations: list[str] = []
     async with trio.open_nursery() as nursery:
         for node in range(len(callers.connections.addresses)):
--- a/tools/soak/log.py
+++ b/tools/soak/log.py
@@ -20,12 +20,16 @@
     """Writes lines in the form of the nodes' logs.
 
     :param path: the file.
-    :param most_lag: longest delay of a timer in seconds. A delay of the stand-ins looks like a
-        silent store to the nodes.
+    :param lags: end on the trio clock, and length in seconds, of each long delay of a timer. A
+        delay of the stand-ins looks like a silent store to the nodes.
     """
 
     path: Path
-    most_lag: float = 0.0
+    lags: list[tuple[float, float]] = attrs.field(factory=list)
+
+    def longest_lag(self, since: float = 0.0) -> float:
+        """Return the longest delay that ended since a time; 0 if none was long."""
+        return max((seconds for at, seconds in self.lags if at >= since), default=0.0)
 
     def write(self, event: str, **fields: object) -> None:
         """Append a line."""
@@ -42,7 +46,7 @@
             due, processor = trio.current_time() + PROBE_SECONDS, time.process_time()
             await trio.sleep_until(due)
             lag = trio.current_time() - due
-            self.most_lag = max(self.most_lag, lag)
             if lag >= LOGGED_LAG_SECONDS:
+                self.lags.append((trio.current_time(), lag))
                 used = time.process_time() - processor
                 self.write("lag", seconds=round(lag, 3), processor_seconds=round(used, 3))
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -72,7 +72,7 @@
                 await site.stop()
         violations += find_violations(site, callers)
         nursery.cancel_scope.cancel()
-    return Result(violations, injected, len(callers.accepted_at_by_job), site.log.most_lag)
+    return Result(violations, injected, len(callers.accepted_at_by_job), site.log.longest_lag())
 
 
 async def _wait_unfinished_jobs(callers: Callers) -> list[str]:
--- a/tools/tests/test_soak.py
+++ b/tools/tests/test_soak.py
@@ -24,6 +24,7 @@
 from tools.soak.connections import Reply, Request  # noqa: E402
 from tools.soak.final_checks import check_nodes  # noqa: E402
 from tools.soak.link import Link  # noqa: E402
+from tools.soak.log import SoakLog  # noqa: E402
 from tools.soak.proxy import Proxy  # noqa: E402
 from tools.soak.run import run_seed  # noqa: E402
 from tools.soak.zones import Zones  # noqa: E402
@@ -134,6 +135,14 @@
         self.assertEqual(["other"], configurations.retired_keys)
         return configurations, queue
 
+    def make_callers(self, configurations, status_of):
+        """Return callers of two nodes, whose replies a function chooses, and the log."""
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        log = SoakLog(Path(folder.name) / "soak.log")
+        site = SimpleNamespace(configurations=configurations, log=log)
+        return Callers(site, Random(1), FakeConnections(status_of), {"a": 1.0}), log
+
     async def test_replies_of_an_older_version_are_found(self):
         configurations, queue = await self.make_versions()
         cases = (
@@ -157,7 +166,7 @@
         configurations, queue = await self.make_versions()
 
         def right(node, asked_queue, key):
-            return 404 if asked_queue == queue else 401 if key == "other" else 200
+            return right_status(asked_queue, key, queue)
 
         cases = {
             "right replies": (right, 0),
@@ -175,11 +184,33 @@
         }
         for name, (status_of, count) in cases.items():
             with self.subTest(name=name):
-                connections = FakeConnections(status_of)
-                site = SimpleNamespace(configurations=configurations)
-                callers = Callers(site, Random(1), connections, {"a": 1.0})
+                callers, _ = self.make_callers(configurations, status_of)
                 self.assertEqual(count, len(await check_nodes(callers)))
 
+    async def test_the_final_check_is_repeated_only_after_a_delay_of_the_stand_ins(self):
+        configurations, queue = await self.make_versions()
+
+        def status_of(node, asked_queue, key):
+            return 503 if trio.current_time() < ends_at else right_status(asked_queue, key, queue)
+
+        cases = (
+            ("served after the delay", 5, [(2.0, 1.5)], 0),
+            ("short delay", 5, [(2.0, 0.4)], 10),
+            ("earlier delay", 5, [(-1.0, 1.5)], 10),
+            ("never served", 1e9, [(seconds, 1.5) for seconds in range(100)], 10),
+        )
+        for name, seconds, lags, count in cases:
+            with self.subTest(name=name):
+                began = trio.current_time()
+                ends_at = began + seconds
+                callers, log = self.make_callers(configurations, status_of)
+                log.lags += [(began + at, lag) for at, lag in lags]
+                self.assertEqual(count, len(await check_nodes(callers)))
+
+
+def right_status(queue, key, removed_queue):
+    return 404 if queue == removed_queue else 401 if key == "other" else 200
+
 
 class FakeConnections:
     def __init__(self, status_of):
