Wait until every node serves before the faults of a soak run

Its nodes began to serve from 3 to 12 s after the start, at a load average of 18 and with lags of the stand-ins up to 3.8 s; the faults began after 3 s, so that nodes were killed before they had read a configuration, and no check had a case. Change: a run begins its faults 3 s after every node serves callers, and a node that does not within 60 s is a violation; so is a run in which no job was accepted.

--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -38,6 +38,7 @@
     simulation = site.simulation
     requests = callers.connections.requests
     return [
+        *([] if callers.accepted_at_by_job else ["no job was accepted"]),
         *run_violations(simulation.history, simulation.over_capacity_workers),
         *run_reply_contradictions(simulation.history, callers.refused, callers.cancelled),
         *unknown_jobs(requests, callers.accepted_at_by_job),
--- a/tools/soak/final_checks.py
+++ b/tools/soak/final_checks.py
@@ -1,4 +1,4 @@
-"""Checks that every node serves callers after all faults have been cleared."""
+"""Checks that every node serves callers before the faults and after all have been cleared."""
 
 from __future__ import annotations
 
@@ -8,16 +8,28 @@
 from tools.soak.configurations import STABLE_KEY, STABLE_QUEUES
 from tools.soak.connections import CALL_SECONDS
 
-__all__ = ["check_nodes"]
+__all__ = ["check_nodes", "wait_ready"]
 
 JOBS_READ = 5
 RETRY_SECONDS = 0.2
+READY_SECONDS = 60
+UNKNOWN_JOB = "0" * 16
 ROUNDS = 5
 OUTAGE_SECONDS = 0.5
 LAG_PROBE_SECONDS = 0.2
 CALM_SECONDS = 2.0
 
 
+async def wait_ready(callers: Callers) -> list[str]:
+    """Wait until every node serves callers; return a line for each that does not."""
+    violations: list[str] = []
+    expected = (STABLE_QUEUES[0].name, UNKNOWN_JOB, STABLE_KEY, 410)
+    async with trio.open_nursery() as nursery:
+        for node in range(len(callers.connections.addresses)):
+            nursery.start_soon(_expect, callers, node, expected, violations, READY_SECONDS)
+    return violations
+
+
 async def check_nodes(callers: Callers) -> list[str]:
     """Return a line for each wrong or missing reply of a node to requests of its own callers.
 
@@ -60,11 +72,15 @@
 
 
 async def _expect(
-    callers: Callers, node: int, expected: tuple[str, str, str, int], violations: list[str]
+    callers: Callers,
+    node: int,
+    expected: tuple[str, str, str, int],
+    violations: list[str],
+    seconds: float = CALL_SECONDS,
 ) -> None:
     queue, job, key, status = expected
     got = "no reply"
-    with trio.move_on_after(CALL_SECONDS):
+    with trio.move_on_after(seconds):
         while True:
             # Not forwardable, as another node would hide that this one cannot reply.
             reply = await callers.connections.call(node, "GET", queue, job, key, forwardable=False)
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -11,7 +11,7 @@
 from tools.soak.callers import Callers
 from tools.soak.checks import find_violations
 from tools.soak.connections import Connections
-from tools.soak.final_checks import check_nodes
+from tools.soak.final_checks import check_nodes, wait_ready
 from tools.soak.profile import profile_of
 from tools.soak.schedule import inject_faults
 from tools.soak.site import SoakSite
@@ -52,8 +52,9 @@
         site = SoakSite(folder, nursery, profile)
         try:
             await site.start()
-            await trio.sleep(WARM_UP_SECONDS)
             callers = Callers(site, Random(seed + 1), Connections(site.addresses))
+            violations = await wait_ready(callers)
+            await trio.sleep(WARM_UP_SECONDS)
             injected: list[str] = []
             async with trio.open_nursery() as background:
                 finished = trio.Event()
@@ -64,7 +65,7 @@
                 )
                 calm_at = trio.current_time() + calm_seconds
                 finished.set()
-            violations = await _wait_unfinished_jobs(callers)
+            violations += await _wait_unfinished_jobs(callers)
             await trio.sleep_until(calm_at)
             violations += await check_nodes(callers)
         finally:
--- a/tools/tests/test_soak.py
+++ b/tools/tests/test_soak.py
@@ -22,7 +22,7 @@
 from tools.soak.callers import Callers  # noqa: E402
 from tools.soak.configurations import Configurations  # noqa: E402
 from tools.soak.connections import Reply, Request  # noqa: E402
-from tools.soak.final_checks import check_nodes  # noqa: E402
+from tools.soak.final_checks import check_nodes, wait_ready  # noqa: E402
 from tools.soak.link import Link  # noqa: E402
 from tools.soak.log import SoakLog  # noqa: E402
 from tools.soak.proxy import Proxy  # noqa: E402
@@ -109,9 +109,12 @@
             refused={"a"},
             cancelled={"a"},
         )
+        self.assertNotIn("no job was accepted", checks.find_violations(site, callers))
         found = "\n".join(checks.find_violations(site, callers))
         for part in ("capacity", "refused", "cancelled", "unknown to", "not allow", "withdrawn"):
             self.assertIn(part, found)
+        callers.accepted_at_by_job.clear()
+        self.assertIn("no job was accepted", checks.find_violations(site, callers))
 
 
 class ConfigurationCheckTest(TrioTestCase):
@@ -187,6 +190,13 @@
                 callers, _ = self.make_callers(configurations, status_of)
                 self.assertEqual(count, len(await check_nodes(callers)))
 
+    async def test_a_node_that_does_not_serve_callers_at_the_start_is_found(self):
+        configurations, _ = await self.make_versions()
+        callers, _ = self.make_callers(configurations, lambda *asked: 410 if asked[0] else 503)
+        violations = await wait_ready(callers)
+        self.assertEqual(1, len(violations))
+        self.assertIn("node 0", violations[0])
+
     async def test_the_final_check_is_repeated_only_after_a_delay_of_the_stand_ins(self):
         configurations, queue = await self.make_versions()
 
