Test that the soak's growth outlasts the timeouts and that its connections are kept

Cause: the seeds from 1000 on show slow transfers only while the growth takes longer than the client's timeouts, which depends on the size of an entry; nothing checked it, nor that callers use a connection again. Change: a test for each.

--- a/tools/tests/test_soak.py
+++ b/tools/tests/test_soak.py
@@ -10,6 +10,7 @@
 from types import SimpleNamespace
 
 import trio
+import trio.testing
 from mimosapoint.memory import MemoryTransactionStore, RunRecord, TrioClock
 from mimosapoint.testing import TrioTestCase
 from mimosapoint.testing.run_checks import run_violations
@@ -20,11 +21,14 @@
 
 from tools.soak import checks  # noqa: E402 (needs the path)
 from tools.soak.callers import Callers  # noqa: E402
+from tools.soak.changes import GROWTH  # noqa: E402
 from tools.soak.configurations import Configurations  # noqa: E402
-from tools.soak.connections import Reply, Request  # noqa: E402
+from tools.soak.connections import Connections, Reply, Request  # noqa: E402
+from tools.soak.faults import faults_by_name  # noqa: E402
 from tools.soak.final_checks import check_nodes, wait_ready  # noqa: E402
 from tools.soak.link import Link  # noqa: E402
 from tools.soak.log import SoakLog  # noqa: E402
+from tools.soak.profile import profile_of  # noqa: E402
 from tools.soak.proxy import Proxy  # noqa: E402
 from tools.soak.run import run_seed  # noqa: E402
 from tools.soak.zones import Zones  # noqa: E402
@@ -33,6 +37,9 @@
 CHANGES_SEED = 1001
 """Seed with slow links and a growth of the configuration, as in the incident LOST."""
 
+WATCH_SECONDS = 1.8
+"""Time of a watch on the operators' entries without a byte of the reply."""
+
 TASK = TaskId("a", 0, 0, 0)
 STEP = Step(1, ResourceAmounts(1))
 
@@ -232,6 +239,45 @@
         return Reply(self.status_of(node, queue, key))
 
 
+class GrowthTest(TrioTestCase):
+    async def test_the_transfer_on_the_slowest_link_outlasts_the_timeouts_of_the_client(self):
+        for seed in (1001, 1002, 1010):
+            with self.subTest(seed=seed):
+                profile = profile_of(seed)
+                configurations = Configurations(MemoryTransactionStore(TrioClock()))
+                configurations.publish()
+                site = SimpleNamespace(configurations=configurations, profile=profile)
+                await faults_by_name[GROWTH](site, Random(seed))
+                seconds = configurations.versions[-1].entry_bytes / profile.slowest_bytes_per_second
+                self.assertGreater(seconds, WATCH_SECONDS)
+
+
+class ConnectionsTest(TrioTestCase):
+    async def test_connections_are_used_again_until_the_node_closes_them(self):
+        opened = []
+
+        async def serve_two_requests(stream):
+            opened.append(stream)
+            for _ in range(2):
+                await stream.receive_some()
+                await stream.send_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+
+        async with trio.open_nursery() as nursery:
+            listen = partial(trio.serve_tcp, host="127.0.0.1")
+            (listener,) = await nursery.start(listen, serve_two_requests, 0)
+            port = listener.socket.getsockname()[1]
+            connections = Connections([f"127.0.0.1:{port}"])
+            statuses = []
+            for _ in range(4):
+                reply = await connections.call(0, "GET", "urgent", "a", "key")
+                statuses.append(reply.status)
+                await trio.testing.wait_all_tasks_blocked()
+            nursery.cancel_scope.cancel()
+        self.assertEqual([200] * 4, statuses)
+        self.assertEqual(2, len(opened))
+        self.assertEqual(4, len(connections.requests))
+
+
 class ProxyTest(TrioTestCase):
     async def open_proxy(self, nursery, link=None):
         """Return a proxy to a server that sends back what it receives."""
