Log how long nodes of a soak wait for a processor, and keep one pool for each node

Change: soak.log has node-waited-for-processor, from the kernel's statistics of the node's main thread; callers have a pool of connections for each node, as the time of httpcore for a request grows with the connections of its pool. The tests of the soak pass, 19 and 0, in 58 s at a load average of 27 to 31.

--- a/tools/soak/connections.py
+++ b/tools/soak/connections.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
+
 import attrs
 import httpcore
 import orjson
@@ -62,6 +64,7 @@
 
 
 def _open_pool() -> httpcore.AsyncConnectionPool:
+    """Return a pool of one node; its time for a request grows with its connections."""
     return httpcore.AsyncConnectionPool(max_connections=None)
 
 
@@ -75,7 +78,9 @@
 
     addresses: list[str]
     requests: list[Request] = attrs.field(factory=list)
-    _pool: httpcore.AsyncConnectionPool = attrs.field(factory=_open_pool)
+    _pool_by_node: dict[int, httpcore.AsyncConnectionPool] = attrs.field(
+        factory=lambda: defaultdict(_open_pool)
+    )
 
     async def call(
         self,
@@ -100,7 +105,8 @@
         reply = Reply(0)
         with trio.move_on_after(CALL_SECONDS):
             try:
-                response = await self._pool.request(method, url, headers=headers, content=body)
+                pool = self._pool_by_node[node]
+                response = await pool.request(method, url, headers=headers, content=body)
                 reply = Reply(response.status, response.content)
             except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException):
                 # No reply: status 0.
--- a/tools/soak/log.py
+++ b/tools/soak/log.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Callable
 from datetime import datetime, timezone
 from pathlib import Path
 
@@ -12,6 +13,7 @@
 __all__ = ["SoakLog"]
 
 PROBE_SECONDS = 0.05
+NODE_PROBE_SECONDS = 0.5
 LOGGED_LAG_SECONDS = 0.3
 
 
@@ -50,3 +52,27 @@
                 self.lags.append((trio.current_time(), lag))
                 used = time.process_time() - processor
                 self.write("lag", seconds=round(lag, 3), processor_seconds=round(used, 3))
+
+    async def run_wait_probe(self, process_ids: Callable[[], dict[int, int]]) -> None:
+        """Log for how long nodes waited for a processor, until cancelled.
+
+        :param process_ids: returns the process id of each running node by number.
+        """
+        waited_by_process: dict[int, float] = {}
+        while True:
+            for node, process in process_ids().items():
+                waited = _processor_wait(process)
+                seconds = waited - waited_by_process.get(process, 0.0)
+                waited_by_process[process] = waited
+                if seconds >= LOGGED_LAG_SECONDS:
+                    self.write("node-waited-for-processor", node=node, seconds=round(seconds, 3))
+            await trio.sleep(NODE_PROBE_SECONDS)
+
+
+def _processor_wait(process: int) -> float:
+    """Return for how many seconds the main thread was ready and did not run; 0 if unknown."""
+    try:
+        return int(Path(f"/proc/{process}/schedstat").read_text().split()[1]) / 1e9
+    except (OSError, IndexError):
+        # The process has ended, or the kernel keeps no such statistics.
+        return 0.0
--- a/tools/soak/site.py
+++ b/tools/soak/site.py
@@ -105,6 +105,7 @@
             await self.start_node(number)
         self.nursery.start_soon(self._write_heartbeats)
         self.nursery.start_soon(self.log.run_lag_probe)
+        self.nursery.start_soon(self.log.run_wait_probe, self._process_ids)
 
     async def start_node(self, number: int) -> None:
         """Start the process of a node, unless it runs already, as after another fault."""
@@ -157,6 +158,13 @@
         if process is not None:
             await process.wait()
 
+    def _process_ids(self) -> dict[int, int]:
+        return {
+            number: process.pid
+            for number, process in enumerate(self.processes)
+            if process is not None and process.returncode is None
+        }
+
     async def stop(self) -> None:
         """Kill the node processes that still run."""
         for process in self._started:
