--- a/tools/demo/cell.py
+++ b/tools/demo/cell.py
@@ -16,13 +16,15 @@
 from mimosapoint.testing.run_checks import run_violations
 
 from tools.demo.report import save_metrics
+from tools.soak.profile import FAST_LINK_MBPS, Profile
 from tools.soak.site import SoakSite
 
 __all__ = ["CellDemoResult", "run_cell_demo"]
 
 EXAMPLES = Path(__file__).resolve().parents[2] / "examples" / "cell"
-NODES = 3
-WORKERS = 6
+PROFILE = Profile(
+    seed=0, cores=1.0, workers=6, mbps_by_node=dict.fromkeys(range(3), FAST_LINK_MBPS)
+)
 API_KEY = "key"
 WITHDRAWAL_KEY = "op/evacuate/r0"
 WARM_UP_SECONDS = 4.0
@@ -103,10 +105,10 @@
     :param report_progress: called with a text before each step.
     """
     async with trio.open_nursery() as nursery:
-        site = SoakSite(folder, nursery)
+        site = SoakSite(folder, nursery, PROFILE)
         demo = _CellDemo(site, folder, report_progress)
         try:
-            await site.start(NODES, WORKERS)
+            await site.start()
             await trio.sleep(WARM_UP_SECONDS)
             await _steps(demo)
             await _wait_ended(demo)
--- a/tools/soak/profile.py
+++ b/tools/soak/profile.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-__all__ = ["FIRST_CHANGES_SEED", "Profile", "profile_of"]
+__all__ = ["FAST_LINK_MBPS", "FIRST_CHANGES_SEED", "Profile", "profile_of"]
 
 FIRST_SMALL_SEED = 500
 """First seed with small nodes. Lower seeds were recorded before and reproduce the same cases."""
--- a/tools/soak/site.py
+++ b/tools/soak/site.py
@@ -87,6 +87,7 @@
         self.store_proxies: list[Proxy] = []
         self.processes: list[trio.Process | None] = []
         self.addresses: list[str] = []
+        self.operator_addresses: list[str] = []
         self._started: list[trio.Process] = []
         self._start_locks: list[trio.Lock] = []
 
@@ -135,6 +136,7 @@
         if not self.profile.has_changes:
             del address_by_name["peers_address"]
         self.addresses.append(address_by_name["callers_address"])
+        self.operator_addresses.append(address_by_name["metrics_address"])
         self._settings_path(number).write_text(
             f"id: node-{number}\nzone: z{number}\nregion: r\n"
             + "".join(f"{name}: {address}\n" for name, address in address_by_name.items())
