--- /dev/null
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/_cell_faults.py
@@ -0,0 +1,226 @@
+"""Faults of a cell in memory, by name."""
+
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+from functools import partial
+
+import trio
+
+from mimosapoint.cell.tests._recorded_site import API_KEY, RecordedSite
+from mimosapoint.cell.tests._site import SMALL
+from mimosapoint.testing.cell_checks import LATE_START_BOUND
+from mimosapoint.workload import Step
+
+__all__ = ["STOP_BOUND_SECONDS", "CellFault", "faults_by_name"]
+
+CellFault = Callable[[RecordedSite, float], Awaitable[None]]
+"""Begins a fault, waits for a time in seconds and ends the fault."""
+
+BURST_SIZE = 40
+LOST_REPLIES = 6
+
+STOP_BOUND_SECONDS = 12.0
+"""Time in which a cancelled job stops under faults: theirs, a failover and a worker's lease."""
+
+faults_by_name: dict[str, CellFault] = {}
+
+
+def fault(name: str) -> Callable[[CellFault], CellFault]:
+    """Register a fault under a name."""
+
+    def register(function: CellFault) -> CellFault:
+        faults_by_name[name] = function
+        return function
+
+    return register
+
+
+@fault("store refused")
+async def refuse_store(site: RecordedSite, seconds: float) -> None:
+    """Refuse every call to the store."""
+    site.store.faults.refuse = True
+    await trio.sleep(seconds)
+    site.store.faults.refuse = False
+
+
+@fault("store slow")
+async def slow_store(site: RecordedSite, seconds: float) -> None:
+    """Delay every call to the store."""
+    site.store_delay_seconds = site.random.choice((0.2, 0.6))
+    await trio.sleep(seconds)
+    site.store_delay_seconds = 0.0
+
+
+@fault("store silent for the owner")
+async def silence_store(site: RecordedSite, seconds: float) -> None:
+    """Leave the owner's calls to the store without reply."""
+    node = site.any_owner
+    node.store.fault = "silent"
+    await trio.sleep(seconds)
+    node.store.fault = ""
+
+
+@fault("store refused for one node")
+async def refuse_store_for_node(site: RecordedSite, seconds: float) -> None:
+    """Refuse the calls of one node to the store."""
+    node = site.random.choice(site.live_nodes)
+    node.store.fault = "refused"
+    await trio.sleep(seconds)
+    node.store.fault = ""
+
+
+@fault("lost replies of the store")
+async def lose_replies(site: RecordedSite, seconds: float) -> None:
+    """Lose replies of the store; commits without reply take effect at once or late."""
+    site.store.lost_commit_delay = timedelta(seconds=site.random.choice((0.0, 0.7, 2.0)))
+    site.store.faults.lose_replies += LOST_REPLIES
+    await trio.sleep(seconds)
+    site.store.faults.lose_replies = 0
+
+
+@fault("history dropped")
+async def drop_history(site: RecordedSite, seconds: float) -> None:
+    """Drop the store's history of changes, twice."""
+    site.store.compact_history()
+    await trio.sleep(seconds)
+    site.store.compact_history()
+
+
+@fault("owner killed")
+async def kill_owner(site: RecordedSite, seconds: float) -> None:
+    """Kill the owner, and start a new node afterwards."""
+    site.any_owner.kill()
+    await trio.sleep(seconds)
+    site.add_node()
+
+
+@fault("owner stopped as planned")
+async def stop_owner(site: RecordedSite, seconds: float) -> None:
+    """Stop the owner as planned while it serves a slow call; a new node replaces it."""
+    node = site.any_owner
+    site.add_node()
+    job = f"last{len(site.history.submissions)}"
+    async with trio.open_nursery() as nursery:
+        site.store_delay_seconds = 0.2
+        nursery.start_soon(partial(site.call_submit, job, Step(1, SMALL), first_node=node))
+        await trio.sleep(0.1)
+        nursery.start_soon(site.stop_planned, node, seconds)
+        await trio.sleep(0.2)
+        site.store_delay_seconds = 0.0
+
+
+@fault("owner suspended")
+async def suspend_owner(site: RecordedSite, seconds: float) -> None:
+    """Suspend the calls of the owner and their replies, while its clock advances."""
+    control = site.freeze_controls_by_node[site.any_owner.name]
+    control.freeze()
+    await trio.sleep(seconds)
+    control.thaw()
+
+
+@fault("nodes without peers")
+async def cut_off_peers(site: RecordedSite, seconds: float) -> None:
+    """Let no node open a stream to another one."""
+    transports = dict(site.network.transports_by_address)
+    site.network.transports_by_address.clear()
+    await trio.sleep(seconds)
+    site.network.transports_by_address.update(transports)
+
+
+@fault("worker partitioned")
+async def partition_worker(site: RecordedSite, seconds: float) -> None:
+    """Cut off a worker from every node."""
+    address = site.any_worker.registration.address
+    site.workers.network_faults_by_address[address].partitioned = True
+    await trio.sleep(seconds)
+    site.workers.network_faults_by_address[address].partitioned = False
+
+
+@fault("worker partitioned from the owner")
+async def partition_worker_from_owner(site: RecordedSite, seconds: float) -> None:
+    """Cut off a worker from the owner only."""
+    node, worker = site.any_owner, site.any_worker.registration.id
+    node.workers.unreachable.add(worker)
+    await trio.sleep(seconds)
+    node.workers.unreachable.discard(worker)
+
+
+@fault("lost replies of a worker")
+async def lose_worker_replies(site: RecordedSite, seconds: float) -> None:
+    """Lose starts, and replies to starts and renewals, of a worker."""
+    faults = site.workers.network_faults_by_address[site.any_worker.registration.address]
+    faults.lost_starts = faults.lost_start_replies = faults.lost_renewal_replies = 2
+    await trio.sleep(seconds)
+    faults.lost_starts = faults.lost_start_replies = faults.lost_renewal_replies = 0
+
+
+@fault("late starts on a worker")
+async def delay_starts(site: RecordedSite, seconds: float) -> None:
+    """Execute starts on a worker late and without a reply."""
+    faults = site.workers.network_faults_by_address[site.any_worker.registration.address]
+    faults.start_delay = timedelta(seconds=site.random.choice((0.3, 0.9, 1.5)))
+    await trio.sleep(seconds)
+    faults.start_delay = None
+
+
+@fault("worker restarted")
+async def restart_worker(site: RecordedSite, seconds: float) -> None:
+    """Restart a worker, which registers its new incarnation afterwards."""
+    worker = site.any_worker
+    worker.restart(worker.born + 1)
+    await trio.sleep(seconds)
+    site.register(worker, born=worker.born)
+
+
+@fault("worker draining")
+async def drain_worker(site: RecordedSite, seconds: float) -> None:
+    """Let a worker drain for a time."""
+    worker = site.any_worker
+    drain = site.drain(worker)
+    await trio.sleep(LATE_START_BOUND + seconds)
+    site.end_drain(worker, drain)
+
+
+@fault("worker failing every run")
+async def fail_runs(site: RecordedSite, seconds: float) -> None:
+    """Let every run on a worker fail."""
+    worker = site.any_worker.registration.id
+    site.simulation.failing_workers.add(worker)
+    await trio.sleep(seconds)
+    site.simulation.failing_workers.discard(worker)
+
+
+@fault("zone withdrawn")
+async def withdraw_zone(site: RecordedSite, seconds: float) -> None:
+    """Withdraw a zone for a time."""
+    withdrawal = site.withdraw(site.any_worker.registration.zone)
+    await trio.sleep(LATE_START_BOUND + seconds)
+    site.return_zone(withdrawal)
+
+
+@fault("key revoked")
+async def revoke_key(site: RecordedSite, seconds: float) -> None:
+    """Revoke the callers' API key for a time."""
+    site.put_keys()
+    await trio.sleep(seconds)
+    site.put_keys(API_KEY)
+
+
+@fault("burst")
+async def submit_burst(site: RecordedSite, seconds: float) -> None:
+    """Submit many small jobs at once."""
+    prefix = f"burst{len(site.history.submissions)}"
+    async with trio.open_nursery() as nursery:
+        for number in range(BURST_SIZE):
+            nursery.start_soon(site.call_submit, f"{prefix}-{number}", Step(1, SMALL))
+        await trio.sleep(seconds)
+
+
+@fault("wave of cancellations")
+async def cancel_jobs(site: RecordedSite, seconds: float) -> None:
+    """Cancel half of the jobs that are not claims."""
+    claims = {"claim"}
+    jobs = sorted({s.job for s in site.history.submissions} - claims)
+    for job in site.random.sample(jobs, len(jobs) // 2):
+        await site.call_cancel(job, STOP_BOUND_SECONDS)
+    await trio.sleep(seconds)
--- /dev/null
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_fault_pairs.py
@@ -0,0 +1,121 @@
+"""Tests that a cell keeps every promise under any two faults at once."""
+
+import os
+from collections import Counter
+from datetime import timedelta
+from itertools import combinations_with_replacement
+from random import Random
+
+import trio
+
+from mimosapoint.cell.settings import CellSettings
+from mimosapoint.cell.tests._cell_faults import STOP_BOUND_SECONDS, faults_by_name
+from mimosapoint.cell.tests._recorded_site import open_recorded_site
+from mimosapoint.cell.tests._site import SMALL, WIDE
+from mimosapoint.testing import TrioTestCase
+from mimosapoint.testing.cell_checks import cell_checks_by_promise, check_cell
+from mimosapoint.workload import Phase, RunEnd, Step
+
+SEED = 1
+LOW = 2
+WORKERS = 4
+RUN_TIME = timedelta(seconds=4)
+CLAIM = Step(2, WIDE, gang=True)
+PAIRS = tuple(combinations_with_replacement(faults_by_name, 2))
+
+STRIDE = int(os.environ.get("MIMOSAPOINT_FAULT_PAIR_STRIDE", "4"))
+"""Distance of the pairs that are played; 1 plays all, which takes minutes."""
+
+RECLAIM_SECONDS = 1.7
+"""Bound of a reclaim without faults."""
+
+RECLAIM_UNDER_FAULTS_SECONDS = 20.0
+"""Bound of a reclaim under faults: theirs, a failover and the lease of a silent worker."""
+
+SETTLE_SECONDS = 40.0
+"""Time in which every accepted job has ended after the faults."""
+
+
+async def play(names, seed, start_bound_seconds):
+    """Play faults at once on a cell with callers, and return its history."""
+    random = Random(f"{seed} {names}")
+    cores = 0.1 if "nodes without peers" in names else 1.0
+    async with open_recorded_site(
+        random, workers=WORKERS, settings=CellSettings(cores=cores)
+    ) as site:
+        async with trio.open_nursery() as nursery:
+            site.simulation.run_time = RUN_TIME
+            for number in range(WORKERS):
+                nursery.start_soon(submit_borrower, site, number)
+            nursery.start_soon(submit_jobs, site)
+            await trio.sleep(1)
+            for name in names:
+                nursery.start_soon(play_fault, site, name)
+            await trio.sleep(random.uniform(0, 1))
+            await site.call_claim("claim", CLAIM, start_bound_seconds)
+            await site.call_cancel("job0", STOP_BOUND_SECONDS)
+        await settle(site)
+    return site.history
+
+
+async def submit_borrower(site, number):
+    await site.call_submit(f"low{number}", Step(1, WIDE, checkpoints=number % 2 == 0), queue=LOW)
+
+
+async def submit_jobs(site):
+    for number in range(8):
+        steps = (Step(2, SMALL), Step(2, WIDE, gang=True, after=(0,)))
+        await site.call_submit(f"job{number}", *steps[: 1 + number % 2])
+        await trio.sleep(0.8)
+
+
+async def play_fault(site, name):
+    await trio.sleep(site.random.uniform(0, 0.5))
+    await faults_by_name[name](site, site.random.uniform(2, 5))
+
+
+async def settle(site):
+    """Query the jobs until each has ended, or until the time for it is over."""
+    waiting = [submission.job for submission in site.history.submissions]
+    with trio.move_on_after(SETTLE_SECONDS):
+        while waiting:
+            await trio.sleep(0.5)
+            for job in waiting:
+                await site.call_phase(job)
+            phases_by_job = {o.job: o.phase for o in site.history.phases}
+            waiting = [job for job in waiting if is_open(phases_by_job.get(job, Phase.QUEUED))]
+    await trio.sleep_until(
+        max(c.accepted_at or 0 for c in site.history.cancellations) + STOP_BOUND_SECONDS + 0.1
+    )
+
+
+def is_open(phase):
+    return phase is not None and not phase.ended
+
+
+class FaultPairTest(TrioTestCase):
+    mock_clock = True
+
+    def play(self, names, start_bound_seconds):
+        """Play faults in a separate trio run, so that each pair can be repeated alone."""
+        return trio.run(play, names, SEED, start_bound_seconds, clock=self._make_clock())
+
+    def assert_kept(self, history):
+        """Assert that no check finds a violation, and return the cases checked by promise."""
+        results = check_cell(history)
+        violations = [f"{r.promise}: {line}" for r in results for line in r.violations]
+        self.assertEqual([], violations)
+        return Counter({result.promise: result.cases_checked for result in results})
+
+    def test_no_fault(self):
+        history = self.play((), RECLAIM_SECONDS)
+        self.assert_kept(history)
+        self.assertIn(RunEnd.STOPPED, {run.end for run in history.runs})
+
+    def test_pairs_of_faults(self):
+        cases_by_promise = Counter()
+        for names in PAIRS[::STRIDE]:
+            with self.subTest(faults=names, seed=SEED):
+                history = self.play(names, RECLAIM_UNDER_FAULTS_SECONDS)
+                cases_by_promise += self.assert_kept(history)
+        self.assertEqual(set(cell_checks_by_promise), set(cases_by_promise))
