Bound a reclaim under pairs of faults by 12 s, and let the seed be set

Cause: the bound of 20 s was far above the longest reclaim, 7.8 s. Change: 12 s; MIMOSAPOINT_FAULT_PAIR_SEED.

--- a/packages/mimosapoint/src/mimosapoint/cell/tests/test_fault_pairs.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_fault_pairs.py
@@ -16,7 +16,7 @@
 from mimosapoint.testing.cell_checks import cell_checks_by_promise, check_cell
 from mimosapoint.workload import Phase, RunEnd, Step
 
-SEED = 1
+SEED = int(os.environ.get("MIMOSAPOINT_FAULT_PAIR_SEED", "1"))
 LOW = 2
 WORKERS = 4
 RUN_TIME = timedelta(seconds=4)
@@ -29,8 +29,8 @@
 RECLAIM_SECONDS = 1.7
 """Bound of a reclaim without faults."""
 
-RECLAIM_UNDER_FAULTS_SECONDS = 20.0
-"""Bound of a reclaim under faults: theirs, a failover and the lease of a silent worker."""
+RECLAIM_UNDER_FAULTS_SECONDS = 12.0
+"""Bound of a reclaim under faults: a withdrawal of most workers, and a failover after it."""
 
 SETTLE_SECONDS = 40.0
 """Time in which every accepted job has ended after the faults."""
