--- a/packages/mimosapoint/src/mimosapoint/cell/tests/test_fault_pairs.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_fault_pairs.py
@@ -13,7 +13,11 @@
 from mimosapoint.cell.tests._recorded_site import open_recorded_site
 from mimosapoint.cell.tests._site import SMALL, WIDE
 from mimosapoint.testing import TrioTestCase
-from mimosapoint.testing.cell_checks import cell_checks_by_promise, check_cell
+from mimosapoint.testing.cell_checks import (
+    LATE_START_BOUND,
+    cell_checks_by_promise,
+    check_cell,
+)
 from mimosapoint.workload import Phase, RunEnd, Step
 
 SEED = int(os.environ.get("MIMOSAPOINT_FAULT_PAIR_SEED", "1"))
@@ -29,8 +33,14 @@
 RECLAIM_SECONDS = 1.7
 """Bound of a reclaim without faults."""
 
-RECLAIM_UNDER_FAULTS_SECONDS = 12.0
-"""Bound of a reclaim under faults: a withdrawal of most workers, and a failover after it."""
+MAX_FAULT_BEGIN_SECONDS = 0.5
+MAX_FAULT_SECONDS = 5.0
+
+RECLAIM_UNDER_FAULTS_SECONDS = (
+    MAX_FAULT_BEGIN_SECONDS + MAX_FAULT_SECONDS + LATE_START_BOUND + 2 * RECLAIM_SECONDS
+)
+"""Bound of a reclaim under faults: the end of the longest fault, then the bound for an owner that
+is lost at that moment, then the bound without faults."""
 
 SETTLE_SECONDS = 40.0
 """Time in which every accepted job has ended after the faults."""
@@ -70,8 +80,8 @@
 
 
 async def play_fault(site, name):
-    await trio.sleep(site.random.uniform(0, 0.5))
-    await faults_by_name[name](site, site.random.uniform(2, 5))
+    await trio.sleep(site.random.uniform(0, MAX_FAULT_BEGIN_SECONDS))
+    await faults_by_name[name](site, site.random.uniform(2, MAX_FAULT_SECONDS))
 
 
 async def settle(site):
--- a/packages/mimosapoint/src/mimosapoint/testing/cell_checks.py
+++ b/packages/mimosapoint/src/mimosapoint/testing/cell_checks.py
@@ -16,7 +16,7 @@
 from mimosapoint.testing.run_checks import run_violations
 from mimosapoint.workload import Phase, RunEnd, TaskId
 
-__all__ = ["cell_checks_by_promise", "check_cell"]
+__all__ = ["LATE_START_BOUND", "cell_checks_by_promise", "check_cell"]
 
 PARTIAL_GANG_BOUND = 3.5
 """Longest time for which only some tasks of a gang may run, in seconds; workers end an incomplete
