Give the in-memory store's watch the revision of its changes

It is a stand-in: no caller is concerned, but tests with delays could miss or invent faults. Change: the revision is taken with the changes. Result: the new test failed before (p/b missing) and passes now; the modules of failover, inbox, store and faults pass.

--- a/packages/mimosapoint/src/mimosapoint/memory/transaction_store.py
+++ b/packages/mimosapoint/src/mimosapoint/memory/transaction_store.py
@@ -84,6 +84,7 @@
         with trio.move_on_after(wait.total_seconds()):
             while not (found := self._changes(prefix, after)):
                 await self._changed.wait()
+        revision = self._revision
         await self._fault_injector.before_effect()
         if after < self._oldest_revision:
             raise HistoryLost(f"the history of changes begins at revision {self._oldest_revision}")
@@ -92,7 +93,7 @@
         if limit_bytes is not None and sum(len(entry.value) for entry in written) > limit_bytes:
             raise HistoryLost(f"the changes have over {limit_bytes} bytes")
         removed = tuple(change.key for change in found if change.entry is None)
-        return ChangeBatch(written, removed, self._revision)
+        return ChangeBatch(written, removed, revision)
 
     async def commit(
         self,
