Let the report import its plot library without replacing a function of Python

Cause: the report replaced subprocess.check_output while matplotlib was imported, so that it starts no fc-list; a replaced global is felt by every other thread, and packages use no subprocess. Change: the import is plain; matplotlib may list the fonts once.

--- a/packages/mimosapoint-cli/src/mimosapoint_cli/report/plots.py
+++ b/packages/mimosapoint-cli/src/mimosapoint_cli/report/plots.py
@@ -2,10 +2,8 @@
 
 import math
 import re
-import subprocess
 import warnings
-from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from collections.abc import Callable
 from datetime import datetime, timezone
 from io import StringIO
 from typing import Any
@@ -62,21 +60,6 @@
     return f"{text[:half]}…{text[1 - half:]}"
 
 
-@contextmanager
-def _no_process() -> Iterator[None]:
-    """Keep matplotlib from starting ``fc-list``; the fonts in its own package are enough."""
-
-    def refuse(*_: Any, **__: Any) -> bytes:
-        raise OSError("no process is started")
-
-    check_output = subprocess.check_output
-    subprocess.check_output = refuse
-    try:
-        yield
-    finally:
-        subprocess.check_output = check_output
-
-
 class Plotter:
     """Draws plots that share a period of time.
 
@@ -85,10 +68,9 @@
 
     def __init__(self) -> None:
         try:
-            with _no_process():
-                import matplotlib
-                import matplotlib.dates
-                import matplotlib.figure
+            import matplotlib
+            import matplotlib.dates
+            import matplotlib.figure
         except ImportError as error:
             raise PlotLibraryMissing(
                 f"plots need the extra `report` of mimosapoint-cli: {error}",
