Log which runs may have crashed a lost worker

Cause: the log could not tell the hypotheses of tasks that crash their workers apart: it named neither the runs on a lost worker nor for how long they had worked, nor losses at the same moment. Change: each session follows its worker from a silence to its return or the end of its incarnation, and the event worker-lost names the suspects of that moment; no decision changes.

--- a/packages/mimosapoint/src/mimosapoint/cell/decisions/units.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/decisions/units.py
@@ -95,6 +95,18 @@
         if is_first and self.unit is not None and self.not_after_ms is not None:
             self.unit.mark_formed(now)
 
+    @property
+    def is_ordered(self) -> bool:
+        """Whether the worker may have the run: its start was ordered, or a report listed it."""
+        return self.not_after_ms is not None or self.confirmed_ms is not None
+
+    @property
+    def proven_time(self) -> timedelta:
+        """Time for which run reports prove that it has worked, on the worker's clock."""
+        if self.confirmed_ms is None:
+            return timedelta(0)
+        return timedelta(milliseconds=max(0, self.reported_ms - self.confirmed_ms))
+
     def log_fields(self) -> dict[str, object]:
         """Return the fields that identify the run in log lines."""
         return {
--- a/packages/mimosapoint/src/mimosapoint/cell/fleet.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/fleet.py
@@ -1,16 +1,19 @@
 """Workers of a cell, as known from their registrations and from the stored roster."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from datetime import datetime, timedelta
 
 import trio
 
+from mimosapoint.cell.decisions.departures import LeavingWorker
+from mimosapoint.cell.decisions.durations import Durations
 from mimosapoint.cell.election import Ownership
 from mimosapoint.cell.freshness import Freshness
 from mimosapoint.cell.keys import EPOCH_KEY, ROSTER_KEY
 from mimosapoint.cell.settings import CellSettings
 from mimosapoint.cell.store_availability import StoreAvailability
 from mimosapoint.cell.worker_lease import unknown_lease_time
+from mimosapoint.cell.worker_loss import WorkerLoss
 from mimosapoint.cell.worker_session import WorkerSession
 from mimosapoint.codec import decode, encode, from_value
 from mimosapoint.errors import CodecError, StoreTimeout, StoreUnavailable
@@ -78,6 +81,24 @@
             if session.id in self._inherited_ids
         )
 
+    def losses(self) -> Iterator[WorkerLoss]:
+        """Yield the present losses: of workers that are silent or have been replaced."""
+        for session in self.sessions_by_id.values():
+            if session.loss_watch.loss is not None:
+                yield session.loss_watch.loss
+
+    def leaving_workers(self, durations: Durations) -> Iterator[LeavingWorker]:
+        """Yield the draining workers whose end is known, with what their runs need.
+
+        :param durations: expected run times.
+        """
+        now = self._clock.now()
+        for session in self.sessions_by_id.values():
+            leaves_in = session.leaves_in
+            if leaves_in is not None:
+                runs = session.task_runs_by_key.values()
+                yield LeavingWorker(leaves_in, {run: durations.remaining(run, now) for run in runs})
+
     async def read_roster(self, telemetry: Telemetry) -> None:
         """Read the roster that the previous owner stored.
 
--- a/packages/mimosapoint/src/mimosapoint/cell/owner.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/owner.py
@@ -2,15 +2,16 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable
 from datetime import datetime, timedelta
 
 import trio
 
 from mimosapoint.cell.backlog import BacklogWriter
 from mimosapoint.cell.committer import ProgressCommitter
+from mimosapoint.cell.crash_blame import CrashBlame
 from mimosapoint.cell.decision_maker import DecisionMaker
-from mimosapoint.cell.decisions.departures import LeavingWorker, find_departures
+from mimosapoint.cell.decisions.departures import find_departures
 from mimosapoint.cell.decisions.durations import make_durations
 from mimosapoint.cell.decisions.planner import Plan
 from mimosapoint.cell.decisions.quotas import QuotaReason
@@ -94,6 +95,9 @@
             self.durations,
             self._limits.is_exceeded,
         )
+        self.crash_blame = CrashBlame(
+            self.fleet.losses, dependencies.clock, settings, dependencies.telemetry
+        )
         self._decisions = DecisionMaker(
             dependencies,
             settings,
@@ -242,12 +246,6 @@
     def _usable_workers(self) -> list[Worker]:
         return [session.worker for session in self.usable_sessions()]
 
-    def _leaving_workers(self) -> Iterable[LeavingWorker]:
-        for session in self.fleet.sessions_by_id.values():
-            leaving = session.departure(self.durations)
-            if leaving is not None:
-                yield leaving
-
     @property
     def run_stop_time(self) -> timedelta:
         """Longest time that a worker takes to stop a run."""
@@ -319,7 +317,7 @@
         self._complete_recovery(now)
         if self._start_obstacle() is not None:
             return next_decision_at
-        departures = find_departures(self._leaving_workers(), self._settings)
+        departures = find_departures(self.fleet.leaving_workers(self.durations), self._settings)
         for unit in departures.units:
             self.runs.stop_unit(unit, "worker-leaving")
         if departures.next_after is not None:
--- a/packages/mimosapoint/src/mimosapoint/cell/run_reconciler.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/run_reconciler.py
@@ -60,6 +60,8 @@
         self._detect_slowness(now)
         if not is_complete:
             return
+        if is_first:
+            self._session.loss_watch.record_first_report(listed)
         for key, task_run in list(self._worker.task_runs_by_key.items()):
             if key in listed:
                 continue
--- a/packages/mimosapoint/src/mimosapoint/cell/run_supervisor.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/run_supervisor.py
@@ -314,6 +314,7 @@
         session = self._fleet.sessions_by_id[workers.pop()]
         is_started = all(task_run.confirmed_ms is not None for task_run in runs)
         if is_started and not session.is_reachable:
+            session.loss_watch.record_broken(runs)
             for task_run in runs:
                 session.end_task_run(task_run, RunEnd.BROKEN, reason="gang-broken")
 
--- a/packages/mimosapoint/src/mimosapoint/cell/session_owner.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/session_owner.py
@@ -8,6 +8,7 @@
 from mimosapoint.workload import RunEnd
 
 if TYPE_CHECKING:
+    from mimosapoint.cell.crash_blame import CrashBlame
     from mimosapoint.cell.decisions.units import TaskRun
     from mimosapoint.cell.worker_session import WorkerSession
 
@@ -15,7 +16,12 @@
 
 
 class SessionOwner(Protocol):
-    """Owner of a cell, as its worker sessions use it."""
+    """Owner of a cell, as its worker sessions use it.
+
+    :param crash_blame: attributes the losses of workers to tasks.
+    """
+
+    crash_blame: CrashBlame
 
     def holds_ownership(self) -> bool:
         """Return whether this node still owns the cell."""
--- a/packages/mimosapoint/src/mimosapoint/cell/settings.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/settings.py
@@ -65,6 +65,9 @@
         no new work.
     :param refusal_backoff: time for which a worker gets no work after it refused a start as
         unhealthy.
+    :param crash_blame_window: time that a run has to work, as run reports prove, to be no suspect
+        when its worker crashes. Covers the start window and one long poll, so that a run of a live
+        worker is listed in a report by then.
     :param cores: processor capacity of the node, in cores.
     :param link_mbps: network bandwidth of the node, in Mbit/s.
     :param preferred_owner_cores: processor capacity from which a node claims the cell without the
@@ -136,6 +139,7 @@
     patience_max: timedelta = _ms(1600)
     silent_after: timedelta = _ms(1500)
     refusal_backoff: timedelta = _ms(2500)
+    crash_blame_window: timedelta = _ms(3000)
     cores: float = 1.0
     link_mbps: float = 1000.0
     preferred_owner_cores: float = 1.0
@@ -183,6 +187,14 @@
         """
         return self.run_stop_time + self.order_timeout + self.start_retry_after * 2
 
+    @property
+    def silence_tolerance(self) -> timedelta:
+        """Longest time between the observations of two losses at the same moment.
+
+        One is seen when a connection is reset, the other when a long poll stays without reply.
+        """
+        return self.long_poll_wait_max + self.renewal_reply_time
+
     @property
     def is_preferred_owner(self) -> bool:
         """Whether the node has enough processor and bandwidth to be preferred as owner."""
--- a/packages/mimosapoint/src/mimosapoint/cell/tests/test_worker_session.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_worker_session.py
@@ -1,5 +1,7 @@
 """Tests of one worker session with scripted replies of the worker."""
 
+from unittest.mock import Mock
+
 import trio
 
 from mimosapoint.cell.settings import CellSettings
@@ -35,6 +37,7 @@
     """Owner of a session that stores ends at once and records fences."""
 
     def __init__(self):
+        self.crash_blame = Mock()
         self.fenced_by = []
         self.ended = []
 
--- a/packages/mimosapoint/src/mimosapoint/cell/worker_session.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/worker_session.py
@@ -6,8 +6,6 @@
 
 import trio
 
-from mimosapoint.cell.decisions.departures import LeavingWorker
-from mimosapoint.cell.decisions.durations import Durations
 from mimosapoint.cell.decisions.health import WorkerHealth
 from mimosapoint.cell.decisions.units import TaskRun, Unit
 from mimosapoint.cell.decisions.worker import Worker
@@ -20,6 +18,7 @@
 from mimosapoint.cell.settings import CellSettings
 from mimosapoint.cell.unexpected import format_traceback
 from mimosapoint.cell.worker_lease import MILLISECOND, WorkerLease
+from mimosapoint.cell.worker_loss import WorkerLossWatch
 from mimosapoint.cell.worker_orders import WorkerOrders
 from mimosapoint.errors import StaleEpoch, WorkerRefused, WorkerUnreachable
 from mimosapoint.ports import (
@@ -88,6 +87,7 @@
         self._lease = WorkerLease(clock, settings)
         self._orders = WorkerOrders(self, self._lease, workers, owner, clock, settings, telemetry)
         self.disturbances = Disturbances(self.worker, clock, telemetry)
+        self.loss_watch = WorkerLossWatch(self.worker, owner, clock, settings)
         self._reconciler = RunReconciler(self, owner, clock, telemetry)
         self._renewals = RenewalSender(workers, owner, clock, settings)
         self._is_reachable = True
@@ -171,20 +171,13 @@
             and self._last_reported_end <= self._last_stored_end
         )
 
-    def departure(self, durations: Durations) -> LeavingWorker | None:
-        """Return when a draining worker leaves and what its runs need; ``None`` if not known.
-
-        :param durations: expected run times.
-        """
+    @property
+    def leaves_in(self) -> timedelta | None:
+        """Time until a draining worker leaves; ``None`` if not known."""
         registration = self.registration
         if not (registration.draining and registration.leaves_at_ms and self.synced):
             return None
-        now, now_ms = self._clock.now(), self._lease.worker_now()
-        remaining_by_run = {
-            task_run: durations.remaining(task_run, now)
-            for task_run in self.task_runs_by_key.values()
-        }
-        return LeavingWorker((registration.leaves_at_ms - now_ms) * MILLISECOND, remaining_by_run)
+        return (registration.leaves_at_ms - self._lease.worker_now()) * MILLISECOND
 
     def is_removable(self, now: datetime) -> bool:
         """Return whether the worker is not registered and is known to have no runs."""
@@ -235,6 +228,7 @@
     async def _handle_failed_renewal(self, code: str) -> None:
         self._handle_unreachable(code)
         if self._clock.now() >= self._lease.expires_at and self.task_runs_by_key:
+            self.loss_watch.record_lapse()
             self._remove_all_task_runs(RunEnd.LAPSED, "lease-over")
         await trio.sleep(self._settings.retry_delay.total_seconds())
 
@@ -292,6 +286,7 @@
             return
         self._incarnation = report.born or self._incarnation
         self._is_replaced = False
+        self.loss_watch.record_return()
         is_first = not self.synced
         self._record_reply(report.clock_ms)
         for ended in report.ended:
@@ -338,6 +333,7 @@
         )
         if not self._is_replaced:
             self.disturbances.record("restart")
+        self.loss_watch.record_restart()
         self._generation += 1
         self._incarnation = born
         self.worker.health = WorkerHealth()
@@ -359,6 +355,7 @@
             "worker-replaced", worker=self.id, assignments=len(self.task_runs_by_key)
         )
         self.disturbances.record("replacement")
+        self.loss_watch.record_replacement()
         self._is_replaced = True
         self._generation += 1
         self.synced = False
@@ -378,6 +375,7 @@
                 lapse_in=round((self._lease.expires_at - self._clock.now()).total_seconds(), 3),
             )
             self.disturbances.record_silence()
+            self.loss_watch.record_silence()
             self._owner.on_silent(self)
             self._owner.request_decision()
 
