--- a/packages/mimosapoint/src/mimosapoint/memory/run_worker.py
+++ b/packages/mimosapoint/src/mimosapoint/memory/run_worker.py
@@ -30,6 +30,15 @@
 GANG_FORMATION_TIMEOUT = timedelta(seconds=3)
 """Longest time that a task of a gang waits for the others."""
 
+CRASH_DELAY = timedelta(milliseconds=10)
+"""Time from the start of a task that crashes its worker to the crash."""
+
+CRASH_DOWNTIME = timedelta(seconds=2)
+"""Time from a crash until the next incarnation replies."""
+
+SHRINK_GRACE_SECONDS = 4.0
+"""Time after which a smaller capacity binds: the users' contact time and one heartbeat."""
+
 MILLISECOND = timedelta(milliseconds=1)
 
 
@@ -48,6 +57,7 @@
     :param percent: progress in percent.
     :param end_unreported: whether the worker restarted, or its lease expired, before the end was
         acknowledged; the task may then start again.
+    :param crashed_worker: whether it crashed its worker.
     :param scope: cancels the run.
     """
 
@@ -61,6 +71,7 @@
     checkpoint: str = ""
     percent: int = 0
     end_unreported: bool = False
+    crashed_worker: bool = False
     scope: trio.CancelScope = attrs.field(factory=trio.CancelScope, repr=False)
 
 
@@ -74,6 +85,8 @@
     :param stop_time: time that a stop takes.
     :param failing_workers: ids of workers on which every run fails at once.
     :param failing_jobs: ids of jobs whose every run fails at once.
+    :param crashing_tasks: tasks that crash each worker that starts them.
+    :param crash_delay: time from the start of such a task to the crash.
     :param hanging_workers: ids of workers on which runs make no progress.
     :param history: records of all runs, in the order of their starts.
     :param workers_by_id: all simulated workers.
@@ -87,6 +100,8 @@
     stop_time: timedelta = STOP_DURATION
     failing_workers: set[str] = attrs.field(factory=set)
     failing_jobs: set[str] = attrs.field(factory=set)
+    crashing_tasks: set[TaskId] = attrs.field(factory=set)
+    crash_delay: timedelta = CRASH_DELAY
     hanging_workers: set[str] = attrs.field(factory=set)
     history: list[RunRecord] = attrs.field(factory=list)
     over_capacity_workers: list[str] = attrs.field(factory=list)
@@ -120,6 +135,8 @@
     def __init__(self, registration: WorkerRegistration, simulation: RunSimulation):
         self.registration = registration
         self.simulation = simulation
+        self.is_down = False
+        self._former_capacities: list[tuple[float, ResourceAmounts]] = []
         simulation.workers_by_id[registration.id] = self
         self.restart(registration.born)
 
@@ -145,6 +162,18 @@
         self._started_at = self.simulation.clock.now()
         self._run_ended = trio.Event()
 
+    async def crash(self, downtime: timedelta = CRASH_DOWNTIME) -> None:
+        """End all runs, and reply again as a new incarnation after a time."""
+        self.is_down = True
+        self.restart(self.born + 1)
+        await trio.sleep(downtime.total_seconds())
+        self.is_down = False
+
+    def resize(self, capacity: ResourceAmounts) -> None:
+        """Change the capacity; its registration has to be published again."""
+        self._former_capacities.append((trio.current_time(), self.registration.capacity))
+        self.registration = attrs.evolve(self.registration, capacity=capacity)
+
     @property
     def clock_ms(self) -> int:
         """Time since the start of the incarnation, in milliseconds."""
@@ -222,6 +251,11 @@
 
     async def _run(self, record: RunRecord) -> None:
         with record.scope:
+            if record.task in self.simulation.crashing_tasks:
+                await trio.sleep(self.simulation.crash_delay.total_seconds())
+                record.crashed_worker = True
+                self.simulation.nursery.start_soon(self.crash)
+                return
             if record.step.gang:
                 complete = self.simulation.join_gang(record)
                 with trio.move_on_after(GANG_FORMATION_TIMEOUT.total_seconds()):
@@ -284,7 +318,9 @@
         used = ResourceAmounts()
         for record in self.running.values():
             used += record.step.amounts
-        if not used.fit_count(self.registration.capacity):
+        since = trio.current_time() - SHRINK_GRACE_SECONDS
+        former = [capacity for at, capacity in self._former_capacities if at > since]
+        if not any(used.fit_count(each) for each in (self.registration.capacity, *former)):
             self.simulation.over_capacity_workers.append(self.registration.id)
 
     def _check_token(self, token: int) -> None:
--- a/packages/mimosapoint/src/mimosapoint/memory/run_workers.py
+++ b/packages/mimosapoint/src/mimosapoint/memory/run_workers.py
@@ -148,4 +148,7 @@
             raise WorkerUnreachable("no reply")
         if faults.wrong_incarnation:
             raise WorkerReplaced("another incarnation replies")
-        return self.workers_by_address[worker.address]
+        found = self.workers_by_address[worker.address]
+        if found.is_down:
+            raise WorkerUnreachable("connection reset")
+        return found
