Give up jobs whose tasks crash their workers

Cause: only a reported failure counts as an attempt; a run that ends with its worker returned its unit to the queue, and nothing about it was kept, in memory or in the store. Class: an effect of a task that is reported by nobody is not counted.

Change: each crash is recorded in the job's stored progress for the runs that may have caused it, those that no report proves to have outlived 3 s. A suspect runs next on workers without another suspect, where the least work is lost, preempts nothing, and its start is stored before it is ordered, so that a next owner finds a crash that nobody saw. A job fails at three crashes under one task, of which one that only the task explains counts twice. A worker that replies again, or was lost together with workers that no run can have crashed, or had announced its departure, is no evidence.

--- a/packages/mimosapoint/src/mimosapoint/cell/crash_blame.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/crash_blame.py
@@ -3,20 +3,25 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
+from datetime import datetime
 
-from mimosapoint.cell.decisions.crash_suspects import find_unexplained
-from mimosapoint.cell.decisions.units import TaskRun
+from mimosapoint.cell.decisions.crash_suspects import find_unexplained, is_given_up
+from mimosapoint.cell.decisions.units import Job, TaskRun, Unit
+from mimosapoint.cell.job_table import CellJobTable
 from mimosapoint.cell.settings import CellSettings
 from mimosapoint.cell.worker_loss import WorkerLoss
 from mimosapoint.ports import Clock, Telemetry
+from mimosapoint.workload import TaskId, WorkerCrash
 
 __all__ = ["CrashBlame"]
 
 
 class CrashBlame:
-    """Records which tasks may have crashed a worker.
+    """Records which tasks may have crashed a worker, and gives up those that crash several.
 
     :param losses: returns the present losses of all workers.
+    :param job_table: the jobs, whose progress keeps the crashes.
+    :param stop_job: stops the runs of a job, for a reason.
     :param clock: clock of the owner.
     :param settings: settings of the cell.
     :param telemetry: logs and metrics.
@@ -25,14 +30,19 @@
     def __init__(
         self,
         losses: Callable[[], Iterable[WorkerLoss]],
+        job_table: CellJobTable,
+        stop_job: Callable[[Job, str], None],
         clock: Clock,
         settings: CellSettings,
         telemetry: Telemetry,
     ):
         self._losses = losses
+        self._job_table = job_table
+        self._stop_job = stop_job
         self._clock = clock
         self._settings = settings
         self._telemetry = telemetry
+        self._unexplained_at: datetime | None = None
 
     def on_lost(self, loss: WorkerLoss, task_runs: list[TaskRun]) -> None:
         """Handle runs that have ended with their worker and may have crashed it.
@@ -41,8 +51,12 @@
         :param task_runs: the runs, of its suspects.
         """
         unexplained = find_unexplained(loss, self._losses(), self._settings.silence_tolerance)
+        if loss.is_over and not loss.is_planned and not loss.suspects:
+            self._unexplained_at = loss.at
+        if not task_runs:
+            return
         self._telemetry.event(
-            "worker-lost",
+            "crash-suspected",
             worker=loss.worker.id,
             silent_for=round((self._clock.now() - loss.at).total_seconds(), 3),
             is_over=loss.is_over,
@@ -51,8 +65,50 @@
             proven_ms=[int(run.proven_time.total_seconds() * 1000) for run in task_runs],
             lost_at_once=unexplained.worker.id if unexplained else "",
         )
+        if loss.is_planned or unexplained is not None:
+            return
+        is_sole = len({run.unit for run in loss.suspects}) == 1
+        is_calm = is_sole and loss.is_over and not self._has_recent_unexplained(loss.at)
+        for run in task_runs:
+            if run.unit is not None:
+                was_listed = bool(run.proven_time)
+                crash = WorkerCrash(
+                    run.run, loss.worker.id, was_listed, is_sole, is_calm and not was_listed
+                )
+                self.record(run.unit, run.task, crash)
 
     def on_returned(self, loss: WorkerLoss) -> None:
         """Handle the return of a silent worker, which has not crashed."""
-        if loss.suspects:
-            self._telemetry.event("worker-not-lost", worker=loss.worker.id)
+        for run in loss.suspects:
+            if run.unit is not None and self._job_table.clear_crashes(run.unit, run.task, run.run):
+                self._telemetry.event("crash-withdrawn", worker=loss.worker.id, task=run.task)
+
+    def on_outlived(self, task_run: TaskRun) -> None:
+        """Handle a run that has worked too long for a task that crashes its workers."""
+        task_run.worker.suspect_runs.discard(task_run)
+        if self._job_table.clear_crashes(task_run.unit, task_run.task):
+            self._telemetry.event("suspect-cleared", **task_run.log_fields())
+
+    def record(self, unit: Unit, task: TaskId, crash: WorkerCrash) -> None:
+        """Record a crash that a task may have caused, and give the job up if it is one too many."""
+        if not self._job_table.record_crash(unit, task, crash):
+            return
+        self._telemetry.count("cell_worker_crashes_blamed", sole=str(crash.is_sole).lower())
+        crashes = unit.job.progress.crashes[task.key]
+        if is_given_up(crashes, self._settings.max_worker_crashes):
+            self._telemetry.event(
+                "job-given-up",
+                job=task.job,
+                task=task,
+                workers=[each.worker for each in crashes],
+            )
+            self._telemetry.count("cell_jobs_given_up")
+            self._job_table.give_up(unit.job)
+            self._stop_job(unit.job, "worker-crashes")
+
+    def _has_recent_unexplained(self, at: datetime) -> bool:
+        """Return whether a worker has crashed lately although no run can have caused it."""
+        return (
+            self._unexplained_at is not None
+            and at - self._unexplained_at < self._settings.unexplained_memory
+        )
--- a/packages/mimosapoint/src/mimosapoint/cell/decisions/crash_suspects.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/decisions/crash_suspects.py
@@ -2,17 +2,21 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Sequence
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
 from mimosapoint.cell.decisions.units import TaskRun
 from mimosapoint.cell.decisions.worker import Worker
+from mimosapoint.workload import WorkerCrash
 
 if TYPE_CHECKING:
     from mimosapoint.cell.worker_loss import WorkerLoss
 
-__all__ = ["find_suspects", "find_unexplained"]
+__all__ = ["find_suspects", "find_unexplained", "is_given_up"]
+
+STARTS_TOLERATED = 2
+"""Starts of a task that the users tolerate after the crashes at which it may be given up."""
 
 
 def find_suspects(worker: Worker, window: timedelta) -> Iterator[TaskRun]:
@@ -31,15 +35,40 @@
 ) -> WorkerLoss | None:
     """Return a loss at the same moment that no run can have caused, or ``None``.
 
-    It shows that a worker was lost for another reason, such as the loss of its rack, and that this
-    reason may have hit the given worker, too.
+    It shows that a worker was lost for another reason, such as a loss of power, and that this
+    reason may have hit the given worker, too. Outside the zone of the given worker one such loss
+    may be a coincidence.
 
     :param loss: loss of the worker in question.
     :param others: present losses of all workers.
     :param tolerance: longest time between the observations of two simultaneous losses.
     """
-    for other in others:
-        is_same = other is loss or other.is_planned or other.suspects
-        if not is_same and abs(other.at - loss.at) <= tolerance:
-            return other
-    return None
+    found = [
+        other
+        for other in others
+        if other is not loss
+        and not other.is_planned
+        and not other.suspects
+        and abs(other.at - loss.at) <= tolerance
+    ]
+    zone = loss.worker.registration.zone
+    in_zone = [other for other in found if other.worker.registration.zone == zone]
+    return in_zone[0] if in_zone else found[0] if len(found) > 1 else None
+
+
+def is_given_up(crashes: Sequence[WorkerCrash], max_worker_crashes: int) -> bool:
+    """Return whether a task is given up.
+
+    No task is given up whose every crash may have been caused by another task beside it, unless
+    there are more of them than the users tolerate even so.
+
+    :param crashes: crashes that it may have caused.
+    :param max_worker_crashes: number of crashes at which it is given up; a conclusive one counts
+        twice.
+    """
+    weight = sum(crash.weight for crash in crashes)
+    if weight < max_worker_crashes:
+        return False
+    return (
+        any(crash.is_sole for crash in crashes) or weight >= max_worker_crashes + STARTS_TOLERATED
+    )
--- a/packages/mimosapoint/src/mimosapoint/cell/decisions/placement_state.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/decisions/placement_state.py
@@ -33,15 +33,18 @@
         self.labels = worker.registration.labels
         self.pool = worker.registration.pool
         self.instability = worker.stability.instability(now)
+        self.is_isolated = bool(worker.suspect_runs)
+        self.hosts_start = False
         self._deducted_by_step: dict[tuple[str, int, int], int] = {}
 
     def accepts(self, unit: Unit, pool: str) -> bool:
         """Return whether tasks of the unit may run here, regardless of free capacity.
 
         A failed unit avoids the workers on which it failed and those with a recent failure until
-        it has waited for :data:`FAILED_WORKER_AVOIDANCE`.
+        it has waited for :data:`FAILED_WORKER_AVOIDANCE`. No unit joins one that is suspected of
+        crashing its workers.
         """
-        if not self.matches(unit, pool):
+        if self.is_isolated or not self.matches(unit, pool):
             return False
         if unit.failed_on and self.now - unit.since < FAILED_WORKER_AVOIDANCE:
             return (
--- a/packages/mimosapoint/src/mimosapoint/cell/decisions/planner.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/decisions/planner.py
@@ -12,8 +12,9 @@
 from mimosapoint.cell.decisions.demand_mix import DemandMix
 from mimosapoint.cell.decisions.expected_end_reservation import Reservations
 from mimosapoint.cell.decisions.gang_reservation import find_gang_reservation
+from mimosapoint.cell.decisions.isolation import keep_clear, place_isolated
 from mimosapoint.cell.decisions.order import find_start_order
-from mimosapoint.cell.decisions.placement_state import PlacementState
+from mimosapoint.cell.decisions.placement_state import CandidateWorker, PlacementState
 from mimosapoint.cell.decisions.placing import find_placement, fits_one_rack
 from mimosapoint.cell.decisions.plan import Plan, Start, Stop
 from mimosapoint.cell.decisions.preemption import PreemptionPlan, choose_victims
@@ -160,6 +161,8 @@
         """
         state, reservations = decision.placement_state, decision.reservations
         pool = decision.context.configuration.pool_of(unit.job.record)
+        if unit.is_suspect:
+            return self._plan_suspect(decision, unit, pool)
         passed = reservations.passed_by(unit)
         fit_key = (*_fit_key(unit), passed)
         if fit_key in decision.blocked_fit_keys:
@@ -169,15 +172,8 @@
         candidates = self._place(state, unit, pool)
         reservations.lend(passed, -1)
         if candidates is not None:
-            if not self._admits(unit.size, decision.plan.task_count):
-                return False
-            state.deduct(candidates, unit)
-            self._holds.pop(unit.id, None)
-            self._quota_holds.pop(unit.id, None)
-            self._demand_mix.add_started(unit)
-            decision.plan.start(unit, tuple(candidate.worker for candidate in candidates))
-            decision.context.quotas.add_unit(unit)
-        elif decision.priority_of(unit) == URGENT_PRIORITY:
+            return self._start(decision, unit, candidates)
+        if decision.priority_of(unit) == URGENT_PRIORITY:
             self._preempt(decision, unit, pool)
             if unit.id in self._holds:
                 decision.context.quotas.add_unit(unit)
@@ -186,6 +182,43 @@
             self._reserve(decision, unit, pool)
         return True
 
+    def _plan_suspect(self, decision: _Decision, unit: Unit, pool: str) -> bool:
+        """Start a unit that is suspected of crashing its workers in isolation.
+
+        It preempts nothing, whatever its priority: its next crash would cost more. When it has
+        waited for too long, it joins runs that are not suspected.
+
+        :return: whether further units may be planned.
+        """
+        state, settings = decision.placement_state, self._settings
+        candidates = place_isolated(state, unit, pool, settings.crash_blame_window)
+        if candidates is None and decision.context.now - unit.since >= settings.isolation_patience:
+            candidates = self._place(state, unit, pool)
+        if candidates is None:
+            keep_clear(state, unit, pool)
+            return True
+        may_continue = self._start(decision, unit, candidates)
+        for candidate in candidates:
+            candidate.is_isolated = True
+        return may_continue
+
+    def _start(self, decision: _Decision, unit: Unit, candidates: list[CandidateWorker]) -> bool:
+        """Start a unit if the limit of starts admits it.
+
+        :return: whether further units may be planned.
+        """
+        if not self._admits(unit.size, decision.plan.task_count):
+            return False
+        decision.placement_state.deduct(candidates, unit)
+        for candidate in candidates:
+            candidate.hosts_start = True
+        self._holds.pop(unit.id, None)
+        self._quota_holds.pop(unit.id, None)
+        self._demand_mix.add_started(unit)
+        decision.plan.start(unit, tuple(candidate.worker for candidate in candidates))
+        decision.context.quotas.add_unit(unit)
+        return True
+
     def _reserve(self, decision: _Decision, unit: Unit, pool: str) -> None:
         """Reserve capacity for a waiting gang by the rule that the settings name.
 
--- a/packages/mimosapoint/src/mimosapoint/cell/decisions/units.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/decisions/units.py
@@ -20,6 +20,7 @@
     Step,
     TaskId,
     UnitId,
+    is_suspect,
 )
 
 if TYPE_CHECKING:
@@ -166,6 +167,12 @@
         if len(runs) == self.size and all(run.confirmed_ms is not None for run in runs):
             self.formed_at = now
 
+    @property
+    def is_suspect(self) -> bool:
+        """Whether one of its tasks is suspected of crashing its workers."""
+        crashes = self.job.progress.crashes
+        return bool(crashes) and any(is_suspect(crashes.get(task.key, ())) for task in self.tasks)
+
     @property
     def checkpoint(self) -> str:
         """Newest checkpoint; empty if there is none."""
--- a/packages/mimosapoint/src/mimosapoint/cell/decisions/worker.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/decisions/worker.py
@@ -32,6 +32,7 @@
     :param slow_detector: whether its runs make slow progress.
     :param stability: its recent disturbances.
     :param pace: its speed relative to other workers.
+    :param suspect_runs: runs of units that are suspected of crashing their workers.
     """
 
     registration: WorkerRegistration
@@ -42,6 +43,7 @@
     slow_detector: SlowWorkerDetector = attrs.field(factory=SlowWorkerDetector)
     stability: WorkerStability = attrs.field(factory=WorkerStability)
     pace: WorkerPace = attrs.field(factory=WorkerPace)
+    suspect_runs: set[TaskRun] = attrs.field(factory=set)
 
     @property
     def id(self) -> str:
@@ -53,17 +55,26 @@
         """Capacity that neither runs nor ordered starts occupy."""
         return self.registration.capacity - self.used
 
+    @property
+    def is_over_capacity(self) -> bool:
+        """Whether its runs need more than its capacity, as after the capacity has shrunk."""
+        free = self.free
+        return min(free.cpu_millis, free.memory_mb, free.accelerators) < 0
+
     def add(self, task_run: TaskRun) -> None:
         """Add a run and occupy its capacity."""
         self.task_runs_by_key[task_run.task, task_run.run] = task_run
         self.used += task_run.amounts
         used = self.used_by_workspace.get(task_run.workspace, ResourceAmounts())
         self.used_by_workspace[task_run.workspace] = used + task_run.amounts
+        if task_run.unit is not None and task_run.unit.is_suspect:
+            self.suspect_runs.add(task_run)
 
     def remove(self, task_run: TaskRun) -> bool:
         """Remove a run and free its capacity; return whether the worker had it."""
         if self.task_runs_by_key.pop((task_run.task, task_run.run), None) is None:
             return False
+        self.suspect_runs.discard(task_run)
         self.used -= task_run.amounts
         used = self.used_by_workspace[task_run.workspace] - task_run.amounts
         if used == ResourceAmounts():
--- a/packages/mimosapoint/src/mimosapoint/cell/job_table.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/job_table.py
@@ -5,7 +5,15 @@
 
 from mimosapoint.cell.decisions.units import Job, Unit, UnitState
 from mimosapoint.ports import Clock, Telemetry
-from mimosapoint.workload import AcceptedJob, JobProgress, Phase, UnitId
+from mimosapoint.workload import (
+    AcceptedJob,
+    JobProgress,
+    Phase,
+    SuspectStart,
+    TaskId,
+    UnitId,
+    WorkerCrash,
+)
 
 __all__ = ["CellJobTable"]
 
@@ -134,6 +142,8 @@
             unit.state = UnitState.WAITING
             unit.since = self._clock.now()
             self.waiting_by_id[unit.id] = unit
+            if unit.job.progress.suspect_starts.pop(unit.id.key, None):
+                self._mark_changed(unit.job)
 
     def finish_unit(self, unit: Unit) -> None:
         """Record that a unit is done."""
@@ -160,6 +170,36 @@
             if not unit.step.long_running:
                 self._end(job, Phase.FAILED)
 
+    def record_crash(self, unit: Unit, task: TaskId, crash: WorkerCrash) -> bool:
+        """Record a crash that a task may have caused; return whether that is new."""
+        job = unit.job
+        if job.progress.phase.ended or unit.state is UnitState.DONE:
+            return False
+        if not job.progress.add_crash(task, crash):
+            return False
+        self._mark_changed(job)
+        return True
+
+    def clear_crashes(self, unit: Unit, task: TaskId, run: int | None = None) -> bool:
+        """Remove the crashes recorded for a task, or for one of its runs; return whether any was.
+
+        Those of a job that has ended stay, as they may be the reason.
+        """
+        job = unit.job
+        if job.progress.phase.ended or not job.progress.remove_crashes(task, run):
+            return False
+        self._mark_changed(job)
+        return True
+
+    def give_up(self, job: Job) -> None:
+        """Let a job fail whose task crashes its workers."""
+        self._end(job, Phase.FAILED)
+
+    def set_suspect_start(self, unit: Unit, start: SuspectStart) -> None:
+        """Record the start of a unit with a suspect task, which is ordered once that is stored."""
+        unit.job.progress.suspect_starts[unit.id.key] = start
+        self._mark_changed(unit.job)
+
     def save_checkpoint(self, unit: Unit, checkpoint: str, durable: bool) -> None:
         """Record a checkpoint; a durable one is stored with the next commit."""
         job = unit.job
--- a/packages/mimosapoint/src/mimosapoint/cell/owner.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/owner.py
@@ -28,6 +28,7 @@
 from mimosapoint.cell.load_summary import LoadSummaryWriter
 from mimosapoint.cell.run_supervisor import RunSupervisor
 from mimosapoint.cell.settings import CellSettings
+from mimosapoint.cell.suspect_starts import review_suspect_starts
 from mimosapoint.cell.timer_lag import probe_timer_lag
 from mimosapoint.cell.worker_session import WorkerSession
 from mimosapoint.cell.workspace_limits import WorkspaceLimits
@@ -93,10 +94,16 @@
             self._start_task,
             self.request_decision,
             self.durations,
+            settings,
             self._limits.is_exceeded,
         )
         self.crash_blame = CrashBlame(
-            self.fleet.losses, dependencies.clock, settings, dependencies.telemetry
+            self.fleet.losses,
+            self.job_table,
+            self.runs.stop_job,
+            dependencies.clock,
+            settings,
+            dependencies.telemetry,
         )
         self._decisions = DecisionMaker(
             dependencies,
@@ -356,6 +363,7 @@
         if self.is_recovered or not self.fleet.all_runs_known(now):
             return
         self._limits.all_runs_known = True
+        review_suspect_starts(self.job_table, self.fleet.sessions_by_id, self.crash_blame)
         self._telemetry.event("cell-settled", epoch=self._ownership.epoch)
         for unit in list(self.job_table.active_units()):
             if unit.state is UnitState.ACTIVE and len(unit.task_runs_by_task) < unit.size:
--- a/packages/mimosapoint/src/mimosapoint/cell/run_reconciler.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/run_reconciler.py
@@ -7,6 +7,7 @@
 
 from mimosapoint.cell.decisions.units import TaskRun
 from mimosapoint.cell.session_owner import SessionOwner
+from mimosapoint.cell.settings import CellSettings
 from mimosapoint.ports import Clock, EndedRun, RunStatus, Telemetry, WorkerRunReport
 from mimosapoint.workload import RunEnd
 
@@ -22,16 +23,23 @@
     :param session: the session with the worker.
     :param owner: receiver of adopted runs and of ends.
     :param clock: clock of the owner.
+    :param settings: time after which a run is no suspect in a crash.
     :param telemetry: logs and metrics.
     """
 
     def __init__(
-        self, session: WorkerSession, owner: SessionOwner, clock: Clock, telemetry: Telemetry
+        self,
+        session: WorkerSession,
+        owner: SessionOwner,
+        clock: Clock,
+        settings: CellSettings,
+        telemetry: Telemetry,
     ):
         self._session = session
         self._worker = session.worker
         self._owner = owner
         self._clock = clock
+        self._settings = settings
         self._telemetry = telemetry
 
     def handle_end(self, ended: EndedRun) -> None:
@@ -101,6 +109,9 @@
         task_run.percent = status.percent
         task_run.reported_ms, task_run.reported_at = clock_ms, self._clock.now()
         task_run.progress_rate.add_sample(status.percent, clock_ms)
+        has_crashes = task_run.unit is not None and task_run.unit.job.progress.crashes
+        if has_crashes and task_run.proven_time >= self._settings.crash_blame_window:
+            self._owner.crash_blame.on_outlived(task_run)
         if status.checkpoint and task_run.unit is not None:
             unit = task_run.unit
             if task_run.run == unit.run:
--- a/packages/mimosapoint/src/mimosapoint/cell/run_supervisor.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/run_supervisor.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 
 from mimosapoint.cell.committer import ProgressCommitter
+from mimosapoint.cell.decisions.crash_suspects import find_suspects
 from mimosapoint.cell.decisions.durations import Durations, run_seconds
 from mimosapoint.cell.decisions.preemption_cost import lost_core_seconds
 from mimosapoint.cell.decisions.start_limiter import StartLimiter
@@ -16,6 +17,8 @@
 from mimosapoint.cell.election import Ownership
 from mimosapoint.cell.fleet import Fleet
 from mimosapoint.cell.job_table import CellJobTable
+from mimosapoint.cell.settings import CellSettings
+from mimosapoint.cell.suspect_starts import make_suspect_start
 from mimosapoint.cell.worker_session import WorkerSession
 from mimosapoint.ports import EndedRun, RunStatus
 from mimosapoint.workload import ResourceAmounts, RunEnd, TaskId
@@ -47,6 +50,7 @@
     :param start_task: starts a function as a task of the owner.
     :param request_decision: requests a new scheduling decision.
     :param durations: learns the run times.
+    :param settings: time within which a crash is blamed on a run.
     :param exceeds_cap: whether a run, which is counted already, exceeds its workspace's cap.
     """
 
@@ -61,6 +65,7 @@
         start_task: Callable[..., None],
         request_decision: Callable[[], None],
         durations: Durations,
+        settings: CellSettings,
         exceeds_cap: Callable[[TaskRun], bool],
     ):
         self._ownership = ownership
@@ -74,6 +79,7 @@
         self._start_task = start_task
         self._request_decision = request_decision
         self._durations = durations
+        self._settings = settings
         self._exceeds_cap = exceeds_cap
         self._run_count = 0
         self._unwanted_run_counts: Counter[TaskId] = Counter()
@@ -178,6 +184,8 @@
         run = (self._ownership.epoch << RUN_COUNTER_BITS) + self._run_count
         waited = (self._clock.now() - unit.since).total_seconds()
         self._job_table.activate(unit, run)
+        if unit.is_suspect:
+            self._record_suspect_start(unit, run, workers)
         self._telemetry.event(
             "unit-started",
             job=unit.id.job,
@@ -197,6 +205,13 @@
             task_run = session.create_task_run(unit, task, run)
             self._start_task(self._order_start, session, task_run, unit.job, checkpoint)
 
+    def _record_suspect_start(self, unit: Unit, run: int, workers: tuple[Worker, ...]) -> None:
+        window = self._settings.crash_blame_window
+        is_sole = all(next(find_suspects(worker, window), None) is None for worker in workers)
+        sessions = tuple(self._fleet.sessions_by_id[worker.id] for worker in workers)
+        start = make_suspect_start(unit, run, sessions, is_sole)
+        self._job_table.set_suspect_start(unit, start)
+
     async def _order_start(
         self, session: WorkerSession, task_run: TaskRun, job: Job, checkpoint: str
     ) -> None:
@@ -208,6 +223,8 @@
         try:
             if not job.is_start_stored:
                 await self._committer.wait_start_stored(job)
+            if task_run.unit.is_suspect:
+                await self._committer.wait_stored([job])
             # A cap may have been lowered while the order waited for the store.
             if self._view.configuration.version != version and self._exceeds_cap(task_run):
                 session.end_task_run(task_run, RunEnd.REFUSED, reason="over-quota")
@@ -336,16 +353,17 @@
     def _stop_after_failure(self, unit: Unit) -> None:
         job = unit.job
         if job.progress.phase.ended:
-            self._stop_job(job, "job-failed")
+            self.stop_job(job, "job-failed")
         elif unit.task_runs_by_task:
             self.stop_unit(unit, "member-failed")
 
     def cancel(self, job: Job) -> None:
         """Record that the caller has cancelled a job, and stop its runs."""
         self._job_table.cancel(job)
-        self._stop_job(job, "cancelled")
+        self.stop_job(job, "cancelled")
 
-    def _stop_job(self, job: Job, reason: str) -> None:
+    def stop_job(self, job: Job, reason: str) -> None:
+        """Stop the runs of a job."""
         for unit in job.units_by_id.values():
             self.stop_unit(unit, reason)
 
--- a/packages/mimosapoint/src/mimosapoint/cell/settings.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/settings.py
@@ -68,6 +68,12 @@
     :param crash_blame_window: time that a run has to work, as run reports prove, to be no suspect
         when its worker crashes. Covers the start window and one long poll, so that a run of a live
         worker is listed in a report by then.
+    :param max_worker_crashes: number of crashes of workers under one task at which its job fails.
+        One that only the task explains counts twice. The users tolerate two more starts after
+        three crashes, which leaves room for crashes that no owner saw.
+    :param isolation_patience: time for which a suspect unit waits for workers that no run of
+        another unit might crash; a worker that gets no new runs has only proven ones after
+        ``crash_blame_window`` and one long poll.
     :param cores: processor capacity of the node, in cores.
     :param link_mbps: network bandwidth of the node, in Mbit/s.
     :param preferred_owner_cores: processor capacity from which a node claims the cell without the
@@ -140,6 +146,8 @@
     silent_after: timedelta = _ms(1500)
     refusal_backoff: timedelta = _ms(2500)
     crash_blame_window: timedelta = _ms(3000)
+    max_worker_crashes: int = 3
+    isolation_patience: timedelta = _ms(6000)
     cores: float = 1.0
     link_mbps: float = 1000.0
     preferred_owner_cores: float = 1.0
@@ -195,6 +203,14 @@
         """
         return self.long_poll_wait_max + self.renewal_reply_time
 
+    @property
+    def unexplained_memory(self) -> timedelta:
+        """Time for which the crash of a worker that no run explains weakens the next evidence.
+
+        Workers that crash for other reasons do so again within some leases.
+        """
+        return 8 * self.worker_lease
+
     @property
     def is_preferred_owner(self) -> bool:
         """Whether the node has enough processor and bandwidth to be preferred as owner."""
--- a/packages/mimosapoint/src/mimosapoint/cell/tests/_cell_faults.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/_cell_faults.py
@@ -9,7 +9,7 @@
 from mimosapoint.cell.tests._recorded_site import API_KEY, RecordedSite
 from mimosapoint.cell.tests._site import SMALL
 from mimosapoint.testing.cell_checks import LATE_START_BOUND
-from mimosapoint.workload import Step
+from mimosapoint.workload import Step, TaskId
 
 __all__ = ["STOP_BOUND_SECONDS", "CellFault", "faults_by_name"]
 
@@ -172,6 +172,15 @@
     site.register(worker, born=worker.born)
 
 
+@fault("task crashing its workers")
+async def submit_crashing_job(site: RecordedSite, seconds: float) -> None:
+    """Submit a job with a task that crashes each worker that starts it."""
+    job = f"crash{len(site.history.submissions)}"
+    site.simulation.crashing_tasks.add(TaskId(job, 0, 0, 0))
+    await site.call_submit(job, Step(2, SMALL))
+    await trio.sleep(seconds)
+
+
 @fault("worker draining")
 async def drain_worker(site: RecordedSite, seconds: float) -> None:
     """Let a worker drain for a time."""
--- a/packages/mimosapoint/src/mimosapoint/cell/worker_session.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/worker_session.py
@@ -47,7 +47,9 @@
 
     ``is_registered`` tells whether the worker has a registration in the store, ``on_roster``
     whether the stored roster lists it, and ``synced`` whether a run report of its present
-    incarnation was applied. ``refusing_until`` is set after a start that the worker refused as
+    incarnation was applied. ``incarnation`` is the start of that one, in milliseconds of the
+    worker's clock, or 0, and ``is_replaced`` tells whether another one replies at the address.
+    ``refusing_until`` is set after a start that the worker refused as
     unhealthy; ``health`` counts the failures of jobs on it.
 
     :param registration: the worker's registration.
@@ -81,17 +83,17 @@
         self._settings = settings
         self._telemetry = telemetry
         self._generation = 1
-        self._incarnation = 0
+        self.incarnation = 0
         self._last_reported_end = 0
         self._last_stored_end = 0
         self._lease = WorkerLease(clock, settings)
         self._orders = WorkerOrders(self, self._lease, workers, owner, clock, settings, telemetry)
         self.disturbances = Disturbances(self.worker, clock, telemetry)
         self.loss_watch = WorkerLossWatch(self.worker, owner, clock, settings)
-        self._reconciler = RunReconciler(self, owner, clock, telemetry)
+        self._reconciler = RunReconciler(self, owner, clock, settings, telemetry)
         self._renewals = RenewalSender(workers, owner, clock, settings)
         self._is_reachable = True
-        self._is_replaced = False
+        self.is_replaced = False
 
     # Interface of the planner
 
@@ -155,7 +157,7 @@
         They are known from its run reports. After a replacement or the expiry of the lease there
         are none.
         """
-        return self.synced or self._is_replaced or now >= self._lease.expires_at
+        return self.synced or self.is_replaced or now >= self._lease.expires_at
 
     @property
     def is_drained(self) -> bool:
@@ -245,12 +247,12 @@
         self.worker.registration = registration
         if registration.address != old.address:
             # What replied at the old address says nothing about the worker.
-            self._is_replaced = False
+            self.is_replaced = False
         if registration.draining and not old.draining:
             self._telemetry.event(
                 "worker-draining", worker=self.id, assignments=len(self.task_runs_by_key)
             )
-        if registration.born and self._incarnation and registration.born > self._incarnation:
+        if registration.born and self.incarnation and registration.born > self.incarnation:
             self._handle_restart(registration.born)
 
     async def _renew_lease(self) -> None:
@@ -277,15 +279,15 @@
             await self._apply_report(report)
 
     async def _apply_report(self, report: WorkerRunReport) -> None:
-        if report.born and self._incarnation and report.born != self._incarnation:
-            if report.born < self._incarnation and self._clock.now() < self._lease.expires_at:
+        if report.born and self.incarnation and report.born != self.incarnation:
+            if report.born < self.incarnation and self._clock.now() < self._lease.expires_at:
                 # Perhaps the process before a restart still replies. If it goes on after the lease
                 # of the known incarnation, this one has ended: the worker's clock was set back.
                 raise WorkerUnreachable("an earlier incarnation replied")
             self._handle_restart(report.born)
             return
-        self._incarnation = report.born or self._incarnation
-        self._is_replaced = False
+        self.incarnation = report.born or self.incarnation
+        self.is_replaced = False
         self.loss_watch.record_return()
         is_first = not self.synced
         self._record_reply(report.clock_ms)
@@ -300,7 +302,7 @@
             self._telemetry.event(
                 "worker-synced",
                 worker=self.id,
-                born=self._incarnation,
+                born=self.incarnation,
                 running=len(report.running),
                 ended=len(report.ended),
                 epoch=self._epoch,
@@ -331,11 +333,11 @@
         self._telemetry.event(
             "worker-reborn", worker=self.id, born=born, assignments=len(self.task_runs_by_key)
         )
-        if not self._is_replaced:
+        if not self.is_replaced:
             self.disturbances.record("restart")
         self.loss_watch.record_restart()
         self._generation += 1
-        self._incarnation = born
+        self.incarnation = born
         self.worker.health = WorkerHealth()
         self.worker.pace = WorkerPace()
         self._last_reported_end = 0
@@ -349,14 +351,14 @@
         No run of this worker is left then. The raised fencing token invalidates the orders
         still in flight.
         """
-        if self._is_replaced:
+        if self.is_replaced:
             return
         self._telemetry.event(
             "worker-replaced", worker=self.id, assignments=len(self.task_runs_by_key)
         )
         self.disturbances.record("replacement")
         self.loss_watch.record_replacement()
-        self._is_replaced = True
+        self.is_replaced = True
         self._generation += 1
         self.synced = False
         self._remove_all_task_runs(RunEnd.LOST, "replaced")
--- a/packages/mimosapoint/src/mimosapoint/telemetry/_cell_declarations.py
+++ b/packages/mimosapoint/src/mimosapoint/telemetry/_cell_declarations.py
@@ -142,6 +142,19 @@
         "Times that a worker was found slow or hanging by the progress of its runs.",
         "times",
     ),
+    Metric(
+        "cell_worker_crashes_blamed",
+        MetricKind.COUNTER,
+        "Crashes of workers blamed on a task, by whether no other run can have caused them.",
+        "crashes",
+        ("sole",),
+    ),
+    Metric(
+        "cell_jobs_given_up",
+        MetricKind.COUNTER,
+        "Jobs that failed because one of their tasks crashes its workers.",
+        "jobs",
+    ),
     Metric(
         "cell_workers_unstable",
         MetricKind.COUNTER,
@@ -237,6 +250,10 @@
     ("worker-put-aside", "Several jobs failed on a worker; it is quarantined for a while."),
     ("worker-reborn", "A worker restarted; its runs are lost."),
     ("worker-heard-again", "A worker replies again."),
+    ("crash-suspected", "A worker was lost under runs that may have crashed it."),
+    ("crash-withdrawn", "A silent worker replies again; no run has crashed it."),
+    ("suspect-cleared", "A run has worked too long for a task that crashes its workers."),
+    ("job-given-up", "A job failed because one of its tasks crashes its workers."),
     (
         "worker-replaced",
         "Another incarnation of the worker replies at its address; this one has ended.",
--- a/packages/mimosapoint/src/mimosapoint/testing/cell_checks.py
+++ b/packages/mimosapoint/src/mimosapoint/testing/cell_checks.py
@@ -13,6 +13,7 @@
     SubmissionOutcome,
 )
 from mimosapoint.testing.checks import CheckResult
+from mimosapoint.testing.crash_checks import crash_violations, crashing_tasks, may_be_given_up
 from mimosapoint.testing.run_checks import run_violations
 from mimosapoint.workload import Phase, RunEnd, TaskId
 
@@ -163,7 +164,8 @@
         return None if is_true else f"{job} is cancelled by no one"
     if phase is Phase.FAILED:
         failed = any(_ended_by(run, RunEnd.FAILED, observation.at) for run in runs)
-        return None if failed else f"{job} failed without a failed run"
+        is_true = failed or may_be_given_up(runs)
+        return None if is_true else f"{job} failed without a failed run or a crash"
     return None
 
 
@@ -210,6 +212,12 @@
         yield from run_violations(runs, ()) or [None]
 
 
+@cell_promise("a task that crashes its workers is given up")
+def crashing_tasks_are_given_up(history: CellHistory) -> Iterator[str | None]:
+    """Check that a task that has crashed three workers is not started three times more."""
+    yield from crash_violations(history.runs) or [None] * len(crashing_tasks(history.runs))
+
+
 @cell_promise("cancelled work stops")
 def cancelled_jobs_stop(history: CellHistory) -> Iterator[str | None]:
     """Check that no run of a cancelled job starts or goes on after the bound."""
--- a/packages/mimosapoint/src/mimosapoint/workload/__init__.py
+++ b/packages/mimosapoint/src/mimosapoint/workload/__init__.py
@@ -16,6 +16,7 @@
     TaskId,
     UnitId,
 )
+from mimosapoint.workload.crashes import SuspectStart, WorkerCrash, is_suspect
 from mimosapoint.workload.progress import JobProgress
 from mimosapoint.workload.validation import MAX_JOB_TASKS, check_job, task_total
 
@@ -31,9 +32,12 @@
     "RunEnd",
     "Schedule",
     "Step",
+    "SuspectStart",
     "TaskId",
     "CellWorkspace",
     "UnitId",
+    "WorkerCrash",
     "check_job",
+    "is_suspect",
     "task_total",
 ]
--- a/packages/mimosapoint/src/mimosapoint/workload/core.py
+++ b/packages/mimosapoint/src/mimosapoint/workload/core.py
@@ -172,8 +172,13 @@
     step: int
     index: int
 
+    @property
+    def key(self) -> str:
+        """Key of the task within the job's progress."""
+        return f"{self.occurrence}.{self.step}.{self.index}"
+
     def __str__(self) -> str:
-        return f"{self.job}.{self.occurrence}.{self.step}.{self.index}"
+        return f"{self.job}.{self.key}"
 
 
 @attrs.frozen
--- a/packages/mimosapoint/src/mimosapoint/workload/progress.py
+++ b/packages/mimosapoint/src/mimosapoint/workload/progress.py
@@ -2,7 +2,8 @@
 
 import attrs
 
-from mimosapoint.workload.core import Phase, UnitId
+from mimosapoint.workload.core import Phase, TaskId, UnitId
+from mimosapoint.workload.crashes import SuspectStart, WorkerCrash
 
 __all__ = ["JobProgress"]
 
@@ -15,12 +16,16 @@
     :param done: indexes of the completed units, by step key.
     :param failed_runs: numbers of the runs that failed, by unit key.
     :param checkpoints: newest checkpoint of each incomplete unit that has one, by unit key.
+    :param crashes: crashes of workers that a task may have caused, by task key.
+    :param suspect_starts: newest start of each incomplete unit with a suspect task, by unit key.
     """
 
     phase: Phase = Phase.QUEUED
     done: dict[str, list[int]] = attrs.field(factory=dict)
     failed_runs: dict[str, list[int]] = attrs.field(factory=dict)
     checkpoints: dict[str, str] = attrs.field(factory=dict)
+    crashes: dict[str, list[WorkerCrash]] = attrs.field(factory=dict)
+    suspect_starts: dict[str, SuspectStart] = attrs.field(factory=dict)
 
     def is_done(self, unit: UnitId) -> bool:
         """Return whether a unit is done."""
@@ -33,6 +38,7 @@
         self.done.setdefault(unit.step_key, []).append(unit.index)
         self.checkpoints.pop(unit.key, None)
         self.failed_runs.pop(unit.key, None)
+        self.suspect_starts.pop(unit.key, None)
         return True
 
     def add_failure(self, unit: UnitId, run: int) -> bool:
@@ -46,3 +52,21 @@
     def failure_count(self, unit: UnitId) -> int:
         """Return the number of failed runs of a unit."""
         return len(self.failed_runs.get(unit.key, ()))
+
+    def add_crash(self, task: TaskId, crash: WorkerCrash) -> bool:
+        """Record a crash under a run once, with the newest evidence; return whether that is new."""
+        known = self.crashes.get(task.key, [])
+        if crash in known:
+            return False
+        self.crashes[task.key] = [each for each in known if each.run != crash.run] + [crash]
+        return True
+
+    def remove_crashes(self, task: TaskId, run: int | None = None) -> bool:
+        """Remove the crashes of a task, or of one of its runs; return whether there were any."""
+        known = self.crashes.get(task.key, [])
+        kept = [each for each in known if run is not None and each.run != run]
+        if kept:
+            self.crashes[task.key] = kept
+        else:
+            self.crashes.pop(task.key, None)
+        return len(kept) < len(known)
