Let starts go by the capacity that a worker has now

What callers may see: a worker that does not guard its capacity is overloaded after the capacity has shrunk (LIMIT). Cause: a decision looked at the capacity, and its start was ordered seconds later when the store was slow; and a unit that needs no accelerators was placed on a worker whose runs need more of them than it has left. Change: no start is ordered to, and nothing placed on, a worker whose runs need more than its present capacity. The fault pairs include a shrinking worker.

--- a/packages/mimosapoint/src/mimosapoint/cell/decisions/placement_state.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/decisions/placement_state.py
@@ -35,6 +35,7 @@
         self.instability = worker.stability.instability(now)
         self.is_isolated = bool(worker.suspect_runs)
         self.hosts_start = False
+        self._is_over_capacity = worker.is_over_capacity
         self._deducted_by_step: dict[tuple[str, int, int], int] = {}
 
     def accepts(self, unit: Unit, pool: str) -> bool:
@@ -77,6 +78,8 @@
         :param unit: the unit.
         :param free: capacity to fit them into; by default the free capacity of the worker.
         """
+        if free is None and self._is_over_capacity:
+            return 0
         step = unit.step
         fit_count = step.amounts.fit_count(self.free if free is None else free)
         if step.spread_limit and fit_count:
--- a/packages/mimosapoint/src/mimosapoint/cell/tests/_cell_faults.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/_cell_faults.py
@@ -7,9 +7,9 @@
 import trio
 
 from mimosapoint.cell.tests._recorded_site import API_KEY, RecordedSite
-from mimosapoint.cell.tests._site import SMALL
+from mimosapoint.cell.tests._site import CAPACITY, SMALL
 from mimosapoint.testing.cell_checks import LATE_START_BOUND
-from mimosapoint.workload import Step, TaskId
+from mimosapoint.workload import ResourceAmounts, Step, TaskId
 
 __all__ = ["STOP_BOUND_SECONDS", "CellFault", "faults_by_name"]
 
@@ -17,6 +17,7 @@
 """Begins a fault, waits for a time in seconds and ends the fault."""
 
 BURST_SIZE = 40
+SHRUNKEN = ResourceAmounts(64_000, 131_072, 4)
 LOST_REPLIES = 6
 
 STOP_BOUND_SECONDS = 12.0
@@ -181,6 +182,17 @@
     await trio.sleep(seconds)
 
 
+@fault("worker shrinking")
+async def shrink_worker(site: RecordedSite, seconds: float) -> None:
+    """Let the capacity of a worker shrink, perhaps below what runs, and grow again."""
+    worker = site.any_worker
+    worker.resize(site.random.choice((SMALL, SHRUNKEN)))
+    site.register(worker)
+    await trio.sleep(LATE_START_BOUND + seconds)
+    worker.resize(CAPACITY)
+    site.register(worker)
+
+
 @fault("worker draining")
 async def drain_worker(site: RecordedSite, seconds: float) -> None:
     """Let a worker drain for a time."""
--- a/packages/mimosapoint/src/mimosapoint/cell/worker_orders.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/worker_orders.py
@@ -106,6 +106,7 @@
             self._owner.may_start_on(self._session)
             and self._session.synced
             and self._session.worker.has(task_run)
+            and not self._session.worker.is_over_capacity
             and not task_run.stopping
         )
 
