Tell crashes by tasks from losses of zones, and show the evidence

A run that a report had listed once, 6 ms after its start, was not suspected; a zone that was lost twice let a healthy job fail, as workers that were back sooner were no longer counted as lost; a gang restarts within milliseconds, long before the loss of its first worker is confirmed. The status of a job names the tasks and workers, a worker with a suspect is shown as isolated, and a waiting suspect says so.

--- a/packages/mimosapoint/src/mimosapoint/cell/crash_blame.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/crash_blame.py
@@ -5,12 +5,16 @@
 from collections.abc import Callable, Iterable
 from datetime import datetime
 
-from mimosapoint.cell.decisions.crash_suspects import find_unexplained, is_given_up
+from mimosapoint.cell.decisions.crash_suspects import (
+    find_unexplained,
+    is_domain_lost,
+    is_given_up,
+)
 from mimosapoint.cell.decisions.units import Job, TaskRun, Unit
 from mimosapoint.cell.job_table import CellJobTable
 from mimosapoint.cell.settings import CellSettings
 from mimosapoint.cell.worker_loss import WorkerLoss
-from mimosapoint.ports import Clock, Telemetry
+from mimosapoint.ports import Clock, Telemetry, WorkerRegistration
 from mimosapoint.workload import TaskId, WorkerCrash
 
 __all__ = ["CrashBlame"]
@@ -19,7 +23,8 @@
 class CrashBlame:
     """Records which tasks may have crashed a worker, and gives up those that crash several.
 
-    :param losses: returns the present losses of all workers.
+    :param losses: returns the present or last loss of each worker.
+    :param registrations: returns the registrations of all workers.
     :param job_table: the jobs, whose progress keeps the crashes.
     :param stop_job: stops the runs of a job, for a reason.
     :param clock: clock of the owner.
@@ -30,6 +35,7 @@
     def __init__(
         self,
         losses: Callable[[], Iterable[WorkerLoss]],
+        registrations: Callable[[], Iterable[WorkerRegistration]],
         job_table: CellJobTable,
         stop_job: Callable[[Job, str], None],
         clock: Clock,
@@ -37,6 +43,7 @@
         telemetry: Telemetry,
     ):
         self._losses = losses
+        self._registrations = registrations
         self._job_table = job_table
         self._stop_job = stop_job
         self._clock = clock
@@ -50,7 +57,8 @@
         :param loss: the loss of the worker; it may still turn out to be a mere silence.
         :param task_runs: the runs, of its suspects.
         """
-        unexplained = find_unexplained(loss, self._losses(), self._settings.silence_tolerance)
+        others = list(self._losses())
+        unexplained = find_unexplained(loss, others, self._settings.silence_tolerance)
         if loss.is_over and not loss.is_planned and not loss.suspects:
             self._unexplained_at = loss.at
         if not task_runs:
@@ -67,13 +75,15 @@
         )
         if loss.is_planned or unexplained is not None:
             return
+        if is_domain_lost(loss, others, self._registrations(), self._settings.silence_tolerance):
+            return
         is_sole = len({run.unit for run in loss.suspects}) == 1
         is_calm = is_sole and loss.is_over and not self._has_recent_unexplained(loss.at)
         for run in task_runs:
             if run.unit is not None:
-                was_listed = bool(run.proven_time)
+                is_early = run.proven_time < self._settings.start_window
                 crash = WorkerCrash(
-                    run.run, loss.worker.id, was_listed, is_sole, is_calm and not was_listed
+                    run.run, loss.worker.id, is_early, is_sole, is_calm and is_early
                 )
                 self.record(run.unit, run.task, crash)
 
--- a/packages/mimosapoint/src/mimosapoint/cell/decisions/crash_suspects.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/decisions/crash_suspects.py
@@ -12,8 +12,9 @@
 
 if TYPE_CHECKING:
     from mimosapoint.cell.worker_loss import WorkerLoss
+    from mimosapoint.ports import WorkerRegistration
 
-__all__ = ["find_suspects", "find_unexplained", "is_given_up"]
+__all__ = ["find_suspects", "find_unexplained", "is_domain_lost", "is_given_up"]
 
 STARTS_TOLERATED = 2
 """Starts of a task that the users tolerate after the crashes at which it may be given up."""
@@ -56,6 +57,39 @@
     return in_zone[0] if in_zone else found[0] if len(found) > 1 else None
 
 
+def is_domain_lost(
+    loss: WorkerLoss,
+    others: Iterable[WorkerLoss],
+    registrations: Iterable[WorkerRegistration],
+    tolerance: timedelta,
+) -> bool:
+    """Return whether the whole rack or zone of a worker was lost at the same moment.
+
+    Tasks that crash their workers hardly hit every one of them at once. Known suspects on the
+    others, or the same unit, explain it all the same.
+
+    :param loss: loss of the worker in question.
+    :param others: present or last loss of each worker.
+    :param registrations: registrations of all workers.
+    :param tolerance: longest time between the observations of two simultaneous losses.
+    """
+    lost_by_id = {each.worker.id: each for each in others if abs(each.at - loss.at) <= tolerance}
+    units = {run.unit for run in loss.suspects}
+    own, registrations = loss.worker.registration, list(registrations)
+    for domain in (
+        {each.id for each in registrations if each.rack and each.rack == own.rack} - {own.id},
+        {each.id for each in registrations if each.zone == own.zone} - {own.id},
+    ):
+        if domain and domain <= lost_by_id.keys():
+            lost = [lost_by_id[worker] for worker in domain]
+            if not all(
+                each.has_known_suspect or units & {run.unit for run in each.suspects}
+                for each in lost
+            ):
+                return True
+    return False
+
+
 def is_given_up(crashes: Sequence[WorkerCrash], max_worker_crashes: int) -> bool:
     """Return whether a task is given up.
 
--- a/packages/mimosapoint/src/mimosapoint/cell/explain.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/explain.py
@@ -46,6 +46,8 @@
     """It would not fit even on empty workers."""
     NO_ROOM = "no-room"
     """Runs and ordered starts of other units occupy the capacity."""
+    SUSPECT = "suspect"
+    """Workers have crashed under it, and no worker is free of runs that might crash it, too."""
     NEXT = "next"
     """It fits into the free capacity, reservations and capacity holds of other units aside."""
 
@@ -102,6 +104,11 @@
         return WaitExplanation(
             WaitReason.NEVER_FITS, f"needs {needs}; {max_fit_count} would fit on empty workers"
         )
+    if unit.is_suspect:
+        return WaitExplanation(
+            WaitReason.SUSPECT,
+            f"may have crashed a worker; needs {needs} without others",
+        )
     if place(placement_state, unit, pool) is not None:
         return WaitExplanation(WaitReason.NEXT, f"needs {needs}; they fit")
     current_fit_count = sum(candidate.fit_count(unit) for candidate in candidates)
--- a/packages/mimosapoint/src/mimosapoint/cell/fleet.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/fleet.py
@@ -82,10 +82,15 @@
         )
 
     def losses(self) -> Iterator[WorkerLoss]:
-        """Yield the present losses: of workers that are silent or have been replaced."""
+        """Yield the present or last loss of each worker that has one."""
         for session in self.sessions_by_id.values():
-            if session.loss_watch.loss is not None:
-                yield session.loss_watch.loss
+            loss = session.loss_watch.loss or session.loss_watch.last_loss
+            if loss is not None:
+                yield loss
+
+    def registrations(self) -> Iterator[WorkerRegistration]:
+        """Yield the registrations of all workers."""
+        return (session.registration for session in self.sessions_by_id.values())
 
     def leaving_workers(self, durations: Durations) -> Iterator[LeavingWorker]:
         """Yield the draining workers whose end is known, with what their runs need.
--- a/packages/mimosapoint/src/mimosapoint/cell/owner.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/owner.py
@@ -99,6 +99,7 @@
         )
         self.crash_blame = CrashBlame(
             self.fleet.losses,
+            self.fleet.registrations,
             self.job_table,
             self.runs.stop_job,
             dependencies.clock,
--- a/packages/mimosapoint/src/mimosapoint/cell/report.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/report.py
@@ -16,7 +16,15 @@
     from mimosapoint.cell.core import CellNode
     from mimosapoint.cell.owner import Owner
 
-__all__ = ["CellReport", "CellStatus", "JobStatus", "QueueStatus", "StepStatus", "WorkerStatus"]
+__all__ = [
+    "CellReport",
+    "CellStatus",
+    "CrashStatus",
+    "JobStatus",
+    "QueueStatus",
+    "StepStatus",
+    "WorkerStatus",
+]
 
 
 @attrs.frozen
@@ -123,6 +131,20 @@
     waiting: dict[str, int]
 
 
+@attrs.frozen
+class CrashStatus:
+    """Crash of a worker that a task may have caused.
+
+    :param task: the task.
+    :param worker: id of the worker.
+    :param is_sole: whether no run of another unit can have caused it.
+    """
+
+    task: str
+    worker: str
+    is_sole: bool
+
+
 @attrs.frozen
 class JobStatus:
     """State of a job that the owner knows.
@@ -135,6 +157,8 @@
     :param covered: whether its workspace's guarantee covers it.
     :param objective: time by which the newest occurrence should be done.
     :param steps: states of its steps.
+    :param crashes: crashes of workers that its tasks may have caused. In a job that has failed, the
+        task with the most of them is the reason, if there are any.
     """
 
     id: str
@@ -145,6 +169,7 @@
     covered: bool
     objective: datetime
     steps: tuple[StepStatus, ...]
+    crashes: tuple[CrashStatus, ...] = ()
 
 
 class CellReport:
@@ -229,6 +254,8 @@
                 state = "zone-withdrawn"
             if not state and session.id not in usable:
                 state = "slow"
+            if not state and session.worker.suspect_runs:
+                state = "isolated"
             statuses.append(
                 WorkerStatus(
                     session.id,
@@ -272,6 +299,11 @@
                 for occurrence in occurrences
                 for number in range(len(record.steps))
             ),
+            tuple(
+                CrashStatus(f"{job_id}.{key}", crash.worker, crash.is_sole)
+                for key, crashes in job.progress.crashes.items()
+                for crash in crashes
+            ),
         )
 
     def require_owner(self) -> None:
--- a/packages/mimosapoint/src/mimosapoint/cell/suspect_starts.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/suspect_starts.py
@@ -65,6 +65,7 @@
             crash = WorkerCrash(
                 start.run,
                 worker,
+                is_early=True,
                 is_sole=start.is_sole,
                 is_conclusive=start.is_sole and is_over,
             )
--- a/packages/mimosapoint/src/mimosapoint/cell/worker_loss.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/worker_loss.py
@@ -29,6 +29,7 @@
     :param at: when it stopped replying.
     :param suspects: runs that may have crashed it.
     :param is_planned: whether the worker had announced that it leaves.
+    :param has_known_suspect: whether it ran a unit that was suspected of earlier crashes.
     :param is_over: whether its incarnation has certainly ended.
     """
 
@@ -36,6 +37,7 @@
     at: datetime
     suspects: tuple[TaskRun, ...]
     is_planned: bool
+    has_known_suspect: bool = False
     is_over: bool = False
 
 
@@ -43,7 +45,8 @@
     """Follows one worker from its silence to its return or to the end of its incarnation.
 
     The suspects are those of the moment of the silence: what ends later on a silent worker, or is
-    removed from it, did not leave it before.
+    removed from it, did not leave it before. ``loss`` is the present silence or loss, ``last_loss``
+    the newest one that was no mere silence.
 
     :param worker: the worker.
     :param owner: receiver of the losses.
@@ -53,6 +56,7 @@
 
     def __init__(self, worker: Worker, owner: SessionOwner, clock: Clock, settings: CellSettings):
         self.loss: WorkerLoss | None = None
+        self.last_loss: WorkerLoss | None = None
         self._worker = worker
         self._owner = owner
         self._clock = clock
@@ -80,13 +84,14 @@
 
     def record_replacement(self) -> None:
         """Record that another worker or incarnation replies at the address."""
-        loss = self._open()
+        loss = self.last_loss = self._open()
         loss.is_over = True
         self._report(loss.suspects)
 
     def record_restart(self) -> None:
         """Record that a new incarnation has started; its first report shows what it runs."""
-        self._open().is_over = True
+        self.last_loss = self._open()
+        self.last_loss.is_over = True
         self._is_restarted = True
 
     def record_first_report(self, listed: Collection[tuple[TaskId, int]]) -> None:
@@ -106,6 +111,7 @@
                 self._clock.now(),
                 tuple(find_suspects(self._worker, self._settings.crash_blame_window)),
                 self._worker.registration.draining,
+                bool(self._worker.suspect_runs),
             )
         return self.loss
 
--- a/packages/mimosapoint/src/mimosapoint/workload/crashes.py
+++ b/packages/mimosapoint/src/mimosapoint/workload/crashes.py
@@ -16,14 +16,14 @@
 
     :param run: number of the run.
     :param worker: id of the worker.
-    :param was_listed: whether a run report had listed the run.
+    :param is_early: whether no report proves that the run had worked for a while.
     :param is_sole: whether no run of another unit can have caused it.
     :param is_conclusive: whether, besides, nothing speaks for another cause.
     """
 
     run: int
     worker: str
-    was_listed: bool = False
+    is_early: bool = False
     is_sole: bool = False
     is_conclusive: bool = False
 
@@ -52,7 +52,7 @@
 def is_suspect(crashes: Sequence[WorkerCrash]) -> bool:
     """Return whether a task is suspected of crashing its workers.
 
-    One crash before any report listed its run makes it a suspect, as such a task crashes the worker
-    that starts it. A run that was listed had worked for a while, so one crash says little.
+    One early crash makes it a suspect, as such a task crashes the worker that starts it. Of a run
+    that had worked for a while one crash says little.
     """
-    return len(crashes) > 1 or any(not crash.was_listed for crash in crashes)
+    return len(crashes) > 1 or any(crash.is_early for crash in crashes)
