Record suspected crashes at the silence of the worker, and compare losses by time

Change: early suspects are recorded when the worker falls silent, and withdrawn when it replies again; two losses may have one cause only if the spans between the last reply and the discovery overlap.

--- a/packages/mimosapoint/src/mimosapoint/cell/crash_blame.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/crash_blame.py
@@ -51,70 +51,101 @@
         self._telemetry = telemetry
         self._unexplained_at: datetime | None = None
 
+    def on_silent(self, loss: WorkerLoss) -> None:
+        """Handle a worker that has stopped replying, and may have crashed.
+
+        Early suspects are recorded at once: the owner may end before it learns what has happened.
+        Such a record alone lets no job fail, and it is removed when the worker replies again.
+        """
+        early = [run for run in loss.suspects if self._is_early(run)]
+        if early and not self._has_other_cause(loss):
+            self._record_all(loss, early)
+
     def on_lost(self, loss: WorkerLoss, task_runs: list[TaskRun]) -> None:
         """Handle runs that have ended with their worker and may have crashed it.
 
         :param loss: the loss of the worker; it may still turn out to be a mere silence.
         :param task_runs: the runs, of its suspects.
         """
-        others = list(self._losses())
-        unexplained = find_unexplained(loss, others, self._settings.silence_tolerance)
-        if loss.is_over and not loss.is_planned and not loss.suspects:
+        if loss.is_over and not loss.is_planned and not loss.suspects and loss.heard_at:
             self._unexplained_at = loss.at
         if not task_runs:
             return
+        has_other_cause = self._has_other_cause(loss)
         self._telemetry.event(
             "crash-suspected",
             worker=loss.worker.id,
             silent_for=round((self._clock.now() - loss.at).total_seconds(), 3),
             is_over=loss.is_over,
-            is_planned=loss.is_planned,
             suspects=[f"{run.task}:{run.run}" for run in task_runs],
             proven_ms=[int(run.proven_time.total_seconds() * 1000) for run in task_runs],
-            lost_at_once=unexplained.worker.id if unexplained else "",
+            has_other_cause=has_other_cause,
         )
-        if loss.is_planned or unexplained is not None:
-            return
-        if is_domain_lost(loss, others, self._registrations(), self._settings.silence_tolerance):
+        if has_other_cause:
+            self._withdraw(loss, task_runs)
             return
+        self._record_all(loss, task_runs)
+        for unit in {run.unit for run in task_runs} - {None}:
+            self._give_up_if_proven(unit)
+
+    def record(self, unit: Unit, task: TaskId, crash: WorkerCrash) -> None:
+        """Record a crash that a task may have caused, and give the job up if it is one too many."""
+        self._record(unit, task, crash)
+        self._give_up_if_proven(unit)
+
+    def on_returned(self, loss: WorkerLoss) -> None:
+        """Handle the return of a silent worker, which has not crashed."""
+        self._withdraw(loss, loss.suspects)
+
+    def on_outlived(self, task_run: TaskRun) -> None:
+        """Handle a run that has worked too long for a task that crashes its workers."""
+        task_run.worker.suspect_runs.discard(task_run)
+        if self._job_table.clear_crashes(task_run.unit, task_run.task):
+            self._telemetry.event("suspect-cleared", **task_run.log_fields())
+
+    def _has_other_cause(self, loss: WorkerLoss) -> bool:
+        """Return whether other losses, or an announcement, show that no run has crashed it."""
+        others = list(self._losses())
+        return (
+            loss.is_planned
+            or find_unexplained(loss, others) is not None
+            or is_domain_lost(loss, others, self._registrations())
+        )
+
+    def _record_all(self, loss: WorkerLoss, task_runs: Iterable[TaskRun]) -> None:
+        """Record a loss for runs that may have caused it."""
         is_sole = len({run.unit for run in loss.suspects}) == 1
         is_calm = is_sole and loss.is_over and not self._has_recent_unexplained(loss.at)
         for run in task_runs:
             if run.unit is not None:
-                is_early = run.proven_time < self._settings.start_window
+                is_early = self._is_early(run)
                 crash = WorkerCrash(
                     run.run, loss.worker.id, is_early, is_sole, is_calm and is_early
                 )
-                self.record(run.unit, run.task, crash)
+                self._record(run.unit, run.task, crash)
 
-    def on_returned(self, loss: WorkerLoss) -> None:
-        """Handle the return of a silent worker, which has not crashed."""
-        for run in loss.suspects:
+    def _record(self, unit: Unit, task: TaskId, crash: WorkerCrash) -> None:
+        if self._job_table.record_crash(unit, task, crash):
+            self._telemetry.count("cell_worker_crashes_blamed", sole=str(crash.is_sole).lower())
+
+    def _withdraw(self, loss: WorkerLoss, task_runs: Iterable[TaskRun]) -> None:
+        for run in task_runs:
             if run.unit is not None and self._job_table.clear_crashes(run.unit, run.task, run.run):
                 self._telemetry.event("crash-withdrawn", worker=loss.worker.id, task=run.task)
 
-    def on_outlived(self, task_run: TaskRun) -> None:
-        """Handle a run that has worked too long for a task that crashes its workers."""
-        task_run.worker.suspect_runs.discard(task_run)
-        if self._job_table.clear_crashes(task_run.unit, task_run.task):
-            self._telemetry.event("suspect-cleared", **task_run.log_fields())
+    def _give_up_if_proven(self, unit: Unit) -> None:
+        job, most = unit.job, self._settings.max_worker_crashes
+        for task in unit.tasks:
+            crashes = job.progress.crashes.get(task.key, [])
+            if not job.progress.phase.ended and is_given_up(crashes, most):
+                workers = [crash.worker for crash in crashes]
+                self._telemetry.event("job-given-up", job=task.job, task=task, workers=workers)
+                self._telemetry.count("cell_jobs_given_up")
+                self._job_table.give_up(job)
+                self._stop_job(job, "worker-crashes")
 
-    def record(self, unit: Unit, task: TaskId, crash: WorkerCrash) -> None:
-        """Record a crash that a task may have caused, and give the job up if it is one too many."""
-        if not self._job_table.record_crash(unit, task, crash):
-            return
-        self._telemetry.count("cell_worker_crashes_blamed", sole=str(crash.is_sole).lower())
-        crashes = unit.job.progress.crashes[task.key]
-        if is_given_up(crashes, self._settings.max_worker_crashes):
-            self._telemetry.event(
-                "job-given-up",
-                job=task.job,
-                task=task,
-                workers=[each.worker for each in crashes],
-            )
-            self._telemetry.count("cell_jobs_given_up")
-            self._job_table.give_up(unit.job)
-            self._stop_job(unit.job, "worker-crashes")
+    def _is_early(self, task_run: TaskRun) -> bool:
+        return task_run.proven_time < self._settings.start_window
 
     def _has_recent_unexplained(self, at: datetime) -> bool:
         """Return whether a worker has crashed lately although no run can have caused it."""
--- a/packages/mimosapoint/src/mimosapoint/cell/decisions/crash_suspects.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/decisions/crash_suspects.py
@@ -31,9 +31,7 @@
             yield task_run
 
 
-def find_unexplained(
-    loss: WorkerLoss, others: Iterable[WorkerLoss], tolerance: timedelta
-) -> WorkerLoss | None:
+def find_unexplained(loss: WorkerLoss, others: Iterable[WorkerLoss]) -> WorkerLoss | None:
     """Return a loss at the same moment that no run can have caused, or ``None``.
 
     It shows that a worker was lost for another reason, such as a loss of power, and that this
@@ -41,8 +39,7 @@
     may be a coincidence.
 
     :param loss: loss of the worker in question.
-    :param others: present losses of all workers.
-    :param tolerance: longest time between the observations of two simultaneous losses.
+    :param others: present or last loss of each worker.
     """
     found = [
         other
@@ -50,7 +47,7 @@
         if other is not loss
         and not other.is_planned
         and not other.suspects
-        and abs(other.at - loss.at) <= tolerance
+        and loss.may_be_simultaneous(other)
     ]
     zone = loss.worker.registration.zone
     in_zone = [other for other in found if other.worker.registration.zone == zone]
@@ -61,7 +58,6 @@
     loss: WorkerLoss,
     others: Iterable[WorkerLoss],
     registrations: Iterable[WorkerRegistration],
-    tolerance: timedelta,
 ) -> bool:
     """Return whether the whole rack or zone of a worker was lost at the same moment.
 
@@ -71,9 +67,8 @@
     :param loss: loss of the worker in question.
     :param others: present or last loss of each worker.
     :param registrations: registrations of all workers.
-    :param tolerance: longest time between the observations of two simultaneous losses.
     """
-    lost_by_id = {each.worker.id: each for each in others if abs(each.at - loss.at) <= tolerance}
+    lost_by_id = {each.worker.id: each for each in others if loss.may_be_simultaneous(each)}
     units = {run.unit for run in loss.suspects}
     own, registrations = loss.worker.registration, list(registrations)
     for domain in (
--- a/packages/mimosapoint/src/mimosapoint/cell/settings.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/settings.py
@@ -195,14 +195,6 @@
         """
         return self.run_stop_time + self.order_timeout + self.start_retry_after * 2
 
-    @property
-    def silence_tolerance(self) -> timedelta:
-        """Longest time between the observations of two losses at the same moment.
-
-        One is seen when a connection is reset, the other when a long poll stays without reply.
-        """
-        return self.long_poll_wait_max + self.renewal_reply_time
-
     @property
     def unexplained_memory(self) -> timedelta:
         """Time for which the crash of a worker that no run explains weakens the next evidence.
--- a/packages/mimosapoint/src/mimosapoint/cell/worker_loss.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/worker_loss.py
@@ -26,7 +26,8 @@
     """A silence of a worker that may turn out to be the end of its incarnation.
 
     :param worker: the worker.
-    :param at: when it stopped replying.
+    :param at: when it was found to have stopped replying.
+    :param heard_at: when this owner heard from it last; ``None`` if never.
     :param suspects: runs that may have crashed it.
     :param is_planned: whether the worker had announced that it leaves.
     :param has_known_suspect: whether it ran a unit that was suspected of earlier crashes.
@@ -35,11 +36,22 @@
 
     worker: Worker
     at: datetime
+    heard_at: datetime | None
     suspects: tuple[TaskRun, ...]
     is_planned: bool
     has_known_suspect: bool = False
     is_over: bool = False
 
+    def may_be_simultaneous(self, other: WorkerLoss) -> bool:
+        """Return whether both workers may have been lost at the same moment.
+
+        Each was lost between its last reply and the moment at which that was found. A worker that
+        this owner has never heard may have been lost long ago.
+        """
+        if self.heard_at is None or other.heard_at is None:
+            return False
+        return max(self.heard_at, other.heard_at) <= min(self.at, other.at)
+
 
 class WorkerLossWatch:
     """Follows one worker from its silence to its return or to the end of its incarnation.
@@ -62,13 +74,15 @@
         self._clock = clock
         self._settings = settings
         self._is_restarted = False
+        self._heard_at: datetime | None = None
 
     def record_silence(self) -> None:
         """Record that the worker has stopped replying."""
-        self._open()
+        self._owner.crash_blame.on_silent(self._open())
 
-    def record_return(self) -> None:
-        """Record that the incarnation that fell silent replies again: it has not crashed."""
+    def record_reply(self) -> None:
+        """Record a reply of the known incarnation: if it was silent, it has not crashed."""
+        self._heard_at = self._clock.now()
         if self.loss is not None and not self._is_restarted:
             self._owner.crash_blame.on_returned(self.loss)
             self.loss = None
@@ -109,6 +123,7 @@
             self.loss = WorkerLoss(
                 self._worker,
                 self._clock.now(),
+                self._heard_at,
                 tuple(find_suspects(self._worker, self._settings.crash_blame_window)),
                 self._worker.registration.draining,
                 bool(self._worker.suspect_runs),
--- a/packages/mimosapoint/src/mimosapoint/cell/worker_session.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/worker_session.py
@@ -288,7 +288,7 @@
             return
         self.incarnation = report.born or self.incarnation
         self.is_replaced = False
-        self.loss_watch.record_return()
+        self.loss_watch.record_reply()
         is_first = not self.synced
         self._record_reply(report.clock_ms)
         for ended in report.ended:
