--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -7,6 +7,7 @@
 import attrs
 import orjson
 import trio
+from mimosapoint.workload import TaskId
 
 from tools.soak.configurations import STABLE_KEY, STABLE_QUEUES
 from tools.soak.connections import Connections, Reply
@@ -18,6 +19,7 @@
 RETRY_SECONDS = 0.4
 CANCEL_SHARE = 0.1
 RETIRED_SHARE = 0.2
+CRASHING_SHARE = 0.2
 REFUSALS = (401, 404, 429, 503)
 """Statuses of requests without effect."""
 
@@ -80,6 +82,8 @@
         steps = [self.random.choice(STEPS)]
         if self.random.random() < 0.3:
             steps.append({**self.random.choice(STEPS), "after": [0]})
+        if self.site.crashing_job_periods and self.random.random() < CRASHING_SHARE:
+            self.site.simulation.crashing_tasks.add(TaskId(job, 0, 0, 0))
         body = orjson.dumps({"spec": "x", "steps": steps})
         if await self._submit_repeatedly(node, queue, job, key, body):
             if self.random.random() < CANCEL_SHARE:
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable
 
 from mimosapoint.memory import RunRecord, RunSimulation
+from mimosapoint.testing.crash_checks import crash_violations
 from mimosapoint.testing.quota_checks import quota_violations
 from mimosapoint.testing.run_checks import run_violations
 from mimosapoint.workload import CellConfiguration, ResourceAmounts
@@ -43,6 +44,7 @@
     return [
         *([] if callers.accepted_at_by_job else ["no job was accepted"]),
         *run_violations(simulation.history, simulation.over_capacity_workers),
+        *crash_violations(simulation.history),
         *run_reply_contradictions(simulation.history, callers.refused, callers.cancelled),
         *unknown_jobs(requests, callers.accepted_at_by_job),
         *outdated_replies(requests, site.configurations),
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -6,14 +6,17 @@
 from random import Random
 
 import trio
+from mimosapoint.workload import ResourceAmounts
 
-from tools.soak.profile import FIRST_CHANGES_SEED, Profile
-from tools.soak.site import SoakSite
+from tools.soak.profile import FIRST_CHANGES_SEED, FIRST_CRASH_SEED, Profile
+from tools.soak.site import CAPACITY, SoakSite
 
 __all__ = ["fault", "fault_names", "faults_by_name"]
 
 ROLLING_GROUPS = 4
 
+SHRUNKEN_CAPACITIES = (ResourceAmounts(3000, 2000, 4), ResourceAmounts(9000, 9000, 0))
+
 Fault = Callable[[SoakSite, Random], Awaitable[None]]
 
 faults_by_name: dict[str, Fault] = {}
@@ -157,3 +160,26 @@
         async with trio.open_nursery() as nursery:
             for number in numbers[start : start + size]:
                 nursery.start_soon(_stop_and_start, site, number)
+
+
+@fault("crash-workers", FIRST_CRASH_SEED)
+async def crash_workers(site: SoakSite, random: Random) -> None:
+    """Let the first task of some submitted jobs crash each worker that starts it."""
+    site.crashing_job_periods += 1
+    await trio.sleep(random.uniform(0.5, 2))
+    site.crashing_job_periods -= 1
+
+
+@fault("crash-worker", FIRST_CRASH_SEED)
+async def crash_worker(site: SoakSite, random: Random) -> None:
+    """Let a worker crash for a reason that no task has."""
+    await random.choice(site.workers).crash()
+
+
+@fault("resize-worker", FIRST_CRASH_SEED)
+async def resize_worker(site: SoakSite, random: Random) -> None:
+    """Let the capacity of a worker shrink, perhaps below what it runs, and grow again."""
+    worker = random.choice(site.workers)
+    worker.resize(random.choice(SHRUNKEN_CAPACITIES))
+    await trio.sleep(random.uniform(1, 6))
+    worker.resize(CAPACITY)
--- a/tools/soak/profile.py
+++ b/tools/soak/profile.py
@@ -6,7 +6,14 @@
 
 import attrs
 
-__all__ = ["FAST_LINK_MBPS", "FIRST_CHANGES_SEED", "FIRST_QUOTA_SEED", "Profile", "profile_of"]
+__all__ = [
+    "FAST_LINK_MBPS",
+    "FIRST_CHANGES_SEED",
+    "FIRST_CRASH_SEED",
+    "FIRST_QUOTA_SEED",
+    "Profile",
+    "profile_of",
+]
 
 FIRST_SMALL_SEED = 500
 """First seed with small nodes. Lower seeds were recorded before and reproduce the same cases."""
@@ -17,6 +24,9 @@
 FIRST_QUOTA_SEED = 2000
 """First seed whose workspace has a weight and a cap, which changes."""
 
+FIRST_CRASH_SEED = 3000
+"""First seed with jobs whose tasks crash their workers, and with workers that change capacity."""
+
 SMALL_CORES = 0.5
 LARGE_SITE_INTERVAL = 10
 FAST_LINK_MBPS = 1000.0
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -7,6 +7,7 @@
 
 import attrs
 import trio
+from mimosapoint.testing.crash_checks import may_be_given_up
 
 from tools.soak.callers import Callers
 from tools.soak.checks import find_violations
@@ -76,6 +77,12 @@
     return Result(violations, injected, len(callers.accepted_at_by_job), site.log.longest_lag())
 
 
+def _is_given_up(callers: Callers, job: str, state: str) -> bool:
+    """Return whether a job is shown as failed, and a task of it has crashed workers."""
+    history = callers.site.simulation.history
+    return state == "failed" and may_be_given_up(run for run in history if run.task.job == job)
+
+
 async def _wait_unfinished_jobs(callers: Callers) -> list[str]:
     """Wait until all accepted jobs have ended; return one line for each that has not."""
     unfinished_jobs = set(callers.accepted_at_by_job)
@@ -84,7 +91,7 @@
         while unfinished_jobs:
             for job in sorted(unfinished_jobs):
                 states[job] = await callers.state(job)
-                if states[job] in ENDED:
+                if states[job] in ENDED or _is_given_up(callers, job, states[job]):
                     unfinished_jobs.discard(job)
             await trio.sleep(0.2)
     return [f"{job} is accepted and {states.get(job)}" for job in sorted(unfinished_jobs)]
--- a/tools/soak/site.py
+++ b/tools/soak/site.py
@@ -85,6 +85,7 @@
         self.workers: list[MemoryRunWorker] = []
         self.worker_proxies: list[Proxy] = []
         self.store_proxies: list[Proxy] = []
+        self.crashing_job_periods = 0
         self.processes: list[trio.Process | None] = []
         self.addresses: list[str] = []
         self.operator_addresses: list[str] = []
