--- a/tools/soak/profile.py
+++ b/tools/soak/profile.py
@@ -58,6 +58,11 @@
         """Whether the workspace has a weight and a cap, which changes."""
         return self.seed >= FIRST_QUOTA_SEED
 
+    @property
+    def has_crashes(self) -> bool:
+        """Whether tasks and other causes crash workers, and capacities change."""
+        return self.seed >= FIRST_CRASH_SEED
+
     @property
     def slowest_bytes_per_second(self) -> float:
         """Bandwidth of the slowest link."""
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -61,6 +61,9 @@
                 finished = trio.Event()
                 background.start_soon(callers.submit_until, finished)
                 await inject_faults(site, random, FAULT_SECONDS, injected)
+                if profile.has_crashes:
+                    # Under the lowest cap gangs run one by one, and a backlog outlasts the check.
+                    site.configurations.change_cap(0)
                 calm_seconds = CALM_SECONDS + site.configurations.transfer_seconds(
                     profile.slowest_bytes_per_second
                 )
