Let the in-memory store report a change at the end of a watch's wait

Cause, by a trace of the watches: the simulated store took the changes before and the revision after the moment in which the wait ended, so that a write in that very moment was covered by the revision and missing in the reply. The platform's store is another program; no fault of the product is shown. Change: both are taken together.

--- a/packages/mimosapoint/src/mimosapoint/memory/tests/test_transaction_store.py
+++ b/packages/mimosapoint/src/mimosapoint/memory/tests/test_transaction_store.py
@@ -29,3 +29,21 @@
             await trio.sleep(1)
             store.put("p/b", b"2")
         self.assertEqual(["p/a", "p/b"], seen)
+
+    # Guards against a change that the reply omits although its revision covers it: the watcher would
+    # never read it, such as an accepted job.
+    async def test_a_change_at_the_end_of_the_wait_is_not_passed_over(self):
+        for number in range(40):
+            store = MemoryTransactionStore(TrioClock())
+            after = store.put("b/x", b"")
+            batches = []
+
+            async def watch(store=store, after=after, batches=batches):
+                batches.append(await store.watch("a/", after, timedelta(seconds=0.8)))
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(watch)
+                await trio.sleep(0.8)
+                revision = store.put("a/x", b"")
+            batch = batches[0]
+            self.assertEqual(batch.revision >= revision, bool(batch.written), f"try {number}")
--- a/packages/mimosapoint/src/mimosapoint/memory/transaction_store.py
+++ b/packages/mimosapoint/src/mimosapoint/memory/transaction_store.py
@@ -84,7 +84,8 @@
         with trio.move_on_after(wait.total_seconds()):
             while not (found := self._changes(prefix, after)):
                 await self._changed.wait()
-        revision = self._revision
+        # A change may have come in the moment in which the wait ended.
+        revision, found = self._revision, self._changes(prefix, after)
         await self._fault_injector.before_effect()
         if after < self._oldest_revision:
             raise HistoryLost(f"the history of changes begins at revision {self._oldest_revision}")
