Name the fields of a loss and shorten the tests of the evidence

Cause: reading the change as a newcomer: positional arguments of records with six fields, and a flag whose name said nothing.

--- a/packages/mimosapoint/src/mimosapoint/cell/crash_blame.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/crash_blame.py
@@ -115,12 +115,16 @@
     def _record_all(self, loss: WorkerLoss, task_runs: Iterable[TaskRun]) -> None:
         """Record a loss for runs that may have caused it."""
         is_sole = len({run.unit for run in loss.suspects}) == 1
-        is_calm = is_sole and loss.is_over and not self._has_recent_unexplained(loss.at)
+        is_certain = is_sole and loss.is_over and not self._has_recent_unexplained(loss.at)
         for run in task_runs:
             if run.unit is not None:
                 is_early = self._is_early(run)
                 crash = WorkerCrash(
-                    run.run, loss.worker.id, is_early, is_sole, is_calm and is_early
+                    run=run.run,
+                    worker=loss.worker.id,
+                    is_early=is_early,
+                    is_sole=is_sole,
+                    is_conclusive=is_certain and is_early,
                 )
                 self._record(run.unit, run.task, crash)
 
--- a/packages/mimosapoint/src/mimosapoint/cell/decisions/tests/test_crash_suspects.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/decisions/tests/test_crash_suspects.py
@@ -28,6 +28,11 @@
         at = START + timedelta(milliseconds=at_ms)
         return WorkerLoss(self.workers[number], at, heard_at, suspects, False)
 
+    def start_all(self):
+        return [
+            run for each in self.decide().starts for run in each.unit.task_runs_by_task.values()
+        ]
+
     # Guards against a healthy task that is given up, and against a crashing one that is not.
     def test_a_task_is_given_up_by_the_weight_of_the_evidence(self):
         for crashes, expected in (
@@ -46,8 +51,7 @@
     def test_a_run_is_no_suspect_once_it_is_proven_to_work(self):
         self.add_workers(1)
         self.submit("a", 1, Step(3, SMALL))
-        start = self.decide().starts
-        runs = [each.unit.task_runs_by_task[each.unit.tasks[0]] for each in start]
+        runs = self.start_all()
         runs[0].confirmed_ms, runs[0].reported_ms = 100, 3100
         runs[1].confirmed_ms, runs[1].reported_ms = 100, 3099
         self.assertEqual([runs[1]], list(find_suspects(self.workers[0], WINDOW)))
@@ -71,7 +75,7 @@
     def test_a_whole_rack_with_fresh_runs_is_lost_for_another_reason(self):
         self.add_workers(6)
         self.submit("a", 1, Step(3, WIDE))
-        runs = [start.unit.task_runs_by_task[start.unit.tasks[0]] for start in self.decide().starts]
+        runs = self.start_all()
         losses = [self.loss(number, 0, 500, (runs[number],)) for number in range(3)]
         registrations = [worker.registration for worker in self.workers]
         self.assertTrue(is_mass_loss(losses[0], losses, registrations))
@@ -84,7 +88,7 @@
     def test_many_workers_with_fresh_runs_are_lost_for_another_reason(self):
         self.add_workers(20)
         self.submit("a", 1, Step(20, WIDE))
-        runs = [start.unit.task_runs_by_task[start.unit.tasks[0]] for start in self.decide().starts]
+        runs = self.start_all()
         registrations = [worker.registration for worker in self.workers]
         losses = [self.loss(number, 0, 500, (runs[number],)) for number in range(0, 20, 4)]
         self.assertTrue(is_mass_loss(losses[0], losses, registrations))
@@ -132,8 +136,7 @@
         self.submit("small", 1, Step(8, SMALL))
         self.decide()
         self.prove_runs()
-        for run in list(self.workers[1].task_runs_by_key.values())[:1]:
-            self.end(run.unit)
+        self.end(next(iter(self.workers[1].task_runs_by_key.values())).unit)
         self.workers[0].registration = attrs.evolve(
             self.workers[0].registration, capacity=WIDE.scaled(2)
         )
--- a/packages/mimosapoint/src/mimosapoint/cell/tests/test_crashing_tasks.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_crashing_tasks.py
@@ -16,8 +16,6 @@
 MAX_CRASHES = 3
 """Crashes under one task in an undisturbed cell; the users count the starts after the third."""
 
-LONG = timedelta(seconds=30)
-
 
 def first_task(job):
     return TaskId(job, 0, 0, 0)
@@ -94,7 +92,7 @@
     # Guards against a suspect that stops the work of others to reach its next crash.
     async def test_an_urgent_suspect_preempts_nothing(self):
         async with open_site(workers=4) as site:
-            site.simulation.run_time = LONG
+            site.simulation.run_time = timedelta(seconds=30)
             await site.submit("low", Step(28, SMALL), queue=2)
             await site.wait_running("low", 28)
             site.simulation.crashing_tasks.add(first_task("deadly"))
--- a/packages/mimosapoint/src/mimosapoint/cell/worker_loss.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/worker_loss.py
@@ -120,13 +120,14 @@
 
     def _open(self) -> WorkerLoss:
         if self.loss is None:
+            window = self._settings.crash_blame_window
             self.loss = WorkerLoss(
-                self._worker,
-                self._clock.now(),
-                self._heard_at,
-                tuple(find_suspects(self._worker, self._settings.crash_blame_window)),
-                self._worker.registration.draining,
-                bool(self._worker.suspect_runs),
+                worker=self._worker,
+                at=self._clock.now(),
+                heard_at=self._heard_at,
+                suspects=tuple(find_suspects(self._worker, window)),
+                is_planned=self._worker.registration.draining,
+                has_known_suspect=bool(self._worker.suspect_runs),
             )
         return self.loss
 
--- a/packages/mimosapoint/src/mimosapoint/memory/tests/test_transaction_store.py
+++ b/packages/mimosapoint/src/mimosapoint/memory/tests/test_transaction_store.py
@@ -30,8 +30,7 @@
             store.put("p/b", b"2")
         self.assertEqual(["p/a", "p/b"], seen)
 
-    # Guards against a change that the reply omits although its revision covers it: the watcher would
-    # never read it, such as an accepted job.
+    # Guards against a change that the reply omits although its revision covers it.
     async def test_a_change_at_the_end_of_the_wait_is_not_passed_over(self):
         for number in range(40):
             store = MemoryTransactionStore(TrioClock())
