Take back the evidence of crashes that another task explains

Cause: the record of a crash kept its weight against every task that was on the worker, also after one of them had been given up for it. A run whose evidence was withdrawn no longer isolates its worker until it ends.

--- a/packages/mimosapoint/src/mimosapoint/cell/crash_blame.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/crash_blame.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from datetime import datetime
 
 from mimosapoint.cell.decisions.crash_suspects import (
@@ -125,6 +125,7 @@
                     is_early=is_early,
                     is_sole=is_sole,
                     is_conclusive=is_certain and is_early,
+                    found_at=loss.at,
                 )
                 self._record(run.unit, run.task, crash)
 
@@ -147,6 +148,12 @@
                 self._telemetry.count("cell_jobs_given_up")
                 self._job_table.give_up(job)
                 self._stop_job(job, "worker-crashes")
+                self._explain_others(crashes)
+
+    def _explain_others(self, crashes: Sequence[WorkerCrash]) -> None:
+        """Clear the tasks that ran beside a task that was given up, as far as it explains them."""
+        for job, task_keys in self._job_table.explain_crashes(crashes).items():
+            self._telemetry.event("crash-explained", job=job, tasks=task_keys)
 
     def _is_early(self, task_run: TaskRun) -> bool:
         return task_run.proven_time < self._settings.start_window
--- a/packages/mimosapoint/src/mimosapoint/cell/decisions/crash_suspects.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/decisions/crash_suspects.py
@@ -99,15 +99,15 @@
     """Return whether a task is given up.
 
     No task is given up whose every crash may have been caused by another task beside it, unless
-    there are more of them than the users tolerate even so.
+    there are more of them than the users tolerate even so. A crash that another task has caused
+    counts for that limit only.
 
     :param crashes: crashes that it may have caused.
     :param max_worker_crashes: number of crashes at which it is given up; a conclusive one counts
         twice.
     """
     weight = sum(crash.weight for crash in crashes)
-    if weight < max_worker_crashes:
-        return False
-    return (
-        any(crash.is_sole for crash in crashes) or weight >= max_worker_crashes + STARTS_TOLERATED
-    )
+    is_proven = any(crash.is_sole and not crash.is_explained for crash in crashes)
+    if weight >= max_worker_crashes and is_proven:
+        return True
+    return sum(max(1, crash.weight) for crash in crashes) >= max_worker_crashes + STARTS_TOLERATED
--- a/packages/mimosapoint/src/mimosapoint/cell/decisions/tests/test_crash_suspects.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/decisions/tests/test_crash_suspects.py
@@ -18,6 +18,7 @@
 SHARED = WorkerCrash(1, "w1", is_early=True)
 SOLE = WorkerCrash(2, "w2", is_early=True, is_sole=True)
 CONCLUSIVE = attrs.evolve(SOLE, is_conclusive=True)
+EXPLAINED = attrs.evolve(SHARED, is_explained=True)
 MOST = 3
 WINDOW = timedelta(seconds=3)
 
@@ -44,6 +45,10 @@
             ([SHARED, SHARED], False),
             ([SHARED] * 4, False),
             ([SHARED] * 5, True),
+            # Another task, which was given up, has caused the first one.
+            ([EXPLAINED, CONCLUSIVE], False),
+            ([EXPLAINED, CONCLUSIVE, CONCLUSIVE], True),
+            ([EXPLAINED] * 5, True),
         ):
             with self.subTest(crashes=crashes):
                 self.assertEqual(expected, is_given_up(crashes, MOST))
--- a/packages/mimosapoint/src/mimosapoint/cell/job_table.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/job_table.py
@@ -1,6 +1,6 @@
 """Table of the jobs of a cell and their state transitions."""
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from datetime import datetime
 
 from mimosapoint.cell.decisions.units import Job, Unit, UnitState
@@ -191,6 +191,19 @@
         self._mark_changed(job)
         return True
 
+    def explain_crashes(self, causes: Sequence[WorkerCrash]) -> dict[str, list[str]]:
+        """Mark the crashes that other tasks have caused.
+
+        :param causes: the crashes under the tasks that caused them.
+        :return: keys of the tasks that are less suspect than before, by job.
+        """
+        explained = {}
+        for job in self.open_jobs():
+            if task_keys := job.progress.explain_crashes(causes):
+                explained[job.record.id] = task_keys
+                self._mark_changed(job)
+        return explained
+
     def give_up(self, job: Job) -> None:
         """Let a job fail whose task crashes its workers."""
         self._end(job, Phase.FAILED)
--- a/packages/mimosapoint/src/mimosapoint/cell/run_reconciler.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/run_reconciler.py
@@ -110,7 +110,8 @@
         task_run.reported_ms, task_run.reported_at = clock_ms, self._clock.now()
         task_run.progress_rate.add_sample(status.percent, clock_ms)
         has_crashes = task_run.unit is not None and task_run.unit.job.progress.crashes
-        if has_crashes and task_run.proven_time >= self._settings.crash_blame_window:
+        is_suspect = has_crashes or task_run in self._worker.suspect_runs
+        if is_suspect and task_run.proven_time >= self._settings.crash_blame_window:
             self._owner.crash_blame.on_outlived(task_run)
         if status.checkpoint and task_run.unit is not None:
             unit = task_run.unit
--- a/packages/mimosapoint/src/mimosapoint/cell/tests/test_crashing_tasks.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_crashing_tasks.py
@@ -272,6 +272,22 @@
             self.assertEqual([], crash_violations(site.simulation.history))
             self.assertEqual([], site.violations())
 
+    # Guards against a healthy task that is given up as it met a crashing one, which has been
+    # given up, and whose next worker is then lost for another reason.
+    async def test_a_crash_that_another_task_explains_is_no_evidence(self):
+        async with open_site(workers=12) as site:
+            site.simulation.run_time = timedelta(seconds=8)
+            site.simulation.crashing_tasks.add(first_task("deadly"))
+            await site.submit("deadly", Step(1, SMALL))
+            await site.submit("healthy", Step(1, SMALL))
+            await site.wait_phase("deadly", Phase.FAILED, within=60)
+            await site.wait_running("healthy", within=30)
+            await trio.sleep(0.1)
+            await site.simulation.workers_by_id[site.running("healthy")[0].worker].crash()
+            await site.wait_phase("healthy", Phase.COMPLETE, within=60)
+            self.assertIn("crash-explained", site.owner.telemetry.event_names())
+            self.assertEqual([], site.violations())
+
     # Guards against crashes that add up over the life of a task that lasts.
     async def test_a_run_that_works_on_clears_its_task(self):
         async with open_site(workers=6) as site:
--- a/packages/mimosapoint/src/mimosapoint/workload/crashes.py
+++ b/packages/mimosapoint/src/mimosapoint/workload/crashes.py
@@ -1,6 +1,9 @@
 """Crashes of workers, as the stored progress of a job attributes them to its tasks."""
 
+from __future__ import annotations
+
 from collections.abc import Sequence
+from datetime import datetime
 
 import attrs
 
@@ -19,6 +22,9 @@
     :param is_early: whether no report proves that the run had worked for a while.
     :param is_sole: whether no run of another unit can have caused it.
     :param is_conclusive: whether, besides, nothing speaks for another cause.
+    :param found_at: time at which the owner found the worker to be silent, which is the same for
+        all tasks that may have caused the crash; ``None`` if it was found by a later owner.
+    :param is_explained: whether another task, which was given up, has caused it.
     """
 
     run: int
@@ -26,12 +32,24 @@
     is_early: bool = False
     is_sole: bool = False
     is_conclusive: bool = False
+    found_at: datetime | None = None
+    is_explained: bool = False
 
     @property
     def weight(self) -> int:
         """Weight of the crash as evidence against the task."""
+        if self.is_explained:
+            return 0
         return CONCLUSIVE_WEIGHT if self.is_conclusive else 1
 
+    def is_same_crash(self, other: WorkerCrash) -> bool:
+        """Return whether both records are of one crash, under different tasks."""
+        return (
+            self.found_at is not None
+            and self.worker == other.worker
+            and self.found_at == other.found_at
+        )
+
 
 @attrs.frozen
 class SuspectStart:
@@ -55,4 +73,5 @@
     One early crash makes it a suspect, as such a task crashes the worker that starts it. Of a run
     that had worked for a while one crash says little.
     """
-    return len(crashes) > 1 or any(crash.is_early for crash in crashes)
+    unexplained = [crash for crash in crashes if not crash.is_explained]
+    return len(unexplained) > 1 or any(crash.is_early for crash in unexplained)
--- a/packages/mimosapoint/src/mimosapoint/workload/progress.py
+++ b/packages/mimosapoint/src/mimosapoint/workload/progress.py
@@ -1,5 +1,7 @@
 """Stored progress of a job."""
 
+from collections.abc import Iterable
+
 import attrs
 
 from mimosapoint.workload.core import Phase, TaskId, UnitId
@@ -61,6 +63,28 @@
         self.crashes[task.key] = [each for each in known if each.run != crash.run] + [crash]
         return True
 
+    def explain_crashes(self, causes: Iterable[WorkerCrash]) -> list[str]:
+        """Mark the crashes that tasks of other jobs have caused.
+
+        :param causes: the crashes under the tasks that caused them.
+        :return: keys of the tasks that are less suspect than before.
+        """
+        causes = list(causes)
+        changed = []
+        for task_key, crashes in self.crashes.items():
+            marked = [
+                (
+                    attrs.evolve(crash, is_explained=True)
+                    if any(crash.is_same_crash(cause) for cause in causes)
+                    else crash
+                )
+                for crash in crashes
+            ]
+            if marked != crashes:
+                self.crashes[task_key] = marked
+                changed.append(task_key)
+        return changed
+
     def remove_crashes(self, task: TaskId, run: int | None = None) -> bool:
         """Remove the crashes of a task, or of one of its runs; return whether there were any."""
         known = self.crashes.get(task.key, [])
