Tell callers during a store outage which jobs have ended

The owner goes on renewing leases and knows such ends. Now a node that does not reach the store asks the owner first, and an owner that does not reach it either tells the phase of jobs that it knows to have ended, authenticated by a configuration that is at most the outage that running work should outlive older than the freshness bound. Other phases are refused as before.

--- a/packages/mimosapoint-node/src/mimosapoint_node/http/forward.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/http/forward.py
@@ -88,12 +88,19 @@
     :param nodes: returns the addresses of other nodes by id.
     :param telemetry: receives an event and a count for every attempt.
     :param random: source of the order in which equal nodes are tried.
+    :param owner: returns the id of the cell's owner, which may answer reads without the store;
+        empty if it is not known.
     """
 
     def __init__(
-        self, nodes: Callable[[], Mapping[str, str]], telemetry: Telemetry, random: Random
+        self,
+        nodes: Callable[[], Mapping[str, str]],
+        telemetry: Telemetry,
+        random: Random,
+        owner: Callable[[], str] = lambda: "",
     ):
         self._nodes = nodes
+        self._owner = owner
         self._telemetry = telemetry
         self._outcomes = NodeOutcomes(random)
         self._backoff_until = 0.0
@@ -128,7 +135,7 @@
         outcome_unknown = error.code in UNKNOWN_OUTCOME_CODES
         if FORWARDED_HEADER in headers or not (outcome_unknown or error.code in NO_EFFECT_CODES):
             return None
-        if not self.can_forward():
+        if not self.can_forward() and not self._may_ask_owner(method):
             return None
         sent_headers = {name: headers[name] for name in COPIED_HEADERS if name in headers}
         sent_headers[FORWARDED_HEADER] = error.code
@@ -157,7 +164,7 @@
         """
         give_up_at = min(reply_by, trio.current_time() + FORWARD_LIMIT.total_seconds())
         address_by_node = dict(self._nodes())
-        for node in self._outcomes.order(address_by_node.keys())[:MAX_ATTEMPTS]:
+        for node in self._choose_nodes(request.method, address_by_node):
             if give_up_at - trio.current_time() < MIN_ATTEMPT_TIME.total_seconds():
                 return None
             reply = await self._try_node(request, node, address_by_node[node], give_up_at)
@@ -165,6 +172,17 @@
                 return reply
         return None
 
+    def _may_ask_owner(self, method: str) -> bool:
+        return method == "GET" and self._owner() in self._nodes()
+
+    def _choose_nodes(self, method: str, address_by_node: Mapping[str, str]) -> list[str]:
+        """Return the nodes to try, in this order; for a read, the owner comes first."""
+        nodes = self._outcomes.order(address_by_node.keys()) if self.can_forward() else []
+        if self._may_ask_owner(method):
+            owner = self._owner()
+            nodes = [owner, *(node for node in nodes if node != owner)]
+        return nodes[:MAX_ATTEMPTS]
+
     async def _try_node(
         self, request: _Request, node: str, address: str, give_up_at: float
     ) -> ClientReply | None:
--- a/packages/mimosapoint-node/src/mimosapoint_node/http/tests/test_forward.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/http/tests/test_forward.py
@@ -181,13 +181,13 @@
 class NodeChoiceTest(TrioTestCase):
     mock_clock = True
 
-    def open(self, result_by_node, seconds=0.001, seed=1):
+    def open(self, result_by_node, seconds=0.001, seed=1, owner=""):
         self.nodes = FakeNodes(result_by_node, seconds)
         patch = mock.patch.object(HttpClient, "call", self.nodes.call)
         patch.start()
         self.addCleanup(patch.stop)
         telemetry = MemoryTelemetry(strict=True)
-        self.forwarder = Forwarder(self.nodes.addresses, telemetry, Random(seed))
+        self.forwarder = Forwarder(self.nodes.addresses, telemetry, Random(seed), lambda: owner)
 
     async def forward(self, error=OVERLOADED, method="POST", **times):
         reply = await self.forwarder.forward(error, method, "/q/1", HEADERS, b"", **times)
@@ -250,6 +250,18 @@
         self.assertEqual(self.nodes.addresses().keys(), set(self.nodes.called_nodes))
         self.assertEqual(6, len(self.nodes.called_nodes))
 
+    # Guards against reads that are refused in an outage of the store although the owner knows.
+    async def test_a_read_asks_the_owner_even_while_no_node_can_serve(self):
+        self.open({f"n{number}": 503 for number in range(6)}, owner="n4")
+        for _ in range(2):
+            await self.forward()
+        self.assertFalse(self.forwarder.can_forward())
+        self.nodes.result_by_node["n4"] = 200
+        self.assertIsNone(await self.forward())
+        self.nodes.called_nodes.clear()
+        self.assertEqual(200, await self.forward(method="GET"))
+        self.assertEqual(["n4"], self.nodes.called_nodes)
+
     # Guards against many attempts and waits while no node can serve.
     async def test_requests_are_refused_at_once_while_no_node_can_serve(self):
         self.open({f"n{number}": 503 for number in range(38)})
--- a/packages/mimosapoint/src/mimosapoint/cell/core.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/core.py
@@ -5,6 +5,7 @@
 import attrs
 import trio
 
+from mimosapoint.cell.decisions.units import Job
 from mimosapoint.cell.dependencies import CellOwnerDependencies
 from mimosapoint.cell.election import OwnerElection, Ownership
 from mimosapoint.cell.gateway import CellGateway
@@ -59,7 +60,7 @@
         peers_address: str = "",
     ):
         self.view = OperatorView(store, operator_decoder, clock, settings, telemetry)
-        self.gateway = CellGateway(store, self.view, clock, settings, telemetry)
+        self.gateway = CellGateway(store, self.view, clock, settings, telemetry, self._find_job)
         self.name = node
         self.owner: Owner | None = None
         self._dependencies = CellOwnerDependencies(
@@ -88,6 +89,10 @@
         """Id of the cell's owner, as last known to this node; empty for none."""
         return self.name if self.owner is not None else self._election.owner.node
 
+    def _find_job(self, job_id: str) -> Job | None:
+        """Return a job that this node has as the owner."""
+        return self.owner.job_table.jobs_by_id.get(job_id) if self.owner is not None else None
+
     def node_addresses(self) -> dict[str, str]:
         """Return the addresses to which requests can be forwarded, by node id."""
         return self._directory.addresses_by_node
--- a/packages/mimosapoint/src/mimosapoint/cell/gateway.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/gateway.py
@@ -1,6 +1,6 @@
 """Gateway for requests of callers, on each node of a cell."""
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from datetime import datetime, timedelta
 from typing import TypeVar
@@ -9,8 +9,10 @@
 import trio
 
 from mimosapoint.cell.admission_gate import AdmissionGate
+from mimosapoint.cell.decisions.units import Job
 from mimosapoint.cell.keys import BACKLOG_KEY, cancel_key, job_key, progress_key
 from mimosapoint.cell.operators import OperatorView
+from mimosapoint.cell.outage_reads import OutageReads
 from mimosapoint.cell.settings import CellSettings
 from mimosapoint.codec import decode, encode
 from mimosapoint.errors import (
@@ -84,6 +86,7 @@
     :param clock: clock of the node.
     :param settings: retry delay.
     :param telemetry: receives an event for each accepted request.
+    :param find_job: returns a job of this node's ownership; ``None`` if there is none.
     """
 
     def __init__(
@@ -93,6 +96,7 @@
         clock: Clock,
         settings: CellSettings,
         telemetry: Telemetry,
+        find_job: Callable[[str], Job | None] = lambda job_id: None,
     ):
         self._store = store
         self._view = view
@@ -100,6 +104,7 @@
         self._settings = settings
         self._telemetry = telemetry
         self.admission = AdmissionGate(store, view, clock, settings, telemetry)
+        self.outage_reads = OutageReads(view, find_job, settings, telemetry)
 
     @property
     def view_age(self) -> timedelta | None:
@@ -275,6 +280,9 @@
         :raises JobNotFound: the workspace has no such job.
         :raises StoreUnavailable: the store did not answer; the call had no effect.
         """
+        if self._view.is_store_outage:
+            # Another node may reach the store, or know the phase.
+            raise StoreUnavailable("the store is unavailable", retry_after=self._retry_after())
         entries_by_key: dict[str, Entry | None] = {}
 
         async def read(key: str) -> None:
--- /dev/null
+++ b/packages/mimosapoint/src/mimosapoint/cell/outage_reads.py
@@ -0,0 +1,73 @@
+"""Reads of the phase of ended jobs while the store is away, from what the owner knows."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from mimosapoint.cell.decisions.units import Job
+from mimosapoint.cell.operators import OperatorView
+from mimosapoint.cell.settings import CellSettings
+from mimosapoint.ports import Telemetry
+from mimosapoint.workload import Phase
+
+__all__ = ["OutageReads"]
+
+
+class OutageReads:
+    """Answers with the phase of jobs that this node, as the owner, knows to have ended.
+
+    In an outage an owner goes on renewing the leases of its workers and so learns which runs end.
+    That a job has ended holds whoever owns the cell now, and the workers keep the ends that are not
+    stored, so that the next owner learns of them, too. Other phases may change without this node.
+
+    :param view: configuration, by which callers are authenticated even after it is no longer fresh.
+    :param find_job: returns a job of this node's ownership; ``None`` if there is none.
+    :param settings: freshness bound, and the outage that running work should outlive.
+    :param telemetry: receives an event for each answer.
+    """
+
+    def __init__(
+        self,
+        view: OperatorView,
+        find_job: Callable[[str], Job | None],
+        settings: CellSettings,
+        telemetry: Telemetry,
+    ):
+        self._view = view
+        self._find_job = find_job
+        self._max_age = settings.freshness_bound + settings.orphan_renewal_time
+        self._telemetry = telemetry
+
+    def phase(self, host: str, path: str, key: str | None) -> Phase | None:
+        """Return the phase of an ended job, or ``None`` if this node cannot tell it.
+
+        :param host: host that the request names.
+        :param path: path of the request.
+        :param key: API key of the caller, if any.
+        """
+        age = self._view.age
+        if self._view.configuration is None or age is None or age > self._max_age:
+            return None
+        queue = self._view.configuration.find_queue(host, path)
+        if queue is None:
+            return None
+        job = self._find_job(path.removeprefix(queue.prefix))
+        if job is None or not job.progress.phase.ended:
+            return None
+        if job.record.tenant != self._workspace_of(queue.public, key):
+            return None
+        self._telemetry.event(
+            "phase-read-in-outage",
+            job=job.record.id,
+            phase=job.progress.phase,
+            is_stored=job.stored_progress_version == job.progress_version,
+            view_age=age,
+        )
+        self._telemetry.count("cell_reads_in_outage")
+        return job.progress.phase
+
+    def _workspace_of(self, is_public: bool, key: str | None) -> str | None:
+        if is_public:
+            return ""
+        workspace = self._view.configuration.find_workspace(key) if key else None
+        return workspace.name if workspace else None
