--- a/packages/mimosapoint/src/mimosapoint/telemetry/_cell_declarations.py
+++ b/packages/mimosapoint/src/mimosapoint/telemetry/_cell_declarations.py
@@ -155,6 +155,12 @@
         "Jobs that failed because one of their tasks crashes its workers.",
         "jobs",
     ),
+    Metric(
+        "cell_reads_in_outage",
+        MetricKind.COUNTER,
+        "Phases of ended jobs that the owner told without the store.",
+        "replies",
+    ),
     Metric(
         "cell_workers_unstable",
         MetricKind.COUNTER,
@@ -251,6 +257,11 @@
     ("worker-reborn", "A worker restarted; its runs are lost."),
     ("worker-heard-again", "A worker replies again."),
     ("crash-suspected", "A worker was lost under runs that may have crashed it."),
+    (
+        "crash-explained",
+        "Another task, which was given up, has crashed the workers of these tasks.",
+    ),
+    ("phase-read-in-outage", "The owner told the phase of an ended job without the store."),
     ("crash-withdrawn", "A silent worker replies again; no run has crashed it."),
     ("suspect-cleared", "A run has worked too long for a task that crashes its workers."),
     ("job-given-up", "A job failed because one of its tasks crashes its workers."),
