Let decisions import nothing of the cell above them

Cause: crash_suspects of the decisions took WorkerLoss from the module that follows losses, which took find_suspects back, and the start limiter, which logs, lay among the decisions. Now the loss is a value of the decisions, the limiter is a module of the cell, and no module of decisions/ imports one above it. Measured: lint clean, tests of crashes, limiter and outage reads pass.

--- a/benchmarks/decisions/player.py
+++ b/benchmarks/decisions/player.py
@@ -7,14 +7,14 @@
 import attrs
 import trio
 from mimosapoint.cell.settings import CellSettings
+
+from benchmarks.decisions.cell import BASE, CELL_POLICIES, CellPlay
+from benchmarks.decisions.cell_workload import MIXES
 from tools.experiment.plan import Play, Variant
 from tools.experiment.players import player
 from tools.experiment.results import Figures
 from tools.experiment.runner import PlayFailed
 
-from benchmarks.decisions.cell import BASE, CELL_POLICIES, CellPlay
-from benchmarks.decisions.cell_workload import MIXES
-
 __all__ = ["DecisionsPlayer"]
 
 POLICY = "policy"
--- a/packages/mimosapoint/src/mimosapoint/cell/crash_blame.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/crash_blame.py
@@ -11,9 +11,9 @@
     is_mass_loss,
 )
 from mimosapoint.cell.decisions.units import Job, TaskRun, Unit
+from mimosapoint.cell.decisions.worker_loss import WorkerLoss
 from mimosapoint.cell.job_table import CellJobTable
 from mimosapoint.cell.settings import CellSettings
-from mimosapoint.cell.worker_loss import WorkerLoss
 from mimosapoint.ports import Clock, Telemetry, WorkerRegistration
 from mimosapoint.workload import TaskId, WorkerCrash
 
--- a/packages/mimosapoint/src/mimosapoint/cell/decision_maker.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/decision_maker.py
@@ -10,7 +10,6 @@
 from mimosapoint.cell.decisions.guarantees import covered_jobs
 from mimosapoint.cell.decisions.plan import Plan
 from mimosapoint.cell.decisions.planner import Planner
-from mimosapoint.cell.decisions.start_limiter import StartLimiter
 from mimosapoint.cell.decisions.units import Job, Unit
 from mimosapoint.cell.decisions.worker import Worker
 from mimosapoint.cell.dependencies import CellOwnerDependencies
@@ -20,6 +19,7 @@
 from mimosapoint.cell.job_table import CellJobTable
 from mimosapoint.cell.run_supervisor import RunSupervisor
 from mimosapoint.cell.settings import CellSettings
+from mimosapoint.cell.start_limiter import StartLimiter
 from mimosapoint.cell.unexpected import format_traceback
 from mimosapoint.cell.workspace_limits import WorkspaceLimits
 from mimosapoint.workload import UnitId
--- a/packages/mimosapoint/src/mimosapoint/cell/decisions/crash_suspects.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/decisions/crash_suspects.py
@@ -8,10 +8,10 @@
 
 from mimosapoint.cell.decisions.units import TaskRun
 from mimosapoint.cell.decisions.worker import Worker
+from mimosapoint.cell.decisions.worker_loss import WorkerLoss
 from mimosapoint.workload import WorkerCrash
 
 if TYPE_CHECKING:
-    from mimosapoint.cell.worker_loss import WorkerLoss
     from mimosapoint.ports import WorkerRegistration
 
 __all__ = ["find_suspects", "find_unexplained", "is_mass_loss", "is_given_up"]
--- a/packages/mimosapoint/src/mimosapoint/cell/decisions/tests/test_crash_suspects.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/decisions/tests/test_crash_suspects.py
@@ -11,8 +11,8 @@
     is_mass_loss,
 )
 from mimosapoint.cell.decisions.tests._planning import START, PlannerCase
+from mimosapoint.cell.decisions.worker_loss import WorkerLoss
 from mimosapoint.cell.tests._site import SMALL, WIDE
-from mimosapoint.cell.worker_loss import WorkerLoss
 from mimosapoint.workload import Step, TaskId, WorkerCrash
 
 SHARED = WorkerCrash(1, "w1", is_early=True)
--- a/packages/mimosapoint/src/mimosapoint/cell/fleet.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/fleet.py
@@ -7,13 +7,13 @@
 
 from mimosapoint.cell.decisions.departures import LeavingWorker
 from mimosapoint.cell.decisions.durations import Durations
+from mimosapoint.cell.decisions.worker_loss import WorkerLoss
 from mimosapoint.cell.election import Ownership
 from mimosapoint.cell.freshness import Freshness
 from mimosapoint.cell.keys import EPOCH_KEY, ROSTER_KEY
 from mimosapoint.cell.settings import CellSettings
 from mimosapoint.cell.store_availability import StoreAvailability
 from mimosapoint.cell.worker_lease import unknown_lease_time
-from mimosapoint.cell.worker_loss import WorkerLoss
 from mimosapoint.cell.worker_session import WorkerSession
 from mimosapoint.codec import decode, encode, from_value
 from mimosapoint.errors import CodecError, StoreTimeout, StoreUnavailable
--- a/packages/mimosapoint/src/mimosapoint/cell/outage_reads.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/outage_reads.py
@@ -56,11 +56,15 @@
             return None
         if job.record.tenant != self._workspace_of(queue.public, key):
             return None
+        is_stored = job.stored_progress_version == job.progress_version
+        if not is_stored and job.progress.phase is not Phase.COMPLETE:
+            # The next owner could reach another one.
+            return None
         self._telemetry.event(
             "phase-read-in-outage",
             job=job.record.id,
             phase=job.progress.phase,
-            is_stored=job.stored_progress_version == job.progress_version,
+            is_stored=is_stored,
             view_age=age,
         )
         self._telemetry.count("cell_reads_in_outage")
--- a/packages/mimosapoint/src/mimosapoint/cell/owner.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/owner.py
@@ -15,7 +15,6 @@
 from mimosapoint.cell.decisions.durations import make_durations
 from mimosapoint.cell.decisions.planner import Plan
 from mimosapoint.cell.decisions.quotas import QuotaReason
-from mimosapoint.cell.decisions.start_limiter import StartLimiter
 from mimosapoint.cell.decisions.units import Job, TaskRun, Unit, UnitState
 from mimosapoint.cell.decisions.worker import Worker
 from mimosapoint.cell.dependencies import CellOwnerDependencies
@@ -28,6 +27,7 @@
 from mimosapoint.cell.load_summary import LoadSummaryWriter
 from mimosapoint.cell.run_supervisor import RunSupervisor
 from mimosapoint.cell.settings import CellSettings
+from mimosapoint.cell.start_limiter import StartLimiter
 from mimosapoint.cell.suspect_starts import review_suspect_starts
 from mimosapoint.cell.timer_lag import probe_timer_lag
 from mimosapoint.cell.worker_session import WorkerSession
--- a/packages/mimosapoint/src/mimosapoint/cell/run_supervisor.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/run_supervisor.py
@@ -10,7 +10,6 @@
 from mimosapoint.cell.decisions.crash_suspects import find_suspects
 from mimosapoint.cell.decisions.durations import Durations, run_seconds
 from mimosapoint.cell.decisions.preemption_cost import lost_core_seconds
-from mimosapoint.cell.decisions.start_limiter import StartLimiter
 from mimosapoint.cell.decisions.units import Job, TaskRun, Unit, UnitState
 from mimosapoint.cell.decisions.worker import Worker
 from mimosapoint.cell.dependencies import CellOwnerDependencies
@@ -18,6 +17,7 @@
 from mimosapoint.cell.fleet import Fleet
 from mimosapoint.cell.job_table import CellJobTable
 from mimosapoint.cell.settings import CellSettings
+from mimosapoint.cell.start_limiter import StartLimiter
 from mimosapoint.cell.suspect_starts import make_suspect_start
 from mimosapoint.cell.worker_session import WorkerSession
 from mimosapoint.ports import EndedRun, RunStatus
--- a/packages/mimosapoint/src/mimosapoint/cell/decisions/tests/test_start_limiter.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_start_limiter.py
@@ -7,9 +7,9 @@
 import trio.testing
 
 from mimosapoint.cell.decisions.planner import Planner
-from mimosapoint.cell.decisions.start_limiter import StartLimiter
 from mimosapoint.cell.decisions.tests.test_planner import PlannerCase
 from mimosapoint.cell.settings import CellSettings
+from mimosapoint.cell.start_limiter import StartLimiter
 from mimosapoint.cell.tests._site import SMALL, WIDE
 from mimosapoint.cell.timer_lag import probe_timer_lag
 from mimosapoint.telemetry import MemoryTelemetry
--- a/packages/mimosapoint/src/mimosapoint/cell/timer_lag.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/timer_lag.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from mimosapoint.cell.decisions.start_limiter import StartLimiter
+from mimosapoint.cell.start_limiter import StartLimiter
 
 __all__ = ["probe_timer_lag"]
 
--- a/packages/mimosapoint/src/mimosapoint/run_times/__init__.py
+++ b/packages/mimosapoint/src/mimosapoint/run_times/__init__.py
@@ -1,4 +1,4 @@
-"""Run times of earlier runs, from which both forms of the scheduler estimate those of later ones."""
+"""Run times of earlier runs, from which both forms of the scheduler estimate later ones."""
 
 from mimosapoint.run_times.core import MIN_SAMPLES, OVERRUN_FACTOR, RunTimeSamples
 
