--- a/tools/experiment/__main__.py
+++ b/tools/experiment/__main__.py
@@ -1,7 +1,6 @@
 """Run an experiment, or print the table of one that has been run."""
 
 import importlib
-import os
 import sys
 from pathlib import Path
 
@@ -13,7 +12,7 @@
 
 from tools.experiment.comparison import format_table  # noqa: E402 (needs the path)
 from tools.experiment.plan import load_experiment  # noqa: E402
-from tools.experiment.players import find_player  # noqa: E402
+from tools.experiment.players import find_player, player_names  # noqa: E402
 from tools.experiment.results import ResultFile  # noqa: E402
 from tools.experiment.runner import run_experiment  # noqa: E402
 
@@ -35,6 +34,8 @@
         importlib.import_module(module)
     path = Path(file)
     experiment = load_experiment(path)
+    if experiment.player not in player_names():
+        sys.exit(f"{path}: the player is none of {', '.join(player_names())}")
     results = ResultFile(path.with_suffix(".results.jsonl"))
     failed = []
     if not table_only:
@@ -46,5 +47,4 @@
 
 
 if __name__ == "__main__":
-    os.environ.setdefault("PAGER", "cat")
     fire.Fire(main)
