--- a/packages/mimosapoint/src/mimosapoint/cell/gateway.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/gateway.py
@@ -5,7 +5,6 @@
 from datetime import datetime, timedelta
 from typing import TypeVar
 
-import attrs
 import trio
 
 from mimosapoint.cell.admission_gate import AdmissionGate
@@ -14,6 +13,7 @@
 from mimosapoint.cell.operators import OperatorView
 from mimosapoint.cell.outage_reads import OutageReads
 from mimosapoint.cell.settings import CellSettings
+from mimosapoint.cell.submission import Submission
 from mimosapoint.codec import decode, encode
 from mimosapoint.errors import (
     AdmissionRefused,
@@ -36,12 +36,10 @@
     JobProgress,
     Phase,
     Queue,
-    Schedule,
-    Step,
     check_job,
 )
 
-__all__ = ["CellGateway", "Submission"]
+__all__ = ["CellGateway"]
 
 T = TypeVar("T")
 
@@ -62,22 +60,6 @@
 """Attempts that a caller should be able to make in the time for which it waits."""
 
 
-@attrs.frozen
-class Submission:
-    """A job as a caller submits it.
-
-    :param id: id of the job, chosen by the caller.
-    :param spec: text that is passed to the tasks.
-    :param steps: steps of the job.
-    :param schedule: due times of its occurrences; ``None`` to run once, immediately.
-    """
-
-    id: str
-    spec: str
-    steps: tuple[Step, ...]
-    schedule: Schedule | None = None
-
-
 class CellGateway:
     """Serves requests of callers; accepted jobs and cancellations are durable before the reply.
 
