Let a new owner wait only for what silent workers may be running

Cause: one flag over the cell. Until every worker of earlier owners had reported, no workspace with a cap started anything and no unit of a started job did.

Change: the progress of a job holds the newest start of each unit with the worker of each task, stored before the first order. Starts that earlier versions did not record, unreadable jobs and an unreadable roster have bounds by capacity. Suspect starts use the same record. Progress with numbers that cannot be stored again ended every commit of an owner; it is reported as unreadable now.

--- a/packages/mimosapoint/src/mimosapoint/cell/committer.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/committer.py
@@ -64,12 +64,6 @@
         while any(job.stored_progress_version < version for job, version in wanted):
             await self._stored.wait()
 
-    async def wait_start_stored(self, job: Job) -> None:
-        """Wait until the stored progress says that the job has started."""
-        self.wake()
-        while not job.is_start_stored:
-            await self._stored.wait()
-
     async def run(self) -> None:
         """Commit until cancelled.
 
@@ -131,8 +125,10 @@
     def _mark_stored(self, job: Job, version: int, revision: int) -> None:
         job.progress_rev = revision
         job.stored_progress_version = version
-        if job.progress_version == version:
-            self._job_table.uncommitted_by_id.pop(job.record.id, None)
+        uncommitted = self._job_table.uncommitted_by_id
+        if uncommitted.pop(job.record.id, None) and job.progress_version != version:
+            # At the end, as jobs that change all the time would otherwise fill every batch.
+            uncommitted[job.record.id] = job
 
     def _notify_stored(self) -> None:
         self._stored.set()
--- a/packages/mimosapoint/src/mimosapoint/cell/decision_maker.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/decision_maker.py
@@ -17,6 +17,7 @@
 from mimosapoint.cell.explain import WaitExplanation
 from mimosapoint.cell.faulty_jobs import find_faulty_jobs
 from mimosapoint.cell.job_table import CellJobTable
+from mimosapoint.cell.recovery import Recovery
 from mimosapoint.cell.run_supervisor import RunSupervisor
 from mimosapoint.cell.settings import CellSettings
 from mimosapoint.cell.start_limiter import StartLimiter
@@ -37,6 +38,7 @@
     :param limits: quotas and shares of the workspaces.
     :param durations: expected run times.
     :param start_limiter: limit of concurrent starts.
+    :param recovery: runs of earlier owners that are not known.
     """
 
     def __init__(
@@ -48,6 +50,7 @@
         limits: WorkspaceLimits,
         durations: Durations,
         start_limiter: StartLimiter,
+        recovery: Recovery,
     ):
         self._view = dependencies.view
         self._telemetry = dependencies.telemetry
@@ -57,6 +60,7 @@
         self._limits = limits
         self._durations = durations
         self._start_limiter = start_limiter
+        self._recovery = recovery
         self._faulty_jobs: set[str] = set()
         self._planner = self._make_planner()
 
@@ -115,10 +119,6 @@
         """Return whether capacity is held for the unit while its victims stop."""
         return self._planner.has_capacity_hold(unit)
 
-    def may_have_unknown_run(self, unit: Unit) -> bool:
-        """Return whether a worker whose runs are not known may have a run of the unit."""
-        return not self._limits.all_runs_known and unit.job.may_have_runs
-
     def _make_planner(self) -> Planner:
         return Planner(self._settings, self._start_limiter.admits)
 
@@ -149,5 +149,7 @@
         for unit in self._job_table.waiting_by_id.values():
             if unit.id.job in self._faulty_jobs:
                 continue
-            if not self._runs.has_remaining_run(unit) and not self.may_have_unknown_run(unit):
+            if not self._runs.has_remaining_run(unit) and not self._recovery.may_have_unknown_run(
+                unit
+            ):
                 yield unit
--- a/packages/mimosapoint/src/mimosapoint/cell/decisions/quotas.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/decisions/quotas.py
@@ -11,7 +11,7 @@
 from mimosapoint.cell.decisions.worker import Worker
 from mimosapoint.workload import CellConfiguration, CellWorkspace, ResourceAmounts
 
-__all__ = ["RESOURCE_NAMES", "QuotaLedger", "QuotaObstacle", "QuotaReason"]
+__all__ = ["RESOURCE_NAMES", "PossibleUse", "QuotaLedger", "QuotaObstacle", "QuotaReason"]
 
 RESOURCE_NAMES = ("cpu_millis", "memory_mb", "accelerators")
 """Fields of resource amounts, which are the dimensions of a cap."""
@@ -24,7 +24,7 @@
     """Reason why the quota of a workspace does not admit a start."""
 
     RUNS_UNKNOWN = "quota-unknown"
-    """The use is not known: runs of earlier owners, or of unknown jobs, may belong to it."""
+    """The quota admits the unit only if runs that are not known yet do not belong to it."""
     NEVER_FITS = "quota-never-fits"
     """The unit alone exceeds the cap."""
     EXHAUSTED = "quota"
@@ -37,10 +37,12 @@
 
     :param reason: the reason.
     :param workspace: the workspace.
-    :param resource: first dimension of the cap that would be exceeded; empty for unknown runs.
+    :param resource: first dimension of the cap that would be exceeded; empty if the use has no
+        bound.
     :param used: use of the workspace in this dimension, including planned starts.
     :param cap: cap in this dimension.
     :param needed: what the unit needs in this dimension.
+    :param possible: what runs that are not known may use in this dimension.
     """
 
     reason: QuotaReason
@@ -49,16 +51,39 @@
     used: int = 0
     cap: int = 0
     needed: int = 0
+    possible: int = 0
 
     @property
     def detail(self) -> str:
         """Human-readable details."""
-        if self.reason is QuotaReason.RUNS_UNKNOWN:
-            return f"runs that may belong to workspace {self.workspace} are not known yet"
-        return (
+        unknown = f"runs that may belong to workspace {self.workspace} are not known yet"
+        if not self.resource:
+            return unknown
+        figures = (
             f"needs {self.needed} {self.resource}; "
             f"workspace {self.workspace} uses {self.used} of its cap of {self.cap}"
         )
+        if self.reason is QuotaReason.RUNS_UNKNOWN:
+            return f"{figures}; {unknown}, of up to {self.possible}"
+        return figures
+
+
+@attrs.frozen
+class PossibleUse:
+    """Bound of what runs that are not known use, beyond the known ones.
+
+    :param by_workspace: bound for each workspace.
+    :param of_any: what runs of unknown jobs use, which may belong to any workspace.
+    :param is_bounded: whether there is a bound at all.
+    """
+
+    by_workspace: Mapping[str, ResourceAmounts] = attrs.field(factory=dict)
+    of_any: ResourceAmounts = NOTHING
+    is_bounded: bool = True
+
+    def of(self, workspace: str) -> ResourceAmounts:
+        """Return the bound for a workspace."""
+        return self.by_workspace.get(workspace, NOTHING) + self.of_any
 
 
 class QuotaLedger:
@@ -68,42 +93,50 @@
     starts that were planned with :meth:`add` or :meth:`add_unit`.
 
     :param capped_workspaces: workspaces with a cap, by name.
-    :param used_by_workspace: their use; the key ``None`` stands for runs of unknown jobs.
-    :param all_runs_known: whether the runs on all workers of earlier owners are known.
+    :param used_by_workspace: their use.
+    :param possible_use: what runs that are not known may use.
     """
 
     def __init__(
         self,
         capped_workspaces: Mapping[str, CellWorkspace] | None = None,
-        used_by_workspace: dict[str | None, ResourceAmounts] | None = None,
-        all_runs_known: bool = True,
+        used_by_workspace: dict[str, ResourceAmounts] | None = None,
+        possible_use: PossibleUse | None = None,
     ):
         self._capped_workspaces = capped_workspaces or {}
         self._used_by_workspace = used_by_workspace if used_by_workspace is not None else {}
         self._obstacles_by_demand: dict[tuple[str, ResourceAmounts, int], QuotaObstacle] = {}
         self._admitted_by_workspace: dict[str, set[tuple[str, ResourceAmounts, int]]] = {}
-        # A run of an unknown job may belong to any workspace.
-        self._is_use_known = all_runs_known and None not in self._used_by_workspace
+        self._possible_use = possible_use or PossibleUse()
 
     @classmethod
     def from_workers(
         cls,
         workers: Iterable[Worker],
         configuration: CellConfiguration,
-        all_runs_known: bool = True,
+        possible_use: PossibleUse | None = None,
     ) -> QuotaLedger:
         """Return the ledger of the runs on all known workers.
 
+        A run of an unknown job may belong to any workspace, and occupies at most what the other
+        runs leave of its worker.
+
         :param workers: all workers, also unusable ones.
         :param configuration: configuration in force.
-        :param all_runs_known: whether the runs on all workers of earlier owners are known.
+        :param possible_use: what runs that are not known may use.
         """
         if not configuration.capped_workspaces and not configuration.weights_by_workspace:
             return cls()
         # Plain numbers: sums of ResourceAmounts take three times as long on a large fleet.
-        sums: dict[str | None, list[int]] = {}
+        sums: dict[str, list[int]] = {}
+        possible_use = possible_use or PossibleUse()
         for worker in workers:
+            if None in worker.used_by_workspace:
+                of_any = possible_use.of_any + worker.capacity_of_unknown_jobs
+                possible_use = attrs.evolve(possible_use, of_any=of_any)
             for workspace, used in worker.used_by_workspace.items():
+                if workspace is None:
+                    continue
                 total = sums.get(workspace)
                 if total is None:
                     total = sums[workspace] = [0, 0, 0]
@@ -111,7 +144,7 @@
                 total[1] += used.memory_mb
                 total[2] += used.accelerators
         totals = {workspace: ResourceAmounts(*total) for workspace, total in sums.items()}
-        return cls(configuration.capped_workspaces, totals, all_runs_known)
+        return cls(configuration.capped_workspaces, totals, possible_use)
 
     def obstacle(
         self,
@@ -131,10 +164,18 @@
         never_fits = self._find_exceeded(QuotaReason.NEVER_FITS, capped, ResourceAmounts(), amounts)
         if never_fits is not None:
             return attrs.evolve(never_fits, used=getattr(self.used(workspace), never_fits.resource))
-        if not self._is_use_known:
+        if not self._possible_use.is_bounded:
             return QuotaObstacle(QuotaReason.RUNS_UNKNOWN, workspace)
         used = self.used(workspace) - freed
-        return self._find_exceeded(QuotaReason.EXHAUSTED, capped, used, amounts)
+        exhausted = self._find_exceeded(QuotaReason.EXHAUSTED, capped, used, amounts)
+        if exhausted is not None:
+            return exhausted
+        possible = self._possible_use.of(workspace)
+        unknown = self._find_exceeded(QuotaReason.RUNS_UNKNOWN, capped, used + possible, amounts)
+        if unknown is None:
+            return None
+        more = getattr(possible, unknown.resource)
+        return attrs.evolve(unknown, used=unknown.used - more, possible=more)
 
     def find_obstacle(self, unit: Unit) -> QuotaObstacle | None:
         """Return why the quota of its workspace does not admit a unit; ``None`` if it does.
@@ -179,8 +220,8 @@
         """
         if workspace not in self._capped_workspaces:
             return False
-        used = self.used(workspace)
-        return not self._is_use_known or any(
+        used = self.used(workspace) + self._possible_use.of(workspace)
+        return not self._possible_use.is_bounded or any(
             getattr(amounts, name) and getattr(used, name) > limit
             for name, limit in self._limits(workspace)
         )
--- a/packages/mimosapoint/src/mimosapoint/cell/decisions/units.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/decisions/units.py
@@ -189,15 +189,12 @@
     :param progress_rev: revision at which the progress is stored; 0 before.
     :param waiting_since: time from which its waiting is counted: when the owner learned of it, or
         its acceptance if it already had progress.
-    :param may_have_runs: whether an earlier owner may have started runs of it.
     :param cancelled: whether its caller has cancelled it.
     :param units_by_id: units created so far; a unit is created when its step may start.
     :param expanded_steps: steps whose units exist, as pairs of occurrence and step.
     :param remaining: number of units, over all occurrences, that are not done.
     :param progress_version: number of changes of the progress.
     :param stored_progress_version: newest version that is stored.
-    :param started_version: version from which the progress says that the job has started; ``None``
-        before.
     :param failed_on: workers on which runs of the job failed.
     :param ended_at: time at which it ended; ``None`` before.
     :param critical_path: estimated duration of the longest dependency chain of its steps.
@@ -208,14 +205,12 @@
     progress: JobProgress
     progress_rev: int
     waiting_since: datetime
-    may_have_runs: bool = False
     cancelled: bool = False
     units_by_id: dict[UnitId, Unit] = attrs.field(factory=dict)
     expanded_steps: set[tuple[int, int]] = attrs.field(factory=set)
     remaining: int = 0
     progress_version: int = 0
     stored_progress_version: int = 0
-    started_version: int | None = None
     failed_on: set[str] = attrs.field(factory=set)
     ended_at: datetime | None = None
     critical_path: timedelta = attrs.field(init=False)
@@ -229,14 +224,6 @@
         total = per_occurrence * self.record.occurrences
         self.remaining = total - sum(len(indexes) for indexes in self.progress.done.values())
 
-    @property
-    def is_start_stored(self) -> bool:
-        """Whether the stored progress says that the job has started."""
-        return (
-            self.started_version is not None
-            and self.stored_progress_version >= self.started_version
-        )
-
     def step_is_done(self, occurrence: int, step: int) -> bool:
         """Return whether every unit of a step is done."""
         spec = self.record.steps[step]
--- a/packages/mimosapoint/src/mimosapoint/cell/decisions/worker.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/decisions/worker.py
@@ -33,6 +33,7 @@
     :param stability: its recent disturbances.
     :param pace: its speed relative to other workers.
     :param suspect_runs: runs of units that are suspected of crashing their workers.
+    :param largest_capacity: largest capacity that it has had.
     """
 
     registration: WorkerRegistration
@@ -44,6 +45,15 @@
     stability: WorkerStability = attrs.field(factory=WorkerStability)
     pace: WorkerPace = attrs.field(factory=WorkerPace)
     suspect_runs: set[TaskRun] = attrs.field(factory=set)
+    largest_capacity: ResourceAmounts = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.largest_capacity = self.registration.capacity
+
+    def update_registration(self, registration: WorkerRegistration) -> None:
+        """Apply a new registration."""
+        self.registration = registration
+        self.largest_capacity = self.largest_capacity.larger(registration.capacity)
 
     @property
     def id(self) -> str:
@@ -61,6 +71,13 @@
         free = self.free
         return min(free.cpu_millis, free.memory_mb, free.accelerators) < 0
 
+    @property
+    def capacity_of_unknown_jobs(self) -> ResourceAmounts:
+        """Capacity that the runs of unknown jobs occupy, at most."""
+        known = (used for key, used in self.used_by_workspace.items() if key is not None)
+        remaining = self.largest_capacity - sum(known, ResourceAmounts())
+        return remaining.larger(ResourceAmounts())
+
     def add(self, task_run: TaskRun) -> None:
         """Add a run and occupy its capacity."""
         self.task_runs_by_key[task_run.task, task_run.run] = task_run
--- a/packages/mimosapoint/src/mimosapoint/cell/fleet.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/fleet.py
@@ -11,6 +11,7 @@
 from mimosapoint.cell.election import Ownership
 from mimosapoint.cell.freshness import Freshness
 from mimosapoint.cell.keys import EPOCH_KEY, ROSTER_KEY
+from mimosapoint.cell.recovery.inherited_workers import InheritedWorkers
 from mimosapoint.cell.settings import CellSettings
 from mimosapoint.cell.store_availability import StoreAvailability
 from mimosapoint.cell.worker_lease import unknown_lease_time
@@ -60,8 +61,8 @@
         self._freshness = Freshness(clock, settings)
         self._roster_rev = 0
         self._roster: tuple[WorkerRegistration, ...] = ()
-        self._inherited_ids: frozenset[str] = frozenset()
-        self._unlisted_runs_until = clock.now()
+        self.inherited = InheritedWorkers()
+        self.unlisted_runs_until = clock.now()
         self._missing_since: dict[str, datetime] = {}
         self._unreadable_revisions_by_key: dict[str, int] = {}
         self._revisions_by_worker: dict[str, int] = {}
@@ -71,15 +72,29 @@
         """Return whether the workers' entries were read within the freshness bound."""
         return self._freshness.is_fresh()
 
-    def all_runs_known(self, now: datetime) -> bool:
-        """Return whether the runs on every worker that earlier owners may have used are known."""
-        if self._freshness.age is None or now < self._unlisted_runs_until:
-            return False
-        return all(
-            session.runs_known(now)
-            for session in self.sessions_by_id.values()
-            if session.id in self._inherited_ids
-        )
+    def resolve_inherited(self, now: datetime) -> datetime | None:
+        """Resolve the workers of earlier owners whose runs are known by now.
+
+        Before the registrations are read, what replies at a stored address may not be the worker.
+
+        :return: time by which the runs on the next one will be known; ``None`` if all are.
+        """
+        inherited = self.inherited
+        if not inherited or self._freshness.age is None:
+            return None
+        if now >= self.unlisted_runs_until:
+            inherited.resolve_unlisted()
+        for session in self.sessions_by_id.values():
+            if session.id in inherited and session.runs_known(now):
+                inherited.resolve(session.id)
+        times = [self.runs_known_by(worker) for worker in inherited.capacity_by_id]
+        if inherited.has_unlisted:
+            times.append(self.unlisted_runs_until)
+        return min(times, default=None)
+
+    def runs_known_by(self, worker_id: str) -> datetime:
+        """Return the time at which the lease of a worker of earlier owners has expired."""
+        return self.sessions_by_id[worker_id].lease.expires_at
 
     def losses(self) -> Iterator[WorkerLoss]:
         """Yield the present or last loss of each worker that has one."""
@@ -115,16 +130,18 @@
             return
         self._roster_rev = entry.revision
         self._roster, errors = _decode_roster(entry.value)
-        self._inherited_ids = frozenset(each.id for each in self._roster)
+        self.inherited = InheritedWorkers(
+            {each.id: each.capacity for each in self._roster}, has_unlisted=bool(errors)
+        )
         if errors:
-            self._unlisted_runs_until = self._clock.now() + unknown_lease_time(self._settings)
+            self.unlisted_runs_until = self._clock.now() + unknown_lease_time(self._settings)
             telemetry.event(
                 "roster-unreadable",
                 revision=entry.revision,
                 error=errors[0],
                 errors=len(errors),
                 workers=len(self._roster),
-                until=self._unlisted_runs_until,
+                until=self.unlisted_runs_until,
             )
             telemetry.count("cell_unreadable_entries", prefix=ROSTER_KEY)
 
@@ -171,6 +188,7 @@
                 await trio.sleep(self._settings.registration_poll.total_seconds())
             # Removed before the session ends, so that no decision uses a session that ends.
             del self.sessions_by_id[session.id]
+            self.inherited.resolve(session.id)
             self._revisions_by_worker.pop(session.id, None)
             nursery.cancel_scope.cancel()
 
--- a/packages/mimosapoint/src/mimosapoint/cell/inbox.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/inbox.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from datetime import timedelta
 
+import attrs
 import trio
 
 from mimosapoint.cell.decisions.units import Job
@@ -32,13 +33,27 @@
     TransactionConflict,
     TransactionStore,
 )
-from mimosapoint.workload import AcceptedJob, JobProgress, check_job
+from mimosapoint.workload import AcceptedJob, JobProgress, check_job, check_progress
 
-__all__ = ["Inbox", "load_jobs"]
+__all__ = ["Inbox", "LoadedJobs", "load_jobs"]
 
 
-async def load_jobs(store: TransactionStore, job_table: CellJobTable, telemetry: Telemetry) -> int:
-    """Load the jobs from the store and return the revision from which to watch the inbox."""
+@attrs.frozen
+class LoadedJobs:
+    """Result of loading the jobs.
+
+    :param revision: revision from which to watch the inbox.
+    :param has_unreadable: whether a job or its progress could not be read.
+    """
+
+    revision: int
+    has_unreadable: bool
+
+
+async def load_jobs(
+    store: TransactionStore, job_table: CellJobTable, telemetry: Telemetry
+) -> LoadedJobs:
+    """Load the jobs from the store."""
     scans_by_prefix: dict[str, ScanResult] = {}
 
     async def read(prefix: str) -> None:
@@ -49,21 +64,26 @@
             nursery.start_soon(read, prefix)
     accepted, stored = scans_by_prefix[INBOX_PREFIX], scans_by_prefix[PROGRESS_PREFIX]
     progress_by_job = {entry.key.removeprefix(PROGRESS_PREFIX): entry for entry in stored.entries}
+    has_unreadable = False
     for entry in accepted.entries:
         if entry.key.startswith(JOB_PREFIX):
-            stored_progress = progress_by_job.get(entry.key.removeprefix(JOB_PREFIX))
-            _add_job(entry, stored_progress, job_table, telemetry)
+            stored_progress = progress_by_job.pop(entry.key.removeprefix(JOB_PREFIX), None)
+            if not _add_job(entry, stored_progress, job_table, telemetry):
+                has_unreadable = True
+    # Progress without a job is that of a job which is not known; it may have runs, too.
+    has_unreadable = has_unreadable or bool(progress_by_job)
     for entry in accepted.entries:
         if entry.key.startswith(CANCEL_PREFIX):
             job = job_table.jobs_by_id.get(entry.key.removeprefix(CANCEL_PREFIX))
             if job is not None:
                 job_table.cancel(job)
-    return accepted.revision
+    return LoadedJobs(accepted.revision, has_unreadable)
 
 
 def _add_job(
     entry: Entry, progress_entry: Entry | None, job_table: CellJobTable, telemetry: Telemetry
-) -> None:
+) -> bool:
+    """Add a job to the table; return whether it could be read."""
     try:
         record = decode(entry.value, AcceptedJob)
         check_job(record)
@@ -73,10 +93,13 @@
             job_table.add(record, entry.revision)
         else:
             progress = decode(progress_entry.value, JobProgress)
+            check_progress(record, progress)
             job_table.add(record, entry.revision, progress, progress_entry.revision)
     except CodecError as error:
         telemetry.event("job-unreadable", key=entry.key, error=str(error))
         telemetry.count("cell_unreadable_entries", prefix=JOB_PREFIX)
+        return False
+    return True
 
 
 class Inbox:
--- a/packages/mimosapoint/src/mimosapoint/cell/job_table.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/job_table.py
@@ -9,9 +9,9 @@
     AcceptedJob,
     JobProgress,
     Phase,
-    SuspectStart,
     TaskId,
     UnitId,
+    UnitStart,
     WorkerCrash,
 )
 
@@ -59,9 +59,6 @@
         waiting_since = now if progress is None else min(now, record.accepted_at)
         job = Job(record, accepted_rev, progress or JobProgress(), progress_rev, waiting_since)
         self.jobs_by_id[record.id] = job
-        if job.progress.phase is not Phase.QUEUED:
-            job.may_have_runs = True
-            job.started_version = job.stored_progress_version
         if job.progress.phase.ended:
             job.ended_at = now
         else:
@@ -138,11 +135,16 @@
         """Return a unit to the queue; nothing of its last run is left on workers."""
         if unit.job.progress.phase.ended:
             unit.state = UnitState.DROPPED
+            # Nothing else changes the progress of an ended job, and the next owner counts its runs.
+            if unit.job.progress.starts.pop(unit.id.key, None):
+                self._mark_changed(unit.job)
         elif unit.state is UnitState.ACTIVE:
             unit.state = UnitState.WAITING
             unit.since = self._clock.now()
             self.waiting_by_id[unit.id] = unit
-            if unit.job.progress.suspect_starts.pop(unit.id.key, None):
+            # A stale record delays the next owner at most; that of a suspect would be evidence.
+            start = unit.job.progress.starts.pop(unit.id.key, None)
+            if start is not None and start.born:
                 self._mark_changed(unit.job)
 
     def finish_unit(self, unit: Unit) -> None:
@@ -208,9 +210,9 @@
         """Let a job fail whose task crashes its workers."""
         self._end(job, Phase.FAILED)
 
-    def set_suspect_start(self, unit: Unit, start: SuspectStart) -> None:
-        """Record the start of a unit with a suspect task, which is ordered once that is stored."""
-        unit.job.progress.suspect_starts[unit.id.key] = start
+    def set_start(self, unit: Unit, start: UnitStart) -> None:
+        """Record the start of a unit, which is ordered once that is stored."""
+        unit.job.progress.starts[unit.id.key] = start
         self._mark_changed(unit.job)
 
     def save_checkpoint(self, unit: Unit, checkpoint: str, durable: bool) -> None:
@@ -255,10 +257,10 @@
 
     def _set_phase(self, job: Job, phase: Phase) -> None:
         if job.progress.phase is not phase and not job.progress.phase.ended:
+            if job.progress.phase is Phase.QUEUED:
+                job.progress.has_all_starts = True
             job.progress.phase = phase
             self._mark_changed(job)
-            if job.started_version is None:
-                job.started_version = job.progress_version
 
     def _end(self, job: Job, phase: Phase) -> None:
         if job.progress.phase.ended:
--- a/packages/mimosapoint/src/mimosapoint/cell/owner.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/owner.py
@@ -15,7 +15,7 @@
 from mimosapoint.cell.decisions.durations import make_durations
 from mimosapoint.cell.decisions.planner import Plan
 from mimosapoint.cell.decisions.quotas import QuotaReason
-from mimosapoint.cell.decisions.units import Job, TaskRun, Unit, UnitState
+from mimosapoint.cell.decisions.units import Job, TaskRun, Unit
 from mimosapoint.cell.decisions.worker import Worker
 from mimosapoint.cell.dependencies import CellOwnerDependencies
 from mimosapoint.cell.dry_run import DryRun
@@ -25,10 +25,10 @@
 from mimosapoint.cell.inbox import Inbox, load_jobs
 from mimosapoint.cell.job_table import CellJobTable
 from mimosapoint.cell.load_summary import LoadSummaryWriter
+from mimosapoint.cell.recovery import Recovery, TakeOverTimes
 from mimosapoint.cell.run_supervisor import RunSupervisor
 from mimosapoint.cell.settings import CellSettings
 from mimosapoint.cell.start_limiter import StartLimiter
-from mimosapoint.cell.suspect_starts import review_suspect_starts
 from mimosapoint.cell.timer_lag import probe_timer_lag
 from mimosapoint.cell.worker_session import WorkerSession
 from mimosapoint.cell.workspace_limits import WorkspaceLimits
@@ -62,6 +62,7 @@
         self._clock = dependencies.clock
         self._telemetry = dependencies.telemetry
         self._decision_requested = trio.Event()
+        self._times = TakeOverTimes(ownership.epoch, self._clock, self._telemetry)
         self.job_table = CellJobTable(dependencies.clock, dependencies.telemetry)
         self.committer = ProgressCommitter(
             dependencies.store,
@@ -81,7 +82,6 @@
         self.load_writer = LoadSummaryWriter(dependencies, self.job_table, ownership, settings)
         self._start_limiter = StartLimiter(settings, dependencies.telemetry)
         self.durations = make_durations(settings.durations)
-        self._limits = WorkspaceLimits(dependencies, self.job_table, self.fleet)
         self._fenced = False
         self._nursery: trio.Nursery | None = None
         self.runs = RunSupervisor(
@@ -95,7 +95,7 @@
             self.request_decision,
             self.durations,
             settings,
-            self._limits.is_exceeded,
+            lambda task_run: self._limits.is_exceeded(task_run),
         )
         self.crash_blame = CrashBlame(
             self.fleet.losses,
@@ -106,6 +106,16 @@
             settings,
             dependencies.telemetry,
         )
+        self.recovery = Recovery(
+            ownership.epoch,
+            self.job_table,
+            self.fleet,
+            self.crash_blame,
+            self.runs.stop_unit,
+            self._times,
+            dependencies.telemetry,
+        )
+        self._limits = WorkspaceLimits(dependencies, self.job_table, self.fleet, self.recovery)
         self._decisions = DecisionMaker(
             dependencies,
             settings,
@@ -114,6 +124,7 @@
             self._limits,
             self.durations,
             self._start_limiter,
+            self.recovery,
         )
 
     async def run(self) -> None:
@@ -126,9 +137,10 @@
             self._nursery = nursery
             async with trio.open_nursery() as loading_nursery:
                 loading_nursery.start_soon(self.fleet.read_roster, self._telemetry)
-                revision = await load_jobs(store, self.job_table, self._telemetry)
+                loaded = await load_jobs(store, self.job_table, self._telemetry)
             self.fleet.open_roster_sessions(self._open_session)
-            nursery.start_soon(self._inbox.run, revision)
+            self.recovery.begin(loaded.has_unreadable)
+            nursery.start_soon(self._inbox.run, loaded.revision)
             nursery.start_soon(self.fleet.run, self._dependencies.telemetry, self.request_decision)
             nursery.start_soon(self.committer.run)
             nursery.start_soon(self._backlog_writer.run)
@@ -206,6 +218,7 @@
     ) -> None:
         """Handle a run that is not, or no longer, on its worker."""
         self.runs.on_ended(task_run, end, checkpoint, reason)
+        self._times.record("first-end", task=task_run.task, end=end)
         self.request_decision()
 
     def on_silent(self, session: WorkerSession) -> None:
@@ -224,11 +237,6 @@
         """Epoch of the ownership."""
         return self._ownership.epoch
 
-    @property
-    def is_recovered(self) -> bool:
-        """Whether the runs on the workers of earlier owners have become known."""
-        return self._limits.all_runs_known
-
     def now(self) -> datetime:
         """Return the current time of the owner's clock."""
         return self._clock.now()
@@ -275,9 +283,10 @@
         quota_obstacle = self._limits.ledger().find_obstacle(unit)
         if quota_obstacle is not None and quota_obstacle.reason is QuotaReason.NEVER_FITS:
             return WaitExplanation(WaitReason.QUOTA_NEVER_FITS, quota_obstacle.detail)
-        if self._decisions.may_have_unknown_run(unit):
+        if self.recovery.may_have_unknown_run(unit):
+            workers = ", ".join(self.recovery.unknown_workers_of(unit)) or "some workers"
             return WaitExplanation(
-                WaitReason.EARLIER_OWNER, "not every worker has told what it runs"
+                WaitReason.EARLIER_OWNER, f"may be running; not reported yet: {workers}"
             )
         if self.runs.has_remaining_run(unit):
             return WaitExplanation(WaitReason.LAST_RUN, "its last run is being stopped")
@@ -322,7 +331,9 @@
         due = self.job_table.create_due_units()
         if due is not None:
             next_decision_at = min(next_decision_at, due)
-        self._complete_recovery(now)
+        resolved_by = self.recovery.update(now)
+        if resolved_by is not None:
+            next_decision_at = min(next_decision_at, resolved_by)
         if self._start_obstacle() is not None:
             return next_decision_at
         departures = find_departures(self.fleet.leaving_workers(self.durations), self._settings)
@@ -336,7 +347,8 @@
         plan = self._decisions.plan(workers, context)
         self._telemetry.observe("cell_decision_seconds", trio.current_time() - started_at)
         self._execute(plan)
-        if self.is_recovered:
+        # A part of the workers would show less free capacity than there is.
+        if self.recovery.is_complete:
             over_quota = {unit.job for unit in plan.quota_obstacles}
             self.load_writer.observe_decision(workers, context, over_quota)
         if plan.next_decision_at is not None:
@@ -356,26 +368,13 @@
                 return WaitExplanation(reason, "not confirmed within the freshness bound")
         return None
 
-    def _complete_recovery(self, now: datetime) -> None:
-        """Complete the recovery once the runs on every worker of earlier owners are known.
-
-        From then on jobs of earlier owners may start. Gangs of which runs are missing are stopped.
-        """
-        if self.is_recovered or not self.fleet.all_runs_known(now):
-            return
-        self._limits.all_runs_known = True
-        review_suspect_starts(self.job_table, self.fleet.sessions_by_id, self.crash_blame)
-        self._telemetry.event("cell-settled", epoch=self._ownership.epoch)
-        for unit in list(self.job_table.active_units()):
-            if unit.state is UnitState.ACTIVE and len(unit.task_runs_by_task) < unit.size:
-                self.runs.stop_unit(unit, "incomplete")
-
     def _execute(self, plan: Plan) -> None:
         for stop in plan.stops:
             stop.unit.preemptions += 1
             self.runs.stop_unit(stop.unit, stop.reason, harm=stop.harm, **stop.log_fields)
             self._telemetry.count("cell_preemptions", reason=stop.kind, harm=stop.harm)
         for start in plan.starts:
+            self._times.record("first-start", unit=start.unit.id)
             self.runs.start_unit(start.unit, start.workers)
         self._limits.record(plan.quota_obstacles)
 
--- a/packages/mimosapoint/src/mimosapoint/cell/report.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/report.py
@@ -23,10 +23,25 @@
     "JobStatus",
     "QueueStatus",
     "StepStatus",
+    "UnknownWorkerStatus",
     "WorkerStatus",
 ]
 
 
+@attrs.frozen
+class UnknownWorkerStatus:
+    """A worker of earlier owners whose runs are not known yet.
+
+    :param worker: id of the worker.
+    :param seconds: time until no run of an earlier owner can be left on it, in seconds.
+    :param units: number of units that wait, as it may be running them.
+    """
+
+    worker: str
+    seconds: float
+    units: int
+
+
 @attrs.frozen
 class CellStatus:
     """State of a cell as one node sees it.
@@ -48,6 +63,7 @@
     :param active: number of units with runs on workers.
     :param workers: number of workers.
     :param usable_workers: number of workers that get new work.
+    :param unknown_workers: workers for which the recovery still waits, the shortest wait first.
     """
 
     node: str
@@ -63,6 +79,7 @@
     active: int = 0
     workers: int = 0
     usable_workers: int = 0
+    unknown_workers: tuple[UnknownWorkerStatus, ...] = ()
 
 
 @attrs.frozen
@@ -195,16 +212,22 @@
         owner = node.owner
         if owner is None:
             return status
-        sessions = owner.fleet.sessions_by_id.values()
+        sessions, now = owner.fleet.sessions_by_id.values(), owner.now()
         return attrs.evolve(
             status,
             epoch=owner.epoch,
-            settled=owner.is_recovered,
+            settled=owner.recovery.is_complete,
             jobs=sum(1 for _ in owner.job_table.open_jobs()),
             waiting=len(owner.job_table.waiting_by_id),
             active=sum(1 for _ in owner.job_table.active_units()),
             workers=len(sessions),
             usable_workers=len(owner.usable_sessions()),
+            unknown_workers=tuple(
+                UnknownWorkerStatus(
+                    wait.worker, round((wait.until - now).total_seconds(), 3), wait.units
+                )
+                for wait in owner.recovery.waits()
+            ),
         )
 
     def queues(self) -> tuple[QueueStatus, ...]:
--- a/packages/mimosapoint/src/mimosapoint/cell/run_supervisor.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/run_supervisor.py
@@ -18,10 +18,9 @@
 from mimosapoint.cell.job_table import CellJobTable
 from mimosapoint.cell.settings import CellSettings
 from mimosapoint.cell.start_limiter import StartLimiter
-from mimosapoint.cell.suspect_starts import make_suspect_start
 from mimosapoint.cell.worker_session import WorkerSession
 from mimosapoint.ports import EndedRun, RunStatus
-from mimosapoint.workload import ResourceAmounts, RunEnd, TaskId
+from mimosapoint.workload import ResourceAmounts, RunEnd, TaskId, UnitStart
 
 __all__ = ["RunSupervisor"]
 
@@ -184,8 +183,7 @@
         run = (self._ownership.epoch << RUN_COUNTER_BITS) + self._run_count
         waited = (self._clock.now() - unit.since).total_seconds()
         self._job_table.activate(unit, run)
-        if unit.is_suspect:
-            self._record_suspect_start(unit, run, workers)
+        self._job_table.set_start(unit, self._make_start(unit, run, workers))
         self._telemetry.event(
             "unit-started",
             job=unit.id.job,
@@ -205,26 +203,26 @@
             task_run = session.create_task_run(unit, task, run)
             self._start_task(self._order_start, session, task_run, unit.job, checkpoint)
 
-    def _record_suspect_start(self, unit: Unit, run: int, workers: tuple[Worker, ...]) -> None:
+    def _make_start(self, unit: Unit, run: int, workers: tuple[Worker, ...]) -> UnitStart:
+        """Return the record of a start; that of a suspect tells later if its worker crashed."""
+        ids = tuple(worker.id for worker in workers)
+        if not unit.is_suspect:
+            return UnitStart(run, ids)
         window = self._settings.crash_blame_window
         is_sole = all(next(find_suspects(worker, window), None) is None for worker in workers)
-        sessions = tuple(self._fleet.sessions_by_id[worker.id] for worker in workers)
-        start = make_suspect_start(unit, run, sessions, is_sole)
-        self._job_table.set_suspect_start(unit, start)
+        born = tuple(self._fleet.sessions_by_id[worker].incarnation for worker in ids)
+        return UnitStart(run, ids, born, is_sole)
 
     async def _order_start(
         self, session: WorkerSession, task_run: TaskRun, job: Job, checkpoint: str
     ) -> None:
-        """Order a start once it is stored that the job has started.
+        """Order a start once it is stored where the unit starts.
 
-        So the next owner knows that a job has no runs on workers that do not reply to it.
+        So the next owner knows which runs a worker may have that does not reply to it.
         """
         version = self._view.configuration.version
         try:
-            if not job.is_start_stored:
-                await self._committer.wait_start_stored(job)
-            if task_run.unit.is_suspect:
-                await self._committer.wait_stored([job])
+            await self._committer.wait_stored([job])
             # A cap may have been lowered while the order waited for the store.
             if self._view.configuration.version != version and self._exceeds_cap(task_run):
                 session.end_task_run(task_run, RunEnd.REFUSED, reason="over-quota")
--- a/packages/mimosapoint/src/mimosapoint/cell/worker_session.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/worker_session.py
@@ -86,8 +86,8 @@
         self.incarnation = 0
         self._last_reported_end = 0
         self._last_stored_end = 0
-        self._lease = WorkerLease(clock, settings)
-        self._orders = WorkerOrders(self, self._lease, workers, owner, clock, settings, telemetry)
+        self.lease = WorkerLease(clock, settings)
+        self._orders = WorkerOrders(self, self.lease, workers, owner, clock, settings, telemetry)
         self.disturbances = Disturbances(self.worker, clock, telemetry)
         self.loss_watch = WorkerLossWatch(self.worker, owner, clock, settings)
         self._reconciler = RunReconciler(self, owner, clock, settings, telemetry)
@@ -157,7 +157,7 @@
         They are known from its run reports. After a replacement or the expiry of the lease there
         are none.
         """
-        return self.synced or self.is_replaced or now >= self._lease.expires_at
+        return self.synced or self.is_replaced or now >= self.lease.expires_at
 
     @property
     def is_drained(self) -> bool:
@@ -179,7 +179,7 @@
         registration = self.registration
         if not (registration.draining and registration.leaves_at_ms and self.synced):
             return None
-        return (registration.leaves_at_ms - self._lease.worker_now()) * MILLISECOND
+        return (registration.leaves_at_ms - self.lease.worker_now()) * MILLISECOND
 
     def is_removable(self, now: datetime) -> bool:
         """Return whether the worker is not registered and is known to have no runs."""
@@ -229,7 +229,7 @@
 
     async def _handle_failed_renewal(self, code: str) -> None:
         self._handle_unreachable(code)
-        if self._clock.now() >= self._lease.expires_at and self.task_runs_by_key:
+        if self._clock.now() >= self.lease.expires_at and self.task_runs_by_key:
             self.loss_watch.record_lapse()
             self._remove_all_task_runs(RunEnd.LAPSED, "lease-over")
         await trio.sleep(self._settings.retry_delay.total_seconds())
@@ -244,7 +244,7 @@
     def update_registration(self, registration: WorkerRegistration) -> None:
         """Apply a new registration of the worker."""
         old = self.registration
-        self.worker.registration = registration
+        self.worker.update_registration(registration)
         if registration.address != old.address:
             # What replied at the old address says nothing about the worker.
             self.is_replaced = False
@@ -260,8 +260,8 @@
         is_immediate = not (self.synced and self._is_reachable)
         wait = timedelta(0) if is_immediate else self._long_poll_wait
         if not is_immediate:
-            self._lease.extend()
-        lease_until_ms = self._lease.expires_at_ms if self.synced else None
+            self.lease.extend()
+        lease_until_ms = self.lease.expires_at_ms if self.synced else None
         order = RenewLeaseOrder(self.token, lease_until_ms, self._last_stored_end, wait)
         generation, registration = self._generation, self.registration
         try:
@@ -280,7 +280,7 @@
 
     async def _apply_report(self, report: WorkerRunReport) -> None:
         if report.born and self.incarnation and report.born != self.incarnation:
-            if report.born < self.incarnation and self._clock.now() < self._lease.expires_at:
+            if report.born < self.incarnation and self._clock.now() < self.lease.expires_at:
                 # Perhaps the process before a restart still replies. If it goes on after the lease
                 # of the known incarnation, this one has ended: the worker's clock was set back.
                 raise WorkerUnreachable("an earlier incarnation replied")
@@ -316,7 +316,7 @@
                 self._last_stored_end = max(self._last_stored_end, report.ended[-1].number)
 
     def _record_reply(self, clock_ms: int) -> None:
-        self._lease.record_clock(clock_ms)
+        self.lease.record_clock(clock_ms)
         self.answered_at = self._clock.now()
         if not self._is_reachable:
             self._is_reachable = True
@@ -342,7 +342,7 @@
         self.worker.pace = WorkerPace()
         self._last_reported_end = 0
         self._last_stored_end = 0
-        self._lease.reset()
+        self.lease.reset()
         self.synced = False
 
     def _handle_replaced(self) -> None:
@@ -374,7 +374,7 @@
                 worker=self.id,
                 error=code,
                 assignments=len(self.task_runs_by_key),
-                lapse_in=round((self._lease.expires_at - self._clock.now()).total_seconds(), 3),
+                lapse_in=round((self.lease.expires_at - self._clock.now()).total_seconds(), 3),
             )
             self.disturbances.record_silence()
             self.loss_watch.record_silence()
--- a/packages/mimosapoint/src/mimosapoint/cell/workspace_limits.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/workspace_limits.py
@@ -14,6 +14,7 @@
 from mimosapoint.cell.dependencies import CellOwnerDependencies
 from mimosapoint.cell.fleet import Fleet
 from mimosapoint.cell.job_table import CellJobTable
+from mimosapoint.cell.recovery import Recovery
 from mimosapoint.workload import UnitId
 
 __all__ = ["WorkspaceLimits"]
@@ -28,12 +29,17 @@
     :param dependencies: configuration, clock and telemetry.
     :param job_table: the jobs.
     :param fleet: the worker sessions.
+    :param recovery: runs of earlier owners that are not known.
     """
 
     def __init__(
-        self, dependencies: CellOwnerDependencies, job_table: CellJobTable, fleet: Fleet
+        self,
+        dependencies: CellOwnerDependencies,
+        job_table: CellJobTable,
+        fleet: Fleet,
+        recovery: Recovery,
     ) -> None:
-        self.all_runs_known = False
+        self._recovery = recovery
         self._view = dependencies.view
         self._clock = dependencies.clock
         self._telemetry = dependencies.telemetry
@@ -47,7 +53,8 @@
     def ledger(self) -> QuotaLedger:
         """Return the present use of the workspaces on all workers."""
         workers = (session.worker for session in self._fleet.sessions_by_id.values())
-        return QuotaLedger.from_workers(workers, self._view.configuration, self.all_runs_known)
+        possible_use = self._recovery.possible_use()
+        return QuotaLedger.from_workers(workers, self._view.configuration, possible_use)
 
     def shares(self) -> Shares:
         """Return the shares, with every known job taken into account."""
@@ -77,6 +84,7 @@
                 workspace=obstacle.workspace,
                 resource=obstacle.resource,
                 used=obstacle.used,
+                possible=obstacle.possible,
                 cap=obstacle.cap,
                 needed=obstacle.needed,
                 version=self._view.configuration.version,
--- a/packages/mimosapoint/src/mimosapoint/telemetry/_cell_declarations.py
+++ b/packages/mimosapoint/src/mimosapoint/telemetry/_cell_declarations.py
@@ -24,6 +24,25 @@
         "Commits of progress whose lost answers a later conflict explained.",
         "commits",
     ),
+    Metric(
+        "cell_recovery_workers",
+        MetricKind.GAUGE,
+        "Workers of earlier owners whose runs are not known yet.",
+        "workers",
+    ),
+    Metric(
+        "cell_recovery_units",
+        MetricKind.GAUGE,
+        "Units that earlier owners may have running on such workers.",
+        "units",
+    ),
+    Metric(
+        "cell_take_over_seconds",
+        MetricKind.HISTOGRAM,
+        "Time from the claim of the cell to the end of a part of the take-over.",
+        "seconds",
+        ("part",),
+    ),
     Metric("cell_decision_seconds", MetricKind.HISTOGRAM, "Duration of one decision.", "seconds"),
     Metric("cell_jobs_ended", MetricKind.COUNTER, "Ended jobs by phase.", "jobs", ("phase",)),
     Metric(
@@ -186,6 +205,11 @@
     ("carriers-not-served", "This node's relay address cannot be used; it gets no relay nodes."),
     ("cell-claimed", "This node now owns the cell."),
     ("cell-given-up", "This node no longer owns the cell."),
+    (
+        "take-over",
+        "A part of a take-over is complete: jobs and roster are loaded, each recorded start is "
+        "resolved, the first unit starts, or the first run ends.",
+    ),
     (
         "cell-settled",
         "Recovery is complete: the new owner knows what runs on the workers of earlier owners.",
--- a/packages/mimosapoint/src/mimosapoint/workload/__init__.py
+++ b/packages/mimosapoint/src/mimosapoint/workload/__init__.py
@@ -16,9 +16,10 @@
     TaskId,
     UnitId,
 )
-from mimosapoint.workload.crashes import SuspectStart, WorkerCrash, is_suspect
+from mimosapoint.workload.crashes import WorkerCrash, is_suspect
 from mimosapoint.workload.progress import JobProgress
-from mimosapoint.workload.validation import MAX_JOB_TASKS, check_job, task_total
+from mimosapoint.workload.starts import UnitStart
+from mimosapoint.workload.validation import MAX_JOB_TASKS, check_job, check_progress, task_total
 
 __all__ = [
     "MAX_JOB_TASKS",
@@ -32,12 +33,13 @@
     "RunEnd",
     "Schedule",
     "Step",
-    "SuspectStart",
     "TaskId",
     "CellWorkspace",
     "UnitId",
+    "UnitStart",
     "WorkerCrash",
     "check_job",
+    "check_progress",
     "is_suspect",
     "task_total",
 ]
--- a/packages/mimosapoint/src/mimosapoint/workload/core.py
+++ b/packages/mimosapoint/src/mimosapoint/workload/core.py
@@ -56,6 +56,22 @@
             self.cpu_millis * count, self.memory_mb * count, self.accelerators * count
         )
 
+    def smaller(self, other: "ResourceAmounts") -> "ResourceAmounts":
+        """Return the smaller amount of each resource."""
+        return ResourceAmounts(
+            min(self.cpu_millis, other.cpu_millis),
+            min(self.memory_mb, other.memory_mb),
+            min(self.accelerators, other.accelerators),
+        )
+
+    def larger(self, other: "ResourceAmounts") -> "ResourceAmounts":
+        """Return the larger amount of each resource."""
+        return ResourceAmounts(
+            max(self.cpu_millis, other.cpu_millis),
+            max(self.memory_mb, other.memory_mb),
+            max(self.accelerators, other.accelerators),
+        )
+
     def fit_count(self, available: "ResourceAmounts") -> int:
         """Return how many times these amounts fit into the available amounts."""
         times = MILLIS_PER_CORE * MILLIS_PER_CORE
@@ -233,6 +249,14 @@
         index = 0 if step.gang else task.index
         return UnitId(self.id, task.occurrence, task.step, index)
 
+    def find_unit(self, key: str) -> UnitId | None:
+        """Return the unit with a key, or ``None`` when the job has no such unit."""
+        parts = key.split(".")
+        if len(parts) != 3 or not all(part.isascii() and part.isdigit() for part in parts):
+            return None
+        unit = self.unit_of(TaskId(self.id, *map(int, parts)))
+        return unit if unit is not None and unit.key == key else None
+
     def tasks_of(self, unit: UnitId) -> tuple[TaskId, ...]:
         """Return the tasks of a unit."""
         step = self.steps[unit.step]
--- a/packages/mimosapoint/src/mimosapoint/workload/crashes.py
+++ b/packages/mimosapoint/src/mimosapoint/workload/crashes.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-__all__ = ["SuspectStart", "WorkerCrash", "is_suspect"]
+__all__ = ["WorkerCrash", "is_suspect"]
 
 CONCLUSIVE_WEIGHT = 2
 """Weight of a crash that only the task explains; each other one has a weight of 1."""
@@ -51,22 +51,6 @@
         )
 
 
-@attrs.frozen
-class SuspectStart:
-    """Start of a unit with a suspect task, which is stored before it is ordered.
-
-    :param run: number of the run.
-    :param workers: id of the worker of each task.
-    :param born: start of the incarnation of each of these workers, in milliseconds of its clock.
-    :param is_sole: whether no run of another unit that might crash a worker was on them.
-    """
-
-    run: int
-    workers: tuple[str, ...]
-    born: tuple[int, ...]
-    is_sole: bool = False
-
-
 def is_suspect(crashes: Sequence[WorkerCrash]) -> bool:
     """Return whether a task is suspected of crashing its workers.
 
--- a/packages/mimosapoint/src/mimosapoint/workload/progress.py
+++ b/packages/mimosapoint/src/mimosapoint/workload/progress.py
@@ -5,7 +5,8 @@
 import attrs
 
 from mimosapoint.workload.core import Phase, TaskId, UnitId
-from mimosapoint.workload.crashes import SuspectStart, WorkerCrash
+from mimosapoint.workload.crashes import WorkerCrash
+from mimosapoint.workload.starts import UnitStart
 
 __all__ = ["JobProgress"]
 
@@ -19,7 +20,8 @@
     :param failed_runs: numbers of the runs that failed, by unit key.
     :param checkpoints: newest checkpoint of each incomplete unit that has one, by unit key.
     :param crashes: crashes of workers that a task may have caused, by task key.
-    :param suspect_starts: newest start of each incomplete unit with a suspect task, by unit key.
+    :param starts: newest start of each unit that may have runs, by unit key.
+    :param has_all_starts: whether ``starts`` is complete; earlier versions recorded no starts.
     """
 
     phase: Phase = Phase.QUEUED
@@ -27,7 +29,8 @@
     failed_runs: dict[str, list[int]] = attrs.field(factory=dict)
     checkpoints: dict[str, str] = attrs.field(factory=dict)
     crashes: dict[str, list[WorkerCrash]] = attrs.field(factory=dict)
-    suspect_starts: dict[str, SuspectStart] = attrs.field(factory=dict)
+    starts: dict[str, UnitStart] = attrs.field(factory=dict)
+    has_all_starts: bool = False
 
     def is_done(self, unit: UnitId) -> bool:
         """Return whether a unit is done."""
@@ -40,9 +43,14 @@
         self.done.setdefault(unit.step_key, []).append(unit.index)
         self.checkpoints.pop(unit.key, None)
         self.failed_runs.pop(unit.key, None)
-        self.suspect_starts.pop(unit.key, None)
+        self.starts.pop(unit.key, None)
         return True
 
+    @property
+    def has_unrecorded_starts(self) -> bool:
+        """Whether units may have been started without a record of their workers."""
+        return self.phase is not Phase.QUEUED and not self.has_all_starts
+
     def add_failure(self, unit: UnitId, run: int) -> bool:
         """Record a failed run of a unit once; return whether it was not recorded before."""
         runs = self.failed_runs.setdefault(unit.key, [])
--- a/packages/mimosapoint/src/mimosapoint/workload/validation.py
+++ b/packages/mimosapoint/src/mimosapoint/workload/validation.py
@@ -2,10 +2,12 @@
 
 from datetime import datetime, timedelta
 
+from mimosapoint.codec import encode
 from mimosapoint.errors import CodecError
 from mimosapoint.workload.core import AcceptedJob, Step
+from mimosapoint.workload.progress import JobProgress
 
-__all__ = ["MAX_JOB_TASKS", "check_job", "task_total"]
+__all__ = ["MAX_JOB_TASKS", "check_job", "check_progress", "task_total"]
 
 MAX_JOB_TASKS = 100_000
 """Most tasks of a job in all its occurrences, as all may be due at once; several times the 13,000
@@ -52,6 +54,24 @@
         raise CodecError(f"times: {error}") from error
 
 
+def check_progress(job: AcceptedJob, progress: JobProgress) -> None:
+    """Check that an owner can go on from the progress of a job, and store it again.
+
+    :raises CodecError: it cannot: a recorded start is not one of a unit of the job, so that nothing
+        says which runs the job may have, or a number is too large to be stored.
+    """
+    for key, start in progress.starts.items():
+        unit = job.find_unit(key)
+        if unit is None or len(start.workers) != len(job.tasks_of(unit)):
+            raise CodecError(f"starts: {key} names no unit, or not a worker for each of its tasks")
+        if start.born and len(start.born) != len(start.workers):
+            raise CodecError(f"starts: {key} names not an incarnation for each worker")
+    try:
+        encode(progress)
+    except (TypeError, ValueError) as error:
+        raise CodecError(f"progress: {error}") from error
+
+
 def _check_time(time: datetime) -> None:
     if time.tzinfo is None:
         raise CodecError("times: without time zone")
