Remove the import circles of the worker session and of units and workers

Cause: six modules around the interface of the session's owner imported each other, and units and workers did, so that none of them could be read or tested alone.

Change: the owner's interface names workers instead of sessions. No module of the cell is in an import circle any more, type annotations included.

--- a/packages/mimosapoint/src/mimosapoint/cell/decisions/units.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/decisions/units.py
@@ -7,11 +7,11 @@
 
 from datetime import datetime, timedelta
 from enum import Enum
-from typing import TYPE_CHECKING
 
 import attrs
 
 from mimosapoint.cell.decisions.slow_workers import ProgressRate
+from mimosapoint.cell.decisions.worker import Worker
 from mimosapoint.workload import (
     AcceptedJob,
     JobProgress,
@@ -23,9 +23,6 @@
     is_suspect,
 )
 
-if TYPE_CHECKING:
-    from mimosapoint.cell.decisions.worker import Worker
-
 __all__ = ["TaskRun", "Job", "Unit", "UnitState"]
 
 
@@ -96,6 +93,11 @@
         if is_first and self.unit is not None and self.not_after_ms is not None:
             self.unit.mark_formed(now)
 
+    @property
+    def is_suspect(self) -> bool:
+        """Whether its unit is suspected of crashing its workers."""
+        return self.unit is not None and self.unit.is_suspect
+
     @property
     def is_ordered(self) -> bool:
         """Whether the worker may have the run: its start was ordered, or a report listed it."""
--- a/packages/mimosapoint/src/mimosapoint/cell/decisions/worker.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/decisions/worker.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 import attrs
 
@@ -10,13 +10,30 @@
 from mimosapoint.cell.decisions.slow_workers import SlowWorkerDetector
 from mimosapoint.cell.decisions.worker_pace import WorkerPace
 from mimosapoint.cell.decisions.worker_stability import WorkerStability
+from mimosapoint.ports import WorkerRegistration
 from mimosapoint.workload import ResourceAmounts, TaskId
 
-if TYPE_CHECKING:
-    from mimosapoint.cell.decisions.units import TaskRun
-    from mimosapoint.ports import WorkerRegistration
+__all__ = ["Worker", "WorkerRun"]
 
-__all__ = ["Worker"]
+
+class WorkerRun(Protocol):
+    """A run on a worker, as the worker uses it.
+
+    :param task: the task.
+    :param run: number of the run.
+    :param amounts: resources that it occupies.
+    :param workspace: workspace whose quota it counts against; ``None`` if its job is unknown.
+    """
+
+    task: TaskId
+    run: int
+    amounts: ResourceAmounts
+    workspace: str | None
+
+    @property
+    def is_suspect(self) -> bool:
+        """Whether its unit is suspected of crashing its workers."""
+        ...
 
 
 @attrs.define(eq=False)
@@ -39,12 +56,12 @@
     registration: WorkerRegistration
     used: ResourceAmounts = attrs.field(factory=ResourceAmounts)
     used_by_workspace: dict[str | None, ResourceAmounts] = attrs.field(factory=dict)
-    task_runs_by_key: dict[tuple[TaskId, int], TaskRun] = attrs.field(factory=dict)
+    task_runs_by_key: dict[tuple[TaskId, int], WorkerRun] = attrs.field(factory=dict)
     health: WorkerHealth = attrs.field(factory=WorkerHealth)
     slow_detector: SlowWorkerDetector = attrs.field(factory=SlowWorkerDetector)
     stability: WorkerStability = attrs.field(factory=WorkerStability)
     pace: WorkerPace = attrs.field(factory=WorkerPace)
-    suspect_runs: set[TaskRun] = attrs.field(factory=set)
+    suspect_runs: set[WorkerRun] = attrs.field(factory=set)
     largest_capacity: ResourceAmounts = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -78,16 +95,16 @@
         remaining = self.largest_capacity - sum(known, ResourceAmounts())
         return remaining.larger(ResourceAmounts())
 
-    def add(self, task_run: TaskRun) -> None:
+    def add(self, task_run: WorkerRun) -> None:
         """Add a run and occupy its capacity."""
         self.task_runs_by_key[task_run.task, task_run.run] = task_run
         self.used += task_run.amounts
         used = self.used_by_workspace.get(task_run.workspace, ResourceAmounts())
         self.used_by_workspace[task_run.workspace] = used + task_run.amounts
-        if task_run.unit is not None and task_run.unit.is_suspect:
+        if task_run.is_suspect:
             self.suspect_runs.add(task_run)
 
-    def remove(self, task_run: TaskRun) -> bool:
+    def remove(self, task_run: WorkerRun) -> bool:
         """Remove a run and free its capacity; return whether the worker had it."""
         if self.task_runs_by_key.pop((task_run.task, task_run.run), None) is None:
             return False
@@ -100,6 +117,6 @@
             self.used_by_workspace[task_run.workspace] = used
         return True
 
-    def has(self, task_run: TaskRun) -> bool:
+    def has(self, task_run: WorkerRun) -> bool:
         """Return whether the run exists, or may exist, on the worker."""
         return (task_run.task, task_run.run) in self.task_runs_by_key
--- a/packages/mimosapoint/src/mimosapoint/cell/owner.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/owner.py
@@ -158,11 +158,12 @@
         """Return whether this node still owns the cell."""
         return not self._fenced and self._clock.now() < self._ownership.valid_until
 
-    def may_start_on(self, session: WorkerSession) -> bool:
+    def may_start_on(self, worker: Worker) -> bool:
         """Return whether a start that was decided earlier may still be ordered on a worker.
 
         Between the decision and the order, the start may have waited for the store for seconds.
         """
+        session = self.fleet.sessions_by_id[worker.id]
         return (
             self._start_obstacle() is None
             and session.is_usable(self._clock.now())
@@ -209,9 +210,9 @@
         """
         return self._start_limiter.is_at_maximum
 
-    def adopt_run(self, session: WorkerSession, status: RunStatus) -> TaskRun:
+    def adopt_run(self, worker: Worker, status: RunStatus) -> TaskRun:
         """Adopt a run that an earlier owner started, or stop it if it is unwanted."""
-        return self.runs.adopt(session.worker, status)
+        return self.runs.adopt(worker, status)
 
     def on_run_ended(
         self, task_run: TaskRun, end: RunEnd, checkpoint: str, reason: str = ""
@@ -221,13 +222,13 @@
         self._times.record("first-end", task=task_run.task, end=end)
         self.request_decision()
 
-    def on_silent(self, session: WorkerSession) -> None:
+    def on_silent(self, worker: Worker) -> None:
         """Handle a worker that does not reply; a gang of which it ran a part may have ended."""
-        self.runs.on_silent(session.worker)
+        self.runs.on_silent(worker)
 
-    def on_unknown_run_ended(self, session: WorkerSession, ended: EndedRun) -> None:
+    def on_unknown_run_ended(self, worker: Worker, ended: EndedRun) -> None:
         """Handle the end of a run that an earlier owner started, or that was removed."""
-        if self.runs.on_unknown_ended(session.worker, ended):
+        if self.runs.on_unknown_ended(worker, ended):
             self.request_decision()
 
     # Interface of the status reports
--- a/packages/mimosapoint/src/mimosapoint/cell/run_reconciler.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/run_reconciler.py
@@ -3,17 +3,14 @@
 from __future__ import annotations
 
 from datetime import datetime
-from typing import TYPE_CHECKING
 
 from mimosapoint.cell.decisions.units import TaskRun
 from mimosapoint.cell.session_owner import SessionOwner
+from mimosapoint.cell.session_state import SessionState
 from mimosapoint.cell.settings import CellSettings
 from mimosapoint.ports import Clock, EndedRun, RunStatus, Telemetry, WorkerRunReport
 from mimosapoint.workload import RunEnd
 
-if TYPE_CHECKING:
-    from mimosapoint.cell.worker_session import WorkerSession
-
 __all__ = ["RunReconciler"]
 
 
@@ -29,7 +26,7 @@
 
     def __init__(
         self,
-        session: WorkerSession,
+        session: SessionState,
         owner: SessionOwner,
         clock: Clock,
         settings: CellSettings,
@@ -46,7 +43,7 @@
         """Handle a reported end."""
         task_run = self._worker.task_runs_by_key.get((ended.task, ended.run))
         if task_run is None:
-            self._owner.on_unknown_run_ended(self._session, ended)
+            self._owner.on_unknown_run_ended(self._worker, ended)
         else:
             self._session.end_task_run(task_run, ended.end, ended.checkpoint)
 
@@ -62,7 +59,7 @@
         for key, status in listed.items():
             task_run = self._worker.task_runs_by_key.get(key)
             if task_run is None:
-                task_run = self._owner.adopt_run(self._session, status)
+                task_run = self._owner.adopt_run(self._worker, status)
                 self._worker.add(task_run)
             self._update_task_run(task_run, status, report.clock_ms)
         self._detect_slowness(now)
--- a/packages/mimosapoint/src/mimosapoint/cell/session_owner.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/session_owner.py
@@ -4,13 +4,13 @@
 
 from typing import TYPE_CHECKING, Protocol
 
+from mimosapoint.cell.decisions.worker import Worker
 from mimosapoint.ports import EndedRun, RunStatus
 from mimosapoint.workload import RunEnd
 
 if TYPE_CHECKING:
     from mimosapoint.cell.crash_blame import CrashBlame
     from mimosapoint.cell.decisions.units import TaskRun
-    from mimosapoint.cell.worker_session import WorkerSession
 
 __all__ = ["SessionOwner"]
 
@@ -27,7 +27,7 @@
         """Return whether this node still owns the cell."""
         ...
 
-    def may_start_on(self, session: WorkerSession) -> bool:
+    def may_start_on(self, worker: Worker) -> bool:
         """Return whether a start that was decided earlier may still be ordered on a worker."""
         ...
 
@@ -43,7 +43,7 @@
         """Return whether this process has spare CPU time and does not itself delay replies."""
         ...
 
-    def adopt_run(self, session: WorkerSession, status: RunStatus) -> TaskRun:
+    def adopt_run(self, worker: Worker, status: RunStatus) -> TaskRun:
         """Adopt a reported run that the session did not order, or stop it if it is unwanted."""
         ...
 
@@ -53,11 +53,11 @@
         """Handle a run that is no longer on its worker."""
         ...
 
-    def on_silent(self, session: WorkerSession) -> None:
+    def on_silent(self, worker: Worker) -> None:
         """Handle a worker that does not reply."""
         ...
 
-    def on_unknown_run_ended(self, session: WorkerSession, ended: EndedRun) -> None:
+    def on_unknown_run_ended(self, worker: Worker, ended: EndedRun) -> None:
         """Handle the reported end of a run that the session does not know."""
         ...
 
--- a/packages/mimosapoint/src/mimosapoint/cell/tests/test_handover.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_handover.py
@@ -76,7 +76,7 @@
     def holds_ownership(self):
         return trio.current_time() < self.ends_at
 
-    def may_start_on(self, session):
+    def may_start_on(self, worker):
         return self.holds_ownership()
 
     def fleet_size(self):
--- a/packages/mimosapoint/src/mimosapoint/cell/tests/test_worker_session.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_worker_session.py
@@ -53,13 +53,13 @@
     def request_decision(self):
         pass
 
-    def on_silent(self, session):
+    def on_silent(self, worker):
         pass
 
     def on_fenced(self, token):
         self.fenced_by.append(token)
 
-    def on_unknown_run_ended(self, session, ended):
+    def on_unknown_run_ended(self, worker, ended):
         self.ended.append(ended)
 
     async def wait_ends_stored(self, ended):
--- a/packages/mimosapoint/src/mimosapoint/cell/worker_orders.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/worker_orders.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 from math import inf
-from typing import TYPE_CHECKING
 
 import trio
 
 from mimosapoint.cell.decisions.units import TaskRun
 from mimosapoint.cell.session_owner import SessionOwner
+from mimosapoint.cell.session_state import SessionState
 from mimosapoint.cell.settings import CellSettings
 from mimosapoint.cell.worker_lease import MILLISECOND, WorkerLease
 from mimosapoint.errors import StaleEpoch, WorkerRefused, WorkerUnreachable
@@ -23,9 +23,6 @@
 )
 from mimosapoint.workload import AcceptedJob, RunEnd
 
-if TYPE_CHECKING:
-    from mimosapoint.cell.worker_session import WorkerSession
-
 __all__ = ["WorkerOrders"]
 
 
@@ -43,7 +40,7 @@
 
     def __init__(
         self,
-        session: WorkerSession,
+        session: SessionState,
         lease: WorkerLease,
         workers: RunWorkers,
         owner: SessionOwner,
@@ -103,7 +100,7 @@
 
     def _may_order_start(self, task_run: TaskRun) -> bool:
         return (
-            self._owner.may_start_on(self._session)
+            self._owner.may_start_on(self._session.worker)
             and self._session.synced
             and self._session.worker.has(task_run)
             and not self._session.worker.is_over_capacity
--- a/packages/mimosapoint/src/mimosapoint/cell/worker_session.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/worker_session.py
@@ -378,7 +378,7 @@
             )
             self.disturbances.record_silence()
             self.loss_watch.record_silence()
-            self._owner.on_silent(self)
+            self._owner.on_silent(self.worker)
             self._owner.request_decision()
 
     def _remove_all_task_runs(self, end: RunEnd, reason: str) -> None:
