Notice the return of a silent store within a quarter of a second

Cause: a store that is away silently never replies to what was sent before its return, and each component made one call at a time, with a timeout of 1 s.

Change: after a failure the reads of operators' entries, inbox, registrations and election are repeated every 250 ms without waiting for the calls before, at most five at once, and the first reply is used (cell/overlapping_calls). A refusal still ends the call at once. The time at which registrations and entries count as read is that of the call which was answered.

--- a/packages/mimosapoint/src/mimosapoint/cell/election.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/election.py
@@ -100,6 +100,7 @@
         self._settings = settings
         self._telemetry = telemetry
         self._random = random
+        self._availability = StoreAvailability("election", telemetry)
 
     async def acquire(self) -> Ownership:
         """Wait until this node has claimed the cell and return the ownership."""
@@ -114,6 +115,8 @@
                     return ownership
             except (StoreUnavailable, StoreTimeout, HistoryLost, LeaseLost) as error:
                 self._telemetry.count("cell_claim_failures", error=error.code)
+                if isinstance(error, StoreUnavailable | StoreTimeout):
+                    self._availability.record_failure(error)
                 await trio.sleep(self._settings.ownership_renewal.total_seconds())
 
     async def renew_until_lost(self, ownership: Ownership) -> None:
@@ -170,7 +173,8 @@
 
     async def _wait_until_unowned(self) -> Entry | None:
         """Wait until the cell has no owner and return the epoch's entry, if any."""
-        scan = await self._store.scan(OWNER_PREFIX)
+        scan = await self._availability.read(lambda: self._store.scan(OWNER_PREFIX), self._settings)
+        self._availability.record_success()
         entries_by_key = {entry.key: entry for entry in scan.entries}
         revision = scan.revision
         self._update_owner(entries_by_key.get(OWNER_KEY))
--- a/packages/mimosapoint/src/mimosapoint/cell/fleet.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/fleet.py
@@ -20,6 +20,7 @@
 from mimosapoint.errors import CodecError, StoreTimeout, StoreUnavailable
 from mimosapoint.ports import (
     Clock,
+    ScanResult,
     Telemetry,
     TransactionConflict,
     TransactionStore,
@@ -169,7 +170,9 @@
         availability = StoreAvailability("workers", telemetry)
         while True:
             try:
-                await self._read_registrations(telemetry)
+                requested_at, scan = await availability.read(self._scan, self._settings)
+                self._apply_scan(scan, telemetry)
+                self._freshness.confirm(requested_at)
                 await self._write_roster(telemetry)
                 on_changed()
                 availability.record_success()
@@ -192,9 +195,10 @@
             self._revisions_by_worker.pop(session.id, None)
             nursery.cancel_scope.cancel()
 
-    async def _read_registrations(self, telemetry: Telemetry) -> None:
-        requested_at = self._clock.now()
-        scan = await self._store.scan(self._decoder.prefix)
+    async def _scan(self) -> tuple[datetime, ScanResult]:
+        return self._clock.now(), await self._store.scan(self._decoder.prefix)
+
+    def _apply_scan(self, scan: ScanResult, telemetry: Telemetry) -> None:
         found: dict[str, WorkerRegistration] = {}
         for entry in scan.entries:
             try:
@@ -208,7 +212,6 @@
             else:
                 self._revisions_by_worker[registration.id] = entry.revision
             found[registration.id] = registration
-        self._freshness.confirm(requested_at)
         for registration in found.values():
             self._update_session(registration, telemetry)
         self._mark_missing(found, telemetry)
--- a/packages/mimosapoint/src/mimosapoint/cell/inbox.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/inbox.py
@@ -1,7 +1,7 @@
 """Inbox of the owner: jobs and cancellations that the gateways store."""
 
 from collections.abc import Callable
-from datetime import timedelta
+from datetime import datetime, timedelta
 
 import attrs
 import trio
@@ -160,15 +160,16 @@
         is_confirmed = self._availability.is_available and self._freshness.is_fresh()
         timeout = self._settings.watch_timeout if is_confirmed else timedelta(0)
         requested_at = self._clock.now()
-        changes = await self._store.watch(INBOX_PREFIX, revision, timeout)
+        changes = await self._availability.read(
+            lambda: self._store.watch(INBOX_PREFIX, revision, timeout), self._settings
+        )
         self._apply(changes.written)
         self._freshness.confirm_watched(requested_at, changes.transfer_time)
         return changes.revision
 
     async def _rescan(self, revision: int) -> int:
-        requested_at = self._clock.now()
         try:
-            scan = await self._store.scan(INBOX_PREFIX)
+            requested_at, scan = await self._availability.read(self._scan, self._settings)
         except (StoreUnavailable, StoreTimeout) as error:
             self._availability.record_failure(error, revision=revision)
             await trio.sleep(self._settings.retry_delay.total_seconds())
@@ -177,6 +178,9 @@
         self._freshness.confirm(requested_at)
         return scan.revision
 
+    async def _scan(self) -> tuple[datetime, ScanResult]:
+        return self._clock.now(), await self._store.scan(INBOX_PREFIX)
+
     def _apply(self, entries: tuple[Entry, ...]) -> None:
         for entry in entries:
             if entry.key.startswith(JOB_PREFIX):
--- a/packages/mimosapoint/src/mimosapoint/cell/operators.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/operators.py
@@ -1,6 +1,6 @@
 """View of the operators' entries, which each node keeps up to date."""
 
-from datetime import timedelta
+from datetime import datetime, timedelta
 
 import trio
 
@@ -13,6 +13,7 @@
     Entry,
     HistoryLost,
     OperatorEntryDecoder,
+    ScanResult,
     Telemetry,
     TransactionStore,
     WithdrawnZone,
@@ -102,7 +103,7 @@
     async def _follow(self) -> None:
         requested_at = self._clock.now()
         if self._revision is None:
-            scan = await self._store.scan(self._decoder.prefix)
+            requested_at, scan = await self._store_availability.read(self._scan, self._settings)
             self.withdrawn_zones = set()
             self._sizes_by_key = {}
             for entry in scan.entries:
@@ -114,8 +115,9 @@
             # does not wait for a change.
             is_confirmed = self._store_availability.is_available and self._freshness.is_fresh()
             timeout = self._settings.watch_timeout if is_confirmed else timedelta(0)
-            changes = await self._store.watch(
-                self._decoder.prefix, self._revision, timeout, self._watch_limit()
+            prefix, revision, limit = self._decoder.prefix, self._revision, self._watch_limit()
+            changes = await self._store_availability.read(
+                lambda: self._store.watch(prefix, revision, timeout, limit), self._settings
             )
             for entry in changes.written:
                 self._apply(entry)
@@ -124,6 +126,9 @@
             self._revision = changes.revision
             self._freshness.confirm_watched(requested_at, changes.transfer_time)
 
+    async def _scan(self) -> tuple[datetime, ScanResult]:
+        return self._clock.now(), await self._store.scan(self._decoder.prefix)
+
     def _watch_limit(self) -> int:
         """Return the size of changes, in bytes, above which reading all entries anew is shorter.
 
--- a/packages/mimosapoint/src/mimosapoint/cell/settings.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/settings.py
@@ -47,6 +47,10 @@
         ``start_window`` is left.
     :param retry_delay: delay before a failed call to the store, or a failed renewal of a worker's
         lease, is repeated.
+    :param probe_interval: interval at which a read is repeated while the store does not reply;
+        bounds how late its return is noticed. Refused calls are repeated after ``retry_delay``.
+    :param max_probes: most of these reads that are outstanding; as many as begin within the timeout
+        of one, and one more.
     :param clock_drift: largest share by which a worker's clock is slow, as documented by the
         platform.
     :param lease_expiry_slack: additional time before a lease counts as expired; covers a pause of
@@ -135,6 +139,8 @@
     order_timeout: timedelta = _ms(700)
     start_retry_after: timedelta = _ms(200)
     retry_delay: timedelta = _ms(100)
+    probe_interval: timedelta = _ms(250)
+    max_probes: int = 5
     clock_drift: float = 0.02
     lease_expiry_slack: timedelta = _ms(500)
     watch_timeout: timedelta = _ms(800)
--- a/packages/mimosapoint/src/mimosapoint/cell/store_availability.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/store_availability.py
@@ -1,10 +1,17 @@
 """Availability of the store as seen by one component, logged on each change."""
 
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
+
+from mimosapoint.cell.overlapping_calls import call_until_reply
+from mimosapoint.cell.settings import CellSettings
 from mimosapoint.errors import MimosapointError
 from mimosapoint.ports import Telemetry
 
 __all__ = ["StoreAvailability"]
 
+T = TypeVar("T")
+
 FAILURES_OF_OUTAGE = 2
 """Consecutive failures that show an outage; a single one may be a lost reply."""
 
@@ -34,6 +41,16 @@
         """Whether several calls have failed in a row."""
         return self._failures >= FAILURES_OF_OUTAGE
 
+    async def read(self, call: Callable[[], Awaitable[T]], settings: CellSettings) -> T:
+        """Make a call that only reads; after a failure it is repeated until the first reply.
+
+        :param call: makes one call.
+        :param settings: interval of the calls, and how many may be outstanding.
+        """
+        if self.is_available:
+            return await call()
+        return await call_until_reply(call, settings, self.record_failure)
+
     def record_failure(self, error: MimosapointError, **fields: object) -> None:
         """Record a failed call.
 
