Ask a silent store for a small entry until it replies

Cause: repeated the wanted read itself.

Change: after a failure a component asks for the epoch's entry in overlapping calls and makes its own read once, after the first reply. Inherited workers are looked up by id, not by a search through all sessions in each decision.

--- a/packages/mimosapoint/src/mimosapoint/cell/election.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/election.py
@@ -173,7 +173,8 @@
 
     async def _wait_until_unowned(self) -> Entry | None:
         """Wait until the cell has no owner and return the epoch's entry, if any."""
-        scan = await self._availability.read(lambda: self._store.scan(OWNER_PREFIX), self._settings)
+        await self._availability.wait_reply(self._store, self._settings)
+        scan = await self._store.scan(OWNER_PREFIX)
         self._availability.record_success()
         entries_by_key = {entry.key: entry for entry in scan.entries}
         revision = scan.revision
--- a/packages/mimosapoint/src/mimosapoint/cell/fleet.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/fleet.py
@@ -20,7 +20,6 @@
 from mimosapoint.errors import CodecError, StoreTimeout, StoreUnavailable
 from mimosapoint.ports import (
     Clock,
-    ScanResult,
     Telemetry,
     TransactionConflict,
     TransactionStore,
@@ -85,9 +84,10 @@
             return None
         if now >= self.unlisted_runs_until:
             inherited.resolve_unlisted()
-        for session in self.sessions_by_id.values():
-            if session.id in inherited and session.runs_known(now):
-                inherited.resolve(session.id)
+        candidates = self.sessions_by_id if inherited.has_unlisted else inherited.capacity_by_id
+        for worker_id in list(candidates):
+            if self.sessions_by_id[worker_id].runs_known(now):
+                inherited.resolve(worker_id)
         times = [self.runs_known_by(worker) for worker in inherited.capacity_by_id]
         if inherited.has_unlisted:
             times.append(self.unlisted_runs_until)
@@ -170,9 +170,8 @@
         availability = StoreAvailability("workers", telemetry)
         while True:
             try:
-                requested_at, scan = await availability.read(self._scan, self._settings)
-                self._apply_scan(scan, telemetry)
-                self._freshness.confirm(requested_at)
+                await availability.wait_reply(self._store, self._settings)
+                await self._read_registrations(telemetry)
                 await self._write_roster(telemetry)
                 on_changed()
                 availability.record_success()
@@ -195,10 +194,9 @@
             self._revisions_by_worker.pop(session.id, None)
             nursery.cancel_scope.cancel()
 
-    async def _scan(self) -> tuple[datetime, ScanResult]:
-        return self._clock.now(), await self._store.scan(self._decoder.prefix)
-
-    def _apply_scan(self, scan: ScanResult, telemetry: Telemetry) -> None:
+    async def _read_registrations(self, telemetry: Telemetry) -> None:
+        requested_at = self._clock.now()
+        scan = await self._store.scan(self._decoder.prefix)
         found: dict[str, WorkerRegistration] = {}
         for entry in scan.entries:
             try:
@@ -212,6 +210,7 @@
             else:
                 self._revisions_by_worker[registration.id] = entry.revision
             found[registration.id] = registration
+        self._freshness.confirm(requested_at)
         for registration in found.values():
             self._update_session(registration, telemetry)
         self._mark_missing(found, telemetry)
--- a/packages/mimosapoint/src/mimosapoint/cell/inbox.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/inbox.py
@@ -1,7 +1,7 @@
 """Inbox of the owner: jobs and cancellations that the gateways store."""
 
 from collections.abc import Callable
-from datetime import datetime, timedelta
+from datetime import timedelta
 
 import attrs
 import trio
@@ -159,17 +159,18 @@
         # or a long transfer, is answered at once.
         is_confirmed = self._availability.is_available and self._freshness.is_fresh()
         timeout = self._settings.watch_timeout if is_confirmed else timedelta(0)
+        await self._availability.wait_reply(self._store, self._settings)
         requested_at = self._clock.now()
-        changes = await self._availability.read(
-            lambda: self._store.watch(INBOX_PREFIX, revision, timeout), self._settings
-        )
+        changes = await self._store.watch(INBOX_PREFIX, revision, timeout)
         self._apply(changes.written)
         self._freshness.confirm_watched(requested_at, changes.transfer_time)
         return changes.revision
 
     async def _rescan(self, revision: int) -> int:
         try:
-            requested_at, scan = await self._availability.read(self._scan, self._settings)
+            await self._availability.wait_reply(self._store, self._settings)
+            requested_at = self._clock.now()
+            scan = await self._store.scan(INBOX_PREFIX)
         except (StoreUnavailable, StoreTimeout) as error:
             self._availability.record_failure(error, revision=revision)
             await trio.sleep(self._settings.retry_delay.total_seconds())
@@ -178,9 +179,6 @@
         self._freshness.confirm(requested_at)
         return scan.revision
 
-    async def _scan(self) -> tuple[datetime, ScanResult]:
-        return self._clock.now(), await self._store.scan(INBOX_PREFIX)
-
     def _apply(self, entries: tuple[Entry, ...]) -> None:
         for entry in entries:
             if entry.key.startswith(JOB_PREFIX):
--- a/packages/mimosapoint/src/mimosapoint/cell/operators.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/operators.py
@@ -1,6 +1,6 @@
 """View of the operators' entries, which each node keeps up to date."""
 
-from datetime import datetime, timedelta
+from datetime import timedelta
 
 import trio
 
@@ -13,7 +13,6 @@
     Entry,
     HistoryLost,
     OperatorEntryDecoder,
-    ScanResult,
     Telemetry,
     TransactionStore,
     WithdrawnZone,
@@ -101,9 +100,10 @@
                 self._telemetry.gauge("cell_view_age_seconds", self.age.total_seconds())
 
     async def _follow(self) -> None:
+        await self._store_availability.wait_reply(self._store, self._settings)
         requested_at = self._clock.now()
         if self._revision is None:
-            requested_at, scan = await self._store_availability.read(self._scan, self._settings)
+            scan = await self._store.scan(self._decoder.prefix)
             self.withdrawn_zones = set()
             self._sizes_by_key = {}
             for entry in scan.entries:
@@ -115,9 +115,8 @@
             # does not wait for a change.
             is_confirmed = self._store_availability.is_available and self._freshness.is_fresh()
             timeout = self._settings.watch_timeout if is_confirmed else timedelta(0)
-            prefix, revision, limit = self._decoder.prefix, self._revision, self._watch_limit()
-            changes = await self._store_availability.read(
-                lambda: self._store.watch(prefix, revision, timeout, limit), self._settings
+            changes = await self._store.watch(
+                self._decoder.prefix, self._revision, timeout, self._watch_limit()
             )
             for entry in changes.written:
                 self._apply(entry)
@@ -126,9 +125,6 @@
             self._revision = changes.revision
             self._freshness.confirm_watched(requested_at, changes.transfer_time)
 
-    async def _scan(self) -> tuple[datetime, ScanResult]:
-        return self._clock.now(), await self._store.scan(self._decoder.prefix)
-
     def _watch_limit(self) -> int:
         """Return the size of changes, in bytes, above which reading all entries anew is shorter.
 
--- a/packages/mimosapoint/src/mimosapoint/cell/store_availability.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/store_availability.py
@@ -1,17 +1,13 @@
 """Availability of the store as seen by one component, logged on each change."""
 
-from collections.abc import Awaitable, Callable
-from typing import TypeVar
-
+from mimosapoint.cell.keys import EPOCH_KEY
 from mimosapoint.cell.overlapping_calls import call_until_reply
 from mimosapoint.cell.settings import CellSettings
 from mimosapoint.errors import MimosapointError
-from mimosapoint.ports import Telemetry
+from mimosapoint.ports import Telemetry, TransactionStore
 
 __all__ = ["StoreAvailability"]
 
-T = TypeVar("T")
-
 FAILURES_OF_OUTAGE = 2
 """Consecutive failures that show an outage; a single one may be a lost reply."""
 
@@ -41,15 +37,19 @@
         """Whether several calls have failed in a row."""
         return self._failures >= FAILURES_OF_OUTAGE
 
-    async def read(self, call: Callable[[], Awaitable[T]], settings: CellSettings) -> T:
-        """Make a call that only reads; after a failure it is repeated until the first reply.
+    async def wait_reply(self, store: TransactionStore, settings: CellSettings) -> None:
+        """Wait until the store replies again, if the last call has failed.
+
+        It is asked for a small entry: overlapping transfers of large ones would delay each other
+        on a slow link.
 
-        :param call: makes one call.
+        :param store: the store.
         :param settings: interval of the calls, and how many may be outstanding.
+        :raises StoreUnavailable: the store refused the call.
+        :raises StoreTimeout: the store gave no usable reply.
         """
-        if self.is_available:
-            return await call()
-        return await call_until_reply(call, settings, self.record_failure)
+        if not self.is_available:
+            await call_until_reply(lambda: store.get(EPOCH_KEY), settings, self.record_failure)
 
     def record_failure(self, error: MimosapointError, **fields: object) -> None:
         """Record a failed call.
