--- a/packages/mimosapoint-cli/src/mimosapoint_cli/report/sections/take_overs.py
+++ b/packages/mimosapoint-cli/src/mimosapoint_cli/report/sections/take_overs.py
@@ -34,6 +34,7 @@
         "owner-fault",
         "ownership-failed",
         "release-failed",
+        "take-over",
         "zone-handed-over",
         "zone-lost",
     ),
@@ -46,12 +47,14 @@
         self._listed: list[tuple[float, str, str, str, str, str]] = []
         self._claimed_at = BoundedMap(MOST_EPOCHS)
         self._longest_recovery: float | None = None
+        self._longest_first_start: float | None = None
 
     def add(self, line: LogLine) -> None:
         """Add a claim, its end or a failure."""
         self._counts.add(line.event)
         epoch = line.text("epoch", "")
-        what = self._recovery(line, epoch) or line.text("reason", line.text("code", ""))
+        what = self._recovery(line, epoch) or self._part(line)
+        what = what or line.text("reason", line.text("code", ""))
         if line.event == "owner-fault":
             what = line.fields_by_key.get("trace", "").rstrip()[-200:]
         if len(self._listed) < MOST_EVENTS:
@@ -69,12 +72,24 @@
         self._longest_recovery = max(seconds, self._longest_recovery or 0.0)
         return f"recovered {format_seconds(seconds)} after the claim"
 
+    def _part(self, line: LogLine) -> str:
+        """Return the part of a take-over that is complete as text, otherwise nothing."""
+        seconds = line.number("seconds")
+        if line.event != "take-over" or seconds is None:
+            return ""
+        part = line.text("part", "")
+        if part == "first-start":
+            self._longest_first_start = max(seconds, self._longest_first_start or 0.0)
+        return f"{part} {format_seconds(seconds)} after the claim"
+
     def highlights(self, metrics: MetricTotals) -> Iterable[tuple[str, str]]:
-        """Return the number of claims."""
+        """Return the number of claims and the longest times after one."""
         counts = self._counts.counts_by_key
         yield "claims of the cell or a zone", f"{sum(counts.get(name, 0) for name in CLAIMS):,.0f}"
         if self._longest_recovery is not None:
             yield "longest recovery after a claim", format_seconds(self._longest_recovery)
+        if self._longest_first_start is not None:
+            yield "longest time to the first start", format_seconds(self._longest_first_start)
 
     def contents(self, metrics: MetricTotals) -> Iterable[Content]:
         """Return the events by time and node."""
--- a/packages/mimosapoint-cli/src/mimosapoint_cli/report/tests/test_command.py
+++ b/packages/mimosapoint-cli/src/mimosapoint_cli/report/tests/test_command.py
@@ -19,6 +19,7 @@
     ("job-known", {"job": "j1", "priority": 1}),
     ("cell-claimed", {"epoch": 4}),
     ("cell-settled", {"epoch": 4}),
+    ("take-over", {"epoch": 4, "part": "first-start", "seconds": 0.045}),
     ("configuration-in-force", {"version": 7}),
     ("unit-started", {"job": "j1", "run": 9, "tasks": 2, "waited": 1.25, "view_age": 0.5}),
     ("run-over", {"job": "j1", "run": 9, "end": "done", "reason": "reported", "percent": 100}),
@@ -34,10 +35,11 @@
 LINES = [line(60 * number, event, **fields) for number, (event, fields) in enumerate(EVENTS)]
 
 EXPECTED_IN_PAGE = (
-    "Report of 2026-03-20 09:00:00 to 2026-03-20 09:13:00 UTC",
+    "Report of 2026-03-20 09:00:00 to 2026-03-20 09:14:00 UTC",
     "requests refused: overloaded (503)</td><td>1 (nodes: 1)",
     "largest age of a configuration view</td><td>12.5 s on node-1",
     "longest recovery after a claim</td><td>60 s",
+    "longest time to the first start</td><td>0.045 s",
     "work of runs that were done or saved</td><td>0.0167 task-hours",
     "work thrown away by stops</td><td>120 core-seconds",
     "<td>priority 1</td>",
