Start the sessions of a large fleet without losing the ownership

Cause: a new owner sent the first renewals of all workers of the roster in one pass of its event loop. From some 1,000 workers on that takes longer than the ownership lasts; it was lost, and the next owner did the same.

Change: sessions start one for each pass, loading yields for each entry, the units of a loaded job are created without a search through the others, relay nodes are requested when the roster is known and not one poll later. The choice of usable sessions moves to the fleet.

--- a/packages/mimosapoint/src/mimosapoint/cell/core.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/core.py
@@ -177,17 +177,18 @@
 
     async def _request_relays_for_large_fleet(self, ownership: Ownership) -> None:
         """Request relay nodes once there are more workers than this node serves itself."""
-        limit = self._settings.direct_workers
+        limit, owner = self._settings.direct_workers, self.owner
+        await owner.loaded.wait()
         while limit:
-            await trio.sleep(self._settings.registration_poll.total_seconds())
-            if self.owner is None or self.owner.fleet_size() <= limit:
+            if owner.fleet_size() <= limit:
+                await trio.sleep(self._settings.registration_poll.total_seconds())
                 continue
             try:
                 await self._election.request_relays(ownership)
             except (StoreUnavailable, StoreTimeout) as error:
                 self._telemetry.event("relays-not-requested", error=error.code)
             else:
-                self._telemetry.event("relays-requested", workers=self.owner.fleet_size())
+                self._telemetry.event("relays-requested", workers=owner.fleet_size())
                 return
 
 
--- a/packages/mimosapoint/src/mimosapoint/cell/fleet.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/fleet.py
@@ -1,6 +1,6 @@
 """Workers of a cell, as known from their registrations and from the stored roster."""
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Collection, Iterator
 from datetime import datetime, timedelta
 
 import trio
@@ -30,6 +30,10 @@
 
 __all__ = ["Fleet"]
 
+MAX_SLOW_WORKERS_SHARE = 1 / 3
+"""Largest share of the usable workers that are excluded for being slow; the faults that the
+platform documents slow down a seventh of the workers."""
+
 
 class Fleet:
     """Sessions with the workers.
@@ -97,6 +101,23 @@
         """Return the time at which the lease of a worker of earlier owners has expired."""
         return self.sessions_by_id[worker_id].lease.expires_at
 
+    def usable_sessions(self, withdrawn_zones: Collection[str]) -> list[WorkerSession]:
+        """Return the sessions of the workers that may get new work.
+
+        Workers in withdrawn zones are left out, and slow workers unless too many are slow.
+        """
+        now = self._clock.now()
+        usable = [
+            session
+            for session in self.sessions_by_id.values()
+            if session.is_usable(now) and session.registration.zone not in withdrawn_zones
+        ]
+        slow = sum(session.worker.slow_detector.is_slow(now) for session in usable)
+        # If many workers are slow, the cause is their work or the measurement.
+        if not slow or slow > MAX_SLOW_WORKERS_SHARE * len(usable):
+            return usable
+        return [session for session in usable if not session.worker.slow_detector.is_slow(now)]
+
     def losses(self) -> Iterator[WorkerLoss]:
         """Yield the present or last loss of each worker that has one."""
         for session in self.sessions_by_id.values():
@@ -146,7 +167,7 @@
             )
             telemetry.count("cell_unreadable_entries", prefix=ROSTER_KEY)
 
-    def open_roster_sessions(
+    async def open_roster_sessions(
         self, open_session: Callable[[WorkerRegistration], WorkerSession]
     ) -> None:
         """Open sessions with the workers of the roster.
@@ -155,6 +176,7 @@
         """
         self._open_session = open_session
         for registration in self._roster:
+            await trio.lowlevel.checkpoint()
             session = open_session(registration)
             session.is_registered = False
             session.on_roster = True
--- a/packages/mimosapoint/src/mimosapoint/cell/inbox.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/inbox.py
@@ -66,6 +66,8 @@
     progress_by_job = {entry.key.removeprefix(PROGRESS_PREFIX): entry for entry in stored.entries}
     has_unreadable = False
     for entry in accepted.entries:
+        # A recovery that takes long must not keep the ownership from being renewed.
+        await trio.lowlevel.checkpoint()
         if entry.key.startswith(JOB_PREFIX):
             stored_progress = progress_by_job.pop(entry.key.removeprefix(JOB_PREFIX), None)
             if not _add_job(entry, stored_progress, job_table, telemetry):
--- a/packages/mimosapoint/src/mimosapoint/cell/job_table.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/job_table.py
@@ -63,7 +63,7 @@
             job.ended_at = now
         else:
             self._unexpanded_by_id[record.id] = job
-            self.create_due_units()
+            self._create_job_units(job, now)
         self._telemetry.event(
             "job-known",
             job=record.id,
--- a/packages/mimosapoint/src/mimosapoint/cell/owner.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/owner.py
@@ -27,6 +27,7 @@
 from mimosapoint.cell.load_summary import LoadSummaryWriter
 from mimosapoint.cell.recovery import Recovery, TakeOverTimes
 from mimosapoint.cell.run_supervisor import RunSupervisor
+from mimosapoint.cell.session_starter import SessionStarter
 from mimosapoint.cell.settings import CellSettings
 from mimosapoint.cell.start_limiter import StartLimiter
 from mimosapoint.cell.timer_lag import probe_timer_lag
@@ -40,10 +41,6 @@
 MAX_DECISION_INTERVAL = timedelta(seconds=1)
 """Longest time between two scheduling decisions."""
 
-MAX_SLOW_WORKERS_SHARE = 1 / 3
-"""Largest share of the usable workers that are excluded for being slow; the faults that the
-platform documents slow down a seventh of the workers."""
-
 
 class Owner:
     """Runs the jobs of a cell during one ownership.
@@ -82,6 +79,8 @@
         self.load_writer = LoadSummaryWriter(dependencies, self.job_table, ownership, settings)
         self._start_limiter = StartLimiter(settings, dependencies.telemetry)
         self.durations = make_durations(settings.durations)
+        self.loaded = trio.Event()
+        self._session_starter = SessionStarter()
         self._fenced = False
         self._nursery: trio.Nursery | None = None
         self.runs = RunSupervisor(
@@ -138,8 +137,10 @@
             async with trio.open_nursery() as loading_nursery:
                 loading_nursery.start_soon(self.fleet.read_roster, self._telemetry)
                 loaded = await load_jobs(store, self.job_table, self._telemetry)
-            self.fleet.open_roster_sessions(self._open_session)
+            nursery.start_soon(self._session_starter.run, self.fleet)
+            await self.fleet.open_roster_sessions(self._open_session)
             self.recovery.begin(loaded.has_unreadable)
+            self.loaded.set()
             nursery.start_soon(self._inbox.run, loaded.revision)
             nursery.start_soon(self.fleet.run, self._dependencies.telemetry, self.request_decision)
             nursery.start_soon(self.committer.run)
@@ -243,22 +244,8 @@
         return self._clock.now()
 
     def usable_sessions(self) -> list[WorkerSession]:
-        """Return the sessions of the workers that may get new work.
-
-        Workers in withdrawn zones are left out, and slow workers unless too many are slow.
-        """
-        now = self._clock.now()
-        withdrawn = self._dependencies.view.withdrawn_zones
-        usable = [
-            session
-            for session in self.fleet.sessions_by_id.values()
-            if session.is_usable(now) and session.registration.zone not in withdrawn
-        ]
-        slow = sum(session.worker.slow_detector.is_slow(now) for session in usable)
-        # If many workers are slow, the cause is their work or the measurement.
-        if not slow or slow > MAX_SLOW_WORKERS_SHARE * len(usable):
-            return usable
-        return [session for session in usable if not session.worker.slow_detector.is_slow(now)]
+        """Return the sessions of the workers that may get new work."""
+        return self.fleet.usable_sessions(self._dependencies.view.withdrawn_zones)
 
     def _usable_workers(self) -> list[Worker]:
         return [session.worker for session in self.usable_sessions()]
@@ -395,5 +382,5 @@
             self._settings,
             self._telemetry,
         )
-        self._nursery.start_soon(self.fleet.run_session, session)
+        self._session_starter.add(session)
         return session
