Refuse keys of recorded starts with thousands of digits as unreadable

Cause: int() refuses more than 4,300 digits with an error that is no CodecError, so that one malformed record of a start would have ended each owner while it loaded the jobs.

Change: the key of a unit has to match its form, with at most nine digits for each number.

Measured: a case in the test of malformed starts fails before and passes now; tests of malformed entries pass.

--- a/packages/mimosapoint/src/mimosapoint/cell/recovery/tests/test_unresolved_starts.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/recovery/tests/test_unresolved_starts.py
@@ -104,7 +104,8 @@
 class CheckProgressTest(unittest.TestCase):
     def test_starts_of_other_units_are_refused(self):
         """A start without a worker for each task would end every decision of the next owner."""
-        for key, workers in (("0.0.0", ("w",)), ("0.0.1", ("w",) * 4), ("x", ()), ("0.0", ())):
+        cases = (("0.0.0", ("w",)), ("0.0.1", ("w",) * 4), ("x", ()), ("0.0", ()), ("00.0.0", ()))
+        for key, workers in (*cases, ("0.0." + "9" * 5000, ())):
             progress = JobProgress(Phase.RUNNING, starts={key: UnitStart(1, workers)})
             with self.subTest(key=key), self.assertRaises(CodecError):
                 check_progress(make_record(GANG), progress)
--- a/packages/mimosapoint/src/mimosapoint/workload/core.py
+++ b/packages/mimosapoint/src/mimosapoint/workload/core.py
@@ -1,5 +1,6 @@
 """Multi-step jobs, and the ids of their units and tasks."""
 
+import re
 from collections.abc import Iterator
 from datetime import datetime, timedelta
 from enum import Enum
@@ -22,6 +23,9 @@
 
 MILLIS_PER_CORE = 1000
 
+UNIT_KEY = re.compile(r"[0-9]{1,9}\.[0-9]{1,9}\.[0-9]{1,9}")
+"""Form of a unit's key; no job has as many tasks as nine digits count."""
+
 
 @attrs.frozen
 class ResourceAmounts:
@@ -251,10 +255,9 @@
 
     def find_unit(self, key: str) -> UnitId | None:
         """Return the unit with a key, or ``None`` when the job has no such unit."""
-        parts = key.split(".")
-        if len(parts) != 3 or not all(part.isascii() and part.isdigit() for part in parts):
+        if not UNIT_KEY.fullmatch(key):
             return None
-        unit = self.unit_of(TaskId(self.id, *map(int, parts)))
+        unit = self.unit_of(TaskId(self.id, *map(int, key.split("."))))
         return unit if unit is not None and unit.key == key else None
 
     def tasks_of(self, unit: UnitId) -> tuple[TaskId, ...]:
