--- a/review/standins.py
+++ b/review/standins.py
@@ -13,6 +13,7 @@
 import random
 import re
 import shutil
+import signal
 import subprocess
 import sys
 import tempfile
@@ -567,7 +568,15 @@
         self._version = 0
 
     async def __aenter__(self) -> Site:
-        """Start the store, the workers and the nodes, and wait until a node is ready."""
+        """Start the store, the workers and the nodes, and wait until all nodes are ready."""
+        try:
+            await self._start_all()
+        except BaseException:
+            await self.__aexit__()
+            raise
+        return self
+
+    async def _start_all(self) -> None:
         self._store_run = asyncio.create_task(self.store.run())
         self.configure()
         for number, worker in enumerate(self.workers.values()):
@@ -578,7 +587,6 @@
             await self.wait_for(lambda node=node: self._is_ready(node), 20, f"{node} is ready")
         await self.wait_for(self._has_owner, 20, "the cell has an owner")
         await asyncio.sleep(3)
-        return self
 
     async def __aexit__(self, *error: object) -> None:
         """End all processes that were started."""
@@ -797,6 +805,8 @@
     :param case: gets its folder and whether to cause the disruption; returns whether the rule held.
     :param script: path of the script, whose folder is that of the case.
     """
+    # An exception, so that the processes that were started are ended.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     folder = Path(script).resolve().parent
     with_trouble = os.environ.get("TROUBLE", "1") != "0"
     try:
