Review case 5: an old count of waiting jobs stays after a late write

A write of the count of waiting jobs gets no answer and is done five seconds later, after a newer one. It is not corrected until the count changes, and callers are told two jobs where six wait.

--- a/review/standins.py
+++ b/review/standins.py
@@ -153,6 +153,8 @@
         self.revision = 10
         self.items: dict[str, dict[str, Any]] = {}
         self.refused: set[str] = set()
+        self.late_key = ""
+        self.late_seconds = 0.0
         self._record = record
         self._events: list[dict[str, Any]] = []
         self._changed = asyncio.Event()
@@ -237,6 +239,10 @@
         if name == "kv-watch":
             return await self._watch(query)
         if name == "kv-txn":
+            keys = [write["key"] for write in body.get("set_keys") or []]
+            if self.late_key and self.late_key in keys:
+                self.late_key = ""
+                await self._commit_late(body)
             return self._commit(body)
         if name == "kv-lease":
             self._last_lease += 1
@@ -272,6 +278,20 @@
             except TimeoutError:
                 pass
 
+    async def _commit_late(self, body: dict[str, Any]) -> None:
+        """Carry out a write late, if its conditions hold then, and never answer it."""
+        values = [base64.b64decode(write["value"]).decode() for write in body["set_keys"]]
+        self._record(f"store: a write of {values} gets no answer")
+
+        async def commit() -> None:
+            await asyncio.sleep(self.late_seconds)
+            status, _ = self._commit(body)
+            self._record(f"store: that write is done {self.late_seconds} s later: {status}")
+
+        task = asyncio.create_task(commit())
+        await asyncio.sleep(3600)
+        await task
+
     def _commit(self, body: dict[str, Any]) -> Answer:
         expected = body.get("expected_rev") or []
         current = {
