--- a/review/standins.py
+++ b/review/standins.py
@@ -382,7 +382,9 @@
     async def crash(self) -> None:
         """End at once, without a word."""
         self._record(f"worker {self.id} crashes")
-        self.running = {}
+        lost, self.running = self.running, {}
+        for task, run in lost.items():
+            self._end_gang(task, run["run"], "broken")
         for task in self._tasks:
             task.cancel()
         self._tasks.clear()
@@ -503,11 +505,14 @@
         self._record.ends.append((self._record.now(), text))
         self._ended.set()
         self._ended = asyncio.Event()
-        # The end of one member ends its gang.
+        self._end_gang(task, run, "done" if how == "done" else "broken")
+
+    def _end_gang(self, task: str, run: int, how: str) -> None:
+        """End the other members of a gang, one of which has ended or is lost."""
         members = self._gangs.runs.pop((task.rpartition(".")[0], run), {})
         for member, worker in members.items():
             if worker.running.get(member, {}).get("run") == run:
-                worker._end(member, "done" if how == "done" else "broken")
+                worker._end(member, how)
 
     def since_hold(self) -> float:
         """Return the time since the last hold arrived in seconds."""
