Check the ownership in the store when a worker refuses a token

Callers saw: after four workers had crashed behind a cut and started again under their ids, no job started on any worker for as long as the owner lived; submissions were still accepted.

Cause: the low bits of the fencing token count the incarnations that a session has observed. The session of an unregistered worker ends, and the next one for the same id began at 1, below what the worker had seen. The owner took the refusal for the claim of another node and sent nothing more, but renewed its ownership, so that no other node claimed the cell. The evidence is owner-deposed with by=1048578, epoch 1 and generation 2, in a cell that never had another epoch.

Change: new sessions begin above the generation of all that have ended. A refused renewal raises the generation of that worker and requests a read of the epoch in the store; only a newer epoch there ends the ownership. A valid ownership proves that there is none, so that other workers are served meanwhile; an expired one sends nothing until the store has answered, as before.

--- a/packages/mimosapoint/src/mimosapoint/cell/election.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/election.py
@@ -63,9 +63,16 @@
         :param conflict: conflict of a commit with the epoch's revision among its conditions.
         :raises StaleEpoch: another node has claimed the cell.
         """
-        entry = conflict.entries_by_key.get(EPOCH_KEY)
+        self.raise_if_superseded(conflict.entries_by_key.get(EPOCH_KEY))
+
+    def raise_if_superseded(self, entry: Entry | None) -> None:
+        """Raise if the epoch's entry is not that of this ownership.
+
+        :param entry: present entry of the epoch.
+        :raises StaleEpoch: another node has claimed the cell.
+        """
         if entry is None or entry.revision != self.epoch_rev:
-            raise StaleEpoch(self.epoch + 1) from conflict
+            raise StaleEpoch(self.epoch + 1)
 
 
 class OwnerElection:
--- a/packages/mimosapoint/src/mimosapoint/cell/fleet.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/fleet.py
@@ -41,6 +41,9 @@
     A worker gets work only once the stored roster lists it, so that the next owner knows every
     worker that may have runs, including one whose own entry has expired.
 
+    ``first_generation`` is the generation of the fencing token with which a new session begins. It
+    is above those of all earlier sessions, as their workers may appear again under their ids.
+
     :param ownership: the ownership.
     :param store: the store.
     :param decoder: decoder of the workers' entries.
@@ -57,6 +60,7 @@
         settings: CellSettings,
     ):
         self.sessions_by_id: dict[str, WorkerSession] = {}
+        self.first_generation = 1
         self._ownership = ownership
         self._store = store
         self._decoder = decoder
@@ -214,6 +218,7 @@
             del self.sessions_by_id[session.id]
             self.inherited.resolve(session.id)
             self._revisions_by_worker.pop(session.id, None)
+            self.first_generation = max(self.first_generation, session.generation + 1)
             nursery.cancel_scope.cancel()
 
     async def _read_registrations(self, telemetry: Telemetry) -> None:
--- a/packages/mimosapoint/src/mimosapoint/cell/owner.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/owner.py
@@ -25,6 +25,7 @@
 from mimosapoint.cell.inbox import Inbox, load_jobs
 from mimosapoint.cell.job_table import CellJobTable
 from mimosapoint.cell.load_summary import LoadSummaryWriter
+from mimosapoint.cell.ownership_check import OwnershipCheck
 from mimosapoint.cell.recovery import Recovery, TakeOverTimes
 from mimosapoint.cell.run_supervisor import RunSupervisor
 from mimosapoint.cell.session_starter import SessionStarter
@@ -81,7 +82,7 @@
         self.durations = make_durations(settings.durations)
         self.loaded = trio.Event()
         self._session_starter = SessionStarter()
-        self._fenced = False
+        self._ownership_check = OwnershipCheck(ownership, dependencies, settings)
         self._nursery: trio.Nursery | None = None
         self.runs = RunSupervisor(
             ownership,
@@ -141,6 +142,7 @@
             await self.fleet.open_roster_sessions(self._open_session)
             self.recovery.begin(loaded.has_unreadable)
             self.loaded.set()
+            nursery.start_soon(self._ownership_check.run)
             nursery.start_soon(self._inbox.run, loaded.revision)
             nursery.start_soon(self.fleet.run, self._dependencies.telemetry, self.request_decision)
             nursery.start_soon(self.committer.run)
@@ -157,7 +159,7 @@
 
     def holds_ownership(self) -> bool:
         """Return whether this node still owns the cell."""
-        return not self._fenced and self._clock.now() < self._ownership.valid_until
+        return self._clock.now() < self._ownership.valid_until
 
     def may_start_on(self, worker: Worker) -> bool:
         """Return whether a start that was decided earlier may still be ordered on a worker.
@@ -178,9 +180,11 @@
         become the owner, and a renewal starts nothing. If another node has become the owner, the
         workers that it reached refuse the renewal, and it waits for the leases of all others.
         """
+        if self.holds_ownership():
+            return True
         orphaned_at = self._ownership.valid_until
         return (
-            not self._fenced
+            not self._ownership_check.is_pending
             and self._clock.now() < orphaned_at + self._settings.orphan_renewal_time
         )
 
@@ -189,16 +193,13 @@
         self._decision_requested.set()
 
     def on_fenced(self, token: int) -> None:
-        """Record that a worker has refused a renewal for its fencing token; send no more orders.
+        """Check the ownership in the store, as a worker has refused a renewal for its token.
 
-        It is not checked whether the newer token is of a newer epoch. The log key ``by`` holds the
-        given token, not an epoch.
+        A valid ownership proves that no newer epoch exists, so that orders go on during the check.
 
         :param token: the newer fencing token, or a lower bound of it.
         """
-        if not self._fenced:
-            self._fenced = True
-            self._telemetry.event("owner-deposed", epoch=self._ownership.epoch, by=token)
+        self._ownership_check.request(token)
 
     def fleet_size(self) -> int:
         """Return the number of worker sessions."""
@@ -381,6 +382,7 @@
             self._clock,
             self._settings,
             self._telemetry,
+            self.fleet.first_generation,
         )
         self._session_starter.add(session)
         return session
--- a/packages/mimosapoint/src/mimosapoint/cell/session_owner.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/session_owner.py
@@ -70,7 +70,7 @@
         ...
 
     def on_fenced(self, token: int) -> None:
-        """Record that a worker has refused a renewal for its fencing token.
+        """Handle the refusal of a renewal for its fencing token.
 
         :param token: the newer fencing token, or a lower bound of it.
         """
--- a/packages/mimosapoint/src/mimosapoint/cell/worker_session.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/worker_session.py
@@ -36,7 +36,7 @@
 
 TOKEN_GENERATION_BITS = 20
 """Low bits of a fencing token, which count how often the token was raised in this ownership, after
-a restart or a replacement of the worker; the epoch is above them."""
+a restart or a replacement of the worker or a refusal of the token; the epoch is above them."""
 
 MAX_ENDS_PER_REPORT = 500
 """Most ended runs in one run report, as the platform documents; a full report may omit some."""
@@ -50,7 +50,8 @@
     incarnation was applied. ``incarnation`` is the start of that one, in milliseconds of the
     worker's clock, or 0, and ``is_replaced`` tells whether another one replies at the address.
     ``refusing_until`` is set after a start that the worker refused as
-    unhealthy; ``health`` counts the failures of jobs on it.
+    unhealthy; ``health`` counts the failures of jobs on it. ``generation`` is the low part of the
+    fencing token.
 
     :param registration: the worker's registration.
     :param epoch: epoch of the ownership.
@@ -59,6 +60,7 @@
     :param clock: clock of the owner.
     :param settings: settings of the cell.
     :param telemetry: logs and metrics.
+    :param generation: first generation of the fencing token.
     """
 
     def __init__(
@@ -70,6 +72,7 @@
         clock: Clock,
         settings: CellSettings,
         telemetry: Telemetry,
+        generation: int = 1,
     ):
         self.worker = Worker(registration, stability=WorkerStability(settings.worker_lease))
         self.is_registered = True
@@ -82,7 +85,7 @@
         self._clock = clock
         self._settings = settings
         self._telemetry = telemetry
-        self._generation = 1
+        self.generation = generation
         self.incarnation = 0
         self._last_reported_end = 0
         self._last_stored_end = 0
@@ -216,6 +219,8 @@
                 await self._renew_lease()
             except StaleEpoch as error:
                 self._owner.on_fenced(error.current)
+                # The worker may have seen a higher token of this epoch; a newer epoch stays above.
+                self.generation += 1
                 await trio.sleep(self._settings.order_timeout.total_seconds())
             except WorkerReplaced:
                 self._handle_replaced()
@@ -263,7 +268,7 @@
             self.lease.extend()
         lease_until_ms = self.lease.expires_at_ms if self.synced else None
         order = RenewLeaseOrder(self.token, lease_until_ms, self._last_stored_end, wait)
-        generation, registration = self._generation, self.registration
+        generation, registration = self.generation, self.registration
         try:
             report = await self._renewals.send(registration, order)
         except WorkerReplaced:
@@ -272,10 +277,10 @@
             raise
         except StaleEpoch:
             # An order of this owner may have brought the token that it raised in the meantime.
-            if generation != self._generation:
+            if generation != self.generation:
                 return
             raise
-        if generation == self._generation:
+        if generation == self.generation:
             await self._apply_report(report)
 
     async def _apply_report(self, report: WorkerRunReport) -> None:
@@ -336,7 +341,7 @@
         if not self.is_replaced:
             self.disturbances.record("restart")
         self.loss_watch.record_restart()
-        self._generation += 1
+        self.generation += 1
         self.incarnation = born
         self.worker.health = WorkerHealth()
         self.worker.pace = WorkerPace()
@@ -359,7 +364,7 @@
         self.disturbances.record("replacement")
         self.loss_watch.record_replacement()
         self.is_replaced = True
-        self._generation += 1
+        self.generation += 1
         self.synced = False
         self._remove_all_task_runs(RunEnd.LOST, "replaced")
         self._owner.request_decision()
@@ -396,4 +401,4 @@
     @property
     def token(self) -> int:
         """Fencing token of the orders to the worker."""
-        return (self._epoch << TOKEN_GENERATION_BITS) + self._generation
+        return (self._epoch << TOKEN_GENERATION_BITS) + self.generation
--- a/packages/mimosapoint/src/mimosapoint/telemetry/_cell_declarations.py
+++ b/packages/mimosapoint/src/mimosapoint/telemetry/_cell_declarations.py
@@ -232,7 +232,14 @@
     ),
     (
         "owner-deposed",
-        "A worker refused a lease renewal for its fencing token; this owner sends no more orders.",
+        "A worker refused a lease renewal for its fencing token after the ownership had expired; "
+        "this owner sends no more orders unless the store shows that it still owns the cell.",
+    ),
+    ("ownership-confirmed", "The store shows that this owner still owns the cell."),
+    (
+        "token-refused",
+        "A worker refused a lease renewal for its fencing token during a valid ownership; the "
+        "owner reads in the store whether it still owns the cell.",
     ),
     ("owner-fault", "An unexpected error ended an ownership; the trace follows."),
     ("owner-joined", "This node now transmits orders for the owner."),
