Count the lease of a restarted worker as the longest there is

Callers saw: a task ran twice at the same time. Its worker had restarted under its id and was cut off soon after; the first run worked on behind the cut while the owner started another.

Cause: deadlines are times on the worker's clock, which starts anew with an incarnation. After a failed renewal the owner repeated its last deadline, and the new incarnation shortened that far time to the longest lease, 10 s, where the owner counted 5.5 s. A start without a reply can bring the same.

Change: a renewal after a failed one carries no deadline. The lease of a restarted worker, and of a run whose start got no reply, counts as the longest that a worker grants; confirmed runs of a worker that did not restart end as before. A reply to a start from behind the known clock confirms nothing. The wait of a new owner for silent workers is at least the longest lease, which changes nothing with the present bounds. Leases in memory are shortened as on the platform.

No form of a message or of a stored value changes.

--- a/packages/mimosapoint/src/mimosapoint/cell/settings.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/settings.py
@@ -23,6 +23,8 @@
     :param owner_watch_timeout: timeout of the watch on the owner's key; bounds how long a dead
         connection hides the end of an ownership.
     :param worker_lease: duration of the workers' leases; covers the gap between two owners.
+    :param max_worker_lease: longest lease that a worker grants. An order whose deadline is on the
+        clock of an earlier incarnation may bring a lease of this length.
     :param orphan_renewal_time: time after the end of its ownership for which an owner goes on
         renewing the workers' leases, and gives no other order, unless a worker refuses it; lets
         runs outlive a store outage. The next owner waits that much longer for silent workers.
@@ -128,6 +130,7 @@
     ownership_margin: timedelta = _ms(150)
     owner_watch_timeout: timedelta = _ms(2000)
     worker_lease: timedelta = _ms(7000)
+    max_worker_lease: timedelta = _ms(10_000)
     orphan_renewal_time: timedelta = _ms(5000)
     long_poll_wait: timedelta = _ms(1000)
     long_poll_wait_max: timedelta = _ms(2000)
--- a/packages/mimosapoint/src/mimosapoint/cell/worker_lease.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/worker_lease.py
@@ -1,7 +1,9 @@
 """The owner's estimate of a worker's clock and of the lease of its runs."""
 
+from collections.abc import Iterable
 from datetime import datetime, timedelta
 
+from mimosapoint.cell.decisions.units import TaskRun
 from mimosapoint.cell.settings import CellSettings
 from mimosapoint.ports import Clock
 
@@ -11,69 +13,104 @@
 
 
 def unknown_lease_time(settings: CellSettings) -> timedelta:
-    """Return the time after which a lease has certainly expired that an earlier owner renewed."""
-    return _expiry_delay(settings.worker_lease, settings) + settings.orphan_renewal_time
+    """Return the time after which a lease has certainly expired that an earlier owner renewed.
+
+    A start of that owner may have reached a new incarnation with a deadline of the one before. It
+    was sent before the ownership ended, while renewals go on for some time.
+    """
+    renewed = _expiry_delay(settings.worker_lease, settings) + settings.orphan_renewal_time
+    return max(renewed, _expiry_delay(settings.max_worker_lease, settings))
 
 
 class WorkerLease:
     """The lease of all runs on one worker, which ends at a time on the worker's clock.
 
+    At first, the lease of a worker that has restarted counts as the longest that a worker grants:
+    an order that was meant for the incarnation before may have reached the new one.
+
+    ``clock_ms`` is the worker's clock in its last reply, in milliseconds.
+
     :param clock: clock of the owner.
-    :param settings: lease duration and bounds of the clock error.
+    :param settings: lease durations and bounds of the clock error.
+    :param born: start of the incarnation that is registered, in milliseconds of the worker's clock.
     """
 
-    def __init__(self, clock: Clock, settings: CellSettings):
+    def __init__(self, clock: Clock, settings: CellSettings, born: int):
         self._clock = clock
         self._settings = settings
         self._measured_at = clock.now()
         self.reset()
+        self._registered_born: int | None = born
+        self._unanswered_start_expires_at = self._measured_at
         # An earlier owner may still be renewing this lease.
         self._assumed_expires_at = clock.now() + unknown_lease_time(settings)
 
     def reset(self) -> None:
         """Start over for a new incarnation of the worker, whose clock is not known yet."""
-        self.expires_at_ms = 0
-        self._clock_ms = 0
+        self._expires_at_ms = 0
+        self.clock_ms = 0
         self._is_clock_known = False
-        self._assumed_expires_at = self._clock.now() + _expiry_delay(
-            self._settings.worker_lease, self._settings
-        )
+        self._registered_born = None
+        self._assumed_expires_at = self._longest_expiry()
 
-    def record_clock(self, clock_ms: int) -> None:
+    def record_clock(self, clock_ms: int, born: int) -> None:
         """Record the clock from a reply of the worker that has just arrived.
 
         :param clock_ms: the worker's clock, in milliseconds.
+        :param born: start of the incarnation that replied.
         """
-        self._clock_ms = clock_ms
+        self.clock_ms = clock_ms
         self._measured_at = self._clock.now()
         if not self._is_clock_known:
             # An earlier owner may have extended the lease without this owner knowing.
-            self.extend_to(clock_ms + self._duration_ms)
+            settings = self._settings
+            is_restarted = born != self._registered_born
+            longest = settings.max_worker_lease if is_restarted else settings.worker_lease
+            self.extend_to(clock_ms + int(longest / MILLISECOND))
         self._is_clock_known = True
 
     def worker_now(self) -> int:
         """Return the estimated time on the worker's clock, in milliseconds."""
-        return self._clock_ms + int((self._clock.now() - self._measured_at) / MILLISECOND)
+        return self.clock_ms + int((self._clock.now() - self._measured_at) / MILLISECOND)
+
+    def extend(self) -> int:
+        """Extend the lease by its full duration from now.
 
-    def extend(self) -> None:
-        """Extend the lease by its full duration from now."""
-        self.extend_to(self.worker_now() + self._duration_ms)
+        :return: the new deadline on the worker's clock, in milliseconds.
+        """
+        deadline_ms = self.worker_now() + int(self._settings.worker_lease / MILLISECOND)
+        self.extend_to(deadline_ms)
+        return deadline_ms
 
     def extend_to(self, until_ms: int) -> None:
         """Extend the lease to a time on the worker's clock, in milliseconds; never shorten it."""
-        self.expires_at_ms = max(self.expires_at_ms, until_ms)
+        self._expires_at_ms = max(self._expires_at_ms, until_ms)
+
+    def record_unanswered_start(self) -> None:
+        """Record a start that may have reached an incarnation that this owner does not know."""
+        self._unanswered_start_expires_at = self._longest_expiry()
 
     @property
     def expires_at(self) -> datetime:
-        """Time on the owner's clock after which no ordered run can still be running."""
+        """Time on the owner's clock after which no run of the known incarnation can be running."""
         if not self._is_clock_known:
             return self._assumed_expires_at
-        remaining = max(0, self.expires_at_ms - self._clock_ms) * MILLISECOND
+        remaining = max(0, self._expires_at_ms - self.clock_ms) * MILLISECOND
         return self._measured_at + _expiry_delay(remaining, self._settings)
 
-    @property
-    def _duration_ms(self) -> int:
-        return int(self._settings.worker_lease / MILLISECOND)
+    def find_lapsed(self, task_runs: Iterable[TaskRun]) -> list[TaskRun]:
+        """Return the runs that have certainly ended with the lease.
+
+        A run that the known incarnation has not confirmed may be on a new one.
+        """
+        now = self._clock.now()
+        if now < self.expires_at:
+            return []
+        is_start_over = now >= self._unanswered_start_expires_at
+        return [run for run in task_runs if is_start_over or run.confirmed_ms is not None]
+
+    def _longest_expiry(self) -> datetime:
+        return self._clock.now() + _expiry_delay(self._settings.max_worker_lease, self._settings)
 
 
 def _expiry_delay(lease: timedelta, settings: CellSettings) -> timedelta:
--- a/packages/mimosapoint/src/mimosapoint/cell/worker_orders.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/worker_orders.py
@@ -69,6 +69,7 @@
         window_ms = self._settings.start_window / MILLISECOND
         task_run.not_after_ms = self._lease.worker_now() + int(window_ms)
         self._lease.extend_to(task_run.not_after_ms)
+        sent_at_ms = self._lease.clock_ms
         order = StartOrder(
             task_run.task,
             task_run.run,
@@ -79,6 +80,9 @@
         )
         try:
             clock_ms = await self._send_start(order, task_run)
+            if clock_ms < sent_at_ms:
+                # Its first run report, under a raised token, shows whether it has the run.
+                raise WorkerUnreachable("a new incarnation replied")
             task_run.confirm(clock_ms, self._clock.now())
         except StartRefused as refusal:
             self._handle_refusal(task_run, refusal.reason)
@@ -94,6 +98,7 @@
                 detail=str(error),
             )
             if isinstance(error, WorkerUnreachable):
+                self._lease.record_unanswered_start()
                 self._session.disturbances.record("unanswered-start")
         except Exception as error:
             self._session.record_unexpected("start", error)
--- a/packages/mimosapoint/src/mimosapoint/cell/worker_session.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/worker_session.py
@@ -12,6 +12,7 @@
 from mimosapoint.cell.decisions.worker_pace import WorkerPace
 from mimosapoint.cell.decisions.worker_stability import WorkerStability
 from mimosapoint.cell.disturbances import Disturbances
+from mimosapoint.cell.fencing_token import fencing_token
 from mimosapoint.cell.renewal_sender import RenewalSender
 from mimosapoint.cell.run_reconciler import RunReconciler
 from mimosapoint.cell.session_owner import SessionOwner
@@ -34,10 +35,6 @@
 
 __all__ = ["WorkerSession"]
 
-TOKEN_GENERATION_BITS = 20
-"""Low bits of a fencing token, which count how often the token was raised in this ownership, after
-a restart or a replacement of the worker or a refusal of the token; the epoch is above them."""
-
 MAX_ENDS_PER_REPORT = 500
 """Most ended runs in one run report, as the platform documents; a full report may omit some."""
 
@@ -50,8 +47,7 @@
     incarnation was applied. ``incarnation`` is the start of that one, in milliseconds of the
     worker's clock, or 0, and ``is_replaced`` tells whether another one replies at the address.
     ``refusing_until`` is set after a start that the worker refused as
-    unhealthy; ``health`` counts the failures of jobs on it. ``generation`` is the low part of the
-    fencing token.
+    unhealthy; ``health`` counts the failures of jobs on it. ``generation`` is part of the token.
 
     :param registration: the worker's registration.
     :param epoch: epoch of the ownership.
@@ -89,7 +85,7 @@
         self.incarnation = 0
         self._last_reported_end = 0
         self._last_stored_end = 0
-        self.lease = WorkerLease(clock, settings)
+        self.lease = WorkerLease(clock, settings, registration.born)
         self._orders = WorkerOrders(self, self.lease, workers, owner, clock, settings, telemetry)
         self.disturbances = Disturbances(self.worker, clock, telemetry)
         self.loss_watch = WorkerLossWatch(self.worker, owner, clock, settings)
@@ -234,9 +230,9 @@
 
     async def _handle_failed_renewal(self, code: str) -> None:
         self._handle_unreachable(code)
-        if self._clock.now() >= self.lease.expires_at and self.task_runs_by_key:
+        if lapsed := self.lease.find_lapsed(self.task_runs_by_key.values()):
             self.loss_watch.record_lapse()
-            self._remove_all_task_runs(RunEnd.LAPSED, "lease-over")
+            self._remove_task_runs(lapsed, RunEnd.LAPSED, "lease-over")
         await trio.sleep(self._settings.retry_delay.total_seconds())
 
     def record_unexpected(self, order: str, error: Exception) -> None:
@@ -261,12 +257,11 @@
             self._handle_restart(registration.born)
 
     async def _renew_lease(self) -> None:
-        # A worker that failed to reply is asked for an immediate reply: it gets no work before.
+        # A worker that failed to reply is asked for an immediate reply: it gets no work before. It
+        # may have restarted, where a deadline on the clock of before would be taken for a far one.
         is_immediate = not (self.synced and self._is_reachable)
         wait = timedelta(0) if is_immediate else self._long_poll_wait
-        if not is_immediate:
-            self.lease.extend()
-        lease_until_ms = self.lease.expires_at_ms if self.synced else None
+        lease_until_ms = None if is_immediate else self.lease.extend()
         order = RenewLeaseOrder(self.token, lease_until_ms, self._last_stored_end, wait)
         generation, registration = self.generation, self.registration
         try:
@@ -295,7 +290,7 @@
         self.is_replaced = False
         self.loss_watch.record_reply()
         is_first = not self.synced
-        self._record_reply(report.clock_ms)
+        self._record_reply(report)
         for ended in report.ended:
             self._last_reported_end = max(self._last_reported_end, ended.number)
             if ended.number > self._last_stored_end:
@@ -320,8 +315,8 @@
                 await self._owner.wait_ends_stored(report.ended)
                 self._last_stored_end = max(self._last_stored_end, report.ended[-1].number)
 
-    def _record_reply(self, clock_ms: int) -> None:
-        self.lease.record_clock(clock_ms)
+    def _record_reply(self, report: WorkerRunReport) -> None:
+        self.lease.record_clock(report.clock_ms, report.born)
         self.answered_at = self._clock.now()
         if not self._is_reachable:
             self._is_reachable = True
@@ -366,7 +361,7 @@
         self.is_replaced = True
         self.generation += 1
         self.synced = False
-        self._remove_all_task_runs(RunEnd.LOST, "replaced")
+        self._remove_task_runs(list(self.task_runs_by_key.values()), RunEnd.LOST, "replaced")
         self._owner.request_decision()
 
     def _handle_unreachable(self, code: str) -> None:
@@ -386,8 +381,8 @@
             self._owner.on_silent(self.worker)
             self._owner.request_decision()
 
-    def _remove_all_task_runs(self, end: RunEnd, reason: str) -> None:
-        for task_run in list(self.task_runs_by_key.values()):
+    def _remove_task_runs(self, task_runs: list[TaskRun], end: RunEnd, reason: str) -> None:
+        for task_run in task_runs:
             self.end_task_run(task_run, end, reason=reason)
         self._owner.request_decision()
 
@@ -401,4 +396,4 @@
     @property
     def token(self) -> int:
         """Fencing token of the orders to the worker."""
-        return (self._epoch << TOKEN_GENERATION_BITS) + self.generation
+        return fencing_token(self._epoch, self.generation)
--- a/packages/mimosapoint/src/mimosapoint/memory/run_worker.py
+++ b/packages/mimosapoint/src/mimosapoint/memory/run_worker.py
@@ -24,6 +24,9 @@
 STOP_DURATION = timedelta(milliseconds=200)
 """Time that a stop takes, as on the first site."""
 
+MAX_LEASE = timedelta(seconds=10)
+"""Longest lease that a worker grants, as on the first site."""
+
 PROGRESS_STEP_SECONDS = 0.25
 """Interval at which the progress of a task advances, in seconds."""
 
@@ -83,6 +86,7 @@
     :param nursery: nursery of the runs.
     :param run_time: duration of every task.
     :param stop_time: time that a stop takes.
+    :param max_lease: longest lease that a worker grants.
     :param failing_workers: ids of workers on which every run fails at once.
     :param failing_jobs: ids of jobs whose every run fails at once.
     :param crashing_tasks: tasks that crash each worker that starts them.
@@ -98,6 +102,7 @@
     nursery: trio.Nursery
     run_time: timedelta = timedelta(seconds=2)
     stop_time: timedelta = STOP_DURATION
+    max_lease: timedelta = MAX_LEASE
     failing_workers: set[str] = attrs.field(factory=set)
     failing_jobs: set[str] = attrs.field(factory=set)
     crashing_tasks: set[TaskId] = attrs.field(factory=set)
@@ -183,7 +188,7 @@
         """Renew the lease, drop acknowledged ends and return the run report."""
         self._check_token(order.token)
         if order.lease_until_ms is not None:
-            self.lease_until_ms = max(self.lease_until_ms, order.lease_until_ms)
+            self._extend_lease(order.lease_until_ms)
         self.acknowledged = max(self.acknowledged, order.acknowledged)
         self.ended = [ended for ended in self.ended if ended.number > order.acknowledged]
         if order.wait and not self.ended:
@@ -213,7 +218,7 @@
             raise StartRefused("late")
         if order.run <= self._last_rejected_run_by_task.get(order.task, 0):
             raise StartRefused("old")
-        self.lease_until_ms = max(self.lease_until_ms, order.not_after_ms)
+        self._extend_lease(order.not_after_ms)
         step = order.job.steps[order.task.step]
         began = trio.current_time()
         record = RunRecord(
@@ -323,6 +328,10 @@
         if not any(used.fit_count(each) for each in (self.registration.capacity, *former)):
             self.simulation.over_capacity_workers.append(self.registration.id)
 
+    def _extend_lease(self, until_ms: int) -> None:
+        latest_ms = self.clock_ms + int(self.simulation.max_lease / MILLISECOND)
+        self.lease_until_ms = max(self.lease_until_ms, min(until_ms, latest_ms))
+
     def _check_token(self, token: int) -> None:
         if token < self.token:
             raise StaleEpoch(self.token)
