Acknowledge ends only to the incarnation that reported them

Callers would see: a task that was done runs again, or its job stays running. The worker forgets the end when it is acknowledged, and no node has seen it.

Cause: a worker numbers its ends anew in each incarnation, and the owner sent the number up to which progress was stored to whichever incarnation replied: in the renewal after failed ones, and when a restart showed in the registration while ends were being stored.

Change: a renewal after a failed one acknowledges nothing, and the numbers are kept in an object for each incarnation.

Messages keep their form.

--- a/packages/mimosapoint/src/mimosapoint/cell/tests/test_restarted_workers.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_restarted_workers.py
@@ -7,7 +7,7 @@
 from mimosapoint.cell.settings import CellSettings
 from mimosapoint.cell.tests._site import SMALL, open_site
 from mimosapoint.testing import TrioTestCase
-from mimosapoint.workload import Phase, Step
+from mimosapoint.workload import Phase, RunEnd, Step
 
 SETTINGS = CellSettings(worker_lease=timedelta(seconds=5.5))
 DOWNTIME = timedelta(milliseconds=500)
@@ -67,6 +67,17 @@
             self.assertEqual(2, len(site.runs("a")))
             self.assertEqual([], site.violations())
 
+    # Guards against an end that is lost, and a task that runs again after it was done, as the
+    # number that acknowledges the ends of the incarnation before was sent to the new one.
+    async def test_an_acknowledgement_for_an_earlier_incarnation_drops_no_end(self):
+        async with open_site(nodes=2, workers=1, settings=SETTINGS) as site:
+            await self.run_early_jobs(site)
+            await self.send_start_to_next_incarnation(site)
+            await trio.sleep(0.5)
+            site.workers.network_faults_by_address["10.0.0.0:1"].partitioned = False
+            await site.wait_phase("a", Phase.COMPLETE)
+            self.assertEqual([RunEnd.DONE], [record.end for record in site.runs("a")])
+
     # Guards against a recovery that takes longer for all, because of the few that restart.
     async def test_the_lease_of_a_worker_that_did_not_restart_ends_as_before(self):
         async with open_site(nodes=2, workers=1, settings=SETTINGS) as site:
--- a/packages/mimosapoint/src/mimosapoint/cell/tests/test_worker_session.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_worker_session.py
@@ -2,6 +2,7 @@
 
 from unittest.mock import Mock
 
+import attrs
 import trio
 
 from mimosapoint.cell.settings import CellSettings
@@ -37,6 +38,7 @@
     """Owner of a session that stores ends at once and records fences."""
 
     def __init__(self):
+        self.storing_seconds = 0
         self.crash_blame = Mock()
         self.fenced_by = []
         self.ended = []
@@ -63,7 +65,7 @@
         self.ended.append(ended)
 
     async def wait_ends_stored(self, ended):
-        pass
+        await trio.sleep(self.storing_seconds)
 
 
 class WorkerSessionTest(TrioTestCase):
@@ -123,6 +125,25 @@
             self.assertGreater(workers.orders[-1].token, first_token[0])
             nursery.cancel_scope.cancel()
 
+    # Guards against ends that are dropped unseen, as the owner acknowledges to a new incarnation
+    # the number of an end of the one before.
+    async def test_ends_stored_during_a_restart_are_not_acknowledged_to_the_new_incarnation(self):
+        done = EndedRun(7, TaskId("a", 0, 0, 0), 7, RunEnd.DONE)
+
+        async with trio.open_nursery() as nursery:
+
+            def reply(order):
+                ended = () if session.registration.born > BORN else (done,)
+                return WorkerRunReport(1000, session.registration.born, (), ended)
+
+            session, owner, workers = await self.open_session(nursery, reply)
+            owner.storing_seconds = 0.5
+            await trio.sleep(0.3)
+            session.update_registration(attrs.evolve(session.registration, born=BORN + 1))
+            await trio.sleep(1)
+            self.assertEqual({0}, {order.acknowledged for order in workers.orders})
+            nursery.cancel_scope.cancel()
+
     async def test_a_renewal_that_a_newer_token_refuses_fences_the_owner(self):
         async with trio.open_nursery() as nursery:
             _, owner, _ = await self.open_session(nursery, lambda order: StaleEpoch(99))
--- a/packages/mimosapoint/src/mimosapoint/cell/worker_session.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/worker_session.py
@@ -14,6 +14,7 @@
 from mimosapoint.cell.disturbances import Disturbances
 from mimosapoint.cell.fencing_token import fencing_token
 from mimosapoint.cell.renewal_sender import RenewalSender
+from mimosapoint.cell.reported_ends import ReportedEnds
 from mimosapoint.cell.run_reconciler import RunReconciler
 from mimosapoint.cell.session_owner import SessionOwner
 from mimosapoint.cell.settings import CellSettings
@@ -83,8 +84,7 @@
         self._telemetry = telemetry
         self.generation = generation
         self.incarnation = 0
-        self._last_reported_end = 0
-        self._last_stored_end = 0
+        self._ends = ReportedEnds()
         self.lease = WorkerLease(clock, settings, registration.born)
         self._orders = WorkerOrders(self, self.lease, workers, owner, clock, settings, telemetry)
         self.disturbances = Disturbances(self.worker, clock, telemetry)
@@ -166,11 +166,7 @@
         end that is not stored: without it the task would start again.
         """
         is_empty = self.synced and not self.task_runs_by_key
-        return (
-            self.registration.draining
-            and is_empty
-            and self._last_reported_end <= self._last_stored_end
-        )
+        return self.registration.draining and is_empty and self._ends.are_stored
 
     @property
     def leaves_in(self) -> timedelta | None:
@@ -258,11 +254,12 @@
 
     async def _renew_lease(self) -> None:
         # A worker that failed to reply is asked for an immediate reply: it gets no work before. It
-        # may have restarted, where a deadline on the clock of before would be taken for a far one.
+        # may have restarted, where a deadline or the number of an end would have another meaning.
         is_immediate = not (self.synced and self._is_reachable)
         wait = timedelta(0) if is_immediate else self._long_poll_wait
         lease_until_ms = None if is_immediate else self.lease.extend()
-        order = RenewLeaseOrder(self.token, lease_until_ms, self._last_stored_end, wait)
+        acknowledged = self._ends.last_stored if self._is_reachable else 0
+        order = RenewLeaseOrder(self.token, lease_until_ms, acknowledged, wait)
         generation, registration = self.generation, self.registration
         try:
             report = await self._renewals.send(registration, order)
@@ -291,10 +288,9 @@
         self.loss_watch.record_reply()
         is_first = not self.synced
         self._record_reply(report)
-        for ended in report.ended:
-            self._last_reported_end = max(self._last_reported_end, ended.number)
-            if ended.number > self._last_stored_end:
-                self._reconciler.handle_end(ended)
+        ends = self._ends
+        for ended in ends.record(report.ended):
+            self._reconciler.handle_end(ended)
         # A full report omits further ends, of which a task that ended must not be started again.
         is_complete = len(report.ended) < MAX_ENDS_PER_REPORT
         self._reconciler.reconcile(report, is_first, is_complete)
@@ -313,7 +309,8 @@
         if report.ended:
             with trio.move_on_after(self._settings.long_poll_wait.total_seconds()):
                 await self._owner.wait_ends_stored(report.ended)
-                self._last_stored_end = max(self._last_stored_end, report.ended[-1].number)
+                # Not those of the session: the worker may have restarted in the meantime.
+                ends.record_stored(report.ended[-1].number)
 
     def _record_reply(self, report: WorkerRunReport) -> None:
         self.lease.record_clock(report.clock_ms, report.born)
@@ -340,8 +337,7 @@
         self.incarnation = born
         self.worker.health = WorkerHealth()
         self.worker.pace = WorkerPace()
-        self._last_reported_end = 0
-        self._last_stored_end = 0
+        self._ends = ReportedEnds()
         self.lease.reset()
         self.synced = False
 
