Apply writes and removals of the store in the order of their revisions

Callers and operators saw: tasks started in a zone that had been withdrawn, by owners that had missed its return and its new withdrawal while the store turned them away.

Cause: the port divided the answer to a watch into written entries and removed keys, and the view of the operators' entries applied the removals last. The log had zone-withdrawn and then zone-returned, the store the removal at the lower revision. The election had the opposite order, so that a claim and its end in one answer left a candidate waiting.

Nothing that is stored or sent changes.

--- a/packages/mimosapoint/src/mimosapoint/cell/election.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/election.py
@@ -15,6 +15,7 @@
     Clock,
     Entry,
     HistoryLost,
+    Removal,
     Telemetry,
     TransactionConflict,
     TransactionStore,
@@ -191,10 +192,11 @@
                 OWNER_PREFIX, revision, self._settings.owner_watch_timeout
             )
             revision = changes.revision
-            for key in changes.removed:
-                entries_by_key.pop(key, None)
-            for entry in changes.written:
-                entries_by_key[entry.key] = entry
+            for change in changes.changes:
+                if isinstance(change, Removal):
+                    entries_by_key.pop(change.key, None)
+                else:
+                    entries_by_key[change.key] = change
             self._update_owner(entries_by_key.get(OWNER_KEY))
         return entries_by_key.get(EPOCH_KEY)
 
--- a/packages/mimosapoint/src/mimosapoint/cell/operators.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/operators.py
@@ -13,6 +13,7 @@
     Entry,
     HistoryLost,
     OperatorEntryDecoder,
+    Removal,
     Telemetry,
     TransactionStore,
     WithdrawnZone,
@@ -118,10 +119,11 @@
             changes = await self._store.watch(
                 self._decoder.prefix, self._revision, timeout, self._watch_limit()
             )
-            for entry in changes.written:
-                self._apply(entry)
-            for key in changes.removed:
-                self._remove(key)
+            for change in changes.changes:
+                if isinstance(change, Removal):
+                    self._remove(change.key)
+                else:
+                    self._apply(change)
             self._revision = changes.revision
             self._freshness.confirm_watched(requested_at, changes.transfer_time)
 
--- a/packages/mimosapoint/src/mimosapoint/memory/transaction_store.py
+++ b/packages/mimosapoint/src/mimosapoint/memory/transaction_store.py
@@ -15,6 +15,7 @@
     Clock,
     Entry,
     HistoryLost,
+    Removal,
     ScanResult,
     TransactionConflict,
     Write,
@@ -90,11 +91,11 @@
         if after < self._oldest_revision:
             raise HistoryLost(f"the history of changes begins at revision {self._oldest_revision}")
         self._fault_injector.after_effect()
-        written = tuple(change.entry for change in found if change.entry)
-        if limit_bytes is not None and sum(len(entry.value) for entry in written) > limit_bytes:
+        changes = tuple(change.entry or Removal(change.key, change.revision) for change in found)
+        batch = ChangeBatch(changes, revision)
+        if limit_bytes is not None and sum(len(each.value) for each in batch.written) > limit_bytes:
             raise HistoryLost(f"the changes have over {limit_bytes} bytes")
-        removed = tuple(change.key for change in found if change.entry is None)
-        return ChangeBatch(written, removed, revision)
+        return batch
 
     async def commit(
         self,
--- a/packages/mimosapoint/src/mimosapoint/ports/__init__.py
+++ b/packages/mimosapoint/src/mimosapoint/ports/__init__.py
@@ -23,6 +23,7 @@
 from mimosapoint.ports.transactions import (
     ChangeBatch,
     HistoryLost,
+    Removal,
     ScanResult,
     TransactionConflict,
     TransactionStore,
@@ -40,6 +41,7 @@
     "EndedRun",
     "Entry",
     "HistoryLost",
+    "Removal",
     "RenewLeaseOrder",
     "JobApi",
     "NodeTransport",
--- a/packages/mimosapoint/src/mimosapoint/ports/transactions.py
+++ b/packages/mimosapoint/src/mimosapoint/ports/transactions.py
@@ -13,6 +13,7 @@
     "ChangeBatch",
     "TransactionConflict",
     "HistoryLost",
+    "Removal",
     "ScanResult",
     "TransactionStore",
     "Write",
@@ -64,22 +65,37 @@
     revision: int
 
 
+@attrs.frozen
+class Removal:
+    """Removal of one key.
+
+    :param key: key that was removed.
+    :param revision: revision of the removal.
+    """
+
+    key: str
+    revision: int
+
+
 @attrs.frozen
 class ChangeBatch:
     """Changes under a prefix.
 
-    :param written: entries that were written, oldest first.
-    :param removed: keys that were removed.
+    :param changes: writes and removals, oldest first. A key may have several.
     :param revision: revision to pass to the next watch.
     :param transfer_time: time that the answer took to arrive, from its first byte to its last; the
         changes are complete only up to the beginning of it.
     """
 
-    written: tuple[Entry, ...]
-    removed: tuple[str, ...]
+    changes: tuple[Entry | Removal, ...]
     revision: int
     transfer_time: timedelta = timedelta()
 
+    @property
+    def written(self) -> tuple[Entry, ...]:
+        """Entries that were written, oldest first; some may have been removed again."""
+        return tuple(change for change in self.changes if isinstance(change, Entry))
+
 
 class TransactionStore(Protocol):
     """Linearizable key-value store with transactions; it has outages.
