Write the owner's entries on condition of their last revision

Callers saw: every node gave the number of pending jobs of a queue as 2 where 6 waited, until the number changed again.

Cause: the backlog was written on condition of the epoch only. A write without a reply took effect five seconds later, after a newer one, and stayed, as the owner compared its counts with those that it had written last. The load summary, by which jobs are refused, was written in the same way.

Change: backlog, load summary and roster share OwnedEntry, which writes on condition of the revision that it knows and learns it from a conflict. The roster had such a condition before. Values keep their form, so that owners and readers of both builds understand each other.

--- a/packages/mimosapoint/src/mimosapoint/cell/backlog.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/backlog.py
@@ -5,11 +5,11 @@
 from mimosapoint.cell.dependencies import CellOwnerDependencies
 from mimosapoint.cell.election import Ownership
 from mimosapoint.cell.job_table import CellJobTable
-from mimosapoint.cell.keys import BACKLOG_KEY, EPOCH_KEY
+from mimosapoint.cell.keys import BACKLOG_KEY
+from mimosapoint.cell.owned_entry import OwnedEntry
 from mimosapoint.cell.settings import CellSettings
 from mimosapoint.codec import to_json
 from mimosapoint.errors import StoreTimeout, StoreUnavailable
-from mimosapoint.ports import TransactionConflict, Write
 
 __all__ = ["BacklogWriter"]
 
@@ -30,7 +30,7 @@
         ownership: Ownership,
         settings: CellSettings,
     ):
-        self._store = ports.store
+        self._entry = OwnedEntry(ports.store, BACKLOG_KEY, ownership)
         self._telemetry = ports.telemetry
         self._job_table = job_table
         self._ownership = ownership
@@ -38,7 +38,10 @@
         self._published: dict[str, int] | None = None
 
     async def run(self) -> None:
-        """Publish the counts when they change, until cancelled."""
+        """Publish the counts when they change, until cancelled.
+
+        :raises StaleEpoch: another node has claimed the cell.
+        """
         while True:
             counts = self._job_table.backlog_by_queue()
             if counts != self._published:
@@ -46,11 +49,10 @@
             await trio.sleep(self._settings.backlog_interval.total_seconds())
 
     async def _publish(self, counts: dict[str, int]) -> None:
-        write = Write(BACKLOG_KEY, to_json(counts))
         try:
-            await self._store.commit({EPOCH_KEY: self._ownership.epoch_rev}, [write])
+            await self._entry.write(to_json(counts))
             self._published = counts
-        except (StoreUnavailable, StoreTimeout, TransactionConflict) as error:
+        except (StoreUnavailable, StoreTimeout) as error:
             self._telemetry.event(
                 "summary-not-stored", epoch=self._ownership.epoch, error=error.code
             )
--- a/packages/mimosapoint/src/mimosapoint/cell/fleet.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/fleet.py
@@ -10,7 +10,8 @@
 from mimosapoint.cell.decisions.worker_loss import WorkerLoss
 from mimosapoint.cell.election import Ownership
 from mimosapoint.cell.freshness import Freshness
-from mimosapoint.cell.keys import EPOCH_KEY, ROSTER_KEY
+from mimosapoint.cell.keys import ROSTER_KEY
+from mimosapoint.cell.owned_entry import OwnedEntry
 from mimosapoint.cell.recovery.inherited_workers import InheritedWorkers
 from mimosapoint.cell.settings import CellSettings
 from mimosapoint.cell.store_availability import StoreAvailability
@@ -21,11 +22,9 @@
 from mimosapoint.ports import (
     Clock,
     Telemetry,
-    TransactionConflict,
     TransactionStore,
     WorkerEntryDecoder,
     WorkerRegistration,
-    Write,
 )
 
 __all__ = ["Fleet"]
@@ -61,13 +60,12 @@
     ):
         self.sessions_by_id: dict[str, WorkerSession] = {}
         self.first_generation = 1
-        self._ownership = ownership
         self._store = store
         self._decoder = decoder
         self._clock = clock
         self._settings = settings
         self._freshness = Freshness(clock, settings)
-        self._roster_rev = 0
+        self._roster_entry = OwnedEntry(store, ROSTER_KEY, ownership)
         self._roster: tuple[WorkerRegistration, ...] = ()
         self.inherited = InheritedWorkers()
         self.unlisted_runs_until = clock.now()
@@ -151,10 +149,9 @@
         If a part of it cannot be read, there may be runs on workers that are not known. They count
         as ended when every lease that an earlier owner may have renewed has expired.
         """
-        entry = await self._store.get(ROSTER_KEY)
+        entry = await self._roster_entry.read()
         if entry is None:
             return
-        self._roster_rev = entry.revision
         self._roster, errors = _decode_roster(entry.value)
         self.inherited = InheritedWorkers(
             {each.id: each.capacity for each in self._roster}, has_unlisted=bool(errors)
@@ -290,18 +287,9 @@
         sessions = [session for session in self.sessions_by_id.values() if not session.is_drained]
         wanted = tuple(session.registration for session in sessions)
         if {each.id for each in wanted} != {each.id for each in self._roster}:
-            conditions = {EPOCH_KEY: self._ownership.epoch_rev, ROSTER_KEY: self._roster_rev}
-            try:
-                self._roster_rev = await self._store.commit(
-                    conditions, [Write(ROSTER_KEY, encode(wanted))]
-                )
-            except TransactionConflict as conflict:
-                self._ownership.raise_if_fenced(conflict)
-                roster = conflict.entries_by_key.get(ROSTER_KEY)
-                self._roster_rev = roster.revision if roster else 0
-                return
+            revision = await self._roster_entry.write(encode(wanted))
             self._roster = wanted
-            telemetry.event("roster-stored", workers=len(wanted), revision=self._roster_rev)
+            telemetry.event("roster-stored", workers=len(wanted), revision=revision)
         # A session may have changed while the roster was being stored.
         stored_ids = {each.id for each in self._roster}
         for session in self.sessions_by_id.values():
--- a/packages/mimosapoint/src/mimosapoint/cell/load_summary.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/load_summary.py
@@ -12,10 +12,11 @@
 from mimosapoint.cell.dependencies import CellOwnerDependencies
 from mimosapoint.cell.election import Ownership
 from mimosapoint.cell.job_table import CellJobTable
-from mimosapoint.cell.keys import EPOCH_KEY, LOAD_KEY
+from mimosapoint.cell.keys import LOAD_KEY
+from mimosapoint.cell.owned_entry import OwnedEntry
 from mimosapoint.cell.settings import CellSettings
 from mimosapoint.errors import CodecError, StoreTimeout, StoreUnavailable
-from mimosapoint.ports import Clock, Telemetry, TransactionConflict, TransactionStore, Write
+from mimosapoint.ports import Clock, Telemetry, TransactionStore
 from mimosapoint.workload import ResourceAmounts
 
 __all__ = ["LoadSummaryReader", "LoadSummaryWriter"]
@@ -41,7 +42,7 @@
         ownership: Ownership,
         settings: CellSettings,
     ):
-        self._store = ports.store
+        self._entry = OwnedEntry(ports.store, LOAD_KEY, ownership)
         self._telemetry = ports.telemetry
         self._job_table = job_table
         self._ownership = ownership
@@ -75,7 +76,10 @@
         self._newest = LoadSummary(self._ownership.epoch, context.now, free, loads_by_name)
 
     async def run(self) -> None:
-        """Publish the summary when it changes, until cancelled."""
+        """Publish the summary when it changes, until cancelled.
+
+        :raises StaleEpoch: another node has claimed the cell.
+        """
         while True:
             if self._is_changed():
                 await self._publish(self._newest)
@@ -93,11 +97,10 @@
         return self._newest is not self._published
 
     async def _publish(self, summary: LoadSummary) -> None:
-        write = Write(LOAD_KEY, summary.to_bytes())
         try:
-            await self._store.commit({EPOCH_KEY: self._ownership.epoch_rev}, [write])
+            await self._entry.write(summary.to_bytes())
             self._published = summary
-        except (StoreUnavailable, StoreTimeout, TransactionConflict) as error:
+        except (StoreUnavailable, StoreTimeout) as error:
             self._telemetry.event("load-not-stored", epoch=self._ownership.epoch, error=error.code)
 
 
