Keep the ends that a new owner finds

Callers saw: tasks that were done ran again, over a second after their end had been acknowledged (TWICE in the users' record of their own machines).

Cause, reproduced by a test: an owner creates the units of an occurrence when it is due by its own clock, and the clocks of two nodes differ. The end of a run that an earlier owner had started was dropped by the next one, for which the occurrence was not due, and acknowledged; the task ran again when it was. A run that still worked was stopped as unwanted. Two other ends were dropped alike: done of an earlier run than the one that works, and any end of a run that is stopped as unwanted.

Change: a found run or end creates its unit, which waits for its time if it has to start again. Ends that are done or failed change the progress before they are acknowledged, but for the done of a run whose lease has expired.

That the users' cases have this cause is suspected: their record names neither a recurring job nor clocks. Progress keeps its form.

--- a/packages/mimosapoint/src/mimosapoint/cell/decisions/units.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/decisions/units.py
@@ -138,6 +138,7 @@
     :param failed_on: workers on which runs of the unit failed.
     :param unseen_ends: runs that have ended on a silent worker and may have failed there, with the
         time after which the worker's lease is over and their ends no longer count.
+    :param lapsed_runs: runs whose worker's lease expired before it reported their end.
     :param step: step of the unit.
     :param size: number of tasks.
     """
@@ -154,6 +155,7 @@
     preemptions: int = 0
     failed_on: set[str] = attrs.field(factory=set)
     unseen_ends: dict[int, datetime] = attrs.field(factory=dict)
+    lapsed_runs: set[int] = attrs.field(factory=set)
     step: Step = attrs.field(init=False, repr=False)
     size: int = attrs.field(init=False)
 
--- a/packages/mimosapoint/src/mimosapoint/cell/job_table.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/job_table.py
@@ -112,15 +112,36 @@
         for unit_id in job.record.units_of(occurrence, number):
             if job.progress.is_done(unit_id):
                 continue
-            unit = Unit(unit_id, job, UnitState.WAITING, now)
-            job.units_by_id[unit_id] = unit
-            self.waiting_by_id[unit_id] = unit
+            unit = job.units_by_id.setdefault(unit_id, Unit(unit_id, job, UnitState.WAITING, now))
+            if unit.state is UnitState.WAITING:
+                self.waiting_by_id[unit_id] = unit
 
     def find(self, unit_id: UnitId) -> Unit | None:
         """Return a unit, or ``None`` if it has not been created."""
         job = self.jobs_by_id.get(unit_id.job)
         return job.units_by_id.get(unit_id) if job else None
 
+    def find_started(self, task: TaskId) -> Unit | None:
+        """Return the unit of a task that a worker has reported; ``None`` if it is of no open job.
+
+        An earlier owner may have created the unit before its time by this owner's clock. It is then
+        created here too, and waits for its time if it has to start again.
+        """
+        job = self.jobs_by_id.get(task.job)
+        unit_id = job.record.unit_of(task) if job else None
+        if unit_id is None:
+            return None
+        unit = job.units_by_id.get(unit_id)
+        if unit is None and not (job.progress.phase.ended or job.progress.is_done(unit_id)):
+            unit = Unit(unit_id, job, UnitState.WAITING, self._clock.now())
+            job.units_by_id[unit_id] = unit
+        return unit
+
+    def may_have_started(self, unit: Unit) -> bool:
+        """Return whether an earlier owner may rightly have started a waiting unit."""
+        is_expanded = (unit.id.occurrence, unit.id.step) in unit.job.expanded_steps
+        return is_expanded or unit.job.due(unit.id.occurrence) > self._clock.now()
+
     def activate(self, unit: Unit, run: int) -> None:
         """Mark a unit as active with the given run."""
         unit.state = UnitState.ACTIVE
@@ -141,7 +162,8 @@
         elif unit.state is UnitState.ACTIVE:
             unit.state = UnitState.WAITING
             unit.since = self._clock.now()
-            self.waiting_by_id[unit.id] = unit
+            if (unit.id.occurrence, unit.id.step) in unit.job.expanded_steps:
+                self.waiting_by_id[unit.id] = unit
             # A stale record delays the next owner at most; that of a suspect would be evidence.
             start = unit.job.progress.starts.pop(unit.id.key, None)
             if start is not None and start.born:
--- a/packages/mimosapoint/src/mimosapoint/cell/run_supervisor.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/run_supervisor.py
@@ -87,7 +87,7 @@
         """Adopt a run that an earlier owner started, or stop it if it is unwanted."""
         job = self._job_table.jobs_by_id.get(status.task.job)
         unit_id = job.record.unit_of(status.task) if job else None
-        unit = self._job_table.find(unit_id) if unit_id else None
+        unit = self._job_table.find_started(status.task)
         amounts = UNKNOWN_AMOUNTS
         if job is not None and unit_id is not None:
             amounts = job.record.steps[unit_id.step].amounts
@@ -127,12 +127,15 @@
         self._telemetry.count("cell_runs_over", end=end.value)
         if unit is None:
             self._unwanted_run_counts -= Counter({task_run.task: 1})
+            self._apply_found_end(task_run.task, task_run.run, end, checkpoint)
             return
         if unit.task_runs_by_task.get(task_run.task) is task_run:
             del unit.task_runs_by_task[task_run.task]
         # A stop saves the progress up to it; the tasks that it breaks have an older checkpoint.
         if not (end is RunEnd.BROKEN and unit.end is RunEnd.STOPPED):
             self._job_table.save_checkpoint(unit, checkpoint, durable=True)
+        if end is RunEnd.LAPSED:
+            unit.lapsed_runs.add(task_run.run)
         self._handle_run_end(unit, task_run, end)
         self._end_broken_gang(unit)
 
@@ -147,34 +150,42 @@
 
         :return: whether it changed a unit.
         """
-        job = self._job_table.jobs_by_id.get(ended.task.job)
-        unit_id = job.record.unit_of(ended.task) if job else None
-        unit = self._job_table.find(unit_id) if unit_id else None
+        is_changed = self._apply_found_end(ended.task, ended.run, ended.end, ended.checkpoint)
+        if is_changed:
+            self._telemetry.event(
+                "run-over",
+                job=ended.task.job,
+                task=ended.task,
+                run=ended.run,
+                worker=worker.id,
+                end=ended.end,
+                reason="found",
+            )
+        return is_changed
+
+    def _apply_found_end(self, task: TaskId, run: int, end: RunEnd, checkpoint: str) -> bool:
+        """Apply the end of a run that is not one of its unit; return whether it changed the unit.
+
+        Its worker forgets the end afterwards, so that one that matters has to change the progress.
+        """
+        unit = self._job_table.find_started(task)
         if unit is None or unit.state in (UnitState.DONE, UnitState.DROPPED):
             return False
-        unit.unseen_ends.pop(ended.run, None)
-        superseded = ended.run < unit.run and unit.state is UnitState.ACTIVE
-        if superseded and ended.end is not RunEnd.FAILED:
+        unit.unseen_ends.pop(run, None)
+        superseded = run < unit.run and unit.state is UnitState.ACTIVE
+        is_void = end is RunEnd.DONE and run in unit.lapsed_runs
+        if superseded and (is_void or end not in (RunEnd.DONE, RunEnd.FAILED)):
             return False
-        self._telemetry.event(
-            "run-over",
-            job=ended.task.job,
-            task=ended.task,
-            run=ended.run,
-            worker=worker.id,
-            end=ended.end,
-            reason="found",
-        )
         if not superseded:
-            self._job_table.save_checkpoint(unit, ended.checkpoint, durable=True)
-        if ended.end is RunEnd.DONE:
+            self._job_table.save_checkpoint(unit, checkpoint, durable=True)
+        if end is RunEnd.DONE:
             self._job_table.finish_unit(unit)
             self.stop_unit(unit, "done-elsewhere")
-        elif ended.end is RunEnd.FAILED:
-            self._job_table.fail_run(unit, ended.run)
-            # Even when found late, a failure counts as an attempt of the job, though not against
-            # the worker. It does not stop a run that started after it.
-            if job.progress.phase.ended or not superseded:
+        elif end is RunEnd.FAILED:
+            self._job_table.fail_run(unit, run)
+            # Found late, a failure counts as an attempt, though not against the worker, and does
+            # not stop a run that started after it.
+            if unit.job.progress.phase.ended or not superseded:
                 self._stop_after_failure(unit)
         return True
 
@@ -268,7 +279,7 @@
             return False
         if unit.state is UnitState.ACTIVE:
             return status.run == unit.run and status.task not in unit.task_runs_by_task
-        return unit.state is UnitState.WAITING
+        return unit.state is UnitState.WAITING and self._job_table.may_have_started(unit)
 
     def _handle_run_end(self, unit: Unit, task_run: TaskRun, end: RunEnd) -> None:
         """Update a unit after the end of one of its runs.
@@ -379,10 +390,7 @@
             self.stop_unit(unit, reason)
 
     def has_remaining_run(self, unit: Unit) -> bool:
-        """Return whether a run of the unit's tasks is left, such as one that is being stopped.
-
-        So is one that has ended on a silent worker, if its end may be the last permitted failure.
-        """
+        """Return whether a run is left, or an unseen end may be the last permitted failure."""
         if unit.task_runs_by_task or not unit.has_attempts_left(self._clock.now()):
             return True
         return bool(self._unwanted_run_counts) and any(
--- /dev/null
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_found_ends.py
@@ -0,0 +1,101 @@
+"""Tests of ends that a new owner finds: a worker forgets them once they are acknowledged."""
+
+from datetime import timedelta
+
+import trio
+
+from mimosapoint.cell.tests._site import SMALL, open_site
+from mimosapoint.memory import TrioClock
+from mimosapoint.ports import EndedRun, RunStatus
+from mimosapoint.testing import TrioTestCase
+from mimosapoint.workload import Phase, RunEnd, Schedule, Step
+
+SKEW = timedelta(seconds=3)
+LATE_END_NUMBER = 1000
+
+
+class FoundEndTest(TrioTestCase):
+    mock_clock = True
+
+    async def start_early(self, site, run_seconds):
+        """Start an occurrence by an owner whose clock is ahead, and kill that owner.
+
+        By the clock of the next owner the occurrence is due in some seconds.
+        """
+        site.clock = TrioClock(site.clock.now() + SKEW)
+        ahead = site.add_node()
+        site.clock = TrioClock(site.clock.now() - SKEW)
+        await trio.sleep(1)
+        site.add_node()
+        await trio.sleep(0.5)
+        site.simulation.run_time = timedelta(seconds=run_seconds)
+        schedule = Schedule(site.clock.now() + SKEW, timedelta(minutes=10), 1)
+        await site.submit("a", Step(2, SMALL), schedule=schedule, node=ahead)
+        await site.wait_running("a", 2, within=1)
+        ahead.kill()
+
+    def assert_runs(self, site, *ends):
+        self.assertEqual(list(ends), [record.end for record in site.runs("a")])
+        self.assertEqual([], site.violations())
+
+    # Guards against tasks that run again after they were done, as the end was found before the
+    # occurrence was due by the clock of the new owner.
+    async def test_the_end_of_an_occurrence_that_is_not_due_yet_is_kept(self):
+        async with open_site(nodes=0, workers=2) as site:
+            await self.start_early(site, run_seconds=0.3)
+            await site.wait_phase("a", Phase.COMPLETE)
+            self.assert_runs(site, RunEnd.DONE, RunEnd.DONE)
+
+    # Guards against the stop of runs that work well, and their start once more.
+    async def test_a_run_of_an_occurrence_that_is_not_due_yet_goes_on(self):
+        async with open_site(nodes=0, workers=2) as site:
+            await self.start_early(site, run_seconds=2.5)
+            await site.wait_phase("a", Phase.COMPLETE)
+            self.assert_runs(site, RunEnd.DONE, RunEnd.DONE)
+
+    async def test_an_occurrence_that_failed_before_it_was_due_starts_again_when_it_is(self):
+        async with open_site(nodes=0, workers=2) as site:
+            site.simulation.failing_jobs.add("a")
+            due_at = trio.current_time() + 1.5 + SKEW.total_seconds()
+            site.clock = TrioClock(site.clock.now() + SKEW)
+            ahead = site.add_node()
+            site.clock = TrioClock(site.clock.now() - SKEW)
+            await trio.sleep(1)
+            site.add_node()
+            await trio.sleep(0.5)
+            schedule = Schedule(site.clock.now() + SKEW, timedelta(minutes=10), 1)
+            await site.submit("a", Step(1, SMALL), schedule=schedule, node=ahead)
+            with trio.fail_after(1):
+                while not site.runs("a"):
+                    await trio.sleep(0.001)
+            ahead.kill()
+            site.simulation.failing_jobs.clear()
+            await site.wait_phase("a", Phase.COMPLETE)
+            self.assertGreaterEqual(site.runs("a")[-1].started_at, due_at - 0.25)
+
+    # Guards against an end that is acknowledged although no progress holds it.
+    async def test_the_end_of_an_earlier_run_is_kept_while_another_one_works(self):
+        async with open_site(nodes=2, workers=2) as site:
+            site.simulation.run_time = timedelta(seconds=30)
+            await site.submit("a", Step(1, SMALL))
+            await site.wait_running("a")
+            record, owner = site.running("a")[0], site.owner.cell.owner
+            worker = owner.fleet.sessions_by_id["w1"].worker
+            done = EndedRun(LATE_END_NUMBER, record.task, record.run - 1, RunEnd.DONE, "")
+            owner.on_unknown_run_ended(worker, done)
+            await site.wait_phase("a", Phase.COMPLETE, within=2)
+            await trio.sleep(1)
+            self.assertEqual([RunEnd.STOPPED], [each.end for each in site.runs("a")])
+
+    async def test_the_end_of_a_run_that_is_being_stopped_as_unwanted_is_kept(self):
+        async with open_site(nodes=2, workers=2) as site:
+            site.simulation.run_time = timedelta(seconds=30)
+            await site.submit("a", Step(1, SMALL))
+            await site.wait_running("a")
+            record, owner = site.running("a")[0], site.owner.cell.owner
+            worker = owner.fleet.sessions_by_id["w1"].worker
+            earlier = RunStatus(record.task, record.run - 1, "", 50)
+            unwanted = owner.adopt_run(worker, earlier)
+            worker.add(unwanted)
+            owner.fleet.sessions_by_id["w1"].end_task_run(unwanted, RunEnd.DONE)
+            await site.wait_phase("a", Phase.COMPLETE, within=2)
