Write the roster again after a write without a reply

Callers would see: a task runs twice after a change of owner, as the new owner does not know of a worker with runs.

Cause: a draining worker without runs leaves the roster. If that write got no reply, the worker still counted as listed, and once it took work again the owner saw no reason to write, while the write could take effect seconds later.

Change: what a write leaves out counts as not listed from before it, and the roster is written again until a write succeeds, on condition of the last revision.

Result: the new test of the fleet failed on the code before and passes now.

--- a/packages/mimosapoint/src/mimosapoint/cell/fleet.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/fleet.py
@@ -67,6 +67,7 @@
         self._freshness = Freshness(clock, settings)
         self._roster_entry = OwnedEntry(store, ROSTER_KEY, ownership)
         self._roster: tuple[WorkerRegistration, ...] = ()
+        self._is_roster_known = True
         self.inherited = InheritedWorkers()
         self.unlisted_runs_until = clock.now()
         self._missing_since: dict[str, datetime] = {}
@@ -286,9 +287,14 @@
         """
         sessions = [session for session in self.sessions_by_id.values() if not session.is_drained]
         wanted = tuple(session.registration for session in sessions)
-        if {each.id for each in wanted} != {each.id for each in self._roster}:
+        wanted_ids = {each.id for each in wanted}
+        if not self._is_roster_known or wanted_ids != {each.id for each in self._roster}:
+            # Without a reply, the write may have its effect until the next one succeeds.
+            self._is_roster_known = False
+            for session in self.sessions_by_id.values():
+                session.on_roster = session.on_roster and session.id in wanted_ids
             revision = await self._roster_entry.write(encode(wanted))
-            self._roster = wanted
+            self._roster, self._is_roster_known = wanted, True
             telemetry.event("roster-stored", workers=len(wanted), revision=revision)
         # A session may have changed while the roster was being stored.
         stored_ids = {each.id for each in self._roster}
--- a/packages/mimosapoint/src/mimosapoint/cell/tests/test_failover.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_failover.py
@@ -9,6 +9,8 @@
 from mimosapoint.cell.settings import CellSettings
 from mimosapoint.cell.tests._site import CAPACITY, POOL, SMALL, WIDE, open_site
 from mimosapoint.cell.worker_session import WorkerSession
+from mimosapoint.codec import decode
+from mimosapoint.errors import StoreTimeout
 from mimosapoint.memory import TrioClock
 from mimosapoint.ports import EndedRun, WorkerRegistration, WorkerRunReport
 from mimosapoint.telemetry import MemoryTelemetry
@@ -51,6 +53,41 @@
         await fleet._write_roster(MemoryTelemetry())
         self.assertTrue(session.on_roster)
 
+    # Guards against a worker with runs that the stored roster lacks, as a write that left it out
+    # took effect after its reply was lost, when the worker was in use again.
+    async def test_a_worker_that_an_unanswered_write_leaves_out_gets_no_work_until_the_next(self):
+        registration = WorkerRegistration("w", "a:1", POOL, "z", "r", frozenset(), CAPACITY)
+        session = SimpleNamespace(
+            id="w", registration=registration, is_drained=False, on_roster=False
+        )
+        written, errors = [], []
+
+        async def commit(conditions, writes):
+            written.append(decode(writes[0].value, list))
+            if errors:
+                raise errors.pop()
+            return len(written)
+
+        fleet = Fleet(
+            SimpleNamespace(epoch_rev=1),
+            SimpleNamespace(commit=commit),
+            None,
+            TrioClock(),
+            CellSettings(),
+        )
+        fleet.sessions_by_id["w"] = session
+        await fleet._write_roster(MemoryTelemetry())
+        self.assertTrue(session.on_roster)
+        session.is_drained = True
+        errors.append(StoreTimeout("no reply"))
+        with self.assertRaises(StoreTimeout):
+            await fleet._write_roster(MemoryTelemetry())
+        session.is_drained = False
+        self.assertFalse(session.on_roster)
+        await fleet._write_roster(MemoryTelemetry())
+        self.assertEqual([1, 0, 1], [len(workers) for workers in written])
+        self.assertTrue(session.on_roster)
+
 
 class FailoverTest(TrioTestCase):
     mock_clock = True
