Let the soak upgrade nodes from an earlier build

Besides, the check of attempts that may be left is made only for units with unseen ends, as it was made for each waiting unit in each decision, and the batches of two watches are named so.

--- a/packages/mimosapoint/src/mimosapoint/cell/election.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/election.py
@@ -188,11 +188,11 @@
         revision = scan.revision
         self._update_owner(entries_by_key.get(OWNER_KEY))
         while OWNER_KEY in entries_by_key:
-            changes = await self._store.watch(
+            batch = await self._store.watch(
                 OWNER_PREFIX, revision, self._settings.owner_watch_timeout
             )
-            revision = changes.revision
-            for change in changes.changes:
+            revision = batch.revision
+            for change in batch.changes:
                 if isinstance(change, Removal):
                     entries_by_key.pop(change.key, None)
                 else:
--- a/packages/mimosapoint/src/mimosapoint/cell/operators.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/operators.py
@@ -116,16 +116,16 @@
             # does not wait for a change.
             is_confirmed = self._store_availability.is_available and self._freshness.is_fresh()
             timeout = self._settings.watch_timeout if is_confirmed else timedelta(0)
-            changes = await self._store.watch(
+            batch = await self._store.watch(
                 self._decoder.prefix, self._revision, timeout, self._watch_limit()
             )
-            for change in changes.changes:
+            for change in batch.changes:
                 if isinstance(change, Removal):
                     self._remove(change.key)
                 else:
                     self._apply(change)
-            self._revision = changes.revision
-            self._freshness.confirm_watched(requested_at, changes.transfer_time)
+            self._revision = batch.revision
+            self._freshness.confirm_watched(requested_at, batch.transfer_time)
 
     def _watch_limit(self) -> int:
         """Return the size of changes, in bytes, above which reading all entries anew is shorter.
--- a/packages/mimosapoint/src/mimosapoint/cell/run_supervisor.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/run_supervisor.py
@@ -391,7 +391,9 @@
 
     def has_remaining_run(self, unit: Unit) -> bool:
         """Return whether a run is left, or an unseen end may be the last permitted failure."""
-        if unit.task_runs_by_task or not unit.has_attempts_left(self._clock.now()):
+        if unit.task_runs_by_task:
+            return True
+        if unit.unseen_ends and not unit.has_attempts_left(self._clock.now()):
             return True
         return bool(self._unwanted_run_counts) and any(
             task in self._unwanted_run_counts for task in unit.tasks
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -37,18 +37,23 @@
             yield seed
 
 
-def main(seeds: int = 5, first: int = 1, seconds: float = 0, failed: bool = False) -> None:
+def main(
+    seeds: int = 5, first: int = 1, seconds: float = 0, failed: bool = False, earlier: str = ""
+) -> None:
     """Run seeds and exit with code 1 when a promise was violated.
 
     :param seeds: number of seeds.
     :param first: first seed.
     :param seconds: seconds in which to run new seeds, in place of a number of seeds.
     :param failed: run the seeds that failed before.
+    :param earlier: checkout of an earlier build; all nodes start with it and are upgraded one after
+        the other during the faults.
     """
+    earlier_build = Path(earlier).resolve() if earlier else None
     seeds_run = seeds_failed = 0
     for seed in choose_seeds(seeds, first, seconds, failed):
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-        result = trio.run(run_seed, seed, folder)
+        result = trio.run(run_seed, seed, folder, earlier_build)
         verdict = "broken" if result.violations else "kept"
         print(
             f"seed={seed} {verdict} accepted={result.accepted} lag={result.lag:.2f}"
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -45,12 +45,16 @@
     lag: float
 
 
-async def run_seed(seed: int, folder: Path) -> Result:
-    """Run one seed."""
+async def run_seed(seed: int, folder: Path, earlier_build: Path | None = None) -> Result:
+    """Run one seed.
+
+    :param folder: folder for settings and logs.
+    :param earlier_build: checkout of a build from which the nodes are upgraded during the faults.
+    """
     random = Random(seed)
     profile = profile_of(seed)
     async with trio.open_nursery() as nursery:
-        site = SoakSite(folder, nursery, profile)
+        site = SoakSite(folder, nursery, profile, earlier_build)
         try:
             await site.start()
             callers = Callers(site, Random(seed + 1), Connections(site.addresses))
@@ -60,7 +64,10 @@
             async with trio.open_nursery() as background:
                 finished = trio.Event()
                 background.start_soon(callers.submit_until, finished)
-                await inject_faults(site, random, FAULT_SECONDS, injected)
+                async with trio.open_nursery() as disturbances:
+                    if earlier_build is not None:
+                        disturbances.start_soon(_upgrade_nodes, site)
+                    disturbances.start_soon(inject_faults, site, random, FAULT_SECONDS, injected)
                 if profile.has_crashes:
                     # Under the lowest cap gangs run one by one, and a backlog outlasts the check.
                     site.configurations.change_cap(0)
@@ -80,6 +87,14 @@
     return Result(violations, injected, len(callers.accepted_at_by_job), site.log.longest_lag())
 
 
+async def _upgrade_nodes(site: SoakSite) -> None:
+    """Upgrade the nodes one after the other during the faults."""
+    nodes = len(site.profile.mbps_by_node)
+    for number in range(nodes):
+        await trio.sleep(FAULT_SECONDS / nodes)
+        await site.upgrade_node(number)
+
+
 def _is_given_up(callers: Callers, job: str, state: str) -> bool:
     """Return whether a job is shown as failed, and a task of it has crashed workers."""
     history = callers.site.simulation.history
--- a/tools/soak/site.py
+++ b/tools/soak/site.py
@@ -71,10 +71,18 @@
     :param folder: folder for the settings and logs of the nodes.
     :param nursery: nursery that runs the stand-ins and proxies.
     :param profile: size of the site.
+    :param earlier_build: checkout whose build the nodes start with; ``None`` for the present one.
     """
 
-    def __init__(self, folder: Path, nursery: trio.Nursery, profile: Profile):
+    def __init__(
+        self,
+        folder: Path,
+        nursery: trio.Nursery,
+        profile: Profile,
+        earlier_build: Path | None = None,
+    ):
         self.profile = profile
+        self.earlier_build = earlier_build
         self.folder = folder
         self.log = SoakLog(folder / "soak.log")
         self.nursery = nursery
@@ -87,6 +95,7 @@
         self.store_proxies: list[Proxy] = []
         self.crashing_job_periods = 0
         self.processes: list[trio.Process | None] = []
+        self._builds = [earlier_build or ROOT for _ in profile.mbps_by_node]
         self.addresses: list[str] = []
         self.operator_addresses: list[str] = []
         self._started: list[trio.Process] = []
@@ -120,10 +129,16 @@
 
     async def _start_process(self, number: int) -> None:
         settings = self._settings_path(number)
-        environment = {**os.environ, "MIMOSAPOINT_CONFIG": str(settings)}
+        build = self._builds[number]
+        sources = [*build.glob("packages/*/src"), build / "platform"]
+        environment = {
+            **os.environ,
+            "MIMOSAPOINT_CONFIG": str(settings),
+            "PYTHONPATH": os.pathsep.join(map(str, sources)),
+        }
         with (self.folder / f"node-{number}.log").open("ab") as log:
             process = await trio.lowlevel.open_process(
-                [sys.executable, str(ROOT / "platform" / "run.py")],
+                [sys.executable, str(build / "platform" / "run.py")],
                 stdout=log,
                 stderr=log,
                 env=environment,
@@ -157,6 +172,14 @@
         if process is not None and process.returncode is None:
             process.send_signal(getattr(signal, name))
 
+    async def upgrade_node(self, number: int) -> None:
+        """Replace a node of the earlier build by one of the present build."""
+        self._builds[number] = ROOT
+        self.log.write("upgrade", node=number)
+        await self.signal_node(number, "SIGTERM")
+        await self.wait_node(number)
+        await self.start_node(number)
+
     async def wait_node(self, number: int) -> None:
         """Wait until the process of a node has ended."""
         process = self.processes[number]
