--- a/packages/mimosapoint/src/mimosapoint/cell/tests/test_failover.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_failover.py
@@ -23,28 +23,28 @@
 
 
 class RosterTest(TrioTestCase):
+    def open_fleet(self, commit):
+        """Return a fleet of one worker, and its session."""
+        registration = WorkerRegistration("w", "a:1", POOL, "z", "r", frozenset(), CAPACITY)
+        session = SimpleNamespace(
+            id="w", registration=registration, is_drained=False, on_roster=False
+        )
+        ownership, store = SimpleNamespace(epoch_rev=1), SimpleNamespace(commit=commit)
+        fleet = Fleet(ownership, store, None, TrioClock(), CellSettings())
+        fleet.sessions_by_id["w"] = session
+        return fleet, session
+
     async def test_a_worker_that_the_stored_roster_omits_gets_no_work(self):
         """A drained worker restarts while the roster without it is being stored.
 
         The next owner would not wait for the runs on it.
         """
-        registration = WorkerRegistration("w", "a:1", POOL, "z", "r", frozenset(), CAPACITY)
-        session = SimpleNamespace(
-            id="w", registration=registration, is_drained=False, on_roster=False
-        )
 
         async def commit(conditions, writes):
             session.is_drained = False
             return 1
 
-        fleet = Fleet(
-            SimpleNamespace(epoch_rev=1),
-            SimpleNamespace(commit=commit),
-            None,
-            TrioClock(),
-            CellSettings(),
-        )
-        fleet.sessions_by_id["w"] = session
+        fleet, session = self.open_fleet(commit)
         await fleet._write_roster(MemoryTelemetry())
         self.assertTrue(session.on_roster)
         session.is_drained = True
@@ -56,10 +56,6 @@
     # Guards against a worker with runs that the stored roster lacks, as a write that left it out
     # took effect after its reply was lost, when the worker was in use again.
     async def test_a_worker_that_an_unanswered_write_leaves_out_gets_no_work_until_the_next(self):
-        registration = WorkerRegistration("w", "a:1", POOL, "z", "r", frozenset(), CAPACITY)
-        session = SimpleNamespace(
-            id="w", registration=registration, is_drained=False, on_roster=False
-        )
         written, errors = [], []
 
         async def commit(conditions, writes):
@@ -68,14 +64,7 @@
                 raise errors.pop()
             return len(written)
 
-        fleet = Fleet(
-            SimpleNamespace(epoch_rev=1),
-            SimpleNamespace(commit=commit),
-            None,
-            TrioClock(),
-            CellSettings(),
-        )
-        fleet.sessions_by_id["w"] = session
+        fleet, session = self.open_fleet(commit)
         await fleet._write_roster(MemoryTelemetry())
         self.assertTrue(session.on_roster)
         session.is_drained = True
--- a/packages/mimosapoint/src/mimosapoint/cell/tests/test_found_ends.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_found_ends.py
@@ -17,10 +17,10 @@
 class FoundEndTest(TrioTestCase):
     mock_clock = True
 
-    async def start_early(self, site, run_seconds):
-        """Start an occurrence by an owner whose clock is ahead, and kill that owner.
+    async def submit_early(self, site):
+        """Submit a job to an owner whose clock is ahead, and return that owner.
 
-        By the clock of the next owner the occurrence is due in some seconds.
+        By the clock of the other node, the next owner, the occurrence is due in some seconds.
         """
         site.clock = TrioClock(site.clock.now() + SKEW)
         ahead = site.add_node()
@@ -28,9 +28,14 @@
         await trio.sleep(1)
         site.add_node()
         await trio.sleep(0.5)
-        site.simulation.run_time = timedelta(seconds=run_seconds)
         schedule = Schedule(site.clock.now() + SKEW, timedelta(minutes=10), 1)
         await site.submit("a", Step(2, SMALL), schedule=schedule, node=ahead)
+        return ahead
+
+    async def start_early(self, site, run_seconds):
+        """Let the owner whose clock is ahead start the occurrence, and kill it."""
+        site.simulation.run_time = timedelta(seconds=run_seconds)
+        ahead = await self.submit_early(site)
         await site.wait_running("a", 2, within=1)
         ahead.kill()
 
@@ -56,15 +61,8 @@
     async def test_an_occurrence_that_failed_before_it_was_due_starts_again_when_it_is(self):
         async with open_site(nodes=0, workers=2) as site:
             site.simulation.failing_jobs.add("a")
-            due_at = trio.current_time() + 1.5 + SKEW.total_seconds()
-            site.clock = TrioClock(site.clock.now() + SKEW)
-            ahead = site.add_node()
-            site.clock = TrioClock(site.clock.now() - SKEW)
-            await trio.sleep(1)
-            site.add_node()
-            await trio.sleep(0.5)
-            schedule = Schedule(site.clock.now() + SKEW, timedelta(minutes=10), 1)
-            await site.submit("a", Step(1, SMALL), schedule=schedule, node=ahead)
+            ahead = await self.submit_early(site)
+            due_at = trio.current_time() + SKEW.total_seconds()
             with trio.fail_after(1):
                 while not site.runs("a"):
                     await trio.sleep(0.001)
@@ -73,29 +71,31 @@
             await site.wait_phase("a", Phase.COMPLETE)
             self.assertGreaterEqual(site.runs("a")[-1].started_at, due_at - 0.25)
 
+    async def run_task(self, site):
+        """Start a long task on one of two workers; return its record, the owner and the other."""
+        site.simulation.run_time = timedelta(seconds=30)
+        await site.submit("a", Step(1, SMALL))
+        await site.wait_running("a")
+        record, owner = site.running("a")[0], site.owner.cell.owner
+        sessions = owner.fleet.sessions_by_id.values()
+        other = next(session for session in sessions if session.id != record.worker)
+        return record, owner, other
+
     # Guards against an end that is acknowledged although no progress holds it.
     async def test_the_end_of_an_earlier_run_is_kept_while_another_one_works(self):
         async with open_site(nodes=2, workers=2) as site:
-            site.simulation.run_time = timedelta(seconds=30)
-            await site.submit("a", Step(1, SMALL))
-            await site.wait_running("a")
-            record, owner = site.running("a")[0], site.owner.cell.owner
-            worker = owner.fleet.sessions_by_id["w1"].worker
+            record, owner, other = await self.run_task(site)
             done = EndedRun(LATE_END_NUMBER, record.task, record.run - 1, RunEnd.DONE, "")
-            owner.on_unknown_run_ended(worker, done)
+            owner.on_unknown_run_ended(other.worker, done)
             await site.wait_phase("a", Phase.COMPLETE, within=2)
             await trio.sleep(1)
             self.assertEqual([RunEnd.STOPPED], [each.end for each in site.runs("a")])
 
     async def test_the_end_of_a_run_that_is_being_stopped_as_unwanted_is_kept(self):
         async with open_site(nodes=2, workers=2) as site:
-            site.simulation.run_time = timedelta(seconds=30)
-            await site.submit("a", Step(1, SMALL))
-            await site.wait_running("a")
-            record, owner = site.running("a")[0], site.owner.cell.owner
-            worker = owner.fleet.sessions_by_id["w1"].worker
+            record, owner, other = await self.run_task(site)
             earlier = RunStatus(record.task, record.run - 1, "", 50)
-            unwanted = owner.adopt_run(worker, earlier)
-            worker.add(unwanted)
-            owner.fleet.sessions_by_id["w1"].end_task_run(unwanted, RunEnd.DONE)
+            unwanted = owner.adopt_run(other.worker, earlier)
+            other.worker.add(unwanted)
+            other.end_task_run(unwanted, RunEnd.DONE)
             await site.wait_phase("a", Phase.COMPLETE, within=2)
