Show by a test that ends of unreadable jobs are acknowledged

An owner that cannot read a job drops the end of its task and acknowledges it; an owner that reads the job later starts the task again.

--- a/packages/mimosapoint/src/mimosapoint/cell/tests/test_found_ends.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_found_ends.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from mimosapoint.cell.keys import job_key
 from mimosapoint.cell.tests._site import SMALL, open_site
 from mimosapoint.memory import TrioClock
 from mimosapoint.ports import EndedRun, RunStatus
@@ -99,3 +100,19 @@
             other.worker.add(unwanted)
             other.end_task_run(unwanted, RunEnd.DONE)
             await site.wait_phase("a", Phase.COMPLETE, within=2)
+
+    # Guards against a task that runs again after it was done, as an owner that could not read its
+    # job has acknowledged the end.
+    async def test_the_end_of_a_job_that_one_owner_cannot_read_is_kept(self):
+        async with open_site(nodes=3, workers=2) as site:
+            site.simulation.run_time = timedelta(milliseconds=300)
+            await site.submit("a", Step(1, SMALL))
+            await site.wait_running("a")
+            site.owner.kill()
+            record = site.store.peek(job_key("a"))
+            site.store.put(job_key("a"), b"of another form")
+            await trio.sleep(6)
+            site.owner.kill()
+            site.store.put(job_key("a"), record)
+            await site.wait_phase("a", Phase.COMPLETE)
+            self.assertEqual([RunEnd.DONE], [each.end for each in site.runs("a")])
