--- a/packages/mimosapoint/src/mimosapoint/cell/tests/test_fencing_tokens.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_fencing_tokens.py
@@ -2,8 +2,8 @@
 
 import trio
 
-from mimosapoint.cell.fencing_token import fencing_token
 from mimosapoint.cell.keys import EPOCH_KEY
+from mimosapoint.cell.order_token import order_token
 from mimosapoint.cell.tests._site import SMALL, open_site
 from mimosapoint.testing import TrioTestCase
 from mimosapoint.workload import Phase, Step
@@ -52,7 +52,7 @@
             owner, worker = site.owner, site.simulation.workers_by_id["w0"]
             newer_epoch = owner.cell.owner.epoch + 1
             site.store.put(EPOCH_KEY, str(newer_epoch).encode())
-            worker.token = fencing_token(newer_epoch, 1)
+            worker.token = order_token(newer_epoch, 1)
             await trio.sleep(1.5)
             events = owner.telemetry.event_names()
             outcome = events[events.index("token-refused") + 1]
--- a/packages/mimosapoint/src/mimosapoint/cell/worker_session.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/worker_session.py
@@ -12,7 +12,7 @@
 from mimosapoint.cell.decisions.worker_pace import WorkerPace
 from mimosapoint.cell.decisions.worker_stability import WorkerStability
 from mimosapoint.cell.disturbances import Disturbances
-from mimosapoint.cell.fencing_token import fencing_token
+from mimosapoint.cell.order_token import order_token
 from mimosapoint.cell.renewal_sender import RenewalSender
 from mimosapoint.cell.reported_ends import ReportedEnds
 from mimosapoint.cell.run_reconciler import RunReconciler
@@ -392,4 +392,4 @@
     @property
     def token(self) -> int:
         """Fencing token of the orders to the worker."""
-        return fencing_token(self._epoch, self.generation)
+        return order_token(self._epoch, self.generation)
