Log an end from its worker to the callers

The logs did not tell which node showed which phase of a job and from where, at which revision an owner loaded progress and stored an end, nor from which incarnation of a worker an end came and up to which number ends may be acknowledged. Without these lines, hypotheses about a task that started again after its end cannot be told apart.

New events ends-reported, ends-stored, job-end-stored and phase-read; revision in phase-read-in-outage, progress_revision in job-known.

--- a/packages/mimosapoint/src/mimosapoint/cell/committer.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/committer.py
@@ -13,7 +13,7 @@
 from mimosapoint.codec import decode, encode
 from mimosapoint.errors import CodecError, StoreTimeout, StoreUnavailable
 from mimosapoint.ports import Telemetry, TransactionConflict, TransactionStore, Write
-from mimosapoint.workload import JobProgress
+from mimosapoint.workload import JobProgress, Phase
 
 __all__ = ["ProgressCommitter"]
 
@@ -77,7 +77,7 @@
                 await self._commit(batch)
 
     async def _commit(self, batch: list[Job]) -> None:
-        versions = [(job, job.progress_version) for job in batch]
+        contents = [(job, job.progress_version, job.progress.phase) for job in batch]
         conditions = {EPOCH_KEY: self._ownership.epoch_rev}
         writes = []
         for job in batch:
@@ -94,8 +94,8 @@
             await trio.sleep(self._settings.retry_delay.total_seconds())
         else:
             self._availability.record_success()
-            for job, version in versions:
-                self._mark_stored(job, version, revision)
+            for job, version, phase in contents:
+                self._mark_stored(job, version, phase, revision)
             self._notify_stored()
 
     def _resolve_conflict(self, conflict: TransactionConflict, batch: list[Job]) -> bool:
@@ -118,13 +118,22 @@
             self._telemetry.count("cell_commits_settled")
             job.progress_rev = revision
             if entry is not None and _decode_progress(entry.value) == job.progress:
-                self._mark_stored(job, job.progress_version, entry.revision)
+                self._mark_stored(job, job.progress_version, job.progress.phase, entry.revision)
         self._notify_stored()
         return is_resolved
 
-    def _mark_stored(self, job: Job, version: int, revision: int) -> None:
+    def _mark_stored(self, job: Job, version: int, phase: Phase, revision: int) -> None:
         job.progress_rev = revision
         job.stored_progress_version = version
+        if phase.ended and not job.stored_phase.ended:
+            self._telemetry.event(
+                "job-end-stored",
+                job=job.record.id,
+                phase=phase,
+                revision=revision,
+                epoch=self._ownership.epoch,
+            )
+        job.stored_phase = phase
         uncommitted = self._job_table.uncommitted_by_id
         if uncommitted.pop(job.record.id, None) and job.progress_version != version:
             # At the end, as jobs that change all the time would otherwise fill every batch.
--- a/packages/mimosapoint/src/mimosapoint/cell/decisions/units.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/decisions/units.py
@@ -15,6 +15,7 @@
 from mimosapoint.workload import (
     AcceptedJob,
     JobProgress,
+    Phase,
     ResourceAmounts,
     RunEnd,
     Step,
@@ -212,6 +213,7 @@
     :param remaining: number of units, over all occurrences, that are not done.
     :param progress_version: number of changes of the progress.
     :param stored_progress_version: newest version that is stored.
+    :param stored_phase: phase of the newest stored progress, which every later owner reads.
     :param failed_on: workers on which runs of the job failed.
     :param ended_at: time at which it ended; ``None`` before.
     :param critical_path: estimated duration of the longest dependency chain of its steps.
@@ -228,6 +230,7 @@
     remaining: int = 0
     progress_version: int = 0
     stored_progress_version: int = 0
+    stored_phase: Phase = attrs.field()
     failed_on: set[str] = attrs.field(factory=set)
     ended_at: datetime | None = None
     critical_path: timedelta = attrs.field(init=False)
@@ -235,6 +238,10 @@
         init=False, factory=dict, repr=False
     )
 
+    @stored_phase.default
+    def _phase_of_loaded_progress(self) -> Phase:
+        return self.progress.phase
+
     def __attrs_post_init__(self) -> None:
         self.critical_path = self.record.critical_path()
         per_occurrence = sum(1 if step.gang else step.count for step in self.record.steps)
--- a/packages/mimosapoint/src/mimosapoint/cell/gateway.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/gateway.py
@@ -277,7 +277,12 @@
                     nursery.start_soon(read, key)
         self._check_workspace(entries_by_key[keys[0]], workspace)
         progress = entries_by_key[keys[1]]
-        return Phase.QUEUED if progress is None else self._decode(progress, JobProgress).phase
+        if progress is None:
+            return Phase.QUEUED
+        phase = self._decode(progress, JobProgress).phase
+        if phase.ended:
+            self._telemetry.event("phase-read", job=job_id, phase=phase, revision=progress.revision)
+        return phase
 
     async def cancel(
         self, workspace: str, job_id: str, timeout: timedelta = DEFAULT_TIMEOUT
--- a/packages/mimosapoint/src/mimosapoint/cell/job_table.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/job_table.py
@@ -70,6 +70,7 @@
             queue=record.queue,
             workspace=record.tenant,
             revision=accepted_rev,
+            progress_revision=progress_rev,
             phase=job.progress.phase,
             units=job.remaining,
             priority=record.priority,
--- a/packages/mimosapoint/src/mimosapoint/cell/outage_reads.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/outage_reads.py
@@ -65,6 +65,7 @@
             job=job.record.id,
             phase=job.progress.phase,
             is_stored=is_stored,
+            revision=job.progress_rev,
             view_age=age,
         )
         self._telemetry.count("cell_reads_in_outage")
--- a/packages/mimosapoint/src/mimosapoint/cell/reported_ends.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/reported_ends.py
@@ -1,10 +1,10 @@
 """Ended runs that one incarnation of a worker has reported."""
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterator
 
 import attrs
 
-from mimosapoint.ports import EndedRun
+from mimosapoint.ports import EndedRun, Telemetry, WorkerRunReport
 
 __all__ = ["ReportedEnds"]
 
@@ -13,10 +13,16 @@
 class ReportedEnds:
     """Numbers of the ends that one incarnation has reported, which it counts from 1 on.
 
+    :param worker: id of the worker, for logs.
+    :param epoch: epoch of the ownership, for logs.
+    :param telemetry: logs and metrics.
     :param last_reported: highest number that was reported.
     :param last_stored: highest number up to which the resulting progress is stored.
     """
 
+    worker: str
+    epoch: int
+    telemetry: Telemetry = attrs.field(repr=False)
     last_reported: int = 0
     last_stored: int = 0
 
@@ -25,13 +31,23 @@
         """Whether the progress that results from all of them is stored."""
         return self.last_reported <= self.last_stored
 
-    def record(self, ended: Iterable[EndedRun]) -> Iterator[EndedRun]:
-        """Record reported ends and yield those that are not stored."""
-        for each in ended:
+    def record(self, report: WorkerRunReport) -> Iterator[EndedRun]:
+        """Record the ends of a report and yield those that are not stored."""
+        last_reported = self.last_reported
+        for each in report.ended:
             self.last_reported = max(self.last_reported, each.number)
             if each.number > self.last_stored:
                 yield each
-
-    def record_stored(self, number: int) -> None:
-        """Record that the progress of the ends up to a number is stored."""
-        self.last_stored = max(self.last_stored, number)
+        if self.last_reported > last_reported:
+            self._log("ends-reported", report, self.last_reported)
+
+    def record_stored(self, report: WorkerRunReport) -> None:
+        """Record that the progress of the ends of a report is stored."""
+        number = report.ended[-1].number
+        if number > self.last_stored:
+            self.last_stored = number
+            self._log("ends-stored", report, number)
+
+    def _log(self, event: str, report: WorkerRunReport, number: int) -> None:
+        fields = {"worker": self.worker, "born": report.born, "epoch": self.epoch}
+        self.telemetry.event(event, **fields, number=number)
--- a/packages/mimosapoint/src/mimosapoint/cell/worker_session.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/worker_session.py
@@ -47,8 +47,8 @@
     whether the stored roster lists it, and ``synced`` whether a run report of its present
     incarnation was applied. ``incarnation`` is the start of that one, in milliseconds of the
     worker's clock, or 0, and ``is_replaced`` tells whether another one replies at the address.
-    ``refusing_until`` is set after a start that the worker refused as
-    unhealthy; ``health`` counts the failures of jobs on it. ``generation`` is part of the token.
+    ``refusing_until`` is set after a start that the worker refused as unhealthy; ``health`` counts
+    the failures of jobs on it. ``generation`` is part of the token.
 
     :param registration: the worker's registration.
     :param epoch: epoch of the ownership.
@@ -84,7 +84,7 @@
         self._telemetry = telemetry
         self.generation = generation
         self.incarnation = 0
-        self._ends = ReportedEnds()
+        self._ends = ReportedEnds(self.id, epoch, telemetry)
         self.lease = WorkerLease(clock, settings, registration.born)
         self._orders = WorkerOrders(self, self.lease, workers, owner, clock, settings, telemetry)
         self.disturbances = Disturbances(self.worker, clock, telemetry)
@@ -289,7 +289,7 @@
         is_first = not self.synced
         self._record_reply(report)
         ends = self._ends
-        for ended in ends.record(report.ended):
+        for ended in ends.record(report):
             self._reconciler.handle_end(ended)
         # A full report omits further ends, of which a task that ended must not be started again.
         is_complete = len(report.ended) < MAX_ENDS_PER_REPORT
@@ -310,7 +310,7 @@
             with trio.move_on_after(self._settings.long_poll_wait.total_seconds()):
                 await self._owner.wait_ends_stored(report.ended)
                 # Not those of the session: the worker may have restarted in the meantime.
-                ends.record_stored(report.ended[-1].number)
+                ends.record_stored(report)
 
     def _record_reply(self, report: WorkerRunReport) -> None:
         self.lease.record_clock(report.clock_ms, report.born)
@@ -337,7 +337,7 @@
         self.incarnation = born
         self.worker.health = WorkerHealth()
         self.worker.pace = WorkerPace()
-        self._ends = ReportedEnds()
+        self._ends = ReportedEnds(self.id, self._epoch, self._telemetry)
         self.lease.reset()
         self.synced = False
 
--- a/packages/mimosapoint/src/mimosapoint/telemetry/_cell_declarations.py
+++ b/packages/mimosapoint/src/mimosapoint/telemetry/_cell_declarations.py
@@ -297,6 +297,14 @@
         "crash-explained",
         "Another task, which was given up, has crashed the workers of these tasks.",
     ),
+    ("ends-reported", "A worker reported ends up to this number, counted in its incarnation."),
+    (
+        "ends-stored",
+        "The progress that follows from the ends up to this number is stored; the worker may "
+        "forget them.",
+    ),
+    ("job-end-stored", "The end of a job is stored at this revision, for every later owner."),
+    ("phase-read", "A node read the phase of an ended job from the store."),
     ("phase-read-in-outage", "The owner told the phase of an ended job without the store."),
     ("crash-withdrawn", "A silent worker replies again; no run has crashed it."),
     ("suspect-cleared", "A run has worked too long for a task that crashes its workers."),
