Tell only stored ends during an outage

Cause: an owner that does not reach the store told `complete` for jobs whose end was in its memory only. When this owner and the worker that kept the end were lost before the progress was stored, the next owner loaded progress without the end and started the task.

Change: the owner tells the phase of the newest stored progress, which it has stored on condition of its epoch or loaded after its claim; no later owner can load an older one. A write without a reply counts once a later conflict shows its entry, also if the progress has changed since.

--- a/packages/mimosapoint/src/mimosapoint/cell/committer.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/committer.py
@@ -107,24 +107,34 @@
         :raises StaleEpoch: another node has claimed the cell.
         """
         self._ownership.raise_if_fenced(conflict)
-        stored = conflict.entries_by_key
         is_resolved = False
         for job in batch:
-            entry = stored.get(progress_key(job.record.id))
+            entry = conflict.entries_by_key.get(progress_key(job.record.id))
             revision = entry.revision if entry else 0
             if revision == job.progress_rev:
                 continue
             is_resolved = True
             self._telemetry.count("cell_commits_settled")
-            job.progress_rev = revision
-            if entry is not None and _decode_progress(entry.value) == job.progress:
-                self._mark_stored(job, job.progress_version, job.progress.phase, entry.revision)
+            progress = _decode_progress(entry.value) if entry is not None else None
+            if progress is not None and progress == job.progress:
+                self._mark_stored(job, job.progress_version, progress.phase, revision)
+            else:
+                phase = progress.phase if progress is not None else Phase.QUEUED
+                self._set_stored(job, phase, revision)
         self._notify_stored()
         return is_resolved
 
     def _mark_stored(self, job: Job, version: int, phase: Phase, revision: int) -> None:
-        job.progress_rev = revision
+        """Record that a version of the progress, with this phase, is stored."""
+        self._set_stored(job, phase, revision)
         job.stored_progress_version = version
+        uncommitted = self._job_table.uncommitted_by_id
+        if uncommitted.pop(job.record.id, None) and job.progress_version != version:
+            # At the end, as jobs that change all the time would otherwise fill every batch.
+            uncommitted[job.record.id] = job
+
+    def _set_stored(self, job: Job, phase: Phase, revision: int) -> None:
+        """Record the revision and the phase of the stored progress, whichever version it is."""
         if phase.ended and not job.stored_phase.ended:
             self._telemetry.event(
                 "job-end-stored",
@@ -133,11 +143,8 @@
                 revision=revision,
                 epoch=self._ownership.epoch,
             )
+        job.progress_rev = revision
         job.stored_phase = phase
-        uncommitted = self._job_table.uncommitted_by_id
-        if uncommitted.pop(job.record.id, None) and job.progress_version != version:
-            # At the end, as jobs that change all the time would otherwise fill every batch.
-            uncommitted[job.record.id] = job
 
     def _notify_stored(self) -> None:
         self._stored.set()
--- a/packages/mimosapoint/src/mimosapoint/cell/outage_reads.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/outage_reads.py
@@ -1,4 +1,4 @@
-"""Reads of the phase of ended jobs while the store is away, from what the owner knows."""
+"""Reads of the phase of ended jobs while the store is away, from what the owner has stored."""
 
 from __future__ import annotations
 
@@ -14,11 +14,11 @@
 
 
 class OutageReads:
-    """Answers with the phase of jobs that this node, as the owner, knows to have ended.
+    """Answers with the phase of jobs whose end this node, as the owner, has stored or loaded.
 
-    In an outage an owner goes on renewing the leases of its workers and so learns which runs end.
-    That a job has ended holds whoever owns the cell now, and the workers keep the ends that are not
-    stored, so that the next owner learns of them, too. Other phases may change without this node.
+    A stored end holds whoever owns the cell now. An end that is only in this node's memory does
+    not: without this node and the worker that reported it, the next owner starts the task again.
+    Other phases may change without this node.
 
     :param view: configuration, by which callers are authenticated even after it is no longer fresh.
     :param find_job: returns a job of this node's ownership; ``None`` if there is none.
@@ -39,7 +39,7 @@
         self._telemetry = telemetry
 
     def phase(self, host: str, path: str, key: str | None) -> Phase | None:
-        """Return the phase of an ended job, or ``None`` if this node cannot tell it.
+        """Return the phase of a job whose end is stored, or ``None`` if this node cannot tell it.
 
         :param host: host that the request names.
         :param path: path of the request.
@@ -52,24 +52,19 @@
         if queue is None:
             return None
         job = self._find_job(path.removeprefix(queue.prefix))
-        if job is None or not job.progress.phase.ended:
+        if job is None or not job.stored_phase.ended:
             return None
         if job.record.tenant != self._workspace_of(queue.public, key):
             return None
-        is_stored = job.stored_progress_version == job.progress_version
-        if not is_stored and job.progress.phase is not Phase.COMPLETE:
-            # The next owner could reach another one.
-            return None
         self._telemetry.event(
             "phase-read-in-outage",
             job=job.record.id,
-            phase=job.progress.phase,
-            is_stored=is_stored,
+            phase=job.stored_phase,
             revision=job.progress_rev,
             view_age=age,
         )
         self._telemetry.count("cell_reads_in_outage")
-        return job.progress.phase
+        return job.stored_phase
 
     def _workspace_of(self, is_public: bool, key: str | None) -> str | None:
         if is_public:
--- a/packages/mimosapoint/src/mimosapoint/telemetry/_cell_declarations.py
+++ b/packages/mimosapoint/src/mimosapoint/telemetry/_cell_declarations.py
@@ -177,7 +177,7 @@
     Metric(
         "cell_reads_in_outage",
         MetricKind.COUNTER,
-        "Phases of ended jobs that the owner told without the store.",
+        "Phases of stored ends that the owner told without the store.",
         "replies",
     ),
     Metric(
@@ -305,7 +305,7 @@
     ),
     ("job-end-stored", "The end of a job is stored at this revision, for every later owner."),
     ("phase-read", "A node read the phase of an ended job from the store."),
-    ("phase-read-in-outage", "The owner told the phase of an ended job without the store."),
+    ("phase-read-in-outage", "The owner told the phase of a stored end without the store."),
     ("crash-withdrawn", "A silent worker replies again; no run has crashed it."),
     ("suspect-cleared", "A run has worked too long for a task that crashes its workers."),
     ("job-given-up", "A job failed because one of its tasks crashes its workers."),
