Show operators the stored phase of a job

`cell job` showed the phase in the memory of the owner, documented as the state that the caller sees, and `cell status` and `cell queues` counted a job as ended with it. During an outage of the store an operator was shown an end that a later owner may not find, if the owner and the workers are lost before the store is back.

The reports use the phase of the newest stored progress.

--- a/packages/mimosapoint/src/mimosapoint/cell/report.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/report.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Iterator
 from datetime import datetime
 from typing import TYPE_CHECKING
 
@@ -58,7 +59,7 @@
     :param epoch: epoch of the ownership.
     :param settled: whether recovery is complete: the runs on all workers of earlier owners have
         become known.
-    :param jobs: number of jobs that have not ended.
+    :param jobs: number of jobs whose end is not stored.
     :param waiting: number of waiting units.
     :param active: number of units with runs on workers.
     :param workers: number of workers.
@@ -88,7 +89,7 @@
 
     :param name: name of the queue.
     :param priority: priority; 0 is the highest.
-    :param jobs: number of jobs that have not ended.
+    :param jobs: number of jobs whose end is not stored.
     :param unstarted: number of jobs without a started task.
     :param waiting: number of waiting units.
     :param active: number of units with runs on workers.
@@ -170,10 +171,10 @@
     :param queue: its queue.
     :param workspace: its workspace.
     :param priority: priority; 0 is the highest.
-    :param phase: state as its caller sees it.
+    :param phase: stored state, which its caller sees and a later owner reads.
     :param covered: whether its workspace's guarantee covers it.
     :param objective: time by which the newest occurrence should be done.
-    :param steps: states of its steps.
+    :param steps: states of its steps, as the owner knows them; ends of units may not be stored yet.
     :param crashes: crashes of workers that its tasks may have caused. In a job that has failed, the
         task with the most of them is the reason, if there are any.
     """
@@ -217,7 +218,7 @@
             status,
             epoch=owner.epoch,
             settled=owner.recovery.is_complete,
-            jobs=sum(1 for _ in owner.job_table.open_jobs()),
+            jobs=sum(1 for _ in _jobs_without_stored_end(owner)),
             waiting=len(owner.job_table.waiting_by_id),
             active=sum(1 for _ in owner.job_table.active_units()),
             workers=len(sessions),
@@ -245,7 +246,7 @@
             queue = unit.job.record.queue
             seconds = (now - unit.since).total_seconds()
             longest[queue] = max(longest.get(queue, 0.0), seconds)
-        counts = Counter(job.record.queue for job in owner.job_table.open_jobs())
+        counts = Counter(job.record.queue for job in _jobs_without_stored_end(owner))
         configuration = self._node.view.configuration
         return tuple(
             QueueStatus(
@@ -314,7 +315,7 @@
             record.queue,
             record.tenant,
             record.priority,
-            job.progress.phase.value,
+            job.stored_phase.value,
             covered,
             job.soft_deadline(occurrences[-1]),
             tuple(
@@ -343,6 +344,11 @@
         return owner
 
 
+def _jobs_without_stored_end(owner: Owner) -> Iterator[Job]:
+    """Return an iterator over the jobs that a later owner would find open."""
+    return (job for job in owner.job_table.jobs_by_id.values() if not job.stored_phase.ended)
+
+
 def _step_status(owner: Owner, job: Job, occurrence: int, number: int) -> StepStatus:
     units = list(job.record.units_of(occurrence, number))
     done = sum(job.progress.is_done(unit) for unit in units)
