Show by a test that a job may be shown as queued after its end

The gateway reads a job and its progress at once, and takes missing progress for that of a job that has not begun. If the owner removes the job after its retention time between the two reads, a job that was shown as complete is shown as queued.

--- a/packages/mimosapoint/src/mimosapoint/cell/tests/test_told_state.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_told_state.py
@@ -4,12 +4,15 @@
 
 import trio
 
-from mimosapoint.cell import CellReport
+from mimosapoint.cell import CellReport, CellSettings
+from mimosapoint.cell.keys import progress_key
 from mimosapoint.cell.tests._site import SMALL, open_site
+from mimosapoint.errors import JobNotFound
 from mimosapoint.testing import TrioTestCase
 from mimosapoint.workload import Phase, RunEnd, Step
 
 RUN_TIME = timedelta(seconds=2)
+RETENTION = timedelta(seconds=2)
 
 
 class ReportedPhaseTest(TrioTestCase):
@@ -30,3 +33,29 @@
             self.assertEqual(1, sum(queue.jobs for queue in report.queues()))
             site.store.faults.refuse = False
             await site.wait_phase("a", Phase.COMPLETE)
+
+
+class RemovedJobTest(TrioTestCase):
+    mock_clock = True
+
+    def delay_progress(self, get):
+        """Return a read that takes longer than the retention time if the key is of progress."""
+
+        async def delayed(key):
+            if key == progress_key("a"):
+                await trio.sleep(2 * RETENTION.total_seconds())
+            return await get(key)
+
+        return delayed
+
+    # Guards against a job that is shown as queued after it was shown as complete, as it was removed
+    # between the reads of the job and of its progress.
+    async def test_a_job_that_is_being_removed_is_not_shown_as_queued(self):
+        async with open_site(workers=2, settings=CellSettings(retention=RETENTION)) as site:
+            await site.submit("a", Step(1, SMALL))
+            await site.wait_phase("a", Phase.COMPLETE)
+            gateway = site.other.cell.gateway
+            self.assertIs(Phase.COMPLETE, await gateway.phase("t", "a"))
+            site.store.get = self.delay_progress(site.store.get)
+            with self.assertRaises(JobNotFound):
+                await gateway.phase("t", "a", timedelta(seconds=10))
