--- a/packages/mimosapoint/src/mimosapoint/node/tests/test_store_outages.py
+++ b/packages/mimosapoint/src/mimosapoint/node/tests/test_store_outages.py
@@ -6,6 +6,7 @@
 
 from mimosapoint.errors import OutcomeUnknown
 from mimosapoint.jobs import make_job_id
+from mimosapoint.model import VmKind
 from mimosapoint.node.tests._case import SiteCase
 from mimosapoint.testing.caller import Caller
 
@@ -97,6 +98,26 @@
             view = await caller.call_next_node(lambda gateway: gateway.job("w", job))
             self.assertEqual(type(view.outcome).__name__, "NotRun")
 
+    # Guards against an answer that is replaced by another outcome, as it was shown before it was
+    # stored, and the owner and the worker that kept its output are lost.
+    async def test_a_shown_outcome_outlives_the_owner_and_the_workers(self):
+        async with self.site() as site:
+            caller = Caller(site)
+            job = (await caller.submit(caller.request("k", 3.0, repeatable=False))).id
+            await site.wait_until(lambda: self.starts(site, job))
+            site.store.faults.refuse = True
+            await trio.sleep(5)
+            shown = await caller.call_next_node(lambda gateway: gateway.job("w", job))
+            site.kill(site.owner_of(shown.zone))
+            for vm in site.vms_by_id.values():
+                if vm.kind is VmKind.ENDPOINT:
+                    site.restart_worker(vm.id)
+            site.store.faults.refuse = False
+            await trio.sleep(20)
+            view = await caller.call_next_node(lambda gateway: gateway.job("w", job))
+            self.assertIsNotNone(view.outcome)
+            self.assertIn(shown.outcome, (None, view.outcome))
+
     async def test_placed_job_does_not_start_after_its_start_deadline(self):
         async with self.site() as site:
             site.store.faults.refuse = True
