Show by a test that an old cancellation may end a job accepted anew

The owner applies the cancellations of a batch of changes to the jobs it knows, also one that was stored before the record of the job. If an ended job is cancelled, then removed after its retention time, and its id is accepted again before the owner's next watch, the new job is cancelled though nobody asked for it.

--- a/packages/mimosapoint/src/mimosapoint/cell/tests/test_told_state.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_told_state.py
@@ -5,7 +5,7 @@
 import trio
 
 from mimosapoint.cell import CellReport, CellSettings
-from mimosapoint.cell.keys import progress_key
+from mimosapoint.cell.keys import cancel_key, job_key, progress_key
 from mimosapoint.cell.tests._site import SMALL, open_site
 from mimosapoint.errors import JobNotFound
 from mimosapoint.testing import TrioTestCase
@@ -59,3 +59,28 @@
             site.store.get = self.delay_progress(site.store.get)
             with self.assertRaises(JobNotFound):
                 await gateway.phase("t", "a", timedelta(seconds=10))
+
+    def cancel_and_repeat(self, site):
+        """Return a commit that, around a removal, cancels the job and accepts its id again."""
+        commit, record = site.store.commit, site.store.peek(job_key("a"))
+
+        async def commit_with_repeat(conditions, writes=(), removals=()):
+            if job_key("a") in removals:
+                site.store.put(cancel_key("a"), b"{}")
+            revision = await commit(conditions, writes, removals)
+            if job_key("a") in removals:
+                site.store.put(job_key("a"), record)
+            return revision
+
+        return commit_with_repeat
+
+    # Guards against a job that is cancelled though nobody asked for it, as the id is that of a job
+    # that was cancelled just before its removal.
+    async def test_a_cancellation_does_not_apply_to_a_later_job_of_the_same_id(self):
+        async with open_site(workers=2, settings=CellSettings(retention=RETENTION)) as site:
+            await site.submit("a", Step(1, SMALL))
+            await site.wait_phase("a", Phase.COMPLETE)
+            site.store.commit = self.cancel_and_repeat(site)
+            await trio.sleep(RETENTION.total_seconds() + 1)
+            self.assertIsNone(site.store.peek(cancel_key("a")))
+            self.assertEqual(2, len(site.runs("a")))
