Say in the reference that job-ended may precede the stored end

The page said that the outcome is stored when `job-ended` is logged. That holds for the zone form; the owner of a cell logs it when it learns of the end, and `job-end-stored` once it is stored. `cell_jobs_ended` counts the former.

--- a/packages/mimosapoint/src/mimosapoint/telemetry/_cell_declarations.py
+++ b/packages/mimosapoint/src/mimosapoint/telemetry/_cell_declarations.py
@@ -44,7 +44,13 @@
         ("part",),
     ),
     Metric("cell_decision_seconds", MetricKind.HISTOGRAM, "Duration of one decision.", "seconds"),
-    Metric("cell_jobs_ended", MetricKind.COUNTER, "Ended jobs by phase.", "jobs", ("phase",)),
+    Metric(
+        "cell_jobs_ended",
+        MetricKind.COUNTER,
+        "Ended jobs by phase, as their owner learned of it.",
+        "jobs",
+        ("phase",),
+    ),
     Metric(
         "cell_run_time_ratio",
         MetricKind.HISTOGRAM,
--- a/packages/mimosapoint/src/mimosapoint/telemetry/_node_declarations.py
+++ b/packages/mimosapoint/src/mimosapoint/telemetry/_node_declarations.py
@@ -97,7 +97,11 @@
     ("job-accepted", "A job is stored in the table of its zone, or in the inbox of its cell."),
     ("job-started", "All tasks of a job's gang were started."),
     ("job-requeued", "A job waits again, with or without the work done so far."),
-    ("job-ended", "A job has its outcome, and the outcome is stored."),
+    (
+        "job-ended",
+        "A job has its outcome, and the outcome is stored; in a cell, only its owner may know it"
+        " yet (`job-end-stored` follows).",
+    ),
     ("job-moved", "A waiting job is transferred to another availability zone."),
     ("job-reclaimed", "A gang is preempted to reclaim guaranteed capacity."),
     ("placement-stale", "A decision no longer fitted when it was carried out."),
