Read a job again when it has no progress

A job that was removed between the gateway's reads of the job and of its progress was shown as queued, though it had been shown as complete. Missing progress is now taken for that of a job that has not begun only if the job is there after that read; it costs one read more for a job that is queued.

test_a_job_that_is_being_removed_is_not_shown_as_queued failed and passes now; modules test_lost_replies (6), test_outage_reads (3), test_faults (32) and the platform's test_ingress (21) pass.

--- a/packages/mimosapoint/src/mimosapoint/cell/gateway.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/gateway.py
@@ -275,6 +275,9 @@
             async with trio.open_nursery() as nursery:
                 for key in keys:
                     nursery.start_soon(read, key)
+            if entries_by_key[keys[1]] is None:
+                # The job may have been removed, with its progress, after it was read.
+                await read(keys[0])
         self._check_workspace(entries_by_key[keys[0]], workspace)
         progress = entries_by_key[keys[1]]
         if progress is None:
