Ignore the cancellation of a job that was removed since

The owner applied each entry that a batch of changes writes, also if the same batch removes it: an ended job was cancelled just before its removal, its id was accepted again, and the old cancellation was applied to the new job.

The newest change of each key counts. A comparison of the revisions of the job and the cancellation would lose the cancellation of a job whose record is repaired.

test_a_cancellation_does_not_apply_to_a_later_job_of_the_same_id failed and passes now; modules test_lost_replies (6), test_failover (18), test_faults (32) and test_inbox (1) pass.

--- a/packages/mimosapoint/src/mimosapoint/cell/inbox.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/inbox.py
@@ -26,6 +26,7 @@
 from mimosapoint.codec import decode
 from mimosapoint.errors import CodecError, StoreTimeout, StoreUnavailable
 from mimosapoint.ports import (
+    ChangeBatch,
     Entry,
     HistoryLost,
     ScanResult,
@@ -104,6 +105,15 @@
     return True
 
 
+def _remaining_entries(batch: ChangeBatch) -> tuple[Entry, ...]:
+    """Return the entries written in a batch of changes, but those that it also removes.
+
+    A removed job and its cancellation say nothing about a job accepted later under the same id.
+    """
+    newest_by_key = {change.key: change for change in batch.changes}
+    return tuple(change for change in newest_by_key.values() if isinstance(change, Entry))
+
+
 class Inbox:
     """Watches the inbox, and removes ended jobs once their retention time is over.
 
@@ -164,7 +174,7 @@
         await self._availability.wait_reply(self._store, self._settings)
         requested_at = self._clock.now()
         changes = await self._store.watch(INBOX_PREFIX, revision, timeout)
-        self._apply(changes.written)
+        self._apply(_remaining_entries(changes))
         self._freshness.confirm_watched(requested_at, changes.transfer_time)
         return changes.revision
 
