Read a job that was unreadable together with its progress

A job whose record or progress could not be read was left out by the owner, but added later without progress: when its record was written again, and for unreadable progress at each scan of the inbox after a compaction. Its commits then replaced the stored progress, and tasks that were done ran again.

The ids of such jobs are now kept, the inbox leaves them alone, and a task of the owner reads record, progress and cancellation of one of them in each interval. A job that is read joins the unresolved starts of the recovery.

--- a/packages/mimosapoint/src/mimosapoint/cell/inbox.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/inbox.py
@@ -35,7 +35,7 @@
 )
 from mimosapoint.workload import AcceptedJob, JobProgress, check_job, check_progress
 
-__all__ = ["Inbox", "LoadedJobs", "load_jobs"]
+__all__ = ["Inbox", "LoadedJobs", "add_stored_job", "load_jobs"]
 
 
 @attrs.frozen
@@ -53,7 +53,7 @@
 async def load_jobs(
     store: TransactionStore, job_table: CellJobTable, telemetry: Telemetry
 ) -> LoadedJobs:
-    """Load the jobs from the store."""
+    """Load the jobs from the store, and record in the table which ones cannot be read."""
     scans_by_prefix: dict[str, ScanResult] = {}
 
     async def read(prefix: str) -> None:
@@ -64,25 +64,24 @@
             nursery.start_soon(read, prefix)
     accepted, stored = scans_by_prefix[INBOX_PREFIX], scans_by_prefix[PROGRESS_PREFIX]
     progress_by_job = {entry.key.removeprefix(PROGRESS_PREFIX): entry for entry in stored.entries}
-    has_unreadable = False
     for entry in accepted.entries:
         # A recovery that takes long must not keep the ownership from being renewed.
         await trio.lowlevel.checkpoint()
         if entry.key.startswith(JOB_PREFIX):
-            stored_progress = progress_by_job.pop(entry.key.removeprefix(JOB_PREFIX), None)
-            if not _add_job(entry, stored_progress, job_table, telemetry):
-                has_unreadable = True
+            job_id = entry.key.removeprefix(JOB_PREFIX)
+            if not add_stored_job(entry, progress_by_job.pop(job_id, None), job_table, telemetry):
+                job_table.unreadable_ids.add(job_id)
     # Progress without a job is that of a job which is not known; it may have runs, too.
-    has_unreadable = has_unreadable or bool(progress_by_job)
+    job_table.unreadable_ids.update(progress_by_job)
     for entry in accepted.entries:
         if entry.key.startswith(CANCEL_PREFIX):
             job = job_table.jobs_by_id.get(entry.key.removeprefix(CANCEL_PREFIX))
             if job is not None:
                 job_table.cancel(job)
-    return LoadedJobs(accepted.revision, has_unreadable)
+    return LoadedJobs(accepted.revision, bool(job_table.unreadable_ids))
 
 
-def _add_job(
+def add_stored_job(
     entry: Entry, progress_entry: Entry | None, job_table: CellJobTable, telemetry: Telemetry
 ) -> bool:
     """Add a job to the table; return whether it could be read."""
@@ -184,7 +183,7 @@
     def _apply(self, entries: tuple[Entry, ...]) -> None:
         for entry in entries:
             if entry.key.startswith(JOB_PREFIX):
-                _add_job(entry, None, self._job_table, self._telemetry)
+                self._add_job(entry)
         for entry in entries:
             if entry.key.startswith(CANCEL_PREFIX):
                 job = self._job_table.jobs_by_id.get(entry.key.removeprefix(CANCEL_PREFIX))
@@ -196,6 +195,16 @@
         if entries:
             self._on_changed()
 
+    def _add_job(self, entry: Entry) -> None:
+        job_id = entry.key.removeprefix(JOB_PREFIX)
+        unreadable_ids = self._job_table.unreadable_ids
+        # One that could not be read may have progress, with which it is read again.
+        if job_id in unreadable_ids:
+            return
+        is_read = add_stored_job(entry, None, self._job_table, self._telemetry)
+        if not is_read and job_id not in self._job_table.jobs_by_id:
+            unreadable_ids.add(job_id)
+
     async def _remove_expired_job(self) -> None:
         """Remove one job whose retention time is over, with all its entries in the store.
 
--- a/packages/mimosapoint/src/mimosapoint/cell/job_table.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/job_table.py
@@ -21,12 +21,15 @@
 class CellJobTable:
     """All jobs that the owner knows, and their waiting units.
 
+    ``unreadable_ids`` are the ids of the stored jobs that it could not read.
+
     :param clock: clock of the owner.
     :param telemetry: receives an event when a job is added or ends.
     """
 
     def __init__(self, clock: Clock, telemetry: Telemetry):
         self.jobs_by_id: dict[str, Job] = {}
+        self.unreadable_ids: set[str] = set()
         self.waiting_by_id: dict[UnitId, Unit] = {}
         self.uncommitted_by_id: dict[str, Job] = {}
         self._clock = clock
--- a/packages/mimosapoint/src/mimosapoint/cell/owner.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/owner.py
@@ -32,6 +32,7 @@
 from mimosapoint.cell.settings import CellSettings
 from mimosapoint.cell.start_limiter import StartLimiter
 from mimosapoint.cell.timer_lag import probe_timer_lag
+from mimosapoint.cell.unreadable_jobs import UnreadableJobs
 from mimosapoint.cell.worker_session import WorkerSession
 from mimosapoint.cell.workspace_limits import WorkspaceLimits
 from mimosapoint.ports import EndedRun, RunStatus, WorkerRegistration
@@ -115,6 +116,9 @@
             self._times,
             dependencies.telemetry,
         )
+        self._unreadable_jobs = UnreadableJobs(
+            dependencies, self.job_table, settings, self._cancel, self.recovery.add_job
+        )
         self._limits = WorkspaceLimits(dependencies, self.job_table, self.fleet, self.recovery)
         self._decisions = DecisionMaker(
             dependencies,
@@ -132,12 +136,11 @@
 
         :raises ExceptionGroup: with :class:`StaleEpoch` if another node has claimed the cell.
         """
-        store = self._dependencies.store
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             async with trio.open_nursery() as loading_nursery:
                 loading_nursery.start_soon(self.fleet.read_roster, self._telemetry)
-                loaded = await load_jobs(store, self.job_table, self._telemetry)
+                loaded = await load_jobs(self._dependencies.store, self.job_table, self._telemetry)
             nursery.start_soon(self._session_starter.run, self.fleet)
             await self.fleet.open_roster_sessions(self._open_session)
             self.recovery.begin(loaded.has_unreadable)
@@ -145,6 +148,7 @@
             nursery.start_soon(self._ownership_check.run)
             nursery.start_soon(self._inbox.run, loaded.revision)
             nursery.start_soon(self.fleet.run, self._dependencies.telemetry, self.request_decision)
+            nursery.start_soon(self._unreadable_jobs.run)
             nursery.start_soon(self.committer.run)
             nursery.start_soon(self._backlog_writer.run)
             if self._settings.admission:
--- a/packages/mimosapoint/src/mimosapoint/cell/recovery/core.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/recovery/core.py
@@ -10,7 +10,7 @@
 
 from mimosapoint.cell.crash_blame import CrashBlame
 from mimosapoint.cell.decisions.quotas import PossibleUse
-from mimosapoint.cell.decisions.units import Unit, UnitState
+from mimosapoint.cell.decisions.units import Job, Unit, UnitState
 from mimosapoint.cell.job_table import CellJobTable
 from mimosapoint.cell.recovery.inherited_workers import InheritedWorkers
 from mimosapoint.cell.recovery.suspect_starts import review_start
@@ -116,6 +116,11 @@
             units=len(self._starts),
         )
 
+    def add_job(self, job: Job) -> None:
+        """Add a job of earlier owners that could not be loaded at first."""
+        if self._starts is not None and not self._is_complete:
+            self._starts.add_job(job)
+
     def update(self, now: datetime) -> datetime | None:
         """Resolve what has become known; return by when the next worker will be, if one is not.
 
--- a/packages/mimosapoint/src/mimosapoint/cell/recovery/unresolved_starts.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/recovery/unresolved_starts.py
@@ -71,8 +71,12 @@
         self._unknown_tasks_by_unit: Counter[UnitId] = Counter()
         self._recorded_use_by_workspace: dict[str, ResourceAmounts] = {}
         for job in jobs:
-            for unit_id, start in _possible_starts(job):
-                self._add(UnresolvedStart(job, unit_id, start))
+            self.add_job(job)
+
+    def add_job(self, job: Job) -> None:
+        """Add what earlier owners may have running of a job."""
+        for unit_id, start in _possible_starts(job):
+            self._add(UnresolvedStart(job, unit_id, start))
 
     def _add(self, unresolved: UnresolvedStart) -> None:
         self._by_unit[unresolved.unit_id] = unresolved
