Keep the ends of unreadable jobs before they are acknowledged

An owner that could not read a job acknowledged the ends of its tasks, and the workers forgot them. An owner that could read it later, after a repair or as another build, started tasks again that were done.

Such an end is now stored under kept-end/ before it is acknowledged. It is applied by the owner that reads the job, which removes it once the progress is stored.

--- a/packages/mimosapoint/src/mimosapoint/cell/keys.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/keys.py
@@ -1,10 +1,13 @@
 """Store keys of a cell."""
 
+from mimosapoint.workload import TaskId
+
 __all__ = [
     "CANCEL_PREFIX",
     "EPOCH_KEY",
     "INBOX_PREFIX",
     "JOB_PREFIX",
+    "KEPT_END_PREFIX",
     "LOAD_KEY",
     "MEMBER_PREFIX",
     "OWNER_KEY",
@@ -14,6 +17,7 @@
     "BACKLOG_KEY",
     "cancel_key",
     "job_key",
+    "kept_end_key",
     "member_key",
     "progress_key",
     "refused_key",
@@ -49,6 +53,9 @@
 CANCEL_PREFIX = "inbox/cancel/"
 PROGRESS_PREFIX = "progress/"
 
+KEPT_END_PREFIX = "kept-end/"
+"""Prefix of ends whose jobs were unreadable. Earlier versions do not read it."""
+
 
 def job_key(job_id: str) -> str:
     """Return the key of an accepted job."""
@@ -60,6 +67,11 @@
     return CANCEL_PREFIX + job_id
 
 
+def kept_end_key(task: TaskId, run: int) -> str:
+    """Return the key of the end of a run whose job was unreadable."""
+    return f"{KEPT_END_PREFIX}{task}.{run}"
+
+
 def member_key(node: str) -> str:
     """Return the key of a node's address."""
     return MEMBER_PREFIX + node
--- a/packages/mimosapoint/src/mimosapoint/cell/owner.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/owner.py
@@ -117,7 +117,13 @@
             dependencies.telemetry,
         )
         self._unreadable_jobs = UnreadableJobs(
-            dependencies, self.job_table, settings, self._cancel, self.recovery.add_job
+            dependencies,
+            ownership,
+            self.job_table,
+            self.committer,
+            settings,
+            self.runs,
+            self.recovery.add_job,
         )
         self._limits = WorkspaceLimits(dependencies, self.job_table, self.fleet, self.recovery)
         self._decisions = DecisionMaker(
@@ -140,10 +146,12 @@
             self._nursery = nursery
             async with trio.open_nursery() as loading_nursery:
                 loading_nursery.start_soon(self.fleet.read_roster, self._telemetry)
+                loading_nursery.start_soon(self._unreadable_jobs.load_kept_ends)
                 loaded = await load_jobs(self._dependencies.store, self.job_table, self._telemetry)
             nursery.start_soon(self._session_starter.run, self.fleet)
             await self.fleet.open_roster_sessions(self._open_session)
             self.recovery.begin(loaded.has_unreadable)
+            self._unreadable_jobs.apply_kept_ends()
             self.loaded.set()
             nursery.start_soon(self._ownership_check.run)
             nursery.start_soon(self._inbox.run, loaded.revision)
@@ -292,7 +300,8 @@
         return explain_capacity(unit, pool, workers, self._usable_workers(), self._clock.now())
 
     async def wait_ends_stored(self, ended: tuple[EndedRun, ...]) -> None:
-        """Wait until the progress that results from the ended runs is stored."""
+        """Wait until the progress that results from the ended runs, or each end, is stored."""
+        await self._unreadable_jobs.keep_ends(ended)
         jobs = {run.task.job for run in ended}
         known = [self.job_table.jobs_by_id[job] for job in jobs if job in self.job_table.jobs_by_id]
         await self.committer.wait_stored(known)
@@ -321,12 +330,9 @@
     def _decide_once(self) -> datetime:
         now = self._clock.now()
         next_decision_at = now + MAX_DECISION_INTERVAL
-        due = self.job_table.create_due_units()
-        if due is not None:
-            next_decision_at = min(next_decision_at, due)
-        resolved_by = self.recovery.update(now)
-        if resolved_by is not None:
-            next_decision_at = min(next_decision_at, resolved_by)
+        for due in (self.job_table.create_due_units(), self.recovery.update(now)):
+            if due is not None:
+                next_decision_at = min(next_decision_at, due)
         if self._start_obstacle() is not None:
             return next_decision_at
         departures = find_departures(self.fleet.leaving_workers(self.durations), self._settings)
--- a/packages/mimosapoint/src/mimosapoint/cell/run_supervisor.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/run_supervisor.py
@@ -127,7 +127,7 @@
         self._telemetry.count("cell_runs_over", end=end.value)
         if unit is None:
             self._unwanted_run_counts -= Counter({task_run.task: 1})
-            self._apply_found_end(task_run.task, task_run.run, end, checkpoint)
+            self.apply_found_end(task_run.task, task_run.run, end, checkpoint)
             return
         if unit.task_runs_by_task.get(task_run.task) is task_run:
             del unit.task_runs_by_task[task_run.task]
@@ -150,7 +150,7 @@
 
         :return: whether it changed a unit.
         """
-        is_changed = self._apply_found_end(ended.task, ended.run, ended.end, ended.checkpoint)
+        is_changed = self.apply_found_end(ended.task, ended.run, ended.end, ended.checkpoint)
         if is_changed:
             self._telemetry.event(
                 "run-over",
@@ -163,7 +163,7 @@
             )
         return is_changed
 
-    def _apply_found_end(self, task: TaskId, run: int, end: RunEnd, checkpoint: str) -> bool:
+    def apply_found_end(self, task: TaskId, run: int, end: RunEnd, checkpoint: str) -> bool:
         """Apply the end of a run that is not one of its unit; return whether it changed the unit.
 
         Its worker forgets the end afterwards, so that one that matters has to change the progress.
--- a/packages/mimosapoint/src/mimosapoint/cell/unreadable_jobs.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/unreadable_jobs.py
@@ -1,18 +1,22 @@
 """Stored jobs that the owner cannot read, until it can."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import trio
 
+from mimosapoint.cell.committer import ProgressCommitter
 from mimosapoint.cell.decisions.units import Job
 from mimosapoint.cell.dependencies import CellOwnerDependencies
+from mimosapoint.cell.election import Ownership
 from mimosapoint.cell.inbox import add_stored_job
 from mimosapoint.cell.job_table import CellJobTable
+from mimosapoint.cell.kept_ends import KeptEnds
 from mimosapoint.cell.keys import cancel_key, job_key, progress_key
+from mimosapoint.cell.run_supervisor import RunSupervisor
 from mimosapoint.cell.settings import CellSettings
 from mimosapoint.cell.store_availability import StoreAvailability
 from mimosapoint.errors import StoreTimeout, StoreUnavailable
-from mimosapoint.ports import Entry
+from mimosapoint.ports import EndedRun, Entry
 
 __all__ = ["UnreadableJobs"]
 
@@ -21,33 +25,61 @@
     """Reads the jobs again that could not be read, one after the other.
 
     An earlier owner may have started them, so that a job is added with its stored progress only.
+    The ends of their runs are kept in the store.
 
-    :param dependencies: store and telemetry of the owner.
+    :param dependencies: store, clock and telemetry of the owner.
+    :param ownership: the ownership.
     :param job_table: the jobs.
+    :param committer: stores the progress of jobs.
     :param settings: interval between two reads.
-    :param cancel: cancels a job.
-    :param on_read: called with each job that was added, before anything else uses it.
+    :param runs: cancels jobs and applies ends.
+    :param recover: follows the starts of earlier owners of a job that was read.
     """
 
     def __init__(
         self,
         dependencies: CellOwnerDependencies,
+        ownership: Ownership,
         job_table: CellJobTable,
+        committer: ProgressCommitter,
         settings: CellSettings,
-        cancel: Callable[[Job], None],
-        on_read: Callable[[Job], None],
+        runs: RunSupervisor,
+        recover: Callable[[Job], None],
     ):
         self._store = dependencies.store
         self._telemetry = dependencies.telemetry
         self._job_table = job_table
         self._settings = settings
-        self._cancel = cancel
-        self._on_read = on_read
+        self._cancel = runs.cancel
+        self._recover = recover
+        self._kept_ends = KeptEnds(
+            dependencies, ownership, job_table, committer, settings, runs.apply_found_end
+        )
         self._availability = StoreAvailability("unreadable-jobs", dependencies.telemetry)
         self._revisions_by_id: dict[str, tuple[int, int]] = {}
 
+    async def load_kept_ends(self) -> None:
+        """Load the ends that earlier owners have kept."""
+        await self._kept_ends.load()
+
+    def apply_kept_ends(self) -> None:
+        """Apply the kept ends of the jobs that were loaded."""
+        self._kept_ends.apply(self._job_table.jobs_by_id.values())
+
+    async def keep_ends(self, ended: Iterable[EndedRun]) -> None:
+        """Store those of the ended runs that belong to unreadable jobs."""
+        await self._kept_ends.keep(ended)
+
     async def run(self) -> None:
-        """Read one of the jobs in each interval until cancelled."""
+        """Read one of the jobs in each interval, and remove applied ends, until cancelled.
+
+        :raises ExceptionGroup: with :class:`StaleEpoch` if another node has claimed the cell.
+        """
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._kept_ends.run)
+            nursery.start_soon(self._read_all)
+
+    async def _read_all(self) -> None:
         while True:
             for job_id in sorted(self._job_table.unreadable_ids):
                 await trio.sleep(self._settings.watch_timeout.total_seconds())
@@ -72,7 +104,8 @@
             return
         self._forget(job_id)
         job = self._job_table.jobs_by_id[job_id]
-        self._on_read(job)
+        self._recover(job)
+        self._kept_ends.apply([job])
         await self._read_cancellation(job)
 
     async def _read_cancellation(self, job: Job) -> None:
