Keep a worker on the roster until its last ends are stored

A worker without registration and without runs was removed from the roster although the progress of its last end was not stored. If the owner was lost before the commit, the next one knew neither the end nor the worker, and started the task again: the class of the drained worker, on another path.

It stays until the ends that it has reported are stored, or its lease has expired.

--- a/packages/mimosapoint/src/mimosapoint/cell/tests/test_found_ends.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_found_ends.py
@@ -1,9 +1,11 @@
 """Tests of ends that a new owner finds: a worker forgets them once they are acknowledged."""
 
 from datetime import timedelta
+from unittest.mock import patch
 
 import trio
 
+from mimosapoint.cell.committer import ProgressCommitter
 from mimosapoint.cell.keys import job_key
 from mimosapoint.cell.tests._site import SMALL, open_site
 from mimosapoint.memory import TrioClock
@@ -15,6 +17,11 @@
 LATE_END_NUMBER = 1000
 
 
+async def block(*args):
+    """Take as long as a commit that the store does not reply to."""
+    await trio.sleep_forever()
+
+
 class FoundEndTest(TrioTestCase):
     mock_clock = True
 
@@ -116,3 +123,34 @@
             site.store.put(job_key("a"), record)
             await site.wait_phase("a", Phase.COMPLETE)
             self.assertEqual([RunEnd.DONE], [each.end for each in site.runs("a")])
+
+    # Guards against a task that runs again after it was done, as its worker, which had no
+    # registration any more, left the roster before the end was stored.
+    async def test_a_worker_without_registration_is_kept_until_its_ends_are_stored(self):
+        async with open_site(nodes=2, workers=2) as site:
+            site.simulation.run_time = timedelta(seconds=4)
+            await site.submit("a", Step(1, SMALL))
+            await site.wait_running("a")
+            worker = site.simulation.workers_by_id[site.runs("a")[0].worker]
+            with patch.object(ProgressCommitter, "_commit", block):
+                site.unregister(worker)
+                await trio.sleep(8)
+                site.owner.kill()
+            await site.wait_phase("a", Phase.COMPLETE)
+            self.assertEqual([RunEnd.DONE], [each.end for each in site.runs("a")])
+
+    async def test_a_lost_worker_without_registration_is_removed_although_ends_are_not_stored(self):
+        async with open_site(nodes=2, workers=2) as site:
+            site.simulation.run_time = timedelta(milliseconds=300)
+            await site.submit("a", Step(1, SMALL))
+            await site.wait_running("a")
+            worker = site.simulation.workers_by_id[site.runs("a")[0].worker]
+            sessions = site.owner.cell.owner.fleet.sessions_by_id
+            with patch.object(ProgressCommitter, "_commit", block):
+                await trio.sleep(1)
+                site.unregister(worker)
+                worker.is_down = True
+                await trio.sleep(6)
+                self.assertIn(worker.registration.id, sessions)
+                await trio.sleep(9)
+                self.assertNotIn(worker.registration.id, sessions)
--- a/packages/mimosapoint/src/mimosapoint/cell/worker_session.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/worker_session.py
@@ -177,8 +177,10 @@
         return (registration.leaves_at_ms - self.lease.worker_now()) * MILLISECOND
 
     def is_removable(self, now: datetime) -> bool:
-        """Return whether the worker is not registered and is known to have no runs."""
-        return not self.is_registered and not self.task_runs_by_key and self.runs_known(now)
+        """Return whether the worker is not registered and the next owner does not need it."""
+        if self.is_registered or self.task_runs_by_key or not self.runs_known(now):
+            return False
+        return self._ends.are_stored or now >= self.lease.expires_at
 
     # Orders
 
