Take a repaired record of an ended job for the same job

A record that is stored later than that of an ended job of the same id was taken for a job that had been accepted again, also if it was the same record, written anew after damage. The job began without progress, its tasks ran again and complete was taken back.

An equal record, with the same time of acceptance, is now that of the known job.

--- a/packages/mimosapoint/src/mimosapoint/cell/job_table.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/job_table.py
@@ -45,8 +45,8 @@
     ) -> Job:
         """Add a job, unless it is known already, and return it.
 
-        A known job that has ended is replaced if the record was stored later: it has been removed
-        from the store, although the reply was lost, and its id was then accepted again.
+        A known job that has ended is replaced by another one that was stored later: it has been
+        removed from the store, although the reply was lost, and its id was then accepted again.
 
         :param record: the accepted record.
         :param accepted_rev: revision at which the record is stored.
@@ -55,7 +55,8 @@
         """
         job = self.jobs_by_id.get(record.id)
         if job is not None:
-            if not job.progress.phase.ended or accepted_rev <= job.accepted_rev:
+            is_same = accepted_rev <= job.accepted_rev or record == job.record
+            if is_same or not job.progress.phase.ended:
                 return job
             self.remove(job)
         now = self._clock.now()
--- a/packages/mimosapoint/src/mimosapoint/cell/tests/test_unreadable_jobs.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_unreadable_jobs.py
@@ -78,3 +78,18 @@
             site.store.apply({}, (), [job_key("a"), progress_key("a")])
             await trio.sleep(2)
             self.assertEqual(set(), site.owner.cell.owner.job_table.unreadable_ids)
+
+    # Guards against a job that is complete and starts again, as its repaired record was taken for
+    # that of a later job of the same id.
+    async def test_the_repair_of_the_record_of_an_ended_job_starts_nothing(self):
+        async with open_site(nodes=2, workers=2) as site:
+            site.simulation.run_time = timedelta(milliseconds=300)
+            await site.submit("a", Step(1, SMALL))
+            await site.wait_phase("a", Phase.COMPLETE)
+            record = site.store.peek(job_key("a"))
+            site.store.put(job_key("a"), OTHER_FORM)
+            await trio.sleep(2)
+            site.store.put(job_key("a"), record)
+            await trio.sleep(4)
+            self.assertEqual([RunEnd.DONE], [each.end for each in site.runs("a")])
+            self.assertIs(Phase.COMPLETE, site.phase("a"))
