Read a job again that could not be removed

A job whose progress had been written anew was not removed after its retention time, but left the owner's table. The next scan of the inbox after a compaction took it for a new job: it began without progress, and its tasks ran again.

It is now read again with its progress, as an unreadable job is, and removed after a further retention time.

--- a/packages/mimosapoint/src/mimosapoint/cell/inbox.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/inbox.py
@@ -235,5 +235,7 @@
             except TransactionConflict as conflict:
                 self._ownership.raise_if_fenced(conflict)
                 self._telemetry.event("job-not-removed", job=job_id, error=conflict.code)
+                if progress_key(job_id) in conflict.entries_by_key:
+                    self._job_table.unreadable_ids.add(job_id)
             self._job_table.remove(job)
             return
--- a/packages/mimosapoint/src/mimosapoint/cell/job_table.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/job_table.py
@@ -21,7 +21,7 @@
 class CellJobTable:
     """All jobs that the owner knows, and their waiting units.
 
-    ``unreadable_ids`` are the ids of the stored jobs that it could not read.
+    ``unreadable_ids`` are the ids of the stored jobs that it could not read, or has to read again.
 
     :param clock: clock of the owner.
     :param telemetry: receives an event when a job is added or ends.
--- a/packages/mimosapoint/src/mimosapoint/cell/tests/test_unreadable_jobs.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_unreadable_jobs.py
@@ -5,6 +5,7 @@
 import trio
 
 from mimosapoint.cell.keys import job_key, progress_key
+from mimosapoint.cell.settings import CellSettings
 from mimosapoint.cell.tests._site import SMALL, open_site
 from mimosapoint.testing import TrioTestCase
 from mimosapoint.workload import Phase, RunEnd, Step
@@ -93,3 +94,19 @@
             await trio.sleep(4)
             self.assertEqual([RunEnd.DONE], [each.end for each in site.runs("a")])
             self.assertIs(Phase.COMPLETE, site.phase("a"))
+
+    # Guards against the same of a job that was not removed after its retention time, as its
+    # progress had been written anew.
+    async def test_a_job_that_could_not_be_removed_starts_nothing(self):
+        settings = CellSettings(retention=timedelta(seconds=5))
+        async with open_site(nodes=2, workers=2, settings=settings) as site:
+            site.simulation.run_time = timedelta(milliseconds=300)
+            await site.submit("a", Step(1, SMALL))
+            await site.wait_phase("a", Phase.COMPLETE)
+            site.store.put(progress_key("a"), site.store.peek(progress_key("a")))
+            await trio.sleep(7)
+            site.store.compact_history()
+            await trio.sleep(3)
+            self.assertEqual([RunEnd.DONE], [each.end for each in site.runs("a")])
+            await trio.sleep(7)
+            self.assertIsNone(site.store.peek(job_key("a")))
--- a/packages/mimosapoint/src/mimosapoint/cell/unreadable_jobs.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/unreadable_jobs.py
@@ -22,7 +22,7 @@
 
 
 class UnreadableJobs:
-    """Reads the jobs again that could not be read, one after the other.
+    """Reads jobs again that could not be read or were written anew, one after the other.
 
     An earlier owner may have started them, so that a job is added with its stored progress only.
     The ends of their runs are kept in the store.
