Acknowledge no ends after a time without renewals

A session that sends no renewal for seconds, as while the ownership is checked in an outage, sent the number of the last stored end with the next one, as no renewal had failed. A worker that had restarted under its id in the meantime forgot the ends of its new incarnation up to that number before the owner had seen them.

Found by reading; the new test of test_worker_session failed before (7, 7 instead of 0, 7) and passes now.

--- a/packages/mimosapoint/src/mimosapoint/cell/tests/test_worker_session.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_worker_session.py
@@ -144,6 +144,27 @@
             self.assertEqual({0}, {order.acknowledged for order in workers.orders})
             nursery.cancel_scope.cancel()
 
+    # Guards against the same after a time without renewals, none of which has failed.
+    async def test_a_worker_that_was_not_asked_for_seconds_gets_no_acknowledgement_at_first(self):
+        done = EndedRun(7, TaskId("a", 0, 0, 0), 7, RunEnd.DONE)
+        async with trio.open_nursery() as nursery:
+
+            def reply(order):
+                ended = () if order.acknowledged else (done,)
+                return WorkerRunReport(1000, BORN, (), ended)
+
+            session, owner, workers = await self.open_session(nursery, reply)
+            await trio.sleep(0.55)
+            self.assertEqual(7, workers.orders[-1].acknowledged)
+            owner.may_renew_leases = lambda: False
+            await trio.sleep(3)
+            count = len(workers.orders)
+            del owner.may_renew_leases
+            await trio.sleep(0.5)
+            numbers = [order.acknowledged for order in workers.orders[count:]]
+            self.assertEqual([0, 7], numbers[:2])
+            nursery.cancel_scope.cancel()
+
     async def test_a_renewal_that_a_newer_token_refuses_fences_the_owner(self):
         async with trio.open_nursery() as nursery:
             _, owner, _ = await self.open_session(nursery, lambda order: StaleEpoch(99))
--- a/packages/mimosapoint/src/mimosapoint/cell/worker_session.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/worker_session.py
@@ -255,12 +255,14 @@
             self._handle_restart(registration.born)
 
     async def _renew_lease(self) -> None:
-        # A worker that failed to reply is asked for an immediate reply: it gets no work before. It
-        # may have restarted, where a deadline or the number of an end would have another meaning.
+        # A worker that failed to reply gets no work before it does. It may have restarted, as may
+        # one not asked for a while; a deadline or the number of an end then has another meaning.
         is_immediate = not (self.synced and self._is_reachable)
         wait = timedelta(0) if is_immediate else self._long_poll_wait
         lease_until_ms = None if is_immediate else self.lease.extend()
-        acknowledged = self._ends.last_stored if self._is_reachable else 0
+        storing_time = self._settings.long_poll_wait + self._settings.renewal_reply_time
+        is_recent = self.answered_at and self._clock.now() - self.answered_at < storing_time
+        acknowledged = self._ends.last_stored if self._is_reachable and is_recent else 0
         order = RenewLeaseOrder(self.token, lease_until_ms, acknowledged, wait)
         generation, registration = self.generation, self.registration
         try:
