Check that nothing starts of a job that callers were shown as ended

run_violations excuses a second run after an end that its worker lost before it was acknowledged, and no check knew what callers had been shown. A job that was shown as complete and started again was found by no test.

starts_after_shown_ends compares the starts with the replies to callers, whatever became of the workers. Only a job shown as cancelled may start for the start window (1 s) after the reply: the start was ordered before the owner learned of the cancellation. The excuse of run_violations stays for ends that nobody was shown.

The broken histories of the new check fail it: a lost end and a second run after the reply, a new task after it, starts after `failed`, and after `cancelled` beyond the window.

--- a/packages/mimosapoint/src/mimosapoint/testing/cell_checks.py
+++ b/packages/mimosapoint/src/mimosapoint/testing/cell_checks.py
@@ -14,7 +14,11 @@
 )
 from mimosapoint.testing.checks import CheckResult
 from mimosapoint.testing.crash_checks import crash_violations, crashing_tasks, may_be_given_up
-from mimosapoint.testing.run_checks import run_violations
+from mimosapoint.testing.run_checks import (
+    changed_ends,
+    run_violations,
+    starts_after_shown_ends,
+)
 from mimosapoint.workload import Phase, RunEnd, TaskId
 
 __all__ = ["LATE_START_BOUND", "cell_checks_by_promise", "check_cell"]
@@ -139,17 +143,21 @@
         phases_by_job[observation.job].append(observation)
     for submission in history.submissions:
         observations = phases_by_job[submission.job]
+        runs = history.runs_of(submission.job)
         for observation in observations:
-            yield _false_phase(history, submission, observation)
-        yield from _changed_ends(observations)
+            yield _false_phase(history, submission, runs, observation)
+        yield from changed_ends(observations)
 
 
 def _false_phase(
-    history: CellHistory, submission: SubmissionObservation, observation: PhaseObservation
+    history: CellHistory,
+    submission: SubmissionObservation,
+    runs_of_job: list[RunRecord],
+    observation: PhaseObservation,
 ) -> str | None:
     """Return a violation if the phase contradicts the submission or the runs."""
     job, phase = submission.job, observation.phase
-    runs = [run for run in history.runs_of(job) if run.started_at <= observation.at]
+    runs = [run for run in runs_of_job if run.started_at <= observation.at]
     if phase is None:
         accepted = submission.outcome is SubmissionOutcome.ACCEPTED
         is_lost = accepted and submission.ended_at < observation.sent_at
@@ -173,13 +181,14 @@
     return run.end is end and run.ended_at <= at
 
 
-def _changed_ends(observations: list[PhaseObservation]) -> Iterator[str | None]:
-    """Check that a query that follows a reported end reports the same end."""
-    for before in observations:
-        if before.phase is None or not before.phase.ended:
-            continue
-        changed = [o for o in observations if o.sent_at > before.at and o.phase != before.phase]
-        yield f"{before.job} changed from {before.phase} to {changed[0].phase}" if changed else None
+@cell_promise("nothing starts of a job that was shown as ended")
+def ended_jobs_start_nothing(history: CellHistory) -> Iterator[str | None]:
+    """Check that no run of a job starts after any node has shown a caller that the job has ended.
+
+    An end that its worker loses before it is acknowledged is no excuse here.
+    """
+    shown = {o.job for o in history.phases if o.phase is not None and o.phase.ended}
+    yield from starts_after_shown_ends(history.runs, history.phases) or [None] * len(shown)
 
 
 @cell_promise("accepted jobs are never lost")
--- a/packages/mimosapoint/src/mimosapoint/testing/tests/test_cell_checks.py
+++ b/packages/mimosapoint/src/mimosapoint/testing/tests/test_cell_checks.py
@@ -51,6 +51,8 @@
 
 CRASHES = [crash(1.0 + 4 * count, count) for count in range(6)]
 DONE_GANG = [run(0, 2.0, 5.0, RunEnd.DONE), run(1, 2.1, 5.1, RunEnd.DONE, worker="w2")]
+LOST_END = run(0, 2.0, 5.0, RunEnd.DONE)
+LOST_END.end_unreported = True
 CLAIM = ClaimObservation("a", 0.0, 3.0)
 CANCELLATION = CancellationObservation("a", 2.0, 3.0, 2.0)
 CONFIGURATIONS = [write(1, 0.0, "k"), write(2, 5.0)]
@@ -92,6 +94,21 @@
             "phases": [phase(6.0, Phase.COMPLETE), phase(9.0, Phase.RUNNING)],
             "runs": DONE_GANG,
         },
+        {
+            "submissions": [submission()],
+            "phases": [phase(6.0, Phase.COMPLETE), phase(9.0, None)],
+            "runs": DONE_GANG,
+        },
+    ),
+    "nothing starts of a job that was shown as ended": (
+        {"phases": [phase(6.0, Phase.COMPLETE)], "runs": [LOST_END, run(0, 6.1, epoch=2)]},
+        {"phases": [phase(6.0, Phase.COMPLETE)], "runs": [*DONE_GANG, run(2, 6.1)]},
+        {"phases": [phase(6.0, Phase.FAILED)], "runs": [run(0, 6.1)]},
+        {"phases": [phase(6.0, Phase.CANCELLED)], "runs": [run(0, 7.1)]},
+        {
+            "phases": [phase(6.0, Phase.COMPLETE), phase(6.5, Phase.CANCELLED)],
+            "runs": [run(0, 6.1)],
+        },
     ),
     "accepted jobs are never lost": (
         {"submissions": [submission()]},
@@ -151,6 +168,7 @@
         phase(2.0, Phase.QUEUED),
         phase(6.0, Phase.COMPLETE),
         phase(9.9, Phase.FAILED, job="g"),
+        phase(3.1, Phase.CANCELLED, job="d"),
     ],
     "cancellations": [CancellationObservation("d", 2.0, 3.0, 2.0)],
     "withdrawals": [ZoneWithdrawal("z", 0.0, 2.0)],
