Let simulated callers read as on the platform, in outages that lose the owner and workers

The simulated callers asked only after the faults, and only through the store, so that no test saw what an owner replies without it.

CellSite.read_phase follows the steps of the platform's ingress: the queue (a fresh configuration), the key, the store, then other nodes, the owner first, and what a node knows without the store. A killed or suspended node replies nothing. CellSite.violations covers these replies and the phases that tests read from the store. In the pairs of faults callers ask for every job throughout. New faults: an outage, refused or silent, whose end the owner (killed, or stopped as planned) and all or some of the workers do not live to see; and workers that crash and register again.

--- a/packages/mimosapoint/src/mimosapoint/cell/tests/_cell_faults.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/_cell_faults.py
@@ -1,6 +1,7 @@
 """Faults of a cell in memory, by name."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager
 from datetime import timedelta
 from functools import partial
 
@@ -8,6 +9,8 @@
 
 from mimosapoint.cell.tests._recorded_site import API_KEY, RecordedSite
 from mimosapoint.cell.tests._site import CAPACITY, SMALL
+from mimosapoint.memory import MemoryRunWorker
+from mimosapoint.memory.run_worker import CRASH_DOWNTIME
 from mimosapoint.testing.cell_checks import LATE_START_BOUND
 from mimosapoint.workload import ResourceAmounts, Step, TaskId
 
@@ -19,6 +22,15 @@
 BURST_SIZE = 40
 SHRUNKEN = ResourceAmounts(64_000, 131_072, 4)
 LOST_REPLIES = 6
+STOP_GRACE_SECONDS = 2.0
+MIN_OUTAGE_SECONDS = 4.5
+"""Shortest outage that ends with the loss of the owner; longer than the tasks of the pairs run."""
+
+LAST_READ_SECONDS = 0.2
+"""Time from the last reads in an outage to the loss of the owner, in seconds."""
+
+MAX_RETURN_DELAY_SECONDS = 1.0
+"""Longest time from the loss of the owner to the return of the store, in seconds."""
 
 STOP_BOUND_SECONDS = 12.0
 """Time in which a cancelled job stops under faults: theirs, a failover and a worker's lease."""
@@ -110,6 +122,76 @@
         site.store_delay_seconds = 0.0
 
 
+@fault("outage, then the owner killed")
+async def kill_owner_after_outage(site: RecordedSite, seconds: float) -> None:
+    """Take the store away, at the end also the owner and workers, and start a new node."""
+    with store_outage(site):
+        await ask_until_end_of_outage(site, seconds)
+        site.any_owner.kill()
+        await crash_workers_before_return(site)
+    await trio.sleep(CRASH_DOWNTIME.total_seconds())
+    site.add_node()
+
+
+@fault("outage, then the owner stopped as planned")
+async def stop_owner_after_outage(site: RecordedSite, seconds: float) -> None:
+    """Take the store away; at the end the owner stops, workers crash, and a new node starts."""
+    async with trio.open_nursery() as nursery:
+        with store_outage(site):
+            await ask_until_end_of_outage(site, seconds)
+            nursery.start_soon(site.stop_planned, site.any_owner, STOP_GRACE_SECONDS)
+            await crash_workers_before_return(site)
+    site.add_node()
+
+
+@contextmanager
+def store_outage(site: RecordedSite) -> Iterator[None]:
+    """Refuse all calls to the store, or leave them without reply."""
+    name = site.random.choice(("refuse", "frozen"))
+    setattr(site.store.faults, name, True)
+    yield
+    setattr(site.store.faults, name, False)
+
+
+async def ask_until_end_of_outage(site: RecordedSite, seconds: float) -> None:
+    """Wait until jobs have ended, and let callers ask for all jobs shortly before the end."""
+    await trio.sleep(max(seconds, MIN_OUTAGE_SECONDS) - LAST_READ_SECONDS)
+    for job in {submission.job: None for submission in site.history.submissions}:
+        site.nursery.start_soon(site.call_phase, job)
+    await trio.sleep(LAST_READ_SECONDS)
+
+
+async def crash_workers_before_return(site: RecordedSite) -> None:
+    """Let workers crash, and wait for the store to return up to a second later."""
+    await trio.sleep(site.random.uniform(0, MAX_RETURN_DELAY_SECONDS / 2))
+    for worker in choose_workers(site):
+        site.nursery.start_soon(crash_worker, site, worker)
+    await trio.sleep(site.random.uniform(0, MAX_RETURN_DELAY_SECONDS / 2))
+
+
+def choose_workers(site: RecordedSite) -> list[MemoryRunWorker]:
+    """Return all workers, or some of them."""
+    workers = list(site.workers.workers_by_address.values())
+    some = site.random.randint(1, len(workers) - 1)
+    return site.random.sample(workers, site.random.choice((some, len(workers))))
+
+
+async def crash_worker(site: RecordedSite, worker: MemoryRunWorker) -> None:
+    """Let a worker crash, and register its next incarnation."""
+    await worker.crash()
+    site.register(worker, born=worker.born)
+
+
+@fault("workers crashing")
+async def crash_workers(site: RecordedSite, seconds: float) -> None:
+    """Let workers crash, one after the other."""
+    workers = choose_workers(site)
+    async with trio.open_nursery() as nursery:
+        for worker in workers:
+            nursery.start_soon(crash_worker, site, worker)
+            await trio.sleep(seconds / len(workers))
+
+
 @fault("owner suspended")
 async def suspend_owner(site: RecordedSite, seconds: float) -> None:
     """Suspend the calls of the owner and their replies, while its clock advances."""
--- a/packages/mimosapoint/src/mimosapoint/cell/tests/_recorded_site.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/_recorded_site.py
@@ -13,9 +13,8 @@
 
 from mimosapoint.cell import CellSettings, Submission
 from mimosapoint.cell.keys import EPOCH_KEY
-from mimosapoint.cell.tests._site import CONFIGURATION, QUEUES, CellSite, SiteNode
+from mimosapoint.cell.tests._site import API_KEY, CONFIGURATION, QUEUES, CellSite, SiteNode
 from mimosapoint.errors import (
-    JobNotFound,
     MimosapointError,
     OutcomeUnknown,
     Overloaded,
@@ -31,16 +30,14 @@
     ConfigurationObservation,
     ConfigurationWrite,
     EpochObservation,
-    PhaseObservation,
     PlannedStopObservation,
     SubmissionObservation,
     SubmissionOutcome,
     WorkerDrain,
     ZoneWithdrawal,
 )
-from mimosapoint.workload import CellConfiguration, Step
+from mimosapoint.workload import CellConfiguration, Phase, Step
 
-API_KEY = "key"
 ATTEMPTS = (1, 3, 8)
 """Numbers of attempts from which each caller chooses."""
 
@@ -48,6 +45,12 @@
 RETRY_SECONDS = 0.4
 OBSERVATION_SECONDS = 0.15
 
+ASK_SECONDS = 1.0
+"""Interval at which a caller asks for its job, in seconds."""
+
+ASK_ENDED_SECONDS = 2.0
+"""The same after the job was shown as ended."""
+
 NO_EFFECT_ERRORS = (Overloaded, StoreUnavailable, Unauthenticated)
 
 
@@ -82,9 +85,12 @@
     def __init__(self, nursery: trio.Nursery, settings: CellSettings, random: Random):
         self.history = CellHistory()
         self.random = random
+        # Reads leave the choices of the faults as they are, however many there are.
+        self._reader_random = Random("readers")
         self.store_delay_seconds = 0.0
         self.freeze_controls_by_node: dict[str, FreezeControl] = {}
         super().__init__(nursery, settings)
+        self.history.phases = self.phases
         self.history.runs = self.simulation.history
         self.history.over_capacity_workers = self.simulation.over_capacity_workers
         nursery.start_soon(self._observe)
@@ -109,15 +115,11 @@
     def add_node(self) -> SiteNode:
         """Add a node whose calls can be delayed and frozen."""
         node = super().add_node()
-        control = self.freeze_controls_by_node[node.name] = FreezeControl()
+        control = self.freeze_controls_by_node[node.name] = node.freeze_control
         node.store._store = FreezablePort(SlowPort(self.store, self), control)
         node.workers._workers = FreezablePort(self.workers, control)
         return node
 
-    @property
-    def live_nodes(self) -> list[SiteNode]:
-        return [node for node in self.nodes if not node.scope.cancel_called]
-
     @property
     def any_owner(self) -> SiteNode:
         """The newest owner, or any live node while there is none."""
@@ -217,18 +219,26 @@
         cancellation = CancellationObservation(job, began_at, accepted_at, stop_bound_seconds)
         self.history.cancellations.append(cancellation)
 
-    async def call_phase(self, job: str) -> None:
+    async def call_phase(self, job: str) -> Phase | None:
         """Query the phase of a job with a random node and record the reply, if any."""
-        node = self.random.choice(self.live_nodes)
-        began_at = trio.current_time()
-        try:
-            phase = await node.cell.gateway.phase("t", job)
-        except JobNotFound:
-            phase = None
-        except MimosapointError:
-            return
-        observation = PhaseObservation(job, began_at, trio.current_time(), phase)
-        self.history.phases.append(observation)
+        return await self.read_phase(self._reader_random.choice(self.live_nodes), job)
+
+    async def ask_throughout(self) -> None:
+        """Query the phase of each job again and again, also after it was shown as ended."""
+        asked: set[str] = set()
+        async with trio.open_nursery() as nursery:
+            while True:
+                for submission in self.history.submissions:
+                    if submission.job not in asked:
+                        asked.add(submission.job)
+                        nursery.start_soon(self._keep_asking, submission.job)
+                await trio.sleep(ASK_SECONDS)
+
+    async def _keep_asking(self, job: str) -> None:
+        while True:
+            phase = await self.call_phase(job)
+            is_ended = phase is not None and phase.ended
+            await trio.sleep(ASK_ENDED_SECONDS if is_ended else ASK_SECONDS)
 
     async def _observe(self) -> None:
         """Record the epoch in the store and the configurations by which nodes serve."""
--- a/packages/mimosapoint/src/mimosapoint/cell/tests/_site.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/_site.py
@@ -13,8 +13,16 @@
 
 from mimosapoint.cell import CellNode, CellSettings, Submission
 from mimosapoint.cell.keys import progress_key
+from mimosapoint.cell.tests._phase_reads import read_phase_as_caller
 from mimosapoint.codec import decode, encode
-from mimosapoint.errors import CodecError, StoreTimeout, StoreUnavailable, WorkerUnreachable
+from mimosapoint.errors import (
+    CodecError,
+    JobNotFound,
+    MimosapointError,
+    StoreTimeout,
+    StoreUnavailable,
+    WorkerUnreachable,
+)
 from mimosapoint.memory import (
     MemoryNetwork,
     MemoryRunWorker,
@@ -26,7 +34,13 @@
 )
 from mimosapoint.ports import Entry, WithdrawnZone, WorkerRegistration
 from mimosapoint.telemetry import MemoryTelemetry
-from mimosapoint.testing.run_checks import run_violations
+from mimosapoint.testing._freeze import FreezeControl
+from mimosapoint.testing.cell_history import PhaseObservation
+from mimosapoint.testing.run_checks import (
+    changed_ends,
+    run_violations,
+    starts_after_shown_ends,
+)
 from mimosapoint.workload import (
     CellConfiguration,
     CellWorkspace,
@@ -49,7 +63,11 @@
     Queue("normal", "h", "/normal/", POOL, 1, 3, 3.0, timedelta(seconds=1)),
     Queue("low", "h", "/low/", POOL, 2, 3, 3.0, timedelta(seconds=3)),
 )
-CONFIGURATION = CellConfiguration(1, QUEUES, (CellWorkspace("t", frozenset({"key"}), 16),))
+API_KEY = "key"
+CONFIGURATION = CellConfiguration(1, QUEUES, (CellWorkspace("t", frozenset({API_KEY}), 16),))
+
+CALLER_PATIENCE = timedelta(seconds=3)
+"""Time after which a caller without a reply leaves."""
 
 
 class OperatorEntries:
@@ -145,6 +163,7 @@
     workers: FaultyWorkers
     scope: trio.CancelScope
     telemetry: MemoryTelemetry
+    freeze_control: FreezeControl = attrs.field(factory=FreezeControl)
 
     @property
     def is_owner(self) -> bool:
@@ -156,7 +175,10 @@
 
 
 class CellSite:
-    """Nodes, workers and store of one cell."""
+    """Nodes, workers and store of one cell.
+
+    :ivar phases: phases that tests have read.
+    """
 
     def __init__(self, nursery: trio.Nursery, settings: CellSettings):
         self.clock = TrioClock()
@@ -166,6 +188,7 @@
         self.workers = MemoryRunWorkers()
         self.network = MemoryNetwork()
         self.nodes: list[SiteNode] = []
+        self.phases: list[PhaseObservation] = []
         self.settings = settings
         self.nursery = nursery
         self.put_configuration(CONFIGURATION)
@@ -228,6 +251,10 @@
     def owner(self) -> SiteNode:
         return next(node for node in self.nodes if node.is_owner)
 
+    @property
+    def live_nodes(self) -> list[SiteNode]:
+        return [node for node in self.nodes if not node.scope.cancel_called]
+
     @property
     def other(self) -> SiteNode:
         return next(
@@ -259,8 +286,34 @@
                 await trio.sleep(0.02)
 
     def phase(self, job: str) -> Phase:
+        """Return the phase that the store holds, which any node may show."""
         value = self.store.peek(progress_key(job))
-        return decode(value, JobProgress).phase if value else Phase.QUEUED
+        if not value:
+            return Phase.QUEUED
+        phase, now = decode(value, JobProgress).phase, trio.current_time()
+        self.phases.append(PhaseObservation(job, now, now, phase))
+        return phase
+
+    async def read_phase(self, node: SiteNode, job: str) -> Phase | None:
+        """Read the phase of a job at a node as a caller does, and record the reply.
+
+        :return: the phase; ``None`` if the job is not found, the request is refused or there is no
+            reply.
+        """
+        others = [other for other in self.live_nodes if other is not node]
+        path = f"{QUEUES[1].prefix}{job}"
+        sent_at = trio.current_time()
+        with trio.move_on_after(CALLER_PATIENCE.total_seconds()) as scope:
+            try:
+                phase = await read_phase_as_caller(node, others, path, API_KEY)
+            except JobNotFound:
+                phase = None
+            except MimosapointError:
+                return None
+        if scope.cancelled_caught:
+            return None
+        self.phases.append(PhaseObservation(job, sent_at, trio.current_time(), phase))
+        return phase
 
     def runs(self, job: str) -> list[RunRecord]:
         return [record for record in self.simulation.history if record.task.job == job]
@@ -269,8 +322,13 @@
         return [record for record in self.runs(job) if record.ended_at is None]
 
     def violations(self) -> list[str]:
-        """Return the violations of promises that the workers have observed."""
-        return run_violations(self.simulation.history, self.simulation.over_capacity_workers)
+        """Return the violations of promises that the workers and callers have observed."""
+        history = self.simulation.history
+        return [
+            *run_violations(history, self.simulation.over_capacity_workers),
+            *starts_after_shown_ends(history, self.phases),
+            *changed_ends(self.phases),
+        ]
 
 
 @asynccontextmanager
--- a/packages/mimosapoint/src/mimosapoint/cell/tests/test_fault_pairs.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_fault_pairs.py
@@ -58,6 +58,7 @@
             for number in range(WORKERS):
                 nursery.start_soon(submit_borrower, site, number)
             nursery.start_soon(submit_jobs, site)
+            site.nursery.start_soon(site.ask_throughout)
             await trio.sleep(1)
             for name in names:
                 nursery.start_soon(play_fault, site, name)
@@ -85,15 +86,13 @@
 
 
 async def settle(site):
-    """Query the jobs until each has ended, or until the time for it is over."""
-    waiting = [submission.job for submission in site.history.submissions]
+    """Wait until callers were shown an end of each job, or until the time for it is over."""
+    jobs = {submission.job for submission in site.history.submissions}
     with trio.move_on_after(SETTLE_SECONDS):
-        while waiting:
+        while jobs:
             await trio.sleep(0.5)
-            for job in waiting:
-                await site.call_phase(job)
             phases_by_job = {o.job: o.phase for o in site.history.phases}
-            waiting = [job for job in waiting if is_open(phases_by_job.get(job, Phase.QUEUED))]
+            jobs = {job for job in jobs if is_open(phases_by_job.get(job, Phase.QUEUED))}
     await trio.sleep_until(
         max(c.accepted_at or 0 for c in site.history.cancellations) + STOP_BOUND_SECONDS + 0.1
     )
