Apply the ends of a job that is read before they are stored

A job that was read at the return of the store, before the write of its end, started again although its worker had reported the end.

--- a/packages/mimosapoint/src/mimosapoint/cell/kept_ends.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/kept_ends.py
@@ -75,6 +75,7 @@
         self._apply_end = apply_end
         self._availability = StoreAvailability("kept-ends", dependencies.telemetry)
         self._ends_by_key: dict[str, KeptEnd] = {}
+        self._unstored_by_key: dict[str, KeptEnd] = {}
 
     async def load(self) -> None:
         """Load the ends that earlier owners have kept."""
@@ -86,9 +87,13 @@
                 self._telemetry.count("cell_unreadable_entries", prefix=KEPT_END_PREFIX)
 
     def apply(self, jobs: Iterable[Job]) -> None:
-        """Apply the kept ends of jobs that have been read."""
+        """Apply the ends of jobs that have been read, also those that are not stored yet.
+
+        Once the job is read, its tasks may start at any time.
+        """
         jobs_by_id = {job.record.id: job for job in jobs}
-        for kept in sorted(self._ends_by_key.values(), key=lambda each: each.run):
+        ends_by_key = {**self._unstored_by_key, **self._ends_by_key}
+        for kept in sorted(ends_by_key.values(), key=lambda each: each.run):
             job = jobs_by_id.get(kept.task.job)
             if job is not None and not self._is_of_earlier_job(kept, job):
                 self._apply(kept)
@@ -108,6 +113,7 @@
             and (each.end in (RunEnd.DONE, RunEnd.FAILED) or each.checkpoint)
         }
         keys = [key for key in new_by_key if key not in self._ends_by_key]
+        self._unstored_by_key.update((key, new_by_key[key]) for key in keys)
         while keys:
             batch = keys[:ENDS_PER_COMMIT]
             writes = [Write(key, encode(new_by_key[key])) for key in batch]
@@ -115,7 +121,7 @@
                 continue
             del keys[: len(batch)]
             for key in batch:
-                self._add(key, new_by_key[key])
+                self._record_stored(key, new_by_key[key])
 
     async def run(self) -> None:
         """Remove ends that need not be kept any more, until cancelled.
@@ -124,6 +130,9 @@
         """
         while True:
             unreadable_ids = self._job_table.unreadable_ids
+            for key, kept in list(self._unstored_by_key.items()):
+                if kept.task.job not in unreadable_ids:
+                    del self._unstored_by_key[key]
             ends = self._ends_by_key.items()
             removable = [key for key, kept in ends if kept.task.job not in unreadable_ids]
             removable = removable[:ENDS_PER_COMMIT]
@@ -151,14 +160,12 @@
         await trio.sleep(self._settings.retry_delay.total_seconds())
         return False
 
-    def _add(self, key: str, kept: KeptEnd) -> None:
+    def _record_stored(self, key: str, kept: KeptEnd) -> None:
+        self._unstored_by_key.pop(key, None)
         self._ends_by_key[key] = kept
         self._telemetry.event(
             "end-kept", job=kept.task.job, task=kept.task, run=kept.run, end=kept.end
         )
-        # The job may have been read in the meantime.
-        if kept.task.job in self._job_table.jobs_by_id:
-            self._apply(kept)
 
     def _apply(self, kept: KeptEnd) -> None:
         is_changed = self._apply_end(kept.task, kept.run, kept.end, kept.checkpoint)
--- a/packages/mimosapoint/src/mimosapoint/cell/tests/test_kept_ends.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_kept_ends.py
@@ -6,7 +6,7 @@
 import trio
 
 from mimosapoint.cell.kept_ends import KeptEnds
-from mimosapoint.cell.keys import KEPT_END_PREFIX, job_key, progress_key
+from mimosapoint.cell.keys import KEPT_END_PREFIX, OWNER_KEY, job_key, progress_key
 from mimosapoint.cell.settings import CellSettings
 from mimosapoint.cell.tests._site import QUEUES, SMALL, WIDE, open_site
 from mimosapoint.ports import EndedRun
@@ -170,3 +170,35 @@
                 site.owner.kill()
             site.store.put(job_key("a"), record)
             await self.assert_completed_once(site)
+
+    async def read_at_return(self, site, seconds):
+        """Repair a job whose run ended in a silent outage, and end the outage."""
+        site.simulation.run_time = timedelta(seconds=6)
+        await site.submit("a", Step(1, SMALL))
+        await site.wait_running("a")
+        record = site.store.peek(job_key("a"))
+        for worker in site.workers.workers_by_address.values():
+            worker.stop = lambda order: None
+        site.owner.kill()
+        site.store.put(job_key("a"), OTHER_FORM)
+        site.store.apply({}, (), [OWNER_KEY])
+        await trio.sleep(3.5)
+        for node in site.nodes:
+            node.store.fault = "silent"
+        await trio.sleep(2.6 + seconds)
+        self.assertEqual([], site.running("a"))
+        site.store.put(job_key("a"), record)
+        for node in site.nodes:
+            node.store.fault = ""
+
+    # Guards against a job that is read after an outage, and starts again before the end that its
+    # worker has reported meanwhile is kept.
+    async def test_a_job_that_is_read_before_its_end_is_kept_does_not_start_again(self):
+        settings = CellSettings(ownership_ttl=timedelta(seconds=20))
+        for seconds in (0.0, 0.15, 0.35, 0.5):
+            with self.subTest(seconds=seconds):
+                async with open_site(nodes=2, workers=2, settings=settings) as site:
+                    await self.read_at_return(site, seconds)
+                    await site.wait_phase("a", Phase.COMPLETE)
+                    await trio.sleep(8)
+                    self.assert_ends(site, RunEnd.DONE)
