Read the progress again when it is older than its job

Cause, found by the review: a node reads a job and its progress at once. If the job is removed and its id accepted again between the two reads, the progress is that of the earlier job, and the later one was shown as complete.

Change: progress that is older than the record is read again; the reads have a module of their own.

--- a/packages/mimosapoint/src/mimosapoint/cell/gateway.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/gateway.py
@@ -9,10 +9,11 @@
 
 from mimosapoint.cell.admission_gate import AdmissionGate
 from mimosapoint.cell.decisions.units import Job
-from mimosapoint.cell.keys import BACKLOG_KEY, cancel_key, job_key, progress_key
+from mimosapoint.cell.keys import BACKLOG_KEY, cancel_key, job_key
 from mimosapoint.cell.operators import OperatorView
 from mimosapoint.cell.outage_reads import OutageReads
 from mimosapoint.cell.settings import CellSettings
+from mimosapoint.cell.stored_job import read_stored_job
 from mimosapoint.cell.submission import Submission
 from mimosapoint.codec import decode, encode
 from mimosapoint.errors import (
@@ -265,21 +266,9 @@
         if self._view.is_store_outage:
             # Another node may reach the store, or know the phase.
             raise StoreUnavailable("the store is unavailable", retry_after=self._retry_after())
-        entries_by_key: dict[str, Entry | None] = {}
-
-        async def read(key: str) -> None:
-            entries_by_key[key] = await self._store.get(key)
-
-        keys = (job_key(job_id), progress_key(job_id))
         with self._telling_retry_delay(timeout, is_read=True):
-            async with trio.open_nursery() as nursery:
-                for key in keys:
-                    nursery.start_soon(read, key)
-            if entries_by_key[keys[1]] is None:
-                # The job may have been removed, with its progress, after it was read.
-                await read(keys[0])
-        self._check_workspace(entries_by_key[keys[0]], workspace)
-        progress = entries_by_key[keys[1]]
+            record, progress = await read_stored_job(self._store, job_id)
+        self._check_workspace(record, workspace)
         if progress is None:
             return Phase.QUEUED
         phase = self._decode(progress, JobProgress).phase
--- /dev/null
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_misplaced_ends.py
@@ -0,0 +1,51 @@
+"""Tests of ends that are lost, or counted for a later job of the same id."""
+
+from datetime import timedelta
+
+import trio
+
+from mimosapoint.cell.keys import job_key
+from mimosapoint.cell.settings import CellSettings
+from mimosapoint.cell.tests._site import SMALL, open_site
+from mimosapoint.testing import TrioTestCase
+from mimosapoint.workload import Phase, Schedule, Step
+
+
+class MisplacedEndTest(TrioTestCase):
+    mock_clock = True
+
+    async def complete(self, site, job, run_seconds=0.3):
+        site.simulation.run_time = timedelta(seconds=run_seconds)
+        await site.submit(job, Step(1, SMALL))
+        await site.wait_phase(job, Phase.COMPLETE)
+
+    def starts_after(self, site, job, time):
+        return [run for run in site.runs(job) if run.started_at > time]
+
+    # Guards against a read whose two parts are of a removed job and of its successor.
+    async def test_a_read_does_not_mix_a_removed_job_and_its_successor(self):
+        settings = CellSettings(retention=timedelta(seconds=2))
+        async with open_site(nodes=2, workers=2, settings=settings) as site:
+            await self.complete(site, "a")
+            node, get, told = site.other, site.store.get, []
+            is_accepted = trio.Event()
+
+            async def get_record_late(key):
+                if key == job_key("a"):
+                    await is_accepted.wait()
+                return await get(key)
+
+            async def read():
+                told.append(await node.cell.gateway.phase("t", "a"))
+
+            await trio.sleep(1.7)
+            site.store.get = get_record_late
+            site.nursery.start_soon(read)
+            with trio.fail_after(10):
+                while site.store.peek(job_key("a")) is not None:
+                    await trio.sleep(0.02)
+            schedule = Schedule(site.clock.now() + timedelta(seconds=4), timedelta(minutes=10), 1)
+            await site.submit("a", Step(1, SMALL), node=node, schedule=schedule)
+            is_accepted.set()
+            await trio.sleep(0.5)
+            self.assertEqual([Phase.QUEUED], told)
