Tell no end during an outage once the job may be removed

Cause, found by the review: the removal of an ended job may take effect without a reply. The owner then still has the job, and without the store it told its end to a caller of a later job of the same id, which started afterwards.

Change: an end is told without the store only within the retention time, before which no owner removes the job.

--- a/packages/mimosapoint/src/mimosapoint/cell/gateway.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/gateway.py
@@ -87,7 +87,7 @@
         self._settings = settings
         self._telemetry = telemetry
         self.admission = AdmissionGate(store, view, clock, settings, telemetry)
-        self.outage_reads = OutageReads(view, find_job, settings, telemetry)
+        self.outage_reads = OutageReads(view, find_job, clock, settings, telemetry)
 
     @property
     def view_age(self) -> timedelta | None:
--- a/packages/mimosapoint/src/mimosapoint/cell/outage_reads.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/outage_reads.py
@@ -7,7 +7,7 @@
 from mimosapoint.cell.decisions.units import Job
 from mimosapoint.cell.operators import OperatorView
 from mimosapoint.cell.settings import CellSettings
-from mimosapoint.ports import Telemetry
+from mimosapoint.ports import Clock, Telemetry
 from mimosapoint.workload import Phase
 
 __all__ = ["OutageReads"]
@@ -22,7 +22,9 @@
 
     :param view: configuration, by which callers are authenticated even after it is no longer fresh.
     :param find_job: returns a job of this node's ownership; ``None`` if there is none.
-    :param settings: freshness bound, and the outage that running work should outlive.
+    :param clock: clock of the node.
+    :param settings: freshness bound, the outage that running work should outlive, and the retention
+        time of jobs.
     :param telemetry: receives an event for each answer.
     """
 
@@ -30,11 +32,14 @@
         self,
         view: OperatorView,
         find_job: Callable[[str], Job | None],
+        clock: Clock,
         settings: CellSettings,
         telemetry: Telemetry,
     ):
         self._view = view
         self._find_job = find_job
+        self._clock = clock
+        self._retention = settings.retention
         self._max_age = settings.freshness_bound + settings.orphan_renewal_time
         self._telemetry = telemetry
 
@@ -52,7 +57,7 @@
         if queue is None:
             return None
         job = self._find_job(path.removeprefix(queue.prefix))
-        if job is None or not job.stored_phase.ended:
+        if job is None or not job.stored_phase.ended or self._may_be_removed(job):
             return None
         if job.record.tenant != self._workspace_of(queue.public, key):
             return None
@@ -66,6 +71,13 @@
         self._telemetry.count("cell_reads_in_outage")
         return job.stored_phase
 
+    def _may_be_removed(self, job: Job) -> bool:
+        """Return whether a removal may have taken effect without a reply.
+
+        The id may then be that of a later job.
+        """
+        return job.ended_at is None or self._clock.now() >= job.ended_at + self._retention
+
     def _workspace_of(self, is_public: bool, key: str | None) -> str | None:
         if is_public:
             return ""
--- a/packages/mimosapoint/src/mimosapoint/cell/tests/test_misplaced_ends.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_misplaced_ends.py
@@ -7,6 +7,7 @@
 from mimosapoint.cell.keys import job_key
 from mimosapoint.cell.settings import CellSettings
 from mimosapoint.cell.tests._site import SMALL, open_site
+from mimosapoint.errors import StoreTimeout
 from mimosapoint.testing import TrioTestCase
 from mimosapoint.workload import Phase, Schedule, Step
 
@@ -22,6 +23,37 @@
     def starts_after(self, site, job, time):
         return [run for run in site.runs(job) if run.started_at > time]
 
+    # Guards against an owner that is cut off from the store and tells the end of a job that was
+    # removed, although its id has been accepted again.
+    async def test_the_end_of_a_removed_job_is_not_told_for_its_successor(self):
+        settings = CellSettings(retention=timedelta(seconds=3))
+        async with open_site(nodes=2, workers=2, settings=settings) as site:
+            await self.complete(site, "a")
+            owner, other = site.owner, site.other
+            commit = site.store.commit
+
+            async def commit_without_reply(conditions, writes=(), removals=()):
+                revision = await commit(conditions, writes, removals)
+                if removals:
+                    owner.store.fault = "refused"
+                    site.store.commit = commit
+                    raise StoreTimeout("the reply was lost")
+                return revision
+
+            site.store.commit = commit_without_reply
+            with trio.fail_after(30):
+                while owner.store.fault != "refused":
+                    await trio.sleep(0.05)
+            self.assertIsNone(site.store.peek(job_key("a")))
+            schedule = Schedule(site.clock.now() + timedelta(seconds=4), timedelta(minutes=10), 1)
+            await site.submit("a", Step(1, SMALL), node=other, schedule=schedule)
+            await trio.sleep(0.5)
+            told = owner.cell.gateway.outage_reads.phase("h", "/normal/a", "key")
+            told_at = trio.current_time()
+            await trio.sleep(8)
+            started = self.starts_after(site, "a", told_at + 1)
+            self.assertFalse(told is Phase.COMPLETE and started)
+
     # Guards against a read whose two parts are of a removed job and of its successor.
     async def test_a_read_does_not_mix_a_removed_job_and_its_successor(self):
         settings = CellSettings(retention=timedelta(seconds=2))
