--- a/packages/mimosapoint/src/mimosapoint/cell/tests/test_misplaced_ends.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_misplaced_ends.py
@@ -2,6 +2,7 @@
 
 from datetime import timedelta
 
+import attrs
 import trio
 
 from mimosapoint.cell.keys import job_key
@@ -9,7 +10,7 @@
 from mimosapoint.cell.tests._site import SMALL, open_site
 from mimosapoint.errors import StoreTimeout
 from mimosapoint.testing import TrioTestCase
-from mimosapoint.workload import Phase, Schedule, Step
+from mimosapoint.workload import Phase, RunEnd, Schedule, Step
 
 
 class MisplacedEndTest(TrioTestCase):
@@ -23,6 +24,60 @@
     def starts_after(self, site, job, time):
         return [run for run in site.runs(job) if run.started_at > time]
 
+    # Guards against a renewal that is carried out late, by an incarnation that it was not meant
+    # for, which then forgets an end that no owner has seen.
+    async def test_a_late_renewal_drops_no_end_of_the_next_incarnation(self):
+        async with open_site(nodes=2, workers=1) as site:
+            await self.complete(site, "a")
+            worker = site.simulation.workers_by_id["w0"]
+            await trio.sleep(1)
+            held, arrives = [], trio.Event()
+            renew = worker.renew_lease
+
+            async def arrive_late(order):
+                if order.acknowledged and not held:
+                    held.append(order)
+                    await arrives.wait()
+                return await renew(attrs.evolve(order, wait=timedelta(0)))
+
+            worker.renew_lease = arrive_late
+            with trio.fail_after(3):
+                while not held:
+                    await trio.sleep(0.005)
+            worker.restart(worker.born + 1)
+            site.simulation.run_time = timedelta(milliseconds=50)
+            await site.submit("b", Step(1, SMALL))
+            with trio.fail_after(0.9):
+                while not worker.ended:
+                    await trio.sleep(0.005)
+            arrives.set()
+            await site.wait_phase("b", Phase.COMPLETE)
+            self.assertEqual([RunEnd.DONE], [run.end for run in site.runs("b")])
+
+    # Guards against an end of a removed job that counts for a later job of the same id.
+    async def test_the_end_of_a_removed_job_does_not_end_its_successor(self):
+        settings = CellSettings(retention=timedelta(seconds=3))
+        async with open_site(nodes=2, workers=2, settings=settings) as site:
+            site.simulation.run_time = timedelta(seconds=2)
+            await site.submit("a", Step(1, SMALL))
+            await site.wait_running("a")
+            worker = site.runs("a")[0].worker
+            for node in site.nodes:
+                node.workers.unreachable.add(worker)
+            await site.wait_phase("a", Phase.COMPLETE, within=30)
+            with trio.fail_after(30):
+                while site.store.peek(job_key("a")) is not None:
+                    await trio.sleep(0.1)
+            before = len(site.runs("a"))
+            site.simulation.run_time = timedelta(seconds=8)
+            await site.submit("a", Step(1, SMALL))
+            await site.wait_running("a")
+            for node in site.nodes:
+                node.workers.unreachable.clear()
+            await site.wait_phase("a", Phase.COMPLETE, within=30)
+            later = site.runs("a")[before:]
+            self.assertIn(RunEnd.DONE, [run.end for run in later])
+
     # Guards against an owner that is cut off from the store and tells the end of a job that was
     # removed, although its id has been accepted again.
     async def test_the_end_of_a_removed_job_is_not_told_for_its_successor(self):
