Notice the return of the store before a commit is repeated

Cause: after a failed commit the committer slept for retry_delay and sent the next commit. A store that is away silently replies to nothing that was sent before its return, so that an end known to the owner was stored up to the timeout of a commit late, and callers were told late. A store that refuses calls got ten commits a second.

Change: after a failure the committer waits for the reply to a small read, asked for each probe_interval, as the other components do (StoreAvailability.wait_reply), and commits then. A conflict is a reply, and ends the wait too.

Tests of a commit without a reply that takes effect before or after its repetition, and of an owner that alone is cut off, passed before and still do.

--- a/packages/mimosapoint/src/mimosapoint/cell/committer.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/committer.py
@@ -73,8 +73,20 @@
             await self._commit_requested.wait()
             self._commit_requested = trio.Event()
             while self._job_table.uncommitted_by_id:
+                await self._wait_store()
                 batch = list(self._job_table.uncommitted_by_id.values())[:JOBS_PER_COMMIT]
-                await self._commit(batch)
+                if batch:
+                    await self._commit(batch)
+
+    async def _wait_store(self) -> None:
+        """Wait until the store replies again, if the last commit has failed."""
+        while not self._availability.is_available:
+            try:
+                await self._availability.wait_reply(self._store, self._settings)
+                return
+            except (StoreUnavailable, StoreTimeout) as error:
+                self._availability.record_failure(error, epoch=self._ownership.epoch)
+                await trio.sleep(self._settings.retry_delay.total_seconds())
 
     async def _commit(self, batch: list[Job]) -> None:
         contents = [(job, job.progress_version, job.progress.phase) for job in batch]
@@ -87,6 +99,7 @@
         try:
             revision = await self._store.commit(conditions, writes)
         except TransactionConflict as conflict:
+            self._availability.record_success()
             if not self._resolve_conflict(conflict, batch):
                 await trio.sleep(self._settings.retry_delay.total_seconds())
         except (StoreUnavailable, StoreTimeout) as error:
