Commit while the store refuses only reads

Cause: since the committer waits for the reply to a read, a store that refuses reads and takes writes got no commit. The store limits reads and writes separately, and a return loads its reads most.

Change: a refused read is a reply, and the commit follows. While the store does not reply, the committer waits as before. The committer's parameter for the view has a default, which callers without a view use.

--- a/packages/mimosapoint/src/mimosapoint/cell/committer.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/committer.py
@@ -44,7 +44,7 @@
         settings: CellSettings,
         telemetry: Telemetry,
         on_stored: Callable[[], None],
-        is_store_available: Callable[[], bool],
+        is_store_available: Callable[[], bool] = lambda: True,
     ):
         self._on_stored = on_stored
         self._is_store_available = is_store_available
@@ -83,7 +83,10 @@
                     await self._commit(batch)
 
     async def _wait_store(self) -> None:
-        """Wait until the store replies again, if the last commit or another call has failed."""
+        """Wait until the store replies again, if the last commit or another call has failed.
+
+        A refused read is a reply, too: the store limits reads and writes separately.
+        """
         while not (self._availability.is_available and self._is_store_available()):
             try:
                 await call_until_reply(
@@ -94,6 +97,8 @@
                 return
             except (StoreUnavailable, StoreTimeout) as error:
                 self._availability.record_failure(error, epoch=self._ownership.epoch)
+                if isinstance(error, StoreUnavailable):
+                    return
                 await trio.sleep(self._settings.retry_delay.total_seconds())
 
     def _next_batch(self) -> list[Job]:
