--- a/packages/mimosapoint/src/mimosapoint/cell/committer.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/committer.py
@@ -1,7 +1,6 @@
 """Group commit of job progress, fenced by the epoch of the cell."""
 
 from collections.abc import Callable, Iterable
-from datetime import timedelta
 from itertools import chain, islice
 
 import trio
@@ -20,10 +19,6 @@
 
 __all__ = ["ProgressCommitter"]
 
-MAX_REPLY_WAIT = timedelta(seconds=4)
-"""Longest wait for the reply to a read before a commit is tried all the same: writes may succeed
-while reads get no reply."""
-
 JOBS_PER_COMMIT = 15
 """Most jobs in one transaction: the store takes 32 conditions and writes, two of them for each job
 and one for the epoch."""
@@ -92,20 +87,19 @@
 
         A refused read is a reply, too: the store limits reads and writes separately.
         """
-        with trio.move_on_after(MAX_REPLY_WAIT.total_seconds()):
-            while not (self._availability.is_available and self._is_store_available()):
-                try:
-                    await call_until_reply(
-                        lambda: self._store.get(EPOCH_KEY),
-                        self._settings,
-                        self._availability.record_failure,
-                    )
+        while not (self._availability.is_available and self._is_store_available()):
+            try:
+                await call_until_reply(
+                    lambda: self._store.get(EPOCH_KEY),
+                    self._settings,
+                    self._availability.record_failure,
+                )
+                return
+            except (StoreUnavailable, StoreTimeout) as error:
+                self._availability.record_failure(error, epoch=self._ownership.epoch)
+                if isinstance(error, StoreUnavailable):
                     return
-                except (StoreUnavailable, StoreTimeout) as error:
-                    self._availability.record_failure(error, epoch=self._ownership.epoch)
-                    if isinstance(error, StoreUnavailable):
-                        return
-                    await trio.sleep(self._settings.retry_delay.total_seconds())
+                await trio.sleep(self._settings.retry_delay.total_seconds())
 
     def _next_batch(self) -> list[Job]:
         """Return the jobs of the next commit: first those whose end is not stored.
