--- a/packages/mimosapoint/src/mimosapoint/cell/committer.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/committer.py
@@ -1,7 +1,6 @@
 """Group commit of job progress, fenced by the epoch of the cell."""
 
 from collections.abc import Callable, Iterable
-from itertools import chain, islice
 
 import trio
 
@@ -9,7 +8,6 @@
 from mimosapoint.cell.election import Ownership
 from mimosapoint.cell.job_table import CellJobTable
 from mimosapoint.cell.keys import EPOCH_KEY, progress_key
-from mimosapoint.cell.overlapping_calls import call_until_reply
 from mimosapoint.cell.settings import CellSettings
 from mimosapoint.cell.store_availability import StoreAvailability
 from mimosapoint.codec import decode, encode
@@ -33,7 +31,6 @@
     :param settings: settings of the cell.
     :param telemetry: logs and metrics.
     :param on_stored: called after each commit and after each resolved conflict.
-    :param is_store_available: returns whether the last call of another component succeeded.
     """
 
     def __init__(
@@ -44,10 +41,8 @@
         settings: CellSettings,
         telemetry: Telemetry,
         on_stored: Callable[[], None],
-        is_store_available: Callable[[], bool] = lambda: True,
     ):
         self._on_stored = on_stored
-        self._is_store_available = is_store_available
         self._store = store
         self._job_table = job_table
         self._ownership = ownership
@@ -78,39 +73,8 @@
             await self._commit_requested.wait()
             self._commit_requested = trio.Event()
             while self._job_table.uncommitted_by_id:
-                await self._wait_store()
-                if batch := self._next_batch():
-                    await self._commit(batch)
-
-    async def _wait_store(self) -> None:
-        """Wait until the store replies again, if the last commit or another call has failed.
-
-        A refused read is a reply, too: the store limits reads and writes separately.
-        """
-        while not (self._availability.is_available and self._is_store_available()):
-            try:
-                await call_until_reply(
-                    lambda: self._store.get(EPOCH_KEY),
-                    self._settings,
-                    self._availability.record_failure,
-                )
-                return
-            except (StoreUnavailable, StoreTimeout) as error:
-                self._availability.record_failure(error, epoch=self._ownership.epoch)
-                if isinstance(error, StoreUnavailable):
-                    return
-                await trio.sleep(self._settings.retry_delay.total_seconds())
-
-    def _next_batch(self) -> list[Job]:
-        """Return the jobs of the next commit: first those whose end is not stored.
-
-        Callers wait for these ends, and a task of such a job starts again if its owner and the
-        workers that keep the ends are lost.
-        """
-        uncommitted = self._job_table.uncommitted_by_id.values()
-        ended = [job for job in uncommitted if _has_unstored_end(job)]
-        others = (job for job in uncommitted if not _has_unstored_end(job))
-        return list(islice(chain(ended, others), JOBS_PER_COMMIT))
+                batch = list(self._job_table.uncommitted_by_id.values())[:JOBS_PER_COMMIT]
+                await self._commit(batch)
 
     async def _commit(self, batch: list[Job]) -> None:
         contents = [(job, job.progress_version, job.progress.phase) for job in batch]
@@ -123,7 +87,6 @@
         try:
             revision = await self._store.commit(conditions, writes)
         except TransactionConflict as conflict:
-            self._availability.record_success()
             if not self._resolve_conflict(conflict, batch):
                 await trio.sleep(self._settings.retry_delay.total_seconds())
         except (StoreUnavailable, StoreTimeout) as error:
@@ -189,10 +152,6 @@
         self._on_stored()
 
 
-def _has_unstored_end(job: Job) -> bool:
-    return job.progress.phase.ended and not job.stored_phase.ended
-
-
 def _decode_progress(value: bytes) -> JobProgress | None:
     try:
         return decode(value, JobProgress)
--- a/packages/mimosapoint/src/mimosapoint/cell/owner.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/owner.py
@@ -70,7 +70,6 @@
             settings,
             dependencies.telemetry,
             self.request_decision,
-            lambda: dependencies.view.is_store_available,
         )
         self.fleet = Fleet(
             ownership, dependencies.store, dependencies.worker_decoder, dependencies.clock, settings
