Count crashes of workers that no task caused when a job is shown as failed

The check asked more than the rule: a task under which two workers have crashed may be given up, whatever made them crash. The trace: job1.0.0.0 ran on w0, which crashed at 2.42 s, and on w2, which crashed at 5.06 s; job-given-up names w0 and w2, and the job is shown as failed after that.

The fault records its crashes. The check allows `failed` only once two different workers have crashed under one task before the reply; broken histories with one crash, and with the second crash after the reply, are found.

--- a/packages/mimosapoint/src/mimosapoint/cell/tests/_cell_faults.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/_cell_faults.py
@@ -12,6 +12,7 @@
 from mimosapoint.memory import MemoryRunWorker
 from mimosapoint.memory.run_worker import CRASH_DOWNTIME
 from mimosapoint.testing.cell_checks import LATE_START_BOUND
+from mimosapoint.testing.cell_history import WorkerCrashObservation
 from mimosapoint.workload import ResourceAmounts, Step, TaskId
 
 __all__ = ["STOP_BOUND_SECONDS", "CellFault", "faults_by_name"]
@@ -178,6 +179,8 @@
 
 async def crash_worker(site: RecordedSite, worker: MemoryRunWorker) -> None:
     """Let a worker crash, and register its next incarnation."""
+    crash = WorkerCrashObservation(worker.registration.id, trio.current_time())
+    site.history.worker_crashes.append(crash)
     await worker.crash()
     site.register(worker, born=worker.born)
 
--- a/packages/mimosapoint/src/mimosapoint/testing/cell_checks.py
+++ b/packages/mimosapoint/src/mimosapoint/testing/cell_checks.py
@@ -172,11 +172,27 @@
         return None if is_true else f"{job} is cancelled by no one"
     if phase is Phase.FAILED:
         failed = any(_ended_by(run, RunEnd.FAILED, observation.at) for run in runs)
-        is_true = failed or may_be_given_up(runs)
+        is_true = (
+            failed or may_be_given_up(runs) or _has_lost_two_workers(history, runs, observation.at)
+        )
         return None if is_true else f"{job} failed without a failed run or a crash"
     return None
 
 
+def _has_lost_two_workers(history: CellHistory, runs: list[RunRecord], at: float) -> bool:
+    """Return whether two workers have crashed under one task, whatever made them crash.
+
+    The users allow such a job to be shown as failed.
+    """
+    crashes = {(crash.worker, crash.at) for crash in history.worker_crashes}
+    workers_by_task: dict[TaskId, set[str]] = defaultdict(set)
+    for run in runs:
+        is_lost = run.crashed_worker or (run.worker, run.ended_at) in crashes
+        if is_lost and _ended_by(run, RunEnd.LOST, at):
+            workers_by_task[run.task].add(run.worker)
+    return any(len(workers) > 1 for workers in workers_by_task.values())
+
+
 def _ended_by(run: RunRecord, end: RunEnd, at: float) -> bool:
     return run.end is end and run.ended_at <= at
 
--- a/packages/mimosapoint/src/mimosapoint/testing/cell_history.py
+++ b/packages/mimosapoint/src/mimosapoint/testing/cell_history.py
@@ -22,6 +22,7 @@
     "PlannedStopObservation",
     "SubmissionObservation",
     "SubmissionOutcome",
+    "WorkerCrashObservation",
     "WorkerDrain",
     "ZoneWithdrawal",
 ]
@@ -119,6 +120,14 @@
     returned_at: float | None = None
 
 
+@attrs.frozen
+class WorkerCrashObservation:
+    """A crash of a worker that no task caused; it ends the runs there at the same time."""
+
+    worker: str
+    at: float
+
+
 @attrs.frozen
 class PlannedStopObservation:
     """A planned stop of a node, from the request to the end of its process."""
@@ -198,6 +207,7 @@
     claims: list[ClaimObservation] = attrs.field(factory=list)
     withdrawals: list[ZoneWithdrawal] = attrs.field(factory=list)
     drains: list[WorkerDrain] = attrs.field(factory=list)
+    worker_crashes: list[WorkerCrashObservation] = attrs.field(factory=list)
     planned_stops: list[PlannedStopObservation] = attrs.field(factory=list)
     configuration_writes: list[ConfigurationWrite] = attrs.field(factory=list)
     configurations: list[ConfigurationObservation] = attrs.field(factory=list)
--- a/packages/mimosapoint/src/mimosapoint/testing/tests/test_cell_checks.py
+++ b/packages/mimosapoint/src/mimosapoint/testing/tests/test_cell_checks.py
@@ -16,6 +16,7 @@
     PlannedStopObservation,
     SubmissionObservation,
     SubmissionOutcome,
+    WorkerCrashObservation,
     WorkerDrain,
     ZoneWithdrawal,
 )
@@ -53,6 +54,11 @@
 DONE_GANG = [run(0, 2.0, 5.0, RunEnd.DONE), run(1, 2.1, 5.1, RunEnd.DONE, worker="w2")]
 LOST_END = run(0, 2.0, 5.0, RunEnd.DONE)
 LOST_END.end_unreported = True
+LOST_RUNS = [
+    run(0, 2.0, 3.0, RunEnd.LOST, job="e", step=SINGLE),
+    run(0, 3.5, 4.0, RunEnd.LOST, job="e", step=SINGLE, epoch=2, worker="w2"),
+]
+LOST_WORKERS = [WorkerCrashObservation("w1", 3.0), WorkerCrashObservation("w2", 4.0)]
 CLAIM = ClaimObservation("a", 0.0, 3.0)
 CANCELLATION = CancellationObservation("a", 2.0, 3.0, 2.0)
 CONFIGURATIONS = [write(1, 0.0, "k"), write(2, 5.0)]
@@ -89,6 +95,18 @@
             "phases": [phase(9.0, Phase.FAILED, job="e")],
             "runs": CRASHES[:1],
         },
+        {
+            "submissions": [submission(job="e", step=SINGLE)],
+            "phases": [phase(3.9, Phase.FAILED, job="e")],
+            "runs": LOST_RUNS,
+            "worker_crashes": LOST_WORKERS,
+        },
+        {
+            "submissions": [submission(job="e", step=SINGLE)],
+            "phases": [phase(9.0, Phase.FAILED, job="e")],
+            "runs": LOST_RUNS,
+            "worker_crashes": LOST_WORKERS[:1],
+        },
         {
             "submissions": [submission()],
             "phases": [phase(6.0, Phase.COMPLETE), phase(9.0, Phase.RUNNING)],
@@ -156,19 +174,23 @@
         submission("refused", job="b"),
         submission("unknown", job="c"),
         submission(job="g", step=SINGLE),
+        submission(job="e", step=SINGLE),
     ],
     "claims": [CLAIM],
     "runs": [
         *DONE_GANG,
         run(0, 2.0, 3.0, RunEnd.LOST, job="d", step=SINGLE),
         run(0, 3.9, 4.5, RunEnd.STOPPED, job="d", step=SINGLE, epoch=2, worker="w2"),
+        *LOST_RUNS,
         *(crash(1.0 + count / 10, count, job="g") for count in range(5)),
     ],
+    "worker_crashes": LOST_WORKERS,
     "phases": [
         phase(2.0, Phase.QUEUED),
         phase(6.0, Phase.COMPLETE),
         phase(9.9, Phase.FAILED, job="g"),
         phase(3.1, Phase.CANCELLED, job="d"),
+        phase(4.1, Phase.FAILED, job="e"),
     ],
     "cancellations": [CancellationObservation("d", 2.0, 3.0, 2.0)],
     "withdrawals": [ZoneWithdrawal("z", 0.0, 2.0)],
