Read states during the soak, and check that told ends hold

The soak did not find that a job shown as complete during an outage of the store can start again: its callers hardly asked for jobs during the faults, no check knew what they had been told, and run_violations excuses each end that its worker lost before it was acknowledged.

In seeds from 4000 callers read the states of accepted jobs throughout, at all nodes. Each reply is recorded with its node, its state and both times. Two checks hold for all seeds: nothing of a job starts after an end of it was told, and a told end is not taken back. Tests show that each finds a broken history. The seeds below 4000 make the same calls as before.

--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -17,10 +17,13 @@
 from tools.soak.zones import Zones
 
 __all__ = [
+    "ENDS",
+    "ends_taken_back",
     "find_violations",
     "outdated_replies",
     "run_reply_contradictions",
     "starts_above_cap",
+    "starts_after_told_end",
     "starts_in_withdrawn_zones",
     "unknown_jobs",
 ]
@@ -31,6 +34,11 @@
 """Time from a withdrawal to the last start: a start may take effect a second after its order. The
 same holds for starts under an earlier cap."""
 
+START_SECONDS_BY_END = {"complete": 0.0, "failed": 0.0, "cancelled": WITHDRAWAL_SECONDS}
+"""Time from the reply that tells an end to the last start of the job."""
+
+ENDS = tuple(START_SECONDS_BY_END)
+
 HANDLED = 200
 """Stands for every status of a request whose queue and key are known."""
 
@@ -47,6 +55,8 @@
         *crash_violations(simulation.history),
         *run_reply_contradictions(simulation.history, callers.refused, callers.cancelled),
         *unknown_jobs(requests, callers.accepted_at_by_job),
+        *starts_after_told_end(simulation.history, requests),
+        *ends_taken_back(requests),
         *outdated_replies(requests, site.configurations),
         *starts_in_withdrawn_zones(simulation, site.zones),
         *starts_above_cap(simulation.history, site.configurations),
@@ -80,6 +90,45 @@
     ]
 
 
+def starts_after_told_end(history: Iterable[RunRecord], requests: Iterable[Request]) -> list[str]:
+    """Return runs that started after a node had told that their job has ended.
+
+    A worker that has lost the end of a task does not excuse a start after that.
+    """
+    told_by_job = _first_told_ends(requests)
+    return [
+        f"{record.task} started as run {record.run} on {record.worker} at {record.started_at:.3f},"
+        f" and node {told.node} had told {told.state} at {told.replied_at:.3f}"
+        for record in history
+        for told in told_by_job.get(record.task.job, ())
+        if record.started_at > told.replied_at + START_SECONDS_BY_END[told.state]
+    ]
+
+
+def ends_taken_back(requests: Iterable[Request]) -> list[str]:
+    """Return replies that contradict an end told before their request was sent."""
+    requests = list(requests)
+    told_by_job = _first_told_ends(requests)
+    return [
+        f"node {request.node} told {request.state or 'unknown'} of {request.job} at"
+        f" {request.replied_at:.3f}, asked at {request.sent_at:.3f}, and node {told.node} had told"
+        f" {told.state} at {told.replied_at:.3f}"
+        for request in requests
+        if request.state or request.status == 410
+        for told in told_by_job.get(request.job, ())
+        if request.sent_at > told.replied_at and request.state != told.state
+    ]
+
+
+def _first_told_ends(requests: Iterable[Request]) -> dict[str, list[Request]]:
+    """Return the first request, by its reply, that told each kind of end, by job."""
+    told_by_job: dict[str, dict[str, Request]] = {}
+    for request in sorted(requests, key=lambda each: each.replied_at):
+        if request.state in ENDS:
+            told_by_job.setdefault(request.job, {}).setdefault(request.state, request)
+    return {job: list(told.values()) for job, told in told_by_job.items()}
+
+
 def outdated_replies(requests: Iterable[Request], configurations: Configurations) -> list[str]:
     """Return replies that no version allows which may be in force at the time of the request.
 
--- a/tools/soak/connections.py
+++ b/tools/soak/connections.py
@@ -51,6 +51,7 @@
     :param sent_at: time at which it was sent, on the trio clock.
     :param replied_at: time of the reply, or at which the caller stopped waiting.
     :param status: HTTP status; 0 without a reply.
+    :param state: state of the job that a reply to a read tells; empty for other replies.
     """
 
     node: int
@@ -61,6 +62,7 @@
     sent_at: float
     replied_at: float
     status: int
+    state: str = ""
 
 
 def _open_pool() -> httpcore.AsyncConnectionPool:
@@ -112,7 +114,8 @@
                 # No reply: status 0.
                 pass
         replied_at = trio.current_time()
+        state = reply.state if method == "GET" and reply.status == 200 else ""
         self.requests.append(
-            Request(node, method, queue, job, key, sent_at, replied_at, reply.status)
+            Request(node, method, queue, job, key, sent_at, replied_at, reply.status, state)
         )
         return reply
--- a/tools/soak/log.py
+++ b/tools/soak/log.py
@@ -34,8 +34,9 @@
         return max((seconds for at, seconds in self.lags if at >= since), default=0.0)
 
     def write(self, event: str, **fields: object) -> None:
-        """Append a line."""
+        """Append a line with the time of day and of the trio clock."""
         now = datetime.now(timezone.utc).replace(tzinfo=None).isoformat(timespec="milliseconds")
+        fields = {"clock": f"{trio.current_time():.3f}", **fields}
         with self.path.open("a") as file:
             print(f"time={now} event={event}", *(f"{k}={v}" for k, v in fields.items()), file=file)
 
--- a/tools/soak/profile.py
+++ b/tools/soak/profile.py
@@ -10,6 +10,7 @@
     "FAST_LINK_MBPS",
     "FIRST_CHANGES_SEED",
     "FIRST_CRASH_SEED",
+    "FIRST_OUTAGE_SEED",
     "FIRST_QUOTA_SEED",
     "Profile",
     "profile_of",
@@ -27,6 +28,10 @@
 FIRST_CRASH_SEED = 3000
 """First seed with jobs whose tasks crash their workers, and with workers that change capacity."""
 
+FIRST_OUTAGE_SEED = 4000
+"""First seed in which the owner and workers are lost during outages of the store, and callers ask
+for the state of their jobs throughout."""
+
 SMALL_CORES = 0.5
 LARGE_SITE_INTERVAL = 10
 FAST_LINK_MBPS = 1000.0
@@ -63,6 +68,11 @@
         """Whether tasks and other causes crash workers, and capacities change."""
         return self.seed >= FIRST_CRASH_SEED
 
+    @property
+    def has_outages(self) -> bool:
+        """Whether owner and workers are lost during outages, while callers read states."""
+        return self.seed >= FIRST_OUTAGE_SEED
+
     @property
     def slowest_bytes_per_second(self) -> float:
         """Bandwidth of the slowest link."""
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -14,6 +14,7 @@
 from tools.soak.connections import Connections
 from tools.soak.final_checks import check_nodes, wait_ready
 from tools.soak.profile import profile_of
+from tools.soak.reads import StateReads
 from tools.soak.schedule import inject_faults
 from tools.soak.site import SoakSite
 
@@ -64,6 +65,9 @@
             async with trio.open_nursery() as background:
                 finished = trio.Event()
                 background.start_soon(callers.submit_until, finished)
+                if profile.has_outages:
+                    reads = StateReads(callers, Random(seed + 2))
+                    background.start_soon(reads.read_until, finished)
                 async with trio.open_nursery() as disturbances:
                     if earlier_build is not None:
                         disturbances.start_soon(_upgrade_nodes, site)
--- a/tools/tests/test_soak.py
+++ b/tools/tests/test_soak.py
@@ -48,8 +48,8 @@
     return RunRecord(TASK, run, "w", STEP, began, ended, end, **more)
 
 
-def request(status, sent_at, queue="urgent", key="key", job="a"):
-    return Request(0, "POST", queue, job, key, sent_at, sent_at + 0.1, status)
+def request(status, sent_at, queue="urgent", key="key", job="a", state=""):
+    return Request(0, "POST", queue, job, key, sent_at, sent_at + 0.1, status, state)
 
 
 class CheckTest(unittest.TestCase):
@@ -120,6 +120,7 @@
 
     def test_every_check_takes_part_in_a_run(self):
         requests = [request(410, 6), request(200, 6, queue="unknown")]
+        requests.append(request(200, 5.5, state="complete"))
         worker = SimpleNamespace(registration=SimpleNamespace(zone="z"))
         simulation = SimpleNamespace(
             history=[record(1, 9, None, None)],
@@ -141,6 +142,8 @@
         found = "\n".join(checks.find_violations(site, callers))
         for part in ("capacity", "refused", "cancelled", "unknown to", "not allow", "withdrawn"):
             self.assertIn(part, found)
+        for part in ("started as run 1", "node 0 told unknown of a"):
+            self.assertIn(part, found)
         callers.accepted_at_by_job.clear()
         self.assertIn("no job was accepted", checks.find_violations(site, callers))
 
--- /dev/null
+++ b/tools/tests/test_soak_ends.py
@@ -0,0 +1,112 @@
+"""Tests of the reads of the soak test and of its checks of told ends."""
+
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+from random import Random
+from types import SimpleNamespace
+
+import trio
+from mimosapoint.memory import RunRecord
+from mimosapoint.testing import TrioTestCase
+from mimosapoint.workload import ResourceAmounts, Step, TaskId
+
+ROOT = Path(__file__).resolve().parents[2]
+sys.path.insert(0, str(ROOT / "platform"))
+
+from tools.soak import checks  # noqa: E402 (needs the path)
+from tools.soak.connections import Connections, Reply, Request  # noqa: E402
+from tools.soak.log import SoakLog  # noqa: E402
+from tools.soak.reads import StateReads  # noqa: E402
+
+
+def read(state, sent_at, node=0, status=200):
+    return Request(node, "GET", "urgent", "a", "key", sent_at, sent_at + 0.1, status, state)
+
+
+def start(at, job="a"):
+    step = Step(1, ResourceAmounts(1))
+    return RunRecord(TaskId(job, 0, 0, 0), 1, "w", step, at, at + 1, end_unreported=True)
+
+
+class ToldEndTest(unittest.TestCase):
+    # The checks excused a start after an end that its worker lost, also if callers knew the end.
+    def test_a_start_after_a_told_end_is_found(self):
+        cases = (
+            ("complete", 5.1, 0),
+            ("complete", 5.2, 1),
+            ("failed", 5.2, 1),
+            ("cancelled", 8.0, 0),
+            ("cancelled", 8.2, 1),
+            ("running", 9.0, 0),
+        )
+        for state, at, count in cases:
+            with self.subTest(state=state, at=at):
+                requests = [read(state, 20), read(state, 5)]
+                history = [start(at), start(at, "b")]
+                self.assertEqual(count, len(checks.starts_after_told_end(history, requests)))
+
+    # A caller that was told an end saw its job run again.
+    def test_an_end_that_a_later_request_contradicts_is_found(self):
+        cases = (
+            ("complete", read("running", 6, node=1), 1),
+            ("complete", read("failed", 6), 1),
+            ("cancelled", read("complete", 6), 1),
+            ("complete", read("", 6, status=410), 1),
+            ("complete", read("complete", 6), 0),
+            ("complete", read("", 6, status=503), 0),
+            ("complete", read("running", 5.05), 0),
+            ("running", read("queued", 6), 0),
+        )
+        for state, later, count in cases:
+            with self.subTest(state=state, later=later.state, status=later.status):
+                # A reply that was sent for earlier may be recorded later.
+                found = checks.ends_taken_back([later, read(state, 5)])
+                self.assertEqual(count, len(found), found)
+
+
+class ReadTest(TrioTestCase):
+    mock_clock = True
+
+    async def test_states_are_read_at_all_nodes_until_the_end(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        log = SoakLog(Path(folder.name) / "soak.log")
+        asked = set()
+
+        class Nodes:
+            addresses = ["first", "second"]
+
+            async def call(self, node, method, queue, job, key):
+                asked.add((node, method, job))
+                # A node without a reply delays no other read.
+                await trio.sleep(3 if node else 0)
+                return Reply(200, b'{"state": "complete"}')
+
+        callers = SimpleNamespace(
+            connections=Nodes(),
+            accepted_at_by_job={"a": 1.0, "b": 2.0},
+            site=SimpleNamespace(log=log),
+        )
+        finished = trio.Event()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(StateReads(callers, Random(1)).read_until, finished)
+            await trio.sleep(2)
+            finished.set()
+        self.assertEqual({(node, "GET", job) for node in (0, 1) for job in "ab"}, asked)
+        lines = log.path.read_text().splitlines()
+        self.assertEqual(2, len([line for line in lines if "end-told" in line]))
+
+    async def test_a_told_state_is_recorded_with_its_request(self):
+        class Pool:
+            async def request(self, method, url, headers, content):
+                await trio.sleep(0.5)
+                return SimpleNamespace(status=200, content=b'{"state": "complete"}')
+
+        connections = Connections(["first"], pool_by_node={0: Pool()})
+        sent_at = trio.current_time()
+        await connections.call(0, "GET", "urgent", "a", "key")
+        (found,) = connections.requests
+        self.assertEqual("complete", found.state)
+        self.assertEqual((sent_at, sent_at + 0.5), (found.sent_at, found.replied_at))
