Lose the owner and workers during outages in the soak

Outages rarely overlapped with a kill of the owner and restarts of workers, so the soak did not find that a job told to be complete can start again.

Seeds from 4000 begin an outage of the store every 1 to 7 s, refused or silent. Towards its end the owner gets SIGKILL or SIGTERM, and some or all workers restart. Another fault cuts workers off until their leases are over. Outages that overlap last until the last of them ends. The lower seeds have the same faults as before.

--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -2,21 +2,41 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from random import Random
+from typing import TypeVar
 
 import trio
+from mimosapoint.memory import MemoryRunWorker
 from mimosapoint.workload import ResourceAmounts
 
-from tools.soak.profile import FIRST_CHANGES_SEED, FIRST_CRASH_SEED, Profile
+from tools.soak.profile import FIRST_CHANGES_SEED, FIRST_CRASH_SEED, FIRST_OUTAGE_SEED, Profile
 from tools.soak.site import CAPACITY, SoakSite
 
-__all__ = ["fault", "fault_names", "faults_by_name"]
+__all__ = ["OUTAGE_FAULTS", "fault", "fault_names", "faults_by_name"]
 
 ROLLING_GROUPS = 4
 
+OUTAGE_FAULTS = ("kill-owner-in-outage", "stop-owner-in-outage")
+
+OUTAGE_SECONDS = (3.0, 8.0)
+
+KILL_SECONDS = (0.1, 1.5)
+"""Time from the kill of the owner to the return of the store."""
+
+STOP_SECONDS = (0.5, 3.0)
+"""The same for SIGTERM, after which a node works on for a while."""
+
+RESTART_SECONDS = 0.5
+"""Longest time from the loss of the owner to the restart of a worker."""
+
+LAPSE_SECONDS = 15.0
+"""Longest time for which a worker is cut off; leases end within 10 s."""
+
 SHRUNKEN_CAPACITIES = (ResourceAmounts(3000, 2000, 4), ResourceAmounts(9000, 9000, 0))
 
+T = TypeVar("T")
+
 Fault = Callable[[SoakSite, Random], Awaitable[None]]
 
 faults_by_name: dict[str, Fault] = {}
@@ -183,3 +203,66 @@
     worker.resize(random.choice(SHRUNKEN_CAPACITIES))
     await trio.sleep(random.uniform(1, 6))
     worker.resize(CAPACITY)
+
+
+@fault("kill-owner-in-outage", FIRST_OUTAGE_SEED)
+async def kill_owner_in_outage(site: SoakSite, random: Random) -> None:
+    """Kill the owner and restart workers towards the end of an outage of the store."""
+    await _lose_owner_in_outage(site, random, "SIGKILL", random.uniform(*KILL_SECONDS))
+
+
+@fault("stop-owner-in-outage", FIRST_OUTAGE_SEED)
+async def stop_owner_in_outage(site: SoakSite, random: Random) -> None:
+    """Stop the owner with SIGTERM and restart workers towards the end of an outage."""
+    await _lose_owner_in_outage(site, random, "SIGTERM", random.uniform(*STOP_SECONDS))
+
+
+async def _lose_owner_in_outage(
+    site: SoakSite, random: Random, signal: str, seconds_left: float
+) -> None:
+    seconds = random.uniform(*OUTAGE_SECONDS)
+    outage = random.choice([site.store_outages.refused, site.store_outages.silent])
+    with outage():
+        await trio.sleep(seconds - seconds_left)
+        owner = random.randrange(len(site.processes)) if site.owner is None else site.owner
+        workers = _some_or_all(site.workers, random)
+        site.log.write(
+            "owner-lost", node=owner, signal=signal, outage=outage.__name__, workers=len(workers)
+        )
+        await site.signal_node(owner, signal)
+        async with trio.open_nursery() as nursery:
+            for worker in workers:
+                delay = random.uniform(0, min(RESTART_SECONDS, seconds_left))
+                nursery.start_soon(_restart_worker, site, worker, delay)
+            await trio.sleep(seconds_left)
+    await _stop_and_start(site, owner)
+
+
+@fault("lapse-workers", FIRST_OUTAGE_SEED)
+async def lapse_workers(site: SoakSite, random: Random) -> None:
+    """Cut some or all workers off until their leases are over, and restart them."""
+    numbers = _some_or_all(range(len(site.workers)), random)
+    async with trio.open_nursery() as nursery:
+        for number in numbers:
+            nursery.start_soon(_lapse_worker, site, number)
+
+
+async def _lapse_worker(site: SoakSite, number: int) -> None:
+    worker = site.workers[number]
+    with site.worker_proxies[number].cut():
+        with trio.move_on_after(LAPSE_SECONDS):
+            while worker.clock_ms <= worker.lease_until_ms:
+                await trio.sleep(0.05)
+        await _restart_worker(site, worker, 0)
+
+
+async def _restart_worker(site: SoakSite, worker: MemoryRunWorker, delay: float) -> None:
+    await trio.sleep(delay)
+    worker.restart(worker.born + 1)
+    site.log.write("worker-restarted", worker=worker.registration.id, born=worker.born)
+
+
+def _some_or_all(items: Sequence[T], random: Random) -> Sequence[T]:
+    if random.random() < 0.5:
+        return items
+    return random.sample(items, random.randint(1, len(items)))
--- a/tools/soak/proxy.py
+++ b/tools/soak/proxy.py
@@ -4,6 +4,8 @@
 
 import socket
 import struct
+from collections.abc import Iterator
+from contextlib import contextmanager
 
 import attrs
 import trio
@@ -50,6 +52,7 @@
     dropped_directions: frozenset[str] = frozenset()
     reset_connections: bool = False
     address: str = ""
+    _cuts: int = 0
     _connections: set[_Connection] = attrs.field(factory=set)
 
     async def run(self, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED) -> None:
@@ -70,6 +73,15 @@
         for connection in self._connections:
             connection.dropped_directions = DIRECTIONS
 
+    @contextmanager
+    def cut(self) -> Iterator[None]:
+        """Drop all data within the context, also if other faults are cleared meanwhile."""
+        self._cuts += 1
+        try:
+            yield
+        finally:
+            self._cuts -= 1
+
     def clear_faults(self) -> None:
         """Clear all faults; a connection that dropped data goes on dropping in that direction."""
         self.delay, self.dropped_directions, self.reset_connections = 0.0, frozenset(), False
@@ -103,7 +115,7 @@
                 for start in range(0, len(data), PIECE_BYTES):
                     piece = data[start : start + PIECE_BYTES]
                     await self.link.transmit(len(piece), direction)
-                    if direction in self.dropped_directions:
+                    if direction in self.dropped_directions or self._cuts:
                         connection.dropped_directions |= {direction}
                     if direction not in connection.dropped_directions:
                         await sink.send_all(piece)
--- a/tools/soak/schedule.py
+++ b/tools/soak/schedule.py
@@ -2,18 +2,21 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from random import Random
 
 import trio
 
 from tools.soak.changes import GROWTH
-from tools.soak.faults import fault_names, faults_by_name
+from tools.soak.faults import OUTAGE_FAULTS, fault_names, faults_by_name
 from tools.soak.site import SoakSite
 
 __all__ = ["inject_faults"]
 
 SERIES_LENGTHS = (1, 1, 2, 3, 4)
 SERIES_GAP_SECONDS = 0.4
+OUTAGE_GAP_SECONDS = (1.0, 7.0)
+"""Time from the begin of an outage in which the owner is lost to the next; they may overlap."""
 
 
 async def inject_faults(
@@ -22,7 +25,8 @@
     """Start faults for some seconds, and return once all are cleared.
 
     Seeds with changes begin with a growth of the configuration, and start faults in series while
-    others are in force.
+    others are in force. Seeds with outages also start a series of outages in which the owner is
+    lost.
 
     :param injected: receives the names of the faults.
     """
@@ -33,6 +37,8 @@
             injected.append(name)
             nursery.start_soon(_inject, site, name, Random(random.random()))
 
+        if site.profile.has_outages:
+            nursery.start_soon(_start_outages, start, Random(random.random()), seconds)
         with trio.move_on_after(seconds):
             if site.profile.has_changes:
                 start(GROWTH)
@@ -46,6 +52,13 @@
                 await trio.sleep(random.expovariate(0.7))
 
 
+async def _start_outages(start: Callable[[str], None], random: Random, seconds: float) -> None:
+    with trio.move_on_after(seconds):
+        while True:
+            await trio.sleep(random.uniform(*OUTAGE_GAP_SECONDS))
+            start(random.choice(OUTAGE_FAULTS))
+
+
 async def _inject(site: SoakSite, name: str, random: Random) -> None:
     site.log.write("fault-begins", name=name)
     await faults_by_name[name](site, random)
--- a/tools/soak/site.py
+++ b/tools/soak/site.py
@@ -11,7 +11,8 @@
 from pathlib import Path
 
 import trio
-from mimosapoint.cell.keys import JOB_PREFIX
+from mimosapoint.cell.election import CellOwnerRecord
+from mimosapoint.cell.keys import JOB_PREFIX, OWNER_KEY
 from mimosapoint.codec import decode
 from mimosapoint.memory import (
     MemoryRunWorker,
@@ -33,6 +34,7 @@
 from tools.soak.configurations import CAPS, POOL, Configurations
 from tools.soak.link import Link
 from tools.soak.log import SoakLog
+from tools.soak.outages import StoreOutages
 from tools.soak.profile import Profile
 from tools.soak.proxy import Proxy
 from tools.soak.zones import Zones
@@ -44,6 +46,7 @@
 WORKERS_PER_RACK = 3
 RUN_TIME = timedelta(milliseconds=700)
 CONFIGURATION_MS = 2000
+OWNER_PROBE_SECONDS = 0.1
 ADDRESS_NAMES = (
     "callers_address",
     "probe_address",
@@ -93,6 +96,8 @@
         self.workers: list[MemoryRunWorker] = []
         self.worker_proxies: list[Proxy] = []
         self.store_proxies: list[Proxy] = []
+        self.store_outages = StoreOutages(self.store_proxies)
+        self.owner: int | None = None
         self.crashing_job_periods = 0
         self.processes: list[trio.Process | None] = []
         self._builds = [earlier_build or ROOT for _ in profile.mbps_by_node]
@@ -106,7 +111,8 @@
         if self.profile.has_quota:
             self.configurations.cap = CAPS[0]
         self.configurations.publish()
-        store_port = await self._serve(store_app(self.store, StandinFaults()))
+        store = self.store_outages.refusing_app(store_app(self.store, StandinFaults()))
+        store_port = await self._serve(store)
         jobs = _JobsFromStore(self.store)
         for number in range(self.profile.workers):
             await self._add_worker(number, jobs)
@@ -117,6 +123,7 @@
             self._start_locks.append(trio.Lock())
             await self.start_node(number)
         self.nursery.start_soon(self._write_heartbeats)
+        self.nursery.start_soon(self._follow_owner)
         self.nursery.start_soon(self.log.run_lag_probe)
         self.nursery.start_soon(self.log.run_wait_probe, self._process_ids)
 
@@ -229,6 +236,13 @@
                 self.store.put(f"servers/{worker.registration.id}", entry)
             await trio.sleep(1)
 
+    async def _follow_owner(self) -> None:
+        """Note which node last had the ownership, also after its lease has expired."""
+        while True:
+            if value := self.store.peek(OWNER_KEY):
+                self.owner = int(decode(value, CellOwnerRecord).node.rpartition("-")[2])
+            await trio.sleep(OWNER_PROBE_SECONDS)
+
 
 def _node_addresses(number: int) -> list[str]:
     """Return free addresses on a loopback IP of the node.
--- a/tools/tests/test_soak.py
+++ b/tools/tests/test_soak.py
@@ -28,6 +28,7 @@
 from tools.soak.final_checks import check_nodes, wait_ready  # noqa: E402
 from tools.soak.link import Link  # noqa: E402
 from tools.soak.log import SoakLog  # noqa: E402
+from tools.soak.outages import StoreOutages  # noqa: E402
 from tools.soak.profile import profile_of  # noqa: E402
 from tools.soak.proxy import Proxy  # noqa: E402
 from tools.soak.run import run_seed  # noqa: E402
@@ -37,6 +38,10 @@
 CHANGES_SEED = 1001
 """Seed with slow links and a growth of the configuration, as in the incident LOST."""
 
+OUTAGE_SEED = 4001
+"""Seed that loses the owner and workers in outages, as in the incident of tasks that started again
+after their end had been told."""
+
 WATCH_SECONDS = 1.8
 """Time of a watch on the operators' entries without a byte of the reply."""
 
@@ -351,6 +356,17 @@
             await self.exchange(await self.connect(proxy), b"x")
             nursery.cancel_scope.cancel()
 
+    async def test_a_silent_outage_lasts_also_if_other_faults_are_cleared(self):
+        async with trio.open_nursery() as nursery:
+            proxy = await self.open_proxy(nursery)
+            with StoreOutages([proxy]).silent():
+                proxy.clear_faults()
+                with trio.move_on_after(0.2) as silence:
+                    await self.exchange(await self.connect(proxy), b"x")
+            self.assertTrue(silence.cancelled_caught)
+            await self.exchange(await self.connect(proxy), b"x")
+            nursery.cancel_scope.cancel()
+
     async def test_connections_are_reset(self):
         async with trio.open_nursery() as nursery:
             proxy = await self.open_proxy(nursery)
@@ -375,3 +391,6 @@
 
     def test_a_seed_with_changes_keeps_every_promise(self):
         self.check_seed(CHANGES_SEED)
+
+    def test_a_seed_that_loses_the_owner_in_outages_keeps_every_promise(self):
+        self.check_seed(OUTAGE_SEED)
--- a/tools/tests/test_soak_ends.py
+++ b/tools/tests/test_soak_ends.py
@@ -1,8 +1,9 @@
-"""Tests of the reads of the soak test and of its checks of told ends."""
+"""Tests of the reads of the soak test, of its checks of told ends, and of its outages."""
 
 import sys
 import tempfile
 import unittest
+from contextlib import contextmanager
 from pathlib import Path
 from random import Random
 from types import SimpleNamespace
@@ -17,7 +18,10 @@
 
 from tools.soak import checks  # noqa: E402 (needs the path)
 from tools.soak.connections import Connections, Reply, Request  # noqa: E402
+from tools.soak.faults import OUTAGE_FAULTS, fault_names, faults_by_name  # noqa: E402
 from tools.soak.log import SoakLog  # noqa: E402
+from tools.soak.outages import StoreOutages  # noqa: E402
+from tools.soak.profile import profile_of  # noqa: E402
 from tools.soak.reads import StateReads  # noqa: E402
 
 
@@ -110,3 +114,118 @@
         (found,) = connections.requests
         self.assertEqual("complete", found.state)
         self.assertEqual((sent_at, sent_at + 0.5), (found.sent_at, found.replied_at))
+
+
+class OutageTest(TrioTestCase):
+    mock_clock = True
+
+    async def test_overlapping_outages_last_until_the_last_ends(self):
+        replies = []
+
+        async def app(scope, receive, send):
+            replies.append("served")
+
+        async def receive():
+            return {"type": "http.request", "body": b""}
+
+        async def send(message):
+            if "status" in message:
+                replies.append(message["status"])
+
+        outages = StoreOutages([])
+        respond = outages.refusing_app(app)
+        with outages.refused():
+            with outages.refused():
+                pass
+            await respond({"type": "http"}, receive, send)
+        await respond({"type": "http"}, receive, send)
+        self.assertEqual([503, "served"], replies)
+
+    # Outages that hardly overlapped with a loss of the owner did not show the incident.
+    async def test_owner_and_workers_are_lost_before_the_store_returns(self):
+        for seed in range(20):
+            for name, signal in zip(OUTAGE_FAULTS, ("SIGKILL", "SIGTERM"), strict=True):
+                with self.subTest(name=name, seed=seed):
+                    site = FakeSite()
+                    began = trio.current_time()
+                    await faults_by_name[name](site, Random(seed))
+                    events = [event for _, event in site.events]
+                    times = [at - began for at, _ in site.events]
+                    back = events.index("back")
+                    self.assertEqual(("away", signal + " 2"), tuple(events[:2]))
+                    self.assertIn("restart", events[2:back])
+                    self.assertNotIn("restart", events[back:])
+                    self.assertIn("start 2", events[back:])
+                    self.assertTrue(3 <= times[back] <= 8, times)
+
+    async def test_cut_off_workers_restart_once_their_leases_are_over(self):
+        site = FakeSite(leased_ms=7000)
+        began = trio.current_time()
+        await faults_by_name["lapse-workers"](site, Random(1))
+        restarts = [at - began for at, event in site.events if event == "restart"]
+        self.assertTrue(restarts and all(7 < at < 7.2 for at in restarts), restarts)
+        self.assertEqual(0, sum(proxy.cuts for proxy in site.worker_proxies))
+
+    # Outages that hardly overlapped with a loss of the owner did not show the incident.
+    async def test_seeds_from_4000_lose_the_owner_in_outages(self):
+        added = {"kill-owner-in-outage", "stop-owner-in-outage", "lapse-workers"}
+        for seed, expected in ((3999, set()), (4000, added)):
+            self.assertEqual(expected, added & set(fault_names(profile_of(seed))))
+
+
+class FakeSite:
+    """Records when its store goes away and returns, and what becomes of node 2 and of workers."""
+
+    def __init__(self, leased_ms=0):
+        self.events = []
+        self.owner = 2
+        self.processes = [None] * 4
+        self.workers = [FakeWorker(self, leased_ms) for _ in range(3)]
+        self.worker_proxies = [FakeProxy() for _ in self.workers]
+        self.store_outages = SimpleNamespace(refused=self.outage, silent=self.outage)
+        self.log = SimpleNamespace(write=lambda *event, **fields: None)
+
+    def record(self, event):
+        self.events.append((trio.current_time(), event))
+
+    @contextmanager
+    def outage(self):
+        self.record("away")
+        yield
+        self.record("back")
+
+    async def signal_node(self, number, name):
+        self.record(f"{name} {number}")
+
+    async def wait_node(self, number):
+        await trio.sleep(0)
+
+    async def start_node(self, number):
+        self.record(f"start {number}")
+
+
+class FakeWorker:
+    registration = SimpleNamespace(id="w")
+    born = 1
+
+    def __init__(self, site, leased_ms):
+        self.site = site
+        self.lease_until_ms = leased_ms
+        self.started_at = trio.current_time()
+
+    @property
+    def clock_ms(self):
+        return (trio.current_time() - self.started_at) * 1000
+
+    def restart(self, born):
+        self.site.record("restart")
+
+
+class FakeProxy:
+    cuts = 0
+
+    @contextmanager
+    def cut(self):
+        self.cuts += 1
+        yield
+        self.cuts -= 1
