--- a/packages/mimosapoint/src/mimosapoint/cell/inbox.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/inbox.py
@@ -105,7 +105,7 @@
 
 
 def _remaining_entries(batch: ChangeBatch) -> tuple[Entry, ...]:
-    """Return the entries written in a batch of changes, but those that it also removes.
+    """Return the entries that a batch of changes leaves, without those that it also removes.
 
     A removed job and its cancellation say nothing about a job accepted later under the same id.
     """
