--- a/packages/mimosapoint/src/mimosapoint/cell/tests/test_random_faults.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_random_faults.py
@@ -17,7 +17,7 @@
 FIRST_SEED = int(os.environ.get("MIMOSAPOINT_RANDOM_FAULTS_FIRST", "1"))
 SEEDS = int(os.environ.get("MIMOSAPOINT_RANDOM_FAULTS_SEEDS", "2"))
 
-BROKEN_VERSION_SEED = 5
+BROKEN_VERSION_SEED = 10
 """A seed in which callers are shown an end that is lost, if it is shown before it is stored."""
 
 JOBS = 40
