Log why jobs stand still beside free capacity, and why a job failed

Cause of the gap: a job that waits behind a gang's reservation was explained as next in line, and nothing was logged unless a quota itself refused it, so that the second hypothesis of the incident could be neither shown nor excluded from a log. A job that ended as failed was logged without the runs and crashes that were counted, which the first hypothesis needs.

Change: the event job-stands-still and the metric cell_standing_jobs for jobs of which nothing has run for 2 s while service and workspace use less than half; the reason 'reserved' names the gang and its wait; job-ended has the failed runs of the unit, or the crashes with their weights. The explanation moves out of the owner into a module of its own. Decisions are unchanged.

--- a/packages/mimosapoint/src/mimosapoint/cell/crash_blame.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/crash_blame.py
@@ -146,7 +146,7 @@
                 workers = [crash.worker for crash in crashes]
                 self._telemetry.event("job-given-up", job=task.job, task=task, workers=workers)
                 self._telemetry.count("cell_jobs_given_up")
-                self._job_table.give_up(job)
+                self._job_table.give_up(job, task)
                 self._stop_job(job, "worker-crashes")
                 self._explain_others(crashes)
 
--- a/packages/mimosapoint/src/mimosapoint/cell/decision_maker.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/decision_maker.py
@@ -63,6 +63,7 @@
         self._recovery = recovery
         self._faulty_jobs: set[str] = set()
         self._planner = self._make_planner()
+        self._last_plan = Plan()
 
     def plan(self, workers: list[Worker], context: DecisionContext) -> Plan:
         """Return the starts and stops of one decision.
@@ -72,10 +73,12 @@
         """
         units = list(self._startable_units())
         try:
-            return self._planner.plan(units, self._job_table.active_units(), workers, context)
+            plan = self._planner.plan(units, self._job_table.active_units(), workers, context)
         except Exception as error:
             self._exclude_faulty_jobs(units, workers, context, error)
-            return Plan(next_decision_at=context.now)
+            plan = Plan(next_decision_at=context.now)
+        self._last_plan = plan
+        return plan
 
     def plan_dry_run(
         self,
@@ -115,6 +118,13 @@
             self._limits.shares(),
         )
 
+    def reserving_units(self, unit: Unit) -> list[Unit]:
+        """Return the gangs for which the last decision reserved what the unit might have used."""
+        by_workspace = self._last_plan.reserving_quota_by_workspace
+        holder = by_workspace.get(unit.job.record.tenant)
+        reserving = [*self._last_plan.reserving_room, *([holder] if holder is not None else ())]
+        return [each for each in reserving if each.id != unit.id]
+
     def has_capacity_hold(self, unit: UnitId) -> bool:
         """Return whether capacity is held for the unit while its victims stop."""
         return self._planner.has_capacity_hold(unit)
--- a/packages/mimosapoint/src/mimosapoint/cell/decisions/plan.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/decisions/plan.py
@@ -53,6 +53,8 @@
     :param next_decision_at: time by which another decision is due; ``None`` if none is.
     :param task_count: number of tasks in ``starts``.
     :param quota_obstacles: waiting units that the quotas of their workspaces do not admit.
+    :param reserving_room: gangs for which capacity of workers is reserved.
+    :param reserving_quota_by_workspace: gang for which the quota of a workspace is reserved.
     """
 
     starts: list[Start] = attrs.field(factory=list)
@@ -60,6 +62,8 @@
     next_decision_at: datetime | None = None
     task_count: int = 0
     quota_obstacles: dict[UnitId, QuotaObstacle] = attrs.field(factory=dict)
+    reserving_room: list[Unit] = attrs.field(factory=list)
+    reserving_quota_by_workspace: dict[str, Unit] = attrs.field(factory=dict)
 
     def start(self, unit: Unit, workers: tuple[Worker, ...]) -> None:
         """Add a unit to start."""
--- a/packages/mimosapoint/src/mimosapoint/cell/decisions/planner.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/decisions/planner.py
@@ -55,8 +55,6 @@
     :param reservations: reservations of gangs.
     :param plan: the result.
     :param blocked_fit_keys: properties of units that do not fit.
-    :param reserved_gangs: number of gangs with a reservation.
-    :param reserving_workspaces: workspaces that keep quota for a waiting gang.
     """
 
     context: DecisionContext
@@ -65,8 +63,6 @@
     reservations: Reservations
     plan: Plan = attrs.field(factory=Plan)
     blocked_fit_keys: set[tuple] = attrs.field(factory=set)
-    reserved_gangs: int = 0
-    reserving_workspaces: set[str] = attrs.field(factory=set)
     _victims: Victims | None = None
 
     def priority_of(self, unit: Unit) -> int:
@@ -224,10 +220,11 @@
 
         Smaller units do not starve a unit that is no gang, as it fits wherever they do.
         """
-        is_full = decision.reserved_gangs >= self._settings.max_reserved_gangs
+        reserving = decision.plan.reserving_room
+        is_full = len(reserving) >= self._settings.max_reserved_gangs
         if is_full or not unit.step.gang:
             return
-        decision.reserved_gangs += 1
+        reserving.append(unit)
         state = decision.placement_state
         single_rack = unit.step.rack_local and fits_one_rack(state, unit, pool)
         priority = decision.priority_of(unit)
@@ -314,9 +311,9 @@
             return
         if decision.priority_of(unit) == URGENT_PRIORITY:
             self._preempt_for_quota(decision, unit)
-        elif unit.step.gang and workspace not in decision.reserving_workspaces:
+        elif unit.step.gang and workspace not in decision.plan.reserving_quota_by_workspace:
             # Otherwise smaller units of its workspace would take its quota again and again.
-            decision.reserving_workspaces.add(workspace)
+            decision.plan.reserving_quota_by_workspace[workspace] = unit
             decision.context.quotas.add_unit(unit)
 
     def _preempt_for_quota(self, decision: _Decision, unit: Unit) -> None:
--- a/packages/mimosapoint/src/mimosapoint/cell/explain.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/explain.py
@@ -48,8 +48,10 @@
     """Runs and ordered starts of other units occupy the capacity."""
     SUSPECT = "suspect"
     """Workers have crashed under it, and no worker is free of runs that might crash it, too."""
+    RESERVED = "reserved"
+    """It fits, but capacity or quota is reserved for gangs that wait."""
     NEXT = "next"
-    """It fits into the free capacity, reservations and capacity holds of other units aside."""
+    """It fits into the free capacity, capacity holds of other units aside."""
 
 
 @attrs.frozen
--- a/packages/mimosapoint/src/mimosapoint/cell/job_table.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/job_table.py
@@ -197,7 +197,8 @@
         self._mark_changed(job)
         if job.progress.failure_count(unit.id) >= job.record.max_attempts:
             if not unit.step.long_running:
-                self._end(job, Phase.FAILED)
+                runs = job.progress.failed_runs[unit.id.key]
+                self._end(job, Phase.FAILED, unit=unit.id, failed_runs=runs)
 
     def record_crash(self, unit: Unit, task: TaskId, crash: WorkerCrash) -> bool:
         """Record a crash that a task may have caused; return whether that is new."""
@@ -233,9 +234,13 @@
                 self._mark_changed(job)
         return explained
 
-    def give_up(self, job: Job) -> None:
+    def give_up(self, job: Job, task: TaskId) -> None:
         """Let a job fail whose task crashes its workers."""
-        self._end(job, Phase.FAILED)
+        crashes = [
+            f"{each.worker}:{each.run}:weight={each.weight}"
+            for each in job.progress.crashes.get(task.key, ())
+        ]
+        self._end(job, Phase.FAILED, task=task, crashes=crashes)
 
     def set_start(self, unit: Unit, start: UnitStart) -> None:
         """Record the start of a unit, which is ordered once that is stored."""
@@ -289,7 +294,7 @@
             job.progress.phase = phase
             self._mark_changed(job)
 
-    def _end(self, job: Job, phase: Phase) -> None:
+    def _end(self, job: Job, phase: Phase, **log_fields: object) -> None:
         if job.progress.phase.ended:
             return
         now = self._clock.now()
@@ -306,6 +311,7 @@
             phase=phase,
             queue=job.record.queue,
             seconds=round((now - job.waiting_since).total_seconds(), 3),
+            **log_fields,
         )
         self._telemetry.count("cell_jobs_ended", phase=phase.value)
 
--- a/packages/mimosapoint/src/mimosapoint/cell/owner.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/owner.py
@@ -11,16 +11,16 @@
 from mimosapoint.cell.committer import ProgressCommitter
 from mimosapoint.cell.crash_blame import CrashBlame
 from mimosapoint.cell.decision_maker import DecisionMaker
+from mimosapoint.cell.decisions.ample_room import AmpleRoom
 from mimosapoint.cell.decisions.departures import find_departures
 from mimosapoint.cell.decisions.durations import make_durations
 from mimosapoint.cell.decisions.planner import Plan
-from mimosapoint.cell.decisions.quotas import QuotaReason
 from mimosapoint.cell.decisions.units import Job, TaskRun, Unit
 from mimosapoint.cell.decisions.worker import Worker
 from mimosapoint.cell.dependencies import CellOwnerDependencies
 from mimosapoint.cell.dry_run import DryRun
 from mimosapoint.cell.election import Ownership
-from mimosapoint.cell.explain import WaitExplanation, WaitReason, explain_capacity
+from mimosapoint.cell.explain import WaitExplanation, WaitReason
 from mimosapoint.cell.fleet import Fleet
 from mimosapoint.cell.inbox import Inbox, load_jobs
 from mimosapoint.cell.job_table import CellJobTable
@@ -30,9 +30,11 @@
 from mimosapoint.cell.run_supervisor import RunSupervisor
 from mimosapoint.cell.session_starter import SessionStarter
 from mimosapoint.cell.settings import CellSettings
+from mimosapoint.cell.standing_jobs import StandingJobs
 from mimosapoint.cell.start_limiter import StartLimiter
 from mimosapoint.cell.timer_lag import probe_timer_lag
 from mimosapoint.cell.unreadable_jobs import UnreadableJobs
+from mimosapoint.cell.wait_explainer import WaitExplainer
 from mimosapoint.cell.worker_session import WorkerSession
 from mimosapoint.cell.workspace_limits import WorkspaceLimits
 from mimosapoint.ports import EndedRun, RunStatus, WorkerRegistration
@@ -136,6 +138,17 @@
             self._start_limiter,
             self.recovery,
         )
+        self.wait_explainer = WaitExplainer(
+            dependencies,
+            self._start_obstacle,
+            self._usable_workers,
+            self._limits,
+            self.recovery,
+            self.runs,
+            self._decisions,
+            self.fleet,
+        )
+        self._standing_jobs = StandingJobs(self.wait_explainer.explain, dependencies.telemetry)
 
     async def run(self) -> None:
         """Run the cell until cancelled.
@@ -276,29 +289,6 @@
         workers = self._usable_workers()
         return self._decisions.plan_dry_run(units, workers, self.now(), self._start_obstacle())
 
-    def explain_wait(self, unit: Unit) -> WaitExplanation:
-        """Return why a waiting unit has not started."""
-        obstacle = self._start_obstacle()
-        if obstacle is not None:
-            return obstacle
-        quota_obstacle = self._limits.ledger().find_obstacle(unit)
-        if quota_obstacle is not None and quota_obstacle.reason is QuotaReason.NEVER_FITS:
-            return WaitExplanation(WaitReason.QUOTA_NEVER_FITS, quota_obstacle.detail)
-        if self.recovery.may_have_unknown_run(unit):
-            workers = ", ".join(self.recovery.unknown_workers_of(unit)) or "some workers"
-            return WaitExplanation(
-                WaitReason.EARLIER_OWNER, f"may be running; not reported yet: {workers}"
-            )
-        if self.runs.has_remaining_run(unit):
-            return WaitExplanation(WaitReason.LAST_RUN, "its last run is not known to be over")
-        if quota_obstacle is not None:
-            return WaitExplanation(WaitReason(quota_obstacle.reason.value), quota_obstacle.detail)
-        if self._decisions.has_capacity_hold(unit.id):
-            return WaitExplanation(WaitReason.ROOM_BEING_FREED, "others are being stopped for it")
-        pool = self._dependencies.view.configuration.pool_of(unit.job.record)
-        workers = [session.worker for session in self.fleet.sessions_by_id.values()]
-        return explain_capacity(unit, pool, workers, self._usable_workers(), self._clock.now())
-
     async def wait_ends_stored(self, ended: tuple[EndedRun, ...]) -> None:
         """Wait until the progress that results from the ended runs, or each end, is stored."""
         await self._unreadable_jobs.keep_ends(ended)
@@ -333,6 +323,8 @@
         for due in (self.job_table.create_due_units(), self.recovery.update(now)):
             if due is not None:
                 next_decision_at = min(next_decision_at, due)
+        if self._dependencies.view.configuration is not None:
+            self._standing_jobs.update(self.job_table.open_jobs(), self._ample_room, now)
         if self._start_obstacle() is not None:
             return next_decision_at
         departures = find_departures(self.fleet.leaving_workers(self.durations), self._settings)
@@ -354,6 +346,10 @@
             next_decision_at = min(next_decision_at, plan.next_decision_at)
         return next_decision_at
 
+    def _ample_room(self) -> AmpleRoom:
+        configuration = self._dependencies.view.configuration
+        return AmpleRoom(self._usable_workers(), configuration, self._limits.ledger())
+
     def _start_obstacle(self) -> WaitExplanation | None:
         """Return why nothing may start at present; ``None`` if units may start."""
         if not self.holds_ownership():
--- a/packages/mimosapoint/src/mimosapoint/cell/report.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/report.py
@@ -364,5 +364,5 @@
 
 
 def _format_wait(owner: Owner, unit: Unit) -> str:
-    waiting = owner.explain_wait(unit)
+    waiting = owner.wait_explainer.explain(unit)
     return f"{waiting.reason.value}: {waiting.detail}"
--- /dev/null
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_standing_jobs.py
@@ -0,0 +1,44 @@
+"""Tests of jobs of which nothing runs beside free capacity: operators see why, and they start."""
+
+from datetime import timedelta
+
+import trio
+
+from mimosapoint.cell.tests._site import SMALL, WIDE, open_site
+from mimosapoint.cell.tests.test_quotas import open_quota_site
+from mimosapoint.testing import TrioTestCase
+from mimosapoint.workload import Step
+
+LONG_RUN = timedelta(seconds=11)
+
+
+class StandingJobTest(TrioTestCase):
+    mock_clock = True
+
+    def standing(self, site, job):
+        """Return the reasons and details that the owner has logged for a job."""
+        events = [each for each in site.owner.telemetry.events if each.name == "job-stands-still"]
+        return [(e.fields["reason"], e.fields["detail"]) for e in events if e.fields["job"] == job]
+
+    # Guards against a job that waits, and no log tells for which other job.
+    async def test_the_log_names_the_gang_that_quota_is_reserved_for(self):
+        async with open_quota_site(workers=12, run_seconds=11, a=24) as (site, quotas):
+            await quotas.submit_running("a", Step(8, SMALL))
+            gang = await quotas.submit("a", Step(3, WIDE, gang=True))
+            small = await quotas.submit("a", Step(1, SMALL))
+            await trio.sleep(3.5)
+            reasons = {reason for reason, _ in self.standing(site, gang)}
+            self.assertEqual({"quota"}, reasons)
+            for reason, detail in self.standing(site, small):
+                self.assertEqual("reserved", reason)
+                self.assertIn(gang, detail)
+
+    # Guards against a log that fills with jobs that wait since everything is in use.
+    async def test_jobs_that_wait_for_a_busy_service_are_not_logged(self):
+        async with open_site(workers=2) as site:
+            site.simulation.run_time = LONG_RUN
+            await site.submit("first", Step(2, WIDE))
+            await site.wait_running("first", 2)
+            await site.submit("second", Step(1, WIDE))
+            await trio.sleep(5)
+            self.assertEqual([], self.standing(site, "second"))
--- a/packages/mimosapoint/src/mimosapoint/telemetry/_cell_declarations.py
+++ b/packages/mimosapoint/src/mimosapoint/telemetry/_cell_declarations.py
@@ -94,6 +94,12 @@
         "Delay of the owner's timers, which tells whether processor is short.",
         "seconds",
     ),
+    Metric(
+        "cell_standing_jobs",
+        MetricKind.GAUGE,
+        "Jobs of which nothing runs although their service and workspace have room to spare.",
+        "jobs",
+    ),
     Metric(
         "cell_units_over_quota",
         MetricKind.COUNTER,
@@ -318,6 +324,10 @@
     ("crash-withdrawn", "A silent worker replies again; no run has crashed it."),
     ("suspect-cleared", "A run has worked too long for a task that crashes its workers."),
     ("job-given-up", "A job failed because one of its tasks crashes its workers."),
+    (
+        "job-stands-still",
+        "Nothing of a job runs although its service and workspace have room to spare, and why.",
+    ),
     (
         "worker-replaced",
         "Another incarnation of the worker replies at its address; this one has ended.",
