--- a/packages/mimosapoint/src/mimosapoint/cell/tests/test_crashing_tasks.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_crashing_tasks.py
@@ -246,6 +246,32 @@
 
         await self.run_disturbed(cut, tasks=1)
 
+    async def cut_off(self, site):
+        """Cut off the worker of the newest run for good; it goes on until its lease expires."""
+        worker = site.simulation.workers_by_id[site.running("healthy")[-1].worker]
+        faults = site.workers.network_faults_by_address[worker.registration.address]
+        faults.partitioned = True
+        runs = len(site.runs("healthy"))
+        with trio.move_on_after(20):
+            while len(site.runs("healthy")) == runs:
+                await trio.sleep(0.05)
+
+    # Guards against a job that is shown as failed although no worker has crashed under it.
+    async def test_workers_that_are_cut_off_and_do_not_return_are_no_evidence(self):
+        await self.run_disturbed(self.cut_off, rounds=4, tasks=1)
+
+    # Guards against a job that is shown as failed after the crash of a single worker.
+    async def test_one_crash_beside_workers_that_are_cut_off_is_no_evidence(self):
+        async def crash_once(site):
+            if len(site.runs("healthy")) > 1:
+                await self.cut_off(site)
+                return
+            worker = site.simulation.workers_by_id[site.running("healthy")[-1].worker]
+            await worker.crash()
+            site.register(worker, born=worker.born)
+
+        await self.run_disturbed(crash_once, rounds=3, tasks=1)
+
     async def test_workers_that_leave_are_no_evidence(self):
         async def leave(site):
             worker = site.simulation.workers_by_id[site.running("healthy")[-1].worker]
--- a/packages/mimosapoint/src/mimosapoint/cell/tests/test_standing_jobs.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_standing_jobs.py
@@ -11,6 +11,9 @@
 
 LONG_RUN = timedelta(seconds=11)
 
+STANDSTILL_SECONDS = 3.0
+"""Time after which callers take a job for lost of which nothing runs beside free capacity."""
+
 
 class StandingJobTest(TrioTestCase):
     mock_clock = True
@@ -42,3 +45,41 @@
             await site.submit("second", Step(1, WIDE))
             await trio.sleep(5)
             self.assertEqual([], self.standing(site, "second"))
+
+
+class StandstillTest(TrioTestCase):
+    """A job is started in time where its service and workspace use less than half."""
+
+    mock_clock = True
+
+    # Guards against a small job that waits for the end of other work of its workspace, as the
+    # whole quota is reserved for a gang.
+    async def test_a_gang_that_waits_for_quota_does_not_stop_the_jobs_of_its_workspace(self):
+        async with open_quota_site(workers=12, run_seconds=11, a=24) as (site, quotas):
+            await quotas.submit_running("a", Step(8, SMALL))
+            gang = await quotas.submit("a", Step(3, WIDE, gang=True))
+            small = await quotas.submit("a", Step(1, SMALL))
+            await site.wait_running(small, within=STANDSTILL_SECONDS)
+            self.assertEqual([], site.running(gang))
+            await site.wait_running(gang, 3, within=30)
+
+    # Guards against a small job that waits for the end of a long one, as each worker is reserved.
+    async def test_a_gang_that_waits_for_workers_does_not_stop_other_jobs(self):
+        async with open_site(workers=12) as site:
+            site.simulation.run_time = LONG_RUN
+            await site.submit("first", Step(1, WIDE))
+            await site.wait_running("first")
+            await site.submit("gang", Step(12, WIDE, gang=True))
+            await site.submit("small", Step(1, SMALL))
+            await site.wait_running("small", within=STANDSTILL_SECONDS)
+            await site.wait_running("gang", 12, within=40)
+
+    # Guards against a gang that waits for a rack while the other racks have room for it twice over.
+    async def test_a_gang_does_not_wait_for_a_rack_without_a_bound(self):
+        async with open_site(workers=12) as site:
+            site.simulation.run_time = LONG_RUN
+            for rack in ("r0", "r1", "r2", "r3"):
+                await site.submit(f"in-{rack}", Step(1, WIDE, label=rack))
+                await site.wait_running(f"in-{rack}")
+            await site.submit("gang", Step(3, WIDE, gang=True, rack_local=True))
+            await site.wait_running("gang", 3, within=STANDSTILL_SECONDS)
