Let a job fail for crashes only once two workers are known to have crashed

Seen by callers: a job is shown as failed although one worker or none has crashed under its tasks; the runs of the task may even go on, or end as done, on workers that were cut off.

Cause: the record of a silence, and that of a lease that ran out without a reply, weigh as much as that of a crash when a job is given up. A silence is recorded at once, so that a new owner knows the suspects; nothing told it from a crash later on. Two incarnations of one worker counted as two, too.

Change: a record says whether the incarnation has certainly ended, and two different workers must be known to have crashed. The limit of five losses stays, since a worker that has crashed for good looks like one that was cut off. The rows of test_a_task_is_given_up_by_the_weight_of_the_evidence described crashes by records that are now those of a silence; they are confirmed in the test, and there are rows for silences beside them.

Old builds: they ignore the new field and go on as before; records of theirs count as unconfirmed unless they are conclusive, so that a job fails later, never earlier.

--- a/packages/mimosapoint/src/mimosapoint/cell/crash_blame.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/crash_blame.py
@@ -126,6 +126,7 @@
                     is_sole=is_sole,
                     is_conclusive=is_certain and is_early,
                     found_at=loss.at,
+                    is_confirmed=loss.is_over,
                 )
                 self._record(run.unit, run.task, crash)
 
--- a/packages/mimosapoint/src/mimosapoint/cell/decisions/crash_suspects.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/decisions/crash_suspects.py
@@ -95,12 +95,17 @@
     return False
 
 
+MIN_CRASHED_WORKERS = 2
+"""Workers that must have crashed under a task before its job may be shown as failed, as the users
+ask. A worker that is only silent may have been cut off, and its runs may go on."""
+
+
 def is_given_up(crashes: Sequence[WorkerCrash], max_worker_crashes: int) -> bool:
     """Return whether a task is given up.
 
-    No task is given up whose every crash may have been caused by another task beside it, unless
-    there are more of them than the users tolerate even so. A crash that another task has caused
-    counts for that limit only.
+    No task is given up whose every crash may have been caused by another task beside it, or under
+    which fewer than two workers are known to have crashed, unless more workers have been lost than
+    the users tolerate even so. A crash that another task has caused counts for that limit only.
 
     :param crashes: crashes that it may have caused.
     :param max_worker_crashes: number of crashes at which it is given up; a conclusive one counts
@@ -108,6 +113,7 @@
     """
     weight = sum(crash.weight for crash in crashes)
     is_proven = any(crash.is_sole and not crash.is_explained for crash in crashes)
-    if weight >= max_worker_crashes and is_proven:
+    crashed_workers = {crash.worker for crash in crashes if crash.is_certain}
+    if weight >= max_worker_crashes and is_proven and len(crashed_workers) >= MIN_CRASHED_WORKERS:
         return True
     return sum(max(1, crash.weight) for crash in crashes) >= max_worker_crashes + STARTS_TOLERATED
--- a/packages/mimosapoint/src/mimosapoint/cell/decisions/tests/test_crash_suspects.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/decisions/tests/test_crash_suspects.py
@@ -15,8 +15,9 @@
 from mimosapoint.cell.tests._site import SMALL, WIDE
 from mimosapoint.workload import Step, TaskId, WorkerCrash
 
-SHARED = WorkerCrash(1, "w1", is_early=True)
-SOLE = WorkerCrash(2, "w2", is_early=True, is_sole=True)
+SHARED = WorkerCrash(1, "w1", is_early=True, is_confirmed=True)
+SOLE = WorkerCrash(2, "w2", is_early=True, is_sole=True, is_confirmed=True)
+SILENCE = attrs.evolve(SOLE, run=3, worker="w3", is_confirmed=False)
 CONCLUSIVE = attrs.evolve(SOLE, is_conclusive=True)
 EXPLAINED = attrs.evolve(SHARED, is_explained=True)
 MOST = 3
@@ -41,6 +42,13 @@
             ([SHARED, SOLE], False),
             ([SHARED, CONCLUSIVE], True),
             ([SOLE, SOLE, SHARED], True),
+            # Fewer than two workers are known to have crashed.
+            ([SILENCE] * 4, False),
+            ([SILENCE, CONCLUSIVE], False),
+            ([SILENCE, SOLE, SOLE], False),
+            ([CONCLUSIVE, attrs.evolve(CONCLUSIVE, run=4)], False),
+            ([SILENCE, CONCLUSIVE, SHARED], True),
+            ([SILENCE] * 5, True),
             # Two suspects that met again and again: either may be healthy.
             ([SHARED, SHARED], False),
             ([SHARED] * 4, False),
--- a/packages/mimosapoint/src/mimosapoint/cell/job_table.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/job_table.py
@@ -237,7 +237,7 @@
     def give_up(self, job: Job, task: TaskId) -> None:
         """Let a job fail whose task crashes its workers."""
         crashes = [
-            f"{each.worker}:{each.run}:weight={each.weight}"
+            f"{each.worker}:{each.run}:weight={each.weight},certain={each.is_certain}"
             for each in job.progress.crashes.get(task.key, ())
         ]
         self._end(job, Phase.FAILED, task=task, crashes=crashes)
--- a/packages/mimosapoint/src/mimosapoint/workload/crashes.py
+++ b/packages/mimosapoint/src/mimosapoint/workload/crashes.py
@@ -15,7 +15,7 @@
 
 @attrs.frozen
 class WorkerCrash:
-    """Crash of a worker under a run that may have caused it.
+    """Crash, or so far only the silence, of a worker under a run that may have caused it.
 
     :param run: number of the run.
     :param worker: id of the worker.
@@ -25,6 +25,8 @@
     :param found_at: time at which the owner found the worker to be silent, which is the same for
         all tasks that may have caused the crash; ``None`` if it was found by a later owner.
     :param is_explained: whether another task, which was given up, has caused it.
+    :param is_confirmed: whether the incarnation of the worker has certainly ended; otherwise it may
+        merely not be reachable. Earlier versions did not record this.
     """
 
     run: int
@@ -34,6 +36,12 @@
     is_conclusive: bool = False
     found_at: datetime | None = None
     is_explained: bool = False
+    is_confirmed: bool = False
+
+    @property
+    def is_certain(self) -> bool:
+        """Whether the worker has crashed."""
+        return self.is_confirmed or self.is_conclusive
 
     @property
     def weight(self) -> int:
