Bound the time for which a job stands still beside ample room

Seen by callers: a job has nothing running for as long as other work takes, up to 11 s here, although its service and its workspace use less than half and it would fit.

Cause: what is held back for one job keeps others waiting without a bound. A gang that waits for quota reserves it against each unit of its workspace, gangs that wait for workers reserve up to all of them, and a gang that should run in one rack waits for it beside free racks.

Change: while a service and a workspace have used less than half for two seconds, one unit of each job that has waited so long and has no run is placed before anything is reserved; a rack-local gang may then span racks if they hold it twice over. Quotas, capacity and the limit of starts apply.

Old builds: nothing is stored or sent.

--- a/packages/mimosapoint/src/mimosapoint/cell/decisions/ample_room.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/decisions/ample_room.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
+from datetime import datetime, timedelta
 
 from mimosapoint.cell.decisions.quotas import RESOURCE_NAMES, QuotaLedger
 from mimosapoint.cell.decisions.units import Job, Unit
@@ -11,6 +12,10 @@
 
 __all__ = ["AmpleRoom", "stands_still"]
 
+MAX_UPDATE_GAP = timedelta(seconds=3)
+"""Time without an update after which nothing is known of the use in between. While units may start,
+decisions are at most a second apart."""
+
 
 def stands_still(job: Job) -> bool:
     """Return whether a job that has not ended has no runs on workers."""
@@ -18,51 +23,73 @@
 
 
 class AmpleRoom:
-    """Finds units whose service and workspace use less than half of what they may.
+    """Tracks since when services and workspaces use less than half of what they may.
 
     A job that stands still there for long is taken for lost by its caller, whatever it waits for.
-
-    :param workers: the usable workers.
-    :param configuration: configuration in force.
-    :param quotas: use of the capped workspaces, before anything is planned.
     """
 
-    def __init__(
-        self, workers: Iterable[Worker], configuration: CellConfiguration, quotas: QuotaLedger
-    ):
+    def __init__(self) -> None:
+        self._configuration: CellConfiguration | None = None
+        self._updated_at: datetime | None = None
+        self._since_by_pool: dict[str, datetime] = {}
+        self._since_by_workspace: dict[str, datetime] = {}
+
+    def update(
+        self,
+        workers: Iterable[Worker],
+        configuration: CellConfiguration,
+        quotas: QuotaLedger,
+        now: datetime,
+    ) -> None:
+        """Take the present use into account.
+
+        :param workers: the usable workers.
+        :param configuration: configuration in force.
+        :param quotas: use of the capped workspaces, before anything is planned.
+        :param now: present time.
+        """
         self._configuration = configuration
-        self._pools = _pools_under_half(workers)
-        self._has_quota_by_workspace: Mapping[str, bool] = {
-            workspace.name: _is_under_half(used, workspace.cap)
+        if self._updated_at is not None and now - self._updated_at > MAX_UPDATE_GAP:
+            self._since_by_pool, self._since_by_workspace = {}, {}
+        self._updated_at = now
+        pools = _pools_under_half(workers)
+        self._since_by_pool = {pool: self._since_by_pool.get(pool, now) for pool in pools}
+        self._since_by_workspace = {
+            workspace.name: self._since_by_workspace.get(workspace.name, now)
             for workspace, used in quotas.capped_use()
+            if _is_under_half(used, workspace.cap)
         }
 
     def __bool__(self) -> bool:
-        return bool(self._pools)
+        return bool(self._since_by_pool)
+
+    def since(self, unit: Unit) -> datetime | None:
+        """Return since when both the service and the workspace of a unit use less than half.
 
-    def includes(self, unit: Unit) -> bool:
-        """Return whether the service and the workspace of a unit use less than half."""
+        :return: ``None`` if one of them does not.
+        """
         record = unit.job.record
-        if self._configuration.pool_of(record) not in self._pools:
-            return False
-        return self._has_quota_by_workspace.get(record.tenant, True)
+        since = self._since_by_pool.get(self._configuration.pool_of(record))
+        if since is None or record.tenant not in self._configuration.capped_workspaces:
+            return since
+        workspace_since = self._since_by_workspace.get(record.tenant)
+        return max(since, workspace_since) if workspace_since is not None else None
 
 
 def _pools_under_half(workers: Iterable[Worker]) -> set[str]:
     """Return the services that use less than half of each resource of their workers."""
     # Plain numbers: sums of ResourceAmounts take three times as long on a large fleet.
-    unused_by_pool: dict[str, list[int]] = {}
+    sums_by_pool: dict[str, tuple[list[int], list[int]]] = {}
     for worker in workers:
-        unused = unused_by_pool.setdefault(worker.registration.pool, [0, 0, 0])
-        capacity, used = worker.registration.capacity, worker.used
-        unused[0] += capacity.cpu_millis - 2 * used.cpu_millis
-        unused[1] += capacity.memory_mb - 2 * used.memory_mb
-        unused[2] += capacity.accelerators - 2 * used.accelerators
-    # There are services without accelerators.
+        sums = sums_by_pool.setdefault(worker.registration.pool, ([0, 0, 0], [0, 0, 0]))
+        for total, amounts in zip(sums, (worker.used, worker.registration.capacity), strict=True):
+            total[0] += amounts.cpu_millis
+            total[1] += amounts.memory_mb
+            total[2] += amounts.accelerators
     return {
         pool
-        for pool, (cpu_millis, memory_mb, accelerators) in unused_by_pool.items()
-        if cpu_millis > 0 and memory_mb > 0 and accelerators >= 0
+        for pool, (used, capacity) in sums_by_pool.items()
+        if _is_under_half(ResourceAmounts(*used), ResourceAmounts(*capacity))
     }
 
 
--- a/packages/mimosapoint/src/mimosapoint/cell/decisions/gang_reservation.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/decisions/gang_reservation.py
@@ -4,7 +4,7 @@
 
 from mimosapoint.cell.decisions.expected_end_reservation import Reservations
 from mimosapoint.cell.decisions.placement_state import CandidateWorker
-from mimosapoint.cell.decisions.units import TaskRun, Unit
+from mimosapoint.cell.decisions.units import Unit
 from mimosapoint.workload import ResourceAmounts
 
 __all__ = [
@@ -87,8 +87,8 @@
         for domain in domains
     ]
     for counts_as_free in (
-        lambda task_run: task_run.unit is None or is_lower_priority(task_run.unit),
-        lambda task_run: True,
+        lambda unit: unit is None or is_lower_priority(unit),
+        lambda unit: True,
     ):
         # Domains are sorted by the tasks that fit now, so the first sufficient one is the best.
         for hosts in sorted(hosts_by_domain, key=lambda each: each.current_fit_count, reverse=True):
@@ -111,11 +111,11 @@
         self._candidates = sorted(candidates, key=fit_count_by_candidate.__getitem__, reverse=True)
 
     def choose(
-        self, unit: Unit, counts_as_free: Callable[[TaskRun], bool]
+        self, unit: Unit, counts_as_free: Callable[[Unit | None], bool]
     ) -> list[CandidateWorker] | None:
         """Return a worker for each task, or ``None`` if the unit will not fit.
 
-        :param counts_as_free: whether the capacity of a run counts as free.
+        :param counts_as_free: whether the capacity that a unit occupies counts as free.
         """
         chosen: list[CandidateWorker] = []
         for candidate in self._candidates:
@@ -127,10 +127,13 @@
 
 
 def _future_free(
-    candidate: CandidateWorker, counts_as_free: Callable[[TaskRun], bool]
+    candidate: CandidateWorker, counts_as_free: Callable[[Unit | None], bool]
 ) -> ResourceAmounts:
     free = candidate.free
     for task_run in candidate.worker.task_runs_by_key.values():
-        if counts_as_free(task_run):
+        if counts_as_free(task_run.unit):
             free += task_run.amounts
+    for unit in candidate.started_units:
+        if counts_as_free(unit):
+            free += unit.step.amounts
     return free
--- a/packages/mimosapoint/src/mimosapoint/cell/decisions/isolation.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/decisions/isolation.py
@@ -11,7 +11,7 @@
 
 from mimosapoint.cell.decisions.crash_suspects import find_suspects
 from mimosapoint.cell.decisions.placement_state import CandidateWorker, PlacementState
-from mimosapoint.cell.decisions.placing import fits_one_rack
+from mimosapoint.cell.decisions.placing import needs_one_rack
 from mimosapoint.cell.decisions.preemption_cost import lost_core_seconds
 from mimosapoint.cell.decisions.units import Unit
 
@@ -74,7 +74,7 @@
 def _domains(
     placement_state: PlacementState, unit: Unit, pool: str
 ) -> list[Iterable[CandidateWorker]]:
-    if unit.step.gang and unit.step.rack_local and fits_one_rack(placement_state, unit, pool):
+    if needs_one_rack(placement_state, unit, pool):
         return list(placement_state.candidates_by_rack.values())
     return [placement_state.candidates]
 
@@ -93,7 +93,9 @@
 
 
 def _is_clear(candidate: CandidateWorker, window: timedelta) -> bool:
-    return not candidate.hosts_start and next(find_suspects(candidate.worker, window), None) is None
+    return (
+        not candidate.started_units and next(find_suspects(candidate.worker, window), None) is None
+    )
 
 
 def _harm(candidate: CandidateWorker) -> float:
--- a/packages/mimosapoint/src/mimosapoint/cell/decisions/placement_state.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/decisions/placement_state.py
@@ -9,7 +9,7 @@
 from mimosapoint.cell.decisions.durations import DeclaredDurations, Durations
 from mimosapoint.cell.decisions.units import TaskRun, Unit
 from mimosapoint.cell.decisions.worker import Worker
-from mimosapoint.workload import ResourceAmounts
+from mimosapoint.workload import ResourceAmounts, UnitId
 
 __all__ = ["PlacementState", "CandidateWorker"]
 
@@ -34,7 +34,7 @@
         self.pool = worker.registration.pool
         self.instability = worker.stability.instability(now)
         self.is_isolated = bool(worker.suspect_runs)
-        self.hosts_start = False
+        self.started_units: list[Unit] = []
         self._is_over_capacity = worker.is_over_capacity
         self._deducted_by_step: dict[tuple[str, int, int], int] = {}
 
@@ -90,6 +90,8 @@
 class PlacementState:
     """Free capacity of the usable workers; placements, reservations and holds reduce it.
 
+    ``spanning_ids`` are the gangs that may span racks although one rack would be better.
+
     :param workers: the usable workers.
     :param now: time of the decision.
     :param demand_mix: shapes in demand.
@@ -106,6 +108,7 @@
         self.now = now
         self.durations = durations or DeclaredDurations()
         self.demand_mix = demand_mix or DemandMix()
+        self.spanning_ids: set[UnitId] = set()
         self.candidates = [CandidateWorker(worker, now) for worker in workers]
         self.candidates_by_rack: dict[str, list[CandidateWorker]] = {}
         for candidate in self.candidates:
--- a/packages/mimosapoint/src/mimosapoint/cell/decisions/placing.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/decisions/placing.py
@@ -12,6 +12,7 @@
     "find_placement",
     "fit_counts",
     "fits_one_rack",
+    "needs_one_rack",
     "place",
     "placement",
     "placement_names",
@@ -51,7 +52,8 @@
 def place(placement_state: PlacementState, unit: Unit, pool: str) -> list[CandidateWorker] | None:
     """Return a candidate worker for each task of the unit, or ``None`` if it does not fit.
 
-    A rack-local gang spans racks only if no rack could hold it even when empty.
+    A rack-local gang spans racks only if no rack could hold it even when empty, or if it has waited
+    for one for too long.
 
     :param placement_state: capacity that is available in this decision.
     :param unit: the unit.
@@ -70,12 +72,20 @@
         score = (bool(step.data_rack) and rack != step.data_rack, remaining)
         if best is None or score < best_score:
             best, best_score = _choose_fullest(counts, step.count), score
-    if best is not None or (step.rack_local and fits_one_rack(placement_state, unit, pool)):
+    if best is not None or needs_one_rack(placement_state, unit, pool):
         return best
     counts = fit_counts(placement_state.candidates, unit, pool)
     return _choose_fullest(counts, step.count) if sum(counts.values()) >= step.count else None
 
 
+def needs_one_rack(placement_state: PlacementState, unit: Unit, pool: str) -> bool:
+    """Return whether a unit is a gang that has to wait for a rack that holds it."""
+    step = unit.step
+    if not (step.gang and step.rack_local) or unit.id in placement_state.spanning_ids:
+        return False
+    return fits_one_rack(placement_state, unit, pool)
+
+
 def fits_one_rack(placement_state: PlacementState, unit: Unit, pool: str) -> bool:
     """Return whether a gang would fit into one rack if nothing else ran there."""
     for candidates in placement_state.candidates_by_rack.values():
--- a/packages/mimosapoint/src/mimosapoint/cell/decisions/plan.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/decisions/plan.py
@@ -53,6 +53,7 @@
     :param next_decision_at: time by which another decision is due; ``None`` if none is.
     :param task_count: number of tasks in ``starts``.
     :param quota_obstacles: waiting units that the quotas of their workspaces do not admit.
+    :param overdue_ids: started units of jobs that stood still for too long.
     :param reserving_room: gangs for which capacity of workers is reserved.
     :param reserving_quota_by_workspace: gang for which the quota of a workspace is reserved.
     """
@@ -62,6 +63,7 @@
     next_decision_at: datetime | None = None
     task_count: int = 0
     quota_obstacles: dict[UnitId, QuotaObstacle] = attrs.field(factory=dict)
+    overdue_ids: set[UnitId] = attrs.field(factory=set)
     reserving_room: list[Unit] = attrs.field(factory=list)
     reserving_quota_by_workspace: dict[str, Unit] = attrs.field(factory=dict)
 
--- a/packages/mimosapoint/src/mimosapoint/cell/decisions/planner.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/decisions/planner.py
@@ -6,8 +6,8 @@
 from copy import copy
 from datetime import datetime
 
-import attrs
-
+from mimosapoint.cell.decisions._decision import CapacityHold, Decision, fit_key
+from mimosapoint.cell.decisions.ample_room import AmpleRoom
 from mimosapoint.cell.decisions.context import DecisionContext
 from mimosapoint.cell.decisions.demand_mix import DemandMix
 from mimosapoint.cell.decisions.expected_end_reservation import Reservations
@@ -15,12 +15,13 @@
 from mimosapoint.cell.decisions.isolation import keep_clear, place_isolated
 from mimosapoint.cell.decisions.order import find_start_order
 from mimosapoint.cell.decisions.placement_state import CandidateWorker, PlacementState
-from mimosapoint.cell.decisions.placing import find_placement, fits_one_rack
+from mimosapoint.cell.decisions.placing import find_placement, needs_one_rack
 from mimosapoint.cell.decisions.plan import Plan, Start, Stop
 from mimosapoint.cell.decisions.preemption import PreemptionPlan, choose_victims
 from mimosapoint.cell.decisions.preemption_cost import find_preemption_cost
 from mimosapoint.cell.decisions.quota_victims import choose_quota_victims
 from mimosapoint.cell.decisions.quotas import QuotaObstacle, QuotaReason
+from mimosapoint.cell.decisions.standstill import fits_twice, next_overdue, overdue_units
 from mimosapoint.cell.decisions.units import Unit
 from mimosapoint.cell.decisions.victims import Victims, of_workspace
 from mimosapoint.cell.decisions.worker import Worker
@@ -33,43 +34,6 @@
 """Rank of the units within the shares of their workspaces, before every dominant share."""
 
 
-@attrs.define
-class _CapacityHold:
-    """Capacity held for a preemptor until its victims have stopped.
-
-    :param workers: id of the worker for each task.
-    :param until: time at which the hold expires.
-    """
-
-    workers: list[str]
-    until: datetime
-
-
-@attrs.define
-class _Decision:
-    """State of one decision.
-
-    :param context: configuration, time and guarantees.
-    :param active: units that have runs.
-    :param placement_state: capacity that is available.
-    :param reservations: reservations of gangs.
-    :param plan: the result.
-    :param blocked_fit_keys: properties of units that do not fit.
-    """
-
-    context: DecisionContext
-    active: Iterable[Unit]
-    placement_state: PlacementState
-    reservations: Reservations
-    plan: Plan = attrs.field(factory=Plan)
-    blocked_fit_keys: set[tuple] = attrs.field(factory=set)
-    _victims: Victims | None = None
-
-    def priority_of(self, unit: Unit) -> int:
-        """Return the priority of a unit."""
-        return self.context.configuration.priority_of(unit.job.record)
-
-
 class Planner:
     """Plans decisions and keeps the capacity holds of preemptors between them.
 
@@ -90,8 +54,9 @@
         self._demand_mix = DemandMix()
         self._reserve_for_gang = find_gang_reservation(settings.gang_reservation)
         self._cost = find_preemption_cost(settings)
-        self._holds: dict[UnitId, _CapacityHold] = {}
+        self._holds: dict[UnitId, CapacityHold] = {}
         self._quota_holds: dict[UnitId, datetime] = {}
+        self._ample_room = AmpleRoom()
 
     def plan(
         self,
@@ -111,16 +76,49 @@
         self._demand_mix.set_waiting(waiting)
         self._drop_expired_holds(waiting, context.now)
         state = PlacementState(workers, context.now, self._demand_mix, context.durations)
-        decision = _Decision(context, active, state, Reservations(state, context))
-        for unit in self.order(waiting, workers, context):
+        decision = Decision(context, active, state, Reservations(state, context))
+        room = self._ample_room
+        room.update(workers, context.configuration, context.quotas, context.now)
+        ordered = self.order(waiting, workers, context)
+        self._start_overdue(decision, ordered, room)
+        for unit in ordered:
+            if unit.id in decision.plan.overdue_ids:
+                continue
             obstacle = context.quotas.find_obstacle(unit)
             if obstacle is not None:
                 self._handle_quota_obstacle(decision, unit, obstacle)
             elif not self._plan_unit(decision, unit):
                 # Smaller units that are started ahead of it would starve a large gang.
                 break
+        limit = self._settings.max_standstill
+        if (due := next_overdue(waiting, room, context.now, limit)) is not None:
+            decision.plan.decide_again_by(due)
         return decision.plan
 
+    def _start_overdue(self, decision: Decision, ordered: list[Unit], room: AmpleRoom) -> None:
+        """Start one unit of each job that has stood still for too long, before any reservation."""
+        state, plan, quotas = decision.placement_state, decision.plan, decision.context.quotas
+        limit = self._settings.max_standstill
+        started_jobs: set[str] = set()
+        unfit_keys: set[tuple] = set()
+        for unit in overdue_units(ordered, room, decision.context.now, limit):
+            key = fit_key(unit)
+            if unit.id.job in started_jobs or key in unfit_keys:
+                continue
+            if quotas.find_obstacle(unit) is not None:
+                continue
+            pool = decision.pool_of(unit)
+            if unit.step.rack_local and fits_twice(state, unit, pool):
+                state.spanning_ids.add(unit.id)
+            candidates = self._place(state, unit, pool)
+            if candidates is None:
+                unfit_keys.add(key)
+                continue
+            if not self._start(decision, unit, candidates):
+                return
+            started_jobs.add(unit.id.job)
+            plan.overdue_ids.add(unit.id)
+
     def order(
         self, waiting: Iterable[Unit], workers: list[Worker], context: DecisionContext
     ) -> list[Unit]:
@@ -142,6 +140,7 @@
         planner._holds = dict(self._holds)
         planner._quota_holds = dict(self._quota_holds)
         planner._demand_mix = copy(self._demand_mix)
+        planner._ample_room = copy(self._ample_room)
         # The limit of starts counts what it defers.
         planner._admits = lambda starts, planned: True
         return planner
@@ -150,18 +149,18 @@
         """Return whether capacity is held for the unit while its victims stop."""
         return unit in self._holds or unit in self._quota_holds
 
-    def _plan_unit(self, decision: _Decision, unit: Unit) -> bool:
+    def _plan_unit(self, decision: Decision, unit: Unit) -> bool:
         """Start a unit, preempt others for it or reserve capacity.
 
         :return: whether further units may be planned.
         """
         state, reservations = decision.placement_state, decision.reservations
-        pool = decision.context.configuration.pool_of(unit.job.record)
+        pool = decision.pool_of(unit)
         if unit.is_suspect:
             return self._plan_suspect(decision, unit, pool)
         passed = reservations.passed_by(unit)
-        fit_key = (*_fit_key(unit), passed)
-        if fit_key in decision.blocked_fit_keys:
+        key = (*fit_key(unit), passed)
+        if key in decision.blocked_fit_keys:
             self._reserve(decision, unit, pool)
             return True
         reservations.lend(passed)
@@ -174,11 +173,11 @@
             if unit.id in self._holds:
                 decision.context.quotas.add_unit(unit)
         else:
-            decision.blocked_fit_keys.add(fit_key)
+            decision.blocked_fit_keys.add(key)
             self._reserve(decision, unit, pool)
         return True
 
-    def _plan_suspect(self, decision: _Decision, unit: Unit, pool: str) -> bool:
+    def _plan_suspect(self, decision: Decision, unit: Unit, pool: str) -> bool:
         """Start a unit that is suspected of crashing its workers in isolation.
 
         It preempts nothing, whatever its priority: its next crash would cost more. When it has
@@ -198,7 +197,7 @@
             candidate.is_isolated = True
         return may_continue
 
-    def _start(self, decision: _Decision, unit: Unit, candidates: list[CandidateWorker]) -> bool:
+    def _start(self, decision: Decision, unit: Unit, candidates: list[CandidateWorker]) -> bool:
         """Start a unit if the limit of starts admits it.
 
         :return: whether further units may be planned.
@@ -207,7 +206,7 @@
             return False
         decision.placement_state.deduct(candidates, unit)
         for candidate in candidates:
-            candidate.hosts_start = True
+            candidate.started_units.append(unit)
         self._holds.pop(unit.id, None)
         self._quota_holds.pop(unit.id, None)
         self._demand_mix.add_started(unit)
@@ -215,7 +214,7 @@
         decision.context.quotas.add_unit(unit)
         return True
 
-    def _reserve(self, decision: _Decision, unit: Unit, pool: str) -> None:
+    def _reserve(self, decision: Decision, unit: Unit, pool: str) -> None:
         """Reserve capacity for a waiting gang by the rule that the settings name.
 
         Smaller units do not starve a unit that is no gang, as it fits wherever they do.
@@ -226,7 +225,7 @@
             return
         reserving.append(unit)
         state = decision.placement_state
-        single_rack = unit.step.rack_local and fits_one_rack(state, unit, pool)
+        single_rack = needs_one_rack(state, unit, pool)
         priority = decision.priority_of(unit)
         self._reserve_for_gang(
             decision.reservations,
@@ -257,7 +256,7 @@
             unit.id.index,
         )
 
-    def _preempt(self, decision: _Decision, unit: Unit, pool: str) -> None:
+    def _preempt(self, decision: Decision, unit: Unit, pool: str) -> None:
         """Choose victims for the unit unless it has a hold, and deduct the held capacity."""
         state, now = decision.placement_state, decision.context.now
         hold = self._holds.get(unit.id)
@@ -268,7 +267,7 @@
             for victim in preemption.cost_by_victim:
                 self._stop(decision, victim, unit, "room")
             workers = [candidate.worker.id for candidate in preemption.candidates]
-            hold = _CapacityHold(workers, now + self._settings.capacity_hold_ttl)
+            hold = CapacityHold(workers, now + self._settings.capacity_hold_ttl)
             self._holds[unit.id] = hold
         candidates_by_worker = {candidate.worker.id: candidate for candidate in state.candidates}
         held_candidates = [
@@ -279,7 +278,7 @@
         state.deduct(held_candidates, unit)
         decision.plan.decide_again_by(hold.until)
 
-    def _choose_victims(self, decision: _Decision, unit: Unit, pool: str) -> PreemptionPlan | None:
+    def _choose_victims(self, decision: Decision, unit: Unit, pool: str) -> PreemptionPlan | None:
         """Choose victims for the unit; a due guarantee may stop runs that end soon, too.
 
         A unit beyond the share of its workspace preempts others only to enforce a guarantee.
@@ -301,7 +300,7 @@
         return preemption
 
     def _handle_quota_obstacle(
-        self, decision: _Decision, unit: Unit, obstacle: QuotaObstacle
+        self, decision: Decision, unit: Unit, obstacle: QuotaObstacle
     ) -> None:
         """Handle a unit that only the end of work of its own workspace, or a new cap, helps."""
         decision.plan.quota_obstacles[unit.id] = obstacle
@@ -316,7 +315,7 @@
             decision.plan.reserving_quota_by_workspace[workspace] = unit
             decision.context.quotas.add_unit(unit)
 
-    def _preempt_for_quota(self, decision: _Decision, unit: Unit) -> None:
+    def _preempt_for_quota(self, decision: Decision, unit: Unit) -> None:
         """Let an urgent unit preempt work of its own workspace that occupies its quota.
 
         The workspace keeps the quota for the unit while its victims stop.
@@ -343,7 +342,7 @@
         context.quotas.add_unit(unit)
         decision.plan.decide_again_by(until)
 
-    def _stop(self, decision: _Decision, victim: Unit, claimant: Unit, what: str) -> None:
+    def _stop(self, decision: Decision, victim: Unit, claimant: Unit, what: str) -> None:
         """Stop a victim, and give the values that decided it for logs.
 
         :param what: what the claimant lacks: ``room`` or ``quota``.
@@ -364,10 +363,10 @@
         reason = f"{what}-for-{claimant.id}"
         decision.plan.stops.append(Stop(victim, reason, fields, kind, cost.harm.name.lower()))
 
-    def _victims_of(self, decision: _Decision) -> Victims:
-        if decision._victims is None:
-            decision._victims = Victims.classify(decision.active, decision.context, self._cost)
-        return decision._victims
+    def _victims_of(self, decision: Decision) -> Victims:
+        if decision.victims is None:
+            decision.victims = Victims.classify(decision.active, decision.context, self._cost)
+        return decision.victims
 
     def _is_guarantee_due(self, unit: Unit, context: DecisionContext) -> bool:
         """Return whether the unit's guarantee is at risk and has to be enforced now."""
@@ -382,12 +381,3 @@
         for unit_id, until in list(self._quota_holds.items()):
             if unit_id not in waiting_ids or until <= now:
                 del self._quota_holds[unit_id]
-
-
-def _fit_key(unit: Unit) -> tuple:
-    """Return the properties that decide whether a unit fits; units with equal keys fit alike."""
-    step = unit.step
-    size = unit.size
-    spread = (unit.id.job, unit.id.occurrence) if step.spread_limit else None
-    avoided = frozenset(unit.failed_on)
-    return (unit.job.record.queue, size, step.amounts, step.label, step.rack_local, spread, avoided)
--- /dev/null
+++ b/packages/mimosapoint/src/mimosapoint/cell/decisions/standstill.py
@@ -0,0 +1,64 @@
+"""Bound of the time for which a job stands still beside ample room.
+
+A unit may fit and yet not start: capacity or quota is reserved for a gang, or its gang waits for a
+single rack. That is worth a short wait. Once it has lasted, one unit of each job of which nothing
+runs is placed before anything is reserved, so that what was reserved is reduced by little.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+from datetime import datetime, timedelta
+
+from mimosapoint.cell.decisions.ample_room import AmpleRoom, stands_still
+from mimosapoint.cell.decisions.placement_state import PlacementState
+from mimosapoint.cell.decisions.placing import fit_counts
+from mimosapoint.cell.decisions.units import Unit
+
+__all__ = ["fits_twice", "next_overdue", "overdue_units"]
+
+
+def overdue_units(
+    ordered: Iterable[Unit], room: AmpleRoom, now: datetime, max_standstill: timedelta
+) -> Iterator[Unit]:
+    """Yield the units that have waited beside ample room for too long, of jobs without runs.
+
+    Units that are suspected of crashing their workers go on waiting for isolation.
+
+    :param ordered: the waiting units, in the order in which they are placed.
+    :param room: services and workspaces with ample room.
+    :param now: present time.
+    :param max_standstill: longest permitted wait.
+    """
+    if not room:
+        return
+    stands_by_job: dict[str, bool] = {}
+    for unit in ordered:
+        since = room.since(unit)
+        if since is None or now - max(since, unit.since) < max_standstill:
+            continue
+        stands = stands_by_job.get(unit.id.job)
+        if stands is None:
+            stands = stands_by_job[unit.id.job] = stands_still(unit.job)
+        if stands and not unit.is_suspect:
+            yield unit
+
+
+def next_overdue(
+    waiting: Iterable[Unit], room: AmpleRoom, now: datetime, max_standstill: timedelta
+) -> datetime | None:
+    """Return when the next waiting unit will have waited for too long; ``None`` if none will."""
+    if not room:
+        return None
+    times = (
+        max(since, unit.since) + max_standstill
+        for unit in waiting
+        if (since := room.since(unit)) is not None
+    )
+    return min((time for time in times if time > now), default=None)
+
+
+def fits_twice(placement_state: PlacementState, unit: Unit, pool: str) -> bool:
+    """Return whether all racks together hold a unit twice over."""
+    counts = fit_counts(placement_state.candidates, unit, pool)
+    return sum(counts.values()) >= 2 * unit.size
--- a/packages/mimosapoint/src/mimosapoint/cell/decisions/steady_placing.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/decisions/steady_placing.py
@@ -4,7 +4,7 @@
 
 from mimosapoint.cell.decisions.deadline_class import soft_deadline
 from mimosapoint.cell.decisions.placement_state import CandidateWorker, PlacementState
-from mimosapoint.cell.decisions.placing import fit_counts, fits_one_rack, placement
+from mimosapoint.cell.decisions.placing import fit_counts, needs_one_rack, placement
 from mimosapoint.cell.decisions.units import Unit
 from mimosapoint.cell.decisions.worker_pace import SPEED_SPREAD
 from mimosapoint.workload import URGENT_PRIORITY
@@ -32,7 +32,7 @@
     :param pool: service whose workers may run the unit.
     """
     score = _Score(placement_state, unit)
-    if unit.step.gang and unit.step.rack_local and fits_one_rack(placement_state, unit, pool):
+    if needs_one_rack(placement_state, unit, pool):
         return _place_in_rack(placement_state, unit, pool, score)
     return score.choose(fit_counts(placement_state.candidates, unit, pool))
 
--- /dev/null
+++ b/packages/mimosapoint/src/mimosapoint/cell/decisions/tests/test_standstill.py
@@ -0,0 +1,104 @@
+"""Placement decisions about jobs that stand still beside ample room."""
+
+from datetime import timedelta
+
+from mimosapoint.cell.decisions.planner import Planner
+from mimosapoint.cell.decisions.tests._planning import PlannerCase
+from mimosapoint.cell.settings import CellSettings
+from mimosapoint.cell.tests._site import QUEUES, SMALL, WIDE
+from mimosapoint.workload import CellConfiguration, CellWorkspace, ResourceAmounts, Step
+
+LIMIT = CellSettings().max_standstill
+
+
+class StandstillCase(PlannerCase):
+    def wait(self, time=LIMIT):
+        self.clock.time += time
+        return self.decide()
+
+
+class ReservedRoomTest(StandstillCase):
+    """One long unit runs, a gang waits for all workers, and smaller jobs come."""
+
+    def setUp(self):
+        super().setUp()
+        self.add_workers(6)
+        self.submit("long", 1, Step(1, WIDE))
+        self.decide()
+        self.submit("gang", 1, Step(6, WIDE, gang=True))
+
+    # Guards against small jobs that wait without a bound for workers that stay idle.
+    def test_one_unit_of_each_job_starts_after_the_limit(self):
+        for job in ("a", "b"):
+            self.submit(job, 2, Step(5, SMALL))
+        plan = self.decide()
+        self.assertEqual([], plan.starts)
+        self.assertEqual(self.clock.time + LIMIT, plan.next_decision_at)
+        self.assertEqual(["a", "b"], self.started_jobs(self.wait()))
+        self.assertEqual([], self.wait().starts)
+
+    # Guards against reservations that never hold, as each wave of small units takes the room.
+    def test_the_gang_starts_once_its_workers_are_free(self):
+        self.submit("a", 2, Step(50, SMALL))
+        self.wait()
+        for unit in list(self.job_table.active_units()):
+            self.end(unit)
+        self.assertEqual("gang", self.started_jobs(self.decide())[0])
+
+    def test_nothing_starts_ahead_while_half_of_the_service_is_in_use(self):
+        for number in range(2):
+            self.submit(f"more-{number}", 0, Step(1, WIDE))
+        self.decide()
+        self.submit("a", 2, Step(1, SMALL))
+        self.assertEqual([], self.wait().starts)
+
+    # Guards against a shortage of processor time at the owner that grows with such starts.
+    def test_the_limit_of_starts_holds(self):
+        for job in ("a", "b"):
+            self.submit(job, 2, Step(1, SMALL))
+        self.planner = Planner(CellSettings(), lambda starts, planned: planned < 1)
+        self.decide()
+        self.assertEqual(["a"], self.started_jobs(self.wait()))
+
+
+class ReservedQuotaTest(StandstillCase):
+    def setUp(self):
+        super().setUp()
+        self.add_workers(9)
+        workspace = CellWorkspace("t", frozenset(), 0, ResourceAmounts(accelerators=20))
+        self.configuration = CellConfiguration(1, QUEUES, (workspace,))
+
+    def start(self, tasks):
+        self.submit("running", 1, Step(tasks, SMALL))
+        self.decide()
+        self.submit("gang", 1, Step(2, WIDE, gang=True))
+        self.submit("a", 2, Step(3, SMALL))
+
+    # Guards against small jobs of a workspace that wait for quota which nobody uses.
+    def test_a_workspace_below_half_of_its_cap_starts_each_job(self):
+        self.start(9)
+        self.assertEqual([], self.decide().starts)
+        self.assertEqual(["a"], self.started_jobs(self.wait()))
+
+    def test_a_workspace_at_half_of_its_cap_keeps_the_quota_for_its_gang(self):
+        self.start(10)
+        self.assertEqual([], self.wait().starts)
+
+
+class SingleRackTest(StandstillCase):
+    def fill(self, tasks_by_rack):
+        self.add_workers(9)
+        for rack, tasks in tasks_by_rack.items():
+            self.submit(rack, 1, Step(tasks, WIDE, label=rack))
+        self.decide()
+        self.submit("gang", 1, Step(3, WIDE, gang=True, rack_local=True))
+
+    # Guards against a gang that waits for a rack while all racks have room for it twice over.
+    def test_a_gang_spans_racks_after_the_limit(self):
+        self.fill({"r0": 1, "r1": 1, "r2": 1})
+        self.assertEqual([], self.decide().starts)
+        self.assertEqual(["gang"], self.started_jobs(self.wait()))
+
+    def test_a_gang_that_fits_only_once_goes_on_waiting_for_a_rack(self):
+        self.fill({"r0": 2, "r1": 1, "r2": 1})
+        self.assertEqual([], self.wait(timedelta(minutes=1)).starts)
--- a/packages/mimosapoint/src/mimosapoint/cell/owner.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/owner.py
@@ -324,7 +324,7 @@
             if due is not None:
                 next_decision_at = min(next_decision_at, due)
         if self._dependencies.view.configuration is not None:
-            self._standing_jobs.update(self.job_table.open_jobs(), self._ample_room, now)
+            self._standing_jobs.update(self.job_table.open_jobs(), self._update_room, now)
         if self._start_obstacle() is not None:
             return next_decision_at
         departures = find_departures(self.fleet.leaving_workers(self.durations), self._settings)
@@ -346,9 +346,9 @@
             next_decision_at = min(next_decision_at, plan.next_decision_at)
         return next_decision_at
 
-    def _ample_room(self) -> AmpleRoom:
+    def _update_room(self, room: AmpleRoom) -> None:
         configuration = self._dependencies.view.configuration
-        return AmpleRoom(self._usable_workers(), configuration, self._limits.ledger())
+        room.update(self._usable_workers(), configuration, self._limits.ledger(), self.now())
 
     def _start_obstacle(self) -> WaitExplanation | None:
         """Return why nothing may start at present; ``None`` if units may start."""
@@ -370,6 +370,8 @@
             self._telemetry.count("cell_preemptions", reason=stop.kind, harm=stop.harm)
         for start in plan.starts:
             self._times.record("first-start", unit=start.unit.id)
+            if start.unit.id in plan.overdue_ids:
+                self._telemetry.count("cell_overdue_starts")
             self.runs.start_unit(start.unit, start.workers)
         self._limits.record(plan.quota_obstacles)
 
--- a/packages/mimosapoint/src/mimosapoint/cell/settings.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/settings.py
@@ -80,6 +80,9 @@
     :param isolation_patience: time for which a suspect unit waits for workers that no run of
         another unit might crash; a worker that gets no new runs has only proven ones after
         ``crash_blame_window`` and one long poll.
+    :param max_standstill: longest time for which a unit that fits is held back for other units, or
+        waits for a single rack, while nothing of its job runs and its service and workspace use
+        less than half. Callers take such a job for lost after three seconds.
     :param cores: processor capacity of the node, in cores.
     :param link_mbps: network bandwidth of the node, in Mbit/s.
     :param preferred_owner_cores: processor capacity from which a node claims the cell without the
@@ -157,6 +160,7 @@
     crash_blame_window: timedelta = _ms(3000)
     max_worker_crashes: int = 3
     isolation_patience: timedelta = _ms(6000)
+    max_standstill: timedelta = _ms(2000)
     cores: float = 1.0
     link_mbps: float = 1000.0
     preferred_owner_cores: float = 1.0
--- a/packages/mimosapoint/src/mimosapoint/cell/standing_jobs.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/standing_jobs.py
@@ -37,24 +37,26 @@
         self._telemetry = telemetry
         self._checked_at: datetime | None = None
         self._logged_by_job: dict[str, tuple[str, datetime]] = {}
+        self._room = AmpleRoom()
 
     def update(
-        self, jobs: Iterable[Job], find_room: Callable[[], AmpleRoom], now: datetime
+        self, jobs: Iterable[Job], update_room: Callable[[AmpleRoom], None], now: datetime
     ) -> None:
         """Log the jobs that stand still, at most once in each interval.
 
         :param jobs: the jobs that have not ended.
-        :param find_room: returns which services and workspaces have ample room.
+        :param update_room: updates which services and workspaces have ample room.
         :param now: present time.
         """
         if self._checked_at is not None and now - self._checked_at < CHECK_INTERVAL:
             return
         self._checked_at = now
-        standing = [unit for job in jobs if (unit := _longest_waiting(job)) is not None]
-        overdue = [unit for unit in standing if now - unit.since >= MIN_WAIT]
-        if overdue:
-            room = find_room()
-            overdue = [unit for unit in overdue if room.includes(unit)]
+        update_room(self._room)
+        overdue = [
+            unit
+            for job in jobs
+            if (unit := _longest_waiting(job)) is not None and self._is_overdue(unit, now)
+        ]
         self._telemetry.gauge("cell_standing_jobs", len(overdue))
         ids = {unit.id.job for unit in overdue}
         for job in [job for job in self._logged_by_job if job not in ids]:
@@ -63,6 +65,10 @@
         for unit in overdue[:MAX_EXPLAINED]:
             self._log(unit, now)
 
+    def _is_overdue(self, unit: Unit, now: datetime) -> bool:
+        since = self._room.since(unit)
+        return since is not None and now - max(since, unit.since) >= MIN_WAIT
+
     def _log(self, unit: Unit, now: datetime) -> None:
         explanation = self._explain(unit)
         reason = explanation.reason.value
--- a/packages/mimosapoint/src/mimosapoint/telemetry/_cell_declarations.py
+++ b/packages/mimosapoint/src/mimosapoint/telemetry/_cell_declarations.py
@@ -100,6 +100,12 @@
         "Jobs of which nothing runs although their service and workspace have room to spare.",
         "jobs",
     ),
+    Metric(
+        "cell_overdue_starts",
+        MetricKind.COUNTER,
+        "Starts of jobs that had stood still for too long, ahead of reservations.",
+        "units",
+    ),
     Metric(
         "cell_units_over_quota",
         MetricKind.COUNTER,
