--- a/packages/mimosapoint/src/mimosapoint/cell/standing_jobs.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/standing_jobs.py
@@ -55,7 +55,8 @@
         overdue = [
             unit
             for job in jobs
-            if (unit := _longest_waiting(job)) is not None and self._is_overdue(unit, now)
+            if (unit := _longest_waiting(job)) is not None
+            and self._standstill(unit, now) >= MIN_WAIT
         ]
         self._telemetry.gauge("cell_standing_jobs", len(overdue))
         ids = {unit.id.job for unit in overdue}
@@ -65,9 +66,10 @@
         for unit in overdue[:MAX_EXPLAINED]:
             self._log(unit, now)
 
-    def _is_overdue(self, unit: Unit, now: datetime) -> bool:
+    def _standstill(self, unit: Unit, now: datetime) -> timedelta:
+        """Return for how long a unit has waited beside ample room."""
         since = self._room.since(unit)
-        return since is not None and now - max(since, unit.since) >= MIN_WAIT
+        return now - max(since, unit.since) if since is not None else timedelta(0)
 
     def _log(self, unit: Unit, now: datetime) -> None:
         explanation = self._explain(unit)
@@ -82,6 +84,7 @@
             unit=unit.id,
             workspace=unit.job.record.tenant,
             waited=round((now - unit.since).total_seconds(), 3),
+            beside_room=round(self._standstill(unit, now).total_seconds(), 3),
             reason=reason,
             detail=explanation.detail,
         )
