Count the first loss under a task that only the next owner can see

Seen by callers: a task that crashes each worker that starts it is started three times after its third crash, by machines in touch; six workers crash. That breaks the users' limit of two more starts.

Cause: since losses that are not confirmed let a job fail at the limit of five only, which is all that the users tolerate. The first crash is missed if the owner ends at that moment, as the start of a task that is no suspect does not name the incarnations of its workers. Before, a job failed at three records, so that one missed crash broke nothing.

Change: a new owner records one loss for a start that was no suspect's, if the worker is gone or silent. It has no weight, does not make the task a suspect, and counts for the limit of five only.

--- a/packages/mimosapoint/src/mimosapoint/cell/recovery/core.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/recovery/core.py
@@ -124,8 +124,8 @@
     def update(self, now: datetime) -> datetime | None:
         """Resolve what has become known; return by when the next worker will be, if one is not.
 
-        Gangs of earlier owners of which runs are missing are stopped, and suspect starts whose
-        worker has crashed unseen are recorded.
+        Gangs of earlier owners of which runs are missing are stopped, and starts whose worker may
+        have crashed unseen are recorded.
         """
         if self._is_complete or self._starts is None:
             return None
@@ -179,7 +179,7 @@
         unit = resolved.unit
         if unit is None or unit.state in (UnitState.DONE, UnitState.DROPPED):
             return
-        if resolved.start is not None and resolved.start.born:
+        if resolved.start is not None:
             review_start(unit, resolved.start, self._fleet.sessions_by_id, self._blame)
         if unit.state is UnitState.ACTIVE and len(unit.task_runs_by_task) < unit.size:
             self._stop_unit(unit, "incomplete")
--- a/packages/mimosapoint/src/mimosapoint/cell/recovery/suspect_starts.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/recovery/suspect_starts.py
@@ -1,4 +1,4 @@
-"""Review of the suspect starts of earlier owners, whose workers may have crashed unseen."""
+"""Review of the starts of earlier owners, whose workers may have crashed unseen."""
 
 from __future__ import annotations
 
@@ -21,7 +21,7 @@
     sessions_by_id: Mapping[str, WorkerSession],
     blame: CrashBlame,
 ) -> None:
-    """Record the crashes under a suspect start of an earlier owner.
+    """Record the crashes under a start of an earlier owner.
 
     Called once the runs on its workers are known. A run that is on no worker, although its worker
     goes on, never started or has ended in another way. No such crash is conclusive, as this owner
@@ -29,6 +29,9 @@
     """
     if unit.job.progress.starts.get(unit.id.key) != start:
         return
+    if not start.born:
+        _review_first_start(unit, start, sessions_by_id, blame)
+        return
     for task, worker, born in zip(unit.tasks, start.workers, start.born, strict=True):
         task_run = unit.task_runs_by_task.get(task)
         if task_run is not None and task_run.run == start.run:
@@ -48,6 +51,25 @@
             blame.record(unit, task, crash)
 
 
+def _review_first_start(
+    unit: Unit,
+    start: UnitStart,
+    sessions_by_id: Mapping[str, WorkerSession],
+    blame: CrashBlame,
+) -> None:
+    """Record the losses under a start of a unit that was not suspected.
+
+    If the task crashes its workers, this may be the crash that no owner has seen. It is no evidence
+    against the task, and counts for the limit of losses only.
+    """
+    crashes = unit.job.progress.crashes
+    for task, worker in zip(unit.tasks, start.workers, strict=True):
+        session = sessions_by_id.get(worker)
+        is_lost = session is None or not session.synced
+        if is_lost and task not in unit.task_runs_by_task and task.key not in crashes:
+            blame.record(unit, task, WorkerCrash(start.run, worker, is_explained=True))
+
+
 def _is_other(incarnation: int, born: int) -> bool:
     """Return whether two incarnations, each of which is 0 if not known, certainly differ."""
     return bool(incarnation and born) and incarnation != born
--- a/packages/mimosapoint/src/mimosapoint/cell/tests/test_crashing_tasks.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_crashing_tasks.py
@@ -194,6 +194,18 @@
                     await site.wait_phase("deadly", Phase.FAILED, within=90)
                     self.assert_given_up(site)
 
+    # Guards against a sixth start of a task whose first crash no owner has seen, when no worker
+    # returns, so that the later crashes are not confirmed.
+    async def test_a_first_crash_that_no_owner_saw_counts(self):
+        async with open_site(nodes=6, workers=14) as site:
+            site.simulation.crashing_tasks.add(first_task("deadly"))
+            site.nursery.start_soon(self.replace_crashed, site, False)
+            await site.submit("deadly", Step(1, SMALL))
+            await self.wait_crashes(site, "deadly", 1)
+            site.owner.kill()
+            await site.wait_phase("deadly", Phase.FAILED, within=120)
+            self.assert_given_up(site)
+
     async def replace_crashed(self, site, returns):
         """Let another worker reply at the address of a crashed one, or nothing."""
         replaced = set()
--- a/packages/mimosapoint/src/mimosapoint/workload/crashes.py
+++ b/packages/mimosapoint/src/mimosapoint/workload/crashes.py
@@ -24,7 +24,8 @@
     :param is_conclusive: whether, besides, nothing speaks for another cause.
     :param found_at: time at which the owner found the worker to be silent, which is the same for
         all tasks that may have caused the crash; ``None`` if it was found by a later owner.
-    :param is_explained: whether another task, which was given up, has caused it.
+    :param is_explained: whether it counts for the limit of losses only: another task, which was
+        given up, has caused it, or a later owner found the worker of a first start to be lost.
     :param is_confirmed: whether the incarnation of the worker has certainly ended; otherwise it may
         merely not be reachable. Earlier versions did not record this.
     """
