Plan urgent units ahead of jobs that stand still

Seen by callers: an urgent job, for which others have been stopped, does not start when they have ended, as an overdue job of lower priority has taken the workers or the quota; it stops others again. Urgent jobs also wait behind all overdue ones when the limit of starts is reached.

Cause: places overdue units before all others. The hold of an urgent unit is applied only when that unit is planned, which is later.

Evidence: three tests of test_standstill.UrgentTest failed on (held workers, held quota, limit of starts) and pass now; the fourth, an urgent gang that spans racks, passed before, too. 141 tests of the decisions, standing jobs and pages pass.

Change: urgent units are planned first; nothing is reserved against them, since only gangs of other priorities reserve. A rack-local gang is examined once for each kind of unit.

Old builds: nothing is stored or sent.

--- a/packages/mimosapoint/src/mimosapoint/cell/decisions/planner.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/decisions/planner.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from bisect import bisect_right
+from collections.abc import Callable, Iterable, Iterator
 from copy import copy
 from datetime import datetime
 
@@ -21,7 +22,7 @@
 from mimosapoint.cell.decisions.preemption_cost import find_preemption_cost
 from mimosapoint.cell.decisions.quota_victims import choose_quota_victims
 from mimosapoint.cell.decisions.quotas import QuotaObstacle, QuotaReason
-from mimosapoint.cell.decisions.standstill import fits_twice, next_overdue, overdue_units
+from mimosapoint.cell.decisions.standstill import let_span, next_overdue, overdue_units
 from mimosapoint.cell.decisions.units import Unit
 from mimosapoint.cell.decisions.victims import Victims, of_workspace
 from mimosapoint.cell.decisions.worker import Worker
@@ -80,44 +81,57 @@
         room = self._ample_room
         room.update(workers, context.configuration, context.quotas, context.now)
         ordered = self.order(waiting, workers, context)
-        self._start_overdue(decision, ordered, room)
-        for unit in ordered:
+        # Urgent units come first: what is held for them, or freed by their victims, is theirs.
+        urgent_count = bisect_right(ordered, URGENT_PRIORITY, key=decision.priority_of)
+        urgent, others = ordered[:urgent_count], ordered[urgent_count:]
+        let_span(state, self._overdue(decision, urgent, room), decision.pool_of)
+        if self._plan_units(decision, urgent):
+            self._start_overdue(decision, others, room)
+            self._plan_units(decision, others)
+        limit = self._settings.max_standstill
+        if (due := next_overdue(waiting, room, context.now, limit)) is not None:
+            decision.plan.decide_again_by(due)
+        return decision.plan
+
+    def _plan_units(self, decision: Decision, units: list[Unit]) -> bool:
+        """Plan units in their order, except those that were started as overdue.
+
+        :return: whether further units may be planned.
+        """
+        for unit in units:
             if unit.id in decision.plan.overdue_ids:
                 continue
-            obstacle = context.quotas.find_obstacle(unit)
+            obstacle = decision.context.quotas.find_obstacle(unit)
             if obstacle is not None:
                 self._handle_quota_obstacle(decision, unit, obstacle)
             elif not self._plan_unit(decision, unit):
                 # Smaller units that are started ahead of it would starve a large gang.
-                break
-        limit = self._settings.max_standstill
-        if (due := next_overdue(waiting, room, context.now, limit)) is not None:
-            decision.plan.decide_again_by(due)
-        return decision.plan
+                return False
+        return True
 
-    def _start_overdue(self, decision: Decision, ordered: list[Unit], room: AmpleRoom) -> None:
+    def _overdue(self, decision: Decision, units: list[Unit], room: AmpleRoom) -> Iterator[Unit]:
+        return overdue_units(units, room, decision.context.now, self._settings.max_standstill)
+
+    def _start_overdue(self, decision: Decision, units: list[Unit], room: AmpleRoom) -> None:
         """Start one unit of each job that has stood still for too long, before any reservation."""
-        state, plan, quotas = decision.placement_state, decision.plan, decision.context.quotas
-        limit = self._settings.max_standstill
+        state = decision.placement_state
         started_jobs: set[str] = set()
         unfit_keys: set[tuple] = set()
-        for unit in overdue_units(ordered, room, decision.context.now, limit):
+        for unit in self._overdue(decision, units, room):
             key = fit_key(unit)
             if unit.id.job in started_jobs or key in unfit_keys:
                 continue
-            if quotas.find_obstacle(unit) is not None:
+            if decision.context.quotas.find_obstacle(unit) is not None:
                 continue
-            pool = decision.pool_of(unit)
-            if unit.step.rack_local and fits_twice(state, unit, pool):
-                state.spanning_ids.add(unit.id)
-            candidates = self._place(state, unit, pool)
+            let_span(state, [unit], decision.pool_of)
+            candidates = self._place(state, unit, decision.pool_of(unit))
             if candidates is None:
                 unfit_keys.add(key)
                 continue
             if not self._start(decision, unit, candidates):
                 return
             started_jobs.add(unit.id.job)
-            plan.overdue_ids.add(unit.id)
+            decision.plan.overdue_ids.add(unit.id)
 
     def order(
         self, waiting: Iterable[Unit], workers: list[Worker], context: DecisionContext
--- a/packages/mimosapoint/src/mimosapoint/cell/decisions/standstill.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/decisions/standstill.py
@@ -2,20 +2,22 @@
 
 A unit may fit and yet not start: capacity or quota is reserved for a gang, or its gang waits for a
 single rack. That is worth a short wait. Once it has lasted, one unit of each job of which nothing
-runs is placed before anything is reserved, so that what was reserved is reduced by little.
+runs is placed before anything is reserved, so that what was reserved is reduced by little. Urgent
+units come before that: nothing is reserved against them, and what is held for them stays theirs.
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from datetime import datetime, timedelta
 
+from mimosapoint.cell.decisions._decision import fit_key
 from mimosapoint.cell.decisions.ample_room import AmpleRoom, stands_still
 from mimosapoint.cell.decisions.placement_state import PlacementState
 from mimosapoint.cell.decisions.placing import fit_counts
 from mimosapoint.cell.decisions.units import Unit
 
-__all__ = ["fits_twice", "next_overdue", "overdue_units"]
+__all__ = ["let_span", "next_overdue", "overdue_units"]
 
 
 def overdue_units(
@@ -58,7 +60,22 @@
     return min((time for time in times if time > now), default=None)
 
 
-def fits_twice(placement_state: PlacementState, unit: Unit, pool: str) -> bool:
-    """Return whether all racks together hold a unit twice over."""
-    counts = fit_counts(placement_state.candidates, unit, pool)
-    return sum(counts.values()) >= 2 * unit.size
+def let_span(
+    placement_state: PlacementState, overdue: Iterable[Unit], pool_of: Callable[[Unit], str]
+) -> None:
+    """Let overdue gangs that should be in one rack span racks that together hold them twice over.
+
+    :param placement_state: capacity that is available in this decision.
+    :param overdue: units that have waited for too long.
+    :param pool_of: returns the service whose workers may run a unit.
+    """
+    spans_by_key: dict[tuple, bool] = {}
+    for unit in overdue:
+        if not unit.step.rack_local:
+            continue
+        key = fit_key(unit)
+        if key not in spans_by_key:
+            counts = fit_counts(placement_state.candidates, unit, pool_of(unit))
+            spans_by_key[key] = sum(counts.values()) >= 2 * unit.size
+        if spans_by_key[key]:
+            placement_state.spanning_ids.add(unit.id)
--- a/packages/mimosapoint/src/mimosapoint/cell/decisions/tests/test_standstill.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/decisions/tests/test_standstill.py
@@ -102,3 +102,61 @@
     def test_a_gang_that_fits_only_once_goes_on_waiting_for_a_rack(self):
         self.fill({"r0": 2, "r1": 1, "r2": 1})
         self.assertEqual([], self.wait(timedelta(minutes=1)).starts)
+
+
+class UrgentTest(StandstillCase):
+    """A job is overdue, while an urgent one needs the same capacity or quota."""
+
+    def start(self, step, gang=6):
+        self.submit("running", 2, step)
+        self.decide()
+        self.submit("gang", 1, Step(gang, WIDE, gang=True))
+        self.submit("a", 2, Step(1, SMALL, label="r0"))
+        self.wait(LIMIT / 2)
+
+    def end_stopped(self):
+        for unit in list(self.job_table.active_units()):
+            if unit.stop_reason:
+                self.end(unit)
+
+    # Guards against an overdue unit on workers that others are being stopped to free.
+    def test_held_capacity_is_not_taken(self):
+        self.add_workers(6)
+        self.start(Step(3, SMALL, label="r0"))
+        self.submit("urgent", 0, Step(3, WIDE, gang=True, label="r0"))
+        self.assertEqual(3, len(self.decide().stops))
+        self.assertEqual([], self.started_jobs(self.wait(LIMIT / 2)))
+        self.end_stopped()
+        self.assertEqual(["urgent"], self.started_jobs(self.decide()))
+
+    # Guards against an overdue unit that takes the quota that others are being stopped to free.
+    def test_held_quota_is_not_taken(self):
+        self.add_workers(9)
+        workspace = CellWorkspace("t", frozenset(), 0, ResourceAmounts(accelerators=20))
+        self.configuration = CellConfiguration(1, QUEUES, (workspace,))
+        self.start(Step(9, SMALL, label="r0"), gang=2)
+        self.submit("urgent", 0, Step(2, WIDE, gang=True))
+        self.assertEqual(5, len(self.decide().stops))
+        self.assertEqual([], self.started_jobs(self.wait(LIMIT / 2)))
+        self.end_stopped()
+        self.assertEqual(["urgent"], self.started_jobs(self.decide())[:1])
+
+    # Guards against urgent units that wait for the limit of starts behind overdue ones.
+    def test_an_urgent_unit_starts_first(self):
+        self.add_workers(6)
+        self.start(Step(1, WIDE))
+        self.planner._admits = lambda starts, planned: planned < 1
+        self.clock.time += LIMIT / 2
+        self.submit("urgent", 0, Step(1, SMALL))
+        self.assertEqual(["urgent"], self.started_jobs(self.decide()))
+        self.assertEqual(["a"], self.started_jobs(self.decide()))
+
+    # Guards against an urgent gang that waits for a rack beside room for it twice over.
+    def test_an_urgent_gang_spans_racks_after_the_limit(self):
+        self.add_workers(9)
+        for rack in ("r0", "r1", "r2"):
+            self.submit(rack, 0, Step(1, WIDE, label=rack))
+        self.decide()
+        self.submit("gang", 0, Step(3, WIDE, gang=True, rack_local=True))
+        self.assertEqual([], self.decide().starts)
+        self.assertEqual(["gang"], self.started_jobs(self.wait()))
