Count a run of an unknown job for its own worker only

Seen by callers: jobs stand still behind a gang without a bound, in a service of which little is in use, while one worker has a run of a job that the owner does not know or cannot read.

Cause: such a run is assumed to occupy more than any worker has, and its amounts were added up with those of all workers, so that the whole service counted as full for as long as the run went on.

Evidence: test_a_run_of_an_unknown_job_fills_its_own_worker_only failed before and passes now; 18 tests of standing jobs pass.

Change: no worker counts with more than its capacity. Old builds: nothing is stored or sent.

--- a/packages/mimosapoint/src/mimosapoint/cell/decisions/ample_room.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/decisions/ample_room.py
@@ -81,11 +81,15 @@
     # Plain numbers: sums of ResourceAmounts take three times as long on a large fleet.
     sums_by_pool: dict[str, tuple[list[int], list[int]]] = {}
     for worker in workers:
-        sums = sums_by_pool.setdefault(worker.registration.pool, ([0, 0, 0], [0, 0, 0]))
-        for total, amounts in zip(sums, (worker.used, worker.registration.capacity), strict=True):
-            total[0] += amounts.cpu_millis
-            total[1] += amounts.memory_mb
-            total[2] += amounts.accelerators
+        in_use, total = sums_by_pool.setdefault(worker.registration.pool, ([0] * 3, [0] * 3))
+        used, capacity = worker.used, worker.registration.capacity
+        # A run of an unknown job is assumed to occupy more than any worker has.
+        in_use[0] += min(used.cpu_millis, capacity.cpu_millis)
+        in_use[1] += min(used.memory_mb, capacity.memory_mb)
+        in_use[2] += min(used.accelerators, capacity.accelerators)
+        total[0] += capacity.cpu_millis
+        total[1] += capacity.memory_mb
+        total[2] += capacity.accelerators
     return {
         pool
         for pool, (used, capacity) in sums_by_pool.items()
--- a/packages/mimosapoint/src/mimosapoint/cell/decisions/tests/test_standstill.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/decisions/tests/test_standstill.py
@@ -4,9 +4,17 @@
 
 from mimosapoint.cell.decisions.planner import Planner
 from mimosapoint.cell.decisions.tests._planning import PlannerCase
+from mimosapoint.cell.decisions.units import TaskRun
+from mimosapoint.cell.run_supervisor import UNKNOWN_AMOUNTS
 from mimosapoint.cell.settings import CellSettings
 from mimosapoint.cell.tests._site import QUEUES, SMALL, WIDE
-from mimosapoint.workload import CellConfiguration, CellWorkspace, ResourceAmounts, Step
+from mimosapoint.workload import (
+    CellConfiguration,
+    CellWorkspace,
+    ResourceAmounts,
+    Step,
+    TaskId,
+)
 
 LIMIT = CellSettings().max_standstill
 
@@ -52,6 +60,14 @@
         self.submit("a", 2, Step(1, SMALL))
         self.assertEqual([], self.wait().starts)
 
+    # Guards against one run of an unknown job that lets the whole service count as full.
+    def test_a_run_of_an_unknown_job_fills_its_own_worker_only(self):
+        worker = self.workers[-1]
+        worker.add(TaskRun(TaskId("x", 0, 0, 0), 1, worker, UNKNOWN_AMOUNTS, None))
+        self.submit("a", 2, Step(1, SMALL))
+        self.decide()
+        self.assertEqual(["a"], self.started_jobs(self.wait()))
+
     # Guards against a shortage of processor time at the owner that grows with such starts.
     def test_the_limit_of_starts_holds(self):
         for job in ("a", "b"):
