Log why a job is not found, and each request that a node ends without a reply

Gap: of a reply that a job is not known the log had no revision and no reason, and a request that a node cut off, for example at the end of a planned stop, left no trace at all.

Change: `job-not-found` has the revision of the store at which the job was absent, or the workspace that has it. The port tells the revision of a read, if the store says it; a store that does not gives none. `http-request-cut` and a counter name each request that gets no complete reply although its caller has not closed: method, path, age, whether it was read, and how it ended. Two tests of a request that is cut off, and of a caller that leaves, run over loopback.

--- a/packages/mimosapoint-node/src/mimosapoint_node/http/server.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/http/server.py
@@ -35,7 +35,7 @@
     :param address: ``IP:port``; port 0 selects a free port.
     :param limits: limits of the HTTP interface.
     :param shutdown: set to stop the server.
-    :param telemetry: receives events of failed connections.
+    :param telemetry: receives events of failed connections and of requests without a reply.
     :param task_status: receives the bound ``IP:port``.
     """
     host, _, port = address.rpartition(":")
@@ -77,7 +77,9 @@
 
     async def handle(self, stream: trio.SocketStream) -> None:
         """Serve one connection until it ends; close it when the limit is reached."""
-        connection = Connection(stream, self._app, self._config, self._limits, self._shutdown)
+        connection = Connection(
+            stream, self._app, self._config, self._limits, self._shutdown, self._telemetry
+        )
         try:
             with self._connection_limiter.enter():
                 await connection.run()
--- a/packages/mimosapoint-node/src/mimosapoint_node/http/tests/test_server.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/http/tests/test_server.py
@@ -167,6 +167,31 @@
         with self.assertRaises((httpcore.RemoteProtocolError, httpcore.ReadError)):
             await node.call("POST", "/v1/jobs?wait=60", job_body(), key())
 
+    async def test_a_request_that_is_cut_off_is_logged(self):
+        with trio.fail_after(5):
+            async with AppFixture(HttpLimits(shutdown_timeout=SHORT_TIMEOUT)).served() as node:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self.check_cut_off, node)
+                    await node.jobs.call_started.wait()
+                    node.shutdown.set()
+        (fields,) = [fields for name, fields in node.telemetry.events if name == "http-request-cut"]
+        self.assertEqual(
+            ("POST", "/v1/jobs", "stop-timeout", True),
+            tuple(fields[name] for name in ("method", "path", "end", "read")),
+        )
+        self.assertIn(("http_requests_cut_total", {}), node.telemetry.counts)
+
+    async def test_a_caller_that_leaves_is_not_logged_as_cut_off(self):
+        with trio.fail_after(5):
+            async with AppFixture().served() as node:
+                async with trio.open_nursery() as nursery:
+                    target = "/v1/jobs?wait=60"
+                    nursery.start_soon(node.call, "POST", target, job_body(), key())
+                    await node.jobs.call_started.wait()
+                    nursery.cancel_scope.cancel()
+                await wait_until(lambda: node.jobs.waits_cancelled == 1)
+        self.assertEqual([], [name for name, _ in node.telemetry.events])
+
     async def test_requests_after_the_shutdown_are_refused(self):
         for http2 in (False, True):
             with self.subTest(http2=http2), trio.fail_after(5):
--- a/packages/mimosapoint/src/mimosapoint/cell/gateway.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/gateway.py
@@ -3,25 +3,24 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from datetime import datetime, timedelta
-from typing import TypeVar
 
 import trio
 
 from mimosapoint.cell.admission_gate import AdmissionGate
 from mimosapoint.cell.decisions.units import Job
+from mimosapoint.cell.job_lookup import JobLookup
 from mimosapoint.cell.keys import BACKLOG_KEY, cancel_key, job_key
 from mimosapoint.cell.operators import OperatorView
 from mimosapoint.cell.outage_reads import OutageReads
 from mimosapoint.cell.settings import CellSettings
 from mimosapoint.cell.stored_job import read_stored_job
 from mimosapoint.cell.submission import Submission
-from mimosapoint.codec import decode, encode
+from mimosapoint.codec import encode
 from mimosapoint.errors import (
     AdmissionRefused,
     BadRequest,
     CodecError,
     IdempotencyConflict,
-    JobNotFound,
     MimosapointError,
     OutcomeUnknown,
     Overloaded,
@@ -30,7 +29,14 @@
     StoreUnavailable,
     Unauthenticated,
 )
-from mimosapoint.ports import Clock, Entry, Telemetry, TransactionConflict, TransactionStore, Write
+from mimosapoint.ports import (
+    Clock,
+    Entry,
+    Telemetry,
+    TransactionConflict,
+    TransactionStore,
+    Write,
+)
 from mimosapoint.workload import (
     AcceptedJob,
     CellConfiguration,
@@ -42,8 +48,6 @@
 
 __all__ = ["CellGateway"]
 
-T = TypeVar("T")
-
 RETRY_AFTER_MIN = timedelta(seconds=1)
 """Minimum retry delay that callers are told; the header counts whole seconds."""
 
@@ -86,6 +90,7 @@
         self._clock = clock
         self._settings = settings
         self._telemetry = telemetry
+        self._lookup = JobLookup(view, telemetry)
         self.admission = AdmissionGate(store, view, clock, settings, telemetry)
         self.outage_reads = OutageReads(view, find_job, clock, settings, telemetry)
 
@@ -268,10 +273,10 @@
             raise StoreUnavailable("the store is unavailable", retry_after=self._retry_after())
         with self._telling_retry_delay(timeout, is_read=True):
             record, progress = await read_stored_job(self._store, job_id)
-        self._check_workspace(record, workspace)
+        self._lookup.require(record, workspace, job_id)
         if progress is None:
             return Phase.QUEUED
-        phase = self._decode(progress, JobProgress).phase
+        phase = self._lookup.decode(progress, JobProgress).phase
         if phase.ended:
             self._telemetry.event("phase-read", job=job_id, phase=phase, revision=progress.revision)
         return phase
@@ -294,7 +299,9 @@
             except TransactionConflict as conflict:
                 stored = conflict.entries_by_key.get(entry.key)
                 if stored is None:
-                    raise JobNotFound("no such job") from conflict
+                    raise self._lookup.not_found(
+                        job_id, workspace, "removed", entry.revision
+                    ) from conflict
                 if stored.revision != entry.revision:
                     # The job was removed, and its id accepted again, since it was read.
                     raise StoreUnavailable("the job was accepted anew") from conflict
@@ -308,7 +315,7 @@
         """
         with self._telling_retry_delay(timeout, is_read=True):
             entry = await self._store.get(BACKLOG_KEY)
-        return self._decode(entry, dict[str, int]).get(queue.name, 0) if entry else 0
+        return self._lookup.decode(entry, dict[str, int]).get(queue.name, 0) if entry else 0
 
     def retry_delay(self, error: MimosapointError, patience: timedelta) -> timedelta | None:
         """Return after which time a caller should try again; ``None`` if it should not.
@@ -327,7 +334,7 @@
         return max(RETRY_AFTER_MIN, min(error.retry_after, limit))
 
     async def _job_entry(self, workspace: str, job_id: str) -> Entry:
-        return self._check_workspace(await self._store.get(job_key(job_id)), workspace)
+        return self._lookup.require(await self._store.read(job_key(job_id)), workspace, job_id)
 
     @contextmanager
     def _telling_retry_delay(self, timeout: timedelta, is_read: bool = False) -> Iterator[None]:
@@ -348,24 +355,8 @@
         kind = StoreUnavailable if is_read else type(error)
         raise kind(error.detail, retry_after=self._retry_after()) from error
 
-    def _decode(self, entry: Entry, kind: type[T]) -> T:
-        """Decode an entry.
-
-        :raises StoreTimeout: it is unreadable, so that what it holds is unknown.
-        """
-        try:
-            return decode(entry.value, kind)
-        except CodecError as error:
-            self._telemetry.event("job-unreadable", key=entry.key, error=str(error))
-            raise StoreTimeout(f"{entry.key} cannot be read") from error
-
-    def _check_workspace(self, entry: Entry | None, workspace: str) -> Entry:
-        if entry is None or self._decode(entry, AcceptedJob).tenant != workspace:
-            raise JobNotFound("no such job")
-        return entry
-
     def _check_idempotent(self, entry: Entry, record: AcceptedJob) -> None:
-        stored = self._decode(entry, AcceptedJob)
+        stored = self._lookup.decode(entry, AcceptedJob)
         same = (stored.tenant, stored.spec, stored.steps, stored.schedule)
         if same != (record.tenant, record.spec, record.steps, record.schedule):
             raise IdempotencyConflict("the id belongs to another job")
--- a/packages/mimosapoint/src/mimosapoint/cell/tests/test_told_state.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_told_state.py
@@ -35,6 +35,35 @@
             await site.wait_phase("a", Phase.COMPLETE)
 
 
+class NotFoundTest(TrioTestCase):
+    mock_clock = True
+
+    async def test_the_log_says_why_a_job_is_not_found(self):
+        async with open_site(workers=2) as site:
+            await site.submit("a", Step(1, SMALL))
+            revision = await site.store.commit({}, [])
+            node = site.other
+            for call in (node.cell.gateway.phase, node.cell.gateway.cancel):
+                for workspace, job, reason, owner in (
+                    ("t", "b", "absent", ""),
+                    ("u", "a", "workspace", "t"),
+                ):
+                    with self.subTest(call=call, reason=reason):
+                        node.telemetry.events.clear()
+                        with self.assertRaises(JobNotFound):
+                            await call(workspace, job)
+                        (fields,) = [
+                            event.fields
+                            for event in node.telemetry.events
+                            if event.name == "job-not-found"
+                        ]
+                        self.assertEqual(
+                            (job, workspace, reason, owner),
+                            tuple(fields[name] for name in ("job", "workspace", "reason", "owner")),
+                        )
+                        self.assertGreaterEqual(fields["revision"], revision)
+
+
 class RemovedJobTest(TrioTestCase):
     mock_clock = True
 
--- a/packages/mimosapoint/src/mimosapoint/memory/transaction_store.py
+++ b/packages/mimosapoint/src/mimosapoint/memory/transaction_store.py
@@ -15,6 +15,7 @@
     Clock,
     Entry,
     HistoryLost,
+    KeyRead,
     Removal,
     ScanResult,
     TransactionConflict,
@@ -68,6 +69,10 @@
         self._fault_injector.after_effect()
         return entry
 
+    async def read(self, key: str) -> KeyRead:
+        """Return the current entry and the revision at which it was read."""
+        return KeyRead(await self.get(key), self._revision)
+
     async def scan(self, prefix: str) -> ScanResult:
         """Return every entry whose key begins with the prefix."""
         await self._begin_call("scan")
--- a/packages/mimosapoint/src/mimosapoint/ports/__init__.py
+++ b/packages/mimosapoint/src/mimosapoint/ports/__init__.py
@@ -23,6 +23,7 @@
 from mimosapoint.ports.transactions import (
     ChangeBatch,
     HistoryLost,
+    KeyRead,
     Removal,
     ScanResult,
     TransactionConflict,
@@ -41,6 +42,7 @@
     "EndedRun",
     "Entry",
     "HistoryLost",
+    "KeyRead",
     "Removal",
     "RenewLeaseOrder",
     "JobApi",
--- a/packages/mimosapoint/src/mimosapoint/ports/transactions.py
+++ b/packages/mimosapoint/src/mimosapoint/ports/transactions.py
@@ -13,6 +13,7 @@
     "ChangeBatch",
     "TransactionConflict",
     "HistoryLost",
+    "KeyRead",
     "Removal",
     "ScanResult",
     "TransactionStore",
@@ -39,6 +40,18 @@
     code = "history-lost"
 
 
+@attrs.frozen
+class KeyRead:
+    """Result of a read of one key.
+
+    :param entry: the current entry; ``None`` when the key is absent.
+    :param revision: revision of the store at which it was read; ``None`` if the store does not say.
+    """
+
+    entry: Entry | None
+    revision: int | None = None
+
+
 @attrs.frozen
 class Write:
     """Write of one key in a transaction.
@@ -109,6 +122,10 @@
         """Return the current entry, or ``None`` when the key is absent."""
         ...
 
+    async def read(self, key: str) -> KeyRead:
+        """Return the current entry and the revision at which it was read."""
+        ...
+
     async def scan(self, prefix: str) -> ScanResult:
         """Return every entry whose key begins with the prefix."""
         ...
--- a/packages/mimosapoint/src/mimosapoint/telemetry/_cell_declarations.py
+++ b/packages/mimosapoint/src/mimosapoint/telemetry/_cell_declarations.py
@@ -243,6 +243,11 @@
     ("end-kept", "The end of a run whose job cannot be read is stored by itself."),
     ("epoch-unreadable", "The newest epoch cannot be read; a higher one replaces it."),
     ("job-fault", "Decisions about a job fail with an unexpected error; it waits."),
+    (
+        "job-not-found",
+        "A caller is told that there is no such job; it was absent at this revision of the store,"
+        " or another workspace has it.",
+    ),
     ("job-not-removed", "An old job could not be removed, as its progress changed."),
     ("job-refused", "A job was refused, as its result would come too late to be of use."),
     ("job-unreadable", "A stored job cannot be read."),
--- a/packages/mimosapoint/src/mimosapoint/telemetry/_node_declarations.py
+++ b/packages/mimosapoint/src/mimosapoint/telemetry/_node_declarations.py
@@ -79,6 +79,12 @@
         "Connections closed because there were too many.",
         "connections",
     ),
+    Metric(
+        "http_requests_cut_total",
+        MetricKind.COUNTER,
+        "Requests that this node ended without a complete reply.",
+        "requests",
+    ),
     Metric(
         "http_disconnects_total", MetricKind.COUNTER, "Callers that left while waiting.", "requests"
     ),
@@ -129,6 +135,11 @@
     ("configuration-store-behind", "The store shows a version older than the one in force."),
     ("answer-wait-failed", "A caller's wait failed; the caller got the current state of the job."),
     ("http-connection-error", "A connection of a caller failed."),
+    (
+        "http-request-cut",
+        "This node ends a request without a complete reply; `read` says whether its whole body"
+        " was read, `end` how it ended.",
+    ),
     ("http-error", "A request failed with an unexpected error."),
     ("node-starting", "The process has read its settings."),
     ("node-serving", "The process accepts callers."),
