Give a write that used up its time an unknown outcome, not status 500

Seen by callers: a submission whose first attempts used up its time, or that states a time of 0, got status 500. The write may be stored, and callers repeat a submission after 504 but not after 500, so that a job ran of which its caller had been told an error.

Cause: the time that is left was a few microseconds below zero, for which trio raises ValueError.

Change: the time is limited to zero.

Old builds: nothing is stored or sent.

--- a/packages/mimosapoint/src/mimosapoint/cell/gateway.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/gateway.py
@@ -184,7 +184,7 @@
         if may_refuse and not maybe_stored:
             with trio.move_on_after(timeout.total_seconds() / 2):
                 await self.admission.check(record)
-        timeout -= timedelta(seconds=trio.current_time() - started_at)
+        timeout = max(timedelta(0), timeout - timedelta(seconds=trio.current_time() - started_at))
         received_at = record.accepted_at if may_refuse else record.accepted_at - FORWARDING_TIME
         outcome = await self._store_job(record, timeout, maybe_stored, fence, received_at)
         self._telemetry.event(
