--- /dev/null
+++ b/tools/tests/test_planned_work.py
@@ -0,0 +1,46 @@
+"""Tests of node processes around signals, as planned work sends them."""
+
+import signal
+
+import trio
+from mimosapoint.testing import TrioTestCase
+
+from tools.tests._node_processes import open_node_processes, request_bytes
+
+JOB = "00112233445566ff"
+
+
+class ReloadTest(TrioTestCase):
+    # Guards against a node that a changed settings file ends, as SIGHUP comes while it starts.
+    async def test_sighup_does_not_end_a_node_that_is_starting(self):
+        async with open_node_processes() as nodes:
+            process = await nodes.start("a")
+            await trio.sleep(0.1)
+            for _ in range(10):
+                process.send_signal(signal.SIGHUP)
+                await trio.sleep(0.1)
+            self.assertIsNone(process.returncode)
+            await nodes.wait_ready("a")
+
+    # Guards against a node that a settings file with an impossible date ends, with its requests.
+    async def test_no_content_of_the_settings_file_ends_a_node(self):
+        async with open_node_processes() as nodes:
+            process = await nodes.start("a")
+            await nodes.wait_ready("a")
+            connection = await nodes.connect("a")
+            for content in (
+                b"id: 2020-13-45\n",
+                b"\xff\n",
+                b"- [\n",
+                b"{? [a]: b}\n",
+                b"0x\n",
+                b"",
+            ):
+                nodes.settings_path("a").write_bytes(content)
+                process.send_signal(signal.SIGHUP)
+                await trio.sleep(0.1)
+                await connection.stream.send_all(request_bytes("GET", JOB))
+                with self.subTest(content=content), trio.fail_after(5):
+                    self.assertEqual(410, await connection.reply())
+            self.assertIsNone(process.returncode)
+            self.assertIn("event=settings-refused", nodes.log("a"))
