Let a suspect of a crash stand still no longer than other jobs for a reservation

Seen by callers: a job whose worker has crashed once stands still until a waiting gang has started, without a bound, beside workers that nothing uses.

Cause: leaves suspects out of the overdue units, so that every reservation goes on applying to them. They wait for isolation, but what is reserved is never clear for them.

Change: an overdue suspect is placed before reservations, too, on workers without other suspects, and joins others after isolation_patience only. Each start of a suspect isolates its workers.

Old builds: nothing is stored or sent.

--- a/packages/mimosapoint/src/mimosapoint/cell/decisions/planner.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/decisions/planner.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from bisect import bisect_right
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable
 from copy import copy
 from datetime import datetime
 
@@ -84,11 +84,11 @@
         # Urgent units come first: what is held for them, or freed by their victims, is theirs.
         urgent_count = bisect_right(ordered, URGENT_PRIORITY, key=decision.priority_of)
         urgent, others = ordered[:urgent_count], ordered[urgent_count:]
-        let_span(state, self._overdue(decision, urgent, room), decision.pool_of)
+        limit = self._settings.max_standstill
+        let_span(state, overdue_units(urgent, room, context.now, limit), decision.pool_of)
         if self._plan_units(decision, urgent):
-            self._start_overdue(decision, others, room)
+            self._start_overdue(decision, overdue_units(others, room, context.now, limit))
             self._plan_units(decision, others)
-        limit = self._settings.max_standstill
         if (due := next_overdue(waiting, room, context.now, limit)) is not None:
             decision.plan.decide_again_by(due)
         return decision.plan
@@ -109,22 +109,21 @@
                 return False
         return True
 
-    def _overdue(self, decision: Decision, units: list[Unit], room: AmpleRoom) -> Iterator[Unit]:
-        return overdue_units(units, room, decision.context.now, self._settings.max_standstill)
-
-    def _start_overdue(self, decision: Decision, units: list[Unit], room: AmpleRoom) -> None:
+    def _start_overdue(self, decision: Decision, overdue: Iterable[Unit]) -> None:
         """Start one unit of each job that has stood still for too long, before any reservation."""
         state = decision.placement_state
         started_jobs: set[str] = set()
         unfit_keys: set[tuple] = set()
-        for unit in self._overdue(decision, units, room):
-            key = fit_key(unit)
+        for unit in overdue:
+            # Whether a suspect fits depends on how long it has waited, too.
+            key = (*fit_key(unit), unit.id if unit.is_suspect else None)
             if unit.id.job in started_jobs or key in unfit_keys:
                 continue
             if decision.context.quotas.find_obstacle(unit) is not None:
                 continue
             let_span(state, [unit], decision.pool_of)
-            candidates = self._place(state, unit, decision.pool_of(unit))
+            place = self._place_suspect if unit.is_suspect else self._place
+            candidates = place(state, unit, decision.pool_of(unit))
             if candidates is None:
                 unfit_keys.add(key)
                 continue
@@ -199,17 +198,19 @@
 
         :return: whether further units may be planned.
         """
-        state, settings = decision.placement_state, self._settings
-        candidates = place_isolated(state, unit, pool, settings.crash_blame_window)
-        if candidates is None and decision.context.now - unit.since >= settings.isolation_patience:
-            candidates = self._place(state, unit, pool)
+        candidates = self._place_suspect(decision.placement_state, unit, pool)
         if candidates is None:
-            keep_clear(state, unit, pool)
+            keep_clear(decision.placement_state, unit, pool)
             return True
-        may_continue = self._start(decision, unit, candidates)
-        for candidate in candidates:
-            candidate.is_isolated = True
-        return may_continue
+        return self._start(decision, unit, candidates)
+
+    def _place_suspect(
+        self, state: PlacementState, unit: Unit, pool: str
+    ) -> list[CandidateWorker] | None:
+        candidates = place_isolated(state, unit, pool, self._settings.crash_blame_window)
+        if candidates is None and state.now - unit.since >= self._settings.isolation_patience:
+            candidates = self._place(state, unit, pool)
+        return candidates
 
     def _start(self, decision: Decision, unit: Unit, candidates: list[CandidateWorker]) -> bool:
         """Start a unit if the limit of starts admits it.
@@ -221,6 +222,7 @@
         decision.placement_state.deduct(candidates, unit)
         for candidate in candidates:
             candidate.started_units.append(unit)
+            candidate.is_isolated |= unit.is_suspect
         self._holds.pop(unit.id, None)
         self._quota_holds.pop(unit.id, None)
         self._demand_mix.add_started(unit)
--- a/packages/mimosapoint/src/mimosapoint/cell/decisions/standstill.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/decisions/standstill.py
@@ -25,8 +25,6 @@
 ) -> Iterator[Unit]:
     """Yield the units that have waited beside ample room for too long, of jobs without runs.
 
-    Units that are suspected of crashing their workers go on waiting for isolation.
-
     :param ordered: the waiting units, in the order in which they are placed.
     :param room: services and workspaces with ample room.
     :param now: present time.
@@ -42,7 +40,7 @@
         stands = stands_by_job.get(unit.id.job)
         if stands is None:
             stands = stands_by_job[unit.id.job] = stands_still(unit.job)
-        if stands and not unit.is_suspect:
+        if stands:
             yield unit
 
 
--- a/packages/mimosapoint/src/mimosapoint/cell/decisions/tests/test_standstill.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/decisions/tests/test_standstill.py
@@ -14,6 +14,7 @@
     ResourceAmounts,
     Step,
     TaskId,
+    WorkerCrash,
 )
 
 LIMIT = CellSettings().max_standstill
@@ -68,6 +69,17 @@
         self.decide()
         self.assertEqual(["a"], self.started_jobs(self.wait()))
 
+    # Guards against a job that waits without a bound, as one worker has crashed under it.
+    def test_a_suspect_does_not_wait_for_a_gang(self):
+        self.submit("a", 2, Step(1, SMALL))
+        (unit,) = self.job_table.jobs_by_id["a"].units_by_id.values()
+        crash = WorkerCrash(1, "w9", is_early=True)
+        self.job_table.record_crash(unit, unit.tasks[0], crash)
+        self.assertEqual([], self.decide().starts)
+        plan = self.wait()
+        self.assertEqual(["a"], self.started_jobs(plan))
+        self.assertNotIn("w0", self.workers_of(plan, "a"))
+
     # Guards against a shortage of processor time at the owner that grows with such starts.
     def test_the_limit_of_starts_holds(self):
         for job in ("a", "b"):
