--- a/packages/mimosapoint/src/mimosapoint/cell/tests/test_standing_jobs.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_standing_jobs.py
@@ -83,3 +83,17 @@
                 await site.wait_running(f"in-{rack}")
             await site.submit("gang", Step(3, WIDE, gang=True, rack_local=True))
             await site.wait_running("gang", 3, within=STANDSTILL_SECONDS)
+
+    # Guards against jobs that wait while each worker is kept for one suspect of a crash.
+    async def test_isolated_suspects_do_not_stop_other_jobs(self):
+        async with open_site(workers=6) as site:
+            site.simulation.run_time = LONG_RUN
+            for number in range(8):
+                await site.submit(f"beside-{number}", Step(1, SMALL))
+            await site.wait_running("beside-7")
+            worker = site.simulation.workers_by_id[site.running("beside-7")[0].worker]
+            await worker.crash()
+            site.register(worker, born=worker.born)
+            await trio.sleep(0.3)
+            await site.submit("small", Step(1, SMALL))
+            await site.wait_running("small", within=STANDSTILL_SECONDS)
