Answer requests that have arrived before an idle connection is closed

Seen by callers: a request on an open connection gets no reply; the connection ends, or is reset, as its node closes it at the idle timeout or, during a planned stop, 50 ms after the last use.

Cause: the timer of the close and the arrival of the request become due together whenever the process was delayed, for example without processor, and the close took place whichever came first. hypercorn also closed while it handled a request whose bytes it had read (its lock yields in between). A request that had waited for longer than the users' slack of 200 ms was lost that way.

Evidence: the new test delays the process past the timer, 0.2 s during a stop and 1 s at the idle timeout.

Change: a connection closes itself. It first stops reading, which has no effect if something has arrived, and only then tells hypercorn to close; hypercorn has no idle timer any more.

--- a/packages/mimosapoint-node/src/mimosapoint_node/http/_connection.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/http/_connection.py
@@ -1,6 +1,5 @@
 """Serving of one connection by hypercorn."""
 
-from datetime import timedelta
 from typing import Any
 
 import trio
@@ -14,6 +13,7 @@
 
 from mimosapoint_node.http._exchange import Exchange, Receive, Send
 from mimosapoint_node.http._open_request import OpenRequest
+from mimosapoint_node.http._tracked_stream import TrackedStream
 from mimosapoint_node.http.core import App
 from mimosapoint_node.http.limits import HttpLimits
 from mimosapoint_node.http.problems import problem_reply
@@ -23,15 +23,13 @@
 IDLE_SECONDS = 0.05
 """Time without requests and sends, in seconds, after which shutdown closes a connection."""
 
-CHUNK_BYTES = 2**16
-"""Bytes of a reply that the caller has to read within the send timeout."""
-
 
 class Connection:
-    """Serves a connection and closes it during shutdown once it is idle.
+    """Serves a connection and closes it once it is idle, which during shutdown takes no time.
 
-    On its own shutdown, hypercorn ends an HTTP/2 connection before the last frame of the last
-    reply has been sent, so that shutdown starts only when nothing is left to send.
+    hypercorn itself would close a connection whose next request has just arrived, and during
+    shutdown an HTTP/2 connection before the last frame of the last reply has been sent. So it is
+    told to close only after reading has stopped with nothing left to handle or to send.
 
     :param stream: accepted connection.
     :param app: ASGI application.
@@ -50,7 +48,7 @@
         shutdown: trio.Event,
         telemetry: Telemetry,
     ):
-        self._stream = _TrackedStream(stream, limits.send_timeout)
+        self._stream = TrackedStream(stream, limits.send_timeout)
         self._app = app
         self._config = config
         self._limits = limits
@@ -58,19 +56,21 @@
         self._telemetry = telemetry
         self._context = WorkerContext(None)
         self._requests: set[OpenRequest] = set()
+        self._used_at = trio.current_time()
 
     async def run(self) -> None:
         """Serve the connection until it ends."""
         app = ASGIWrapper(self._respond)
         state = ConnectionState({})
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._close_when_idle)
+            nursery.start_soon(self._close_when_idle, nursery.cancel_scope)
             await TCPServer(app, self._config, self._context, state, self._stream)
             nursery.cancel_scope.cancel()
 
     async def _respond(self, scope: dict[str, Any], receive: Receive, send: Send) -> None:
         request = OpenRequest(scope, receive, send)
         self._requests.add(request)
+        self._used_at = trio.current_time()
         end = "returned"
         try:
             if self._shutdown.is_set():
@@ -85,6 +85,7 @@
             raise
         finally:
             self._requests.discard(request)
+            self._used_at = trio.current_time()
             if scope["type"] == "http":
                 self._log_unless_replied(request, end)
 
@@ -108,72 +109,36 @@
         )
         self._telemetry.count("http_requests_cut_total")
 
-    async def _close_when_idle(self) -> None:
-        await self._shutdown.wait()
-        idle = False
-        while not idle:
-            sent = self._stream.sent
+    async def _close_when_idle(self, connection_scope: trio.CancelScope) -> None:
+        """Close the connection at the idle timeout, or during shutdown as soon as it is idle."""
+        await self._wait_idle()
+        while not await self._stream.stop_reading():
+            if self._stream.is_closed and not self._requests:
+                # hypercorn waits forever to pass on a body that nothing reads any more.
+                connection_scope.cancel()
             await trio.sleep(IDLE_SECONDS)
-            idle = not (self._requests or self._stream.sending or self._stream.sent > sent)
+            await self._wait_idle()
         await self._context.terminated.set()
 
+    async def _wait_idle(self) -> None:
+        idle_seconds = self._limits.idle_timeout.total_seconds()
+        while not self._shutdown.is_set() and self._idle_seconds() < idle_seconds:
+            with trio.move_on_after(idle_seconds - self._idle_seconds()):
+                await self._shutdown.wait()
+        is_idle = not self._shutdown.is_set()
+        while not is_idle:
+            sent = self._stream.sent
+            await trio.sleep(IDLE_SECONDS)
+            is_idle = not (self._requests or self._stream.sending or self._stream.sent > sent)
+
+    def _idle_seconds(self) -> float:
+        """Return the time since the last request has ended; 0 while there is one."""
+        if self._requests or self._stream.sending:
+            return 0
+        return trio.current_time() - self._used_at
+
 
 def _is_cancelled(error: BaseException) -> bool:
     if isinstance(error, BaseExceptionGroup):
         return error.split(trio.Cancelled)[1] is None
     return isinstance(error, trio.Cancelled)
-
-
-class _TrackedStream:
-    """Stream that tracks its sends and has the members that hypercorn uses.
-
-    :param stream: wrapped stream.
-    :param send_timeout: timeout for one chunk of :data:`CHUNK_BYTES`.
-    """
-
-    def __init__(self, stream: trio.SocketStream, send_timeout: timedelta):
-        self.socket = stream.socket
-        self.send_eof = stream.send_eof
-        self.aclose = stream.aclose
-        self.sending = False
-        self.sent = 0
-        self.closed_by_caller = False
-        self.is_send_lost = False
-        self._stream = stream
-        self._send_seconds = send_timeout.total_seconds()
-
-    async def receive_some(self, max_bytes: int | None = None) -> bytes:
-        """Return received bytes; empty once the caller has closed its side."""
-        try:
-            data = await self._stream.receive_some(max_bytes)
-        except trio.BrokenResourceError:
-            self.closed_by_caller = True
-            raise
-        self.closed_by_caller = self.closed_by_caller or not data
-        return data
-
-    async def send_all(self, data: bytes) -> None:
-        """Send the data and count the call.
-
-        hypercorn shields its sends from cancellation, so without the timeout a peer that does
-        not read would block the shutdown forever.
-
-        :raises trio.BrokenResourceError: the peer did not read a chunk in time.
-        """
-        self.sending = True
-        try:
-            for start in range(0, len(data), CHUNK_BYTES):
-                with trio.fail_after(self._send_seconds):
-                    await self._stream.send_all(data[start : start + CHUNK_BYTES])
-        except trio.TooSlowError as error:
-            await trio.aclose_forcefully(self._stream)
-            raise trio.BrokenResourceError("the peer reads too slowly") from error
-        except trio.BrokenResourceError:
-            self.closed_by_caller = True
-            raise
-        except trio.ClosedResourceError:
-            self.is_send_lost = True
-            raise
-        finally:
-            self.sending = False
-            self.sent += 1
--- a/packages/mimosapoint-node/src/mimosapoint_node/http/server.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/http/server.py
@@ -1,5 +1,6 @@
 """HTTP server that runs the application by hypercorn on trio."""
 
+import math
 from functools import partial
 
 import trio
@@ -100,6 +101,7 @@
     config.h11_max_incomplete_size = limits.header_bytes
     config.h2_max_header_list_size = limits.header_bytes
     config.h2_max_concurrent_streams = limits.in_flight
-    config.keep_alive_timeout = limits.idle_timeout.total_seconds()
+    # Each connection closes itself when it is idle.
+    config.keep_alive_timeout = math.inf
     config.read_timeout = (limits.max_wait + limits.idle_timeout).total_seconds()
     return config
--- a/packages/mimosapoint-node/src/mimosapoint_node/http/tests/test_server.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/http/tests/test_server.py
@@ -1,5 +1,7 @@
 """Tests of limits, disconnects and graceful shutdown."""
 
+import os
+import time
 from datetime import timedelta
 
 import httpcore
@@ -209,6 +211,44 @@
                 self.assertEqual("shutting-down", orjson.loads(late.content)["code"])
                 self.assertEqual([], node.jobs.requests)
 
+    # Guards against a request without a reply, as the node closes the connection as idle although
+    # the request has arrived.
+    async def test_a_request_that_arrives_before_the_connection_is_closed_gets_a_reply(self):
+        for is_stop in (False, True):
+            with self.subTest(is_stop=is_stop), trio.fail_after(10):
+                idle_timeout = timedelta(seconds=30 if is_stop else 1)
+                async with AppFixture(HttpLimits(idle_timeout=idle_timeout)).served() as node:
+                    await self.check_requests_at_close(node, is_stop)
+                self.assertEqual([], node.telemetry.events)
+
+    async def check_requests_at_close(self, node, is_stop):
+        host, port = node.address.split(":")
+        request = b"GET /healthz HTTP/1.1\r\nhost: x\r\n\r\n"
+        streams = [await trio.open_tcp_stream(host, int(port)) for _ in range(40)]
+        for stream in streams:
+            await stream.send_all(request)
+            await self.read_reply(stream)
+        if is_stop:
+            node.shutdown.set()
+            await trio.sleep(0.01)
+        # A busy node looks at its timers and connections only after both have become due.
+        for stream in streams:
+            os.write(stream.socket.fileno(), request)
+        time.sleep(0.2 if is_stop else 1)
+        expected = b"HTTP/1.1 503" if is_stop else b"HTTP/1.1 200"
+        for stream in streams:
+            self.assertEqual(expected, (await self.read_reply(stream))[: len(expected)])
+            await stream.aclose()
+
+    async def read_reply(self, stream):
+        """Return a reply, whose body is a JSON object without others."""
+        reply = b""
+        while not reply.endswith(b"}"):
+            part = await stream.receive_some()
+            self.assertTrue(part, "closed without a reply")
+            reply += part
+        return reply
+
     async def test_a_caller_that_does_not_read_does_not_block_the_shutdown(self):
         start = b"GET /v1/jobs?workspace=w HTTP/1.1\r\nhost: x\r\n\r\n"
         with trio.fail_after(5):
