End a connection when its caller closes it, not at the idle timeout

Seen by callers: at a node that has reached its limit of 2,000 connections, new ones are closed without a reply, although most belong to callers that have left.

Cause: after the end of the input hypercorn waits for its idle timer, 15 s here, before it closes. So 134 callers a second that open a connection each reach the limit, and each connection keeps its memory.

Change: the connection is told to close as soon as nothing more is read from it.

--- a/packages/mimosapoint-node/src/mimosapoint_node/http/_connection.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/http/_connection.py
@@ -64,6 +64,7 @@
         state = ConnectionState({})
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._close_when_idle, nursery.cancel_scope)
+            nursery.start_soon(self._close_when_read)
             await TCPServer(app, self._config, self._context, state, self._stream)
             nursery.cancel_scope.cancel()
 
@@ -118,6 +119,10 @@
                 connection_scope.cancel()
             await trio.sleep(IDLE_SECONDS)
             await self._wait_idle()
+
+    async def _close_when_read(self) -> None:
+        """Close the connection once nothing more is read and the last request has ended."""
+        await self._stream.read_ended.wait()
         await self._context.terminated.set()
 
     async def _wait_idle(self) -> None:
--- a/packages/mimosapoint-node/src/mimosapoint_node/http/_tracked_stream.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/http/_tracked_stream.py
@@ -18,6 +18,7 @@
 
     :param stream: wrapped stream.
     :param send_timeout: timeout for one chunk of :data:`CHUNK_BYTES`.
+    :ivar read_ended: set when nothing more will be read.
     """
 
     def __init__(self, stream: trio.SocketStream, send_timeout: timedelta):
@@ -28,11 +29,11 @@
         self.is_closed = False
         self.closed_by_caller = False
         self.is_send_lost = False
+        self.read_ended = trio.Event()
         self._stream = stream
         self._send_seconds = send_timeout.total_seconds()
         self._reading: trio.CancelScope | None = None
-        self._read_ended = trio.Event()
-        self._is_stopped = False
+        self._call_ended = trio.Event()
 
     async def receive_some(self, max_bytes: int | None = None) -> bytes:
         """Return received bytes; empty once the caller has closed its side.
@@ -50,9 +51,10 @@
                 self.closed_by_caller = True
                 raise
             finally:
-                self._is_stopped = not data
+                if not data:
+                    self.read_ended.set()
                 self._reading = None
-                self._read_ended.set()
+                self._call_ended.set()
         raise trio.ClosedResourceError("reading was stopped")
 
     async def stop_reading(self) -> bool:
@@ -60,12 +62,11 @@
 
         What has arrived by then is read and handled, so that no request is read and then dropped.
         """
-        if self._reading is None or self._count_unread_bytes():
-            return self._is_stopped
-        self._read_ended = trio.Event()
-        self._reading.cancel()
-        await self._read_ended.wait()
-        return self._is_stopped
+        if self._reading is not None and not self._count_unread_bytes():
+            self._call_ended = trio.Event()
+            self._reading.cancel()
+            await self._call_ended.wait()
+        return self.read_ended.is_set()
 
     async def aclose(self) -> None:
         """Close the stream."""
--- a/packages/mimosapoint-node/src/mimosapoint_node/http/tests/test_server.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/http/tests/test_server.py
@@ -64,6 +64,17 @@
                 lambda: ("http_connections_refused_total", {}) in node.telemetry.counts
             )
 
+    # Guards against connections that count until the idle timeout after their callers have left;
+    # at the limit, those of further callers are closed without a reply.
+    async def test_a_connection_ends_when_its_caller_closes_it(self):
+        async with AppFixture(HttpLimits(connections=1)).served() as node:
+            for number in range(3):
+                for http2 in (False, True):
+                    with self.subTest(number=number, http2=http2):
+                        reply = await node.call("GET", "/healthz", http2=http2)
+                        self.assertEqual(200, reply[0])
+                        await trio.sleep(0.1)
+
     async def test_malformed_and_slow_requests_are_ended(self):
         limits = HttpLimits(
             header_bytes=2000,
