--- a/packages/mimosapoint/src/mimosapoint/cell/tests/test_committer.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_committer.py
@@ -16,7 +16,7 @@
 from mimosapoint.ports import Entry, TransactionConflict
 from mimosapoint.telemetry import MemoryTelemetry
 from mimosapoint.testing import TrioTestCase
-from mimosapoint.workload import AcceptedJob, JobProgress, Phase, Step
+from mimosapoint.workload import AcceptedJob, JobProgress, Phase, Step, TaskId
 
 EPOCH_REV = 3
 PROGRESS_REV = 7
@@ -58,7 +58,7 @@
             accepted_at=datetime(2026, 1, 1, tzinfo=timezone.utc),
         )
         job = self.job_table.add(record, 1)
-        self.job_table.give_up(job)
+        self.job_table.give_up(job, TaskId(record.id, 0, 0, 0))
         return job
 
     async def commit_end(self, *replies):
