Keep the reservation by expected ends when an overdue unit starts

Seen by callers: with the setting gang_reservation = expected-end, a gang waits until all small units of a job have ended, although only one of them was to start ahead of it.

Cause: counts the starts of a decision as room that becomes free in the rule current-fit only. With the other rule, the first overdue start drops the reservation.

Change: the expected duration of a unit that starts in the same decision counts like the remaining time of a run. Old builds: nothing is stored or sent.

--- a/packages/mimosapoint/src/mimosapoint/cell/decisions/expected_end_reservation.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/decisions/expected_end_reservation.py
@@ -104,10 +104,10 @@
         """Return the expected wait for each task of the unit that the worker can hold."""
         free = candidate.free
         waits = [timedelta(0)] * candidate.fit_count(unit, free)
-        ends = sorted(
-            ((self._remaining(task_run), task_run.amounts) for task_run in _runs(candidate)),
-            key=lambda end: end[0],
-        )
+        ends = [(self._remaining(task_run), task_run.amounts) for task_run in _runs(candidate)]
+        durations = self.context.durations
+        ends += [(durations.expected(each), each.step.amounts) for each in candidate.started_units]
+        ends.sort(key=lambda end: end[0])
         for remaining, amounts in ends:
             free += amounts
             waits += [remaining] * (candidate.fit_count(unit, free) - len(waits))
--- a/packages/mimosapoint/src/mimosapoint/cell/decisions/tests/test_standstill.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/decisions/tests/test_standstill.py
@@ -2,6 +2,7 @@
 
 from datetime import timedelta
 
+from mimosapoint.cell.decisions.gang_reservation import gang_reservation_names
 from mimosapoint.cell.decisions.planner import Planner
 from mimosapoint.cell.decisions.tests._planning import PlannerCase
 from mimosapoint.cell.decisions.units import TaskRun
@@ -61,6 +62,17 @@
         self.submit("a", 2, Step(1, SMALL))
         self.assertEqual([], self.wait().starts)
 
+    # Guards against a reservation that ends with the first overdue start, so that small units take
+    # the room at once.
+    def test_each_rule_of_reservation_goes_on(self):
+        for name in gang_reservation_names():
+            with self.subTest(reservation=name):
+                self.setUp()
+                self.planner = Planner(CellSettings(gang_reservation=name))
+                self.submit("a", 2, Step(5, SMALL))
+                self.decide()
+                self.assertEqual(["a"], self.started_jobs(self.wait()))
+
     # Guards against one run of an unknown job that lets the whole service count as full.
     def test_a_run_of_an_unknown_job_fills_its_own_worker_only(self):
         worker = self.workers[-1]
