--- a/packages/mimosapoint/src/mimosapoint/cell/tests/test_committer.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_committer.py
@@ -58,7 +58,7 @@
             accepted_at=datetime(2026, 1, 1, tzinfo=timezone.utc),
         )
         job = self.job_table.add(record, 1)
-        self.job_table.give_up(job, TaskId(job.record.id, 0, 0, 0))
+        self.job_table.give_up(job, TaskId(record.id, 0, 0, 0))
         return job
 
     async def commit_end(self, *replies):
