Reply to the requests that outlast a planned stop

Seen by callers: a request that is read during a planned stop and takes longer than the node has left gets no reply; the connection ends 5.3 s after SIGTERM.

Cause: the node cancelled all connections at the shutdown timeout. Callers of the deployments that we know wait 3 s, which ends in time with 60 ms to spare; with a Deadline-Ms of 10 s, which callers may send, a request whose store is slow does not.

Change: 0.2 s before the shutdown timeout each request without a reply is ended and answered: a read with 503, a write with 504, as it may have had its effect. That moment is the same as before, 5.3 s after SIGTERM; the margin before SIGKILL is 0.5 s instead of 0.7 s.

--- a/packages/mimosapoint-node/src/mimosapoint_node/http/_connection.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/http/_connection.py
@@ -8,21 +8,22 @@
 from hypercorn.trio.tcp_server import TCPServer
 from hypercorn.trio.worker_context import WorkerContext
 from hypercorn.typing import ConnectionState
-from mimosapoint.errors import ShuttingDown
 from mimosapoint.ports import Telemetry
 
-from mimosapoint_node.http._exchange import Exchange, Receive, Send
+from mimosapoint_node.http._exchange import Receive, Send
 from mimosapoint_node.http._open_request import OpenRequest
 from mimosapoint_node.http._tracked_stream import TrackedStream
 from mimosapoint_node.http.core import App
 from mimosapoint_node.http.limits import HttpLimits
-from mimosapoint_node.http.problems import problem_reply
 
 __all__ = ["Connection"]
 
 IDLE_SECONDS = 0.05
 """Time without requests and sends, in seconds, after which shutdown closes a connection."""
 
+REPLY_SECONDS = 0.2
+"""Part of the shutdown timeout, in seconds, that is left for replies to requests that it ends."""
+
 
 class Connection:
     """Serves a connection and closes it once it is idle, which during shutdown takes no time.
@@ -65,20 +66,20 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._close_when_idle, nursery.cancel_scope)
             nursery.start_soon(self._close_when_read)
+            nursery.start_soon(self._end_requests_at_stop)
             await TCPServer(app, self._config, self._context, state, self._stream)
             nursery.cancel_scope.cancel()
 
     async def _respond(self, scope: dict[str, Any], receive: Receive, send: Send) -> None:
-        request = OpenRequest(scope, receive, send)
+        request = OpenRequest(scope, receive, send, self._limits)
         self._requests.add(request)
         self._used_at = trio.current_time()
         end = "returned"
         try:
             if self._shutdown.is_set():
-                exchange = Exchange(scope, request.receive, request.send, self._limits)
-                await exchange.reply(problem_reply(ShuttingDown("the node is stopping")), None)
-            else:
-                await self._app(scope, request.receive, request.send)
+                await request.refuse()
+            elif await request.serve(self._app):
+                await self._reply_ended(request)
         except BaseException as error:
             end = repr(error)
             if _is_cancelled(error):
@@ -90,6 +91,16 @@
             if scope["type"] == "http":
                 self._log_unless_replied(request, end)
 
+    async def _reply_ended(self, request: OpenRequest) -> None:
+        reply = await request.reply_ended()
+        self._telemetry.event(
+            "http-request-ended-by-stop",
+            method=request.method,
+            path=request.path,
+            age=round(request.age, 3),
+            status=reply.status,
+        )
+
     def _log_unless_replied(self, request: OpenRequest, end: str) -> None:
         """Log a request that gets no complete reply although the caller has not closed.
 
@@ -100,8 +111,8 @@
             return
         self._telemetry.event(
             "http-request-cut",
-            method=request.scope["method"],
-            path=request.scope["path"],
+            method=request.method,
+            path=request.path,
             age=round(request.age, 3),
             read=request.is_read,
             replied=request.is_replied,
@@ -120,6 +131,14 @@
             await trio.sleep(IDLE_SECONDS)
             await self._wait_idle()
 
+    async def _end_requests_at_stop(self) -> None:
+        """End the requests that are still open shortly before the shutdown timeout."""
+        await self._shutdown.wait()
+        seconds = self._limits.shutdown_timeout.total_seconds()
+        await trio.sleep(max(seconds - REPLY_SECONDS, seconds / 2))
+        for request in self._requests:
+            request.end()
+
     async def _close_when_read(self) -> None:
         """Close the connection once nothing more is read and the last request has ended."""
         await self._stream.read_ended.wait()
--- a/packages/mimosapoint-node/src/mimosapoint_node/http/_exchange.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/http/_exchange.py
@@ -114,6 +114,13 @@
         while the caller is still sending.
         """
         await self._discard_body()
+        await self._send_reply(reply, trace)
+
+    async def reply_and_close(self, reply: Reply) -> None:
+        """Send the whole reply at once; an HTTP/1.1 connection is closed after it."""
+        await self._send_reply(reply, None)
+
+    async def _send_reply(self, reply: Reply, trace: str | None) -> None:
         headers = self._reply_headers(reply, trace)
         start = {"type": "http.response.start", "status": reply.status, "headers": headers}
         async with trio.open_nursery() as nursery:
--- a/packages/mimosapoint-node/src/mimosapoint_node/http/_open_request.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/http/_open_request.py
@@ -3,44 +3,98 @@
 from typing import Any
 
 import trio
+from mimosapoint.errors import OutcomeUnknown, ShuttingDown
 
-from mimosapoint_node.http._exchange import Receive, Send
+from mimosapoint_node.http._exchange import Exchange, Receive, Send
+from mimosapoint_node.http.core import App
+from mimosapoint_node.http.limits import HttpLimits
+from mimosapoint_node.http.message import Reply
+from mimosapoint_node.http.problems import problem_reply
 
 __all__ = ["OpenRequest"]
 
+READ_METHODS = ("GET", "HEAD")
+
+UNKNOWN_OUTCOME_STATUS = 504
+"""Status of a write that a planned stop ends; 503 would say that it has had no effect."""
+
 
 class OpenRequest:
-    """Follows the ASGI messages of a request.
+    """Passes the ASGI messages of a request, and can end it with a reply.
 
     :param scope: ASGI scope of the request.
     :param receive: ASGI receive callable.
     :param send: ASGI send callable.
+    :param limits: limits of the HTTP interface.
     :ivar is_read: whether the whole body has been passed to the application.
     :ivar is_replied: whether the end of the reply was passed to the connection.
     """
 
-    def __init__(self, scope: dict[str, Any], receive: Receive, send: Send):
-        self.scope = scope
+    def __init__(self, scope: dict[str, Any], receive: Receive, send: Send, limits: HttpLimits):
         self.is_read = False
         self.is_replied = False
+        self._scope = scope
         self._receive = receive
         self._send = send
+        self._limits = limits
         self._began_at = trio.current_time()
+        self._is_replying = False
+        self._serving = trio.CancelScope()
+
+    @property
+    def method(self) -> str:
+        """Method of the request; empty for a lifespan or a websocket."""
+        return self._scope.get("method", "")
+
+    @property
+    def path(self) -> str:
+        """Path of the request."""
+        return self._scope.get("path", "")
 
     @property
     def age(self) -> float:
         """Time since the request line and headers were read, in seconds."""
         return trio.current_time() - self._began_at
 
-    async def receive(self) -> dict[str, Any]:
-        """Return the next message to the application."""
+    async def serve(self, app: App) -> bool:
+        """Pass the request to an application; return whether :meth:`end` has ended it."""
+        with self._serving:
+            await app(self._scope, self._receive_message, self._send_message)
+        return self._serving.cancelled_caught
+
+    def end(self) -> None:
+        """End the application unless it has begun its reply."""
+        if not self._is_replying:
+            self._serving.cancel()
+
+    async def refuse(self) -> None:
+        """Reply that the node is stopping and that the request has had no effect."""
+        await self._exchange().reply(problem_reply(ShuttingDown("the node is stopping")), None)
+
+    async def reply_ended(self) -> Reply:
+        """Reply at once that a planned stop has ended the request, and return the reply."""
+        if self.method in READ_METHODS:
+            reply = problem_reply(ShuttingDown("the node is stopping"))
+        else:
+            error = OutcomeUnknown("the node has stopped before the request was done")
+            reply = problem_reply(error, UNKNOWN_OUTCOME_STATUS)
+        await self._exchange().reply_and_close(reply)
+        return reply
+
+    def _exchange(self) -> Exchange:
+        return Exchange(self._scope, self._receive_message, self._send_message, self._limits)
+
+    async def _receive_message(self) -> dict[str, Any]:
         message = await self._receive()
         if message["type"] == "http.request" and not message.get("more_body", False):
             self.is_read = True
         return message
 
-    async def send(self, message: dict[str, Any]) -> None:
-        """Pass a message of the application to the connection."""
+    async def _send_message(self, message: dict[str, Any]) -> None:
+        if message["type"] == "http.response.start":
+            # A reply that has begun is completed; before that the request can be ended.
+            await trio.lowlevel.checkpoint_if_cancelled()
+            self._is_replying = True
         await self._send(message)
         if message["type"] == "http.response.body" and not message.get("more_body", False):
             self.is_replied = True
--- a/packages/mimosapoint/src/mimosapoint/telemetry/_node_declarations.py
+++ b/packages/mimosapoint/src/mimosapoint/telemetry/_node_declarations.py
@@ -140,6 +140,10 @@
         "This node ends a request without a complete reply; `read` says whether its whole body"
         " was read, `end` how it ended.",
     ),
+    (
+        "http-request-ended-by-stop",
+        "A request outlasted a planned stop and got this status; a write may have had its effect.",
+    ),
     ("http-error", "A request failed with an unexpected error."),
     ("node-starting", "The process has read its settings."),
     ("node-serving", "The process accepts callers."),
--- a/tools/tests/test_planned_work.py
+++ b/tools/tests/test_planned_work.py
@@ -10,6 +10,37 @@
 JOB = "00112233445566ff"
 
 
+KILL_SECONDS = 6.0
+"""Time from SIGTERM to SIGKILL in the settings of the tests."""
+
+
+class StopTest(TrioTestCase):
+    # Guards against requests that a stopping node ends without a reply, as they take longer than it
+    # has: the store is silent, and their callers wait longer than for most requests.
+    async def test_requests_that_outlast_the_stop_get_a_reply(self):
+        async with open_node_processes() as nodes:
+            process = await nodes.start("a")
+            await nodes.wait_ready("a")
+            nodes.store_delay = 30
+            statuses = {"GET": [], "POST": []}
+            with trio.fail_after(KILL_SECONDS):
+                process.terminate()
+                await trio.sleep(2)
+                async with trio.open_nursery() as nursery:
+                    for number in range(40):
+                        method = ("GET", "POST")[number % 2]
+                        data = request_bytes(method, f"{number:016x}", deadline_ms=10_000)
+                        nursery.start_soon(self.append_status, nodes, data, statuses[method])
+                self.assertEqual(0, await process.wait())
+            self.assertEqual([503] * 20, statuses["GET"])
+            self.assertEqual([504] * 20, statuses["POST"])
+
+    async def append_status(self, nodes, data, statuses):
+        connection = await nodes.connect("a")
+        await connection.stream.send_all(data)
+        statuses.append(await connection.reply())
+
+
 class ReloadTest(TrioTestCase):
     # Guards against a node that a changed settings file ends, as SIGHUP comes while it starts.
     async def test_sighup_does_not_end_a_node_that_is_starting(self):
