Reply also to requests whose body arrives slowly at the end of a stop

Seen by callers: a request that begins during the last second of a planned stop, and whose body arrives slowly, gets no reply, as the node discards the body first.

Evidence: three stops of processes under 60 callers, of which some send their bodies slowly, ended 3, 5 and 7 requests so (`http-request-cut ... read=false end=stop-timeout`). The test failed before, without a reply to the second of two requests.

Change: a refused request is ended like one in progress; its reply remains 503, as it had no effect.

--- a/packages/mimosapoint-node/src/mimosapoint_node/http/_connection.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/http/_connection.py
@@ -58,6 +58,7 @@
         self._context = WorkerContext(None)
         self._requests: set[OpenRequest] = set()
         self._used_at = trio.current_time()
+        self._is_ending = False
 
     async def run(self) -> None:
         """Serve the connection until it ends."""
@@ -76,9 +77,9 @@
         self._used_at = trio.current_time()
         end = "returned"
         try:
-            if self._shutdown.is_set():
-                await request.refuse()
-            elif await request.serve(self._app):
+            if self._is_ending:
+                request.end()
+            if await (request.refuse() if self._shutdown.is_set() else request.serve(self._app)):
                 await self._reply_ended(request)
         except BaseException as error:
             end = repr(error)
@@ -136,6 +137,7 @@
         await self._shutdown.wait()
         seconds = self._limits.shutdown_timeout.total_seconds()
         await trio.sleep(max(seconds - REPLY_SECONDS, seconds / 2))
+        self._is_ending = True
         for request in self._requests:
             request.end()
 
--- a/packages/mimosapoint-node/src/mimosapoint_node/http/_open_request.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/http/_open_request.py
@@ -38,6 +38,7 @@
         self._send = send
         self._limits = limits
         self._began_at = trio.current_time()
+        self._is_refused = False
         self._is_replying = False
         self._serving = trio.CancelScope()
 
@@ -62,18 +63,24 @@
             await app(self._scope, self._receive_message, self._send_message)
         return self._serving.cancelled_caught
 
+    async def refuse(self) -> bool:
+        """Reply that the node is stopping and that the request has had no effect.
+
+        :return: whether :meth:`end` has ended it while the rest of its body was discarded.
+        """
+        self._is_refused = True
+        with self._serving:
+            await self._exchange().reply(problem_reply(ShuttingDown("the node is stopping")), None)
+        return self._serving.cancelled_caught
+
     def end(self) -> None:
         """End the application unless it has begun its reply."""
         if not self._is_replying:
             self._serving.cancel()
 
-    async def refuse(self) -> None:
-        """Reply that the node is stopping and that the request has had no effect."""
-        await self._exchange().reply(problem_reply(ShuttingDown("the node is stopping")), None)
-
     async def reply_ended(self) -> Reply:
         """Reply at once that a planned stop has ended the request, and return the reply."""
-        if self.method in READ_METHODS:
+        if self._is_refused or self.method in READ_METHODS:
             reply = problem_reply(ShuttingDown("the node is stopping"))
         else:
             error = OutcomeUnknown("the node has stopped before the request was done")
--- a/packages/mimosapoint-node/src/mimosapoint_node/http/tests/test_server.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/http/tests/test_server.py
@@ -192,6 +192,22 @@
                         ["http-request-ended-by-stop"], [name for name, _ in node.telemetry.events]
                     )
 
+    # Guards against requests without a reply whose body does not arrive before the end of the stop.
+    async def test_slow_requests_get_a_reply_at_the_end_of_the_stop(self):
+        start = b"POST /v1/jobs HTTP/1.1\r\nhost: x\r\ncontent-length: 9\r\n\r\n{"
+        limits = HttpLimits(shutdown_timeout=timedelta(seconds=0.5))
+        with trio.fail_after(5):
+            async with AppFixture(limits).served() as node:
+                host, port = node.address.split(":")
+                streams = [await trio.open_tcp_stream(host, int(port)) for _ in range(2)]
+                for stream in streams:
+                    await stream.send_all(start)
+                    await trio.sleep(0.02)
+                    node.shutdown.set()
+                for stream, status in zip(streams, (b"504", b"503"), strict=True):
+                    self.assertEqual(status, (await stream.receive_some()).split()[1])
+                    await stream.aclose()
+
     async def append_reply(self, node, call, replies):
         replies.append(await node.call(*call))
 
