--- a/tools/tests/test_planned_work.py
+++ b/tools/tests/test_planned_work.py
@@ -35,8 +35,28 @@
             self.assertEqual([503] * 20, statuses["GET"])
             self.assertEqual([504] * 20, statuses["POST"])
 
-    async def append_status(self, nodes, data, statuses):
-        connection = await nodes.connect("a")
+    # Guards against requests of other nodes that end without a reply, as the node ends once its own
+    # callers are served.
+    async def test_forwarded_requests_are_finished(self):
+        async with open_node_processes() as nodes:
+            process = await nodes.start("a")
+            await nodes.wait_ready("a")
+            nodes.store_delay = 0.8
+            statuses = []
+            with trio.fail_after(KILL_SECONDS):
+                process.terminate()
+                await trio.sleep(2.2)
+                data = request_bytes("GET", JOB)
+                async with trio.open_nursery() as nursery:
+                    for _ in range(5):
+                        nursery.start_soon(
+                            self.append_status, nodes, data, statuses, "peers_address"
+                        )
+                self.assertEqual(0, await process.wait())
+            self.assertEqual([410] * 5, statuses)
+
+    async def append_status(self, nodes, data, statuses, address="callers_address"):
+        connection = await nodes.connect("a", address)
         await connection.stream.send_all(data)
         statuses.append(await connection.reply())
 
