Let no late acknowledgement drop an end of the next incarnation

Seen by callers: a task runs again after it was done.

Cause: the header that names the incarnation has only the id, and a new incarnation takes any token. Starts and renewals of an owner had one token until it learned of the restart.

Change: a start has a higher token than each acknowledgement that was sent to the worker before it, so that an incarnation with its run refuses that acknowledgement. Starts never refuse each other, as an acknowledgement lies between two tokens. A stop that such a start overtakes is repeated at once. A report is applied unless the worker has restarted since its renewal, whatever the token.

--- a/packages/mimosapoint/src/mimosapoint/cell/fleet.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/fleet.py
@@ -221,7 +221,7 @@
             del self.sessions_by_id[session.id]
             self.inherited.resolve(session.id)
             self._revisions_by_worker.pop(session.id, None)
-            self.first_generation = max(self.first_generation, session.generation + 1)
+            self.first_generation = max(self.first_generation, session.tokens.generation + 1)
             nursery.cancel_scope.cancel()
 
     async def _read_registrations(self, telemetry: Telemetry) -> None:
--- a/packages/mimosapoint/src/mimosapoint/cell/reported_ends.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/reported_ends.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from mimosapoint.cell.order_token import OrderTokens
 from mimosapoint.ports import EndedRun, Telemetry, WorkerRunReport
 
 __all__ = ["ReportedEnds"]
@@ -48,6 +49,15 @@
             self.last_stored = number
             self._log("ends-stored", report, number)
 
+    def acknowledge(self, tokens: OrderTokens) -> int:
+        """Return up to which number the incarnation may forget its ends; 0 for none.
+
+        :param tokens: tokens of the renewal that is sent with it, and of the starts after it.
+        """
+        if self.last_stored:
+            tokens.record_acknowledgement()
+        return self.last_stored
+
     def _log(self, event: str, report: WorkerRunReport, number: int) -> None:
         fields = {"worker": self.worker, "born": report.born, "epoch": self.epoch}
         self.telemetry.event(event, **fields, number=number)
--- a/packages/mimosapoint/src/mimosapoint/cell/session_state.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/session_state.py
@@ -8,6 +8,7 @@
 from mimosapoint.cell.decisions.units import TaskRun
 from mimosapoint.cell.decisions.worker import Worker
 from mimosapoint.cell.disturbances import Disturbances
+from mimosapoint.cell.order_token import OrderTokens
 from mimosapoint.cell.worker_loss import WorkerLossWatch
 from mimosapoint.ports import WorkerRegistration
 from mimosapoint.workload import RunEnd
@@ -21,6 +22,7 @@
     :param worker: the worker.
     :param synced: whether a run report of its present incarnation was applied.
     :param refusing_until: time until which it gets no work after it refused a start.
+    :param tokens: fencing tokens of the orders to the worker.
     :param disturbances: records its disturbances.
     :param loss_watch: follows its silence.
     """
@@ -28,6 +30,7 @@
     worker: Worker
     synced: bool
     refusing_until: datetime | None
+    tokens: OrderTokens
     disturbances: Disturbances
     loss_watch: WorkerLossWatch
 
@@ -36,11 +39,6 @@
         """Newest registration of the worker."""
         ...
 
-    @property
-    def token(self) -> int:
-        """Fencing token of the orders to the worker."""
-        ...
-
     def end_task_run(
         self, task_run: TaskRun, end: RunEnd, checkpoint: str = "", reason: str = ""
     ) -> None:
--- a/packages/mimosapoint/src/mimosapoint/cell/worker_orders.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/worker_orders.py
@@ -55,6 +55,22 @@
         self._clock = clock
         self._settings = settings
         self._telemetry = telemetry
+        self._starts_in_flight = 0
+        self._start_answered = trio.Event()
+
+    @property
+    def has_unanswered_start(self) -> bool:
+        """Whether the worker may have a run of which this owner has no reply and no report."""
+        return self._starts_in_flight > 0 or any(
+            task_run.not_after_ms is not None and task_run.confirmed_ms is None
+            for task_run in self._session.task_runs_by_key.values()
+        )
+
+    async def wait_answered(self) -> None:
+        """Wait until no start is unanswered, though not longer than for a repeated renewal."""
+        with trio.move_on_after(self._settings.retry_delay.total_seconds()):
+            while self.has_unanswered_start:
+                await self._start_answered.wait()
 
     async def start(self, task_run: TaskRun, job: AcceptedJob, checkpoint: str) -> None:
         """Order a start; the worker's next run reports resolve an unknown outcome.
@@ -74,10 +90,11 @@
             task_run.task,
             task_run.run,
             job,
-            self._session.token,
+            self._session.tokens.for_start(),
             task_run.not_after_ms,
             checkpoint,
         )
+        self._starts_in_flight += 1
         try:
             clock_ms = await self._send_start(order, task_run)
             if clock_ms < sent_at_ms:
@@ -102,6 +119,10 @@
                 self._session.disturbances.record("unanswered-start")
         except Exception as error:
             self._session.record_unexpected("start", error)
+        finally:
+            self._starts_in_flight -= 1
+            self._start_answered.set()
+            self._start_answered = trio.Event()
 
     def _may_order_start(self, task_run: TaskRun) -> bool:
         return (
@@ -141,13 +162,17 @@
         """
         while self._session.worker.has(task_run):
             if self._owner.holds_ownership():
-                order = StopOrder(task_run.task, task_run.run, self._session.token)
+                order = StopOrder(task_run.task, task_run.run, self._session.tokens.current)
                 try:
                     await self._workers.stop(self._session.registration, order)
                 except (WorkerUnreachable, WorkerRefused, StaleEpoch, WorkerReplaced) as error:
                     self._telemetry.event(
                         "stop-unanswered", **task_run.log_fields(), error=error.code
                     )
+                    # A start that raised the token has overtaken the stop.
+                    is_overtaken = order.token != self._session.tokens.current
+                    if isinstance(error, StaleEpoch) and is_overtaken:
+                        continue
                 except Exception as error:
                     self._session.record_unexpected("stop", error)
             await trio.sleep(self._settings.order_timeout.total_seconds())
--- a/packages/mimosapoint/src/mimosapoint/cell/worker_session.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/worker_session.py
@@ -12,7 +12,7 @@
 from mimosapoint.cell.decisions.worker_pace import WorkerPace
 from mimosapoint.cell.decisions.worker_stability import WorkerStability
 from mimosapoint.cell.disturbances import Disturbances
-from mimosapoint.cell.order_token import order_token
+from mimosapoint.cell.order_token import OrderTokens
 from mimosapoint.cell.renewal_sender import RenewalSender
 from mimosapoint.cell.reported_ends import ReportedEnds
 from mimosapoint.cell.run_reconciler import RunReconciler
@@ -48,7 +48,7 @@
     incarnation was applied. ``incarnation`` is the start of that one, in milliseconds of the
     worker's clock, or 0, and ``is_replaced`` tells whether another one replies at the address.
     ``refusing_until`` is set after a start that the worker refused as unhealthy; ``health`` counts
-    the failures of jobs on it. ``generation`` is part of the token.
+    the failures of jobs on it. ``tokens`` are those of the orders.
 
     :param registration: the worker's registration.
     :param epoch: epoch of the ownership.
@@ -77,12 +77,11 @@
         self.synced = False
         self.refusing_until: datetime | None = None
         self.answered_at: datetime | None = None
-        self._epoch = epoch
         self._owner = owner
         self._clock = clock
         self._settings = settings
         self._telemetry = telemetry
-        self.generation = generation
+        self.tokens = OrderTokens(epoch, generation)
         self.incarnation = 0
         self._ends = ReportedEnds(self.id, epoch, telemetry)
         self.lease = WorkerLease(clock, settings, registration.born)
@@ -214,7 +213,7 @@
             except StaleEpoch as error:
                 self._owner.on_fenced(error.current)
                 # The worker may have seen a higher token of this epoch; a newer epoch stays above.
-                self.generation += 1
+                self.tokens.advance()
                 await trio.sleep(self._settings.order_timeout.total_seconds())
             except WorkerReplaced:
                 self._handle_replaced()
@@ -255,6 +254,8 @@
             self._handle_restart(registration.born)
 
     async def _renew_lease(self) -> None:
+        if self._ends.last_stored:
+            await self._orders.wait_answered()
         # A worker that failed to reply gets no work before it does. It may have restarted, as may
         # one not asked for a while; a deadline or the number of an end then has another meaning.
         is_immediate = not (self.synced and self._is_reachable)
@@ -262,9 +263,10 @@
         lease_until_ms = None if is_immediate else self.lease.extend()
         storing_time = self._settings.long_poll_wait + self._settings.renewal_reply_time
         is_recent = self.answered_at and self._clock.now() - self.answered_at < storing_time
-        acknowledged = self._ends.last_stored if self._is_reachable and is_recent else 0
-        order = RenewLeaseOrder(self.token, lease_until_ms, acknowledged, wait)
-        generation, registration = self.generation, self.registration
+        may_acknowledge = self._is_reachable and is_recent and not self._orders.has_unanswered_start
+        acknowledged = self._ends.acknowledge(self.tokens) if may_acknowledge else 0
+        order = RenewLeaseOrder(self.tokens.current, lease_until_ms, acknowledged, wait)
+        ends, registration = self._ends, self.registration
         try:
             report = await self._renewals.send(registration, order)
         except WorkerReplaced:
@@ -273,10 +275,10 @@
             raise
         except StaleEpoch:
             # An order of this owner may have brought the token that it raised in the meantime.
-            if generation != self.generation:
+            if order.token != self.tokens.current:
                 return
             raise
-        if generation == self.generation:
+        if ends is self._ends:
             await self._apply_report(report)
 
     async def _apply_report(self, report: WorkerRunReport) -> None:
@@ -305,7 +307,7 @@
                 born=self.incarnation,
                 running=len(report.running),
                 ended=len(report.ended),
-                epoch=self._epoch,
+                epoch=self.tokens.epoch,
             )
         self.synced = self.synced or is_complete
         if is_first and is_complete:
@@ -337,11 +339,11 @@
         if not self.is_replaced:
             self.disturbances.record("restart")
         self.loss_watch.record_restart()
-        self.generation += 1
+        self.tokens.advance()
         self.incarnation = born
         self.worker.health = WorkerHealth()
         self.worker.pace = WorkerPace()
-        self._ends = ReportedEnds(self.id, self._epoch, self._telemetry)
+        self._ends = ReportedEnds(self.id, self.tokens.epoch, self._telemetry)
         self.lease.reset()
         self.synced = False
 
@@ -359,7 +361,7 @@
         self.disturbances.record("replacement")
         self.loss_watch.record_replacement()
         self.is_replaced = True
-        self.generation += 1
+        self.tokens.advance()
         self.synced = False
         self._remove_task_runs(list(self.task_runs_by_key.values()), RunEnd.LOST, "replaced")
         self._owner.request_decision()
@@ -392,8 +394,3 @@
         """Remove a run that is not, or no longer, on the worker, and report its end."""
         if self.worker.remove(task_run):
             self._owner.on_run_ended(task_run, end, checkpoint, reason)
-
-    @property
-    def token(self) -> int:
-        """Fencing token of the orders to the worker."""
-        return order_token(self._epoch, self.generation)
