--- a/packages/mimosapoint/src/mimosapoint/cell/worker_session.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/worker_session.py
@@ -254,7 +254,7 @@
             self._handle_restart(registration.born)
 
     async def _renew_lease(self) -> None:
-        if self._ends.last_stored:
+        if self._is_reachable and self._ends.last_stored:
             await self._orders.wait_answered()
         # A worker that failed to reply gets no work before it does. It may have restarted, as may
         # one not asked for a while; a deadline or the number of an end then has another meaning.
