Let an overdue job run beside a suspect of a crash

Seen by callers: in a small service a job of one task stands still for 3.7 s with 5 of 48 accelerators in use, as each worker is kept for one suspect of a crash until it has worked for 3 s.

Cause: the bound on standing jobs does not apply to workers that are kept for suspects.

Change: an overdue unit that is no suspect and fits nowhere else joins a suspect. The next crash of that worker says less about the suspect, which is worth a job that runs.

--- a/packages/mimosapoint/src/mimosapoint/cell/decisions/planner.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/decisions/planner.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from bisect import bisect_right
 from collections.abc import Callable, Iterable
 from copy import copy
 from datetime import datetime
@@ -22,9 +21,14 @@
 from mimosapoint.cell.decisions.preemption_cost import find_preemption_cost
 from mimosapoint.cell.decisions.quota_victims import choose_quota_victims
 from mimosapoint.cell.decisions.quotas import QuotaObstacle, QuotaReason
-from mimosapoint.cell.decisions.standstill import let_span, next_overdue, overdue_units
+from mimosapoint.cell.decisions.standstill import (
+    let_span,
+    next_overdue,
+    overdue_units,
+    place_overdue,
+)
 from mimosapoint.cell.decisions.units import Unit
-from mimosapoint.cell.decisions.victims import Victims, of_workspace
+from mimosapoint.cell.decisions.victims import of_workspace
 from mimosapoint.cell.decisions.worker import Worker
 from mimosapoint.cell.settings import CellSettings
 from mimosapoint.workload import URGENT_PRIORITY, UnitId
@@ -82,8 +86,7 @@
         room.update(workers, context.configuration, context.quotas, context.now)
         ordered = self.order(waiting, workers, context)
         # Urgent units come first: what is held for them, or freed by their victims, is theirs.
-        urgent_count = bisect_right(ordered, URGENT_PRIORITY, key=decision.priority_of)
-        urgent, others = ordered[:urgent_count], ordered[urgent_count:]
+        urgent, others = decision.split_urgent(ordered)
         limit = self._settings.max_standstill
         let_span(state, overdue_units(urgent, room, context.now, limit), decision.pool_of)
         if self._plan_units(decision, urgent):
@@ -122,8 +125,11 @@
             if decision.context.quotas.find_obstacle(unit) is not None:
                 continue
             let_span(state, [unit], decision.pool_of)
-            place = self._place_suspect if unit.is_suspect else self._place
-            candidates = place(state, unit, decision.pool_of(unit))
+            pool = decision.pool_of(unit)
+            if unit.is_suspect:
+                candidates = self._place_suspect(state, unit, pool)
+            else:
+                candidates = place_overdue(state, unit, pool, self._place)
             if candidates is None:
                 unfit_keys.add(key)
                 continue
@@ -303,7 +309,7 @@
         guarantee_due = self._is_guarantee_due(unit, context)
         if not guarantee_due and not self._cost.benefits(unit, context):
             return None
-        victims = self._victims_of(decision)
+        victims = decision.victims_by(self._cost)
         preemptible = victims.lower_priority
         if not guarantee_due and context.shares.is_excess(unit, context.now):
             preemptible = of_workspace(preemptible, unit.job.record.tenant)
@@ -339,7 +345,7 @@
         context, workspace = decision.context, unit.job.record.tenant
         until = self._quota_holds.get(unit.id)
         if until is None:
-            victims = self._victims_of(decision)
+            victims = decision.victims_by(self._cost)
             preemptible = of_workspace(victims.lower_priority, workspace)
             if self._is_guarantee_due(unit, context):
                 preemptible += of_workspace(victims.borrowing, workspace)
@@ -363,7 +369,7 @@
 
         :param what: what the claimant lacks: ``room`` or ``quota``.
         """
-        context, victims = decision.context, self._victims_of(decision)
+        context, victims = decision.context, decision.victims_by(self._cost)
         cost = victims.costs_of([victim])[victim]
         victims.stop(victim)
         durations, job = context.durations, claimant.job
@@ -379,11 +385,6 @@
         reason = f"{what}-for-{claimant.id}"
         decision.plan.stops.append(Stop(victim, reason, fields, kind, cost.harm.name.lower()))
 
-    def _victims_of(self, decision: Decision) -> Victims:
-        if decision.victims is None:
-            decision.victims = Victims.classify(decision.active, decision.context, self._cost)
-        return decision.victims
-
     def _is_guarantee_due(self, unit: Unit, context: DecisionContext) -> bool:
         """Return whether the unit's guarantee is at risk and has to be enforced now."""
         waited = context.now - unit.job.waiting_since
--- a/packages/mimosapoint/src/mimosapoint/cell/decisions/standstill.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/decisions/standstill.py
@@ -13,11 +13,11 @@
 
 from mimosapoint.cell.decisions._decision import fit_key
 from mimosapoint.cell.decisions.ample_room import AmpleRoom, stands_still
-from mimosapoint.cell.decisions.placement_state import PlacementState
-from mimosapoint.cell.decisions.placing import fit_counts
+from mimosapoint.cell.decisions.placement_state import CandidateWorker, PlacementState
+from mimosapoint.cell.decisions.placing import Placement, fit_counts
 from mimosapoint.cell.decisions.units import Unit
 
-__all__ = ["let_span", "next_overdue", "overdue_units"]
+__all__ = ["let_span", "next_overdue", "overdue_units", "place_overdue"]
 
 
 def overdue_units(
@@ -58,6 +58,30 @@
     return min((time for time in times if time > now), default=None)
 
 
+def place_overdue(
+    placement_state: PlacementState, unit: Unit, pool: str, place: Placement
+) -> list[CandidateWorker] | None:
+    """Return a worker for each task of an overdue unit, if need be one with a suspect of a crash.
+
+    The next crash of that worker says less about the suspect, and ends the run of the unit, too.
+
+    :param placement_state: capacity that is available in this decision.
+    :param unit: the unit, which is no suspect.
+    :param pool: service whose workers may run the unit.
+    :param place: rule that chooses the workers.
+    """
+    chosen = place(placement_state, unit, pool)
+    isolated = [each for each in placement_state.candidates if each.is_isolated]
+    if chosen is not None or not isolated:
+        return chosen
+    for candidate in isolated:
+        candidate.is_isolated = False
+    chosen = place(placement_state, unit, pool)
+    for candidate in isolated:
+        candidate.is_isolated = True
+    return chosen
+
+
 def let_span(
     placement_state: PlacementState, overdue: Iterable[Unit], pool_of: Callable[[Unit], str]
 ) -> None:
