Check ends, final reads and standstill in the cell's history by the users' rule

Gap: the checks of the cell in memory were laxer than the rule on lost jobs. Any end counted, `failed` too, and a single failed run of any task was a cause of `failed`; so was the crash of one worker twice. A cancellation that was refused was a cause of `cancelled`. At the end of a play only the last phase that any node had shown was looked at, and nothing knew a job that stands still.

Change: `failed` needs max_attempts failed runs of one unit (a gang's run counts once), or crashes of two different workers under one task, at the time of the reply; `cancelled` needs a cancellation sent before the reply that was not refused without effect. After the faults each live node is asked for each job, and has to reply with the end of each accepted one. The new standstill_checks finds jobs of which nothing runs for 3 s in calm, although a unit whose turn has come fits twice over and less than half of the cap and of the service is in use. The time of a "not found" reply was already stricter than the rule: it must not follow the confirmation at all, while the users allow 3 s.

may_be_given_up asks for two different workers, which the soak uses too. The compliant history had five crashes of one worker; they are on two now, and five crashes of one worker are a violation.

--- a/packages/mimosapoint/src/mimosapoint/cell/tests/_recorded_site.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/_recorded_site.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from collections.abc import AsyncIterator, Iterator
+from contextlib import asynccontextmanager, contextmanager
 from datetime import timedelta
 from random import Random
 from typing import Any
@@ -13,8 +13,9 @@
 
 from mimosapoint.cell import CellSettings, Submission
 from mimosapoint.cell.keys import EPOCH_KEY
-from mimosapoint.cell.tests._site import API_KEY, CONFIGURATION, QUEUES, CellSite, SiteNode
+from mimosapoint.cell.tests._site import API_KEY, QUEUES, CellSite, SiteNode
 from mimosapoint.errors import (
+    JobNotFound,
     MimosapointError,
     OutcomeUnknown,
     Overloaded,
@@ -29,6 +30,7 @@
     ClaimObservation,
     ConfigurationObservation,
     ConfigurationWrite,
+    DisturbanceObservation,
     EpochObservation,
     PlannedStopObservation,
     SubmissionObservation,
@@ -36,7 +38,7 @@
     WorkerDrain,
     ZoneWithdrawal,
 )
-from mimosapoint.workload import CellConfiguration, Phase, Step
+from mimosapoint.workload import CellConfiguration, CellWorkspace, Phase, ResourceAmounts, Step
 
 ATTEMPTS = (1, 3, 8)
 """Numbers of attempts from which each caller chooses."""
@@ -52,6 +54,7 @@
 """The same after the job was shown as ended."""
 
 NO_EFFECT_ERRORS = (Overloaded, StoreUnavailable, Unauthenticated)
+NO_CANCELLATION_ERRORS = (JobNotFound, *NO_EFFECT_ERRORS)
 
 
 class SlowPort:
@@ -97,6 +100,7 @@
 
     def put_configuration(self, configuration: CellConfiguration) -> None:
         super().put_configuration(configuration)
+        self.history.cap = configuration.tenants[0].cap
         keys = frozenset(key for tenant in configuration.tenants for key in tenant.keys)
         write = ConfigurationWrite(configuration.version, trio.current_time(), keys)
         self.history.configuration_writes.append(write)
@@ -104,8 +108,34 @@
     def put_keys(self, *keys: str) -> None:
         """Store the next version of the configuration, with these API keys."""
         version = self.history.configuration_writes[-1].version + 1
-        tenants = tuple(attrs.evolve(t, keys=frozenset(keys)) for t in CONFIGURATION.tenants)
-        self.put_configuration(CellConfiguration(version, QUEUES, tenants))
+        self.put_workspace(version, attrs.evolve(self._workspace, keys=frozenset(keys)))
+
+    def put_cap(self, cap: ResourceAmounts) -> None:
+        """Store the next version of the configuration, with this cap of the callers' workspace."""
+        version = self.history.configuration_writes[-1].version + 1
+        self.put_workspace(version, attrs.evolve(self._workspace, cap=cap))
+
+    def put_workspace(self, version: int, workspace: CellWorkspace) -> None:
+        self.put_configuration(CellConfiguration(version, QUEUES, (workspace,)))
+
+    @property
+    def _workspace(self) -> CellWorkspace:
+        return self.operators.configurations_by_version[
+            self.history.configuration_writes[-1].version
+        ].tenants[0]
+
+    @contextmanager
+    def disturbed(self, name: str) -> Iterator[None]:
+        """Record a disturbance that lasts as long as the context."""
+        began_at = trio.current_time()
+        yield
+        disturbance = DisturbanceObservation(name, began_at, trio.current_time())
+        self.history.disturbances.append(disturbance)
+
+    async def read_final_phases(self) -> None:
+        """Read each job at each live node, and record the replies as the final ones."""
+        jobs = [submission.job for submission in self.history.submissions]
+        self.history.final_reads += await self.read_everywhere(jobs)
 
     def add_worker(self, number, **changes):
         worker = super().add_worker(number, **changes)
@@ -167,7 +197,9 @@
     ) -> SubmissionObservation:
         """Submit a job as a caller that retries with any node, and record the final result."""
         node = first_node or self.random.choice(self.live_nodes)
-        submission = SubmissionObservation(job, steps, node.name, trio.current_time())
+        submission = SubmissionObservation(
+            job, steps, node.name, trio.current_time(), max_attempts=QUEUES[queue].max_attempts
+        )
         self.history.submissions.append(submission)
         outcome = SubmissionOutcome.REFUSED
         for _ in range(self.random.choice(ATTEMPTS)):
@@ -210,13 +242,17 @@
     async def call_cancel(self, job: str, stop_bound_seconds: float) -> None:
         """Cancel a job with a random node and record whether that was accepted."""
         node = self.random.choice(self.live_nodes)
-        began_at, accepted_at = trio.current_time(), None
+        began_at, accepted_at, is_refused = trio.current_time(), None, False
         try:
             await node.cell.gateway.cancel("t", job)
             accepted_at = trio.current_time()
+        except NO_CANCELLATION_ERRORS:
+            is_refused = True
         except MimosapointError:
             pass
-        cancellation = CancellationObservation(job, began_at, accepted_at, stop_bound_seconds)
+        cancellation = CancellationObservation(
+            job, began_at, accepted_at, stop_bound_seconds, is_refused
+        )
         self.history.cancellations.append(cancellation)
 
     async def call_phase(self, job: str) -> Phase | None:
@@ -273,4 +309,8 @@
         await trio.sleep(startup_time.total_seconds())
         yield site
         site.history.ended_at = trio.current_time()
+        site.history.workers_by_id = {
+            worker.registration.id: worker.registration
+            for worker in site.workers.workers_by_address.values()
+        }
         nursery.cancel_scope.cancel()
--- a/packages/mimosapoint/src/mimosapoint/cell/tests/_site.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/_site.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterable
 from contextlib import asynccontextmanager
 from datetime import timedelta
 from random import Random
@@ -35,7 +35,7 @@
 from mimosapoint.ports import Entry, WithdrawnZone, WorkerRegistration
 from mimosapoint.telemetry import MemoryTelemetry
 from mimosapoint.testing._freeze import FreezeControl
-from mimosapoint.testing.cell_history import PhaseObservation
+from mimosapoint.testing.cell_history import FinalReadObservation, PhaseObservation
 from mimosapoint.testing.run_checks import (
     changed_ends,
     run_violations,
@@ -300,6 +300,15 @@
         :return: the phase; ``None`` if the job is not found, the request is refused or there is no
             reply.
         """
+        observation = await self.observe_phase(node, job)
+        return observation.phase if observation is not None else None
+
+    async def observe_phase(self, node: SiteNode, job: str) -> PhaseObservation | None:
+        """Read the phase of a job at a node as a caller does, and record the reply.
+
+        :return: the reply, also if the job is not found; ``None`` if the request is refused or
+            there is no reply.
+        """
         others = [other for other in self.live_nodes if other is not node]
         path = f"{QUEUES[1].prefix}{job}"
         sent_at = trio.current_time()
@@ -312,8 +321,23 @@
                 return None
         if scope.cancelled_caught:
             return None
-        self.phases.append(PhaseObservation(job, sent_at, trio.current_time(), phase))
-        return phase
+        observation = PhaseObservation(job, sent_at, trio.current_time(), phase)
+        self.phases.append(observation)
+        return observation
+
+    async def read_everywhere(self, jobs: Iterable[str]) -> list[FinalReadObservation]:
+        """Read each job at each live node, and return the replies."""
+        reads = []
+
+        async def read(node: SiteNode, job: str) -> None:
+            reply = await self.observe_phase(node, job)
+            reads.append(FinalReadObservation(job, node.name, reply))
+
+        async with trio.open_nursery() as nursery:
+            for job in jobs:
+                for node in self.live_nodes:
+                    nursery.start_soon(read, node, job)
+        return reads
 
     def runs(self, job: str) -> list[RunRecord]:
         return [record for record in self.simulation.history if record.task.job == job]
--- a/packages/mimosapoint/src/mimosapoint/cell/tests/test_fault_pairs.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_fault_pairs.py
@@ -46,6 +46,10 @@
 """Time in which every accepted job has ended after the faults."""
 
 
+RECOVERY_SECONDS = 4.0
+"""Time from the last fault until each node has to reply."""
+
+
 async def play(names, seed, start_bound_seconds):
     """Play faults at once on a cell with callers, and return its history."""
     random = Random(f"{seed} {names}")
@@ -82,11 +86,15 @@
 
 async def play_fault(site, name):
     await trio.sleep(site.random.uniform(0, MAX_FAULT_BEGIN_SECONDS))
-    await faults_by_name[name](site, site.random.uniform(2, MAX_FAULT_SECONDS))
+    with site.disturbed(name):
+        await faults_by_name[name](site, site.random.uniform(2, MAX_FAULT_SECONDS))
 
 
 async def settle(site):
-    """Wait until callers were shown an end of each job, or until the time for it is over."""
+    """Wait until callers were shown an end of each job, or until the time for it is over.
+
+    Then ask each node for each job, at the earliest when the nodes have recovered.
+    """
     jobs = {submission.job for submission in site.history.submissions}
     with trio.move_on_after(SETTLE_SECONDS):
         while jobs:
@@ -96,6 +104,10 @@
     await trio.sleep_until(
         max(c.accepted_at or 0 for c in site.history.cancellations) + STOP_BOUND_SECONDS + 0.1
     )
+    await trio.sleep_until(
+        max((d.ended_at for d in site.history.disturbances), default=0) + RECOVERY_SECONDS
+    )
+    await site.read_final_phases()
 
 
 def is_open(phase):
--- a/packages/mimosapoint/src/mimosapoint/testing/cell_checks.py
+++ b/packages/mimosapoint/src/mimosapoint/testing/cell_checks.py
@@ -9,17 +9,18 @@
     CancellationObservation,
     CellHistory,
     PhaseObservation,
-    SubmissionObservation,
     SubmissionOutcome,
 )
 from mimosapoint.testing.checks import CheckResult
-from mimosapoint.testing.crash_checks import crash_violations, crashing_tasks, may_be_given_up
+from mimosapoint.testing.crash_checks import crash_violations, crashing_tasks
+from mimosapoint.testing.end_checks import false_phase, lost_jobs
 from mimosapoint.testing.run_checks import (
     changed_ends,
     run_violations,
     starts_after_shown_ends,
 )
-from mimosapoint.workload import Phase, RunEnd, TaskId
+from mimosapoint.testing.standstill_checks import standing_jobs
+from mimosapoint.workload import RunEnd, TaskId
 
 __all__ = ["LATE_START_BOUND", "cell_checks_by_promise", "check_cell"]
 
@@ -145,58 +146,10 @@
         observations = phases_by_job[submission.job]
         runs = history.runs_of(submission.job)
         for observation in observations:
-            yield _false_phase(history, submission, runs, observation)
+            yield false_phase(history, submission, runs, observation)
         yield from changed_ends(observations)
 
 
-def _false_phase(
-    history: CellHistory,
-    submission: SubmissionObservation,
-    runs_of_job: list[RunRecord],
-    observation: PhaseObservation,
-) -> str | None:
-    """Return a violation if the phase contradicts the submission or the runs."""
-    job, phase = submission.job, observation.phase
-    runs = [run for run in runs_of_job if run.started_at <= observation.at]
-    if phase is None:
-        accepted = submission.outcome is SubmissionOutcome.ACCEPTED
-        is_lost = accepted and submission.ended_at < observation.sent_at
-        return f"{job} was accepted and is not found" if is_lost else None
-    if phase is Phase.COMPLETE:
-        done = {run.task for run in runs if _ended_by(run, RunEnd.DONE, observation.at)}
-        missing = sum(step.count for step in submission.steps) - len(done)
-        return f"{job} is complete without {missing} tasks" if missing else None
-    if phase is Phase.CANCELLED:
-        times = [c.sent_at for c in history.cancellations if c.job == job]
-        is_true = any(sent_at <= observation.at for sent_at in times)
-        return None if is_true else f"{job} is cancelled by no one"
-    if phase is Phase.FAILED:
-        failed = any(_ended_by(run, RunEnd.FAILED, observation.at) for run in runs)
-        is_true = (
-            failed or may_be_given_up(runs) or _has_lost_two_workers(history, runs, observation.at)
-        )
-        return None if is_true else f"{job} failed without a failed run or a crash"
-    return None
-
-
-def _has_lost_two_workers(history: CellHistory, runs: list[RunRecord], at: float) -> bool:
-    """Return whether two workers have crashed under one task, whatever made them crash.
-
-    The users allow such a job to be shown as failed.
-    """
-    crashes = {(crash.worker, crash.at) for crash in history.worker_crashes}
-    workers_by_task: dict[TaskId, set[str]] = defaultdict(set)
-    for run in runs:
-        is_lost = run.crashed_worker or (run.worker, run.ended_at) in crashes
-        if is_lost and _ended_by(run, RunEnd.LOST, at):
-            workers_by_task[run.task].add(run.worker)
-    return any(len(workers) > 1 for workers in workers_by_task.values())
-
-
-def _ended_by(run: RunRecord, end: RunEnd, at: float) -> bool:
-    return run.end is end and run.ended_at <= at
-
-
 @cell_promise("nothing starts of a job that was shown as ended")
 def ended_jobs_start_nothing(history: CellHistory) -> Iterator[str | None]:
     """Check that no run of a job starts after any node has shown a caller that the job has ended.
@@ -209,13 +162,14 @@
 
 @cell_promise("accepted jobs are never lost")
 def accepted_jobs_end(history: CellHistory) -> Iterator[str | None]:
-    """Check that the last reported phase of every accepted job is an end."""
-    last_phases_by_job = {observation.job: observation.phase for observation in history.phases}
-    for submission in history.submissions:
-        if submission.outcome is SubmissionOutcome.ACCEPTED:
-            phase = last_phases_by_job.get(submission.job)
-            ended = phase is not None and phase.ended
-            yield None if ended else f"{submission.job} was accepted and ends as {phase}"
+    """Check that each node knows the end of each accepted job, and that the end has a cause."""
+    yield from lost_jobs(history)
+
+
+@cell_promise("no job stands still beside free capacity")
+def jobs_do_not_stand_still(history: CellHistory) -> Iterator[str | None]:
+    """Check that no job whose turn has come goes without a run beside ample room."""
+    yield from standing_jobs(history)
 
 
 @cell_promise("not run is true")
--- a/packages/mimosapoint/src/mimosapoint/testing/cell_history.py
+++ b/packages/mimosapoint/src/mimosapoint/testing/cell_history.py
@@ -8,7 +8,8 @@
 import attrs
 
 from mimosapoint.memory import RunRecord
-from mimosapoint.workload import Phase, Step
+from mimosapoint.ports import WorkerRegistration
+from mimosapoint.workload import Phase, ResourceAmounts, Step
 
 __all__ = [
     "AuthenticationObservation",
@@ -17,7 +18,9 @@
     "ClaimObservation",
     "ConfigurationObservation",
     "ConfigurationWrite",
+    "DisturbanceObservation",
     "EpochObservation",
+    "FinalReadObservation",
     "PhaseObservation",
     "PlannedStopObservation",
     "SubmissionObservation",
@@ -46,6 +49,7 @@
     :param sent_at: time of the first call.
     :param ended_at: time of the final result; ``None`` while there is none.
     :param outcome: the final result, or ``None``.
+    :param max_attempts: number of failed runs of a unit at which the job may fail.
     """
 
     job: str
@@ -54,6 +58,7 @@
     sent_at: float
     ended_at: float | None = None
     outcome: SubmissionOutcome | None = None
+    max_attempts: int = 3
 
 
 @attrs.frozen
@@ -72,6 +77,20 @@
     phase: Phase | None
 
 
+@attrs.frozen
+class FinalReadObservation:
+    """A read of a job at one node after the faults.
+
+    :param job: id of the job.
+    :param node: id of the node.
+    :param reply: the reply; ``None`` if the request was refused or got no reply in time.
+    """
+
+    job: str
+    node: str
+    reply: PhaseObservation | None
+
+
 @attrs.frozen
 class CancellationObservation:
     """A caller's cancellation.
@@ -80,12 +99,14 @@
     :param sent_at: time of the call.
     :param accepted_at: time of the reply; ``None`` if it was not accepted.
     :param stop_bound_seconds: longest time from the reply to the end of the job's last run.
+    :param is_refused: whether the caller was told that the job was not cancelled.
     """
 
     job: str
     sent_at: float
     accepted_at: float | None
     stop_bound_seconds: float
+    is_refused: bool = False
 
 
 @attrs.frozen
@@ -128,6 +149,15 @@
     at: float
 
 
+@attrs.frozen
+class DisturbanceObservation:
+    """A fault, from its begin until nodes, workers and store are whole again."""
+
+    name: str
+    began_at: float
+    ended_at: float
+
+
 @attrs.frozen
 class PlannedStopObservation:
     """A planned stop of a node, from the request to the end of its process."""
@@ -195,19 +225,25 @@
     :param zones_by_worker: availability zone of each worker.
     :param runs: runs that workers accepted, in the order of their starts.
     :param over_capacity_workers: ids of workers whose runs exceeded the capacity.
+    :param workers_by_id: registrations of the workers outside of disturbances.
+    :param cap: cap of the callers' workspace; 0 is no limit.
     """
 
     ended_at: float = 0.0
     zones_by_worker: dict[str, str] = attrs.field(factory=dict)
     runs: list[RunRecord] = attrs.field(factory=list)
     over_capacity_workers: list[str] = attrs.field(factory=list)
+    workers_by_id: dict[str, WorkerRegistration] = attrs.field(factory=dict)
+    cap: ResourceAmounts = ResourceAmounts()
     submissions: list[SubmissionObservation] = attrs.field(factory=list)
     phases: list[PhaseObservation] = attrs.field(factory=list)
+    final_reads: list[FinalReadObservation] = attrs.field(factory=list)
     cancellations: list[CancellationObservation] = attrs.field(factory=list)
     claims: list[ClaimObservation] = attrs.field(factory=list)
     withdrawals: list[ZoneWithdrawal] = attrs.field(factory=list)
     drains: list[WorkerDrain] = attrs.field(factory=list)
     worker_crashes: list[WorkerCrashObservation] = attrs.field(factory=list)
+    disturbances: list[DisturbanceObservation] = attrs.field(factory=list)
     planned_stops: list[PlannedStopObservation] = attrs.field(factory=list)
     configuration_writes: list[ConfigurationWrite] = attrs.field(factory=list)
     configurations: list[ConfigurationObservation] = attrs.field(factory=list)
--- a/packages/mimosapoint/src/mimosapoint/testing/crash_checks.py
+++ b/packages/mimosapoint/src/mimosapoint/testing/crash_checks.py
@@ -5,7 +5,7 @@
 from mimosapoint.memory import RunRecord
 from mimosapoint.workload import TaskId
 
-__all__ = ["crash_violations", "crashing_tasks", "may_be_given_up"]
+__all__ = ["WORKERS_TO_GIVE_UP", "crash_violations", "crashing_tasks", "may_be_given_up"]
 
 CRASHES_OBSERVED = 3
 """Crashes under one task after which the users count its further starts."""
@@ -13,8 +13,9 @@
 STARTS_ALLOWED = 2
 """Further starts that the users allow."""
 
-CRASHES_TO_GIVE_UP = 2
-"""Crashes under one task from which the users allow its job to be shown as failed."""
+WORKERS_TO_GIVE_UP = 2
+"""Different workers that have crashed under one task from which the users allow its job to be shown
+as failed."""
 
 
 def crashing_tasks(history: Iterable[RunRecord]) -> dict[TaskId, list[RunRecord]]:
@@ -52,4 +53,7 @@
     :param history: runs of the job.
     """
     crashes_by_task = crashing_tasks(history)
-    return any(len(crashes) >= CRASHES_TO_GIVE_UP for crashes in crashes_by_task.values())
+    return any(
+        len({crash.worker for crash in crashes}) >= WORKERS_TO_GIVE_UP
+        for crashes in crashes_by_task.values()
+    )
--- a/packages/mimosapoint/src/mimosapoint/testing/tests/test_cell_checks.py
+++ b/packages/mimosapoint/src/mimosapoint/testing/tests/test_cell_checks.py
@@ -2,7 +2,10 @@
 
 import unittest
 
+import attrs
+
 from mimosapoint.memory import RunRecord
+from mimosapoint.ports import WorkerRegistration
 from mimosapoint.testing.cell_checks import RUN_COUNTER_BITS, cell_checks_by_promise, check_cell
 from mimosapoint.testing.cell_history import (
     AuthenticationObservation,
@@ -11,7 +14,9 @@
     ClaimObservation,
     ConfigurationObservation,
     ConfigurationWrite,
+    DisturbanceObservation,
     EpochObservation,
+    FinalReadObservation,
     PhaseObservation,
     PlannedStopObservation,
     SubmissionObservation,
@@ -20,6 +25,7 @@
     WorkerDrain,
     ZoneWithdrawal,
 )
+from mimosapoint.testing.standstill_checks import standing_jobs
 from mimosapoint.workload import Phase, ResourceAmounts, RunEnd, Step, TaskId
 
 GANG = Step(2, ResourceAmounts(1), gang=True)
@@ -44,8 +50,21 @@
     return ConfigurationWrite(version, at, frozenset(keys))
 
 
-def crash(began, count, job="e"):
-    ended = run(0, began, began + 0.01, RunEnd.LOST, job=job, step=SINGLE, count=count)
+def final_read(value, job="a", node="n1"):
+    return FinalReadObservation(job, node, phase(29.0, value, job))
+
+
+def failed_runs(*counts, index=0, job="f", step=SINGLE, **more):
+    return [
+        run(index, 2.0 + n, 2.1 + n, RunEnd.FAILED, job=job, step=step, count=n, **more)
+        for n in counts
+    ]
+
+
+def crash(began, count, job="e", worker="w1"):
+    ended = run(
+        0, began, began + 0.01, RunEnd.LOST, job=job, step=SINGLE, count=count, worker=worker
+    )
     ended.crashed_worker = True
     return ended
 
@@ -59,6 +78,15 @@
     run(0, 3.5, 4.0, RunEnd.LOST, job="e", step=SINGLE, epoch=2, worker="w2"),
 ]
 LOST_WORKERS = [WorkerCrashObservation("w1", 3.0), WorkerCrashObservation("w2", 4.0)]
+TASKS = Step(3, ResourceAmounts(1))
+PAIR = Step(2, ResourceAmounts(1), gang=True)
+WORKERS = {
+    id: WorkerRegistration(id, "a:1", "p", "z", "r", frozenset(), ResourceAmounts(4), 1)
+    for id in ("w1", "w2")
+}
+SECOND_STEP = Step(1, ResourceAmounts(1), after=(0,))
+LONG_RUN = run(0, 2.0, 25.0, RunEnd.DONE, job="b", step=Step(1, ResourceAmounts(3)))
+CANCELLED_LATE = CancellationObservation("a", 3.9, 4.5, 2.0)
 CLAIM = ClaimObservation("a", 0.0, 3.0)
 CANCELLATION = CancellationObservation("a", 2.0, 3.0, 2.0)
 CONFIGURATIONS = [write(1, 0.0, "k"), write(2, 5.0)]
@@ -95,6 +123,47 @@
             "phases": [phase(9.0, Phase.FAILED, job="e")],
             "runs": CRASHES[:1],
         },
+        {
+            "submissions": [submission(job="e", step=SINGLE)],
+            "phases": [phase(9.0, Phase.FAILED, job="e")],
+            "runs": CRASHES[:2],
+        },
+        # Fewer failed runs than attempts: of a task, of several tasks, or of a gang as a whole.
+        {
+            "submissions": [submission(job="f", step=SINGLE)],
+            "phases": [phase(9.0, Phase.FAILED, job="f")],
+            "runs": failed_runs(1, 2),
+        },
+        {
+            "submissions": [submission(job="f", step=TASKS)],
+            "phases": [phase(9.0, Phase.FAILED, job="f")],
+            "runs": [each for n in range(3) for each in failed_runs(n, index=n, step=TASKS)],
+        },
+        {
+            "submissions": [submission(job="f", step=PAIR)],
+            "phases": [phase(9.0, Phase.FAILED, job="f")],
+            "runs": failed_runs(1, 2, step=PAIR) + failed_runs(1, 2, index=1, step=PAIR),
+        },
+        {
+            "submissions": [submission(job="f", step=SINGLE)],
+            "phases": [phase(5.0, Phase.FAILED, job="f")],
+            "runs": failed_runs(1, 2, 3),
+        },
+        {
+            "submissions": [submission()],
+            "phases": [phase(3.8, Phase.CANCELLED)],
+            "cancellations": [CANCELLED_LATE],
+        },
+        {
+            "submissions": [submission()],
+            "phases": [phase(9.0, Phase.CANCELLED)],
+            "cancellations": [CancellationObservation("a", 2.0, None, 2.0, is_refused=True)],
+        },
+        {
+            "submissions": [submission()],
+            "phases": [phase(9.0, Phase.CANCELLED)],
+            "cancellations": [CancellationObservation("b", 2.0, 3.0, 2.0)],
+        },
         {
             "submissions": [submission(job="e", step=SINGLE)],
             "phases": [phase(3.9, Phase.FAILED, job="e")],
@@ -130,7 +199,41 @@
     ),
     "accepted jobs are never lost": (
         {"submissions": [submission()]},
-        {"submissions": [submission()], "phases": [phase(29.0, Phase.RUNNING)]},
+        *(
+            {"submissions": [submission()], "runs": DONE_GANG, "final_reads": reads}
+            for reads in (
+                [final_read(Phase.RUNNING)],
+                [final_read(Phase.COMPLETE), final_read(Phase.RUNNING, node="n2")],
+                [final_read(Phase.COMPLETE), final_read(None, node="n2")],
+                [final_read(Phase.COMPLETE), FinalReadObservation("a", "n2", None)],
+                [final_read(Phase.FAILED)],
+                [final_read(Phase.CANCELLED)],
+            )
+        ),
+        {"submissions": [submission()], "final_reads": [final_read(Phase.COMPLETE)]},
+    ),
+    "no job stands still beside free capacity": (
+        {"submissions": [submission()], "runs": [run(0, 4.1, 5.0), run(1, 4.1, 5.0)]},
+        {"submissions": [submission(step=SINGLE)], "runs": [LONG_RUN]},
+        {
+            "submissions": [submission(step=SINGLE)],
+            "runs": [run(0, 1.0, 3.0, RunEnd.LAPSED, step=SINGLE), run(0, 6.1, step=SINGLE)],
+        },
+        {
+            "submissions": [attrs.evolve(submission(), steps=(SINGLE, SECOND_STEP))],
+            "runs": [run(0, 1.0, 3.0, RunEnd.DONE, step=SINGLE)],
+        },
+        {
+            "submissions": [submission(step=SINGLE)],
+            "runs": [run(0, 9.1, step=SINGLE)],
+            "disturbances": [DisturbanceObservation("d", 0.0, 2.0)],
+        },
+        {"submissions": [submission(step=SINGLE)], "runs": [LONG_RUN], "cap": ResourceAmounts(7)},
+        {
+            "submissions": [submission(job="f", step=SINGLE)],
+            "runs": failed_runs(1, 2),
+            "phases": [phase(29.0, Phase.FAILED, job="f")],
+        },
     ),
     "not run is true": ({"submissions": [submission("refused")], "runs": DONE_GANG},),
     "non-repeatable work runs at most once": (
@@ -175,14 +278,21 @@
         submission("unknown", job="c"),
         submission(job="g", step=SINGLE),
         submission(job="e", step=SINGLE),
+        submission(job="f", step=SINGLE),
+        submission(job="h", step=PAIR),
     ],
     "claims": [CLAIM],
     "runs": [
+        *(
+            crash(1.0 + count / 10, count, job="g", worker=f"w{count % 2 + 1}")
+            for count in range(5)
+        ),
         *DONE_GANG,
         run(0, 2.0, 3.0, RunEnd.LOST, job="d", step=SINGLE),
         run(0, 3.9, 4.5, RunEnd.STOPPED, job="d", step=SINGLE, epoch=2, worker="w2"),
         *LOST_RUNS,
-        *(crash(1.0 + count / 10, count, job="g") for count in range(5)),
+        *failed_runs(1, 2, 3, epoch=2, worker="w2"),
+        *failed_runs(1, 2, 3, job="h", step=PAIR, epoch=2, worker="w2"),
     ],
     "worker_crashes": LOST_WORKERS,
     "phases": [
@@ -191,6 +301,12 @@
         phase(9.9, Phase.FAILED, job="g"),
         phase(3.1, Phase.CANCELLED, job="d"),
         phase(4.1, Phase.FAILED, job="e"),
+        phase(5.2, Phase.FAILED, job="f"),
+        phase(5.2, Phase.FAILED, job="h"),
+    ],
+    "final_reads": [
+        *(final_read(Phase.COMPLETE, node=node) for node in ("n1", "n2")),
+        *(final_read(Phase.FAILED, job) for job in "gefh"),
     ],
     "cancellations": [CancellationObservation("d", 2.0, 3.0, 2.0)],
     "withdrawals": [ZoneWithdrawal("z", 0.0, 2.0)],
@@ -207,7 +323,12 @@
 
 
 def history(**observations):
-    return CellHistory(ended_at=30.0, zones_by_worker={"w1": "z", "w2": "y"}, **observations)
+    return CellHistory(
+        ended_at=30.0,
+        zones_by_worker={"w1": "z", "w2": "y"},
+        workers_by_id=WORKERS,
+        **observations,
+    )
 
 
 class CellChecksTest(unittest.TestCase):
@@ -221,6 +342,38 @@
                     results = check_cell(history(**observations))
                     self.assertIn(promise, {r.promise for r in results if r.violations})
 
+    def test_a_standstill_that_is_allowed_passes(self):
+        single = submission(step=SINGLE)
+        other = run(0, 2.0, job="b", step=Step(1, ResourceAmounts(3)))
+        for index, observations in enumerate(
+            (
+                # Half of the service is in use.
+                {"runs": [other, run(1, 1.0, job="c", step=SINGLE)]},
+                # Half of the cap is in use.
+                {"runs": [other], "cap": ResourceAmounts(6)},
+                # Neither a task nor a gang fits twice over.
+                {"submissions": [submission(step=Step(1, ResourceAmounts(4)))], "runs": [other]},
+                {"submissions": [submission(step=Step(4, ResourceAmounts(2), gang=True))]},
+                {"submissions": [submission(step=attrs.evolve(SINGLE, label="none"))]},
+                # The stretches are too short, or not calm.
+                {"runs": [run(0, 3.9, step=SINGLE)]},
+                {"disturbances": [DisturbanceObservation("d", 2.0, 25.0)]},
+                {
+                    "worker_crashes": [
+                        WorkerCrashObservation("w1", t) for t in (2.0, 10.0, 18.0, 22.0)
+                    ]
+                },
+                # The job has ended, or is not accepted.
+                {"phases": [phase(3.9, Phase.FAILED)]},
+                {"cancellations": [CancellationObservation("a", 3.0, 3.1, 2.0)]},
+                {"runs": failed_runs(1, 2, 3, job="a")},
+                {"submissions": [submission("unknown", step=SINGLE)]},
+            )
+        ):
+            with self.subTest(case=index):
+                played = history(**{"submissions": [single], **observations})
+                self.assertEqual(set(), {line for line in standing_jobs(played) if line})
+
     def test_compliant_history_passes(self):
         for result in check_cell(history(**COMPLIANT_HISTORY)):
             with self.subTest(promise=result.promise):
