--- a/packages/mimosapoint/src/mimosapoint/cell/tests/_site.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/_site.py
@@ -118,6 +118,9 @@
         async def call_with_faults(*args: Any) -> Any:
             await self._apply_fault()
             reply = await call(*args)
+            if self.fault == "refused":
+                # The fault began during the call, which has taken effect.
+                raise StoreTimeout("the connection was lost")
             await self._apply_fault()
             if name == "renew_lease" and self.lossy_renewals:
                 self.lossy_renewals -= 1
--- a/packages/mimosapoint/src/mimosapoint/cell/tests/test_fault_pairs.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_fault_pairs.py
@@ -12,6 +12,7 @@
 from mimosapoint.cell.tests._cell_faults import STOP_BOUND_SECONDS, faults_by_name
 from mimosapoint.cell.tests._recorded_site import open_recorded_site
 from mimosapoint.cell.tests._site import SMALL, WIDE
+from mimosapoint.cell.tests._wide_demand import WIDE_SEED, WideDemand
 from mimosapoint.testing import TrioTestCase
 from mimosapoint.testing.cell_checks import (
     LATE_START_BOUND,
@@ -46,6 +47,12 @@
 """Time in which every accepted job has ended after the faults."""
 
 
+WIDE_SETTLE_SECONDS = 120.0
+"""The same with gangs that run one after the other."""
+
+WIDE_WORKERS = 8
+"""Number of workers in plays with gangs that need most of them."""
+
 RECOVERY_SECONDS = 4.0
 """Time from the last fault until each node has to reply."""
 
@@ -53,13 +60,20 @@
 async def play(names, seed, start_bound_seconds):
     """Play faults at once on a cell with callers, and return its history."""
     random = Random(f"{seed} {names}")
+    is_wide = seed >= WIDE_SEED
+    workers = WIDE_WORKERS if is_wide else WORKERS
     cores = 0.1 if "nodes without peers" in names else 1.0
     async with open_recorded_site(
-        random, workers=WORKERS, settings=CellSettings(cores=cores)
+        random, workers=workers, settings=CellSettings(cores=cores)
     ) as site:
         async with trio.open_nursery() as nursery:
             site.simulation.run_time = RUN_TIME
-            for number in range(WORKERS):
+            if is_wide:
+                demand = WideDemand.of_seed((seed, names), workers)
+                site.simulation.run_time = demand.run_time
+                site.put_cap(demand.cap)
+                nursery.start_soon(demand.submit_all, site.call_submit)
+            for number in range(1 if is_wide else WORKERS):
                 nursery.start_soon(submit_borrower, site, number)
             nursery.start_soon(submit_jobs, site)
             site.nursery.start_soon(site.ask_throughout)
@@ -69,7 +83,7 @@
             await trio.sleep(random.uniform(0, 1))
             await site.call_claim("claim", CLAIM, start_bound_seconds)
             await site.call_cancel("job0", STOP_BOUND_SECONDS)
-        await settle(site)
+        await settle(site, WIDE_SETTLE_SECONDS if is_wide else SETTLE_SECONDS)
     return site.history
 
 
@@ -90,13 +104,13 @@
         await faults_by_name[name](site, site.random.uniform(2, MAX_FAULT_SECONDS))
 
 
-async def settle(site):
+async def settle(site, seconds):
     """Wait until callers were shown an end of each job, or until the time for it is over.
 
     Then ask each node for each job, at the earliest when the nodes have recovered.
     """
     jobs = {submission.job for submission in site.history.submissions}
-    with trio.move_on_after(SETTLE_SECONDS):
+    with trio.move_on_after(seconds):
         while jobs:
             await trio.sleep(0.5)
             phases_by_job = {o.job: o.phase for o in site.history.phases}
--- a/packages/mimosapoint/src/mimosapoint/testing/end_checks.py
+++ b/packages/mimosapoint/src/mimosapoint/testing/end_checks.py
@@ -46,9 +46,7 @@
     if phase is Phase.FAILED:
         cause_at = failure_cause_at(runs_of_job, history.worker_crashes, submission.max_attempts)
         is_true = cause_at is not None and cause_at <= observation.at
-        return (
-            None if is_true else f"{job} is shown as failed at {observation.at:.2f} without cause"
-        )
+        return None if is_true else f"{job} is shown as failed without cause"
     return None
 
 
