Play broken versions that lose accepted jobs, which the checks must find

Gap: nothing showed that the checks see each clause of the rule on lost jobs; with fail_run changed so that a job fails at its first failed run, all pairs and random faults passed.

Change: six broken versions, patched into a play of the fault pairs: a job fails at its first failed run; silences and two incarnations of one worker count as crashes; a cancellation cancels another job; overdue units are not started; a node does not find a job, or leaves its reads without a reply, after the faults. Beside them, wide gangs keep every promise without faults.

--- /dev/null
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_broken_versions.py
@@ -0,0 +1,114 @@
+"""Tests that the checks find versions of the cell that lose accepted jobs, each in its own way."""
+
+from unittest import mock
+
+import trio
+
+from mimosapoint.cell import crash_blame
+from mimosapoint.cell.decisions.crash_suspects import STARTS_TOLERATED
+from mimosapoint.cell.decisions.planner import Planner
+from mimosapoint.cell.gateway import CellGateway
+from mimosapoint.cell.job_table import CellJobTable
+from mimosapoint.cell.tests.test_fault_pairs import RECLAIM_UNDER_FAULTS_SECONDS, play
+from mimosapoint.errors import JobNotFound
+from mimosapoint.testing import TrioTestCase
+from mimosapoint.testing.cell_checks import check_cell
+from mimosapoint.workload import Phase
+
+TRUE_REPLIES = "callers get the whole answer to their own request"
+KNOWN_JOBS = "accepted jobs are never lost"
+NO_STANDSTILL = "no job stands still beside free capacity"
+
+FAULTS_OVER = 14.0
+"""Time from which every fault of a play of one fault is over, in seconds."""
+
+cancel_job, read_phase = CellJobTable.cancel, CellGateway.phase
+
+
+def fail_at_first_run(table, unit, run):
+    """Let a job fail at its first failed run, whatever number of attempts it has."""
+    table._end(unit.job, Phase.FAILED)
+
+
+def is_given_up_after_silences(crashes, max_worker_crashes):
+    """Count workers that are only silent, and two incarnations of one, as workers that crashed."""
+    weight = sum(crash.weight for crash in crashes)
+    is_proven = any(crash.is_sole and not crash.is_explained for crash in crashes)
+    limit = max_worker_crashes if is_proven else max_worker_crashes + STARTS_TOLERATED
+    return weight >= limit
+
+
+def cancel_another(table, job):
+    """Cancel a job, and an open one that nobody has cancelled."""
+    cancel_job(table, job)
+    for other in list(table.open_jobs())[:1]:
+        cancel_job(table, other)
+
+
+async def not_found(gateway, workspace, job_id, *timeout):
+    """Do not find one job after the faults."""
+    if job_id == "job3" and trio.current_time() > FAULTS_OVER:
+        raise JobNotFound("no such job")
+    return await read_phase(gateway, workspace, job_id, *timeout)
+
+
+async def no_reply(gateway, workspace, job_id, *timeout):
+    """Leave the reads of one job after the faults without a reply."""
+    if job_id == "job3" and trio.current_time() > FAULTS_OVER:
+        await trio.sleep_forever()
+    return await read_phase(gateway, workspace, job_id, *timeout)
+
+
+class BrokenVersionTest(TrioTestCase):
+    mock_clock = True
+
+    def violated(self, target, name, broken, *faults, seed=1):
+        """Play faults on a broken version; return the promises that the checks find violated."""
+        with mock.patch.object(target, name, broken):
+            history = trio.run(
+                play, faults, seed, RECLAIM_UNDER_FAULTS_SECONDS, clock=self._make_clock()
+            )
+        return {result.promise for result in check_cell(history) if result.violations}
+
+    # Guards against checks that take one failed run of any task for the cause of a failed job.
+    def test_a_job_that_fails_at_its_first_failed_run_is_found(self):
+        promises = self.violated(
+            CellJobTable, "fail_run", fail_at_first_run, "worker failing every run"
+        )
+        self.assertLessEqual({TRUE_REPLIES, KNOWN_JOBS}, promises)
+
+    # Guards against checks that take a silence for a crash, or one worker for two.
+    def test_a_job_that_is_given_up_after_silences_is_found(self):
+        faults = ("worker partitioned", "task crashing its workers")
+        promises = self.violated(
+            crash_blame, "is_given_up", is_given_up_after_silences, *faults, seed=2
+        )
+        self.assertLessEqual({TRUE_REPLIES, KNOWN_JOBS}, promises)
+
+    # Guards against checks that accept a cancellation of any job.
+    def test_a_cancellation_of_another_job_is_found(self):
+        promises = self.violated(CellJobTable, "cancel", cancel_another)
+        self.assertLessEqual({TRUE_REPLIES, KNOWN_JOBS}, promises)
+
+    # Guards against checks that do not know how long a job stands still.
+    def test_a_job_that_waits_behind_a_reservation_is_found(self):
+        for seed in (1004, 1008):
+            with self.subTest(seed=seed):
+                promises = self.violated(
+                    Planner, "_start_overdue", lambda *arguments: None, seed=seed
+                )
+                self.assertEqual({NO_STANDSTILL}, promises)
+
+    # Guards against checks that are content with the reply of any node.
+    def test_a_node_that_does_not_know_a_job_or_does_not_reply_is_found(self):
+        for broken, promises in (
+            (not_found, {TRUE_REPLIES, KNOWN_JOBS}),
+            (no_reply, {KNOWN_JOBS}),
+        ):
+            with self.subTest(broken=broken.__name__):
+                self.assertEqual(promises, self.violated(CellGateway, "phase", broken))
+
+    def test_wide_gangs_keep_every_promise_without_faults(self):
+        for seed in (1004, 1008):
+            with self.subTest(seed=seed):
+                self.assertEqual(set(), self.violated(Planner, "order", Planner.order, seed=seed))
