Check each clause of a lost job in the soak, and add a site of a deployment's size

Gap: the soak took any end for an end (cancelled by whomever, failed after two crashes), asked each node for five jobs at the end, and knew neither jobs that stand still beside free room nor requests that a node had read and whose connection ended without a reply. So it could not see four of the six clauses of the incident of lost jobs.

Change: a failed job needs three failed runs of a unit or two different workers that crashed under one task, a cancelled one a cancellation that was sent before; every node is asked for every accepted job at the end, 25 a second each; jobs without a run for 3 s beside ample room in calm times, and requests that were cut after having been read, are violations. Faults and signals are recorded with their times.

The fakes of two tests have the new argument of the HTTP client and real callers; test_every_check_takes_part_in_a_run asserts the new checks too.

--- a/packages/mimosapoint/src/mimosapoint/memory/run_worker.py
+++ b/packages/mimosapoint/src/mimosapoint/memory/run_worker.py
@@ -84,7 +84,8 @@
 
     :param clock: clock of the workers.
     :param nursery: nursery of the runs.
-    :param run_time: duration of every task.
+    :param run_time: duration of every task, unless estimates are followed.
+    :param follows_estimates: whether a task takes as long as its step estimates.
     :param stop_time: time that a stop takes.
     :param max_lease: longest lease that a worker grants.
     :param failing_workers: ids of workers on which every run fails at once.
@@ -108,6 +109,7 @@
     crashing_tasks: set[TaskId] = attrs.field(factory=set)
     crash_delay: timedelta = CRASH_DELAY
     hanging_workers: set[str] = attrs.field(factory=set)
+    follows_estimates: bool = False
     history: list[RunRecord] = attrs.field(factory=list)
     over_capacity_workers: list[str] = attrs.field(factory=list)
     workers_by_id: dict[str, "MemoryRunWorker"] = attrs.field(factory=dict)
@@ -276,7 +278,9 @@
             self._end_run(record, RunEnd.DONE)
 
     async def _simulate_progress(self, record: RunRecord) -> None:
-        total = remaining = self.simulation.run_time.total_seconds()
+        follows_estimate = self.simulation.follows_estimates
+        run_time = record.step.estimate if follows_estimate else self.simulation.run_time
+        total = remaining = run_time.total_seconds()
         while remaining > 0:
             step = min(remaining, PROGRESS_STEP_SECONDS)
             await trio.sleep(step)
--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from random import Random
+from typing import Any
 
 import attrs
 import orjson
@@ -11,18 +12,22 @@
 
 from tools.soak.configurations import STABLE_KEY, STABLE_QUEUES
 from tools.soak.connections import Connections, Reply
+from tools.soak.deployment import JOBS_PER_SECOND, WORKSPACES, job_steps
 from tools.soak.site import SoakSite
 
 __all__ = ["Callers", "REFUSALS"]
 
 ATTEMPTS = 12
 RETRY_SECONDS = 0.4
+SUBMISSIONS_PER_SECOND = 4
 CANCEL_SHARE = 0.1
 RETIRED_SHARE = 0.2
 CRASHING_SHARE = 0.2
 REFUSALS = (401, 404, 429, 503)
 """Statuses of requests without effect."""
 
+STABLE_KEYS = frozenset((STABLE_KEY,)).union(*(workspace.keys for workspace in WORKSPACES))
+
 STEPS = (
     {"count": 1, "cpu": 1000, "mem_mb": 500},
     {"count": 4, "cpu": 2000, "mem_mb": 500, "saves_progress": True},
@@ -41,6 +46,7 @@
     :param accepted_at_by_job: time of the reply that accepted a job, on the trio clock.
     :param refused: jobs that must not run, as each reply refused them.
     :param cancelled: jobs whose cancellation was confirmed.
+    :param key_by_job: API key by which each job was submitted.
     """
 
     site: SoakSite
@@ -49,39 +55,62 @@
     accepted_at_by_job: dict[str, float] = attrs.field(factory=dict)
     refused: set[str] = attrs.field(factory=set)
     cancelled: set[str] = attrs.field(factory=set)
+    key_by_job: dict[str, str] = attrs.field(factory=dict)
 
     async def submit_until(self, finished: trio.Event) -> None:
-        """Submit jobs until an event, each from a separate task, and from one task at each node."""
+        """Submit jobs until an event, each from a separate task, and from one task at each node.
+
+        At a site of the size of a deployment the latter read states in place of most submissions.
+        """
+        rate = JOBS_PER_SECOND if self.site.profile.is_deployment else SUBMISSIONS_PER_SECOND
         async with trio.open_nursery() as nursery:
             for node in range(len(self.site.addresses)):
                 nursery.start_soon(self._stay_at, node, finished)
             while not finished.is_set():
                 nursery.start_soon(self._submit)
-                await trio.sleep(self.random.expovariate(4))
+                await trio.sleep(self.random.expovariate(rate))
 
     async def state(self, job: str) -> str:
         """Return the state of a job as a random node reports it.
 
         It is ``status-`` and the HTTP status on an error; the status is 0 without a reply.
         """
+        return (await self.read(self._random_node(), job)).state
+
+    async def read(self, node: int, job: str) -> Reply:
+        """Read the state of a job at a node."""
         # A job can be read through every queue of its workspace; its own may be gone.
-        reply = await self.connections.call(
-            self._random_node(), "GET", STABLE_QUEUES[0].name, job, STABLE_KEY
+        return await self.connections.call(
+            node, "GET", STABLE_QUEUES[0].name, job, self.stable_key(job)
         )
-        return reply.state
+
+    def stable_key(self, job: str) -> str:
+        """Return the key of a job's workspace that stays in force."""
+        key = self.key_by_job.get(job, STABLE_KEY)
+        return key if key in STABLE_KEYS else STABLE_KEY
+
+    def workspace_of(self, job: str) -> str:
+        """Return the name of the workspace of a job."""
+        return self.site.configurations.workspace_of(self.stable_key(job))
 
     async def _stay_at(self, node: int, finished: trio.Event) -> None:
         """Submit through one node only, over connections that stay open until its process ends."""
         while not finished.is_set():
-            await self._submit(node)
+            if self.site.profile.is_deployment:
+                await self._read_any(node)
+            else:
+                await self._submit(node)
             await trio.sleep(self.random.uniform(0.2, 1.5))
 
+    async def _read_any(self, node: int) -> None:
+        if self.accepted_at_by_job:
+            await self.read(node, self.random.choice(list(self.accepted_at_by_job)))
+
     async def _submit(self, node: int | None = None) -> None:
         job = f"{self.random.getrandbits(64):016x}"
         queue, key = self._choose_queue(), self._choose_key()
-        steps = [self.random.choice(STEPS)]
-        if self.random.random() < 0.3:
-            steps.append({**self.random.choice(STEPS), "after": [0]})
+        self.key_by_job[job] = key
+        steps = self._choose_steps()
         if self.site.crashing_job_periods and self.random.random() < CRASHING_SHARE:
             self.site.simulation.crashing_tasks.add(TaskId(job, 0, 0, 0))
         body = orjson.dumps({"spec": "x", "steps": steps})
@@ -110,10 +139,19 @@
 
     async def _cancel(self, job: str) -> None:
         node, queue = self._random_node(), STABLE_QUEUES[0].name
-        reply: Reply = await self.connections.call(node, "DELETE", queue, job, STABLE_KEY)
+        key = self.stable_key(job)
+        reply: Reply = await self.connections.call(node, "DELETE", queue, job, key)
         if reply.status == 200:
             self.cancelled.add(job)
 
+    def _choose_steps(self) -> list[dict[str, Any]]:
+        if self.site.profile.is_deployment:
+            return job_steps(self.random)
+        steps = [self.random.choice(STEPS)]
+        if self.random.random() < 0.3:
+            steps.append({**self.random.choice(STEPS), "after": [0]})
+        return steps
+
     def _random_node(self) -> int:
         return self.random.randrange(len(self.site.addresses))
 
@@ -125,6 +163,16 @@
 
     def _choose_key(self) -> str:
         configurations = self.site.configurations
+        if configurations.workspaces:
+            return self._choose_key_of_workspaces()
         if configurations.retired_keys and self.random.random() < RETIRED_SHARE:
             return self.random.choice(configurations.retired_keys)
         return self.random.choice(configurations.keys)
+
+    def _choose_key_of_workspaces(self) -> str:
+        """Return a key of a workspace; those with a larger weight submit more."""
+        configurations = self.site.configurations
+        workspaces = configurations.latest.tenants
+        weights = [workspace.weight for workspace in workspaces]
+        (chosen,) = self.random.choices(workspaces, weights)
+        return self.random.choice(sorted(chosen.keys))
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -2,22 +2,25 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from mimosapoint.memory import RunRecord, RunSimulation
 from mimosapoint.testing.crash_checks import crash_violations
 from mimosapoint.testing.quota_checks import quota_violations
 from mimosapoint.testing.run_checks import run_violations
-from mimosapoint.workload import CellConfiguration, ResourceAmounts
+from mimosapoint.workload import CellConfiguration, ResourceAmounts, RunEnd
 
 from tools.soak.callers import Callers
-from tools.soak.configurations import Configurations
+from tools.soak.configurations import WORKSPACE, Configurations
 from tools.soak.connections import Request
+from tools.soak.cut_requests import cut_requests
+from tools.soak.disturbances import Disturbance, calm_spans
+from tools.soak.end_checks import ENDS, ends_without_cause, removable_at_by_job
 from tools.soak.site import CONFIGURATION_MS, SoakSite
+from tools.soak.standstill import WaitingJob, standing_jobs
 from tools.soak.zones import Zones
 
 __all__ = [
-    "ENDS",
     "ends_taken_back",
     "find_violations",
     "outdated_replies",
@@ -37,7 +40,8 @@
 START_SECONDS_BY_END = {"complete": 0.0, "failed": 0.0, "cancelled": WITHDRAWAL_SECONDS}
 """Time from the reply that tells an end to the last start of the job."""
 
-ENDS = tuple(START_SECONDS_BY_END)
+DOWN_SECONDS = 2.0
+"""Time for which a worker that has crashed does not reply."""
 
 HANDLED = 200
 """Stands for every status of a request whose queue and key are known."""
@@ -59,10 +63,44 @@
         *ends_taken_back(requests),
         *outdated_replies(requests, site.configurations),
         *starts_in_withdrawn_zones(simulation, site.zones),
-        *starts_above_cap(simulation.history, site.configurations),
+        *starts_above_cap(simulation.history, site.configurations, callers.workspace_of),
+        *ends_without_cause(simulation.history, requests),
+        *cut_requests(requests, site.planned_work, site.disturbances),
+        *_standing_jobs(site, callers),
     ]
 
 
+def _standing_jobs(site: SoakSite, callers: Callers) -> list[str]:
+    """Return jobs that stood still in a calm time; delays of the stand-ins are disturbances."""
+    simulation = site.simulation
+    delays = [Disturbance("delay", at - seconds, at) for at, seconds in site.log.lags]
+    crashes = [
+        Disturbance("crash", record.ended_at, record.ended_at + DOWN_SECONDS)
+        for record in simulation.history
+        if record.end is RunEnd.LOST
+    ]
+    requests = callers.connections.requests
+    excluded = {request.job for request in requests if request.method == "DELETE"}
+    excluded |= {request.job for request in requests if request.state == "failed"}
+    jobs = [
+        WaitingJob(site.jobs[job], accepted_at)
+        for job, accepted_at in callers.accepted_at_by_job.items()
+        if job not in excluded
+    ]
+    return standing_jobs(
+        jobs,
+        simulation.history,
+        callers.workspace_of,
+        dict.fromkeys(simulation.workers_by_id, site.profile.worker_capacity),
+        site.configurations.caps_in_force,
+        calm_spans(
+            [*site.disturbances, *delays, *crashes],
+            min(callers.accepted_at_by_job.values(), default=0.0),
+            site.stopped_at,
+        ),
+    )
+
+
 def run_reply_contradictions(
     history: Iterable[RunRecord], refused: set[str], cancelled: set[str]
 ) -> list[str]:
@@ -81,12 +119,18 @@
 
 
 def unknown_jobs(requests: Iterable[Request], accepted_at_by_job: dict[str, float]) -> list[str]:
-    """Return replies that a job is unknown to requests sent after its acceptance."""
+    """Return replies that a job is unknown to requests sent after its acceptance.
+
+    A job may be removed some time after its end.
+    """
+    requests = list(requests)
+    removable_at = removable_at_by_job(requests)
     return [
         f"{request.job} is accepted and unknown to node {request.node}"
         for request in requests
         if request.status == 410
         and request.sent_at > accepted_at_by_job.get(request.job, float("inf"))
+        and request.replied_at < removable_at.get(request.job, float("inf"))
     ]
 
 
@@ -108,13 +152,14 @@
 def ends_taken_back(requests: Iterable[Request]) -> list[str]:
     """Return replies that contradict an end told before their request was sent."""
     requests = list(requests)
-    told_by_job = _first_told_ends(requests)
+    told_by_job, removable_at = _first_told_ends(requests), removable_at_by_job(requests)
     return [
         f"node {request.node} told {request.state or 'unknown'} of {request.job} at"
         f" {request.replied_at:.3f}, asked at {request.sent_at:.3f}, and node {told.node} had told"
         f" {told.state} at {told.replied_at:.3f}"
         for request in requests
-        if request.state or request.status == 410
+        if request.state
+        or (request.status == 410 and request.replied_at < removable_at.get(request.job, 0.0))
         for told in told_by_job.get(request.job, ())
         if request.sent_at > told.replied_at and request.state != told.state
     ]
@@ -171,14 +216,19 @@
     return violations
 
 
-def starts_above_cap(history: Iterable[RunRecord], configurations: Configurations) -> list[str]:
-    """Return starts that brought the workspace above each cap that may have been in force.
+def starts_above_cap(
+    history: Iterable[RunRecord],
+    configurations: Configurations,
+    workspace_of: Callable[[str], str] = lambda job: WORKSPACE,
+) -> list[str]:
+    """Return starts that brought a workspace above each cap that may have been in force.
 
     The limit is the cap itself. Users allow a tenth and one task more.
+
+    :param workspace_of: returns the workspace of a job.
     """
 
     def caps_in_force(workspace: str, at: float) -> list[ResourceAmounts]:
-        versions = configurations.in_force(at - WITHDRAWAL_SECONDS, at)
-        return [each.cap for version in versions for each in version.tenants]
+        return configurations.caps_in_force(workspace, at - WITHDRAWAL_SECONDS, at)
 
-    return quota_violations(history, lambda job: "t", caps_in_force)
+    return quota_violations(history, workspace_of, caps_in_force)
--- a/tools/soak/configurations.py
+++ b/tools/soak/configurations.py
@@ -11,7 +11,16 @@
 from mimosapoint.workload import CellConfiguration, CellWorkspace, Queue, ResourceAmounts
 from mimosapoint_platform.tests.standin import configuration_entry
 
-__all__ = ["CAPS", "HOST", "POOL", "STABLE_KEY", "STABLE_QUEUES", "Configurations"]
+__all__ = [
+    "CAPS",
+    "HOST",
+    "MAX_ATTEMPTS",
+    "POOL",
+    "STABLE_KEY",
+    "STABLE_QUEUES",
+    "WORKSPACE",
+    "Configurations",
+]
 
 CONFIGURATION_KEY = "op/config"
 CAPS = (16, 24, 32)
@@ -20,12 +29,18 @@
 WEIGHT = 2.0
 """Weight where there is a cap, in jobs per second; callers submit four and more."""
 
+MAX_ATTEMPTS = 3
+"""Failed runs of a unit at which a job of any queue fails."""
+
 HOST = "h"
 POOL = "pool"
+WORKSPACE = "t"
+"""Workspace whose keys and cap change."""
+
 STABLE_KEY = "key"
 STABLE_QUEUES = (
-    Queue("urgent", HOST, "/urgent/", POOL, 0, 3, 1.5, timedelta(seconds=1)),
-    Queue("low", HOST, "/low/", POOL, 2, 3, 3.0, timedelta(seconds=1)),
+    Queue("urgent", HOST, "/urgent/", POOL, 0, MAX_ATTEMPTS, 1.5, timedelta(seconds=1)),
+    Queue("low", HOST, "/low/", POOL, 2, MAX_ATTEMPTS, 3.0, timedelta(seconds=1)),
 )
 
 
@@ -42,7 +57,8 @@
 
     :param store: the store.
     :param versions: the versions in order, with the time of their confirmation on the trio clock.
-    :param cap: cap of the workspace in accelerators; 0 for none.
+    :param cap: cap of the workspace that changes, in accelerators; 0 for none.
+    :param workspaces: further workspaces, which stay as they are.
     :param retired_queues: names of queues that a version removed; they do not return.
     :param retired_keys: API keys that a version revoked; they do not return.
     """
@@ -50,6 +66,7 @@
     store: MemoryTransactionStore
     versions: list[_Published] = attrs.field(factory=list)
     cap: int = 0
+    workspaces: tuple[CellWorkspace, ...] = ()
     retired_queues: list[str] = attrs.field(factory=list)
     retired_keys: list[str] = attrs.field(factory=list)
 
@@ -60,7 +77,7 @@
 
     @property
     def keys(self) -> list[str]:
-        """API keys in force."""
+        """API keys in force of the workspace that changes."""
         return sorted(self.latest.tenants[0].keys)
 
     @property
@@ -79,12 +96,12 @@
             self.retired_keys += [key for key in self.keys if key not in keys]
         number = len(self.versions) + 1
         workspace = CellWorkspace(
-            "t",
+            WORKSPACE,
             keys,
             cap=ResourceAmounts(accelerators=self.cap),
             weight=WEIGHT if self.cap else 0.0,
         )
-        configuration = CellConfiguration(number, queues, (workspace,))
+        configuration = CellConfiguration(number, queues, (workspace, *self.workspaces))
         entry = configuration_entry(number, configuration)
         self.store.put(CONFIGURATION_KEY, entry)
         # The store transmits values in base64.
@@ -99,7 +116,7 @@
         """
         number = len(self.versions)
         added = [
-            Queue(name, host, f"/{name}/", POOL, 1, 3, 3.0, timedelta(seconds=1))
+            Queue(name, host, f"/{name}/", POOL, 1, MAX_ATTEMPTS, 3.0, timedelta(seconds=1))
             for name in (f"queue-{number}-{each}" for each in range(count))
         ]
         self.publish((*self.latest.queues, *added), self.keys)
@@ -123,6 +140,22 @@
         later = [each for each in self.versions if since < each.at <= until]
         return [each.configuration for each in (*earlier, *later)]
 
+    def caps_in_force(self, workspace: str, since: float, until: float) -> list[ResourceAmounts]:
+        """Return the caps of a workspace that were in force at any time between two times."""
+        return [
+            each.cap
+            for version in self.in_force(since, until)
+            for each in version.tenants
+            if each.name == workspace
+        ]
+
+    def workspace_of(self, key: str) -> str:
+        """Return the name of the workspace that has, or last had, a key."""
+        for version in reversed(self.versions):
+            if workspace := version.configuration.find_workspace(key):
+                return workspace.name
+        return ""
+
     def transfer_seconds(self, bytes_per_second: float) -> float:
         """Return how long a link needs from now on to transmit what was published.
 
--- a/tools/soak/connections.py
+++ b/tools/soak/connections.py
@@ -17,6 +17,9 @@
 CALL_SECONDS = 3.0
 """Time for which callers wait for a reply."""
 
+BODY_SENT = "http11.send_request_body.complete"
+"""Event of the HTTP client once it has sent a whole request."""
+
 
 @attrs.frozen
 class Reply:
@@ -52,6 +55,8 @@
     :param replied_at: time of the reply, or at which the caller stopped waiting.
     :param status: HTTP status; 0 without a reply.
     :param state: state of the job that a reply to a read tells; empty for other replies.
+    :param body_sent_at: time at which the whole request had been sent; ``None`` if it was not.
+    :param was_cut: whether the connection ended after that and before a complete reply.
     """
 
     node: int
@@ -63,6 +68,8 @@
     replied_at: float
     status: int
     state: str = ""
+    body_sent_at: float | None = None
+    was_cut: bool = False
 
 
 def _open_pool() -> httpcore.AsyncConnectionPool:
@@ -104,18 +111,41 @@
             headers[FORWARDED_HEADER] = "soak"
         url = f"http://{self.addresses[node]}/{queue}/{job}"
         sent_at = trio.current_time()
+        body_sent_at: float | None = None
+        has_ended = False
+
+        async def trace(event: str, info: dict[str, object]) -> None:
+            nonlocal body_sent_at
+            if event == BODY_SENT:
+                body_sent_at = trio.current_time()
+
         reply = Reply(0)
         with trio.move_on_after(CALL_SECONDS):
             try:
                 pool = self._pool_by_node[node]
-                response = await pool.request(method, url, headers=headers, content=body)
+                response = await pool.request(
+                    method, url, headers=headers, content=body, extensions={"trace": trace}
+                )
                 reply = Reply(response.status, response.content)
             except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException):
                 # No reply: status 0.
-                pass
+                has_ended = True
         replied_at = trio.current_time()
         state = reply.state if method == "GET" and reply.status == 200 else ""
+        was_cut = has_ended and body_sent_at is not None
         self.requests.append(
-            Request(node, method, queue, job, key, sent_at, replied_at, reply.status, state)
+            Request(
+                node,
+                method,
+                queue,
+                job,
+                key,
+                sent_at,
+                replied_at,
+                reply.status,
+                state,
+                body_sent_at,
+                was_cut,
+            )
         )
         return reply
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -11,9 +11,9 @@
 from mimosapoint.workload import ResourceAmounts
 
 from tools.soak.profile import FIRST_CHANGES_SEED, FIRST_CRASH_SEED, FIRST_OUTAGE_SEED, Profile
-from tools.soak.site import CAPACITY, SoakSite
+from tools.soak.site import SoakSite
 
-__all__ = ["OUTAGE_FAULTS", "fault", "fault_names", "faults_by_name"]
+__all__ = ["OUTAGE_FAULTS", "fault", "fault_names", "faults_by_name", "stop_and_start"]
 
 ROLLING_GROUPS = 4
 
@@ -78,10 +78,11 @@
 @fault("stop-node")
 async def stop_node(site: SoakSite, random: Random) -> None:
     """Stop a node with SIGTERM, or SIGKILL after a timeout, and start it again."""
-    await _stop_and_start(site, random.randrange(len(site.processes)))
+    await stop_and_start(site, random.randrange(len(site.processes)))
 
 
-async def _stop_and_start(site: SoakSite, number: int) -> None:
+async def stop_and_start(site: SoakSite, number: int) -> None:
+    """Stop a node with SIGTERM, or SIGKILL after a timeout, and start it again."""
     await site.signal_node(number, "SIGTERM")
     with trio.move_on_after(8):
         await site.wait_node(number)
@@ -179,7 +180,7 @@
     for start in range(0, len(numbers), size):
         async with trio.open_nursery() as nursery:
             for number in numbers[start : start + size]:
-                nursery.start_soon(_stop_and_start, site, number)
+                nursery.start_soon(stop_and_start, site, number)
 
 
 @fault("crash-workers", FIRST_CRASH_SEED)
@@ -202,7 +203,7 @@
     worker = random.choice(site.workers)
     worker.resize(random.choice(SHRUNKEN_CAPACITIES))
     await trio.sleep(random.uniform(1, 6))
-    worker.resize(CAPACITY)
+    worker.resize(site.profile.worker_capacity)
 
 
 @fault("kill-owner-in-outage", FIRST_OUTAGE_SEED)
@@ -235,7 +236,7 @@
                 delay = random.uniform(0, min(RESTART_SECONDS, seconds_left))
                 nursery.start_soon(_restart_worker, site, worker, delay)
             await trio.sleep(seconds_left)
-    await _stop_and_start(site, owner)
+    await stop_and_start(site, owner)
 
 
 @fault("lapse-workers", FIRST_OUTAGE_SEED)
--- a/tools/soak/final_checks.py
+++ b/tools/soak/final_checks.py
@@ -5,12 +5,15 @@
 import trio
 
 from tools.soak.callers import Callers
-from tools.soak.configurations import STABLE_KEY, STABLE_QUEUES
+from tools.soak.configurations import STABLE_KEY, STABLE_QUEUES, WORKSPACE
 from tools.soak.connections import CALL_SECONDS
+from tools.soak.end_checks import removable_at_by_job
 
 __all__ = ["check_nodes", "wait_ready"]
 
-JOBS_READ = 5
+READS_PER_SECOND = 25
+"""Reads of accepted jobs at each node; fewer than callers may send to the smallest one."""
+
 RETRY_SECONDS = 0.2
 READY_SECONDS = 60
 UNKNOWN_JOB = "0" * 16
@@ -33,9 +36,9 @@
 async def check_nodes(callers: Callers) -> list[str]:
     """Return a line for each wrong or missing reply of a node to requests of its own callers.
 
-    Each node must report the state of accepted jobs, and refuse a removed queue and a revoked key,
-    within the time for which callers wait. A delay of the stand-ins is an outage of the store, so
-    the check is repeated after one; the last repetition counts in any case.
+    Each node must report the state of every accepted job, and refuse a removed queue and a revoked
+    key, within the time for which callers wait. A delay of the stand-ins is an outage of the store,
+    so the check is repeated after one; the last repetition counts in any case.
     """
     for _ in range(ROUNDS):
         began = trio.current_time()
@@ -59,16 +62,26 @@
 async def _check_node(callers: Callers, node: int, violations: list[str]) -> None:
     configurations = callers.site.configurations
     queue = STABLE_QUEUES[0].name
-    accepted = sorted(callers.accepted_at_by_job)
-    jobs = callers.random.sample(accepted, min(JOBS_READ, len(accepted)))
-    expected = [(queue, job, STABLE_KEY, 200) for job in jobs]
-    for job in jobs[:1]:
+    removable_at = removable_at_by_job(callers.connections.requests)
+    latest = trio.current_time() + len(callers.accepted_at_by_job) / READS_PER_SECOND + CALL_SECONDS
+    jobs = [
+        job
+        for job in sorted(callers.accepted_at_by_job)
+        if removable_at.get(job, float("inf")) > latest
+    ]
+    callers.random.shuffle(jobs)
+    expected = []
+    for job in [job for job in jobs if callers.workspace_of(job) == WORKSPACE][:1]:
         expected += [(each, job, STABLE_KEY, 404) for each in configurations.retired_queues[-1:]]
         expected += [(queue, job, each, 401) for each in configurations.retired_keys[-1:]]
         expected += [(queue, job, each, 200) for each in configurations.keys]
     async with trio.open_nursery() as nursery:
         for item in expected:
             nursery.start_soon(_expect, callers, node, item, violations)
+        for job in jobs:
+            item = (queue, job, callers.stable_key(job), 200)
+            nursery.start_soon(_expect, callers, node, item, violations)
+            await trio.sleep(1 / READS_PER_SECOND)
 
 
 async def _expect(
--- a/tools/soak/profile.py
+++ b/tools/soak/profile.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
+from datetime import timedelta
 from random import Random
 
 import attrs
+from mimosapoint.workload import ResourceAmounts
 
 __all__ = [
     "FAST_LINK_MBPS",
     "FIRST_CHANGES_SEED",
     "FIRST_CRASH_SEED",
+    "FIRST_DEPLOYMENT_SEED",
     "FIRST_OUTAGE_SEED",
     "FIRST_QUOTA_SEED",
     "Profile",
@@ -32,10 +35,21 @@
 """First seed in which the owner and workers are lost during outages of the store, and callers ask
 for the state of their jobs throughout."""
 
+FIRST_DEPLOYMENT_SEED = 5000
+"""First seed of the size of a deployment: many small nodes, many workers, several workspaces, long
+runs, and phases of faults with calm times between them."""
+
 SMALL_CORES = 0.5
+LARGE_CORES = 2.0
 LARGE_SITE_INTERVAL = 10
 FAST_LINK_MBPS = 1000.0
 SLOW_LINK_MBPS = (1.0, 5.0)
+DEPLOYMENT_LINK_MBPS = (5.0, 10.0)
+DEPLOYMENT_NODES = 33
+DEPLOYMENT_LARGE_NODES = 8
+DEPLOYMENT_WORKERS = 80
+WORKER_CAPACITY = ResourceAmounts(16_000, 16_000, 8)
+DEPLOYMENT_WORKER_CAPACITY = ResourceAmounts(128_000, 256_000, 8)
 
 
 @attrs.frozen
@@ -46,12 +60,20 @@
     :param cores: ``processor_share`` of each node; below 1, other nodes relay an owner's orders.
     :param workers: number of workers.
     :param mbps_by_node: bandwidth between each node and the store, by number of the node.
+    :param cores_by_node: ``processor_share`` of the nodes that have more than ``cores``.
+    :param worker_capacity: capacity of each worker.
+    :param workers_per_rack: workers of a rack, which is a zone of its own.
+    :param max_lease: longest lease of a worker.
     """
 
     seed: int
     cores: float
     workers: int
     mbps_by_node: dict[int, float]
+    cores_by_node: dict[int, float] = attrs.field(factory=dict)
+    worker_capacity: ResourceAmounts = WORKER_CAPACITY
+    workers_per_rack: int = 3
+    max_lease: timedelta = timedelta(seconds=10)
 
     @property
     def has_changes(self) -> bool:
@@ -73,6 +95,11 @@
         """Whether owner and workers are lost during outages, while callers read states."""
         return self.seed >= FIRST_OUTAGE_SEED
 
+    @property
+    def is_deployment(self) -> bool:
+        """Whether the site has the size of a deployment, and faults come in phases."""
+        return self.seed >= FIRST_DEPLOYMENT_SEED
+
     @property
     def slowest_bytes_per_second(self) -> float:
         """Bandwidth of the slowest link."""
@@ -86,7 +113,31 @@
         return Profile(seed, cores, 6, dict.fromkeys(range(3), FAST_LINK_MBPS))
     nodes, workers = (16, 12) if seed % LARGE_SITE_INTERVAL == 0 else (4, 6)
     random = Random(seed)
+    if seed >= FIRST_DEPLOYMENT_SEED:
+        return _deployment(seed, random)
     slow_nodes = random.sample(range(1, nodes), nodes // 2)
     mbps_by_node = dict.fromkeys(range(nodes), FAST_LINK_MBPS)
     mbps_by_node |= {node: round(random.uniform(*SLOW_LINK_MBPS), 1) for node in slow_nodes}
     return Profile(seed, cores, workers, mbps_by_node)
+
+
+def _deployment(seed: int, random: Random) -> Profile:
+    large_nodes = set(random.sample(range(DEPLOYMENT_NODES), DEPLOYMENT_LARGE_NODES))
+    mbps_by_node = {
+        node: (
+            FAST_LINK_MBPS
+            if node in large_nodes
+            else round(random.uniform(*DEPLOYMENT_LINK_MBPS), 1)
+        )
+        for node in range(DEPLOYMENT_NODES)
+    }
+    return Profile(
+        seed,
+        SMALL_CORES,
+        DEPLOYMENT_WORKERS,
+        mbps_by_node,
+        dict.fromkeys(large_nodes, LARGE_CORES),
+        DEPLOYMENT_WORKER_CAPACITY,
+        workers_per_rack=20,
+        max_lease=timedelta(seconds=6),
+    )
--- a/tools/soak/reads.py
+++ b/tools/soak/reads.py
@@ -8,8 +8,7 @@
 import trio
 
 from tools.soak.callers import Callers
-from tools.soak.checks import ENDS
-from tools.soak.configurations import STABLE_KEY, STABLE_QUEUES
+from tools.soak.end_checks import ENDS
 
 __all__ = ["StateReads"]
 
@@ -52,9 +51,7 @@
         return self.random.choice(accepted) if accepted else None
 
     async def _read(self, node: int, job: str) -> None:
-        reply = await self.callers.connections.call(
-            node, "GET", STABLE_QUEUES[0].name, job, STABLE_KEY
-        )
+        reply = await self.callers.read(node, job)
         if reply.state in ENDS and job not in self._ends_by_job:
             self._ends_by_job[job] = reply.state
             self.callers.site.log.write("end-told", job=job, state=reply.state, node=node)
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -11,11 +11,13 @@
 
 from tools.soak.callers import Callers
 from tools.soak.checks import find_violations
+from tools.soak.configurations import MAX_ATTEMPTS
 from tools.soak.connections import Connections
+from tools.soak.end_checks import failed_attempts
 from tools.soak.final_checks import check_nodes, wait_ready
 from tools.soak.profile import profile_of
 from tools.soak.reads import StateReads
-from tools.soak.schedule import inject_faults
+from tools.soak.schedule import inject_faults, inject_phases
 from tools.soak.site import SoakSite
 
 __all__ = ["Result", "run_seed"]
@@ -27,6 +29,8 @@
 """Time after the last fault and change, in addition to the time that the links need, after which
 every node must serve callers."""
 
+DEPLOYMENT_JOBS_END_SECONDS = 60.0
+
 ENDED = ("complete", "cancelled")
 
 
@@ -71,8 +75,13 @@
                 async with trio.open_nursery() as disturbances:
                     if earlier_build is not None:
                         disturbances.start_soon(_upgrade_nodes, site)
-                    disturbances.start_soon(inject_faults, site, random, FAULT_SECONDS, injected)
-                if profile.has_crashes:
+                    if profile.is_deployment:
+                        disturbances.start_soon(inject_phases, site, random, injected)
+                    else:
+                        disturbances.start_soon(
+                            inject_faults, site, random, FAULT_SECONDS, injected
+                        )
+                if profile.has_crashes and not profile.is_deployment:
                     # Under the lowest cap gangs run one by one, and a backlog outlasts the check.
                     site.configurations.change_cap(0)
                 calm_seconds = CALM_SECONDS + site.configurations.transfer_seconds(
@@ -94,22 +103,27 @@
 async def _upgrade_nodes(site: SoakSite) -> None:
     """Upgrade the nodes one after the other during the faults."""
     nodes = len(site.profile.mbps_by_node)
-    for number in range(nodes):
-        await trio.sleep(FAULT_SECONDS / nodes)
-        await site.upgrade_node(number)
+    # Not planned work here: what the earlier build does to requests is not checked.
+    with site.disturbed("upgrade"):
+        for number in range(nodes):
+            await trio.sleep(FAULT_SECONDS / nodes)
+            await site.upgrade_node(number)
 
 
 def _is_given_up(callers: Callers, job: str, state: str) -> bool:
-    """Return whether a job is shown as failed, and a task of it has crashed workers."""
-    history = callers.site.simulation.history
-    return state == "failed" and may_be_given_up(run for run in history if run.task.job == job)
+    """Return whether a job is shown as failed, and its tasks have failed or crashed workers."""
+    runs = [run for run in callers.site.simulation.history if run.task.job == job]
+    has_failed = failed_attempts(runs) >= MAX_ATTEMPTS
+    return state == "failed" and (has_failed or may_be_given_up(runs))
 
 
 async def _wait_unfinished_jobs(callers: Callers) -> list[str]:
     """Wait until all accepted jobs have ended; return one line for each that has not."""
     unfinished_jobs = set(callers.accepted_at_by_job)
     states: dict[str, str] = {}
-    with trio.move_on_after(JOBS_END_SECONDS):
+    is_deployment = callers.site.profile.is_deployment
+    seconds = DEPLOYMENT_JOBS_END_SECONDS if is_deployment else JOBS_END_SECONDS
+    with trio.move_on_after(seconds):
         while unfinished_jobs:
             for job in sorted(unfinished_jobs):
                 states[job] = await callers.state(job)
--- a/tools/soak/schedule.py
+++ b/tools/soak/schedule.py
@@ -8,10 +8,17 @@
 import trio
 
 from tools.soak.changes import GROWTH
+from tools.soak.deployment import PHASES
+from tools.soak.deployment_faults import PLANNED_DEPLOYMENT_FAULTS
 from tools.soak.faults import OUTAGE_FAULTS, fault_names, faults_by_name
 from tools.soak.site import SoakSite
 
-__all__ = ["inject_faults"]
+__all__ = ["inject", "inject_faults", "inject_phases"]
+
+PLANNED_FAULTS = frozenset(
+    ("change-cap", "replace-key", "rolling-stop", "stop-node", *PLANNED_DEPLOYMENT_FAULTS)
+)
+"""Planned work, around which no request may be cut that was read."""
 
 SERIES_LENGTHS = (1, 1, 2, 3, 4)
 SERIES_GAP_SECONDS = 0.4
@@ -35,7 +42,7 @@
 
         def start(name: str) -> None:
             injected.append(name)
-            nursery.start_soon(_inject, site, name, Random(random.random()))
+            nursery.start_soon(inject, site, name, Random(random.random()))
 
         if site.profile.has_outages:
             nursery.start_soon(_start_outages, start, Random(random.random()), seconds)
@@ -59,7 +66,28 @@
             start(random.choice(OUTAGE_FAULTS))
 
 
-async def _inject(site: SoakSite, name: str, random: Random) -> None:
+async def inject_phases(site: SoakSite, random: Random, injected: list[str]) -> None:
+    """Go through the phases of a deployment; return once the faults of the last are cleared.
+
+    :param injected: receives the names of the faults.
+    """
+    for number, phase in enumerate(PHASES):
+        site.log.write("phase-begins", number=number)
+        if not phase.faults:
+            await trio.sleep(phase.seconds)
+            continue
+        async with trio.open_nursery() as nursery:
+            ends_at = trio.current_time() + phase.seconds
+            while trio.current_time() < ends_at:
+                name = random.choice(phase.faults)
+                injected.append(name)
+                nursery.start_soon(inject, site, name, Random(random.random()))
+                await trio.sleep(random.uniform(*phase.gap_seconds))
+
+
+async def inject(site: SoakSite, name: str, random: Random) -> None:
+    """Inject a fault, and log and record when it begins and when it is cleared."""
     site.log.write("fault-begins", name=name)
-    await faults_by_name[name](site, random)
+    with site.disturbed(name, is_planned=name in PLANNED_FAULTS):
+        await faults_by_name[name](site, random)
     site.log.write("fault-ended", name=name)
--- a/tools/soak/site.py
+++ b/tools/soak/site.py
@@ -6,9 +6,12 @@
 import signal
 import socket
 import sys
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from datetime import timedelta
 from functools import partial
 from pathlib import Path
+from typing import Any
 
 import trio
 from mimosapoint.cell.election import CellOwnerRecord
@@ -22,7 +25,7 @@
 )
 from mimosapoint.ports import WorkerRegistration
 from mimosapoint.telemetry import MemoryTelemetry
-from mimosapoint.workload import AcceptedJob, ResourceAmounts
+from mimosapoint.workload import AcceptedJob
 from mimosapoint_node.http import HttpLimits, serve
 from mimosapoint_platform.tests.standin import (
     StandinFaults,
@@ -32,6 +35,8 @@
 )
 
 from tools.soak.configurations import CAPS, POOL, Configurations
+from tools.soak.deployment import DEPLOYMENT_CAPS, WORKSPACES
+from tools.soak.disturbances import Disturbance, PlannedWork
 from tools.soak.link import Link
 from tools.soak.log import SoakLog
 from tools.soak.outages import StoreOutages
@@ -42,11 +47,12 @@
 __all__ = ["CONFIGURATION_MS", "SoakSite"]
 
 ROOT = Path(__file__).resolve().parents[2]
-CAPACITY = ResourceAmounts(16_000, 16_000, 8)
-WORKERS_PER_RACK = 3
 RUN_TIME = timedelta(milliseconds=700)
 CONFIGURATION_MS = 2000
 OWNER_PROBE_SECONDS = 0.1
+DEPLOYMENT_PAGE_SIZE = 200
+"""Entries on a page of the store; other profiles have few, so that nodes read several pages."""
+
 ADDRESS_NAMES = (
     "callers_address",
     "probe_address",
@@ -92,13 +98,23 @@
         self.store = MemoryTransactionStore(TrioClock())
         self.configurations = Configurations(self.store)
         self.zones = Zones(self.store)
-        self.simulation = RunSimulation(TrioClock(), nursery, RUN_TIME)
+        self.simulation = RunSimulation(
+            TrioClock(),
+            nursery,
+            RUN_TIME,
+            max_lease=profile.max_lease,
+            follows_estimates=profile.is_deployment,
+        )
+        self.jobs = _JobsFromStore(self.store)
         self.workers: list[MemoryRunWorker] = []
         self.worker_proxies: list[Proxy] = []
         self.store_proxies: list[Proxy] = []
         self.store_outages = StoreOutages(self.store_proxies)
         self.owner: int | None = None
         self.crashing_job_periods = 0
+        self.disturbances: list[Disturbance] = []
+        self.planned_work: list[PlannedWork] = []
+        self.stopped_at = float("inf")
         self.processes: list[trio.Process | None] = []
         self._builds = [earlier_build or ROOT for _ in profile.mbps_by_node]
         self.addresses: list[str] = []
@@ -108,14 +124,16 @@
 
     async def start(self) -> None:
         """Start the stand-ins, the proxies and the nodes."""
-        if self.profile.has_quota:
+        if self.profile.is_deployment:
+            self.configurations.workspaces = WORKSPACES
+            self.configurations.cap = DEPLOYMENT_CAPS[0]
+        elif self.profile.has_quota:
             self.configurations.cap = CAPS[0]
         self.configurations.publish()
-        store = self.store_outages.refusing_app(store_app(self.store, StandinFaults()))
+        store = self.store_outages.refusing_app(self._store_app())
         store_port = await self._serve(store)
-        jobs = _JobsFromStore(self.store)
         for number in range(self.profile.workers):
-            await self._add_worker(number, jobs)
+            await self._add_worker(number)
         for number, mbps in self.profile.mbps_by_node.items():
             self.store_proxies.append(await self._proxy(store_port, Link(mbps * 1e6 / 8)))
             self._write_settings(number, mbps)
@@ -127,6 +145,11 @@
         self.nursery.start_soon(self.log.run_lag_probe)
         self.nursery.start_soon(self.log.run_wait_probe, self._process_ids)
 
+    def _store_app(self) -> Callable[..., Any]:
+        if self.profile.is_deployment:
+            return store_app(self.store, StandinFaults(), DEPLOYMENT_PAGE_SIZE)
+        return store_app(self.store, StandinFaults())
+
     async def start_node(self, number: int) -> None:
         """Start the process of a node, unless it runs already, as after another fault."""
         async with self._start_locks[number]:
@@ -162,12 +185,14 @@
             del address_by_name["peers_address"]
         self.addresses.append(address_by_name["callers_address"])
         self.operator_addresses.append(address_by_name["metrics_address"])
+        lease_ms = int(self.simulation.max_lease / timedelta(milliseconds=1))
+        cores = self.profile.cores_by_node.get(number, self.profile.cores)
         self._settings_path(number).write_text(
             f"id: node-{number}\nzone: z{number}\nregion: r\n"
             + "".join(f"{name}: {address}\n" for name, address in address_by_name.items())
-            + f"processor_share: {self.profile.cores}\nlink_mbps: {mbps}\n"
+            + f"processor_share: {cores}\nlink_mbps: {mbps}\n"
             f"store_address: {self.store_proxies[number].address}\n"
-            f"bounds: {{configuration_ms: {CONFIGURATION_MS}}}\n"
+            f"bounds: {{configuration_ms: {CONFIGURATION_MS}, worker_lease_ms: {lease_ms}}}\n"
         )
 
     async def signal_node(self, number: int, name: str) -> None:
@@ -177,8 +202,23 @@
         """
         process = self.processes[number]
         if process is not None and process.returncode is None:
+            self.planned_work.append(PlannedWork(trio.current_time(), number, name))
             process.send_signal(getattr(signal, name))
 
+    @contextmanager
+    def disturbed(self, name: str, is_planned: bool = False) -> Iterator[None]:
+        """Record that the site is disturbed within the context.
+
+        :param name: name of the disturbance.
+        :param is_planned: whether it is work around which no request may be cut.
+        """
+        disturbance = Disturbance(name, trio.current_time(), is_planned=is_planned)
+        self.disturbances.append(disturbance)
+        try:
+            yield
+        finally:
+            disturbance.ended_at = trio.current_time()
+
     async def upgrade_node(self, number: int) -> None:
         """Replace a node of the earlier build by one of the present build."""
         self._builds[number] = ROOT
@@ -202,20 +242,28 @@
 
     async def stop(self) -> None:
         """Kill the node processes that still run."""
+        self.stopped_at = trio.current_time()
         for process in self._started:
             if process.returncode is None:
                 process.kill()
                 await process.wait()
 
-    async def _add_worker(self, number: int, jobs: _JobsFromStore) -> None:
-        rack = f"r{number // WORKERS_PER_RACK}"
+    async def _add_worker(self, number: int) -> None:
+        rack = f"r{number // self.profile.workers_per_rack}"
         registration = WorkerRegistration(
-            f"w{number}", "", POOL, rack, rack, frozenset({"a", rack}), CAPACITY, born=1
+            f"w{number}",
+            "",
+            POOL,
+            rack,
+            rack,
+            frozenset({"a", rack}),
+            self.profile.worker_capacity,
+            born=1,
         )
         worker = MemoryRunWorker(registration, self.simulation)
         self.nursery.start_soon(worker.run_lease_expiry)
         self.workers.append(worker)
-        port = await self._serve(worker_app(worker, jobs, StandinFaults()))
+        port = await self._serve(worker_app(worker, self.jobs, StandinFaults()))
         self.worker_proxies.append(await self._proxy(port))
 
     async def _serve(self, app: object) -> int:
--- a/tools/tests/test_soak.py
+++ b/tools/tests/test_soak.py
@@ -125,7 +125,8 @@
 
     def test_every_check_takes_part_in_a_run(self):
         requests = [request(410, 6), request(200, 6, queue="unknown")]
-        requests.append(request(200, 5.5, state="complete"))
+        requests += [request(200, 5.5, state="complete"), request(200, 5.5, state="failed")]
+        requests.append(Request(0, "GET", "urgent", "a", "key", 5.0, 5.9, 0, "", 5.1, True))
         worker = SimpleNamespace(registration=SimpleNamespace(zone="z"))
         simulation = SimpleNamespace(
             history=[record(1, 9, None, None)],
@@ -136,12 +137,21 @@
             simulation=simulation,
             configurations=Configurations(None),
             zones=Zones(None, {"z": [(0, None)]}),
+            planned_work=[],
+            disturbances=[],
+            log=SimpleNamespace(lags=[]),
+            profile=SimpleNamespace(worker_capacity=ResourceAmounts(9)),
+            jobs={job: SimpleNamespace(id=job, tenant="t", steps=(STEP,)) for job in "ab"},
+            stopped_at=20.0,
         )
+        site.jobs["b"].units_of = lambda occurrence, step: ["unit"]
+        site.jobs["b"].tasks_of = lambda unit: [TaskId("b", 0, 0, 0)]
         callers = SimpleNamespace(
             connections=SimpleNamespace(requests=requests),
-            accepted_at_by_job={"a": 5},
+            accepted_at_by_job={"a": 5, "b": 5},
             refused={"a"},
             cancelled={"a"},
+            workspace_of=lambda job: "t",
         )
         self.assertNotIn("no job was accepted", checks.find_violations(site, callers))
         found = "\n".join(checks.find_violations(site, callers))
@@ -149,6 +159,8 @@
             self.assertIn(part, found)
         for part in ("started as run 1", "node 0 told unknown of a"):
             self.assertIn(part, found)
+        for part in ("told failed of a", "was cut at 5.900", "b had nothing running"):
+            self.assertIn(part, found)
         callers.accepted_at_by_job.clear()
         self.assertIn("no job was accepted", checks.find_violations(site, callers))
 
@@ -261,6 +273,7 @@
 class FakeConnections:
     def __init__(self, status_of):
         self.addresses = ["first", "second"]
+        self.requests = []
         self.status_of = status_of
 
     async def call(self, node, method, queue, job, key, body=b"", forwardable=True):
--- a/tools/tests/test_soak_ends.py
+++ b/tools/tests/test_soak_ends.py
@@ -17,6 +17,7 @@
 sys.path.insert(0, str(ROOT / "platform"))
 
 from tools.soak import checks  # noqa: E402 (needs the path)
+from tools.soak.callers import Callers  # noqa: E402
 from tools.soak.connections import Connections, Reply, Request  # noqa: E402
 from tools.soak.faults import OUTAGE_FAULTS, fault_names, faults_by_name  # noqa: E402
 from tools.soak.log import SoakLog  # noqa: E402
@@ -88,11 +89,8 @@
                 await trio.sleep(3 if node else 0)
                 return Reply(200, b'{"state": "complete"}')
 
-        callers = SimpleNamespace(
-            connections=Nodes(),
-            accepted_at_by_job={"a": 1.0, "b": 2.0},
-            site=SimpleNamespace(log=log),
-        )
+        site = SimpleNamespace(log=log)
+        callers = Callers(site, Random(2), Nodes(), {"a": 1.0, "b": 2.0})
         finished = trio.Event()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(StateReads(callers, Random(1)).read_until, finished)
@@ -104,7 +102,7 @@
 
     async def test_a_told_state_is_recorded_with_its_request(self):
         class Pool:
-            async def request(self, method, url, headers, content):
+            async def request(self, method, url, headers, content, extensions):
                 await trio.sleep(0.5)
                 return SimpleNamespace(status=200, content=b'{"state": "complete"}')
 
