Count a shortage of processor time as a disturbance in the soak, and print shares

Seen: small trials of the new profile (5 nodes, 30 workers, beside plays at a load average of 12 to 15) reported jobs that stood still while all workers were silent to the owner: the stand-ins had waited 0.7 s for a processor, and nodes up to 1.3 s between two probes.

Change: such waits of nodes or stand-ins, which are logged, are disturbances like a machine that slows down; the line of a seed has the calm seconds that were checked, memory and processor shares. A watch of the store in memory no longer scans its whole history (3.5 of 150 s in a profile of such a trial), and links without a limit send in one piece.

--- a/packages/mimosapoint/src/mimosapoint/memory/transaction_store.py
+++ b/packages/mimosapoint/src/mimosapoint/memory/transaction_store.py
@@ -1,8 +1,10 @@
 """In-memory transactional key-value store with leases and watches."""
 
+from bisect import bisect_right
 from collections import Counter
 from collections.abc import Mapping, Sequence
 from datetime import timedelta
+from operator import attrgetter
 
 import attrs
 import trio
@@ -201,11 +203,9 @@
         self._expire_leases()
         if after < self._oldest_revision:
             return [_Change(self._revision, "", None)]
-        return [
-            change
-            for change in self._history
-            if change.revision > after and change.key.startswith(prefix)
-        ]
+        # Revisions rise, and the history of a long run is far longer than what is new to a watch.
+        first = bisect_right(self._history, after, key=attrgetter("revision"))
+        return [change for change in self._history[first:] if change.key.startswith(prefix)]
 
     def _expire_leases(self) -> None:
         for keys in self._leases.expire():
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -57,7 +57,7 @@
         verdict = "broken" if result.violations else "kept"
         print(
             f"seed={seed} {verdict} accepted={result.accepted} lag={result.lag:.2f}"
-            f" faults={','.join(result.faults)}",
+            f" calm={result.calm:.0f} {result.usage} faults={','.join(result.faults)}",
             flush=True,
         )
         for line in result.violations:
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -21,6 +21,7 @@
 from tools.soak.zones import Zones
 
 __all__ = [
+    "calm_times",
     "ends_taken_back",
     "find_violations",
     "outdated_replies",
@@ -65,20 +66,32 @@
         *starts_in_withdrawn_zones(simulation, site.zones),
         *starts_above_cap(simulation.history, site.configurations, callers.workspace_of),
         *ends_without_cause(simulation.history, requests),
-        *cut_requests(requests, site.planned_work, site.disturbances),
+        *cut_requests(requests, site.planned_work, [*site.disturbances, *_shortages(site)]),
         *_standing_jobs(site, callers),
     ]
 
 
-def _standing_jobs(site: SoakSite, callers: Callers) -> list[str]:
-    """Return jobs that stood still in a calm time; delays of the stand-ins are disturbances."""
-    simulation = site.simulation
-    delays = [Disturbance("delay", at - seconds, at) for at, seconds in site.log.lags]
+def calm_times(site: SoakSite) -> list[tuple[float, float]]:
+    """Return the times without disturbances in which nodes served, begin and end of each.
+
+    Crashes of workers are disturbances, and so is a shortage of processor time.
+    """
     crashes = [
         Disturbance("crash", record.ended_at, record.ended_at + DOWN_SECONDS)
-        for record in simulation.history
+        for record in site.simulation.history
         if record.end is RunEnd.LOST
     ]
+    disturbances = [*site.disturbances, *_shortages(site), *crashes]
+    return list(calm_spans(disturbances, site.ready_at, site.stopped_at))
+
+
+def _shortages(site: SoakSite) -> list[Disturbance]:
+    delays = [*site.log.lags, *site.log.waits]
+    return [Disturbance("shortage", at - seconds, at) for at, seconds in delays]
+
+
+def _standing_jobs(site: SoakSite, callers: Callers) -> list[str]:
+    simulation = site.simulation
     requests = callers.connections.requests
     excluded = {request.job for request in requests if request.method == "DELETE"}
     excluded |= {request.job for request in requests if request.state == "failed"}
@@ -93,11 +106,7 @@
         callers.workspace_of,
         dict.fromkeys(simulation.workers_by_id, site.profile.worker_capacity),
         site.configurations.caps_in_force,
-        calm_spans(
-            [*site.disturbances, *delays, *crashes],
-            min(callers.accepted_at_by_job.values(), default=0.0),
-            site.stopped_at,
-        ),
+        calm_times(site),
     )
 
 
--- a/tools/soak/deployment.py
+++ b/tools/soak/deployment.py
@@ -10,7 +10,7 @@
 
 __all__ = ["DEPLOYMENT_CAPS", "JOBS_PER_SECOND", "PHASES", "WORKSPACES", "Phase", "job_steps"]
 
-JOBS_PER_SECOND = 2.5
+JOBS_PER_SECOND = 1.5
 """Accepted jobs use about a third of the workers."""
 
 DEPLOYMENT_CAPS = (128, 96, 160)
--- a/tools/soak/final_checks.py
+++ b/tools/soak/final_checks.py
@@ -11,8 +11,12 @@
 
 __all__ = ["check_nodes", "wait_ready"]
 
-READS_PER_SECOND = 25
-"""Reads of accepted jobs at each node; fewer than callers may send to the smallest one."""
+READS_PER_SECOND = 120
+"""Reads of accepted jobs at all nodes together. A node reads the store for each, and more of them
+than the one process of the stand-ins replies to in time would show nothing about the nodes."""
+
+NODE_READS_PER_SECOND = 25
+"""The same at one node."""
 
 RETRY_SECONDS = 0.2
 READY_SECONDS = 60
@@ -63,7 +67,9 @@
     configurations = callers.site.configurations
     queue = STABLE_QUEUES[0].name
     removable_at = removable_at_by_job(callers.connections.requests)
-    latest = trio.current_time() + len(callers.accepted_at_by_job) / READS_PER_SECOND + CALL_SECONDS
+    nodes, accepted = len(callers.connections.addresses), len(callers.accepted_at_by_job)
+    gap_seconds = max(nodes / READS_PER_SECOND, 1 / NODE_READS_PER_SECOND)
+    latest = trio.current_time() + accepted * gap_seconds + CALL_SECONDS
     jobs = [
         job
         for job in sorted(callers.accepted_at_by_job)
@@ -81,7 +87,7 @@
         for job in jobs:
             item = (queue, job, callers.stable_key(job), 200)
             nursery.start_soon(_expect, callers, node, item, violations)
-            await trio.sleep(1 / READS_PER_SECOND)
+            await trio.sleep(gap_seconds)
 
 
 async def _expect(
--- a/tools/soak/link.py
+++ b/tools/soak/link.py
@@ -18,6 +18,11 @@
     bytes_per_second: float = float("inf")
     _free_at_by_direction: dict[str, float] = attrs.field(factory=dict)
 
+    @property
+    def is_unlimited(self) -> bool:
+        """Whether data takes no time."""
+        return self.bytes_per_second == float("inf")
+
     async def transmit(self, size: int, direction: str) -> None:
         """Return once the link has transmitted the bytes of this call and of earlier ones.
 
--- a/tools/soak/log.py
+++ b/tools/soak/log.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import time
 from collections.abc import Callable
 from datetime import datetime, timezone
@@ -15,6 +16,7 @@
 PROBE_SECONDS = 0.05
 NODE_PROBE_SECONDS = 0.5
 LOGGED_LAG_SECONDS = 0.3
+STAND_INS = "stand-ins"
 
 
 @attrs.define
@@ -24,10 +26,13 @@
     :param path: the file.
     :param lags: end on the trio clock, and length in seconds, of each long delay of a timer. A
         delay of the stand-ins looks like a silent store to the nodes.
+    :param waits: end and length of each time in which a node, or the stand-ins, waited long for a
+        processor. To a user it would be a machine that has slowed down.
     """
 
     path: Path
     lags: list[tuple[float, float]] = attrs.field(factory=list)
+    waits: list[tuple[float, float]] = attrs.field(factory=list)
 
     def longest_lag(self, since: float = 0.0) -> float:
         """Return the longest delay that ended since a time; 0 if none was long."""
@@ -61,11 +66,12 @@
         """
         waited_by_process: dict[int, float] = {}
         while True:
-            for node, process in process_ids().items():
+            for node, process in (*process_ids().items(), (STAND_INS, os.getpid())):
                 waited = _processor_wait(process)
                 seconds = waited - waited_by_process.get(process, 0.0)
                 waited_by_process[process] = waited
                 if seconds >= LOGGED_LAG_SECONDS:
+                    self.waits.append((trio.current_time(), NODE_PROBE_SECONDS))
                     self.write("node-waited-for-processor", node=node, seconds=round(seconds, 3))
             await trio.sleep(NODE_PROBE_SECONDS)
 
--- a/tools/soak/proxy.py
+++ b/tools/soak/proxy.py
@@ -111,10 +111,13 @@
         source, sink = (client, target) if direction == "up" else (target, client)
         try:
             while data := await source.receive_some(CHUNK_BYTES):
-                await trio.sleep(self.delay)
-                for start in range(0, len(data), PIECE_BYTES):
-                    piece = data[start : start + PIECE_BYTES]
-                    await self.link.transmit(len(piece), direction)
+                if self.delay:
+                    await trio.sleep(self.delay)
+                size = len(data) if self.link.is_unlimited else PIECE_BYTES
+                for start in range(0, len(data), size):
+                    piece = data[start : start + size]
+                    if not self.link.is_unlimited:
+                        await self.link.transmit(len(piece), direction)
                     if direction in self.dropped_directions or self._cuts:
                         connection.dropped_directions |= {direction}
                     if direction not in connection.dropped_directions:
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -10,7 +10,7 @@
 from mimosapoint.testing.crash_checks import may_be_given_up
 
 from tools.soak.callers import Callers
-from tools.soak.checks import find_violations
+from tools.soak.checks import calm_times, find_violations
 from tools.soak.configurations import MAX_ATTEMPTS
 from tools.soak.connections import Connections
 from tools.soak.end_checks import failed_attempts
@@ -19,6 +19,7 @@
 from tools.soak.reads import StateReads
 from tools.soak.schedule import inject_faults, inject_phases
 from tools.soak.site import SoakSite
+from tools.soak.usage import Usage
 
 __all__ = ["Result", "run_seed"]
 
@@ -42,12 +43,16 @@
     :param faults: names of the injected faults.
     :param accepted: number of accepted jobs.
     :param lag: longest delay of the stand-ins in seconds.
+    :param usage: most memory and processor time that was in use.
+    :param calm: seconds without disturbances, in which no job may stand still.
     """
 
     violations: list[str]
     faults: list[str]
     accepted: int
     lag: float
+    usage: Usage
+    calm: float
 
 
 async def run_seed(seed: int, folder: Path, earlier_build: Path | None = None) -> Result:
@@ -64,6 +69,7 @@
             await site.start()
             callers = Callers(site, Random(seed + 1), Connections(site.addresses))
             violations = await wait_ready(callers)
+            site.ready_at = trio.current_time()
             await trio.sleep(WARM_UP_SECONDS)
             injected: list[str] = []
             async with trio.open_nursery() as background:
@@ -97,7 +103,9 @@
                 await site.stop()
         violations += find_violations(site, callers)
         nursery.cancel_scope.cancel()
-    return Result(violations, injected, len(callers.accepted_at_by_job), site.log.longest_lag())
+    accepted, lag = len(callers.accepted_at_by_job), site.log.longest_lag()
+    calm = sum(ended_at - began_at for began_at, ended_at in calm_times(site))
+    return Result(violations, injected, accepted, lag, site.usage, calm)
 
 
 async def _upgrade_nodes(site: SoakSite) -> None:
--- a/tools/soak/site.py
+++ b/tools/soak/site.py
@@ -42,6 +42,7 @@
 from tools.soak.outages import StoreOutages
 from tools.soak.profile import Profile
 from tools.soak.proxy import Proxy
+from tools.soak.usage import Usage
 from tools.soak.zones import Zones
 
 __all__ = ["CONFIGURATION_MS", "SoakSite"]
@@ -94,6 +95,7 @@
         self.earlier_build = earlier_build
         self.folder = folder
         self.log = SoakLog(folder / "soak.log")
+        self.usage = Usage()
         self.nursery = nursery
         self.store = MemoryTransactionStore(TrioClock())
         self.configurations = Configurations(self.store)
@@ -114,6 +116,7 @@
         self.crashing_job_periods = 0
         self.disturbances: list[Disturbance] = []
         self.planned_work: list[PlannedWork] = []
+        self.ready_at = 0.0
         self.stopped_at = float("inf")
         self.processes: list[trio.Process | None] = []
         self._builds = [earlier_build or ROOT for _ in profile.mbps_by_node]
@@ -144,6 +147,7 @@
         self.nursery.start_soon(self._follow_owner)
         self.nursery.start_soon(self.log.run_lag_probe)
         self.nursery.start_soon(self.log.run_wait_probe, self._process_ids)
+        self.nursery.start_soon(self.usage.run_probe, self._process_ids, self.log)
 
     def _store_app(self) -> Callable[..., Any]:
         if self.profile.is_deployment:
