Count a crash as known only if the run was known to be on the worker

Seen by callers: a job is shown as failed although one worker, or none, has crashed under its task.

Cause: a crash counted as known once the incarnation of the worker had ended, whether or not the run was there. A start without a reply may never have reached the worker. A later owner took each restart for a crash under the start that it found recorded, though the run may have ended before.

Ruled out: that the end of a run is lost while its owner goes on, as the worker lists the end until it is acknowledged.

Change: a record is confirmed if this owner knew the run to be on the worker. What a later owner finds counts as a loss only.

--- a/packages/mimosapoint/src/mimosapoint/cell/crash_blame.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/crash_blame.py
@@ -115,18 +115,20 @@
     def _record_all(self, loss: WorkerLoss, task_runs: Iterable[TaskRun]) -> None:
         """Record a loss for runs that may have caused it."""
         is_sole = len({run.unit for run in loss.suspects}) == 1
-        is_certain = is_sole and loss.is_over and not self._has_recent_unexplained(loss.at)
+        is_unambiguous = is_sole and not self._has_recent_unexplained(loss.at)
         for run in task_runs:
             if run.unit is not None:
                 is_early = self._is_early(run)
+                # Without a reply or report, the start may never have reached the worker.
+                is_confirmed = loss.is_over and run.confirmed_ms is not None
                 crash = WorkerCrash(
                     run=run.run,
                     worker=loss.worker.id,
                     is_early=is_early,
                     is_sole=is_sole,
-                    is_conclusive=is_certain and is_early,
+                    is_conclusive=is_unambiguous and is_confirmed and is_early,
                     found_at=loss.at,
-                    is_confirmed=loss.is_over,
+                    is_confirmed=is_confirmed,
                 )
                 self._record(run.unit, run.task, crash)
 
--- a/packages/mimosapoint/src/mimosapoint/cell/recovery/suspect_starts.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/recovery/suspect_starts.py
@@ -37,17 +37,10 @@
         if task_run is not None and task_run.run == start.run:
             continue
         session = sessions_by_id.get(worker)
-        is_confirmed = session is not None and (
-            session.is_replaced or _is_other(session.incarnation, born)
-        )
-        if is_confirmed or session is None or not session.synced:
-            crash = WorkerCrash(
-                start.run,
-                worker,
-                is_early=True,
-                is_sole=start.is_sole,
-                is_confirmed=is_confirmed,
-            )
+        is_over = session is None or session.is_replaced or _is_other(session.incarnation, born)
+        if is_over or not session.synced:
+            # Not confirmed: the run may have ended before the worker did.
+            crash = WorkerCrash(start.run, worker, is_early=True, is_sole=start.is_sole)
             blame.record(unit, task, crash)
 
 
--- a/packages/mimosapoint/src/mimosapoint/workload/crashes.py
+++ b/packages/mimosapoint/src/mimosapoint/workload/crashes.py
@@ -26,8 +26,9 @@
         all tasks that may have caused the crash; ``None`` if it was found by a later owner.
     :param is_explained: whether it counts for the limit of losses only: another task, which was
         given up, has caused it, or a later owner found the worker of a first start to be lost.
-    :param is_confirmed: whether the incarnation of the worker has certainly ended; otherwise it may
-        merely not be reachable. Earlier versions did not record this.
+    :param is_confirmed: whether the incarnation of the worker that had the run has certainly ended;
+        otherwise the worker may merely not be reachable, or may never have had the run, or not any
+        more. Earlier versions did not record this.
     """
 
     run: int
