Count a first loss also if its worker is back when the next owner asks

Seen by callers: a task that crashes its workers is started three times after its third crash if each of four owners ends at the moment of a crash; six workers crash.

Evidence: test_owners_that_end_at_each_crash_count_them_together failed before (six crashes) and passes now.

Change: a first start whose run is on no worker counts as a loss whether or not the worker was heard. It is no evidence against the task and does not make it a suspect.

--- a/packages/mimosapoint/src/mimosapoint/cell/recovery/suspect_starts.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/recovery/suspect_starts.py
@@ -30,7 +30,7 @@
     if unit.job.progress.starts.get(unit.id.key) != start:
         return
     if not start.born:
-        _review_first_start(unit, start, sessions_by_id, blame)
+        _review_first_start(unit, start, blame)
         return
     for task, worker, born in zip(unit.tasks, start.workers, start.born, strict=True):
         task_run = unit.task_runs_by_task.get(task)
@@ -44,22 +44,15 @@
             blame.record(unit, task, crash)
 
 
-def _review_first_start(
-    unit: Unit,
-    start: UnitStart,
-    sessions_by_id: Mapping[str, WorkerSession],
-    blame: CrashBlame,
-) -> None:
-    """Record the losses under a start of a unit that was not suspected.
+def _review_first_start(unit: Unit, start: UnitStart, blame: CrashBlame) -> None:
+    """Record a loss under a start of a unit that was not suspected, if its run is on no worker.
 
     If the task crashes its workers, this may be the crash that no owner has seen. It is no evidence
     against the task, and counts for the limit of losses only.
     """
     crashes = unit.job.progress.crashes
     for task, worker in zip(unit.tasks, start.workers, strict=True):
-        session = sessions_by_id.get(worker)
-        is_lost = session is None or not session.synced
-        if is_lost and task not in unit.task_runs_by_task and task.key not in crashes:
+        if task not in unit.task_runs_by_task and task.key not in crashes:
             blame.record(unit, task, WorkerCrash(start.run, worker, is_explained=True))
 
 
--- a/packages/mimosapoint/src/mimosapoint/cell/tests/test_crashing_tasks.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_crashing_tasks.py
@@ -206,6 +206,17 @@
             await site.wait_phase("deadly", Phase.FAILED, within=120)
             self.assert_given_up(site)
 
+    # Guards against a sixth start when each owner ends at the moment of a crash.
+    async def test_owners_that_end_at_each_crash_count_them_together(self):
+        async with open_site(nodes=8, workers=14) as site:
+            site.simulation.crashing_tasks.add(first_task("deadly"))
+            await site.submit("deadly", Step(1, SMALL))
+            for count in range(1, 5):
+                await self.wait_crashes(site, "deadly", count, within=60)
+                site.owner.kill()
+            await site.wait_phase("deadly", Phase.FAILED, within=120)
+            self.assert_given_up(site)
+
     async def replace_crashed(self, site, returns):
         """Let another worker reply at the address of a crashed one, or nothing."""
         replaced = set()
