Answer many reads at once within the time of their callers

Seen by callers: of hundreds of jobs that are asked for at one node at once, most get 503 after some seconds, on a node with a fast link too.

Cause: each read makes two or three calls to the store over 16 connections, and the second that a call may take includes its wait for a connection. So reads that wait fail after 1 s and are forwarded, or repeated by their callers, which costs as much as the read itself; the node does less the more it is asked. The third call read the job again whenever it had no progress.

Old builds: nothing is stored or sent.

--- a/packages/mimosapoint/src/mimosapoint/cell/stored_job.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/stored_job.py
@@ -13,7 +13,8 @@
 
     The two reads are not a snapshot: the job may be removed between them, and its id may be
     accepted again. Where the entries may be of two jobs, the one that was read too early is read
-    again.
+    again. A job without progress needs no second read if it was read at a later revision: it has
+    been without progress at some time since the call began.
 
     :param store: the store.
     :param job_id: id of the job.
@@ -32,7 +33,15 @@
     record = reads_by_key[record_key].entry
     progress = reads_by_key[stored_progress_key].entry
     if progress is None:
-        await read(record_key)
+        if not _is_read_before(reads_by_key[stored_progress_key], reads_by_key[record_key]):
+            await read(record_key)
     elif record is not None and progress.revision < record.revision:
         await read(stored_progress_key)
     return reads_by_key[record_key], reads_by_key[stored_progress_key].entry
+
+
+def _is_read_before(first: KeyRead, second: KeyRead) -> bool:
+    """Return whether the first read is known to be of the same or an earlier revision."""
+    if first.revision is None or second.revision is None:
+        return False
+    return first.revision <= second.revision
--- a/tools/tests/test_planned_work.py
+++ b/tools/tests/test_planned_work.py
@@ -8,6 +8,7 @@
 from tools.tests._node_processes import open_node_processes, request_bytes
 
 JOB = "00112233445566ff"
+READS = 100
 
 
 KILL_SECONDS = 6.0
@@ -61,6 +62,28 @@
         statuses.append(await connection.reply())
 
 
+class ManyReadsTest(TrioTestCase):
+    # Guards against reads that get no state in the 3 s for which callers wait, as they wait for a
+    # connection to the store, fail after 1 s, and take part in the load once more elsewhere.
+    async def test_many_reads_at_once_are_answered_in_time(self):
+        async with open_node_processes() as nodes:
+            await nodes.start("a")
+            await nodes.wait_ready("a")
+            nodes.store_delay = 0.1
+            streams = [await nodes.connect("a") for _ in range(READS)]
+            statuses = []
+            began_at = trio.current_time()
+            async with trio.open_nursery() as nursery:
+                for number, connection in enumerate(streams):
+                    nursery.start_soon(self.append_status, connection, number, statuses)
+            self.assertLess(trio.current_time() - began_at, 3)
+            self.assertEqual([410] * READS, statuses)
+
+    async def append_status(self, connection, number, statuses):
+        await connection.stream.send_all(request_bytes("GET", f"{number:016x}"))
+        statuses.append(await connection.reply())
+
+
 class ReloadTest(TrioTestCase):
     # Guards against a node that a changed settings file ends, as SIGHUP comes while it starts.
     async def test_sighup_does_not_end_a_node_that_is_starting(self):
