--- a/tools/soak/log.py
+++ b/tools/soak/log.py
@@ -64,7 +64,8 @@
 
         :param process_ids: returns the process id of each running node by number.
         """
-        waited_by_process: dict[int, float] = {}
+        # This process may have waited in other seeds before.
+        waited_by_process = {os.getpid(): _processor_wait(os.getpid())}
         while True:
             for node, process in (*process_ids().items(), (STAND_INS, os.getpid())):
                 waited = _processor_wait(process)
--- a/tools/soak/usage.py
+++ b/tools/soak/usage.py
@@ -45,9 +45,10 @@
 
         :param process_ids: returns the process id of each running node by number.
         """
-        seconds_by_process: dict[int, float] = {}
+        stand_ins = os.getpid()
+        # This process may have run other seeds before.
+        seconds_by_process = {stand_ins: _processor_seconds(stand_ins)}
         while True:
-            stand_ins = os.getpid()
             nodes = list(process_ids().values())
             mb_by_process = {process: _memory_mb(process) for process in (*nodes, stand_ins)}
             cores_by_process = {}
