Let a node that cannot decide leave the claim of a cell to others

Cause: a node claimed the cell whether or not it had a fresh configuration, and an owner without one may start nothing. After a kill of all nodes or a loss of power every candidate has just started.

Change: a candidate waits until its view is fresh, at most twice the delay of a fallback claim, and then checks once more that the cell has no owner. It claims in the end without one: the leases of the workers need an owner.

Old builds: they claim as before; nothing that is stored has changed.

--- a/packages/mimosapoint/src/mimosapoint/cell/core.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/core.py
@@ -76,6 +76,7 @@
             telemetry,
             random,
             transport.address if transport else "",
+            self.view.is_fresh,
         )
         self._relay_manager = (
             RelayManager(transport, workers, self._election, telemetry) if transport else None
--- a/packages/mimosapoint/src/mimosapoint/cell/election.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/election.py
@@ -1,5 +1,6 @@
 """Owner election of a cell: one node at a time owns it, under a lease and with a rising epoch."""
 
+from collections.abc import Callable
 from datetime import datetime
 from random import Random
 
@@ -26,6 +27,9 @@
 """Most digits of an epoch, so that fencing tokens and run numbers, of which it is the high part,
 stay below 2^63."""
 
+ABILITY_PROBE_SECONDS = 0.05
+"""Interval at which a candidate checks whether it can decide, in seconds."""
+
 __all__ = ["Ownership", "OwnerElection", "CellOwnerRecord"]
 
 
@@ -87,6 +91,7 @@
     :param random: source of the random delays before claims.
     :param relay_address: address to which relay nodes connect while this node is the owner; empty
         if it never wants any.
+    :param can_decide: returns whether this node could start work if it were the owner now.
     """
 
     def __init__(
@@ -98,6 +103,7 @@
         telemetry: Telemetry,
         random: Random,
         relay_address: str = "",
+        can_decide: Callable[[], bool] = lambda: True,
     ):
         self.owner = CellOwnerRecord("")
         self.owner_changed = trio.Event()
@@ -108,6 +114,7 @@
         self._settings = settings
         self._telemetry = telemetry
         self._random = random
+        self._can_decide = can_decide
         self._availability = StoreAvailability("election", telemetry)
 
     async def acquire(self) -> Ownership:
@@ -116,7 +123,8 @@
             try:
                 epoch = await self._wait_until_unowned()
                 await trio.sleep(self._claim_delay())
-                if not self._settings.is_preferred_owner:
+                has_waited = await self._wait_until_able()
+                if has_waited or not self._settings.is_preferred_owner:
                     epoch = await self._wait_until_unowned()
                 ownership = await self._try_acquire(epoch)
                 if ownership is not None:
@@ -179,6 +187,19 @@
             delay += self._settings.fallback_claim_delay.total_seconds()
         return delay
 
+    async def _wait_until_able(self) -> bool:
+        """Wait until this node can decide, or the others had time to claim; return whether it did.
+
+        An owner without a configuration starts nothing, and may need seconds to read it. If no node
+        has one, the workers need an owner all the same, as their leases run out.
+        """
+        if self._can_decide():
+            return False
+        with trio.move_on_after(2 * self._settings.fallback_claim_delay.total_seconds()):
+            while not self._can_decide():
+                await trio.sleep(ABILITY_PROBE_SECONDS)
+        return True
+
     async def _wait_until_unowned(self) -> Entry | None:
         """Wait until the cell has no owner and return the epoch's entry, if any."""
         await self._availability.wait_reply(self._store, self._settings)
