Count workers that are put aside as part of their service

Seen by callers: a job stands still for 22 s behind a gang, with 16 of 96 accelerators of its service in use, and room for it 16 times over, while 8 of 12 workers are put aside for failures.

Cause: half of the service was counted on the usable workers only, so that a service of which most workers are put aside for some seconds counts as half full.

Change: the decisions get the workers that make up the services: the usable ones, those put aside, and those that refused a start as unhealthy. Silent and draining workers do not count.

Old builds: nothing is stored or sent.

--- a/packages/mimosapoint/src/mimosapoint/cell/decision_maker.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/decision_maker.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from datetime import datetime
 
 from mimosapoint.cell.decisions.context import DecisionContext
@@ -39,6 +39,7 @@
     :param durations: expected run times.
     :param start_limiter: limit of concurrent starts.
     :param recovery: runs of earlier owners that are not known.
+    :param service_workers: returns the workers that make up the services.
     """
 
     def __init__(
@@ -51,6 +52,7 @@
         durations: Durations,
         start_limiter: StartLimiter,
         recovery: Recovery,
+        service_workers: Callable[[], list[Worker]],
     ):
         self._view = dependencies.view
         self._telemetry = dependencies.telemetry
@@ -61,6 +63,7 @@
         self._durations = durations
         self._start_limiter = start_limiter
         self._recovery = recovery
+        self._service_workers = service_workers
         self._faulty_jobs: set[str] = set()
         self._planner = self._make_planner()
         self._last_plan = Plan()
@@ -116,6 +119,7 @@
             self._durations,
             self._limits.ledger(),
             self._limits.shares(),
+            self._service_workers(),
         )
 
     def reserving_units(self, unit: Unit) -> list[Unit]:
--- a/packages/mimosapoint/src/mimosapoint/cell/decisions/ample_room.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/decisions/ample_room.py
@@ -43,7 +43,7 @@
     ) -> None:
         """Take the present use into account.
 
-        :param workers: the usable workers.
+        :param workers: the workers that make up the services.
         :param configuration: configuration in force.
         :param quotas: use of the capped workspaces, before anything is planned.
         :param now: present time.
--- a/packages/mimosapoint/src/mimosapoint/cell/decisions/context.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/decisions/context.py
@@ -1,5 +1,6 @@
 """What every part of one decision needs to know."""
 
+from collections.abc import Sequence
 from datetime import datetime
 
 import attrs
@@ -7,6 +8,7 @@
 from mimosapoint.cell.decisions.durations import DeclaredDurations, Durations
 from mimosapoint.cell.decisions.quotas import QuotaLedger
 from mimosapoint.cell.decisions.shares import Shares
+from mimosapoint.cell.decisions.worker import Worker
 from mimosapoint.workload import CellConfiguration
 
 __all__ = ["DecisionContext"]
@@ -22,6 +24,7 @@
     :param durations: expected run times.
     :param quotas: what the capped workspaces use; the planner adds what it plans.
     :param shares: which jobs exceed the shares of their workspaces.
+    :param service_workers: workers that make up the services; by default the usable ones.
     """
 
     configuration: CellConfiguration
@@ -30,3 +33,4 @@
     durations: Durations = attrs.field(factory=DeclaredDurations)
     quotas: QuotaLedger = attrs.field(factory=QuotaLedger)
     shares: Shares = attrs.field(factory=Shares)
+    service_workers: Sequence[Worker] = ()
--- a/packages/mimosapoint/src/mimosapoint/cell/decisions/planner.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/decisions/planner.py
@@ -79,7 +79,8 @@
         state = PlacementState(workers, context.now, self._demand_mix, context.durations)
         decision = Decision(context, active, state, Reservations(state, context))
         room = self._ample_room
-        room.update(workers, context.configuration, context.quotas, context.now)
+        service_workers = context.service_workers or workers
+        room.update(service_workers, context.configuration, context.quotas, context.now)
         ordered = self.order(waiting, workers, context)
         # Urgent units come first: what is held for them, or freed by their victims, is theirs.
         urgent_count = bisect_right(ordered, URGENT_PRIORITY, key=decision.priority_of)
@@ -111,15 +112,13 @@
 
     def _start_overdue(self, decision: Decision, overdue: Iterable[Unit]) -> None:
         """Start one unit of each job that has stood still for too long, before any reservation."""
-        state = decision.placement_state
+        state, quotas = decision.placement_state, decision.context.quotas
         started_jobs: set[str] = set()
         unfit_keys: set[tuple] = set()
         for unit in overdue:
             # Whether a suspect fits depends on how long it has waited, too.
             key = (*fit_key(unit), unit.id if unit.is_suspect else None)
-            if unit.id.job in started_jobs or key in unfit_keys:
-                continue
-            if decision.context.quotas.find_obstacle(unit) is not None:
+            if unit.id.job in started_jobs or key in unfit_keys or quotas.find_obstacle(unit):
                 continue
             let_span(state, [unit], decision.pool_of)
             place = self._place_suspect if unit.is_suspect else self._place
--- a/packages/mimosapoint/src/mimosapoint/cell/fleet.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/fleet.py
@@ -7,6 +7,7 @@
 
 from mimosapoint.cell.decisions.departures import LeavingWorker
 from mimosapoint.cell.decisions.durations import Durations
+from mimosapoint.cell.decisions.worker import Worker
 from mimosapoint.cell.decisions.worker_loss import WorkerLoss
 from mimosapoint.cell.election import Ownership
 from mimosapoint.cell.freshness import Freshness
@@ -33,6 +34,9 @@
 """Largest share of the usable workers that are excluded for being slow; the faults that the
 platform documents slow down a seventh of the workers."""
 
+PASSING_REASONS = ("put-aside", "unhealthy")
+"""Reasons for which a worker in contact gets no new work for some seconds."""
+
 GAP = None
 """Item of the roster that names no worker: there may be runs on workers that it does not list."""
 
@@ -125,6 +129,15 @@
             return usable
         return [session for session in usable if not session.worker.slow_detector.is_slow(now)]
 
+    def service_workers(self) -> list[Worker]:
+        """Return the workers that make up the services: the usable ones and those put aside."""
+        now = self._clock.now()
+        return [
+            session.worker
+            for session in self.sessions_by_id.values()
+            if session.unusable_reason(now) in ("", *PASSING_REASONS)
+        ]
+
     def losses(self) -> Iterator[WorkerLoss]:
         """Yield the present or last loss of each worker that has one."""
         for session in self.sessions_by_id.values():
--- a/packages/mimosapoint/src/mimosapoint/cell/owner.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/owner.py
@@ -137,6 +137,7 @@
             self.durations,
             self._start_limiter,
             self.recovery,
+            self.fleet.service_workers,
         )
         self.wait_explainer = WaitExplainer(
             dependencies,
@@ -348,7 +349,7 @@
 
     def _update_room(self, room: AmpleRoom) -> None:
         configuration = self._dependencies.view.configuration
-        room.update(self._usable_workers(), configuration, self._limits.ledger(), self.now())
+        room.update(self.fleet.service_workers(), configuration, self._limits.ledger(), self.now())
 
     def _start_obstacle(self) -> WaitExplanation | None:
         """Return why nothing may start at present; ``None`` if units may start."""
--- a/packages/mimosapoint/src/mimosapoint/cell/tests/test_standing_jobs.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_standing_jobs.py
@@ -74,6 +74,20 @@
             await site.wait_running("small", within=STANDSTILL_SECONDS)
             await site.wait_running("gang", 12, within=40)
 
+    # Guards against a service that counts as half full, since most workers are put aside.
+    async def test_workers_that_are_put_aside_are_part_of_the_service(self):
+        async with open_site(workers=12) as site:
+            site.simulation.run_time = LONG_RUN
+            sessions = list(site.owner.cell.owner.fleet.sessions_by_id.values())
+            for session in sessions[4:]:
+                session.worker.health.quarantined_until = site.clock.now() + timedelta(minutes=1)
+            for job in ("first", "second"):
+                await site.submit(job, Step(1, WIDE))
+                await site.wait_running(job)
+            await site.submit("gang", Step(4, WIDE, gang=True))
+            await site.submit("small", Step(1, SMALL))
+            await site.wait_running("small", within=STANDSTILL_SECONDS)
+
     # Guards against a gang that waits for a rack while the other racks have room for it twice over.
     async def test_a_gang_does_not_wait_for_a_rack_without_a_bound(self):
         async with open_site(workers=12) as site:
