--- a/packages/mimosapoint/src/mimosapoint/cell/tests/test_broken_versions.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_broken_versions.py
@@ -1,5 +1,7 @@
 """Tests that the checks find versions of the cell that lose accepted jobs, each in its own way."""
 
+from datetime import timedelta
+from random import Random
 from unittest import mock
 
 import trio
@@ -9,11 +11,13 @@
 from mimosapoint.cell.decisions.planner import Planner
 from mimosapoint.cell.gateway import CellGateway
 from mimosapoint.cell.job_table import CellJobTable
+from mimosapoint.cell.tests._recorded_site import open_recorded_site
+from mimosapoint.cell.tests._site import SMALL
 from mimosapoint.cell.tests.test_fault_pairs import RECLAIM_UNDER_FAULTS_SECONDS, play
 from mimosapoint.errors import JobNotFound
 from mimosapoint.testing import TrioTestCase
 from mimosapoint.testing.cell_checks import check_cell
-from mimosapoint.workload import Phase
+from mimosapoint.workload import Phase, Step
 
 TRUE_REPLIES = "callers get the whole answer to their own request"
 KNOWN_JOBS = "accepted jobs are never lost"
@@ -30,7 +34,7 @@
     table._end(unit.job, Phase.FAILED)
 
 
-def is_given_up_after_silences(crashes, max_worker_crashes):
+def is_given_up_after_losses(crashes, max_worker_crashes):
     """Count workers that are only silent, and two incarnations of one, as workers that crashed."""
     weight = sum(crash.weight for crash in crashes)
     is_proven = any(crash.is_sole and not crash.is_explained for crash in crashes)
@@ -59,6 +63,28 @@
     return await read_phase(gateway, workspace, job_id, *timeout)
 
 
+async def play_silences():
+    """Cut off the workers of a task one after the other, shortly after its start there."""
+    async with open_recorded_site(Random(1)) as site:
+        site.simulation.run_time = timedelta(seconds=5)
+        with site.disturbed("workers cut off"):
+            await site.call_submit("job", Step(1, SMALL))
+            for count in range(1, 4):
+                with trio.move_on_after(20):
+                    while len(site.runs("job")) < count:
+                        await trio.sleep(0.05)
+                worker = site.simulation.workers_by_id[site.runs("job")[-1].worker]
+                faults = site.workers.network_faults_by_address[worker.registration.address]
+                faults.partitioned = True
+        with trio.move_on_after(40):
+            while not site.phase("job").ended:
+                await trio.sleep(0.5)
+        for faults in site.workers.network_faults_by_address.values():
+            faults.partitioned = False
+        await site.read_final_phases()
+    return site.history
+
+
 class BrokenVersionTest(TrioTestCase):
     mock_clock = True
 
@@ -77,14 +103,24 @@
         )
         self.assertLessEqual({TRUE_REPLIES, KNOWN_JOBS}, promises)
 
-    # Guards against checks that take a silence for a crash, or one worker for two.
-    def test_a_job_that_is_given_up_after_silences_is_found(self):
+    # Guards against checks that take two crashes of one worker for crashes of two.
+    def test_a_job_that_is_given_up_after_the_crashes_of_one_worker_is_found(self):
         faults = ("worker partitioned", "task crashing its workers")
         promises = self.violated(
-            crash_blame, "is_given_up", is_given_up_after_silences, *faults, seed=2
+            crash_blame, "is_given_up", is_given_up_after_losses, *faults, seed=2
         )
         self.assertLessEqual({TRUE_REPLIES, KNOWN_JOBS}, promises)
 
+    # Guards against checks that take a silence for a crash.
+    def test_a_job_that_is_given_up_after_silences_is_found(self):
+        with mock.patch.object(crash_blame, "is_given_up", is_given_up_after_losses):
+            history = trio.run(play_silences, clock=self._make_clock())
+        self.assertEqual([], history.worker_crashes)
+        promises = {result.promise for result in check_cell(history) if result.violations}
+        self.assertEqual({TRUE_REPLIES, KNOWN_JOBS}, promises)
+        history = trio.run(play_silences, clock=self._make_clock())
+        self.assertEqual([], [r.promise for r in check_cell(history) if r.violations])
+
     # Guards against checks that accept a cancellation of any job.
     def test_a_cancellation_of_another_job_is_found(self):
         promises = self.violated(CellJobTable, "cancel", cancel_another)
