Close a connection after the refusal of a stopping node

Seen by callers: a caller with an open connection to a stopping node gets 503 for each request of its last 2.8 s, as its connection stays there.

The test of late requests, which now requires the header, failed before.

Change: the refusal has `Connection: close`, so that the caller's next connection leads to another node.

--- a/packages/mimosapoint-node/src/mimosapoint_node/http/_exchange.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/http/_exchange.py
@@ -107,21 +107,23 @@
         while (await self._receive())["type"] != "http.disconnect":
             pass
 
-    async def reply(self, reply: Reply, trace: str | None) -> None:
+    async def reply(self, reply: Reply, trace: str | None, close: bool = False) -> None:
         """Discard the rest of the body, within limits, and send the whole reply.
 
         An HTTP/1.1 connection is closed after a reply that precedes the end of the body, possibly
         while the caller is still sending.
+
+        :param close: whether an HTTP/1.1 connection is closed after the reply in any case.
         """
         await self._discard_body()
-        await self._send_reply(reply, trace)
+        await self._send_reply(reply, trace, close)
 
-    async def reply_and_close(self, reply: Reply) -> None:
-        """Send the whole reply at once; an HTTP/1.1 connection is closed after it."""
-        await self._send_reply(reply, None)
+    async def reply_at_once(self, reply: Reply) -> None:
+        """Send the whole reply and close the connection, without waiting for the body."""
+        await self._send_reply(reply, None, close=True)
 
-    async def _send_reply(self, reply: Reply, trace: str | None) -> None:
-        headers = self._reply_headers(reply, trace)
+    async def _send_reply(self, reply: Reply, trace: str | None, close: bool) -> None:
+        headers = self._reply_headers(reply, trace, close)
         start = {"type": "http.response.start", "status": reply.status, "headers": headers}
         async with trio.open_nursery() as nursery:
             if not self._ended:
@@ -153,7 +155,9 @@
         if is_number and (len(text) > MAX_LENGTH_DIGITS or int(text) > self._limits.body_bytes):
             raise BodyTooLarge(f"the body is over {self._limits.body_bytes} bytes")
 
-    def _reply_headers(self, reply: Reply, trace: str | None) -> list[tuple[bytes, bytes]]:
+    def _reply_headers(
+        self, reply: Reply, trace: str | None, close: bool
+    ) -> list[tuple[bytes, bytes]]:
         headers = [
             ("content-type", reply.content_type),
             ("content-length", str(len(reply.body))),
@@ -161,6 +165,6 @@
         ]
         if trace is not None:
             headers.append(("traceparent", trace))
-        if not self._ended and self._scope["http_version"] == "1.1":
+        if (close or not self._ended) and self._scope["http_version"] == "1.1":
             headers.append(("connection", "close"))
         return [(name.encode("ascii"), value.encode("latin-1")) for name, value in headers]
--- a/packages/mimosapoint-node/src/mimosapoint_node/http/_open_request.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/http/_open_request.py
@@ -70,7 +70,9 @@
         """
         self._is_refused = True
         with self._serving:
-            await self._exchange().reply(problem_reply(ShuttingDown("the node is stopping")), None)
+            # The caller's next connection leads to another node.
+            reply = problem_reply(ShuttingDown("the node is stopping"))
+            await self._exchange().reply(reply, None, close=True)
         return self._serving.cancelled_caught
 
     def end(self) -> None:
@@ -85,7 +87,7 @@
         else:
             error = OutcomeUnknown("the node has stopped before the request was done")
             reply = problem_reply(error, UNKNOWN_OUTCOME_STATUS)
-        await self._exchange().reply_and_close(reply)
+        await self._exchange().reply_at_once(reply)
         return reply
 
     def _exchange(self) -> Exchange:
--- a/packages/mimosapoint-node/src/mimosapoint_node/http/tests/test_server.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/http/tests/test_server.py
@@ -259,6 +259,8 @@
                 late = await pool.request("POST", f"{url}/v1/jobs", content=body, headers=key())
                 self.assertEqual(503, late.status)
                 self.assertEqual("shutting-down", orjson.loads(late.content)["code"])
+                if not http2:
+                    self.assertIn((b"connection", b"close"), late.headers)
                 self.assertEqual([], node.jobs.requests)
 
     # Guards against a request without a reply, as the node closes the connection as idle although
