Find a job after its queue has become public, or has ceased to be

Seen by callers: 410 for an accepted job after a configuration that makes its queue public, or no longer public; the job has another workspace than its callers then, or none.

Cause: a job was found only by the workspace that had submitted it.

Evidence: found by reading; no run has shown it, and it is not known whether operators change that field.

Change: a caller that names the job's queue also finds it if the queue is public now, or if the job has no workspace. Jobs of other queues, and of other workspaces of a queue that is not public, remain unknown.

--- a/packages/mimosapoint/src/mimosapoint/cell/gateway.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/gateway.py
@@ -260,11 +260,16 @@
         raise OutcomeUnknown("the store did not answer", retry_after=self._retry_after())
 
     async def phase(
-        self, workspace: str, job_id: str, timeout: timedelta = DEFAULT_TIMEOUT
+        self,
+        workspace: str,
+        job_id: str,
+        timeout: timedelta = DEFAULT_TIMEOUT,
+        queue: Queue | None = None,
     ) -> Phase:
         """Return the phase of a job.
 
         :param timeout: time within which the store must have answered.
+        :param queue: queue that the caller names; ``None`` if it names none.
         :raises JobNotFound: the workspace has no such job.
         :raises StoreUnavailable: the store did not answer; the call had no effect.
         """
@@ -273,7 +278,7 @@
             raise StoreUnavailable("the store is unavailable", retry_after=self._retry_after())
         with self._telling_retry_delay(timeout, is_read=True):
             record, progress = await read_stored_job(self._store, job_id)
-        self._lookup.require(record, workspace, job_id)
+        self._lookup.require(record, workspace, job_id, queue)
         if progress is None:
             return Phase.QUEUED
         phase = self._lookup.decode(progress, JobProgress).phase
@@ -282,18 +287,24 @@
         return phase
 
     async def cancel(
-        self, workspace: str, job_id: str, timeout: timedelta = DEFAULT_TIMEOUT
+        self,
+        workspace: str,
+        job_id: str,
+        timeout: timedelta = DEFAULT_TIMEOUT,
+        queue: Queue | None = None,
     ) -> None:
         """Cancel a job; has no effect on an ended one.
 
         :param timeout: time within which the store must have answered.
+        :param queue: queue that the caller names; ``None`` if it names none.
         :raises JobNotFound: the workspace has no such job.
         :raises StoreUnavailable: the job was not cancelled.
         :raises StoreTimeout: the job may have been cancelled.
         """
         write = Write(cancel_key(job_id), b"{}")
         with self._telling_retry_delay(timeout):
-            entry = await self._job_entry(workspace, job_id)
+            found = await self._store.read(job_key(job_id))
+            entry = self._lookup.require(found, workspace, job_id, queue)
             try:
                 await self._store.commit({entry.key: entry.revision, write.key: 0}, [write])
             except TransactionConflict as conflict:
@@ -333,9 +344,6 @@
             limit *= error.retry_share
         return max(RETRY_AFTER_MIN, min(error.retry_after, limit))
 
-    async def _job_entry(self, workspace: str, job_id: str) -> Entry:
-        return self._lookup.require(await self._store.read(job_key(job_id)), workspace, job_id)
-
     @contextmanager
     def _telling_retry_delay(self, timeout: timedelta, is_read: bool = False) -> Iterator[None]:
         """Limit the time of calls to the store, and add the retry delay to their errors.
--- a/packages/mimosapoint/src/mimosapoint/cell/job_lookup.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/job_lookup.py
@@ -6,7 +6,7 @@
 from mimosapoint.codec import decode
 from mimosapoint.errors import CodecError, JobNotFound, StoreTimeout
 from mimosapoint.ports import Entry, KeyRead, Telemetry
-from mimosapoint.workload import AcceptedJob
+from mimosapoint.workload import AcceptedJob, Queue
 
 __all__ = ["JobLookup"]
 
@@ -35,17 +35,25 @@
             self._telemetry.event("job-unreadable", key=entry.key, error=str(error))
             raise StoreTimeout(f"{entry.key} cannot be read") from error
 
-    def require(self, found: KeyRead, workspace: str, job_id: str) -> Entry:
+    def require(
+        self, found: KeyRead, workspace: str, job_id: str, queue: Queue | None = None
+    ) -> Entry:
         """Return the entry of a job of the workspace.
 
+        A queue may have become public, or ceased to be, since the job was accepted. Then the job
+        has another workspace than its callers, or none.
+
         :param found: read of the job.
+        :param queue: queue that the caller names, as it is now; ``None`` if the caller names none.
         :raises JobNotFound: there is no such job, or another workspace has it.
         """
         if found.entry is None:
             raise self.not_found(job_id, workspace, "absent", found.revision)
-        owner = self.decode(found.entry, AcceptedJob).tenant
-        if owner != workspace:
-            raise self.not_found(job_id, workspace, "workspace", found.revision, owner)
+        record = self.decode(found.entry, AcceptedJob)
+        is_of_queue = queue is not None and queue.name == record.queue
+        is_open = is_of_queue and (queue.public or not record.tenant)
+        if record.tenant != workspace and not is_open:
+            raise self.not_found(job_id, workspace, "workspace", found.revision, record.tenant)
         return found.entry
 
     def not_found(
--- a/packages/mimosapoint/src/mimosapoint/cell/tests/test_told_state.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_told_state.py
@@ -1,12 +1,14 @@
 """Tests that what callers and operators are told is stored, and that later owners read it."""
 
+from contextlib import nullcontext
 from datetime import timedelta
 
+import attrs
 import trio
 
 from mimosapoint.cell import CellReport, CellSettings
 from mimosapoint.cell.keys import cancel_key, job_key, progress_key
-from mimosapoint.cell.tests._site import SMALL, open_site
+from mimosapoint.cell.tests._site import QUEUES, SMALL, open_site
 from mimosapoint.errors import JobNotFound
 from mimosapoint.testing import TrioTestCase
 from mimosapoint.workload import Phase, RunEnd, Step
@@ -64,6 +66,32 @@
                         self.assertGreaterEqual(fields["revision"], revision)
 
 
+class PublicQueueTest(TrioTestCase):
+    mock_clock = True
+
+    # Guards against an accepted job that its callers are told does not exist, as its queue has
+    # become public, or has ceased to be.
+    async def test_a_job_is_found_after_its_queue_has_changed(self):
+        async with open_site(workers=2) as site:
+            gateway = site.other.cell.gateway
+            await site.submit("private", Step(1, SMALL))
+            await site.submit("public", Step(1, SMALL), workspace="")
+            queue, other = QUEUES[1], QUEUES[0]
+            cases = (
+                ("private", "", attrs.evolve(queue, public=True), True),
+                ("public", "t", queue, True),
+                ("private", "u", queue, False),
+                ("private", "", attrs.evolve(other, public=True), False),
+                ("public", "t", other, False),
+            )
+            for job, workspace, named, is_found in cases:
+                for call in (gateway.phase, gateway.cancel):
+                    with self.subTest(job=job, queue=named, call=call):
+                        refusal = nullcontext() if is_found else self.assertRaises(JobNotFound)
+                        with refusal:
+                            await call(workspace, job, queue=named)
+
+
 class RemovedJobTest(TrioTestCase):
     mock_clock = True
 
