Use one task for each connection's close, and one for the end of a stop

Each open connection had three tasks for its close. hypercorn's own event now says that nothing more is read, and the server ends the requests of all connections at the end of a stop.

--- a/packages/mimosapoint-node/src/mimosapoint_node/http/_connection.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/http/_connection.py
@@ -21,9 +21,6 @@
 IDLE_SECONDS = 0.05
 """Time without requests and sends, in seconds, after which shutdown closes a connection."""
 
-REPLY_SECONDS = 0.2
-"""Part of the shutdown timeout, in seconds, that is left for replies to requests that it ends."""
-
 
 class Connection:
     """Serves a connection and closes it once it is idle, which during shutdown takes no time.
@@ -49,13 +46,14 @@
         shutdown: trio.Event,
         telemetry: Telemetry,
     ):
-        self._stream = TrackedStream(stream, limits.send_timeout)
+        self._context = WorkerContext(None)
+        # hypercorn closes after the last reply once nothing more is read.
+        self._stream = TrackedStream(stream, limits.send_timeout, self._context.terminated)
         self._app = app
         self._config = config
         self._limits = limits
         self._shutdown = shutdown
         self._telemetry = telemetry
-        self._context = WorkerContext(None)
         self._requests: set[OpenRequest] = set()
         self._used_at = trio.current_time()
         self._is_ending = False
@@ -66,11 +64,15 @@
         state = ConnectionState({})
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._close_when_idle, nursery.cancel_scope)
-            nursery.start_soon(self._close_when_read)
-            nursery.start_soon(self._end_requests_at_stop)
             await TCPServer(app, self._config, self._context, state, self._stream)
             nursery.cancel_scope.cancel()
 
+    def end_requests(self) -> None:
+        """End the requests that are open, and those that follow, with a reply."""
+        self._is_ending = True
+        for request in self._requests:
+            request.end()
+
     async def _respond(self, scope: dict[str, Any], receive: Receive, send: Send) -> None:
         request = OpenRequest(scope, receive, send, self._limits)
         self._requests.add(request)
@@ -132,20 +134,6 @@
             await trio.sleep(IDLE_SECONDS)
             await self._wait_idle()
 
-    async def _end_requests_at_stop(self) -> None:
-        """End the requests that are still open shortly before the shutdown timeout."""
-        await self._shutdown.wait()
-        seconds = self._limits.shutdown_timeout.total_seconds()
-        await trio.sleep(max(seconds - REPLY_SECONDS, seconds / 2))
-        self._is_ending = True
-        for request in self._requests:
-            request.end()
-
-    async def _close_when_read(self) -> None:
-        """Close the connection once nothing more is read and the last request has ended."""
-        await self._stream.read_ended.wait()
-        await self._context.terminated.set()
-
     async def _wait_idle(self) -> None:
         idle_seconds = self._limits.idle_timeout.total_seconds()
         while not self._shutdown.is_set() and self._idle_seconds() < idle_seconds:
--- a/packages/mimosapoint-node/src/mimosapoint_node/http/_tracked_stream.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/http/_tracked_stream.py
@@ -6,6 +6,7 @@
 from datetime import timedelta
 
 import trio
+from hypercorn.trio.worker_context import EventWrapper
 
 __all__ = ["TrackedStream"]
 
@@ -18,10 +19,12 @@
 
     :param stream: wrapped stream.
     :param send_timeout: timeout for one chunk of :data:`CHUNK_BYTES`.
-    :ivar read_ended: set when nothing more will be read.
+    :param read_ended: event that is set when nothing more will be read.
     """
 
-    def __init__(self, stream: trio.SocketStream, send_timeout: timedelta):
+    def __init__(
+        self, stream: trio.SocketStream, send_timeout: timedelta, read_ended: EventWrapper
+    ):
         self.socket = stream.socket
         self.send_eof = stream.send_eof
         self.sending = False
@@ -29,7 +32,7 @@
         self.is_closed = False
         self.closed_by_caller = False
         self.is_send_lost = False
-        self.read_ended = trio.Event()
+        self._read_ended = read_ended
         self._stream = stream
         self._send_seconds = send_timeout.total_seconds()
         self._reading: trio.CancelScope | None = None
@@ -52,7 +55,7 @@
                 raise
             finally:
                 if not data:
-                    self.read_ended.set()
+                    await self._read_ended.set()
                 self._reading = None
                 self._call_ended.set()
         raise trio.ClosedResourceError("reading was stopped")
@@ -66,7 +69,7 @@
             self._call_ended = trio.Event()
             self._reading.cancel()
             await self._call_ended.wait()
-        return self.read_ended.is_set()
+        return self._read_ended.is_set()
 
     async def aclose(self) -> None:
         """Close the stream."""
--- a/packages/mimosapoint-node/src/mimosapoint_node/http/server.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/http/server.py
@@ -18,6 +18,9 @@
 BACKLOG = 1024
 """Maximum number of connections that wait to be accepted."""
 
+REPLY_SECONDS = 0.2
+"""Part of the shutdown timeout, in seconds, that is left for replies to requests that it ends."""
+
 
 async def serve(
     app: App,
@@ -42,21 +45,24 @@
     host, _, port = address.rpartition(":")
     listeners = await trio.open_tcp_listeners(int(port), host=host, backlog=BACKLOG)
     handler = _ConnectionHandler(app, limits, shutdown, telemetry)
-    async with trio.open_nursery() as connection_nursery:
-        async with trio.open_nursery() as accept_nursery:
-            accept_connections = partial(
-                trio.serve_listeners,
-                handler.handle,
-                listeners,
-                handler_nursery=connection_nursery,
-            )
-            await accept_nursery.start(accept_connections)
-            bound_address = listeners[0].socket.getsockname()
-            task_status.started(f"{bound_address[0]}:{bound_address[1]}")
-            await shutdown.wait()
-            accept_nursery.cancel_scope.cancel()
-        shutdown_seconds = limits.shutdown_timeout.total_seconds()
-        connection_nursery.cancel_scope.deadline = trio.current_time() + shutdown_seconds
+    async with trio.open_nursery() as stop_nursery:
+        async with trio.open_nursery() as connection_nursery:
+            async with trio.open_nursery() as accept_nursery:
+                accept_connections = partial(
+                    trio.serve_listeners,
+                    handler.handle,
+                    listeners,
+                    handler_nursery=connection_nursery,
+                )
+                await accept_nursery.start(accept_connections)
+                bound_address = listeners[0].socket.getsockname()
+                task_status.started(f"{bound_address[0]}:{bound_address[1]}")
+                await shutdown.wait()
+                accept_nursery.cancel_scope.cancel()
+            shutdown_seconds = limits.shutdown_timeout.total_seconds()
+            connection_nursery.cancel_scope.deadline = trio.current_time() + shutdown_seconds
+            stop_nursery.start_soon(handler.end_requests_at_timeout, shutdown_seconds)
+        stop_nursery.cancel_scope.cancel()
 
 
 class _ConnectionHandler:
@@ -74,6 +80,7 @@
         self._shutdown = shutdown
         self._telemetry = telemetry
         self._config = _make_config(limits)
+        self._connections: set[Connection] = set()
         self._connection_limiter = ConcurrencyLimiter(limits.connections, "connections are open")
 
     async def handle(self, stream: trio.SocketStream) -> None:
@@ -81,6 +88,7 @@
         connection = Connection(
             stream, self._app, self._config, self._limits, self._shutdown, self._telemetry
         )
+        self._connections.add(connection)
         try:
             with self._connection_limiter.enter():
                 await connection.run()
@@ -90,6 +98,14 @@
         except Exception as error:
             self._telemetry.event("http-connection-error", error=repr(error))
             await trio.aclose_forcefully(stream)
+        finally:
+            self._connections.discard(connection)
+
+    async def end_requests_at_timeout(self, shutdown_seconds: float) -> None:
+        """End the requests that are still open shortly before the shutdown timeout."""
+        await trio.sleep(max(shutdown_seconds - REPLY_SECONDS, shutdown_seconds / 2))
+        for connection in self._connections:
+            connection.end_requests()
 
 
 def _make_config(limits: HttpLimits) -> Config:
