Count a crash that another task causes as one under its neighbours, in the checks

The traces show two different workers that crashed under one of their tasks: job1 lost w0 at 2.09 s, which a neighbour crashed, and w1 at 5.13 s. The users allow this: 'a task under which two workers have crashed may be given up'. The check knew only crashes by the task itself and those that no task had caused.

Change: the crash of a worker counts for each run that is lost at that moment.

--- a/packages/mimosapoint/src/mimosapoint/testing/cell_history.py
+++ b/packages/mimosapoint/src/mimosapoint/testing/cell_history.py
@@ -250,6 +250,11 @@
     authentications: list[AuthenticationObservation] = attrs.field(factory=list)
     epochs: list[EpochObservation] = attrs.field(factory=list)
 
+    def crash_times(self) -> set[tuple[str, float]]:
+        """Return the workers that crashed, whatever made them crash, and when."""
+        by_tasks = {(run.worker, run.ended_at) for run in self.runs if run.crashed_worker}
+        return by_tasks | {(crash.worker, crash.at) for crash in self.worker_crashes}
+
     def runs_of(self, job: str) -> list[RunRecord]:
         """Return the runs of a job, in the order of their starts."""
         return [run for run in self.runs if run.task.job == job]
--- a/packages/mimosapoint/src/mimosapoint/testing/end_checks.py
+++ b/packages/mimosapoint/src/mimosapoint/testing/end_checks.py
@@ -1,7 +1,7 @@
 """Checks of the ends that callers were shown: each needs a cause that the workers recorded."""
 
 from collections import defaultdict
-from collections.abc import Collection, Iterable, Iterator
+from collections.abc import Collection, Iterable, Iterator, Set
 
 from mimosapoint.memory import RunRecord
 from mimosapoint.testing.cell_history import (
@@ -9,7 +9,6 @@
     PhaseObservation,
     SubmissionObservation,
     SubmissionOutcome,
-    WorkerCrashObservation,
 )
 from mimosapoint.testing.crash_checks import WORKERS_TO_GIVE_UP
 from mimosapoint.workload import Phase, RunEnd, TaskId
@@ -44,14 +43,14 @@
         is_true = any(sent_at <= observation.at for sent_at in times)
         return None if is_true else f"{job} is cancelled by no one"
     if phase is Phase.FAILED:
-        cause_at = failure_cause_at(runs_of_job, history.worker_crashes, submission.max_attempts)
+        cause_at = failure_cause_at(runs_of_job, history.crash_times(), submission.max_attempts)
         is_true = cause_at is not None and cause_at <= observation.at
         return None if is_true else f"{job} is shown as failed without cause"
     return None
 
 
 def failure_cause_at(
-    runs: Iterable[RunRecord], crashes: Iterable[WorkerCrashObservation], max_attempts: int
+    runs: Iterable[RunRecord], crash_times: Set[tuple[str, float]], max_attempts: int
 ) -> float | None:
     """Return the time from which a job may be shown as failed; ``None`` if it may not.
 
@@ -59,10 +58,9 @@
     one task, whatever made them crash. A worker that was only cut off has not crashed.
 
     :param runs: runs of the job.
-    :param crashes: crashes of workers that no task caused.
+    :param crash_times: workers that crashed, whatever made them crash, and when.
     :param max_attempts: number of failed runs of a unit at which the job may fail.
     """
-    crash_times = {(crash.worker, crash.at) for crash in crashes}
     first_by_run: dict[tuple, dict[int, float]] = defaultdict(dict)
     first_by_worker: dict[TaskId, dict[str, float]] = defaultdict(dict)
     for run in sorted((r for r in runs if r.ended_at is not None), key=lambda r: r.ended_at):
@@ -70,7 +68,7 @@
             # The runs of a gang have one number and fail together.
             unit = (run.task.occurrence, run.task.step, None if run.step.gang else run.task.index)
             first_by_run[unit].setdefault(run.run, run.ended_at)
-        elif run.crashed_worker or (run.worker, run.ended_at) in crash_times:
+        elif run.end is RunEnd.LOST and (run.worker, run.ended_at) in crash_times:
             first_by_worker[run.task].setdefault(run.worker, run.ended_at)
     causes = [sorted(times.values())[max_attempts - 1 :] for times in first_by_run.values()]
     causes += [
--- a/packages/mimosapoint/src/mimosapoint/testing/standstill_checks.py
+++ b/packages/mimosapoint/src/mimosapoint/testing/standstill_checks.py
@@ -90,7 +90,7 @@
     times += [
         o.sent_at for o in history.phases if o.job == job and o.phase is not None and o.phase.ended
     ]
-    cause_at = failure_cause_at(runs, history.worker_crashes, submission.max_attempts)
+    cause_at = failure_cause_at(runs, history.crash_times(), submission.max_attempts)
     return min(times if cause_at is None else [*times, cause_at])
 
 
