--- a/packages/mimosapoint/src/mimosapoint/testing/standstill_checks.py
+++ b/packages/mimosapoint/src/mimosapoint/testing/standstill_checks.py
@@ -15,7 +15,7 @@
 from mimosapoint.testing.end_checks import failure_cause_at
 from mimosapoint.workload import ResourceAmounts, RunEnd, Step, TaskId
 
-__all__ = ["standing_jobs"]
+__all__ = ["CALM_BEFORE", "MAX_STANDSTILL", "standing_jobs"]
 
 MAX_STANDSTILL = 3.0
 """Longest time for which a job may stand still, in seconds."""
