--- a/packages/mimosapoint/src/mimosapoint/memory/run_workers.py
+++ b/packages/mimosapoint/src/mimosapoint/memory/run_workers.py
@@ -133,8 +133,11 @@
         self, worker: WorkerRegistration, order: StartOrder, delay: timedelta
     ) -> None:
         await trio.sleep(delay.total_seconds())
+        found = self.workers_by_address[worker.address]
+        if found.is_down:
+            return
         try:
-            self.workers_by_address[worker.address].start(order)
+            found.start(order)
         except MimosapointError:
             return
 
