Let the stand-ins of the soak bear a site of 33 nodes, and play it with fewer

Seen: at 33 nodes and a load average of 10 to 14 from other work, no node was ready after 60 s. All store calls of all nodes timed out while the stand-ins used 0.6 to 1.0 core; 9,400 descriptors were open, as the one listener of the store accepted too slowly and each retry opened a connection.

--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -14,6 +14,7 @@
 FAILED_SEEDS = Path(__file__).with_name("failed-seeds.txt")
 sys.path.insert(0, str(ROOT / "platform"))
 
+from tools.soak.profile import DEPLOYMENT_NODES  # noqa: E402 (needs the path)
 from tools.soak.run import run_seed  # noqa: E402 (needs the path)
 
 
@@ -38,7 +39,12 @@
 
 
 def main(
-    seeds: int = 5, first: int = 1, seconds: float = 0, failed: bool = False, earlier: str = ""
+    seeds: int = 5,
+    first: int = 1,
+    seconds: float = 0,
+    failed: bool = False,
+    earlier: str = "",
+    nodes: int = DEPLOYMENT_NODES,
 ) -> None:
     """Run seeds and exit with code 1 when a promise was violated.
 
@@ -48,12 +54,13 @@
     :param failed: run the seeds that failed before.
     :param earlier: checkout of an earlier build; all nodes start with it and are upgraded one after
         the other during the faults.
+    :param nodes: nodes of the sites of seeds from 5000 on, for a machine that bears fewer.
     """
     earlier_build = Path(earlier).resolve() if earlier else None
     seeds_run = seeds_failed = 0
     for seed in choose_seeds(seeds, first, seconds, failed):
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-        result = trio.run(run_seed, seed, folder, earlier_build)
+        result = trio.run(run_seed, seed, folder, earlier_build, nodes)
         verdict = "broken" if result.violations else "kept"
         print(
             f"seed={seed} {verdict} accepted={result.accepted} lag={result.lag:.2f}"
--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -12,7 +12,7 @@
 
 from tools.soak.configurations import STABLE_KEY, STABLE_QUEUES
 from tools.soak.connections import Connections, Reply
-from tools.soak.deployment import JOBS_PER_SECOND, WORKSPACES, job_steps
+from tools.soak.deployment import JOBS_PER_WORKER_SECOND, WORKSPACES, job_steps
 from tools.soak.site import SoakSite
 
 __all__ = ["Callers", "REFUSALS"]
@@ -62,7 +62,8 @@
 
         At a site of the size of a deployment the latter read states in place of most submissions.
         """
-        rate = JOBS_PER_SECOND if self.site.profile.is_deployment else SUBMISSIONS_PER_SECOND
+        jobs_per_second = JOBS_PER_WORKER_SECOND * self.site.profile.workers
+        rate = jobs_per_second if self.site.profile.is_deployment else SUBMISSIONS_PER_SECOND
         async with trio.open_nursery() as nursery:
             for node in range(len(self.site.addresses)):
                 nursery.start_soon(self._stay_at, node, finished)
--- a/tools/soak/deployment.py
+++ b/tools/soak/deployment.py
@@ -8,9 +8,16 @@
 import attrs
 from mimosapoint.workload import CellWorkspace, ResourceAmounts
 
-__all__ = ["DEPLOYMENT_CAPS", "JOBS_PER_SECOND", "PHASES", "WORKSPACES", "Phase", "job_steps"]
-
-JOBS_PER_SECOND = 1.5
+__all__ = [
+    "DEPLOYMENT_CAPS",
+    "JOBS_PER_WORKER_SECOND",
+    "PHASES",
+    "WORKSPACES",
+    "Phase",
+    "job_steps",
+]
+
+JOBS_PER_WORKER_SECOND = 1.5 / 60
 """Accepted jobs use about a third of the workers."""
 
 DEPLOYMENT_CAPS = (128, 96, 160)
--- a/tools/soak/deployment_faults.py
+++ b/tools/soak/deployment_faults.py
@@ -10,17 +10,16 @@
 from tools.soak.disturbances import RECOVERY_SECONDS
 from tools.soak.faults import fault, stop_and_start
 from tools.soak.profile import FIRST_DEPLOYMENT_SEED
-from tools.soak.site import SoakSite
+from tools.soak.site import START_GAP_SECONDS, SoakSite
 
 __all__ = ["PLANNED_DEPLOYMENT_FAULTS"]
 
 PLANNED_DEPLOYMENT_FAULTS = ("change-workspace-cap", "reload-settings", "rolling-stop-of-groups")
 
-STOPPED_TOGETHER = 6
-"""Nodes that a group of a rolling stop has."""
+STOPPED_SHARE = 0.2
+"""Share of the nodes that a group of a rolling stop has, and most that are killed together."""
 
 GROUPS = 2
-MOST_KILLED = 6
 FAIL_SECONDS = (0.5, 2.0)
 RELOADS = 4
 
@@ -28,17 +27,22 @@
 @fault("rolling-stop-of-groups", FIRST_DEPLOYMENT_SEED)
 async def rolling_stop_of_groups(site: SoakSite, random: Random) -> None:
     """Stop some groups of nodes with SIGTERM, one group after the other, and start them again."""
-    numbers = random.sample(range(len(site.processes)), STOPPED_TOGETHER * GROUPS)
-    for start in range(0, len(numbers), STOPPED_TOGETHER):
+    size = _group_size(site)
+    numbers = random.sample(range(len(site.processes)), size * GROUPS)
+    for start in range(0, len(numbers), size):
         async with trio.open_nursery() as nursery:
-            for number in numbers[start : start + STOPPED_TOGETHER]:
+            for number in numbers[start : start + size]:
                 nursery.start_soon(stop_and_start, site, number)
 
 
+def _group_size(site: SoakSite) -> int:
+    return max(1, round(len(site.processes) * STOPPED_SHARE))
+
+
 @fault("reload-settings", FIRST_DEPLOYMENT_SEED)
 async def reload_settings(site: SoakSite, random: Random) -> None:
     """Let some nodes read their settings again with SIGHUP."""
-    for number in random.sample(range(len(site.processes)), RELOADS):
+    for number in random.sample(range(len(site.processes)), min(RELOADS, len(site.processes))):
         await site.signal_node(number, "SIGHUP")
         await trio.sleep(random.uniform(0, 0.3))
 
@@ -46,7 +50,7 @@
 @fault("kill-nodes", FIRST_DEPLOYMENT_SEED)
 async def kill_nodes(site: SoakSite, random: Random) -> None:
     """Kill some nodes at the same moment, and start them again one by one."""
-    numbers = random.sample(range(len(site.processes)), random.randint(1, MOST_KILLED))
+    numbers = random.sample(range(len(site.processes)), random.randint(1, _group_size(site)))
     for number in numbers:
         await site.signal_node(number, "SIGKILL")
     for number in numbers:
@@ -78,6 +82,7 @@
     await trio.sleep(random.uniform(0.2, 1))
     for number in range(len(site.processes)):
         await site.start_node(number)
+        await trio.sleep(START_GAP_SECONDS)
     await trio.sleep(RECOVERY_SECONDS)
 
 
--- a/tools/soak/profile.py
+++ b/tools/soak/profile.py
@@ -9,6 +9,7 @@
 from mimosapoint.workload import ResourceAmounts
 
 __all__ = [
+    "DEPLOYMENT_NODES",
     "FAST_LINK_MBPS",
     "FIRST_CHANGES_SEED",
     "FIRST_CRASH_SEED",
@@ -46,8 +47,11 @@
 SLOW_LINK_MBPS = (1.0, 5.0)
 DEPLOYMENT_LINK_MBPS = (5.0, 10.0)
 DEPLOYMENT_NODES = 33
-DEPLOYMENT_LARGE_NODES = 8
-DEPLOYMENT_WORKERS = 60
+LARGE_NODE_SHARE = 8 / 33
+WORKERS_PER_NODE = 60 / 33
+MIN_DEPLOYMENT_WORKERS = 30
+"""Workers below which the largest gang, which needs 52 accelerators, would take a large part."""
+
 WORKER_CAPACITY = ResourceAmounts(16_000, 16_000, 8)
 DEPLOYMENT_WORKER_CAPACITY = ResourceAmounts(128_000, 256_000, 8)
 
@@ -106,35 +110,39 @@
         return min(self.mbps_by_node.values()) * 1e6 / 8
 
 
-def profile_of(seed: int) -> Profile:
-    """Return the profile of a seed."""
+def profile_of(seed: int, deployment_nodes: int = DEPLOYMENT_NODES) -> Profile:
+    """Return the profile of a seed.
+
+    :param deployment_nodes: nodes of a site of the size of a deployment; its workers are in
+        proportion.
+    """
     cores = SMALL_CORES if seed >= FIRST_SMALL_SEED and seed % 2 else 1.0
     if seed < FIRST_CHANGES_SEED:
         return Profile(seed, cores, 6, dict.fromkeys(range(3), FAST_LINK_MBPS))
     nodes, workers = (16, 12) if seed % LARGE_SITE_INTERVAL == 0 else (4, 6)
     random = Random(seed)
     if seed >= FIRST_DEPLOYMENT_SEED:
-        return _deployment(seed, random)
+        return _deployment(seed, random, deployment_nodes)
     slow_nodes = random.sample(range(1, nodes), nodes // 2)
     mbps_by_node = dict.fromkeys(range(nodes), FAST_LINK_MBPS)
     mbps_by_node |= {node: round(random.uniform(*SLOW_LINK_MBPS), 1) for node in slow_nodes}
     return Profile(seed, cores, workers, mbps_by_node)
 
 
-def _deployment(seed: int, random: Random) -> Profile:
-    large_nodes = set(random.sample(range(DEPLOYMENT_NODES), DEPLOYMENT_LARGE_NODES))
+def _deployment(seed: int, random: Random, nodes: int) -> Profile:
+    large_nodes = set(random.sample(range(nodes), round(nodes * LARGE_NODE_SHARE)))
     mbps_by_node = {
         node: (
             FAST_LINK_MBPS
             if node in large_nodes
             else round(random.uniform(*DEPLOYMENT_LINK_MBPS), 1)
         )
-        for node in range(DEPLOYMENT_NODES)
+        for node in range(nodes)
     }
     return Profile(
         seed,
         SMALL_CORES,
-        DEPLOYMENT_WORKERS,
+        max(MIN_DEPLOYMENT_WORKERS, round(nodes * WORKERS_PER_NODE)),
         mbps_by_node,
         dict.fromkeys(large_nodes, LARGE_CORES),
         DEPLOYMENT_WORKER_CAPACITY,
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -15,7 +15,7 @@
 from tools.soak.connections import Connections
 from tools.soak.end_checks import failed_attempts
 from tools.soak.final_checks import check_nodes, wait_ready
-from tools.soak.profile import profile_of
+from tools.soak.profile import DEPLOYMENT_NODES, profile_of
 from tools.soak.reads import StateReads
 from tools.soak.schedule import inject_faults, inject_phases
 from tools.soak.site import SoakSite
@@ -55,14 +55,20 @@
     calm: float
 
 
-async def run_seed(seed: int, folder: Path, earlier_build: Path | None = None) -> Result:
+async def run_seed(
+    seed: int,
+    folder: Path,
+    earlier_build: Path | None = None,
+    nodes: int = DEPLOYMENT_NODES,
+) -> Result:
     """Run one seed.
 
     :param folder: folder for settings and logs.
     :param earlier_build: checkout of a build from which the nodes are upgraded during the faults.
+    :param nodes: nodes of a site of the size of a deployment.
     """
     random = Random(seed)
-    profile = profile_of(seed)
+    profile = profile_of(seed, nodes)
     async with trio.open_nursery() as nursery:
         site = SoakSite(folder, nursery, profile, earlier_build)
         try:
--- a/tools/soak/site.py
+++ b/tools/soak/site.py
@@ -40,17 +40,21 @@
 from tools.soak.link import Link
 from tools.soak.log import SoakLog
 from tools.soak.outages import StoreOutages
+from tools.soak.plain_server import serve_plain
 from tools.soak.profile import Profile
 from tools.soak.proxy import Proxy
 from tools.soak.usage import Usage
 from tools.soak.zones import Zones
 
-__all__ = ["CONFIGURATION_MS", "SoakSite"]
+__all__ = ["CONFIGURATION_MS", "START_GAP_SECONDS", "SoakSite"]
 
 ROOT = Path(__file__).resolve().parents[2]
 RUN_TIME = timedelta(milliseconds=700)
 CONFIGURATION_MS = 2000
 OWNER_PROBE_SECONDS = 0.1
+START_GAP_SECONDS = 0.25
+"""Time between the starts of the nodes of a deployment."""
+
 DEPLOYMENT_PAGE_SIZE = 200
 """Entries on a page of the store; other profiles have few, so that nodes read several pages."""
 
@@ -138,6 +142,10 @@
         for number in range(self.profile.workers):
             await self._add_worker(number)
         for number, mbps in self.profile.mbps_by_node.items():
+            if self.profile.is_deployment:
+                # One listener accepts too slowly for so many nodes that start at the same time.
+                store_port = await self._serve(store)
+                await trio.sleep(START_GAP_SECONDS)
             self.store_proxies.append(await self._proxy(store_port, Link(mbps * 1e6 / 8)))
             self._write_settings(number, mbps)
             self.processes.append(None)
@@ -271,6 +279,9 @@
         self.worker_proxies.append(await self._proxy(port))
 
     async def _serve(self, app: object) -> int:
+        if self.profile.is_deployment:
+            address = await self.nursery.start(serve_plain, app)
+            return int(address.rpartition(":")[2])
         serving = partial(serve, app, "127.0.0.1:0", HttpLimits(), trio.Event(), MemoryTelemetry())
         address = await self.nursery.start(serving)
         return int(address.rpartition(":")[2])
