--- a/benchmarks/decisions/__main__.py
+++ b/benchmarks/decisions/__main__.py
@@ -15,6 +15,7 @@
 from benchmarks.decisions.recovery import print_recovery
 from benchmarks.decisions.simulation import Simulation, Withdrawal
 from benchmarks.decisions.sites import AGENCY, SELAT
+from benchmarks.decisions.standstill import print_standstill
 from benchmarks.decisions.workload import agency_workload, arrivals, selat_workload
 
 BASELINE = "fifo-first-fit"
@@ -149,6 +150,7 @@
         print_placement_mixes(TUNING_SEEDS if options.tune else seeds)
         print_crashing_tasks()
         print_recovery()
+        print_standstill()
         print_cell_table(cell_table(list(CELL_POLICIES)))
     return 0
 
