Split the state of a simulated zone from the simulation of decisions

benchmarks/decisions/simulation.py had 454 lines and two concerns: the events of a run, and the workers and jobs of one zone.

No product code changes.

--- a/benchmarks/decisions/__main__.py
+++ b/benchmarks/decisions/__main__.py
@@ -13,7 +13,8 @@
 from benchmarks.decisions.decision_time import measure_decision_time
 from benchmarks.decisions.placement_mixes import print_placement_mixes
 from benchmarks.decisions.recovery import print_recovery
-from benchmarks.decisions.simulation import Simulation, Withdrawal
+from benchmarks.decisions.simulated_zone import Withdrawal
+from benchmarks.decisions.simulation import Simulation
 from benchmarks.decisions.sites import AGENCY, SELAT
 from benchmarks.decisions.standstill import print_standstill
 from benchmarks.decisions.workload import agency_workload, arrivals, selat_workload
--- a/benchmarks/decisions/simulation.py
+++ b/benchmarks/decisions/simulation.py
@@ -12,19 +12,17 @@
     Cancelled,
     Failed,
     JobRecord,
+    JobRequest,
     JobState,
     NotRun,
     Placement,
-    Resources,
     Succeeded,
 )
 from mimosapoint.scheduling import (
     Assignment,
     Decision,
     Move,
-    Policy,
     Preemption,
-    WorkerView,
     ZoneSummary,
     ZoneView,
     make_policy,
@@ -32,9 +30,10 @@
 )
 
 from benchmarks.decisions.metrics import Metrics, Segment
+from benchmarks.decisions.simulated_zone import RunningAttempt, SimulatedZone, Withdrawal
 from benchmarks.decisions.workload import START, Arrival
 
-__all__ = ["Simulation", "Withdrawal"]
+__all__ = ["Simulation"]
 
 DECISION_DELAY = 0.1
 """Seconds between a change and the decision that takes it into account."""
@@ -55,43 +54,6 @@
 """Number of failed attempts after which a job fails."""
 
 
-@attrs.frozen
-class Withdrawal:
-    """Withdrawal of an availability zone from service for part of a run.
-
-    :param zone: id of the availability zone.
-    :param out_at: time of the withdrawal, in seconds from the start of the run.
-    :param back_at: time of the return, in seconds from the start of the run.
-    """
-
-    zone: str
-    out_at: float
-    back_at: float
-
-
-@attrs.define
-class RunningAttempt:
-    """State of a running attempt that its job record does not hold."""
-
-    start_seconds: float
-    initial_progress: float
-    speed: float
-    ends_at: float
-
-
-@attrs.define
-class SimulatedZone:
-    """Simulated availability zone and its policy."""
-
-    id: str
-    policy: Policy
-    workers_by_id: dict[str, WorkerView]
-    waiting_by_id: dict[str, JobRecord] = attrs.field(factory=dict)
-    running_by_id: dict[str, JobRecord] = attrs.field(factory=dict)
-    decision_due: bool = False
-    failing_workers: set[str] = attrs.field(factory=set)
-
-
 class Simulation:
     """Simulation of one workload under one policy.
 
@@ -118,22 +80,14 @@
         self._attempts: dict[str, RunningAttempt] = {}
         self._summaries: dict[str, ZoneSummary] = {}
         self._summaries_at = 0.0
-        self._zones = {id: self._make_zone(id, policy) for id in configuration.zones_by_id}
+        self._zones = {
+            id: SimulatedZone.make(id, make_policy(policy), zone.capacity)
+            for id, zone in configuration.zones_by_id.items()
+        }
         for arrival in arrivals:
             self.schedule(arrival.at, self._submit, arrival)
         self._plan_faults(withdrawal)
 
-    def _make_zone(self, id: str, policy: str) -> SimulatedZone:
-        capacity = self.configuration.zones_by_id[id].capacity
-        workers = {}
-        for rack in range(capacity.racks):
-            for slot in range(capacity.workers_per_rack):
-                name = f"{id}-r{rack:02}-w{slot:02}"
-                workers[name] = WorkerView(
-                    name, f"{id}-r{rack:02}", capacity.worker, capacity.worker
-                )
-        return SimulatedZone(id, make_policy(policy), workers)
-
     def _plan_faults(self, withdrawal: Withdrawal | None) -> None:
         zone = self._rng.choice(sorted(self._zones))
         workers = sorted(self._zones[zone].workers_by_id)
@@ -202,22 +156,13 @@
             for id, summary in self._summaries.items()
             if id != zone.id
         }
-        waiting = sorted(zone.waiting_by_id.values(), key=lambda record: record.submitted_at)
-        return ZoneView(
-            zone.id,
-            self.time(),
-            self.configuration,
-            zone.workers_by_id,
-            dict(zone.running_by_id),
-            waiting,
-            others,
-        )
+        return zone.view(self.time(), self.configuration, others)
 
     def _submit(self, arrival: Arrival) -> None:
         request = arrival.request
         name = f"{arrival.zone}~{request.idempotency_key}"
         record = JobRecord(name, request, JobState.QUEUED, self.time())
-        if not self._fits_capacity(record):
+        if not _fits_some_rack(request, self.configuration):
             self.metrics.never_fit += 1
             return
         zone = self._zones[arrival.zone]
@@ -226,14 +171,6 @@
             self.schedule(max(self.now, arrival.cancel_at), self._cancel, name)
         self._request_decision(zone)
 
-    def _fits_capacity(self, record: JobRecord) -> bool:
-        request = record.request
-        capacities = [zone.capacity for zone in self.configuration.zones_by_id.values()]
-        return any(
-            request.shape.fit_count(c.worker) * c.workers_per_rack >= request.gang
-            for c in capacities
-        )
-
     def _cancel(self, job: str) -> None:
         for zone in self._zones.values():
             if job in zone.waiting_by_id:
@@ -267,12 +204,6 @@
             if record is not None:
                 self._end(zone, record, NotRun(refusal.code))
 
-    def _adjust_free(self, zone: SimulatedZone, record: JobRecord, sign: int) -> None:
-        shape = record.request.shape
-        for name in record.placement.workers:
-            worker = zone.workers_by_id[name]
-            worker.free = worker.free - shape if sign > 0 else worker.free + shape
-
     def _place(self, zone: SimulatedZone, assignment: Assignment) -> None:
         record = zone.waiting_by_id.get(assignment.job)
         if record is None or len(assignment.workers) != record.request.gang:
@@ -281,25 +212,17 @@
         attempt = record.placement.attempt + 1 if record.placement else 1
         placement = Placement(attempt, assignment.workers, assignment.guarantee)
         placed = attrs.evolve(record, placement=placement, state=JobState.PLACED)
-        self._adjust_free(zone, placed, 1)
-        if any(not self._accepts(zone.workers_by_id[name]) for name in assignment.workers):
-            self._adjust_free(zone, placed, -1)
+        zone.occupy(placed)
+        if not zone.accepts(placed):
+            zone.vacate(placed)
             self.metrics.refused_assignments += 1
             return
         del zone.waiting_by_id[record.id]
         zone.running_by_id[record.id] = placed
         self.schedule(self.now + START_DELAY, self._start, zone, record.id, attempt)
 
-    @staticmethod
-    def _accepts(worker: WorkerView) -> bool:
-        return worker.usable and Resources(0, 0, 0, 0).fits_in(worker.free)
-
-    def _current(self, zone: SimulatedZone, job: str, attempt: int) -> JobRecord | None:
-        record = zone.running_by_id.get(job)
-        return record if record is not None and record.placement.attempt == attempt else None
-
     def _start(self, zone: SimulatedZone, job: str, attempt: int) -> None:
-        record = self._current(zone, job, attempt)
+        record = zone.find_running(job, attempt)
         if record is None or record.state is not JobState.PLACED:
             return
         if zone.failing_workers & set(record.placement.workers):
@@ -317,7 +240,7 @@
         self.schedule(self.now + CHECKPOINT_INTERVAL, self._checkpoint, zone, job, attempt)
 
     def _checkpoint(self, zone: SimulatedZone, job: str, attempt: int) -> None:
-        record = self._current(zone, job, attempt)
+        record = zone.find_running(job, attempt)
         if record is None or record.state is not JobState.RUNNING:
             return
         running_attempt = self._attempts[job]
@@ -326,7 +249,7 @@
         self.schedule(self.now + CHECKPOINT_INTERVAL, self._checkpoint, zone, job, attempt)
 
     def _complete(self, zone: SimulatedZone, job: str, attempt: int) -> None:
-        record = self._current(zone, job, attempt)
+        record = zone.find_running(job, attempt)
         if record is None or job not in self._attempts:
             return
         self._close_segment(zone, record, lost=0.0)
@@ -334,7 +257,7 @@
         self._end(zone, record, Succeeded(()))
 
     def _fail_attempt(self, zone: SimulatedZone, job: str, attempt: int) -> None:
-        record = self._current(zone, job, attempt)
+        record = zone.find_running(job, attempt)
         if record is None:
             return
         self._release(zone, record)
@@ -356,7 +279,7 @@
         )
 
     def _release(self, zone: SimulatedZone, record: JobRecord) -> None:
-        self._adjust_free(zone, record, -1)
+        zone.vacate(record)
         del zone.running_by_id[record.id]
         self._request_decision(zone)
 
@@ -383,7 +306,7 @@
         self.schedule(self.now + wait, self._stopped, zone, record.id, attempt, saved)
 
     def _stopped(self, zone: SimulatedZone, job: str, attempt: int, saved: bool) -> None:
-        record = self._current(zone, job, attempt)
+        record = zone.find_running(job, attempt)
         if record is None:
             return
         progress = record.progress
@@ -452,3 +375,12 @@
     def _regain_worker(self, zone: SimulatedZone, name: str) -> None:
         zone.workers_by_id[name].usable = True
         self._request_decision(zone)
+
+
+def _fits_some_rack(request: JobRequest, configuration: Configuration) -> bool:
+    """Return whether a gang fits into a rack of some zone if nothing else runs there."""
+    capacities = [zone.capacity for zone in configuration.zones_by_id.values()]
+    return any(
+        request.shape.fit_count(each.worker) * each.workers_per_rack >= request.gang
+        for each in capacities
+    )
