--- a/packages/mimosapoint/src/mimosapoint/cell/tests/test_worker_session.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_worker_session.py
@@ -1,5 +1,6 @@
 """Tests of one worker session with scripted replies of the worker."""
 
+from itertools import pairwise
 from unittest.mock import Mock
 
 import attrs
@@ -17,9 +18,12 @@
 
 BORN = 5
 
+REPLY_SECONDS = 0.1
+"""Time that the scripted worker takes for a reply."""
+
 
 class ScriptedWorkers:
-    """Port to a worker that takes 100 ms for a reply: a report, or an error to raise."""
+    """Port to a worker whose reply is a report, or an error to raise."""
 
     def __init__(self, reply):
         self.reply = reply
@@ -27,7 +31,7 @@
 
     async def renew_lease(self, worker, order):
         self.orders.append(order)
-        await trio.sleep(0.1)
+        await trio.sleep(REPLY_SECONDS)
         reply = self.reply(order)
         if isinstance(reply, Exception):
             raise reply
@@ -172,6 +176,30 @@
             self.assertEqual([99], owner.fenced_by)
             nursery.cancel_scope.cancel()
 
+    # Guards against renewals of a silent worker that come later than retry_delay, as they wait for
+    # the reply to a start as well; its lease runs out meanwhile.
+    async def test_renewals_of_a_silent_worker_do_not_wait_for_unanswered_starts(self):
+        done = EndedRun(7, TaskId("a", 0, 0, 0), 7, RunEnd.DONE)
+        async with trio.open_nursery() as nursery:
+            silent_since = []
+
+            def reply(order):
+                if silent_since:
+                    silent_since.append(trio.current_time())
+                    return WorkerUnreachable("no reply")
+                return WorkerRunReport(1000, BORN, (), () if order.acknowledged else (done,))
+
+            session, _, workers = await self.open_session(nursery, reply)
+            await trio.sleep(0.55)
+            self.assertEqual(7, workers.orders[-1].acknowledged)
+            session._orders._starts_in_flight = 1
+            silent_since.append(trio.current_time())
+            await trio.sleep(2)
+            retry_seconds = CellSettings().retry_delay.total_seconds() + REPLY_SECONDS
+            for earlier, later in pairwise(silent_since[1:]):
+                self.assertAlmostEqual(retry_seconds, later - earlier)
+            nursery.cancel_scope.cancel()
+
     async def test_a_worker_that_replies_only_now_and_then_is_found_flapping(self):
         """Gangs were placed on such a worker as soon as it replied again."""
         async with trio.open_nursery() as nursery:
