Share the addresses of node processes between the soak and the tests

The soak and the tests of planned work chose free loopback addresses with the same code; it moves to tools/soak/addresses.py.

--- a/tools/soak/site.py
+++ b/tools/soak/site.py
@@ -4,7 +4,6 @@
 
 import os
 import signal
-import socket
 import sys
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
@@ -34,6 +33,7 @@
     worker_entry,
 )
 
+from tools.soak.addresses import free_addresses
 from tools.soak.configurations import CAPS, POOL, Configurations
 from tools.soak.deployment import DEPLOYMENT_CAPS, WORKSPACES
 from tools.soak.disturbances import Disturbance, PlannedWork
@@ -58,14 +58,6 @@
 DEPLOYMENT_PAGE_SIZE = 200
 """Entries on a page of the store; other profiles have few, so that nodes read several pages."""
 
-ADDRESS_NAMES = (
-    "callers_address",
-    "probe_address",
-    "metrics_address",
-    "nodes_address",
-    "peers_address",
-)
-
 
 class _JobsFromStore(dict):
     """Accepted jobs by id, read from the store on first access."""
@@ -192,7 +184,7 @@
         return self.folder / f"node-{number}.yaml"
 
     def _write_settings(self, number: int, mbps: float) -> None:
-        address_by_name = dict(zip(ADDRESS_NAMES, _node_addresses(number), strict=True))
+        address_by_name = free_addresses(number)
         if not self.profile.has_changes:
             del address_by_name["peers_address"]
         self.addresses.append(address_by_name["callers_address"])
@@ -305,20 +297,3 @@
             if value := self.store.peek(OWNER_KEY):
                 self.owner = int(decode(value, CellOwnerRecord).node.rpartition("-")[2])
             await trio.sleep(OWNER_PROBE_SECONDS)
-
-
-def _node_addresses(number: int) -> list[str]:
-    """Return free addresses on a loopback IP of the node.
-
-    Connections leave from 127.0.0.1, so that none takes a port of a node that is restarting.
-    """
-    process = os.getpid()
-    host = f"127.{1 + process // 256 % 254}.{process % 256}.{number + 1}"
-    sockets = [socket.socket() for _ in ADDRESS_NAMES]
-    try:
-        for each in sockets:
-            each.bind((host, 0))
-        return [f"{host}:{each.getsockname()[1]}" for each in sockets]
-    finally:
-        for each in sockets:
-            each.close()
--- a/tools/tests/_node_processes.py
+++ b/tools/tests/_node_processes.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import os
-import socket
 import sys
 import tempfile
 from collections.abc import AsyncIterator
@@ -24,6 +23,7 @@
 
 from mimosapoint_platform.tests.standin import StandinFaults, store_app  # noqa: E402
 
+from tools.soak.addresses import free_addresses  # noqa: E402
 from tools.soak.configurations import (  # noqa: E402
     HOST,
     STABLE_KEY,
@@ -31,17 +31,18 @@
     Configurations,
 )
 
-__all__ = ["NodeProcesses", "RawConnection", "open_node_processes", "request_bytes"]
+__all__ = [
+    "READY_SECONDS",
+    "NodeProcesses",
+    "RawConnection",
+    "open_node_processes",
+    "request_bytes",
+]
 
-ADDRESS_NAMES = (
-    "callers_address",
-    "probe_address",
-    "metrics_address",
-    "nodes_address",
-    "peers_address",
-)
 READY_PATH = "/mimosapoint/readyz"
 READY_SECONDS = 30
+"""Time within which a node process becomes ready."""
+
 QUEUE = STABLE_QUEUES[0].name
 JOB_BODY = orjson.dumps({"spec": "x", "steps": [{"count": 1, "cpu": 500, "mem_mb": 8}]})
 
@@ -86,7 +87,7 @@
     async def start(self, node: str) -> trio.Process:
         """Start the process of a node; it is not ready yet."""
         if node not in self.addresses_by_node:
-            self.addresses_by_node[node] = _free_addresses(len(self.addresses_by_node))
+            self.addresses_by_node[node] = free_addresses(len(self.addresses_by_node))
             self._write_settings(node)
         sources = [*ROOT.glob("packages/*/src"), ROOT / "platform"]
         environment = {
@@ -193,18 +194,3 @@
         f"content-length: {len(body)}",
     )
     return "\r\n".join((*lines, "", "")).encode() + body
-
-
-def _free_addresses(number: int) -> dict[str, str]:
-    """Return addresses on a loopback IP of the node, whose ports no connection takes meanwhile."""
-    process = os.getpid()
-    host = f"127.{1 + process // 256 % 254}.{process % 256}.{100 + number}"
-    sockets = [socket.socket() for _ in ADDRESS_NAMES]
-    try:
-        for each in sockets:
-            each.bind((host, 0))
-        ports = [each.getsockname()[1] for each in sockets]
-    finally:
-        for each in sockets:
-            each.close()
-    return {name: f"{host}:{port}" for name, port in zip(ADDRESS_NAMES, ports, strict=True)}
--- a/tools/tests/test_planned_work.py
+++ b/tools/tests/test_planned_work.py
@@ -6,7 +6,7 @@
 import trio
 from mimosapoint.testing import TrioTestCase
 
-from tools.tests._node_processes import open_node_processes, request_bytes
+from tools.tests._node_processes import READY_SECONDS, open_node_processes, request_bytes
 
 JOB = "00112233445566ff"
 NODES = ("a", "b")
@@ -95,8 +95,9 @@
         async with open_node_processes() as nodes:
             process = await nodes.start("a")
             # What the program does about it can begin only once Python has started.
-            while not self.ignores_sighup(process.pid):
-                await trio.sleep(0.01)
+            with trio.fail_after(READY_SECONDS):
+                while not self.ignores_sighup(process.pid):
+                    await trio.sleep(0.01)
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self.signal_often, process)
                 await nodes.wait_ready("a")
