--- a/packages/mimosapoint-node/src/mimosapoint_node/http/_connection.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/http/_connection.py
@@ -97,11 +97,7 @@
     async def _reply_ended(self, request: OpenRequest) -> None:
         reply = await request.reply_ended()
         self._telemetry.event(
-            "http-request-ended-by-stop",
-            method=request.method,
-            path=request.path,
-            age=round(request.age, 3),
-            status=reply.status,
+            "http-request-ended-by-stop", **request.log_fields(), status=reply.status
         )
 
     def _log_unless_replied(self, request: OpenRequest, end: str) -> None:
@@ -114,9 +110,7 @@
             return
         self._telemetry.event(
             "http-request-cut",
-            method=request.method,
-            path=request.path,
-            age=round(request.age, 3),
+            **request.log_fields(),
             read=request.is_read,
             replied=request.is_replied,
             end=end,
--- a/packages/mimosapoint-node/src/mimosapoint_node/http/_open_request.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/http/_open_request.py
@@ -47,15 +47,10 @@
         """Method of the request; empty for a lifespan or a websocket."""
         return self._scope.get("method", "")
 
-    @property
-    def path(self) -> str:
-        """Path of the request."""
-        return self._scope.get("path", "")
-
-    @property
-    def age(self) -> float:
-        """Time since the request line and headers were read, in seconds."""
-        return trio.current_time() - self._began_at
+    def log_fields(self) -> dict[str, object]:
+        """Return the method, the path and the time since the headers were read, in seconds."""
+        age = round(trio.current_time() - self._began_at, 3)
+        return {"method": self.method, "path": self._scope.get("path", ""), "age": age}
 
     async def serve(self, app: App) -> bool:
         """Pass the request to an application; return whether :meth:`end` has ended it."""
