--- a/packages/mimosapoint-cli/src/mimosapoint_cli/report/plots.py
+++ b/packages/mimosapoint-cli/src/mimosapoint_cli/report/plots.py
@@ -57,7 +57,7 @@
     if len(text) <= LABEL_CHARACTERS:
         return text
     half = LABEL_CHARACTERS // 2
-    return f"{text[:half]}…{text[1 - half :]}"
+    return f"{text[:half]}…{text[1 - half:]}"
 
 
 class Plotter:
--- a/packages/mimosapoint/src/mimosapoint/scheduling/_guarantee_policy.py
+++ b/packages/mimosapoint/src/mimosapoint/scheduling/_guarantee_policy.py
@@ -28,9 +28,8 @@
     It is the same if the workspace may not borrow, if the gang fits no empty zone, and if no zone
     is allowed.
     """
-    demand, why = (
-        equivalence_class.demand,
-        ("it can't be interrupted" if not equivalence_class.interruptible else "its size"),
+    demand, why = equivalence_class.demand, (
+        "it can't be interrupted" if not equivalence_class.interruptible else "its size"
     )
     return (
         f"a gang of {demand.gang} within one {demand.adjacency.value} never fits beside the "
