--- a/review/standins3.py
+++ b/review/standins3.py
@@ -10,6 +10,7 @@
 import base64
 import json
 import os
+import random
 import signal
 import socket
 import sys
@@ -31,10 +32,15 @@
 
 
 def free_port() -> int:
-    """Return a loopback port that is free now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Return a loopback port that is free now, below those that outgoing connections use."""
+    while True:
+        port = random.randrange(18_000, 30_000)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
 
 
 class Record:
