--- a/review/standins3.py
+++ b/review/standins3.py
@@ -765,9 +765,11 @@
     return f"{number:016x}"
 
 
-def main(scenario, folder: Path) -> None:
-    """Run a scenario; exit with 1 if the rule was broken, 0 if it held, 2 if it could not run."""
-    trouble = os.environ.get("TROUBLE", "1") != "0"
+def main(scenario, folder: Path, trouble: bool) -> None:
+    """Run a scenario; exit with 1 if the rule was broken, 0 if it held, 2 if it could not run.
+
+    :param trouble: whether the disruption happens.
+    """
 
     async def run() -> bool:
         site = Site(folder)
