Keep a job from running that was cancelled before it was stored

Callers saw a job run to its end although its cancelling had been answered with 410: its submission, in another node or on its way to the store, took effect afterwards.

Cause: a cancelling that found no job answered and left nothing in the store. Submissions, which are repeated for as long as the caller waits, required only that the job is absent; without admission no write heeded the marks of refusals either.

Change: such a cancelling changes the mark and stores the cancellation with its workspace, in one transaction on condition that the job is absent. Writes of submissions that have begun fail, also those of nodes of earlier versions; a later submission is stored together with the cancellation, as if it had been cancelled afterwards. The owner keeps cancellations of jobs that it does not know. If nothing could be stored, the reply is 503 or 504.

--- a/packages/mimosapoint/src/mimosapoint/cell/admission_gate.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/admission_gate.py
@@ -5,16 +5,18 @@
 import attrs
 import trio
 
+from mimosapoint.cell.cancellations import Cancellation
 from mimosapoint.cell.decisions.admission import (
     AdmissionDecision,
     AdmissionReason,
     decide_admission,
     find_exemption,
 )
-from mimosapoint.cell.keys import job_key, refused_key
+from mimosapoint.cell.keys import cancel_key, job_key, refused_key
 from mimosapoint.cell.load_summary import LoadSummaryReader
 from mimosapoint.cell.operators import OperatorView
 from mimosapoint.cell.settings import CellSettings
+from mimosapoint.cell.shared_lease import SharedLease
 from mimosapoint.codec import decode, encode
 from mimosapoint.errors import (
     AdmissionRefused,
@@ -38,6 +40,10 @@
 MARK_LEASE_USE = timedelta(seconds=10)
 """Time for which one lease is used for new marks; each mark stays for 20 s at least."""
 
+CANCEL_ATTEMPTS = 3
+"""Attempts to cancel a job that is not stored: the first may find a mark or a lease that has
+changed, and the second one that changes in between."""
+
 RETURN_MARGIN = timedelta(milliseconds=500)
 """Least time between a refusal and a request that comes back after it. Callers are told to wait
 for a second at least; half of it is left for differences between the clocks of nodes."""
@@ -48,20 +54,21 @@
 
 @attrs.frozen
 class RefusalMark:
-    """Content of the mark of a refused job.
+    """Content of the mark of a job that was refused, or cancelled before it was stored.
 
-    :param time: time of the refusal, on the clock of the node that refused.
+    :param time: time of the refusal or cancellation, on the clock of the node.
     """
 
     time: datetime
 
 
 class AdmissionGate:
-    """Decides on submissions and writes a mark for each refused job.
+    """Decides on submissions, and writes a mark for each job that may not be stored any more.
 
-    A job is accepted by a write on condition that its mark is unchanged. A refusal changes the
-    mark, on condition that the job is not stored. So a write of an earlier attempt that is still
-    on its way can no longer take effect after the refusal.
+    A job is accepted by a write on condition that its mark is unchanged. A refusal, or the
+    cancellation of a job that is not stored, changes the mark, on condition that the job is not
+    stored. So a write of an earlier attempt that is still on its way can no longer take effect
+    after it. Nodes heed marks also without admission, as cancellations write them.
 
     :param store: the store.
     :param view: configuration with the guarantees.
@@ -86,9 +93,9 @@
         self._reader = LoadSummaryReader(store, clock, settings, telemetry)
         self._revisions_by_job: dict[str, int] = {}
         self._unknown_revisions_by_job: dict[str, int] = {}
-        self._lease = 0
-        self._granting_lease = trio.Lock()
-        self._lease_granted_at = clock.now() - MARK_LEASE_USE
+        self._refusal_lease = SharedLease(store, clock, MARK_TTL, MARK_LEASE_USE)
+        # As long as a cancelled job that was stored in time is kept.
+        self._cancellation_lease = SharedLease(store, clock, settings.retention, MARK_LEASE_USE)
 
     async def decide(self, record: AcceptedJob) -> AdmissionDecision:
         """Decide on a job by the published load; it is not refused yet.
@@ -161,7 +168,7 @@
 
     def conditions(self, job_id: str, fence: int) -> dict[str, int]:
         """Return the conditions, besides that on the job itself, under which it may be stored."""
-        return {refused_key(job_id): fence} if self._settings.admission else {}
+        return {refused_key(job_id): fence}
 
     def next_fence(
         self,
@@ -190,8 +197,39 @@
 
     def remember_unknown(self, job_id: str, fence: int) -> None:
         """Remember the revision that a write of unknown outcome required."""
-        if self._settings.admission:
-            _remember(self._unknown_revisions_by_job, job_id, fence)
+        _remember(self._unknown_revisions_by_job, job_id, fence)
+
+    async def cancel_unstored(self, job_id: str, workspace: str) -> bool:
+        """Cancel a job that is not stored; return whether that is still so.
+
+        The mark keeps submissions that have begun from taking effect, also at nodes of earlier
+        versions. Later submissions, at any node, find the cancellation.
+
+        :param workspace: workspace of the caller; jobs of others are not cancelled.
+        :raises StoreUnavailable: the cancellation is not stored.
+        :raises StoreTimeout: the cancellation may be stored.
+        """
+        key, mark = job_key(job_id), refused_key(job_id)
+        revision = self._revisions_by_job.get(job_id, 0)
+        for _ in range(CANCEL_ATTEMPTS):
+            lease = await self._cancellation_lease.get()
+            writes = (
+                Write(mark, encode(RefusalMark(self._clock.now())), lease),
+                Write(cancel_key(job_id), encode(Cancellation(workspace)), lease),
+            )
+            try:
+                await self._store.commit({key: 0, mark: revision}, writes)
+            except TransactionConflict as conflict:
+                if key in conflict.entries_by_key:
+                    return False
+                entry = conflict.entries_by_key.get(mark)
+                revision = entry.revision if entry else 0
+            except LeaseLost:
+                self._cancellation_lease.discard()
+            else:
+                self._telemetry.event("unstored-job-cancelled", job=job_id, workspace=workspace)
+                return True
+        raise StoreTimeout(f"{mark}: changed by others at each attempt")
 
     def _is_later(self, mark: Entry, received_at: datetime) -> bool:
         """Return whether a job was refused after a request for it was received.
@@ -213,7 +251,7 @@
         key, mark = job_key(job_id), refused_key(job_id)
         with trio.move_on_after(REFUSAL_TIMEOUT.total_seconds()):
             try:
-                lease = await self._mark_lease()
+                lease = await self._refusal_lease.get()
                 for _ in range(2):
                     revision = self._revisions_by_job.get(job_id, 0)
                     try:
@@ -231,18 +269,10 @@
                         return True
             except (LeaseLost, StoreUnavailable, StoreTimeout) as error:
                 if isinstance(error, LeaseLost):
-                    self._lease_granted_at -= MARK_LEASE_USE
+                    self._refusal_lease.discard()
                 self._telemetry.event("refusal-not-stored", job=job_id, error=error.code)
         return False
 
-    async def _mark_lease(self) -> int:
-        async with self._granting_lease:
-            now = self._clock.now()
-            if now - self._lease_granted_at >= MARK_LEASE_USE:
-                self._lease = await self._store.grant_lease(MARK_TTL)
-                self._lease_granted_at = now
-            return self._lease
-
 
 def _remember(revisions_by_job: dict[str, int], job_id: str, revision: int) -> None:
     revisions_by_job.pop(job_id, None)
--- a/packages/mimosapoint/src/mimosapoint/cell/gateway.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/gateway.py
@@ -7,7 +7,9 @@
 import trio
 
 from mimosapoint.cell.admission_gate import AdmissionGate
+from mimosapoint.cell.cancellations import submission_transaction
 from mimosapoint.cell.decisions.units import Job
+from mimosapoint.cell.job_canceller import JobCanceller
 from mimosapoint.cell.job_lookup import JobLookup
 from mimosapoint.cell.keys import BACKLOG_KEY, cancel_key, job_key
 from mimosapoint.cell.operators import OperatorView
@@ -15,7 +17,6 @@
 from mimosapoint.cell.settings import CellSettings
 from mimosapoint.cell.stored_job import read_stored_job
 from mimosapoint.cell.submission import Submission
-from mimosapoint.codec import encode
 from mimosapoint.errors import (
     AdmissionRefused,
     BadRequest,
@@ -35,7 +36,6 @@
     Telemetry,
     TransactionConflict,
     TransactionStore,
-    Write,
 )
 from mimosapoint.workload import (
     AcceptedJob,
@@ -92,6 +92,7 @@
         self._telemetry = telemetry
         self._lookup = JobLookup(view, telemetry)
         self.admission = AdmissionGate(store, view, clock, settings, telemetry)
+        self._canceller = JobCanceller(store, self._lookup, self.admission, telemetry)
         self.outage_reads = OutageReads(view, find_job, clock, settings, telemetry)
 
     @property
@@ -224,22 +225,27 @@
     ) -> str:
         """Write the job, and repeat the write while its outcome is unknown.
 
-        Repeats are idempotent because the key contains the job id.
+        Repeats are idempotent because the key contains the job id. A job that was cancelled before
+        it is stored is stored together with its cancellation, as if it had been cancelled then.
         """
-        write = Write(job_key(record.id), encode(record))
+        cancellation: Entry | None = None
         gate = self.admission
         version = self._view.configuration.version
         with trio.move_on_after(timeout.total_seconds()):
             while True:
                 try:
-                    conditions = {write.key: 0, **gate.conditions(record.id, fence)}
-                    revision = await self._store.commit(conditions, [write])
-                    return f"stored-{revision}"
+                    conditions = gate.conditions(record.id, fence)
+                    transaction = submission_transaction(record, conditions, cancellation)
+                    return f"stored-{await self._store.commit(*transaction)}"
                 except TransactionConflict as conflict:
-                    stored = conflict.entries_by_key.get(write.key)
+                    stored = conflict.entries_by_key.get(job_key(record.id))
                     if stored is not None:
                         self._check_idempotent(stored, record)
                         return "known"
+                    newest = conflict.entries_by_key.get(cancel_key(record.id))
+                    if newest != cancellation:
+                        cancellation = newest
+                        continue
                     required = fence
                     fence = gate.next_fence(
                         record.id, required, conflict, outcome_unknown, received_at
@@ -295,30 +301,17 @@
     ) -> None:
         """Cancel a job; has no effect on an ended one.
 
+        A job that is not found is not stored afterwards either, unless as a cancelled one: a
+        submission may be on its way, in a node or to the store.
+
         :param timeout: time within which the store must have answered.
         :param queue: queue that the caller names; ``None`` if it names none.
-        :raises JobNotFound: the workspace has no such job.
+        :raises JobNotFound: the workspace has no such job; none with this id will run.
         :raises StoreUnavailable: the job was not cancelled.
         :raises StoreTimeout: the job may have been cancelled.
         """
-        write = Write(cancel_key(job_id), b"{}")
         with self._telling_retry_delay(timeout):
-            found = await self._store.read(job_key(job_id))
-            # Anyone may ask for jobs of a public queue, but only their workspaces may cancel them.
-            named = None if queue is not None and queue.public else queue
-            entry = self._lookup.require(found, workspace, job_id, named)
-            try:
-                await self._store.commit({entry.key: entry.revision, write.key: 0}, [write])
-            except TransactionConflict as conflict:
-                stored = conflict.entries_by_key.get(entry.key)
-                if stored is None:
-                    raise self._lookup.not_found(
-                        job_id, workspace, "removed", entry.revision
-                    ) from conflict
-                if stored.revision != entry.revision:
-                    # The job was removed, and its id accepted again, since it was read.
-                    raise StoreUnavailable("the job was accepted anew") from conflict
-        self._telemetry.event("cancel-accepted", job=job_id, workspace=workspace)
+            await self._canceller.cancel(workspace, job_id, queue)
 
     async def backlog(self, queue: Queue, timeout: timedelta = DEFAULT_TIMEOUT) -> int:
         """Return the number of the queue's jobs without a started task, as last published.
--- a/packages/mimosapoint/src/mimosapoint/cell/inbox.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/inbox.py
@@ -6,6 +6,7 @@
 import attrs
 import trio
 
+from mimosapoint.cell.cancellations import is_cancelled_by
 from mimosapoint.cell.decisions.units import Job
 from mimosapoint.cell.dependencies import CellOwnerDependencies
 from mimosapoint.cell.election import Ownership
@@ -29,6 +30,7 @@
     ChangeBatch,
     Entry,
     HistoryLost,
+    Removal,
     ScanResult,
     Telemetry,
     TransactionConflict,
@@ -77,7 +79,9 @@
     for entry in accepted.entries:
         if entry.key.startswith(CANCEL_PREFIX):
             job = job_table.jobs_by_id.get(entry.key.removeprefix(CANCEL_PREFIX))
-            if job is not None:
+            if job is None:
+                job_table.early_cancellations.add(entry)
+            elif is_cancelled_by(job.record, entry):
                 job_table.cancel(job)
     return LoadedJobs(accepted.revision, bool(job_table.unreadable_ids))
 
@@ -173,6 +177,9 @@
         await self._availability.wait_reply(self._store, self._settings)
         requested_at = self._clock.now()
         changes = await self._store.watch(INBOX_PREFIX, revision, timeout)
+        self._job_table.early_cancellations.remove(
+            change for change in changes.changes if isinstance(change, Removal)
+        )
         self._apply(_remaining_entries(changes))
         self._freshness.confirm_watched(requested_at, changes.transfer_time)
         return changes.revision
@@ -186,6 +193,7 @@
             self._availability.record_failure(error, revision=revision)
             await trio.sleep(self._settings.retry_delay.total_seconds())
             return revision
+        self._job_table.early_cancellations.clear()
         self._apply(scan.entries)
         self._freshness.confirm(requested_at)
         return scan.revision
@@ -197,14 +205,22 @@
         for entry in entries:
             if entry.key.startswith(CANCEL_PREFIX):
                 job = self._job_table.jobs_by_id.get(entry.key.removeprefix(CANCEL_PREFIX))
-                if job is not None and not job.cancelled:
-                    self._telemetry.event(
-                        "job-cancelled", job=job.record.id, revision=entry.revision
-                    )
-                    self._cancel(job)
+                if job is None:
+                    self._job_table.early_cancellations.add(entry)
+                elif is_cancelled_by(job.record, entry):
+                    self._cancel_job(job, entry.revision)
         if entries:
             self._on_changed()
 
+    def _cancel_job(self, job: Job, revision: int) -> None:
+        """Cancel a job, unless it is cancelled already.
+
+        :param revision: revision of the cancellation, or of a job that was cancelled before.
+        """
+        if not job.cancelled:
+            self._telemetry.event("job-cancelled", job=job.record.id, revision=revision)
+            self._cancel(job)
+
     def _add_job(self, entry: Entry) -> None:
         job_id = entry.key.removeprefix(JOB_PREFIX)
         unreadable_ids = self._job_table.unreadable_ids
@@ -212,8 +228,12 @@
         if job_id in unreadable_ids:
             return
         is_read = add_stored_job(entry, None, self._job_table, self._telemetry)
-        if not is_read and job_id not in self._job_table.jobs_by_id:
-            unreadable_ids.add(job_id)
+        job = self._job_table.jobs_by_id.get(job_id)
+        if job is None:
+            if not is_read:
+                unreadable_ids.add(job_id)
+        elif self._job_table.early_cancellations.includes(job.record):
+            self._cancel_job(job, entry.revision)
 
     async def _remove_expired_job(self) -> None:
         """Remove one job whose retention time is over, with all its entries in the store.
--- a/packages/mimosapoint/src/mimosapoint/cell/job_table.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/job_table.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator, Sequence
 from datetime import datetime
 
+from mimosapoint.cell.cancellations import EarlyCancellations
 from mimosapoint.cell.decisions.units import Job, Unit, UnitState
 from mimosapoint.ports import Clock, Telemetry
 from mimosapoint.workload import (
@@ -22,6 +23,7 @@
     """All jobs that the owner knows, and their waiting units.
 
     ``unreadable_ids`` are the ids of the stored jobs that it could not read, or has to read again.
+    ``early_cancellations`` are those of jobs that it does not know.
 
     :param clock: clock of the owner.
     :param telemetry: receives an event when a job is added or ends.
@@ -30,6 +32,7 @@
     def __init__(self, clock: Clock, telemetry: Telemetry):
         self.jobs_by_id: dict[str, Job] = {}
         self.unreadable_ids: set[str] = set()
+        self.early_cancellations = EarlyCancellations()
         self.waiting_by_id: dict[UnitId, Unit] = {}
         self.uncommitted_by_id: dict[str, Job] = {}
         self._clock = clock
--- a/packages/mimosapoint/src/mimosapoint/cell/settings.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/settings.py
@@ -114,8 +114,8 @@
     :param claim_jitter: maximum random delay before a claim; reduces conflicts of candidates.
     :param retention: time for which ended jobs can be read, as documented by the platform.
     :param backlog_interval: minimum interval between two counts of the backlog.
-    :param admission: whether jobs that surely come too late are refused. All nodes must agree: only
-        nodes with admission heed the marks of refused jobs.
+    :param admission: whether jobs that surely come too late are refused. All nodes must agree:
+        nodes of earlier versions heed the marks of refused jobs only with admission.
     :param start_order: name of the order in which waiting units of one priority start.
     :param placement: name of the rule that chooses the workers of a unit.
     :param durations: name of the source of expected run times, from which the soft deadlines of
--- a/packages/mimosapoint/src/mimosapoint/cell/tests/_cell_faults.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/_cell_faults.py
@@ -1,16 +1,19 @@
 """Faults of a cell in memory, by name."""
 
 from collections.abc import Awaitable, Callable, Iterator
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 from datetime import timedelta
 from functools import partial
 
 import trio
 
+from mimosapoint.cell.keys import job_key
 from mimosapoint.cell.tests._recorded_site import API_KEY, RecordedSite
 from mimosapoint.cell.tests._site import CAPACITY, SMALL
+from mimosapoint.errors import StoreTimeout
 from mimosapoint.memory import MemoryRunWorker
 from mimosapoint.memory.run_worker import CRASH_DOWNTIME
+from mimosapoint.ports import TransactionConflict
 from mimosapoint.testing.cell_checks import LATE_START_BOUND
 from mimosapoint.testing.cell_history import WorkerCrashObservation
 from mimosapoint.workload import ResourceAmounts, Step, TaskId
@@ -23,6 +26,9 @@
 BURST_SIZE = 40
 SHRUNKEN = ResourceAmounts(64_000, 131_072, 4)
 LOST_REPLIES = 6
+ABANDONED_JOBS = 3
+ABANDONED_REPLY_SECONDS = 0.45
+ABANDONED_WRITE_SECONDS = 2.0
 STOP_GRACE_SECONDS = 2.0
 MIN_OUTAGE_SECONDS = 4.5
 """Shortest outage that ends with the loss of the owner; longer than the tasks of the pairs run."""
@@ -322,6 +328,42 @@
         await trio.sleep(seconds)
 
 
+@fault("submission abandoned")
+async def abandon_submissions(site: RecordedSite, seconds: float) -> None:
+    """Let callers cancel jobs whose submissions are on their way, then submit them again."""
+    prefix = f"abandoned{len(site.history.submissions)}"
+    jobs = [f"{prefix}-{number}" for number in range(ABANDONED_JOBS)]
+    async with trio.open_nursery() as nursery:
+        for job in jobs:
+            lose_first_commit(site, job)
+            nursery.start_soon(site.call_submit, job, Step(1, SMALL))
+            await trio.sleep(seconds / ABANDONED_JOBS)
+            await site.call_cancel(job, STOP_BOUND_SECONDS)
+    for job in jobs:
+        await site.call_submit(job, Step(1, SMALL))
+
+
+def lose_first_commit(site: RecordedSite, job: str) -> None:
+    """Let the first write of a job get no reply, and take effect late."""
+    commit, lost = site.store.commit, []
+
+    async def commit_late(conditions, writes=(), removals=()):
+        if job_key(job) not in conditions or lost:
+            return await commit(conditions, writes, removals)
+        lost.append(job)
+        site.nursery.start_soon(apply_late, site, conditions, writes)
+        await trio.sleep(ABANDONED_REPLY_SECONDS)
+        raise StoreTimeout("the reply was lost")
+
+    site.store.commit = commit_late
+
+
+async def apply_late(site: RecordedSite, conditions, writes) -> None:
+    await trio.sleep(ABANDONED_WRITE_SECONDS)
+    with suppress(TransactionConflict):
+        site.store.apply(conditions, writes, ())
+
+
 @fault("wave of cancellations")
 async def cancel_jobs(site: RecordedSite, seconds: float) -> None:
     """Cancel half of the jobs that are not claims."""
--- a/packages/mimosapoint/src/mimosapoint/cell/unreadable_jobs.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/unreadable_jobs.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from mimosapoint.cell.cancellations import is_cancelled_by
 from mimosapoint.cell.committer import ProgressCommitter
 from mimosapoint.cell.decisions.units import Job
 from mimosapoint.cell.dependencies import CellOwnerDependencies
@@ -112,7 +113,8 @@
         """Read whether a job was cancelled before the watch of the inbox knew it."""
         while True:
             try:
-                if await self._store.get(cancel_key(job.record.id)) is not None:
+                entry = await self._store.get(cancel_key(job.record.id))
+                if entry is not None and is_cancelled_by(job.record, entry):
                     self._cancel(job)
                 return
             except (StoreUnavailable, StoreTimeout) as error:
