--- a/packages/mimosapoint/src/mimosapoint/cell/tests/_cell_faults.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/_cell_faults.py
@@ -337,8 +337,9 @@
         for job in jobs:
             lose_first_commit(site, job)
             nursery.start_soon(site.call_submit, job, Step(1, SMALL))
-            await trio.sleep(seconds / ABANDONED_JOBS)
+            await trio.sleep(site.random.uniform(0.05, ABANDONED_REPLY_SECONDS))
             await site.call_cancel(job, STOP_BOUND_SECONDS)
+        await trio.sleep(seconds)
     for job in jobs:
         await site.call_submit(job, Step(1, SMALL))
 
--- a/packages/mimosapoint/src/mimosapoint/testing/cell_checks.py
+++ b/packages/mimosapoint/src/mimosapoint/testing/cell_checks.py
@@ -29,7 +29,7 @@
 gang after 3 s."""
 
 LATE_START_BOUND = 3.0
-"""Longest time from a withdrawal, or a drain, to the last start there, in seconds."""
+"""Longest time from a withdrawal, a drain or a cancellation to the last start, in seconds."""
 
 CONFIGURATION_BOUND = 3.0
 """Longest time until a stored configuration is in force on every node that serves, in seconds."""
@@ -214,6 +214,8 @@
     for run in history.runs_of(cancellation.job):
         if run.ended_at is None or run.ended_at > bound:
             return f"{run.task} goes on though it was cancelled"
+        if run.started_at > accepted_at + LATE_START_BOUND:
+            return f"{run.task} started though it was cancelled"
     return None
 
 
