Know that a worker has left without waiting for its lease

Callers saw the task of a worker stand still for 12.5 s beside idle workers, as the worker had left and the owner was killed half a second later.

Cause: a new owner waits for every worker of the roster until it replies or the longest lease that an earlier owner may have renewed is over, 10.6 s after the claim. A worker that has left never replies.

Change: a worker whose registration is absent from a read after the claim, and whose host has refused each connection for the start window of 1 s, has no runs. Either sign alone proves nothing.

--- a/packages/mimosapoint-node/src/mimosapoint_node/platform/_client.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/platform/_client.py
@@ -199,6 +199,8 @@
         operating system takes large parts of it at once.
     :param too_large_error: error of a reply over the size limit; ``unknown_outcome_error`` by
         default.
+    :param not_listening_error: error of a call to an address at which no process listens;
+        ``no_effect_error`` by default.
     """
 
     no_effect_error: type[MimosapointError]
@@ -209,6 +211,7 @@
     connections: int = 16
     upload_bytes_per_second: float = math.inf
     too_large_error: type[MimosapointError] | None = None
+    not_listening_error: type[MimosapointError] | None = None
     _pools_by_address: OrderedDict[str, _ConnectionPool] = attrs.field(
         init=False, factory=OrderedDict
     )
@@ -281,7 +284,10 @@
             try:
                 return await self._exchange(method, address, path, body, headers, progress)
             except NOT_SENT_ERRORS as error:
-                raise self.no_effect_error(f"{address}: not connected: {error!r}") from error
+                kind = self.no_effect_error
+                if self.not_listening_error is not None and _is_refused(error):
+                    kind = self.not_listening_error
+                raise kind(f"{address}: not connected: {error!r}") from error
             except UNKNOWN_OUTCOME_ERRORS as error:
                 raise self.unknown_outcome_error(
                     f"{address}: connection failed: {error!r}"
@@ -363,6 +369,18 @@
         return self.unknown_outcome_error(f"status {reply.status}, code {problem.code}")
 
 
+def _is_refused(error: BaseException | None) -> bool:
+    """Return whether the host has refused a connection, as no process listens at the port.
+
+    Trio raises the errors of all addresses of a host as a group.
+    """
+    if isinstance(error, BaseExceptionGroup):
+        return all(_is_refused(each) for each in error.exceptions)
+    return isinstance(error, ConnectionRefusedError) or (
+        error is not None and _is_refused(error.__cause__)
+    )
+
+
 def make_path(*segments: str, **query: str | int | float) -> str:
     """Return the path and query of a resource.
 
--- a/packages/mimosapoint/src/mimosapoint/cell/fleet.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/fleet.py
@@ -198,7 +198,7 @@
         for registration in self._roster:
             await trio.lowlevel.checkpoint()
             session = open_session(registration)
-            session.is_registered = False
+            session.presence.is_registered = False
             session.on_roster = True
             self.sessions_by_id[registration.id] = session
 
@@ -274,16 +274,17 @@
             )
         else:
             session.update_registration(registration)
-        session.is_registered = True
+        session.presence.record_found()
 
     def _mark_missing(self, found: dict[str, WorkerRegistration], telemetry: Telemetry) -> None:
         now = self._clock.now()
         for worker, session in self.sessions_by_id.items():
-            if worker in found or not session.is_registered:
+            session.presence.is_absent = worker not in found
+            if worker in found or not session.presence.is_registered:
                 continue
             since = self._missing_since.setdefault(worker, now)
             if now - since >= self._settings.missing_grace:
-                session.is_registered = False
+                session.presence.is_registered = False
                 telemetry.event(
                     "worker-missing",
                     worker=worker,
--- a/packages/mimosapoint/src/mimosapoint/cell/tests/_cell_faults.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/_cell_faults.py
@@ -30,6 +30,10 @@
 ABANDONED_REPLY_SECONDS = 0.45
 ABANDONED_WRITE_SECONDS = 2.0
 STOP_GRACE_SECONDS = 2.0
+
+NOTICE_SECONDS = 2.0
+"""Time from the announcement of a departure until the worker leaves."""
+
 MIN_OUTAGE_SECONDS = 4.5
 """Shortest outage that ends with the loss of the owner; longer than the tasks of the pairs run."""
 
@@ -293,6 +297,22 @@
     site.end_drain(worker, drain)
 
 
+@fault("worker leaving")
+async def remove_worker(site: RecordedSite, seconds: float) -> None:
+    """Let a worker announce that it leaves, and leave; another one appears under its id later."""
+    worker = site.any_worker
+    drain = site.drain(worker)
+    await trio.sleep(min(seconds, NOTICE_SECONDS))
+    faults = site.workers.network_faults_by_address[worker.registration.address]
+    faults.not_listening = True
+    worker.restart(worker.born + 1)
+    site.unregister(worker)
+    await trio.sleep(LATE_START_BOUND + seconds)
+    faults.not_listening = False
+    site.register(worker, born=worker.born)
+    site.end_drain(worker, drain)
+
+
 @fault("worker failing every run")
 async def fail_runs(site: RecordedSite, seconds: float) -> None:
     """Let every run on a worker fail."""
--- /dev/null
+++ b/packages/mimosapoint/src/mimosapoint/cell/worker_presence.py
@@ -0,0 +1,60 @@
+"""Signs that a worker exists: its registration, and a process that listens at its address."""
+
+from datetime import datetime
+
+from mimosapoint.cell.settings import CellSettings
+from mimosapoint.errors import WorkerNotListening
+from mimosapoint.ports import Clock, Telemetry
+
+__all__ = ["WorkerPresence"]
+
+
+class WorkerPresence:
+    """Follows whether a worker has left.
+
+    ``is_registered`` tells whether the worker has a registration in the store, or had one a moment
+    ago, and ``is_absent`` whether the last read did not find it.
+
+    :param worker: id of the worker.
+    :param clock: clock of the owner.
+    :param settings: time within which starts take effect.
+    :param telemetry: receives an event when connections are refused.
+    """
+
+    def __init__(self, worker: str, clock: Clock, settings: CellSettings, telemetry: Telemetry):
+        self.is_registered = True
+        self.is_absent = False
+        self._worker = worker
+        self._clock = clock
+        self._settings = settings
+        self._telemetry = telemetry
+        self._not_listening_since: datetime | None = None
+
+    def record_found(self) -> None:
+        """Record that a read has found the registration."""
+        self.is_registered, self.is_absent = True, False
+
+    def record_reachable(self) -> None:
+        """Record a reply, or another address, of which nothing is known."""
+        self._not_listening_since = None
+
+    def record_failure(self, error: Exception) -> None:
+        """Record the error of a renewal."""
+        if not isinstance(error, WorkerNotListening):
+            self._not_listening_since = None
+        elif self._not_listening_since is None:
+            self._not_listening_since = self._clock.now()
+            self._telemetry.event(
+                "worker-not-listening", worker=self._worker, absent=self.is_absent
+            )
+
+    def has_left(self, now: datetime) -> bool:
+        """Return whether the worker's process has ended: it has no registration and no port.
+
+        Neither proves it alone: a worker without a connection to the store loses its registration.
+        Starts that were on their way when the first connection was refused have no effect after the
+        start window.
+        """
+        if not self.is_absent or self._not_listening_since is None:
+            return False
+        return now - self._not_listening_since >= self._settings.start_window
--- a/packages/mimosapoint/src/mimosapoint/cell/worker_session.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/worker_session.py
@@ -22,7 +22,8 @@
 from mimosapoint.cell.worker_lease import MILLISECOND, WorkerLease
 from mimosapoint.cell.worker_loss import WorkerLossWatch
 from mimosapoint.cell.worker_orders import WorkerOrders
-from mimosapoint.errors import StaleEpoch, WorkerRefused, WorkerUnreachable
+from mimosapoint.cell.worker_presence import WorkerPresence
+from mimosapoint.errors import MimosapointError, StaleEpoch, WorkerRefused, WorkerUnreachable
 from mimosapoint.ports import (
     Clock,
     RenewLeaseOrder,
@@ -43,10 +44,9 @@
 class WorkerSession:
     """State of one worker of the cell, and the orders to it.
 
-    ``is_registered`` tells whether the worker has a registration in the store, ``on_roster``
-    whether the stored roster lists it, and ``synced`` whether a run report of its present
-    incarnation was applied. ``incarnation`` is the start of that one, in milliseconds of the
-    worker's clock, or 0, and ``is_replaced`` tells whether another one replies at the address.
+    ``on_roster`` tells whether the stored roster lists the worker, and ``synced`` whether a run
+    report of its present incarnation was applied. ``incarnation`` is the start of that one, in
+    milliseconds of the worker's clock, or 0, and ``is_replaced`` tells whether another one replies.
     ``refusing_until`` is set after a start that the worker refused as unhealthy; ``health`` counts
     the failures of jobs on it. ``tokens`` are those of the orders.
 
@@ -72,7 +72,7 @@
         generation: int = 1,
     ):
         self.worker = Worker(registration, stability=WorkerStability(settings.worker_lease))
-        self.is_registered = True
+        self.presence = WorkerPresence(self.id, clock, settings, telemetry)
         self.on_roster = False
         self.synced = False
         self.refusing_until: datetime | None = None
@@ -121,7 +121,7 @@
         registered, "unknown" not synced, "new" not on the roster, "put-aside" quarantined and
         "unhealthy" that it refused a start.
         """
-        if not self.is_registered:
+        if not self.presence.is_registered:
             return "unlisted"
         if self.registration.draining:
             return "draining"
@@ -152,10 +152,11 @@
     def runs_known(self, now: datetime) -> bool:
         """Return whether the runs on the worker are known.
 
-        They are known from its run reports. After a replacement or the expiry of the lease there
-        are none.
+        They are known from its run reports. After a replacement, the end of its process or the
+        expiry of the lease there are none.
         """
-        return self.synced or self.is_replaced or now >= self.lease.expires_at
+        is_over = self.is_replaced or self.presence.has_left(now) or now >= self.lease.expires_at
+        return self.synced or is_over
 
     @property
     def is_drained(self) -> bool:
@@ -177,7 +178,7 @@
 
     def is_removable(self, now: datetime) -> bool:
         """Return whether the worker is not registered and the next owner does not need it."""
-        if self.is_registered or self.task_runs_by_key or not self.runs_known(now):
+        if self.presence.is_registered or self.task_runs_by_key or not self.runs_known(now):
             return False
         return self._ends.are_stored or now >= self.lease.expires_at
 
@@ -219,14 +220,15 @@
                 self._handle_replaced()
                 await trio.sleep(self._settings.order_timeout.total_seconds())
             except (WorkerUnreachable, WorkerRefused) as error:
-                await self._handle_failed_renewal(error.code)
+                await self._handle_failed_renewal(error)
             except Exception as error:
                 # One worker's messages must not end the ownership, nor that of each next owner.
                 self.record_unexpected("renewal", error)
-                await self._handle_failed_renewal("unexpected")
+                await self._handle_failed_renewal(WorkerUnreachable("unexpected"))
 
-    async def _handle_failed_renewal(self, code: str) -> None:
-        self._handle_unreachable(code)
+    async def _handle_failed_renewal(self, error: MimosapointError) -> None:
+        self._handle_unreachable(error.code)
+        self.presence.record_failure(error)
         if lapsed := self.lease.find_lapsed(self.task_runs_by_key.values()):
             self.loss_watch.record_lapse()
             self._remove_task_runs(lapsed, RunEnd.LAPSED, "lease-over")
@@ -244,8 +246,9 @@
         old = self.registration
         self.worker.update_registration(registration)
         if registration.address != old.address:
-            # What replied at the old address says nothing about the worker.
+            # What replied at the old address, or did not, says nothing about the worker.
             self.is_replaced = False
+            self.presence.record_reachable()
         if registration.draining and not old.draining:
             self._telemetry.event(
                 "worker-draining", worker=self.id, assignments=len(self.task_runs_by_key)
@@ -321,6 +324,7 @@
     def _record_reply(self, report: WorkerRunReport) -> None:
         self.lease.record_clock(report.clock_ms, report.born)
         self.answered_at = self._clock.now()
+        self.presence.record_reachable()
         if not self._is_reachable:
             self._is_reachable = True
             self.disturbances.record_return()
--- a/packages/mimosapoint/src/mimosapoint/errors.py
+++ b/packages/mimosapoint/src/mimosapoint/errors.py
@@ -42,6 +42,7 @@
     "UnknownWorkspace",
     "ValueTooLarge",
     "VmListUnavailable",
+    "WorkerNotListening",
     "WorkerRefused",
     "WorkerUnreachable",
 ]
@@ -310,6 +311,12 @@
     code = "worker-refused"
 
 
+class WorkerNotListening(WorkerRefused):
+    """No process listens at the worker's address; the command had no effect."""
+
+    code = "worker-not-listening"
+
+
 class RouteNotFound(MimosapointError):
     """The HTTP interface has no such path."""
 
--- a/packages/mimosapoint/src/mimosapoint/memory/run_workers.py
+++ b/packages/mimosapoint/src/mimosapoint/memory/run_workers.py
@@ -5,7 +5,12 @@
 import attrs
 import trio
 
-from mimosapoint.errors import MimosapointError, WorkerRefused, WorkerUnreachable
+from mimosapoint.errors import (
+    MimosapointError,
+    WorkerNotListening,
+    WorkerRefused,
+    WorkerUnreachable,
+)
 from mimosapoint.memory.run_worker import MemoryRunWorker
 from mimosapoint.ports import (
     RenewLeaseOrder,
@@ -31,7 +36,8 @@
     """Network faults between the owner and one worker.
 
     :param partitioned: calls do not reach the worker and get no reply.
-    :param refused: connections are refused.
+    :param refused: calls are refused by the worker.
+    :param not_listening: connections are refused, as no process listens at the address.
     :param start_delay: starts get no reply and take effect after this time.
     :param refuse_starts: starts are refused by the worker.
     :param wrong_incarnation: another incarnation of the worker replies.
@@ -45,6 +51,7 @@
 
     partitioned: bool = False
     refused: bool = False
+    not_listening: bool = False
     start_delay: timedelta | None = None
     refuse_starts: bool = False
     wrong_incarnation: bool = False
@@ -145,7 +152,9 @@
         await trio.sleep(DELAY_SECONDS)
         faults = self.network_faults_by_address[worker.address]
         if faults.refused:
-            raise WorkerRefused("connection refused")
+            raise WorkerRefused("refused")
+        if faults.not_listening:
+            raise WorkerNotListening("connection refused")
         if faults.partitioned:
             await trio.sleep(TIMEOUT_SECONDS)
             raise WorkerUnreachable("no reply")
--- a/packages/mimosapoint/src/mimosapoint/relay/_messages.py
+++ b/packages/mimosapoint/src/mimosapoint/relay/_messages.py
@@ -11,6 +11,7 @@
     CodecError,
     MimosapointError,
     StaleEpoch,
+    WorkerNotListening,
     WorkerRefused,
     WorkerUnreachable,
 )
@@ -72,9 +73,11 @@
 """Errors of decoding a message of another form; :class:`CodecError` is raised for wrong values."""
 
 DETAIL_ERRORS_BY_CODE = {
-    error.code: error for error in (WorkerReplaced, WorkerRefused, WorkerUnreachable)
+    error.code: error
+    for error in (WorkerNotListening, WorkerReplaced, WorkerRefused, WorkerUnreachable)
 }
-"""Errors that are encoded with their detail; others carry a value of their own."""
+"""Errors that are encoded with their detail; others carry a value of their own. Earlier versions
+take one that they do not know for ``WorkerUnreachable``, whose outcome is unknown."""
 
 
 def encode_renewal(number: int, worker: WorkerRegistration, order: RenewLeaseOrder) -> Message:
