Record crashes that many workers share, and suspect a task with two

Callers and operators saw the 20 tasks of a job crash 20 workers every 3 s, 3 to 10 times more after three workers had crashed under a task, and another job lose a hundred runs and more.

Cause: many losses at the same moment, or that of a whole rack, count as a loss of power although each worker had just started a task. The crashes were withdrawn, so that no task became a suspect and nothing bounded the starts.

Change: such a crash is recorded as a common one, which counts for the limit of five losses only. A task with two of them, and no run in between that lived for 3 s, is a suspect: it starts alone, unless its job would stand still for it, and its next crash is evidence. After a loss of power the next start lives.

--- a/packages/mimosapoint/src/mimosapoint/cell/crash_blame.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/crash_blame.py
@@ -83,6 +83,8 @@
         )
         if has_other_cause:
             self._withdraw(loss, task_runs)
+            if loss.is_over and not loss.is_planned:
+                self._record_common(loss, task_runs)
             return
         self._record_all(loss, task_runs)
         for unit in {run.unit for run in task_runs} - {None}:
@@ -132,6 +134,29 @@
                 )
                 self._record(run.unit, run.task, crash)
 
+    def _record_common(self, loss: WorkerLoss, task_runs: Iterable[TaskRun]) -> None:
+        """Record a crash with a common cause, which counts for the limit of losses.
+
+        Tasks that crash their workers at the same moment look like a loss of power, and would
+        otherwise never become suspects.
+        """
+        units = set()
+        for run in task_runs:
+            if run.unit is not None and run.confirmed_ms is not None:
+                crash = WorkerCrash(
+                    run=run.run,
+                    worker=loss.worker.id,
+                    is_early=self._is_early(run),
+                    found_at=loss.at,
+                    is_explained=True,
+                    is_confirmed=True,
+                    is_common=True,
+                )
+                self._record(run.unit, run.task, crash)
+                units.add(run.unit)
+        for unit in units:
+            self._give_up_if_proven(unit)
+
     def _record(self, unit: Unit, task: TaskId, crash: WorkerCrash) -> None:
         if self._job_table.record_crash(unit, task, crash):
             self._telemetry.count("cell_worker_crashes_blamed", sole=str(crash.is_sole).lower())
--- a/packages/mimosapoint/src/mimosapoint/cell/decisions/planner.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/decisions/planner.py
@@ -125,9 +125,9 @@
                 continue
             let_span(state, [unit], decision.pool_of)
             pool = decision.pool_of(unit)
-            if unit.is_suspect:
-                candidates = self._place_suspect(state, unit, pool)
-            else:
+            candidates = self._place_suspect(state, unit, pool) if unit.is_suspect else None
+            # Common crashes alone may have hit many healthy units, more than there are workers.
+            if candidates is None and not unit.has_crash_evidence:
                 candidates = place_overdue(state, unit, pool, self._place)
             if candidates is None:
                 unfit_keys.add(key)
--- a/packages/mimosapoint/src/mimosapoint/cell/decisions/standstill.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/decisions/standstill.py
@@ -66,7 +66,7 @@
     The next crash of that worker says less about the suspect, and ends the run of the unit, too.
 
     :param placement_state: capacity that is available in this decision.
-    :param unit: the unit, which is no suspect.
+    :param unit: the unit, against which there is no evidence.
     :param pool: service whose workers may run the unit.
     :param place: rule that chooses the workers.
     """
--- a/packages/mimosapoint/src/mimosapoint/cell/decisions/tests/test_crash_suspects.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/decisions/tests/test_crash_suspects.py
@@ -13,13 +13,15 @@
 from mimosapoint.cell.decisions.tests._planning import START, PlannerCase
 from mimosapoint.cell.decisions.worker_loss import WorkerLoss
 from mimosapoint.cell.tests._site import SMALL, WIDE
-from mimosapoint.workload import Step, TaskId, WorkerCrash
+from mimosapoint.workload import Step, TaskId, WorkerCrash, is_suspect
 
 SHARED = WorkerCrash(1, "w1", is_early=True, is_confirmed=True)
 SOLE = WorkerCrash(2, "w2", is_early=True, is_sole=True, is_confirmed=True)
 SILENCE = attrs.evolve(SOLE, run=3, worker="w3", is_confirmed=False)
 CONCLUSIVE = attrs.evolve(SOLE, is_conclusive=True)
 EXPLAINED = attrs.evolve(SHARED, is_explained=True)
+COMMON = attrs.evolve(EXPLAINED, is_common=True)
+COMMON_AGAIN = attrs.evolve(COMMON, run=2, worker="w2")
 MOST = 3
 WINDOW = timedelta(seconds=3)
 
@@ -62,10 +64,20 @@
             ([EXPLAINED, CONCLUSIVE], False),
             ([EXPLAINED, CONCLUSIVE, CONCLUSIVE], True),
             ([EXPLAINED] * 5, True),
+            # Many workers crashed with it, and then it alone, or many each time.
+            ([COMMON, COMMON_AGAIN, CONCLUSIVE], False),
+            ([COMMON, COMMON_AGAIN, CONCLUSIVE, CONCLUSIVE], True),
+            ([COMMON, COMMON_AGAIN] * 2, False),
+            ([COMMON, COMMON_AGAIN, COMMON, COMMON_AGAIN, COMMON], True),
         ):
             with self.subTest(crashes=crashes):
                 self.assertEqual(expected, is_given_up(crashes, MOST))
 
+    # Guards against tasks that crash many workers together again and again and are never suspected.
+    def test_a_task_is_a_suspect_from_its_second_common_crash_on(self):
+        for crashes, expected in (([COMMON], False), ([COMMON, COMMON_AGAIN], True)):
+            self.assertEqual(expected, is_suspect(crashes))
+
     def test_a_run_is_no_suspect_once_it_is_proven_to_work(self):
         self.add_workers(1)
         self.submit("a", 1, Step(3, SMALL))
--- a/packages/mimosapoint/src/mimosapoint/cell/decisions/units.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/decisions/units.py
@@ -21,6 +21,7 @@
     Step,
     TaskId,
     UnitId,
+    has_evidence,
     is_suspect,
 )
 
@@ -191,6 +192,12 @@
         crashes = self.job.progress.crashes
         return bool(crashes) and any(is_suspect(crashes.get(task.key, ())) for task in self.tasks)
 
+    @property
+    def has_crash_evidence(self) -> bool:
+        """Whether a crash without another cause speaks against one of its tasks."""
+        crashes = self.job.progress.crashes
+        return any(has_evidence(crashes.get(task.key, ())) for task in self.tasks)
+
     @property
     def checkpoint(self) -> str:
         """Newest checkpoint; empty if there is none."""
--- a/packages/mimosapoint/src/mimosapoint/cell/recovery/suspect_starts.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/recovery/suspect_starts.py
@@ -52,7 +52,9 @@
     """
     crashes = unit.job.progress.crashes
     for task, worker in zip(unit.tasks, start.workers, strict=True):
-        if task not in unit.task_runs_by_task and task.key not in crashes:
+        known = crashes.get(task.key, ())
+        is_unseen = all(each.is_common and each.run != start.run for each in known)
+        if task not in unit.task_runs_by_task and is_unseen:
             blame.record(unit, task, WorkerCrash(start.run, worker, is_explained=True))
 
 
--- a/packages/mimosapoint/src/mimosapoint/cell/tests/_cell_faults.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/_cell_faults.py
@@ -9,7 +9,7 @@
 
 from mimosapoint.cell.keys import job_key
 from mimosapoint.cell.tests._recorded_site import API_KEY, RecordedSite
-from mimosapoint.cell.tests._site import CAPACITY, SMALL
+from mimosapoint.cell.tests._site import CAPACITY, RACK_SIZE, SMALL
 from mimosapoint.errors import StoreTimeout
 from mimosapoint.memory import MemoryRunWorker
 from mimosapoint.memory.run_worker import CRASH_DOWNTIME
@@ -277,6 +277,15 @@
     await trio.sleep(seconds)
 
 
+@fault("job crashing its workers")
+async def submit_crashing_tasks(site: RecordedSite, seconds: float) -> None:
+    """Submit a job each of whose tasks crashes a worker, all at the same moment."""
+    job = f"crash{len(site.history.submissions)}"
+    site.simulation.crashing_tasks |= {TaskId(job, 0, 0, number) for number in range(RACK_SIZE)}
+    await site.call_submit(job, Step(RACK_SIZE, SMALL, spread_limit=1))
+    await trio.sleep(seconds)
+
+
 @fault("worker shrinking")
 async def shrink_worker(site: RecordedSite, seconds: float) -> None:
     """Let the capacity of a worker shrink, perhaps below what runs, and grow again."""
--- a/packages/mimosapoint/src/mimosapoint/workload/__init__.py
+++ b/packages/mimosapoint/src/mimosapoint/workload/__init__.py
@@ -16,7 +16,7 @@
     TaskId,
     UnitId,
 )
-from mimosapoint.workload.crashes import WorkerCrash, is_suspect
+from mimosapoint.workload.crashes import WorkerCrash, has_evidence, is_suspect
 from mimosapoint.workload.progress import JobProgress
 from mimosapoint.workload.starts import UnitStart
 from mimosapoint.workload.validation import MAX_JOB_TASKS, check_job, check_progress, task_total
@@ -40,6 +40,7 @@
     "WorkerCrash",
     "check_job",
     "check_progress",
+    "has_evidence",
     "is_suspect",
     "task_total",
 ]
--- a/packages/mimosapoint/src/mimosapoint/workload/crashes.py
+++ b/packages/mimosapoint/src/mimosapoint/workload/crashes.py
@@ -7,11 +7,16 @@
 
 import attrs
 
-__all__ = ["WorkerCrash", "is_suspect"]
+__all__ = ["WorkerCrash", "has_evidence", "is_suspect"]
 
 CONCLUSIVE_WEIGHT = 2
 """Weight of a crash that only the task explains; each other one has a weight of 1."""
 
+COMMON_CAUSES_TRUSTED = 1
+"""Crashes with a common cause under one task, each within seconds of its start, that make it no
+suspect. After a loss of power the next start lives; a task that crashes its workers, together with
+others that do, is there at the next common loss again."""
+
 
 @attrs.frozen
 class WorkerCrash:
@@ -25,10 +30,13 @@
     :param found_at: time at which the owner found the worker to be silent, which is the same for
         all tasks that may have caused the crash; ``None`` if it was found by a later owner.
     :param is_explained: whether it counts for the limit of losses only: another task, which was
-        given up, has caused it, or a later owner found the worker of a first start to be lost.
+        given up, has caused it, a later owner found the worker of a first start to be lost, or many
+        workers crashed at the same moment.
     :param is_confirmed: whether the incarnation of the worker that had the run has certainly ended;
         otherwise the worker may merely not be reachable, or may never have had the run, or not any
         more. Earlier versions did not record this.
+    :param is_common: whether many workers crashed at the same moment, so that it is explained.
+        Earlier versions do not record such a crash.
     """
 
     run: int
@@ -39,6 +47,7 @@
     found_at: datetime | None = None
     is_explained: bool = False
     is_confirmed: bool = False
+    is_common: bool = False
 
     @property
     def is_certain(self) -> bool:
@@ -62,10 +71,16 @@
 
 
 def is_suspect(crashes: Sequence[WorkerCrash]) -> bool:
-    """Return whether a task is suspected of crashing its workers.
+    """Return whether a task is suspected of crashing its workers."""
+    common = sum(crash.is_common for crash in crashes)
+    return common > COMMON_CAUSES_TRUSTED or has_evidence(crashes)
+
+
+def has_evidence(crashes: Sequence[WorkerCrash]) -> bool:
+    """Return whether crashes without another cause speak against a task.
 
-    One early crash makes it a suspect, as such a task crashes the worker that starts it. Of a run
-    that had worked for a while one crash says little.
+    One early crash does, as a task that crashes its workers crashes the one that starts it. Of a
+    run that had worked for a while one crash says little.
     """
     unexplained = [crash for crash in crashes if not crash.is_explained]
     return len(unexplained) > 1 or any(crash.is_early for crash in unexplained)
