Open a connection after a call without a reply

Cause: after a call without a reply the client took the next idle connection to the address, which was as silent. With six connections to a worker the first new one came after 12 s, and the leases end after 5 s.

Change: idle connections that have carried no reply since a call was sent that has been without one for 0.15 s are not used again. The rule is in the pool that the clients of workers, the store, forwarding and the zone form share; the pool has a module of its own now. Between nodes of the zone form a call without a reply in its time lets the next one open another channel, where the keepalive took 13 s.

The bound from the silence to the first reply is one call, 2.4 s at most, below the contact time of 3 s.

--- a/packages/mimosapoint-node/src/mimosapoint_node/grpc_peers/_channels.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/grpc_peers/_channels.py
@@ -1,29 +1,46 @@
 """Pool of gRPC channels to peers that closes unused channels."""
 
+import math
 from collections.abc import Iterator
 from contextlib import contextmanager
 
 import attrs
 import grpc
 import trio
+from mimosapoint.errors import PeerUnreachable
 
 from mimosapoint_node.grpc_peers.settings import GrpcPeersSettings
 
-__all__ = ["ChannelPool"]
+__all__ = ["ChannelPool", "DeadlineExceeded"]
+
+
+class DeadlineExceeded(PeerUnreachable):
+    """The peer did not reply in the time of the call."""
 
 
 @attrs.define
 class _PooledChannel:
-    """Channel with the number of calls in progress and the time of its last use."""
+    """Channel of a peer.
+
+    :param channel: the channel.
+    :param active_calls: number of calls in progress.
+    :param last_used_at: time at which a call last ended, in seconds of trio's clock.
+    :param replied_at: time of the last reply.
+    """
 
     channel: grpc.Channel
     active_calls: int = 0
     last_used_at: float = 0.0
+    replied_at: float = -math.inf
 
 
 class ChannelPool:
     """Pool with one channel for each peer.
 
+    The connection of a channel may go silent without a reset, which keepalive shows after seconds
+    only. A call without a reply in its time lets the next one open another channel, unless the
+    channel has carried a reply meanwhile.
+
     :param settings: settings of the connections.
     """
 
@@ -36,7 +53,13 @@
 
     @contextmanager
     def use(self, address: str) -> Iterator[grpc.Channel]:
-        """Yield the channel of a peer and keep it open while the context is active."""
+        """Yield the channel of a peer and keep it open while the context is active.
+
+        A context that ends without an error counts as a reply of the peer.
+
+        :raises DeadlineExceeded: passed on from the context, as a call had no reply in its time.
+        """
+        began_at = trio.current_time()
         pooled = self._channels_by_address.get(address)
         if pooled is None:
             self._close_unused()
@@ -44,9 +67,19 @@
         pooled.active_calls += 1
         try:
             yield pooled.channel
+            pooled.replied_at = trio.current_time()
+        except DeadlineExceeded:
+            if pooled.replied_at < began_at and self._is_current(address, pooled):
+                del self._channels_by_address[address]
+            raise
         finally:
             pooled.active_calls -= 1
             pooled.last_used_at = trio.current_time()
+            if not pooled.active_calls and not self._is_current(address, pooled):
+                pooled.channel.close()
+
+    def _is_current(self, address: str, pooled: _PooledChannel) -> bool:
+        return self._channels_by_address.get(address) is pooled
 
     def close(self) -> None:
         """Close every channel."""
--- a/packages/mimosapoint-node/src/mimosapoint_node/grpc_peers/client.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/grpc_peers/client.py
@@ -9,7 +9,7 @@
 from mimosapoint.peers import decode_reply, encode_message, message_name
 from mimosapoint.ports import Span, Telemetry
 
-from mimosapoint_node.grpc_peers._channels import ChannelPool
+from mimosapoint_node.grpc_peers._channels import ChannelPool, DeadlineExceeded
 from mimosapoint_node.grpc_peers.settings import DEFAULT_SETTINGS, GrpcPeersSettings, method_path
 
 __all__ = ["GrpcPeers", "TRACE_KEY"]
@@ -71,7 +71,7 @@
             method = channel.unary_unary(method_path(name))
             future = method.future(data, timeout=timeout.total_seconds(), metadata=metadata)
             await _wait_until_done(future)
-        reply = _reply_or_raise(future, address, name)
+            reply = _reply_or_raise(future, address, name)
         self._count_bytes(name, "received", reply)
         return decode_reply(name, reply)
 
@@ -101,5 +101,7 @@
 def _reply_or_raise(future: grpc.Future, address: str, name: str) -> bytes:
     code = future.code()
     if code is not grpc.StatusCode.OK:
-        raise PeerUnreachable(f"call {name} to {address} failed: {code.name} {future.details()}")
+        is_late = code is grpc.StatusCode.DEADLINE_EXCEEDED
+        kind = DeadlineExceeded if is_late else PeerUnreachable
+        raise kind(f"call {name} to {address} failed: {code.name} {future.details()}")
     return future.result()
--- a/packages/mimosapoint-node/src/mimosapoint_node/platform/_client.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/platform/_client.py
@@ -1,9 +1,8 @@
 """HTTP client whose errors state whether a call may have had its effect."""
 
 import math
-from collections import OrderedDict, deque
-from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
+from collections import OrderedDict
+from collections.abc import Callable
 from datetime import timedelta
 from typing import TypeVar
 from urllib.parse import quote, urlencode
@@ -15,6 +14,8 @@
 from mimosapoint.errors import BadRequest, CodecError, MimosapointError
 from mimosapoint.platform import Problem, error_from_problem
 
+from mimosapoint_node.platform._connection_pool import ConnectionPool, Progress
+
 __all__ = ["CALL_TIMEOUT", "CONNECT_TIMEOUT", "HttpClient", "Reply", "make_path"]
 
 CALL_TIMEOUT = timedelta(seconds=2)
@@ -23,21 +24,12 @@
 CONNECT_TIMEOUT = timedelta(milliseconds=500)
 """Timeout for opening a connection."""
 
-IDLE_TIMEOUT = timedelta(seconds=30)
-"""Idle time after which a connection is closed when the next request to its address ends."""
-
 ADDRESS_LIMIT = 4096
 """Largest number of addresses to which connections are kept."""
 
 BODY_LIMIT_BYTES = 16_000_000
 """Largest body of a reply, in bytes."""
 
-TRANSFER_LIMIT = timedelta(seconds=64)
-"""Longest time of a reply from its head to its end; the largest body needs it on 2 Mbit/s. It ends
-calls whose connection carries a few bytes now and then."""
-
-MAX_PORT_DIGITS = 5
-
 NOT_SENT_ERRORS = (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout)
 """Errors that occur before any part of the request is sent. ``PoolTimeout`` is raised only by the
 pool of httpcore, which is not used."""
@@ -64,125 +56,6 @@
     transfer_time: timedelta = timedelta()
 
 
-@attrs.define(eq=False)
-class _Progress:
-    """Progress of a call; each step moves the deadline, as the size of a reply is not known.
-
-    :param scope: scope whose deadline ends the call.
-    :param timeout: longest time between two steps.
-    :param limit_bytes: largest body that is read.
-    :param has_connection: whether a connection may be used, so that the request may be sent.
-    :param received_bytes: size of the part of the body that has arrived.
-    :param began_at: time at which the head of the reply arrived, in seconds of trio's clock.
-    """
-
-    scope: trio.CancelScope
-    timeout: timedelta
-    limit_bytes: int
-    has_connection: bool = False
-    received_bytes: int = 0
-    began_at: float = math.inf
-
-    def record(self, received_bytes: int = 0) -> None:
-        """Record that the reply has begun, or that a part of its body has arrived."""
-        now = trio.current_time()
-        self.began_at = min(self.began_at, now)
-        self.received_bytes += received_bytes
-        transfer_end = self.began_at + TRANSFER_LIMIT.total_seconds()
-        self.scope.deadline = min(now + self.timeout.total_seconds(), transfer_end)
-
-
-class _ConnectionPool:
-    """Connections to one address.
-
-    The pool of httpcore checks every connection, with a system call each, at every request; here
-    a request checks only the connection that it takes.
-
-    :param address: ``IP:port``.
-    :param limit: largest number of connections.
-    :raises ValueError: the address has another form.
-    """
-
-    def __init__(self, address: str, limit: int):
-        host, _, port = address.rpartition(":")
-        if not (host and port.isascii() and port.isdigit() and len(port) <= MAX_PORT_DIGITS):
-            raise ValueError("not of the form IP:port")
-        self._origin = httpcore.Origin(b"http", host.encode(), int(port))
-        self._idle: deque[tuple[float, httpcore.AsyncHTTPConnection]] = deque()
-        self._limit = trio.CapacityLimiter(limit)
-
-    def request(
-        self, method: str, path: str, body: bytes, headers: dict[str, str], connect_seconds: float
-    ) -> httpcore.Request:
-        """Return a request to the address.
-
-        :param connect_seconds: timeout for opening a connection, in seconds.
-        """
-        origin = self._origin
-        fields = [(b"Content-Length", b"%d" % len(body))]
-        if "host" not in headers:
-            fields.append((b"Host", b"%b:%d" % (origin.host, origin.port)))
-        fields += [(name.encode(), value.encode()) for name, value in headers.items()]
-        url = httpcore.URL(
-            scheme=origin.scheme, host=origin.host, port=origin.port, target=path.encode()
-        )
-        timeouts = {"connect": connect_seconds}
-        return httpcore.Request(
-            method, url, headers=fields, content=body, extensions={"timeout": timeouts}
-        )
-
-    @asynccontextmanager
-    async def stream(
-        self, request: httpcore.Request, progress: _Progress
-    ) -> AsyncIterator[httpcore.Response]:
-        """Send a request and yield its response, whose body is not read yet.
-
-        :param progress: records that a connection may be used, before anything is sent.
-        """
-        async with self._limit:
-            progress.has_connection = True
-            connection = await self._acquire()
-            try:
-                response = await connection.handle_async_request(request)
-                try:
-                    yield response
-                finally:
-                    await response.aclose()
-            except BaseException:
-                await _close(connection)
-                raise
-            await self._release(connection)
-
-    async def close(self) -> None:
-        """Close the connections that are not in use."""
-        while self._idle:
-            await _close(self._idle.pop()[1])
-
-    async def _acquire(self) -> httpcore.AsyncHTTPConnection:
-        """Return the most recently used connection that is still open, or a new one."""
-        while self._idle:
-            _, connection = self._idle.pop()
-            if not connection.has_expired():
-                return connection
-            await _close(connection)
-        return httpcore.AsyncHTTPConnection(self._origin)
-
-    async def _release(self, connection: httpcore.AsyncHTTPConnection) -> None:
-        """Keep the connection for reuse, and close those that were idle for too long."""
-        now = trio.current_time()
-        if connection.is_idle():
-            self._idle.append((now, connection))
-        else:
-            await _close(connection)
-        while self._idle and now - self._idle[0][0] > IDLE_TIMEOUT.total_seconds():
-            await _close(self._idle.popleft()[1])
-
-
-async def _close(connection: httpcore.AsyncHTTPConnection) -> None:
-    with trio.CancelScope(shield=True):
-        await connection.aclose()
-
-
 @attrs.frozen
 class HttpClient:
     """Client of one service of the platform, at any number of addresses.
@@ -212,7 +85,7 @@
     upload_bytes_per_second: float = math.inf
     too_large_error: type[MimosapointError] | None = None
     not_listening_error: type[MimosapointError] | None = None
-    _pools_by_address: OrderedDict[str, _ConnectionPool] = attrs.field(
+    _pools_by_address: OrderedDict[str, ConnectionPool] = attrs.field(
         init=False, factory=OrderedDict
     )
 
@@ -241,7 +114,9 @@
         upload_time = timedelta(seconds=len(body) / self.upload_bytes_per_second)
         timeout = self.timeout + upload_time + extra_time
         limit = BODY_LIMIT_BYTES if body_limit is None else body_limit
-        reply = await self._send(method, address, path, body, timeout, headers or {}, limit)
+        reply = await self._send(
+            method, address, path, body, timeout, extra_time, headers or {}, limit
+        )
         if reply.status not in accepted:
             raise self._make_error(reply)
         return reply
@@ -275,12 +150,13 @@
         path: str,
         body: bytes,
         timeout: timedelta,
+        server_wait: timedelta,
         headers: dict[str, str],
         body_limit: int,
     ) -> Reply:
         # The timeout includes the wait for a free connection.
         with trio.move_on_after(timeout.total_seconds()) as scope:
-            progress = _Progress(scope, self.timeout, body_limit)
+            progress = Progress(scope, self.timeout, body_limit, server_wait)
             try:
                 return await self._exchange(method, address, path, body, headers, progress)
             except NOT_SENT_ERRORS as error:
@@ -295,22 +171,12 @@
         raise self._timeout_error(address, timeout, progress)
 
     def _timeout_error(
-        self, address: str, timeout: timedelta, progress: _Progress
+        self, address: str, timeout: timedelta, progress: Progress
     ) -> MimosapointError:
         seconds = timeout.total_seconds()
         if not progress.has_connection:
             return self.no_effect_error(f"{address}: no free connection within {seconds} s")
-        received = progress.received_bytes
-        if not received:
-            return self.unknown_outcome_error(f"{address}: no reply within {seconds} s")
-        limit = TRANSFER_LIMIT.total_seconds()
-        if trio.current_time() >= progress.began_at + limit:
-            detail = f"not complete after {limit} s"
-        else:
-            detail = f"no more within {self.timeout.total_seconds()} s"
-        return self.unknown_outcome_error(
-            f"{address}: only {received} bytes of the reply, {detail}"
-        )
+        return self.unknown_outcome_error(f"{address}: {progress.describe_timeout(seconds)}")
 
     async def _exchange(
         self,
@@ -319,7 +185,7 @@
         path: str,
         body: bytes,
         headers: dict[str, str],
-        progress: _Progress,
+        progress: Progress,
     ) -> Reply:
         pool = await self._pool(address)
         connect_seconds = self.connect_timeout.total_seconds()
@@ -332,7 +198,7 @@
             transfer_time = timedelta(seconds=trio.current_time() - progress.began_at)
             return Reply(response.status, headers_by_name, body, transfer_time)
 
-    async def _read_body(self, response: httpcore.Response, progress: _Progress) -> bytes:
+    async def _read_body(self, response: httpcore.Response, progress: Progress) -> bytes:
         chunks = []
         async for chunk in response.aiter_stream():
             chunks.append(chunk)
@@ -340,17 +206,17 @@
             self._check_size(progress.received_bytes, progress)
         return b"".join(chunks)
 
-    def _check_size(self, size: int, progress: _Progress) -> None:
+    def _check_size(self, size: int, progress: Progress) -> None:
         if size > progress.limit_bytes:
             error = self.too_large_error or self.unknown_outcome_error
             raise error(f"reply over {progress.limit_bytes} bytes")
 
-    async def _pool(self, address: str) -> _ConnectionPool:
+    async def _pool(self, address: str) -> ConnectionPool:
         """Return the pool of an address; a pool shared by all would be searched at each call."""
         pool = self._pools_by_address.get(address)
         if pool is None:
             try:
-                pool = _ConnectionPool(address, self.connections)
+                pool = ConnectionPool(address, self.connections)
             except ValueError as error:
                 raise self.no_effect_error(f"{address!r}: {error}") from error
             self._pools_by_address[address] = pool
--- a/packages/mimosapoint-node/src/mimosapoint_node/platform/tests/test_client.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/platform/tests/test_client.py
@@ -9,7 +9,7 @@
 import trio
 from mimosapoint.errors import WorkerRefused, WorkerUnreachable
 
-from mimosapoint_node.platform import HttpClient, _client
+from mimosapoint_node.platform import HttpClient, _connection_pool
 
 REPLY = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 CLOSING = b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok"
@@ -70,9 +70,9 @@
 
         async def test(client, address):
             await self.call_at_once(client, address, 4)
-            expired = _client.httpcore.AsyncHTTPConnection.has_expired
+            expired = _connection_pool.httpcore.AsyncHTTPConnection.has_expired
             with mock.patch.object(
-                _client.httpcore.AsyncHTTPConnection,
+                _connection_pool.httpcore.AsyncHTTPConnection,
                 "has_expired",
                 lambda connection: checks.append(1) or expired(connection),
             ):
@@ -144,7 +144,7 @@
 
         async def test(client, address):
             limit = timedelta(milliseconds=300)
-            with mock.patch.object(_client, "TRANSFER_LIMIT", limit), trio.fail_after(1):
+            with mock.patch.object(_connection_pool, "TRANSFER_LIMIT", limit), trio.fail_after(1):
                 with self.assertRaisesRegex(WorkerUnreachable, "not complete after 0.3 s"):
                     await client.call("GET", address, "/")
 
@@ -183,7 +183,7 @@
         async def test(client, address):
             await self.call_at_once(client, address, 3)
             await trio.sleep(0.05)
-            with mock.patch.object(_client, "IDLE_TIMEOUT", timedelta(milliseconds=20)):
+            with mock.patch.object(_connection_pool, "IDLE_TIMEOUT", timedelta(milliseconds=20)):
                 await client.call("GET", address, "/")
             await trio.sleep(0.01)
             self.assertEqual(1, server.open)
--- a/tools/soak/deployment.py
+++ b/tools/soak/deployment.py
@@ -8,6 +8,8 @@
 import attrs
 from mimosapoint.workload import CellWorkspace, ResourceAmounts
 
+from tools.soak.profile import FIRST_SILENCE_SEED
+
 __all__ = [
     "DEPLOYMENT_CAPS",
     "JOBS_PER_WORKER_SECOND",
@@ -15,6 +17,7 @@
     "WORKSPACES",
     "Phase",
     "job_steps",
+    "phases_of",
 ]
 
 JOBS_PER_WORKER_SECOND = 1.5 / 60
@@ -84,6 +87,19 @@
 )
 """Phases of a run; callers submit until the last one ends."""
 
+SILENT_PHASES = (Phase(14.0, ("silence-everything",), (3.0, 8.0)), CALM)
+"""Further phases, before the last two, of seeds in which connections go silent."""
+
+
+def phases_of(seed: int) -> tuple[Phase, ...]:
+    """Return the phases of a run.
+
+    :param seed: seed of the run.
+    """
+    if seed < FIRST_SILENCE_SEED:
+        return PHASES
+    return (*PHASES[:-2], *SILENT_PHASES, *PHASES[-2:])
+
 
 def job_steps(random: Random) -> list[dict[str, Any]]:
     """Return the steps of a job: a gang, many single tasks, or a few urgent ones."""
--- a/tools/soak/deployment_faults.py
+++ b/tools/soak/deployment_faults.py
@@ -9,7 +9,7 @@
 from tools.soak.deployment import DEPLOYMENT_CAPS
 from tools.soak.disturbances import RECOVERY_SECONDS
 from tools.soak.faults import fault, stop_and_start
-from tools.soak.profile import FIRST_DEPLOYMENT_SEED
+from tools.soak.profile import FIRST_DEPLOYMENT_SEED, FIRST_SILENCE_SEED
 from tools.soak.site import START_GAP_SECONDS, SoakSite
 
 __all__ = ["PLANNED_DEPLOYMENT_FAULTS"]
@@ -22,6 +22,8 @@
 GROUPS = 2
 FAIL_SECONDS = (0.5, 2.0)
 RELOADS = 4
+SILENCES = 3
+SILENCE_GAP_SECONDS = (0.5, 4.0)
 
 
 @fault("rolling-stop-of-groups", FIRST_DEPLOYMENT_SEED)
@@ -86,6 +88,15 @@
     await trio.sleep(RECOVERY_SECONDS)
 
 
+@fault("silence-everything", FIRST_SILENCE_SEED)
+async def silence_everything(site: SoakSite, random: Random) -> None:
+    """Make all open connections to the store and to workers silent at one moment, in series."""
+    for _ in range(random.randint(1, SILENCES)):
+        for proxy in (*site.store_proxies, *site.worker_proxies):
+            proxy.silence()
+        await trio.sleep(random.uniform(*SILENCE_GAP_SECONDS))
+
+
 @fault("fail-worker", FIRST_DEPLOYMENT_SEED)
 async def fail_worker(site: SoakSite, random: Random) -> None:
     """Let all that a worker starts fail for a while."""
--- a/tools/soak/profile.py
+++ b/tools/soak/profile.py
@@ -16,6 +16,7 @@
     "FIRST_DEPLOYMENT_SEED",
     "FIRST_OUTAGE_SEED",
     "FIRST_QUOTA_SEED",
+    "FIRST_SILENCE_SEED",
     "Profile",
     "profile_of",
 ]
@@ -40,6 +41,9 @@
 """First seed of the size of a deployment: many small nodes, many workers, several workspaces, long
 runs, and phases of faults with calm times between them."""
 
+FIRST_SILENCE_SEED = 6000
+"""First seed in which all open connections to the store and to workers go silent at one moment."""
+
 SMALL_CORES = 0.5
 LARGE_CORES = 2.0
 LARGE_SITE_INTERVAL = 10
--- a/tools/soak/schedule.py
+++ b/tools/soak/schedule.py
@@ -8,7 +8,7 @@
 import trio
 
 from tools.soak.changes import GROWTH
-from tools.soak.deployment import PHASES
+from tools.soak.deployment import phases_of
 from tools.soak.deployment_faults import PLANNED_DEPLOYMENT_FAULTS
 from tools.soak.faults import OUTAGE_FAULTS, fault_names, faults_by_name
 from tools.soak.site import SoakSite
@@ -71,7 +71,7 @@
 
     :param injected: receives the names of the faults.
     """
-    for number, phase in enumerate(PHASES):
+    for number, phase in enumerate(phases_of(site.profile.seed)):
         site.log.write("phase-begins", number=number)
         if not phase.faults:
             await trio.sleep(phase.seconds)
--- a/tools/tests/test_soak_deployment.py
+++ b/tools/tests/test_soak_deployment.py
@@ -12,10 +12,14 @@
 ROOT = Path(__file__).resolve().parents[2]
 sys.path.insert(0, str(ROOT / "platform"))
 
-from tools.soak.deployment import PHASES, WORKSPACES, job_steps  # noqa: E402 (needs the path)
+from tools.soak.deployment import WORKSPACES, job_steps, phases_of  # noqa: E402 (needs the path)
 from tools.soak.faults import faults_by_name  # noqa: E402
 from tools.soak.plain_server import serve_plain  # noqa: E402
-from tools.soak.profile import profile_of  # noqa: E402
+from tools.soak.profile import (  # noqa: E402
+    FIRST_DEPLOYMENT_SEED,
+    FIRST_SILENCE_SEED,
+    profile_of,
+)
 from tools.soak.schedule import PLANNED_FAULTS  # noqa: E402
 
 
@@ -34,7 +38,8 @@
         self.assertEqual((4, 6), (len(profile_of(4001).mbps_by_node), profile_of(4001).workers))
 
     def test_every_fault_of_a_phase_is_known(self):
-        names = {name for phase in PHASES for name in phase.faults} | set(PLANNED_FAULTS)
+        phases = (*phases_of(FIRST_DEPLOYMENT_SEED), *phases_of(FIRST_SILENCE_SEED))
+        names = {name for phase in phases for name in phase.faults} | set(PLANNED_FAULTS)
         self.assertEqual(set(), names - set(faults_by_name))
 
     # A gang that its workspace's cap does not admit would wait forever.
