Tell jobs whose starts had no effect as waiting

Callers were given 0 as the number of waiting jobs, and "running" as their state, while six jobs had not begun: a worker refused each start.

Cause: the phase is running from the decision on, and is stored so before the first order, as a later owner looks for runs by it. The count, the state and the reports took it for the state of the job, and nothing took it back.

Change: a job has begun once a worker has confirmed a run, by its reply, a report or a reported end. The count, the load summary and the reports use that. When no start of a job took effect, has_begun: false is stored with the progress, and its state is queued; a first start that takes effect costs no further write. A later owner takes it from the progress, or from what the workers report. Earlier versions ignore the field and tell the phase.

The cell in memory now checks the count, and finds the old rule with the new fault "workers refusing starts".

The check of refused jobs counted a job as refused although another submission of its id was accepted, as those of "submission abandoned" are; it now asks for all submissions of a job, as the rule does.

--- a/packages/mimosapoint/src/mimosapoint/cell/decisions/load_meter.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/decisions/load_meter.py
@@ -15,7 +15,7 @@
 from mimosapoint.cell.decisions.placing import place
 from mimosapoint.cell.decisions.units import Job, Unit, UnitState
 from mimosapoint.cell.decisions.worker import Worker
-from mimosapoint.workload import JobProgress, Phase, UnitId
+from mimosapoint.workload import JobProgress, UnitId
 
 __all__ = ["LoadMeter", "make_probe"]
 
@@ -88,7 +88,7 @@
         self._measured_at = now
         queued_by_name: dict[str, dict[str, Job]] = {}
         for job in jobs:
-            if job.progress.phase is Phase.QUEUED and job.units_by_id:
+            if job.is_waiting and job.units_by_id:
                 queued_by_name.setdefault(job.record.queue, {})[job.record.id] = job
         placement_state = PlacementState(workers, now)
         pools = {worker.registration.pool for worker in workers}
--- a/packages/mimosapoint/src/mimosapoint/cell/decisions/units.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/decisions/units.py
@@ -221,6 +221,7 @@
     :param progress_version: number of changes of the progress.
     :param stored_progress_version: newest version that is stored.
     :param stored_phase: phase of the newest stored progress, which every later owner reads.
+    :param has_begun: whether a worker has begun a run; ``None`` if earlier owners may know.
     :param failed_on: workers on which runs of the job failed.
     :param ended_at: time at which it ended; ``None`` before.
     :param critical_path: estimated duration of the longest dependency chain of its steps.
@@ -238,6 +239,7 @@
     progress_version: int = 0
     stored_progress_version: int = 0
     stored_phase: Phase = attrs.field()
+    has_begun: bool | None = attrs.field()
     failed_on: set[str] = attrs.field(factory=set)
     ended_at: datetime | None = None
     critical_path: timedelta = attrs.field(init=False)
@@ -249,12 +251,28 @@
     def _phase_of_loaded_progress(self) -> Phase:
         return self.progress.phase
 
+    @has_begun.default
+    def _has_begun_by_loaded_progress(self) -> bool | None:
+        if self.progress.phase is Phase.QUEUED:
+            return False
+        return True if self.progress.has_results else self.progress.has_begun
+
     def __attrs_post_init__(self) -> None:
         self.critical_path = self.record.critical_path()
         per_occurrence = sum(1 if step.gang else step.count for step in self.record.steps)
         total = per_occurrence * self.record.occurrences
         self.remaining = total - sum(len(indexes) for indexes in self.progress.done.values())
 
+    @property
+    def is_waiting(self) -> bool:
+        """Whether no run has begun and none is about to."""
+        return self.has_begun is False and not self.has_active_unit
+
+    @property
+    def has_active_unit(self) -> bool:
+        """Whether a unit starts, runs or is being stopped."""
+        return any(unit.state is UnitState.ACTIVE for unit in self.units_by_id.values())
+
     def step_is_done(self, occurrence: int, step: int) -> bool:
         """Return whether every unit of a step is done."""
         spec = self.record.steps[step]
--- a/packages/mimosapoint/src/mimosapoint/cell/gateway.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/gateway.py
@@ -287,7 +287,7 @@
         self._lookup.require(record, workspace, job_id, queue)
         if progress is None:
             return Phase.QUEUED
-        phase = self._lookup.decode(progress, JobProgress).phase
+        phase = self._lookup.decode(progress, JobProgress).shown_phase
         if phase.ended:
             self._telemetry.event("phase-read", job=job_id, phase=phase, revision=progress.revision)
         return phase
--- a/packages/mimosapoint/src/mimosapoint/cell/job_table.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/job_table.py
@@ -132,6 +132,8 @@
     def find_started(self, task: TaskId, run: int) -> Unit | None:
         """Return the unit of a run that a worker has reported; ``None`` if it is of no open job.
 
+        The report shows that the job has begun.
+
         A run of a job that was removed is not one of a later job of the same id.
 
         An earlier owner may have created the unit before its time by this owner's clock. It is then
@@ -151,6 +153,7 @@
         if unit is None and not (job.progress.phase.ended or job.progress.is_done(unit_id)):
             unit = Unit(unit_id, job, UnitState.WAITING, self._clock.now())
             job.units_by_id[unit_id] = unit
+        self.record_begun(job)
         return unit
 
     def may_have_started(self, unit: Unit) -> bool:
@@ -185,6 +188,29 @@
             start = unit.job.progress.starts.pop(unit.id.key, None)
             if start is not None and start.born:
                 self._mark_changed(unit.job)
+            if not unit.job.has_begun and not unit.job.has_active_unit:
+                self.record_not_begun(unit.job)
+
+    def record_begun(self, job: Job) -> None:
+        """Record that a worker has begun a run of a job.
+
+        It is stored with the next change, unless callers have been shown that the job waits.
+        """
+        if job.has_begun or job.progress.phase.ended:
+            return
+        job.has_begun = True
+        if job.progress.has_begun is False:
+            self._mark_changed(job)
+        job.progress.has_begun = True
+
+    def record_not_begun(self, job: Job) -> None:
+        """Record that no run of a job has begun, whatever starts of it were decided."""
+        if job.has_begun or job.progress.phase.ended:
+            return
+        job.has_begun = False
+        if job.progress.phase is Phase.RUNNING and job.progress.has_begun is not False:
+            job.progress.has_begun = False
+            self._mark_changed(job)
 
     def finish_unit(self, unit: Unit) -> None:
         """Record that a unit is done."""
@@ -285,10 +311,10 @@
         return (job for job in self.jobs_by_id.values() if not job.progress.phase.ended)
 
     def backlog_by_queue(self) -> dict[str, int]:
-        """Return the number of jobs without a started task, by queue."""
+        """Return the number of jobs of which no worker has begun a run, by queue."""
         counts: dict[str, int] = {}
-        for job in self.jobs_by_id.values():
-            if job.progress.phase is Phase.QUEUED:
+        for job in self.open_jobs():
+            if job.has_begun is False:
                 counts[job.record.queue] = counts.get(job.record.queue, 0) + 1
         return counts
 
--- a/packages/mimosapoint/src/mimosapoint/cell/owner.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/owner.py
@@ -242,6 +242,11 @@
         """Adopt a run that an earlier owner started, or stop it if it is unwanted."""
         return self.runs.adopt(worker, status)
 
+    def on_run_confirmed(self, task_run: TaskRun) -> None:
+        """Handle a run that its worker has begun."""
+        if task_run.unit is not None:
+            self.job_table.record_begun(task_run.unit.job)
+
     def on_run_ended(
         self, task_run: TaskRun, end: RunEnd, checkpoint: str, reason: str = ""
     ) -> None:
@@ -343,9 +348,7 @@
         if self.recovery.is_complete:
             over_quota = {unit.job for unit in plan.quota_obstacles}
             self.load_writer.observe_decision(workers, context, over_quota)
-        if plan.next_decision_at is not None:
-            next_decision_at = min(next_decision_at, plan.next_decision_at)
-        return next_decision_at
+        return min(next_decision_at, plan.next_decision_at or next_decision_at)
 
     def _update_room(self, room: AmpleRoom) -> None:
         configuration = self._dependencies.view.configuration
--- a/packages/mimosapoint/src/mimosapoint/cell/recovery/core.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/recovery/core.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from datetime import datetime
 from typing import TYPE_CHECKING, Protocol
 
@@ -109,6 +109,7 @@
         """
         jobs = self._job_table.jobs_by_id.values()
         self._starts = UnresolvedStarts(jobs, self._fleet.inherited, has_unreadable_jobs)
+        self._record_not_begun(self._job_table.open_jobs())
         self._times.record(
             "loaded",
             jobs=len(jobs),
@@ -120,6 +121,7 @@
         """Add a job of earlier owners that could not be loaded at first."""
         if self._starts is not None and not self._is_complete:
             self._starts.add_job(job)
+            self._record_not_begun([job])
 
     def update(self, now: datetime) -> datetime | None:
         """Resolve what has become known; return by when the next worker will be, if one is not.
@@ -130,8 +132,10 @@
         if self._is_complete or self._starts is None:
             return None
         next_at = self._fleet.resolve_inherited(now)
-        for resolved in self._starts.remove_resolved():
-            self._handle_resolved(resolved)
+        resolved = self._starts.remove_resolved()
+        for each in resolved:
+            self._handle_resolved(each)
+        self._record_not_begun(each.job for each in resolved)
         if not self._starts:
             self._times.record("starts-known")
         self._telemetry.gauge("cell_recovery_workers", len(self._fleet.inherited.capacity_by_id))
@@ -175,6 +179,16 @@
             waits.append(RecoveryWait(UNLISTED, self._fleet.unlisted_runs_until, units))
         return sorted(waits, key=lambda wait: wait.until)
 
+    def _record_not_begun(self, jobs: Iterable[Job]) -> None:
+        """Record of jobs that none has begun, if no worker that may have a run of it is unknown.
+
+        It may have begun under an earlier owner and have been lost since. It waits then, too.
+        """
+        unknown = {unresolved.job.record.id for unresolved in self._starts}
+        for job in jobs:
+            if job.has_begun is None and job.record.id not in unknown and not job.has_active_unit:
+                self._job_table.record_not_begun(job)
+
     def _handle_resolved(self, resolved: UnresolvedStart) -> None:
         unit = resolved.unit
         if unit is None or unit.state in (UnitState.DONE, UnitState.DROPPED):
--- a/packages/mimosapoint/src/mimosapoint/cell/run_reconciler.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/run_reconciler.py
@@ -45,6 +45,7 @@
         if task_run is None:
             self._owner.on_unknown_run_ended(self._worker, ended)
         else:
+            self._owner.on_run_confirmed(task_run)
             self._session.end_task_run(task_run, ended.end, ended.checkpoint)
 
     def reconcile(self, report: WorkerRunReport, is_first: bool, is_complete: bool) -> None:
@@ -103,6 +104,7 @@
     def _update_task_run(self, task_run: TaskRun, status: RunStatus, clock_ms: int) -> None:
         if task_run.confirmed_ms is None:
             task_run.confirm(clock_ms, self._clock.now())
+            self._owner.on_run_confirmed(task_run)
         task_run.percent = status.percent
         task_run.reported_ms, task_run.reported_at = clock_ms, self._clock.now()
         task_run.progress_rate.add_sample(status.percent, clock_ms)
--- a/packages/mimosapoint/src/mimosapoint/cell/session_owner.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/session_owner.py
@@ -47,6 +47,10 @@
         """Adopt a reported run that the session did not order, or stop it if it is unwanted."""
         ...
 
+    def on_run_confirmed(self, task_run: TaskRun) -> None:
+        """Handle a run that its worker has begun, as its reply or report shows."""
+        ...
+
     def on_run_ended(
         self, task_run: TaskRun, end: RunEnd, checkpoint: str, reason: str = ""
     ) -> None:
--- a/packages/mimosapoint/src/mimosapoint/cell/tests/_cell_faults.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/_cell_faults.py
@@ -27,6 +27,7 @@
 SHRUNKEN = ResourceAmounts(64_000, 131_072, 4)
 LOST_REPLIES = 6
 ABANDONED_JOBS = 3
+REFUSED_JOBS = 3
 ABANDONED_REPLY_SECONDS = 0.45
 ABANDONED_WRITE_SECONDS = 2.0
 STOP_GRACE_SECONDS = 2.0
@@ -306,6 +307,20 @@
     site.end_drain(worker, drain)
 
 
+@fault("workers refusing starts")
+async def refuse_starts(site: RecordedSite, seconds: float) -> None:
+    """Let every worker refuse each start as unhealthy, and submit some jobs."""
+    prefix = f"refused{len(site.history.submissions)}"
+    faults = site.workers.network_faults_by_address.values()
+    for each in faults:
+        each.refuse_starts = True
+    for number in range(REFUSED_JOBS):
+        await site.call_submit(f"{prefix}-{number}", Step(1, SMALL))
+    await trio.sleep(LATE_START_BOUND + seconds)
+    for each in faults:
+        each.refuse_starts = False
+
+
 @fault("worker leaving")
 async def remove_worker(site: RecordedSite, seconds: float) -> None:
     """Let a worker announce that it leaves, and leave; another one appears under its id later."""
--- a/packages/mimosapoint/src/mimosapoint/cell/tests/_recorded_site.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/_recorded_site.py
@@ -12,8 +12,9 @@
 import trio
 
 from mimosapoint.cell import CellSettings, Submission
-from mimosapoint.cell.keys import EPOCH_KEY
+from mimosapoint.cell.keys import BACKLOG_KEY, EPOCH_KEY
 from mimosapoint.cell.tests._site import API_KEY, QUEUES, CellSite, SiteNode
+from mimosapoint.codec import decode
 from mimosapoint.errors import (
     JobNotFound,
     MimosapointError,
@@ -30,6 +31,7 @@
     ClaimObservation,
     ConfigurationObservation,
     ConfigurationWrite,
+    CountObservation,
     DisturbanceObservation,
     EpochObservation,
     PlannedStopObservation,
@@ -285,6 +287,10 @@
             epoch = int(self.store.peek(EPOCH_KEY) or 0)
             if epoch and (not self.history.epochs or epoch > self.history.epochs[-1].epoch):
                 self.history.epochs.append(EpochObservation(epoch, at))
+            backlog = self.store.peek(BACKLOG_KEY)
+            if backlog is not None:
+                count = CountObservation(at, sum(decode(backlog, dict[str, int]).values()))
+                self.history.counts.append(count)
             for node in self.live_nodes:
                 if node.cell.view.is_fresh():
                     version = node.cell.gateway.configuration().version
--- a/packages/mimosapoint/src/mimosapoint/cell/tests/test_broken_versions.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_broken_versions.py
@@ -1,5 +1,6 @@
 """Tests that the checks find versions of the cell that lose accepted jobs, each in its own way."""
 
+from collections import Counter
 from datetime import timedelta
 from random import Random
 from unittest import mock
@@ -21,6 +22,7 @@
 
 TRUE_REPLIES = "callers get the whole answer to their own request"
 KNOWN_JOBS = "accepted jobs are never lost"
+COUNTED_JOBS = "waiting jobs are counted"
 NO_STANDSTILL = "no job stands still beside free capacity"
 
 FAULTS_OVER = 14.0
@@ -49,6 +51,13 @@
         cancel_job(table, other)
 
 
+def count_undecided(table):
+    """Count the jobs of which no start has been decided."""
+    return Counter(
+        job.record.queue for job in table.open_jobs() if job.progress.phase is Phase.QUEUED
+    )
+
+
 async def not_found(gateway, workspace, job_id, *timeout):
     """Do not find one job after the faults."""
     if job_id == "job3" and trio.current_time() > FAULTS_OVER:
@@ -135,6 +144,13 @@
                 )
                 self.assertEqual({NO_STANDSTILL}, promises)
 
+    # Guards against checks that take a decided start for a run.
+    def test_a_count_that_leaves_out_jobs_whose_starts_were_refused_is_found(self):
+        promises = self.violated(
+            CellJobTable, "backlog_by_queue", count_undecided, "workers refusing starts", seed=3
+        )
+        self.assertEqual({COUNTED_JOBS}, promises)
+
     # Guards against checks that are content with the reply of any node.
     def test_a_node_that_does_not_know_a_job_or_does_not_reply_is_found(self):
         for broken, promises in (
--- a/packages/mimosapoint/src/mimosapoint/cell/worker_orders.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/worker_orders.py
@@ -101,6 +101,7 @@
                 # Its first run report, under a raised token, shows whether it has the run.
                 raise WorkerUnreachable("a new incarnation replied")
             task_run.confirm(clock_ms, self._clock.now())
+            self._owner.on_run_confirmed(task_run)
         except StartRefused as refusal:
             self._handle_refusal(task_run, refusal.reason)
         except WorkerReplaced:
--- a/packages/mimosapoint/src/mimosapoint/testing/cell_checks.py
+++ b/packages/mimosapoint/src/mimosapoint/testing/cell_checks.py
@@ -12,6 +12,7 @@
     SubmissionOutcome,
 )
 from mimosapoint.testing.checks import CheckResult
+from mimosapoint.testing.count_checks import low_counts
 from mimosapoint.testing.crash_checks import crash_violations, crashing_tasks
 from mimosapoint.testing.end_checks import false_phase, lost_jobs
 from mimosapoint.testing.run_checks import (
@@ -172,11 +173,19 @@
     yield from standing_jobs(history)
 
 
+@cell_promise("waiting jobs are counted")
+def waiting_jobs_are_counted(history: CellHistory) -> Iterator[str | None]:
+    """Check that the count of jobs that have not begun is at least half of their number."""
+    yield from low_counts(history)
+
+
 @cell_promise("not run is true")
 def refused_jobs_never_run(history: CellHistory) -> Iterator[str | None]:
-    """Check that a refused job has no run."""
+    """Check that a job of which every submission was refused has no run."""
+    refused = SubmissionOutcome.REFUSED
+    submitted = {each.job for each in history.submissions if each.outcome is not refused}
     for submission in history.submissions:
-        if submission.outcome is SubmissionOutcome.REFUSED:
+        if submission.outcome is refused and submission.job not in submitted:
             ran = history.runs_of(submission.job)
             yield f"{submission.job} was refused and ran" if ran else None
 
--- a/packages/mimosapoint/src/mimosapoint/testing/cell_history.py
+++ b/packages/mimosapoint/src/mimosapoint/testing/cell_history.py
@@ -18,6 +18,7 @@
     "ClaimObservation",
     "ConfigurationObservation",
     "ConfigurationWrite",
+    "CountObservation",
     "DisturbanceObservation",
     "EpochObservation",
     "FinalReadObservation",
@@ -217,6 +218,18 @@
     at: float
 
 
+@attrs.frozen
+class CountObservation:
+    """The published number of jobs that have not begun, over all queues.
+
+    :param at: time of the observation.
+    :param waiting: the number.
+    """
+
+    at: float
+    waiting: int
+
+
 @attrs.define
 class CellHistory:
     """Every observation of a run of a cell.
@@ -239,6 +252,7 @@
     phases: list[PhaseObservation] = attrs.field(factory=list)
     final_reads: list[FinalReadObservation] = attrs.field(factory=list)
     cancellations: list[CancellationObservation] = attrs.field(factory=list)
+    counts: list[CountObservation] = attrs.field(factory=list)
     claims: list[ClaimObservation] = attrs.field(factory=list)
     withdrawals: list[ZoneWithdrawal] = attrs.field(factory=list)
     drains: list[WorkerDrain] = attrs.field(factory=list)
--- a/packages/mimosapoint/src/mimosapoint/workload/progress.py
+++ b/packages/mimosapoint/src/mimosapoint/workload/progress.py
@@ -24,6 +24,9 @@
     :param has_all_starts: whether ``starts`` is complete; earlier versions recorded no starts.
     :param first_run: number of the first run of the job; 0 before it, and if it is not known, as
         earlier versions do not record it.
+    :param has_begun: whether a worker has begun a run of the job. ``False`` is stored when starts
+        were decided and none of them took effect; otherwise it may be ``None``, if it is not known
+        or an earlier version has written the progress.
     """
 
     phase: Phase = Phase.QUEUED
@@ -34,6 +37,21 @@
     starts: dict[str, UnitStart] = attrs.field(factory=dict)
     has_all_starts: bool = False
     first_run: int = 0
+    has_begun: bool | None = None
+
+    @property
+    def shown_phase(self) -> Phase:
+        """Phase that callers are shown.
+
+        The stored phase is running from the decision on, so that a later owner looks for runs.
+        """
+        is_waiting = self.phase is Phase.RUNNING and self.has_begun is False
+        return Phase.QUEUED if is_waiting else self.phase
+
+    @property
+    def has_results(self) -> bool:
+        """Whether ends or checkpoints of runs are recorded."""
+        return bool(self.done or self.failed_runs or self.checkpoints)
 
     def begin_runs(self, run: int) -> None:
         """Record the first run of a queued job."""
