Look for jobs that have not begun only when starts are resolved

During a take-over each decision looked at every unresolved start to find jobs that have not begun, also when no start had been resolved; with 9,300 of them that is milliseconds a decision for nothing. The event worker-silent says "unexpected" again for an unexpected error, as it did before the errors of renewals were passed on.

Measured: the tests of unstarted jobs, recovery, departed workers, worker sessions and malformed messages pass (31).

--- a/packages/mimosapoint/src/mimosapoint/cell/recovery/core.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/recovery/core.py
@@ -135,7 +135,8 @@
         resolved = self._starts.remove_resolved()
         for each in resolved:
             self._handle_resolved(each)
-        self._record_not_begun(each.job for each in resolved)
+        if resolved:
+            self._record_not_begun(each.job for each in resolved)
         if not self._starts:
             self._times.record("starts-known")
         self._telemetry.gauge("cell_recovery_workers", len(self._fleet.inherited.capacity_by_id))
@@ -180,9 +181,9 @@
         return sorted(waits, key=lambda wait: wait.until)
 
     def _record_not_begun(self, jobs: Iterable[Job]) -> None:
-        """Record of jobs that none has begun, if no worker that may have a run of it is unknown.
+        """Record that jobs have not begun of which no unknown worker may have a run.
 
-        It may have begun under an earlier owner and have been lost since. It waits then, too.
+        A job may have begun under an earlier owner and have lost its runs; it waits then, too.
         """
         unknown = {unresolved.job.record.id for unresolved in self._starts}
         for job in jobs:
--- a/packages/mimosapoint/src/mimosapoint/cell/worker_session.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/worker_session.py
@@ -23,7 +23,7 @@
 from mimosapoint.cell.worker_loss import WorkerLossWatch
 from mimosapoint.cell.worker_orders import WorkerOrders
 from mimosapoint.cell.worker_presence import WorkerPresence
-from mimosapoint.errors import MimosapointError, StaleEpoch, WorkerRefused, WorkerUnreachable
+from mimosapoint.errors import StaleEpoch, WorkerRefused, WorkerUnreachable
 from mimosapoint.ports import (
     Clock,
     RenewLeaseOrder,
@@ -220,14 +220,14 @@
                 self._handle_replaced()
                 await trio.sleep(self._settings.order_timeout.total_seconds())
             except (WorkerUnreachable, WorkerRefused) as error:
-                await self._handle_failed_renewal(error)
+                await self._handle_failed_renewal(error, error.code)
             except Exception as error:
                 # One worker's messages must not end the ownership, nor that of each next owner.
                 self.record_unexpected("renewal", error)
-                await self._handle_failed_renewal(WorkerUnreachable("unexpected"))
+                await self._handle_failed_renewal(error, "unexpected")
 
-    async def _handle_failed_renewal(self, error: MimosapointError) -> None:
-        self._handle_unreachable(error.code)
+    async def _handle_failed_renewal(self, error: Exception, code: str) -> None:
+        self._handle_unreachable(code)
         self.presence.record_failure(error)
         if lapsed := self.lease.find_lapsed(self.task_runs_by_key.values()):
             self.loss_watch.record_lapse()
