--- a/packages/mimosapoint-node/src/mimosapoint_node/http/problems.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/http/problems.py
@@ -53,6 +53,7 @@
     "unknown-workspace": 422,
     "value-too-large": 413,
     "vm-list-unavailable": 503,
+    "worker-not-listening": 503,
     "worker-refused": 503,
     "worker-unreachable": 503,
 }
--- a/packages/mimosapoint/src/mimosapoint/telemetry/_cell_declarations.py
+++ b/packages/mimosapoint/src/mimosapoint/telemetry/_cell_declarations.py
@@ -344,6 +344,16 @@
         "job-stands-still",
         "Nothing of a job runs although its service and workspace have room to spare, and why.",
     ),
+    (
+        "unstored-job-cancelled",
+        "A job was cancelled that is not stored; a submission of it that is on its way, or comes "
+        "later, does not run.",
+    ),
+    (
+        "worker-not-listening",
+        "The worker's host refuses connections. Without a registration it counts as gone after the "
+        "start window.",
+    ),
     (
         "worker-replaced",
         "Another incarnation of the worker replies at its address; this one has ended.",
--- a/packages/mimosapoint/src/mimosapoint/testing/tests/test_cell_checks.py
+++ b/packages/mimosapoint/src/mimosapoint/testing/tests/test_cell_checks.py
@@ -14,6 +14,7 @@
     ClaimObservation,
     ConfigurationObservation,
     ConfigurationWrite,
+    CountObservation,
     DisturbanceObservation,
     EpochObservation,
     FinalReadObservation,
@@ -230,6 +231,14 @@
         ),
         {"submissions": [submission()], "final_reads": [final_read(Phase.COMPLETE)]},
     ),
+    "waiting jobs are counted": (
+        {"submissions": [submission()], "counts": [CountObservation(6.1, 0)]},
+        {
+            "submissions": [submission(), submission(job="b"), submission(job="c")],
+            "counts": [CountObservation(6.1, 1)],
+            "runs": [run(0, 6.2)],
+        },
+    ),
     "no job stands still beside free capacity": (
         {"submissions": [submission()], "runs": [run(0, 4.1, 5.0), run(1, 4.1, 5.0)]},
         {"submissions": [submission(step=SINGLE)], "runs": [LONG_RUN]},
@@ -290,6 +299,7 @@
 }
 
 COMPLIANT_HISTORY = {
+    "counts": [CountObservation(2.0, 0)],
     "submissions": [
         submission(),
         submission("refused", job="b"),
