Record common crashes also of workers that did not reply to the start

A task that crashed many workers before they had replied to its start was still started without limit: its runs were not confirmed, and only confirmed ones were recorded. The end of the worker is certain in any case; the record says whether the run is, as it does for other crashes.

The lease of a cancellation is as long as the retention time, which an operator may set above the ten minutes that the store grants; it is limited to them now, with a test that fails without the limit.

--- a/packages/mimosapoint/src/mimosapoint/cell/admission_gate.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/admission_gate.py
@@ -40,6 +40,9 @@
 MARK_LEASE_USE = timedelta(seconds=10)
 """Time for which one lease is used for new marks; each mark stays for 20 s at least."""
 
+MAX_LEASE_TTL = timedelta(minutes=10)
+"""Longest lease that the store grants, as documented by the platform."""
+
 CANCEL_ATTEMPTS = 3
 """Attempts to cancel a job that is not stored: the first may find a mark or a lease that has
 changed, and the second one that changes in between."""
@@ -94,8 +97,9 @@
         self._revisions_by_job: dict[str, int] = {}
         self._unknown_revisions_by_job: dict[str, int] = {}
         self._refusal_lease = SharedLease(store, clock, MARK_TTL, MARK_LEASE_USE)
-        # As long as a cancelled job that was stored in time is kept.
-        self._cancellation_lease = SharedLease(store, clock, settings.retention, MARK_LEASE_USE)
+        # As long as a cancelled job that was stored in time is kept, as far as the store lets it.
+        ttl = min(settings.retention, MAX_LEASE_TTL)
+        self._cancellation_lease = SharedLease(store, clock, ttl, MARK_LEASE_USE)
 
     async def decide(self, record: AcceptedJob) -> AdmissionDecision:
         """Decide on a job by the published load; it is not refused yet.
--- a/packages/mimosapoint/src/mimosapoint/cell/crash_blame.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/crash_blame.py
@@ -142,14 +142,14 @@
         """
         units = set()
         for run in task_runs:
-            if run.unit is not None and run.confirmed_ms is not None:
+            if run.unit is not None:
                 crash = WorkerCrash(
                     run=run.run,
                     worker=loss.worker.id,
                     is_early=self._is_early(run),
                     found_at=loss.at,
                     is_explained=True,
-                    is_confirmed=True,
+                    is_confirmed=run.confirmed_ms is not None,
                     is_common=True,
                 )
                 self._record(run.unit, run.task, crash)
--- a/packages/mimosapoint/src/mimosapoint/cell/tests/test_early_cancellations.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_early_cancellations.py
@@ -160,3 +160,15 @@
             await self.cancel_absent(node)
             await self.submit(node)
             await site.wait_phase("a", Phase.CANCELLED)
+
+    # Guards against a cancellation that the store refuses, as it grants no lease so long.
+    async def test_the_lease_of_a_cancellation_is_one_that_the_store_grants(self):
+        settings = attrs.evolve(CellSettings(), retention=timedelta(hours=1))
+        async with open_site(settings=settings) as site:
+            with mock.patch.object(
+                site.store, "grant_lease", wraps=site.store.grant_lease
+            ) as grant:
+                await self.cancel_absent(site.other)
+            ttls = [call.args[0] for call in grant.call_args_list]
+            self.assertIn(timedelta(minutes=10), ttls)
+            self.assertNotIn(settings.retention, ttls)
--- a/packages/mimosapoint/src/mimosapoint/cell/tests/test_mass_crashes.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_mass_crashes.py
@@ -32,6 +32,18 @@
                         self.assert_given_up(site, name)
                     await site.wait_phase("beside", Phase.COMPLETE, within=60)
 
+    # Guards against crashes that are not counted, as no worker has replied to the start.
+    async def test_crashes_before_the_reply_to_a_start_are_counted(self):
+        async with open_site(workers=12) as site:
+            site.simulation.crash_delay = timedelta(milliseconds=300)
+            site.simulation.crashing_tasks |= {TaskId("deadly", 0, 0, n) for n in range(10)}
+            for faults in site.workers.network_faults_by_address.values():
+                faults.lost_start_replies = 1000
+            await site.submit("deadly", Step(10, WIDE))
+            await site.wait_phase("deadly", Phase.FAILED, within=90)
+            await trio.sleep(1)
+            self.assert_given_up(site, "deadly")
+
     # Guards against crashes of many workers that each new owner counts anew.
     async def test_owners_that_end_between_the_crashes_count_them_together(self):
         async with open_site(nodes=6, workers=12) as site:
