--- a/packages/mimosapoint-node/src/mimosapoint_node/platform/tests/test_silent_connections.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/platform/tests/test_silent_connections.py
@@ -10,7 +10,6 @@
 
 from mimosapoint_node.platform import HttpClient
 
-REPLY = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 CONNECTIONS = 16
 TIMEOUT = timedelta(milliseconds=400)
 
@@ -18,11 +17,13 @@
 class SilencingServer:
     """Server whose open connections can go silent.
 
+    :param body: body of each reply.
     :ivar accepted: number of connections that were accepted.
     :ivar delay: time of each reply, in seconds.
     """
 
-    def __init__(self):
+    def __init__(self, body=b"ok"):
+        self._reply = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
         self.accepted = 0
         self.delay = 0.02
         self._open = set()
@@ -40,7 +41,7 @@
                 for _ in range(part.count(b" HTTP/1.1\r\n")):
                     await trio.sleep(self.delay)
                     if stream not in self._silent:
-                        await stream.send_all(REPLY)
+                        await stream.send_all(self._reply)
         self._open.discard(stream)
 
 
