Take a worker for gone only if its registration was removed for that

Callers saw a task run twice at the same moment: after a change of owner the second one started it while the first run went on.

Cause: a worker without a registration whose host refused connections for the start window counted as gone. Two disturbances that overlap show both signs of a worker that runs on: it loses the store, so that its registration lapses, and connections to it are refused.

Change: the platform removes a registration when the worker has left, or after three status report intervals of silence. The new owner reads the history of an absent registration. Only if it announced the departure, and was removed within two intervals of its last write, does the worker count as gone. The time between the two changes is bounded by the replies of the store that this node has received, from request to arrival, without a failed call between them. Refused connections are still required.

Old builds: nothing is stored or sent; an owner of an earlier build concludes as before.

--- a/packages/mimosapoint/src/mimosapoint/cell/fleet.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/fleet.py
@@ -9,6 +9,8 @@
 from mimosapoint.cell.decisions.durations import Durations
 from mimosapoint.cell.decisions.worker import Worker
 from mimosapoint.cell.decisions.worker_loss import WorkerLoss
+from mimosapoint.cell.departure_proof import DepartureProver
+from mimosapoint.cell.dependencies import CellOwnerDependencies
 from mimosapoint.cell.election import Ownership
 from mimosapoint.cell.freshness import Freshness
 from mimosapoint.cell.keys import ROSTER_KEY
@@ -20,13 +22,7 @@
 from mimosapoint.cell.worker_session import WorkerSession
 from mimosapoint.codec import decode, encode, from_value
 from mimosapoint.errors import CodecError, StoreTimeout, StoreUnavailable
-from mimosapoint.ports import (
-    Clock,
-    Telemetry,
-    TransactionStore,
-    WorkerEntryDecoder,
-    WorkerRegistration,
-)
+from mimosapoint.ports import Telemetry, WorkerRegistration
 
 __all__ = ["Fleet"]
 
@@ -37,6 +33,10 @@
 PASSING_REASONS = ("put-aside", "unhealthy")
 """Reasons for which a worker in contact gets no new work for some seconds."""
 
+MAX_HISTORIES_PER_POLL = 20
+"""Most histories of absent workers that are read after one poll of the registrations, so that the
+loss of many workers does not delay the next poll or take the calls of other nodes."""
+
 GAP = None
 """Item of the roster that names no worker: there may be runs on workers that it does not list."""
 
@@ -51,33 +51,27 @@
     is above those of all earlier sessions, as their workers may appear again under their ids.
 
     :param ownership: the ownership.
-    :param store: the store.
-    :param decoder: decoder of the workers' entries.
-    :param clock: clock of the owner.
+    :param dependencies: store, decoder of the workers' entries, clock and telemetry.
     :param settings: settings of the cell.
     """
 
     def __init__(
-        self,
-        ownership: Ownership,
-        store: TransactionStore,
-        decoder: WorkerEntryDecoder,
-        clock: Clock,
-        settings: CellSettings,
+        self, ownership: Ownership, dependencies: CellOwnerDependencies, settings: CellSettings
     ):
         self.sessions_by_id: dict[str, WorkerSession] = {}
         self.first_generation = 1
-        self._store = store
-        self._decoder = decoder
-        self._clock = clock
+        self._store = dependencies.store
+        self._decoder = dependencies.worker_decoder
+        self._clock = dependencies.clock
         self._settings = settings
-        self._freshness = Freshness(clock, settings)
-        self._roster_entry = OwnedEntry(store, ROSTER_KEY, ownership)
+        self._freshness = Freshness(self._clock, settings)
+        self._roster_entry = OwnedEntry(self._store, ROSTER_KEY, ownership)
+        self._departures = DepartureProver(dependencies, settings)
         self._roster: tuple[WorkerRegistration, ...] = ()
         self._is_roster_known = True
         self._has_gap = False
         self.inherited = InheritedWorkers()
-        self.unlisted_runs_until = clock.now()
+        self.unlisted_runs_until = self._clock.now()
         self._missing_since: dict[str, datetime] = {}
         self._unreadable_revisions_by_key: dict[str, int] = {}
         self._revisions_by_worker: dict[str, int] = {}
@@ -102,12 +96,11 @@
         candidates = self.sessions_by_id if inherited.has_unlisted else inherited.capacity_by_id
         for worker_id in list(candidates):
             session = self.sessions_by_id[worker_id]
-            reason = session.known_because(now)
-            if reason and worker_id in inherited:
+            if session.runs_known(now) and worker_id in inherited:
                 inherited.resolve(worker_id)
                 # The first report has an event of its own, with what it lists.
-                if reason != "reported":
-                    _log_without_report(session, reason, telemetry)
+                if not session.synced:
+                    _log_without_report(session, now, telemetry)
         times = [self.runs_known_by(worker) for worker in inherited.capacity_by_id]
         if inherited.has_unlisted:
             times.append(self.unlisted_runs_until)
@@ -219,6 +212,7 @@
             try:
                 await availability.wait_reply(self._store, self._settings)
                 await self._read_registrations(telemetry)
+                await self._find_departures()
                 await self._write_roster(telemetry)
                 on_changed()
                 availability.record_success()
@@ -297,6 +291,18 @@
                     assignments=len(session.task_runs_by_key),
                 )
 
+    async def _find_departures(self) -> None:
+        """Find out whether workers of earlier owners that are absent have left, some at a time."""
+        unheard = [
+            session
+            for worker in self.inherited.capacity_by_id
+            if (session := self.sessions_by_id[worker]).presence.is_absent
+            and not session.synced
+            and not session.presence.is_history_known
+        ]
+        for session in unheard[:MAX_HISTORIES_PER_POLL]:
+            session.presence.record_history(await self._departures.has_left(session.id))
+
     def _record_unreadable(self, key: str, revision: int, error: str, telemetry: Telemetry) -> None:
         """Count and log an unreadable entry, once for each revision."""
         if self._unreadable_revisions_by_key.get(key) != revision:
@@ -330,8 +336,10 @@
             session.on_roster = session.id in stored_ids and not session.is_drained
 
 
-def _log_without_report(session: WorkerSession, reason: str, telemetry: Telemetry) -> None:
+def _log_without_report(session: WorkerSession, now: datetime, telemetry: Telemetry) -> None:
     """Log that no run is left on a worker of earlier owners, and from what this follows."""
+    has_left = session.presence.has_left(now)
+    reason = "replaced" if session.is_replaced else "left" if has_left else "lease-over"
     telemetry.event(
         "worker-known-unheard",
         worker=session.id,
--- a/packages/mimosapoint/src/mimosapoint/cell/operators.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/operators.py
@@ -5,6 +5,7 @@
 import trio
 
 from mimosapoint.cell.freshness import Freshness
+from mimosapoint.cell.revision_times import RevisionTimes
 from mimosapoint.cell.settings import CellSettings
 from mimosapoint.cell.store_availability import StoreAvailability
 from mimosapoint.errors import CodecError, StoreTimeout, StoreUnavailable
@@ -61,6 +62,7 @@
         self._sizes_by_key: dict[str, int] = {}
         self._changed = trio.Event()
         self._store_availability = StoreAvailability("operators", telemetry)
+        self.revision_times = RevisionTimes(clock)
 
     @property
     def age(self) -> timedelta | None:
@@ -96,6 +98,7 @@
                 self._revision = None
             except (StoreUnavailable, StoreTimeout) as error:
                 self._store_availability.record_failure(error)
+                self.revision_times.record_failure()
                 await trio.sleep(self._settings.retry_delay.total_seconds())
             if self.age is not None:
                 self._telemetry.gauge("cell_view_age_seconds", self.age.total_seconds())
@@ -125,6 +128,7 @@
                 else:
                     self._apply(change)
             self._revision = batch.revision
+            self.revision_times.record(requested_at, batch.revision)
             self._freshness.confirm_watched(requested_at, batch.transfer_time)
 
     def _watch_limit(self) -> int:
--- a/packages/mimosapoint/src/mimosapoint/cell/owner.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/owner.py
@@ -73,9 +73,7 @@
             dependencies.telemetry,
             self.request_decision,
         )
-        self.fleet = Fleet(
-            ownership, dependencies.store, dependencies.worker_decoder, dependencies.clock, settings
-        )
+        self.fleet = Fleet(ownership, dependencies, settings)
         self._inbox = Inbox(
             dependencies, ownership, self.job_table, settings, self._cancel, self.request_decision
         )
--- a/packages/mimosapoint/src/mimosapoint/cell/settings.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/settings.py
@@ -61,6 +61,8 @@
     :param freshness_bound: age above which data of operators, callers and workers is not acted
         on; shorter than the time within which a configuration must be in force.
     :param registration_poll: interval between reads of the workers' registrations.
+    :param status_report_interval: interval at which workers report to the store, as the platform
+        states it; it removes the entry of a worker that was silent for three of them.
     :param missing_grace: time for which a worker without a registration is kept; registrations
         reappear within two seconds of a store outage.
     :param patience_step: time by which an owner waits longer for the reply to a renewal after each
@@ -152,6 +154,7 @@
     watch_timeout: timedelta = _ms(800)
     freshness_bound: timedelta = _ms(1700)
     registration_poll: timedelta = _ms(600)
+    status_report_interval: timedelta = _ms(1500)
     missing_grace: timedelta = _ms(2500)
     patience_step: timedelta = _ms(800)
     patience_max: timedelta = _ms(1600)
--- a/packages/mimosapoint/src/mimosapoint/cell/worker_presence.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/worker_presence.py
@@ -13,7 +13,8 @@
     """Follows whether a worker has left.
 
     ``is_registered`` tells whether the worker has a registration in the store, or had one a moment
-    ago, and ``is_absent`` whether the last read did not find it.
+    ago, ``is_absent`` whether the last read did not find it, and ``is_history_known`` whether the
+    history of an absent registration was read.
 
     :param worker: id of the worker.
     :param clock: clock of the owner.
@@ -24,15 +25,22 @@
     def __init__(self, worker: str, clock: Clock, settings: CellSettings, telemetry: Telemetry):
         self.is_registered = True
         self.is_absent = False
+        self.is_history_known = False
         self._worker = worker
         self._clock = clock
         self._settings = settings
         self._telemetry = telemetry
         self._not_listening_since: datetime | None = None
+        self._is_departure_proven = False
 
     def record_found(self) -> None:
         """Record that a read has found the registration."""
         self.is_registered, self.is_absent = True, False
+        self.is_history_known = self._is_departure_proven = False
+
+    def record_history(self, has_left: bool) -> None:
+        """Record whether the history of the absent registration proves that the worker has left."""
+        self.is_history_known, self._is_departure_proven = True, has_left
 
     def record_reachable(self) -> None:
         """Record a reply, or another address, of which nothing is known."""
@@ -49,12 +57,13 @@
             )
 
     def has_left(self, now: datetime) -> bool:
-        """Return whether the worker's process has ended: it has no registration and no port.
+        """Return whether the worker's process has ended, as its registration was removed for that.
 
-        Neither proves it alone: a worker without a connection to the store loses its registration.
-        Starts that were on their way when the first connection was refused have no effect after the
-        start window.
+        An absent registration and refused connections prove nothing, not even together: a worker
+        that is cut off loses the one and may show the other. Starts that were on their way when the
+        first connection was refused have no effect after the start window.
         """
-        if not self.is_absent or self._not_listening_since is None:
+        is_proven = self.is_absent and self._is_departure_proven
+        if not is_proven or self._not_listening_since is None:
             return False
         return now - self._not_listening_since >= self._settings.start_window
--- a/packages/mimosapoint/src/mimosapoint/cell/worker_session.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/worker_session.py
@@ -150,22 +150,13 @@
         return self._is_reachable
 
     def runs_known(self, now: datetime) -> bool:
-        """Return whether the runs on the worker are known."""
-        return bool(self.known_because(now))
-
-    def known_because(self, now: datetime) -> str:
-        """Return why the runs on the worker are known; empty if they are not.
+        """Return whether the runs on the worker are known.
 
         They are known from its run reports. After a replacement, the end of its process or the
         expiry of the lease there are none.
         """
-        if self.synced:
-            return "reported"
-        if self.is_replaced:
-            return "replaced"
-        if self.presence.has_left(now):
-            return "left"
-        return "lease-over" if now >= self.lease.expires_at else ""
+        is_over = self.is_replaced or self.presence.has_left(now) or now >= self.lease.expires_at
+        return self.synced or is_over
 
     @property
     def is_drained(self) -> bool:
--- a/packages/mimosapoint/src/mimosapoint/telemetry/_cell_declarations.py
+++ b/packages/mimosapoint/src/mimosapoint/telemetry/_cell_declarations.py
@@ -316,6 +316,11 @@
     ("roster-unreadable", "The roster cannot be read in part; older jobs wait for all leases."),
     ("worker-fault", "A renewal or an order failed with an unexpected error."),
     ("worker-draining", "A worker gets no new work."),
+    (
+        "worker-entry-removed",
+        "The history of an absent worker of earlier owners: when its entry was removed after its "
+        "last report, and whether that proves that it has left.",
+    ),
     ("worker-entry-unreadable", "An entry names no worker that can be used."),
     ("worker-found", "A worker registered itself."),
     ("worker-slow", "Runs on a worker progress slowly; new work goes to others for a while."),
@@ -360,8 +365,8 @@
     ),
     (
         "worker-not-listening",
-        "The worker's host refuses connections. Without a registration it counts as gone after the "
-        "start window.",
+        "The worker's host refuses connections. It counts as gone after the start window if the "
+        "store shows that it has left.",
     ),
     (
         "worker-replaced",
