Store the roster anew when a worker registers another address

Callers may see a task run twice at the same moment after a change of owner, as in the users' record.

Cause: a worker that starts again under its id may register another address. The roster, from which the next owner opens its sessions, was stored anew only when the set of ids changed, so that it kept the address of the earlier incarnation. If the worker had lost the store when the owner was lost, nothing corrected it, and the reply of another worker at the earlier address counted as the end of the runs that went on at the present one.

Change: a worker counts as listed only with its present address; until the roster with it is stored, it gets no work. The wait is that of a worker that is new, one write.

Old builds: the form of the roster is the same. An owner of an earlier build stores stale addresses, which the next owner of this build corrects from the registrations, if the worker has one.

--- a/packages/mimosapoint/src/mimosapoint/cell/fleet.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/fleet.py
@@ -44,8 +44,8 @@
 class Fleet:
     """Sessions with the workers.
 
-    A worker gets work only once the stored roster lists it, so that the next owner knows every
-    worker that may have runs, including one whose own entry has expired.
+    A worker gets work only once the stored roster lists it with its address, so that the next owner
+    knows every worker that may have runs, including one whose own entry has expired.
 
     ``first_generation`` is the generation of the fencing token with which a new session begins. It
     is above those of all earlier sessions, as their workers may appear again under their ids.
@@ -212,8 +212,9 @@
             try:
                 await availability.wait_reply(self._store, self._settings)
                 await self._read_registrations(telemetry)
-                await self._find_departures()
+                # No start may come between a changed address and the roster that has it.
                 await self._write_roster(telemetry)
+                await self._find_departures()
                 on_changed()
                 availability.record_success()
             except (StoreUnavailable, StoreTimeout) as error:
@@ -317,23 +318,31 @@
         """
         sessions = [session for session in self.sessions_by_id.values() if not session.is_drained]
         wanted = tuple(session.registration for session in sessions)
-        wanted_ids = {each.id for each in wanted}
+        wanted_places = {_place(each) for each in wanted}
+        stored_places = {_place(each) for each in self._roster}
         has_gap = self.inherited.has_unlisted
-        is_changed = wanted_ids != {each.id for each in self._roster} or has_gap != self._has_gap
+        is_changed = wanted_places != stored_places or has_gap != self._has_gap
         if not self._is_roster_known or is_changed:
             # Without a reply, the write may have its effect until the next one succeeds.
             self._is_roster_known = False
             for session in self.sessions_by_id.values():
-                session.on_roster = session.on_roster and session.id in wanted_ids
+                is_listed = _place(session.registration) in wanted_places & stored_places
+                session.on_roster = session.on_roster and is_listed
             # An unreadable item keeps the next owner waiting for the workers that this one awaits.
             items = (*wanted, GAP) if has_gap else wanted
             revision = await self._roster_entry.write(encode(items))
             self._roster, self._has_gap, self._is_roster_known = wanted, has_gap, True
             telemetry.event("roster-stored", workers=len(wanted), revision=revision)
         # A session may have changed while the roster was being stored.
-        stored_ids = {each.id for each in self._roster}
+        stored_places = {_place(each) for each in self._roster}
         for session in self.sessions_by_id.values():
-            session.on_roster = session.id in stored_ids and not session.is_drained
+            is_listed = _place(session.registration) in stored_places
+            session.on_roster = is_listed and not session.is_drained
+
+
+def _place(registration: WorkerRegistration) -> tuple[str, str]:
+    """Return what the next owner needs to reach a worker whose entry has expired."""
+    return registration.id, registration.address
 
 
 def _log_without_report(session: WorkerSession, now: datetime, telemetry: Telemetry) -> None:
