Read the histories of absent workers beside the polls of registrations

Callers of jobs that no absent worker concerns would wait while a new owner reads the histories of many absent workers from a slow store.

Cause: read them between two polls of the registrations, one after the other. With a reply in 0.25 s, twenty of them take longer than the registrations count as fresh, and nothing starts.

Change: they are read by a task of their own, which ends when the runs on all inherited workers are known. The result counts only for the absence in which it was read, as the worker may have registered again meanwhile. Failed reads are logged as those of the other parts of the owner.

--- a/packages/mimosapoint/src/mimosapoint/cell/fleet.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/fleet.py
@@ -19,6 +19,7 @@
 from mimosapoint.cell.settings import CellSettings
 from mimosapoint.cell.store_availability import StoreAvailability
 from mimosapoint.cell.worker_lease import unknown_lease_time
+from mimosapoint.cell.worker_presence import WorkerPresence
 from mimosapoint.cell.worker_session import WorkerSession
 from mimosapoint.codec import decode, encode, from_value
 from mimosapoint.errors import CodecError, StoreTimeout, StoreUnavailable
@@ -34,8 +35,8 @@
 """Reasons for which a worker in contact gets no new work for some seconds."""
 
 MAX_HISTORIES_PER_POLL = 20
-"""Most histories of absent workers that are read after one poll of the registrations, so that the
-loss of many workers does not delay the next poll or take the calls of other nodes."""
+"""Most histories of absent workers that are read in a row, so that the loss of many workers does
+not take the calls to the store that all nodes may make together."""
 
 GAP = None
 """Item of the roster that names no worker: there may be runs on workers that it does not list."""
@@ -212,9 +213,9 @@
             try:
                 await availability.wait_reply(self._store, self._settings)
                 await self._read_registrations(telemetry)
-                # No start may come between a changed address and the roster that has it.
+                # No other call comes between, so that no start uses a changed address before the
+                # roster has it.
                 await self._write_roster(telemetry)
-                await self._find_departures()
                 on_changed()
                 availability.record_success()
             except (StoreUnavailable, StoreTimeout) as error:
@@ -224,6 +225,35 @@
                 pause = self._settings.retry_delay
             await trio.sleep(pause.total_seconds())
 
+    async def find_departures(self, telemetry: Telemetry) -> None:
+        """Find out which absent workers of earlier owners have left, until all runs are known.
+
+        The registrations are polled meanwhile, as the histories of many workers take long.
+
+        :param telemetry: logs and metrics.
+        """
+        availability = StoreAvailability("departures", telemetry)
+        while self.inherited:
+            try:
+                for presence in self._unexplained_absences()[:MAX_HISTORIES_PER_POLL]:
+                    absence = presence.absence
+                    has_left = await self._departures.has_left(presence.worker)
+                    presence.record_history(has_left, absence)
+                    availability.record_success()
+            except (StoreUnavailable, StoreTimeout) as error:
+                availability.record_failure(error)
+            await trio.sleep(self._settings.registration_poll.total_seconds())
+
+    def _unexplained_absences(self) -> list[WorkerPresence]:
+        """Return the absent workers that have not reported and whose history was not read."""
+        return [
+            session.presence
+            for worker in self.inherited.capacity_by_id
+            if not (session := self.sessions_by_id[worker]).synced
+            and session.presence.is_absent
+            and not session.presence.is_history_known
+        ]
+
     async def run_session(self, session: WorkerSession) -> None:
         """Run a session until its worker can be removed."""
         async with trio.open_nursery() as nursery:
@@ -292,18 +322,6 @@
                     assignments=len(session.task_runs_by_key),
                 )
 
-    async def _find_departures(self) -> None:
-        """Find out whether workers of earlier owners that are absent have left, some at a time."""
-        unheard = [
-            session
-            for worker in self.inherited.capacity_by_id
-            if (session := self.sessions_by_id[worker]).presence.is_absent
-            and not session.synced
-            and not session.presence.is_history_known
-        ]
-        for session in unheard[:MAX_HISTORIES_PER_POLL]:
-            session.presence.record_history(await self._departures.has_left(session.id))
-
     def _record_unreadable(self, key: str, revision: int, error: str, telemetry: Telemetry) -> None:
         """Count and log an unreadable entry, once for each revision."""
         if self._unreadable_revisions_by_key.get(key) != revision:
--- a/packages/mimosapoint/src/mimosapoint/cell/recovery/tests/test_departed_workers.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/recovery/tests/test_departed_workers.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from mimosapoint.cell.departure_proof import DepartureProver
 from mimosapoint.cell.settings import CellSettings
 from mimosapoint.cell.tests._site import SMALL, open_site
 from mimosapoint.cell.worker_lease import unknown_lease_time
@@ -97,6 +98,25 @@
                         await trio.sleep(0.3)
                     await self.assert_starts_again(site)
 
+    # Guards against a cell in which nothing starts while the histories of absent workers are read
+    # from a slow store, as the registrations are not read meanwhile.
+    async def test_slow_histories_of_absent_workers_delay_no_other_start(self):
+        async def read_slowly(prover, worker):
+            await trio.sleep(1)
+            return False
+
+        async with open_site(workers=8) as site:
+            await trio.sleep(1)
+            for number in range(6):
+                worker = site.simulation.workers_by_id[f"w{number}"]
+                site.unregister(worker)
+                self.faults_of(site, worker).not_listening = True
+            with mock.patch.object(DepartureProver, "has_left", read_slowly):
+                site.owner.kill()
+                await trio.sleep(3)
+                await site.submit("b", Step(1, SMALL))
+                await site.wait_running("b", within=0.5)
+
     async def play_unproven(self, site, is_registered, not_listening):
         """Let a worker run on of which one sign says that it has left; return the violations."""
         worker = await self.start(site)
--- a/packages/mimosapoint/src/mimosapoint/cell/worker_presence.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/worker_presence.py
@@ -14,7 +14,7 @@
 
     ``is_registered`` tells whether the worker has a registration in the store, or had one a moment
     ago, ``is_absent`` whether the last read did not find it, and ``is_history_known`` whether the
-    history of an absent registration was read.
+    history of an absent registration was read. ``absence`` numbers the absences.
 
     :param worker: id of the worker.
     :param clock: clock of the owner.
@@ -26,7 +26,8 @@
         self.is_registered = True
         self.is_absent = False
         self.is_history_known = False
-        self._worker = worker
+        self.absence = 0
+        self.worker = worker
         self._clock = clock
         self._settings = settings
         self._telemetry = telemetry
@@ -37,10 +38,16 @@
         """Record that a read has found the registration."""
         self.is_registered, self.is_absent = True, False
         self.is_history_known = self._is_departure_proven = False
+        self.absence += 1
 
-    def record_history(self, has_left: bool) -> None:
-        """Record whether the history of the absent registration proves that the worker has left."""
-        self.is_history_known, self._is_departure_proven = True, has_left
+    def record_history(self, has_left: bool, absence: int) -> None:
+        """Record whether the history of the registration proves that the worker has left.
+
+        :param has_left: whether it does.
+        :param absence: number of the absence in which it was read, which may be over.
+        """
+        if absence == self.absence:
+            self.is_history_known, self._is_departure_proven = True, has_left
 
     def record_reachable(self) -> None:
         """Record a reply, or another address, of which nothing is known."""
@@ -52,9 +59,7 @@
             self._not_listening_since = None
         elif self._not_listening_since is None:
             self._not_listening_since = self._clock.now()
-            self._telemetry.event(
-                "worker-not-listening", worker=self._worker, absent=self.is_absent
-            )
+            self._telemetry.event("worker-not-listening", worker=self.worker, absent=self.is_absent)
 
     def has_left(self, now: datetime) -> bool:
         """Return whether the worker's process has ended, as its registration was removed for that.
