Let each failed read of the registrations end the bounds on revisions

What callers see: a task may run twice after a change of owner.

Cause: only failures of the operators' view began the bounds on the times of revisions anew, and a call that was sent before a failure still gave a bound after it. So an entry that the platform removed in an outage that only the reads of registrations saw counted as that of a worker that left.

Change: a failed poll of the registrations forgets the replies, too, and a reply to a call from before a failure is not used.

--- a/packages/mimosapoint/src/mimosapoint/cell/fleet.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/fleet.py
@@ -67,6 +67,7 @@
         self._freshness = Freshness(self._clock, settings)
         self._roster_entry = OwnedEntry(self._store, ROSTER_KEY, ownership)
         self._departures = DepartureProver(dependencies, settings)
+        self._revision_times = dependencies.view.revision_times
         self._roster: tuple[WorkerRegistration, ...] = ()
         self._is_roster_known = True
         self._has_gap = False
@@ -219,6 +220,7 @@
                 availability.record_success()
             except (StoreUnavailable, StoreTimeout) as error:
                 availability.record_failure(error)
+                self._revision_times.record_failure()
             pause = self._settings.registration_poll
             if not availability.is_available:
                 pause = self._settings.retry_delay
--- a/packages/mimosapoint/src/mimosapoint/cell/recovery/tests/test_unreachable_workers.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/recovery/tests/test_unreachable_workers.py
@@ -93,3 +93,24 @@
             await trio.sleep(UNSEEN_SECONDS)
             site.register(worker)
             await self.assert_runs_once(site)
+
+    # Guards against a task that runs twice: the next owner took an entry that was removed during an
+    # outage for that of a worker that has left, as only its reads of the registrations had failed.
+    async def test_a_run_goes_on_alone_on_a_worker_whose_entry_is_removed_in_an_outage(self):
+        async with open_site() as site:
+            await trio.sleep(3)
+            worker = await self.start(site)
+            site.register(worker, draining=True)
+            self.faults_of(site, worker).not_listening = True
+            site.owner.kill()
+            for node in site.live_nodes:
+                node.store.failing_prefix = "workers/"
+            await trio.sleep(1.6)
+            site.unregister(worker)
+            await trio.sleep(0.3)
+            for node in site.live_nodes:
+                node.store.failing_prefix = None
+            await trio.sleep(UNSEEN_SECONDS - 2)
+            self.faults_of(site, worker).not_listening = False
+            site.register(worker, draining=False)
+            await self.assert_runs_once(site)
--- a/packages/mimosapoint/src/mimosapoint/cell/revision_times.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/revision_times.py
@@ -41,6 +41,7 @@
     def __init__(self, clock: Clock):
         self._clock = clock
         self._replies: deque[_Reply] = deque()
+        self._failed_at: datetime | None = None
 
     @property
     def oldest_revision(self) -> int | None:
@@ -48,11 +49,13 @@
         return self._replies[0].revision if self._replies else None
 
     def record(self, requested_at: datetime, revision: int) -> None:
-        """Record a reply that has just arrived.
+        """Record a reply that has just arrived, unless a call has failed since its request.
 
         :param requested_at: time at which the call was sent.
         :param revision: newest revision of the store when it replied.
         """
+        if self._failed_at is not None and requested_at <= self._failed_at:
+            return
         now = self._clock.now()
         self._replies.append(_Reply(requested_at, now, revision))
         while now - self._replies[0].received_at > KEPT_TIME:
@@ -60,6 +63,7 @@
 
     def record_failure(self) -> None:
         """Forget the replies before a call that failed."""
+        self._failed_at = self._clock.now()
         self._replies.clear()
 
     def longest_between(self, first: int, second: int) -> timedelta | None:
--- a/packages/mimosapoint/src/mimosapoint/cell/tests/_site.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/_site.py
@@ -104,19 +104,22 @@
     """Store of one node, with faults on the way to it.
 
     ``fault`` is ``refused``, ``silent`` or empty. Every other one of the next ``lossy_renewals``
-    lease renewals takes effect, but its reply is lost.
+    lease renewals takes effect, but its reply is lost. Scans of ``failing_prefix`` are refused.
     """
 
     def __init__(self, store: MemoryTransactionStore):
         self._store = store
         self.fault = ""
         self.lossy_renewals = 0
+        self.failing_prefix: str | None = None
 
     def __getattr__(self, name: str) -> Any:
         call = getattr(self._store, name)
 
         async def call_with_faults(*args: Any) -> Any:
             await self._apply_fault()
+            if name == "scan" and args[0] == self.failing_prefix:
+                raise StoreUnavailable("refused")
             reply = await call(*args)
             if self.fault == "refused":
                 # The fault began during the call, which has taken effect.
--- a/packages/mimosapoint/src/mimosapoint/cell/tests/test_revision_times.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_revision_times.py
@@ -37,3 +37,15 @@
             await self.record(times, 9, 0.1)
             self.assertIsNone(times.longest_between(6, 9))
             self.assertEqual(9, times.oldest_revision)
+
+    # Guards against a bound over an outage, by a reply to a call that was sent before it.
+    async def test_no_bound_begins_with_a_call_from_before_a_failure(self):
+        times = RevisionTimes(TrioClock())
+        requested_at = times._clock.now()
+        await trio.sleep(0.5)
+        times.record_failure()
+        await trio.sleep(0.1)
+        times.record(requested_at, 5)
+        await trio.sleep(1)
+        await self.record(times, 9, 0.1)
+        self.assertIsNone(times.longest_between(6, 9))
