Forget the bounds on revisions when replies of the store contradict each other

Cause: a reply that is behind an earlier one counted as current, so that a change could seem to have been made before its report, with a negative time between them, which proved a departure.

Change: a reply below one that had arrived before its request forgets all replies.

Measured: the new test got a bound of -1 s before; it passes now. By reading only, no reply of the platform's store was seen to do that.

--- a/packages/mimosapoint/src/mimosapoint/cell/revision_times.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/revision_times.py
@@ -33,7 +33,8 @@
     """When changes of the store were made, at the earliest and at the latest.
 
     Replies without a failed call between them only: during an outage the platform may remove
-    entries by rules of its own.
+    entries by rules of its own. A reply that is behind one before its request shows that replies
+    may be old, and all are forgotten.
 
     :param clock: clock of the node.
     """
@@ -56,6 +57,11 @@
         """
         if self._failed_at is not None and requested_at <= self._failed_at:
             return
+        if any(
+            each.received_at <= requested_at and each.revision > revision for each in self._replies
+        ):
+            self._replies.clear()
+            return
         now = self._clock.now()
         self._replies.append(_Reply(requested_at, now, revision))
         while now - self._replies[0].received_at > KEPT_TIME:
--- a/packages/mimosapoint/src/mimosapoint/cell/tests/test_revision_times.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_revision_times.py
@@ -49,3 +49,11 @@
         await trio.sleep(1)
         await self.record(times, 9, 0.1)
         self.assertIsNone(times.longest_between(6, 9))
+
+    # Guards against a bound from replies that contradict each other, as of a replica that lags.
+    async def test_no_bound_spans_a_reply_that_is_behind_an_earlier_one(self):
+        times = RevisionTimes(TrioClock())
+        await self.record(times, 9, 0.1)
+        await trio.sleep(1)
+        await self.record(times, 5, 0.1)
+        self.assertIsNone(times.longest_between(6, 9))
