Do not follow a late registration of an earlier incarnation

What callers see: a task runs twice, under one owner.

Cause: a report that a worker's earlier incarnation had sent to the store, and that took effect after the present one had registered, replaced its address. Another worker replied there, and the owner took that for the end of the runs, which went on. Reports of runs were compared by incarnation, but registrations by the revision of their entry only.

Change: a registration of an earlier incarnation counts as little as its report of runs, while the lease of the known incarnation may last.

By reading only: whether the platform's workers write late.

--- a/packages/mimosapoint/src/mimosapoint/cell/recovery/tests/test_unreachable_workers.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/recovery/tests/test_unreachable_workers.py
@@ -79,13 +79,7 @@
     # a worker, from the roster, for its end.
     async def test_a_run_goes_on_alone_on_a_worker_whose_earlier_address_has_another_user(self):
         async with open_site(workers=2) as site:
-            for worker in site.simulation.workers_by_id.values():
-                self.faults_of(site, worker).wrong_incarnation = True
-                worker.restart(worker.born + 1)
-                address = f"{worker.registration.address}0"
-                site.workers.add_at(address, worker)
-                site.register(worker, address=address, born=worker.born)
-            await trio.sleep(3)
+            await self.restart_elsewhere(site)
             worker = await self.start(site)
             await trio.sleep(1)
             site.unregister(worker)
@@ -94,6 +88,32 @@
             site.register(worker)
             await self.assert_runs_once(site)
 
+    async def restart_elsewhere(self, site):
+        """Restart all workers at other addresses; others use the earlier ones."""
+        for worker in site.simulation.workers_by_id.values():
+            self.faults_of(site, worker).wrong_incarnation = True
+            worker.restart(worker.born + 1)
+            address = f"{worker.registration.address}0"
+            site.workers.add_at(address, worker)
+            site.register(worker, address=address, born=worker.born)
+        await trio.sleep(3)
+
+    # Guards against a task that runs twice: the owner took a reply at the address in a late report
+    # of an earlier incarnation for the end of the present one.
+    async def test_a_run_goes_on_alone_on_a_worker_with_a_late_report_of_an_earlier_one(self):
+        async with open_site() as site:
+            first = {
+                worker.registration.id: worker.registration
+                for worker in site.simulation.workers_by_id.values()
+            }
+            await self.restart_elsewhere(site)
+            worker = await self.start(site)
+            present, late = worker.registration, first[worker.registration.id]
+            site.register(worker, address=late.address, born=late.born)
+            await trio.sleep(1.5)
+            site.register(worker, address=present.address, born=present.born)
+            await self.assert_runs_once(site)
+
     # Guards against a task that runs twice: the next owner took an entry that was removed during an
     # outage for that of a worker that has left, as only its reads of the registrations had failed.
     async def test_a_run_goes_on_alone_on_a_worker_whose_entry_is_removed_in_an_outage(self):
--- a/packages/mimosapoint/src/mimosapoint/cell/worker_lease.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/worker_lease.py
@@ -98,6 +98,17 @@
         remaining = max(0, self._expires_at_ms - self.clock_ms) * MILLISECOND
         return self._measured_at + _expiry_delay(remaining, self._settings)
 
+    def is_earlier(self, born: int, known: int) -> bool:
+        """Return whether an incarnation is one before the known one, which may still have runs.
+
+        If the earlier one goes on after the lease, the known one has ended: the worker's clock was
+        set back.
+
+        :param born: start of the incarnation in question; 0 if not known.
+        :param known: start of the known incarnation; 0 if none is.
+        """
+        return 0 < born < known and self._clock.now() < self.expires_at
+
     def find_lapsed(self, task_runs: Iterable[TaskRun]) -> list[TaskRun]:
         """Return the runs that have certainly ended with the lease.
 
--- a/packages/mimosapoint/src/mimosapoint/cell/worker_session.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/worker_session.py
@@ -242,8 +242,10 @@
         self._telemetry.count("cell_unexpected_errors", part="worker")
 
     def update_registration(self, registration: WorkerRegistration) -> None:
-        """Apply a new registration of the worker."""
+        """Apply a new registration of the worker, unless an earlier incarnation wrote it late."""
         old = self.registration
+        if self.lease.is_earlier(registration.born, self.incarnation or old.born):
+            return
         self.worker.update_registration(registration)
         if registration.address != old.address:
             # What replied at the old address, or did not, says nothing about the worker.
@@ -286,9 +288,7 @@
 
     async def _apply_report(self, report: WorkerRunReport) -> None:
         if report.born and self.incarnation and report.born != self.incarnation:
-            if report.born < self.incarnation and self._clock.now() < self.lease.expires_at:
-                # Perhaps the process before a restart still replies. If it goes on after the lease
-                # of the known incarnation, this one has ended: the worker's clock was set back.
+            if self.lease.is_earlier(report.born, self.incarnation):
                 raise WorkerUnreachable("an earlier incarnation replied")
             self._handle_restart(report.born)
             return
