Compute each deadline from a time at which the order was permitted

The next owner counts a silent worker's lease as over at the claim plus unknown_lease_time, and starts its tasks elsewhere, while the first runs go on.

Cause: an owner checks that it may renew leases, up to orphan_renewal_time after its ownership, then may wait for an unanswered start, or be suspended, and computes the new deadline from the time after that. So the lease that it gives ends later than the next owner assumes, by the length of the pause. A start is checked in the same way; its time limit, on which the wait of the start window and the refusal of late starts rest, moved with the pause, too.

Change: the deadline is min(now, end of the permission) plus the lease, in one computation, so the length of a pause does not matter, nor where it falls.

That this happened in the users' record is not shown.

Nothing that is stored or sent changes its form. The stubs of an owner in three modules get the new property of the interface; no check in them changed.

--- a/packages/mimosapoint/src/mimosapoint/cell/owner.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/owner.py
@@ -182,9 +182,14 @@
 
     # Interface of the worker sessions
 
+    @property
+    def valid_until(self) -> datetime:
+        """Time up to which this node certainly owns the cell."""
+        return self._ownership.valid_until
+
     def holds_ownership(self) -> bool:
         """Return whether this node still owns the cell."""
-        return self._clock.now() < self._ownership.valid_until
+        return self._clock.now() < self.valid_until
 
     def may_start_on(self, worker: Worker) -> bool:
         """Return whether a start that was decided earlier may still be ordered on a worker.
@@ -205,13 +210,9 @@
         become the owner, and a renewal starts nothing. If another node has become the owner, the
         workers that it reached refuse the renewal, and it waits for the leases of all others.
         """
-        if self.holds_ownership():
-            return True
-        orphaned_at = self._ownership.valid_until
-        return (
-            not self._ownership_check.is_pending
-            and self._clock.now() < orphaned_at + self._settings.orphan_renewal_time
-        )
+        renewals_end = self.valid_until + self._settings.orphan_renewal_time
+        is_in_time = self._clock.now() < renewals_end and not self._ownership_check.is_pending
+        return self.holds_ownership() or is_in_time
 
     def request_decision(self) -> None:
         """Request a new scheduling decision."""
--- a/packages/mimosapoint/src/mimosapoint/cell/session_owner.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/session_owner.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from datetime import datetime
 from typing import TYPE_CHECKING, Protocol
 
 from mimosapoint.cell.decisions.worker import Worker
@@ -23,6 +24,11 @@
 
     crash_blame: CrashBlame
 
+    @property
+    def valid_until(self) -> datetime:
+        """Time up to which this node certainly owns the cell, as known by now."""
+        ...
+
     def holds_ownership(self) -> bool:
         """Return whether this node still owns the cell."""
         ...
--- a/packages/mimosapoint/src/mimosapoint/cell/tests/test_failover.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_failover.py
@@ -258,6 +258,7 @@
 
     def __init__(self):
         self.may_store = trio.Event()
+        self.valid_until = TrioClock().now() + timedelta(hours=1)
 
     def __getattr__(self, name):
         return lambda *arguments: True
--- a/packages/mimosapoint/src/mimosapoint/cell/tests/test_handover.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_handover.py
@@ -72,6 +72,7 @@
 
     def __init__(self, ends_at):
         self.ends_at = ends_at
+        self.valid_until = TrioClock().now() + timedelta(seconds=ends_at - trio.current_time())
 
     def holds_ownership(self):
         return trio.current_time() < self.ends_at
--- a/packages/mimosapoint/src/mimosapoint/cell/tests/test_worker_session.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_worker_session.py
@@ -1,5 +1,6 @@
 """Tests of one worker session with scripted replies of the worker."""
 
+from datetime import timedelta
 from itertools import pairwise
 from unittest.mock import Mock
 
@@ -46,6 +47,7 @@
         self.crash_blame = Mock()
         self.fenced_by = []
         self.ended = []
+        self.valid_until = TrioClock().now() + timedelta(hours=1)
 
     def may_renew_leases(self):
         return True
--- a/packages/mimosapoint/src/mimosapoint/cell/worker_lease.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/worker_lease.py
@@ -71,17 +71,35 @@
 
     def worker_now(self) -> int:
         """Return the estimated time on the worker's clock, in milliseconds."""
-        return self.clock_ms + int((self._clock.now() - self._measured_at) / MILLISECOND)
+        return self._worker_time(self._clock.now())
 
-    def extend(self) -> int:
-        """Extend the lease by its full duration from now.
+    def extend(self, valid_until: datetime) -> int:
+        """Extend the lease by its full duration from now, or from the end of the renewals.
 
+        :param valid_until: end of the ownership, as known by now.
         :return: the new deadline on the worker's clock, in milliseconds.
         """
-        deadline_ms = self.worker_now() + int(self._settings.worker_lease / MILLISECOND)
+        renewals_end = valid_until + self._settings.orphan_renewal_time
+        return self._extend_by(self._settings.worker_lease, renewals_end)
+
+    def extend_for_start(self, valid_until: datetime) -> int:
+        """Extend the lease by the start window from now, or from the end of the ownership.
+
+        :param valid_until: end of the ownership, as known by now.
+        :return: the time on the worker's clock after which the start has no effect.
+        """
+        return self._extend_by(self._settings.start_window, valid_until)
+
+    def _extend_by(self, duration: timedelta, latest: datetime) -> int:
+        # The process may have been suspended since it was checked that the order may be sent.
+        began_ms = self._worker_time(min(self._clock.now(), latest))
+        deadline_ms = began_ms + int(duration / MILLISECOND)
         self.extend_to(deadline_ms)
         return deadline_ms
 
+    def _worker_time(self, time: datetime) -> int:
+        return self.clock_ms + int((time - self._measured_at) / MILLISECOND)
+
     def extend_to(self, until_ms: int) -> None:
         """Extend the lease to a time on the worker's clock, in milliseconds; never shorten it."""
         self._expires_at_ms = max(self._expires_at_ms, until_ms)
--- a/packages/mimosapoint/src/mimosapoint/cell/worker_orders.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/worker_orders.py
@@ -10,7 +10,7 @@
 from mimosapoint.cell.session_owner import SessionOwner
 from mimosapoint.cell.session_state import SessionState
 from mimosapoint.cell.settings import CellSettings
-from mimosapoint.cell.worker_lease import MILLISECOND, WorkerLease
+from mimosapoint.cell.worker_lease import WorkerLease
 from mimosapoint.errors import StaleEpoch, WorkerRefused, WorkerUnreachable
 from mimosapoint.ports import (
     Clock,
@@ -82,9 +82,7 @@
         if not self._may_order_start(task_run):
             self._session.end_task_run(task_run, RunEnd.REFUSED, reason="not-sent")
             return
-        window_ms = self._settings.start_window / MILLISECOND
-        task_run.not_after_ms = self._lease.worker_now() + int(window_ms)
-        self._lease.extend_to(task_run.not_after_ms)
+        task_run.not_after_ms = self._lease.extend_for_start(self._owner.valid_until)
         sent_at_ms = self._lease.clock_ms
         order = StartOrder(
             task_run.task,
--- a/packages/mimosapoint/src/mimosapoint/cell/worker_session.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/worker_session.py
@@ -263,7 +263,7 @@
         # one not asked for a while; a deadline or the number of an end then has another meaning.
         is_immediate = not (self.synced and self._is_reachable)
         wait = timedelta(0) if is_immediate else self._long_poll_wait
-        lease_until_ms = None if is_immediate else self.lease.extend()
+        lease_until_ms = None if is_immediate else self.lease.extend(self._owner.valid_until)
         storing_time = self._settings.long_poll_wait + self._settings.renewal_reply_time
         is_recent = self.answered_at and self._clock.now() - self.answered_at < storing_time
         may_acknowledge = self._is_reachable and is_recent and not self._orders.has_unanswered_start
