Keep the workers of the roster until the registrations were read

What callers saw: a task may run twice after a change of owner. The next owner starts it although its worker, with another address than the roster has, runs it.

Cause: a worker becomes known only once the registrations were read, as what replies at the address of the roster may be another worker. But a session also ends, which counts its worker as known, when the worker is not registered and has no runs. A worker of the roster counts as not registered until a read finds it. So if that read fails for 0.6 s after the claim, a reply of another worker at the address removed the worker from the sessions and from the units' recorded starts. Absence that nobody had looked for was taken as a fact.

Change: a session ends only after the first read of the registrations.

Evidence: the test, with a roster that has an earlier address and a registration that has the present one, failed with "a.0.0.0 runs twice at once" and holds now. Owners store the present address before they use a worker, so the roster has to be of an earlier version, which is so once when a cell is updated.

Beside an owner of an earlier version nothing changes for either: nothing is stored or sent in another form. Not covered: an earlier version's roster with an earlier address of a worker that has no registration at all. Nothing in the store tells its present address.

--- a/packages/mimosapoint/src/mimosapoint/cell/fleet.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/fleet.py
@@ -258,7 +258,8 @@
         """Run a session until its worker can be removed."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(session.run)
-            while not session.is_removable(self._clock.now()):
+            # Before the first read, no worker of the roster is known to have a registration.
+            while self._freshness.age is None or not session.is_removable(self._clock.now()):
                 await trio.sleep(self._settings.registration_poll.total_seconds())
             # Removed before the session ends, so that no decision uses a session that ends.
             del self.sessions_by_id[session.id]
--- a/packages/mimosapoint/src/mimosapoint/cell/recovery/tests/test_unreachable_workers.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/recovery/tests/test_unreachable_workers.py
@@ -6,8 +6,10 @@
 import trio
 
 from mimosapoint.cell import departure_proof
+from mimosapoint.cell.keys import ROSTER_KEY
 from mimosapoint.cell.settings import CellSettings
 from mimosapoint.cell.tests._site import SMALL, open_site
+from mimosapoint.codec import decode, encode
 from mimosapoint.testing import TrioTestCase
 from mimosapoint.workload import RunEnd, Step
 
@@ -93,3 +95,29 @@
             await trio.sleep(UNSEEN_SECONDS)
             site.register(worker)
             await self.assert_runs_once(site)
+
+    # Guards against a task that runs twice: as the registrations could not be read, the next owner
+    # took a worker for one without a registration, and a reply at an earlier address for its end.
+    async def test_a_run_goes_on_alone_while_the_registrations_are_not_read(self):
+        async with open_site(workers=2) as site:
+            await trio.sleep(1)
+            worker = await self.start(site)
+            entry = next(e for e in (await site.store.scan("cell/")).entries if e.key == ROSTER_KEY)
+            earlier = f"{worker.registration.address}0"
+            site.workers.add_at(earlier, worker)
+            site.workers.network_faults_by_address[earlier].wrong_incarnation = True
+            roster = decode(entry.value, list)
+            for item in roster:
+                if item["id"] == worker.registration.id:
+                    item["address"] = earlier
+            site.store.put(ROSTER_KEY, encode(roster))
+            site.owner.kill()
+            for node in site.live_nodes:
+                node.store.unread_prefix = "workers/"
+            await trio.sleep(2.5)
+            self.faults_of(site, worker).partitioned = True
+            for node in site.live_nodes:
+                node.store.unread_prefix = ""
+            await trio.sleep(1)
+            self.faults_of(site, worker).partitioned = False
+            await self.assert_runs_once(site)
--- a/packages/mimosapoint/src/mimosapoint/cell/tests/_site.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/_site.py
@@ -103,13 +103,14 @@
 class FaultyStore:
     """Store of one node, with faults on the way to it.
 
-    ``fault`` is ``refused``, ``silent`` or empty. Every other one of the next ``lossy_renewals``
-    lease renewals takes effect, but its reply is lost.
+    ``fault`` is ``refused``, ``silent`` or empty. Scans of ``unread_prefix`` are refused. Every
+    other one of the next ``lossy_renewals`` lease renewals takes effect, but its reply is lost.
     """
 
     def __init__(self, store: MemoryTransactionStore):
         self._store = store
         self.fault = ""
+        self.unread_prefix = ""
         self.lossy_renewals = 0
 
     def __getattr__(self, name: str) -> Any:
@@ -117,6 +118,8 @@
 
         async def call_with_faults(*args: Any) -> Any:
             await self._apply_fault()
+            if name == "scan" and args[0] == self.unread_prefix:
+                raise StoreUnavailable("refused")
             reply = await call(*args)
             if self.fault == "refused":
                 # The fault began during the call, which has taken effect.
