Show operators the state of a job that its caller is told

Between the decision on the first start of a job and the reply of the worker, `mimosapoint cell job` told that the job waits, while its caller was told that it runs: the report took `has_begun` from memory, and callers are told the stored progress. `Job.stored_phase` is now the state that the newest stored progress shows to callers, and the report gives it as it is.

--- a/packages/mimosapoint/src/mimosapoint/cell/committer.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/committer.py
@@ -77,7 +77,7 @@
                 await self._commit(batch)
 
     async def _commit(self, batch: list[Job]) -> None:
-        contents = [(job, job.progress_version, job.progress.phase) for job in batch]
+        contents = [(job, job.progress_version, job.progress.shown_phase) for job in batch]
         conditions = {EPOCH_KEY: self._ownership.epoch_rev}
         writes = []
         for job in batch:
@@ -117,15 +117,15 @@
             self._telemetry.count("cell_commits_settled")
             progress = _decode_progress(entry.value) if entry is not None else None
             if progress is not None and progress == job.progress:
-                self._mark_stored(job, job.progress_version, progress.phase, revision)
+                self._mark_stored(job, job.progress_version, progress.shown_phase, revision)
             else:
-                phase = progress.phase if progress is not None else Phase.QUEUED
+                phase = progress.shown_phase if progress is not None else Phase.QUEUED
                 self._set_stored(job, phase, revision)
         self._notify_stored()
         return is_resolved
 
     def _mark_stored(self, job: Job, version: int, phase: Phase, revision: int) -> None:
-        """Record that a version of the progress, with this phase, is stored."""
+        """Record that a version of the progress, which shows this phase, is stored."""
         self._set_stored(job, phase, revision)
         job.stored_progress_version = version
         uncommitted = self._job_table.uncommitted_by_id
@@ -134,7 +134,7 @@
             uncommitted[job.record.id] = job
 
     def _set_stored(self, job: Job, phase: Phase, revision: int) -> None:
-        """Record the revision and the phase of the stored progress, whichever version it is."""
+        """Record the revision and the shown phase of the progress that is stored."""
         if phase.ended and not job.stored_phase.ended:
             self._telemetry.event(
                 "job-end-stored",
--- a/packages/mimosapoint/src/mimosapoint/cell/decisions/units.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/decisions/units.py
@@ -220,7 +220,7 @@
     :param remaining: number of units, over all occurrences, that are not done.
     :param progress_version: number of changes of the progress.
     :param stored_progress_version: newest version that is stored.
-    :param stored_phase: phase of the newest stored progress, which every later owner reads.
+    :param stored_phase: phase that the newest stored progress shows, to callers as well.
     :param has_begun: whether a worker has begun a run; ``None`` if earlier owners may know.
     :param failed_on: workers on which runs of the job failed.
     :param ended_at: time at which it ended; ``None`` before.
@@ -249,7 +249,7 @@
 
     @stored_phase.default
     def _phase_of_loaded_progress(self) -> Phase:
-        return self.progress.phase
+        return self.progress.shown_phase
 
     @has_begun.default
     def _has_begun_by_loaded_progress(self) -> bool | None:
--- a/packages/mimosapoint/src/mimosapoint/cell/report.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/report.py
@@ -12,7 +12,6 @@
 from mimosapoint.cell.decisions.guarantees import covered_jobs
 from mimosapoint.cell.decisions.units import Job, Unit, UnitState
 from mimosapoint.errors import JobNotFound, NotCellOwner
-from mimosapoint.workload import Phase
 
 if TYPE_CHECKING:
     from mimosapoint.cell.core import CellNode
@@ -172,7 +171,8 @@
     :param queue: its queue.
     :param workspace: its workspace.
     :param priority: priority; 0 is the highest.
-    :param phase: stored state, as its caller sees it.
+    :param phase: stored state, as its caller sees it. It is ``running`` from the decision on its
+        first start, and ``queued`` again once no start of it is left that may take effect.
     :param covered: whether its workspace's guarantee covers it.
     :param objective: time by which the newest occurrence should be done.
     :param steps: states of its steps, as the owner knows them; ends of units may not be stored yet.
@@ -316,7 +316,7 @@
             record.queue,
             record.tenant,
             record.priority,
-            _shown_phase(job).value,
+            job.stored_phase.value,
             covered,
             job.soft_deadline(occurrences[-1]),
             tuple(
@@ -345,12 +345,6 @@
         return owner
 
 
-def _shown_phase(job: Job) -> Phase:
-    """Return the stored phase as callers are shown it."""
-    is_waiting = job.stored_phase is Phase.RUNNING and job.has_begun is False
-    return Phase.QUEUED if is_waiting else job.stored_phase
-
-
 def _jobs_without_stored_end(owner: Owner) -> Iterator[Job]:
     """Return an iterator over the jobs that a later owner would find open."""
     return (job for job in owner.job_table.jobs_by_id.values() if not job.stored_phase.ended)
--- a/packages/mimosapoint/src/mimosapoint/cell/tests/test_unstarted_jobs.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_unstarted_jobs.py
@@ -100,6 +100,28 @@
             await trio.sleep(15)
             await self.assert_told(site, len(JOBS))
 
+    # Guards against an operator who is shown that a job waits, and a caller who is told it runs.
+    async def test_the_report_and_callers_tell_the_same_at_each_moment(self):
+        async with open_site(workers=1) as site:
+            site.simulation.run_time = timedelta(seconds=2)
+            (faults,) = self.faults(site)
+            faults.lost_starts = 1000
+            await site.submit("a", Step(1, SMALL))
+            report = CellReport(site.owner.cell)
+            told = []
+            with trio.move_on_after(12):
+                while Phase.COMPLETE not in told:
+                    await trio.sleep(0.01)
+                    reported = Phase(report.job("a").phase)
+                    phases = {await node.cell.gateway.phase("t", "a") for node in site.live_nodes}
+                    if reported is Phase(report.job("a").phase):
+                        self.assertEqual({reported}, phases, f"after {told}")
+                        told += [reported] if told[-1:] != [reported] else []
+                    if told[-2:] == [Phase.RUNNING, Phase.QUEUED]:
+                        faults.lost_starts = 0
+            expected = [Phase.RUNNING, Phase.QUEUED, Phase.RUNNING, Phase.COMPLETE]
+            self.assertEqual(expected, told[-4:])
+
     # Guards against one more write for each job, whose first start usually takes effect.
     async def test_a_start_that_takes_effect_is_stored_once(self):
         async with open_site(workers=2) as site:
--- a/packages/mimosapoint/src/mimosapoint/workload/progress.py
+++ b/packages/mimosapoint/src/mimosapoint/workload/progress.py
@@ -41,9 +41,10 @@
 
     @property
     def shown_phase(self) -> Phase:
-        """Phase that callers are shown.
+        """Phase that callers and operators are shown.
 
-        The stored phase is running from the decision on, so that a later owner looks for runs.
+        The stored phase is running from the decision on, so that a later owner looks for runs. It
+        is shown as such until the starts are known to have had no effect.
         """
         is_waiting = self.phase is Phase.RUNNING and self.has_begun is False
         return Phase.QUEUED if is_waiting else self.phase
