Prove the departure of the incarnation that had the runs

What callers see: a task may run twice after a change of owner.

Cause: the proof of a departure did not ask which incarnation had announced it. A late report of an earlier incarnation, with the removal of the entry after it, proved the departure of the present one, while that was cut off and refused connections. The roster could not tell, as it was not stored anew for a worker that starts again at its address.

Change: the removed entry has to be of the incarnation that the roster lists, or a later one, and a worker that has restarted gets work only once the stored roster lists its new incarnation.

By reading only: whether the platform's workers write late.

--- a/packages/mimosapoint/src/mimosapoint/cell/departure_proof.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/departure_proof.py
@@ -12,6 +12,7 @@
     Entry,
     HistoryLost,
     Removal,
+    WorkerRegistration,
 )
 
 __all__ = ["DepartureProver"]
@@ -37,17 +38,17 @@
         self._telemetry = dependencies.telemetry
         self._settings = settings
 
-    async def has_left(self, worker: str) -> bool:
+    async def has_left(self, worker: WorkerRegistration) -> bool:
         """Return whether the history proves that a worker without an entry has left.
 
-        :param worker: id of the worker.
+        :param worker: its registration, of the newest incarnation that may have runs.
         :raises StoreUnavailable: the store refused the call.
         :raises StoreTimeout: the store gave no usable reply.
         """
         oldest = self._times.oldest_revision
         if oldest is None:
             return False
-        key = f"{self._decoder.prefix}{worker}"
+        key = f"{self._decoder.prefix}{worker.id}"
         requested_at = self._clock.now()
         try:
             batch = await self._store.watch(key, oldest, timedelta(0))
@@ -56,20 +57,24 @@
         self._times.record(requested_at, batch.revision)
         return self._is_departure(worker, _last_changes(batch, key))
 
-    def _is_departure(self, worker: str, changes: tuple[Entry, Removal] | None) -> bool:
+    def _is_departure(
+        self, worker: WorkerRegistration, changes: tuple[Entry, Removal] | None
+    ) -> bool:
         if changes is None:
             return False
         report, removal = changes
         try:
-            is_announced = self._decoder.decode(report).draining
+            last = self._decoder.decode(report)
         except CodecError:
             return False
+        # An earlier incarnation may have written it late.
+        is_announced = last.draining and last.born >= worker.born
         elapsed = self._times.longest_between(report.revision, removal.revision)
         limit = REPORTS_BEFORE_REMOVAL * self._settings.status_report_interval
         has_left = is_announced and elapsed is not None and elapsed < limit
         self._telemetry.event(
             "worker-entry-removed",
-            worker=worker,
+            worker=worker.id,
             report_revision=report.revision,
             revision=removal.revision,
             within=None if elapsed is None else round(elapsed / timedelta(seconds=1), 3),
--- a/packages/mimosapoint/src/mimosapoint/cell/fleet.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/fleet.py
@@ -19,7 +19,6 @@
 from mimosapoint.cell.settings import CellSettings
 from mimosapoint.cell.store_availability import StoreAvailability
 from mimosapoint.cell.worker_lease import unknown_lease_time
-from mimosapoint.cell.worker_presence import WorkerPresence
 from mimosapoint.cell.worker_session import WorkerSession
 from mimosapoint.codec import decode, encode, from_value
 from mimosapoint.errors import CodecError, StoreTimeout, StoreUnavailable
@@ -45,8 +44,8 @@
 class Fleet:
     """Sessions with the workers.
 
-    A worker gets work only once the stored roster lists it with its address, so that the next owner
-    knows every worker that may have runs, including one whose own entry has expired.
+    A worker gets work only once the stored roster lists its incarnation and address, so that the
+    next owner knows every worker that may have runs, including one whose own entry has expired.
 
     ``first_generation`` is the generation of the fencing token with which a new session begins. It
     is above those of all earlier sessions, as their workers may appear again under their ids.
@@ -214,8 +213,8 @@
             try:
                 await availability.wait_reply(self._store, self._settings)
                 await self._read_registrations(telemetry)
-                # No other call comes between, so that no start uses a changed address before the
-                # roster has it.
+                # No other call comes between, so that no start uses a changed registration before
+                # the roster has it.
                 await self._write_roster(telemetry)
                 on_changed()
                 availability.record_success()
@@ -237,19 +236,19 @@
         availability = StoreAvailability("departures", telemetry)
         while self.inherited:
             try:
-                for presence in self._unexplained_absences()[:MAX_HISTORIES_PER_POLL]:
-                    absence = presence.absence
-                    has_left = await self._departures.has_left(presence.worker)
-                    presence.record_history(has_left, absence)
+                for session in self._unexplained_absences()[:MAX_HISTORIES_PER_POLL]:
+                    absence = session.presence.absence
+                    has_left = await self._departures.has_left(session.registration)
+                    session.presence.record_history(has_left, absence)
                     availability.record_success()
             except (StoreUnavailable, StoreTimeout) as error:
                 availability.record_failure(error)
             await trio.sleep(self._settings.registration_poll.total_seconds())
 
-    def _unexplained_absences(self) -> list[WorkerPresence]:
-        """Return the absent workers that have not reported and whose history was not read."""
+    def _unexplained_absences(self) -> list[WorkerSession]:
+        """Return the sessions whose worker is absent and unheard, and its history not read."""
         return [
-            session.presence
+            session
             for worker in self.inherited.capacity_by_id
             if not (session := self.sessions_by_id[worker]).synced
             and session.presence.is_absent
@@ -339,15 +338,17 @@
         """
         sessions = [session for session in self.sessions_by_id.values() if not session.is_drained]
         wanted = tuple(session.registration for session in sessions)
-        wanted_places = {_place(each) for each in wanted}
-        stored_places = {_place(each) for each in self._roster}
+        wanted_incarnations = {_incarnation(each) for each in wanted}
+        stored_incarnations = {_incarnation(each) for each in self._roster}
         has_gap = self.inherited.has_unlisted
-        is_changed = wanted_places != stored_places or has_gap != self._has_gap
+        is_changed = wanted_incarnations != stored_incarnations or has_gap != self._has_gap
         if not self._is_roster_known or is_changed:
             # Without a reply, the write may have its effect until the next one succeeds.
             self._is_roster_known = False
             for session in self.sessions_by_id.values():
-                is_listed = _place(session.registration) in wanted_places & stored_places
+                is_listed = (
+                    _incarnation(session.registration) in wanted_incarnations & stored_incarnations
+                )
                 session.on_roster = session.on_roster and is_listed
             # An unreadable item keeps the next owner waiting for the workers that this one awaits.
             items = (*wanted, GAP) if has_gap else wanted
@@ -355,15 +356,15 @@
             self._roster, self._has_gap, self._is_roster_known = wanted, has_gap, True
             telemetry.event("roster-stored", workers=len(wanted), revision=revision)
         # A session may have changed while the roster was being stored.
-        stored_places = {_place(each) for each in self._roster}
+        stored_incarnations = {_incarnation(each) for each in self._roster}
         for session in self.sessions_by_id.values():
-            is_listed = _place(session.registration) in stored_places
+            is_listed = _incarnation(session.registration) in stored_incarnations
             session.on_roster = is_listed and not session.is_drained
 
 
-def _place(registration: WorkerRegistration) -> tuple[str, str]:
-    """Return what the next owner needs to reach a worker whose entry has expired."""
-    return registration.id, registration.address
+def _incarnation(registration: WorkerRegistration) -> tuple[str, str, int]:
+    """Return what the next owner needs to know a worker's incarnation whose entry has expired."""
+    return registration.id, registration.address, registration.born
 
 
 def _log_without_report(session: WorkerSession, now: datetime, telemetry: Telemetry) -> None:
--- a/packages/mimosapoint/src/mimosapoint/cell/recovery/tests/test_unreachable_workers.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/recovery/tests/test_unreachable_workers.py
@@ -116,6 +116,26 @@
             site.register(worker, address=present.address, born=present.born)
             await self.assert_runs_once(site)
 
+    # Guards against a task that runs twice: the next owner took the late report of an earlier
+    # incarnation, which announced its departure, for that of the one that had the run.
+    async def test_a_run_goes_on_alone_on_a_worker_of_which_an_earlier_incarnation_has_left(self):
+        async with open_site() as site:
+            for worker in site.simulation.workers_by_id.values():
+                worker.restart(worker.born + 1)
+                site.register(worker, born=worker.born)
+            await trio.sleep(3)
+            worker = await self.start(site)
+            await trio.sleep(1)
+            site.register(worker, born=worker.born - 1, draining=True)
+            await trio.sleep(0.3)
+            site.unregister(worker)
+            self.faults_of(site, worker).not_listening = True
+            site.owner.kill()
+            await trio.sleep(UNSEEN_SECONDS)
+            self.faults_of(site, worker).not_listening = False
+            site.register(worker, born=worker.born, draining=False)
+            await self.assert_runs_once(site)
+
     # Guards against a task that runs twice: the next owner took an entry that was removed during an
     # outage for that of a worker that has left, as only its reads of the registrations had failed.
     async def test_a_run_goes_on_alone_on_a_worker_whose_entry_is_removed_in_an_outage(self):
