--- a/packages/mimosapoint/src/mimosapoint/cell/fleet.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/fleet.py
@@ -345,10 +345,9 @@
         if not self._is_roster_known or is_changed:
             # Without a reply, the write may have its effect until the next one succeeds.
             self._is_roster_known = False
+            listed = wanted_incarnations & stored_incarnations
             for session in self.sessions_by_id.values():
-                is_listed = (
-                    _incarnation(session.registration) in wanted_incarnations & stored_incarnations
-                )
+                is_listed = _incarnation(session.registration) in listed
                 session.on_roster = session.on_roster and is_listed
             # An unreadable item keeps the next owner waiting for the workers that this one awaits.
             items = (*wanted, GAP) if has_gap else wanted
