Withdraw a loss when the worker replies again to a later session

What callers saw: a job is shown as failed although no worker has crashed under it. It takes five losses in a row (max_worker_crashes and two more), each found before 3 s of work are proven.

Cause: a silent worker may be one that has crashed, so its loss is recorded for the runs that had just started, and withdrawn when the incarnation replies again. But a worker that has no registration and no runs left loses its session, and with it what is to be withdrawn. So a worker that is cut off from the owner and from the store, and returns, counts as lost for good: absence was taken for a crash.

Change: CrashBlame keeps each silence with suspects for as long as ended jobs are kept, with the incarnation that was heard before. The first reply of that incarnation to a later session withdraws the loss.

Evidence: in the test six workers in turn are out of sight for 10 s. With their registrations the job completed before; without them it was given up at five losses, while the task had ended as done on each of the five workers. Now it completes in both.

Not covered: a later owner, which knows no incarnation of a loss that another one recorded; such a loss goes on counting, as before. The stubs of an owner in two modules get the attribute that the interface has; no check in them changed.

--- a/packages/mimosapoint/src/mimosapoint/cell/crash_blame.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/crash_blame.py
@@ -11,6 +11,7 @@
     is_mass_loss,
 )
 from mimosapoint.cell.decisions.units import Job, TaskRun, Unit
+from mimosapoint.cell.decisions.worker import Worker
 from mimosapoint.cell.decisions.worker_loss import WorkerLoss
 from mimosapoint.cell.job_table import CellJobTable
 from mimosapoint.cell.settings import CellSettings
@@ -50,6 +51,7 @@
         self._settings = settings
         self._telemetry = telemetry
         self._unexplained_at: datetime | None = None
+        self._silences_by_worker: dict[str, WorkerLoss] = {}
 
     def on_silent(self, loss: WorkerLoss) -> None:
         """Handle a worker that has stopped replying, and may have crashed.
@@ -57,6 +59,8 @@
         Early suspects are recorded at once: the owner may end before it learns what has happened.
         Such a record alone lets no job fail, and it is removed when the worker replies again.
         """
+        if loss.suspects:
+            self._keep_silence(loss)
         early = [run for run in loss.suspects if self._is_early(run)]
         if early and not self._has_other_cause(loss):
             self._record_all(loss, early)
@@ -97,8 +101,28 @@
 
     def on_returned(self, loss: WorkerLoss) -> None:
         """Handle the return of a silent worker, which has not crashed."""
+        self._silences_by_worker.pop(loss.worker.id, None)
         self._withdraw(loss, loss.suspects)
 
+    def on_found(self, worker: Worker, incarnation: int) -> None:
+        """Handle the first reply to a session; in an earlier one the worker may have been silent.
+
+        A session ends when its worker has no registration and no runs, which proves no crash.
+
+        :param incarnation: start of the incarnation that replied; 0 if not known.
+        """
+        loss = self._silences_by_worker.get(worker.id)
+        if loss is not None and incarnation and loss.incarnation == incarnation:
+            self.on_returned(loss)
+
+    def _keep_silence(self, loss: WorkerLoss) -> None:
+        """Keep a silence, which a later session may find over, and forget those of removed jobs."""
+        silences = self._silences_by_worker
+        silences.pop(loss.worker.id, None)
+        silences[loss.worker.id] = loss
+        while loss.at - (oldest := next(iter(silences.values()))).at > self._settings.retention:
+            del silences[oldest.worker.id]
+
     def on_outlived(self, task_run: TaskRun) -> None:
         """Handle a run that has worked too long for a task that crashes its workers."""
         task_run.worker.suspect_runs.discard(task_run)
--- a/packages/mimosapoint/src/mimosapoint/cell/decisions/worker_loss.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/decisions/worker_loss.py
@@ -23,6 +23,7 @@
     :param is_planned: whether the worker had announced that it leaves.
     :param has_known_suspect: whether it ran a unit that was suspected of earlier crashes.
     :param is_over: whether its incarnation has certainly ended.
+    :param incarnation: start of that incarnation, as its replies show; 0 if not known.
     """
 
     worker: Worker
@@ -32,6 +33,7 @@
     is_planned: bool
     has_known_suspect: bool = False
     is_over: bool = False
+    incarnation: int = 0
 
     def may_be_simultaneous(self, other: WorkerLoss) -> bool:
         """Return whether both workers may have been lost at the same moment.
--- a/packages/mimosapoint/src/mimosapoint/cell/tests/test_crashes_elsewhere.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_crashes_elsewhere.py
@@ -48,6 +48,34 @@
             self.assertEqual([], site.runs("ordered"))
             await site.wait_phase("ordered", Phase.COMPLETE, within=60)
 
+    # Guards against a job that is shown as failed although no worker has crashed: each one that was
+    # out of sight replies again, under a new session, as it had lost its registration, too.
+    async def test_workers_that_were_out_of_sight_and_reply_again_are_no_evidence(self):
+        for loses_registration in (False, True):
+            with self.subTest(loses_registration=loses_registration):
+                async with open_site(workers=9) as site:
+                    site.simulation.run_time = timedelta(seconds=5)
+                    await site.submit("healthy", Step(1, SMALL))
+                    for _ in range(6):
+                        await site.wait_running("healthy", within=30)
+                        worker = self.worker_of(site, "healthy")
+                        site.nursery.start_soon(self.hide, site, worker, loses_registration)
+                        with trio.fail_after(30):
+                            while site.runs("healthy")[-1].worker == worker.registration.id:
+                                await trio.sleep(0.05)
+                    await site.wait_phase("healthy", Phase.COMPLETE, within=60)
+                    self.assertEqual([], site.violations())
+
+    async def hide(self, site, worker, loses_registration):
+        """Let a worker be out of sight until its session has ended, if it is not registered."""
+        faults = site.workers.network_faults_by_address[worker.registration.address]
+        faults.partitioned = True
+        if loses_registration:
+            site.unregister(worker)
+        await trio.sleep(10)
+        faults.partitioned = False
+        site.register(worker)
+
     def worker_of(self, site, job):
         return site.simulation.workers_by_id[site.running(job)[0].worker]
 
--- a/packages/mimosapoint/src/mimosapoint/cell/tests/test_failover.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_failover.py
@@ -2,6 +2,7 @@
 
 from datetime import timedelta
 from types import SimpleNamespace
+from unittest.mock import Mock
 
 import trio
 
@@ -257,6 +258,7 @@
     """Owner of a worker session; it stores ends once ``may_store`` is set."""
 
     def __init__(self):
+        self.crash_blame = Mock()
         self.may_store = trio.Event()
         self.valid_until = TrioClock().now() + timedelta(hours=1)
 
--- a/packages/mimosapoint/src/mimosapoint/cell/tests/test_handover.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_handover.py
@@ -2,6 +2,7 @@
 
 from datetime import timedelta
 from random import Random
+from unittest.mock import Mock
 
 import trio
 import trio.testing
@@ -71,6 +72,7 @@
     """Owner of a session whose ownership ends at a time."""
 
     def __init__(self, ends_at):
+        self.crash_blame = Mock()
         self.ends_at = ends_at
         self.valid_until = TrioClock().now() + timedelta(seconds=ends_at - trio.current_time())
 
--- a/packages/mimosapoint/src/mimosapoint/cell/worker_loss.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/worker_loss.py
@@ -42,14 +42,21 @@
         self._settings = settings
         self._is_restarted = False
         self._heard_at: datetime | None = None
+        self._incarnation = 0
 
     def record_silence(self) -> None:
         """Record that the worker has stopped replying."""
         self._owner.crash_blame.on_silent(self._open())
 
-    def record_reply(self) -> None:
-        """Record a reply of the known incarnation: if it was silent, it has not crashed."""
+    def record_reply(self, incarnation: int) -> None:
+        """Record a reply of the known incarnation: if it was silent, it has not crashed.
+
+        :param incarnation: start of the incarnation; 0 if not known.
+        """
+        if self._heard_at is None:
+            self._owner.crash_blame.on_found(self._worker, incarnation)
         self._heard_at = self._clock.now()
+        self._incarnation = incarnation
         if self.loss is not None and not self._is_restarted:
             self._owner.crash_blame.on_returned(self.loss)
             self.loss = None
@@ -95,6 +102,7 @@
                 suspects=tuple(find_suspects(self._worker, window)),
                 is_planned=self._worker.registration.draining,
                 has_known_suspect=bool(self._worker.suspect_runs),
+                incarnation=self._incarnation,
             )
         return self.loss
 
--- a/packages/mimosapoint/src/mimosapoint/cell/worker_session.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/worker_session.py
@@ -294,7 +294,7 @@
             return
         self.incarnation = report.born or self.incarnation
         self.is_replaced = False
-        self.loss_watch.record_reply()
+        self.loss_watch.record_reply(self.incarnation)
         is_first = not self.synced
         self._record_reply(report)
         ends = self._ends
