Show that an owner that is cut off lets no unrepeatable work run twice

The zone form was searched for places in which failure to connect, or absence from the list of VMs, ends runs that live. An owner that is cut off from the store and the other nodes goes on renewing the leases of the workers that it reaches, without a bound such as orphan_renewal_time of the cell. The next owner takes such a worker for lost after 22 s by its settings.

What callers see: work that is not repeatable starts once and ends as MayHaveRun or succeeded; the new test holds, listed or not, with the cut 2 ms, 50 ms and 2 s after the start. No code of the program changes.

--- a/packages/mimosapoint/src/mimosapoint/node/tests/test_failover.py
+++ b/packages/mimosapoint/src/mimosapoint/node/tests/test_failover.py
@@ -50,3 +50,30 @@
                 await trio.sleep(seconds)
                 site.thaw(owner)
             self.assertLessEqual(self.outcomes(site), {"succeeded", "cancelled"})
+
+    # Guards against work that runs twice: an owner that is cut off goes on renewing the lease of a
+    # worker that the next one can't reach, and that the list of VMs may no longer have.
+    async def test_work_on_a_worker_that_only_an_earlier_owner_reaches_runs_once(self):
+        for moment in (0.002, 0.05, 2.0):
+            for is_listed in (True, False):
+                with self.subTest(moment=moment, is_listed=is_listed):
+                    async with self.site(zones=("a",)) as site:
+                        await self.cut_off_with_owner(site, moment, is_listed)
+
+    async def cut_off_with_owner(self, site, moment, is_listed):
+        async with trio.open_nursery() as nursery:
+            self.start_calls(nursery, site, 1, seconds=60.0, repeatable=False, interruptible=False)
+            await site.wait_until(lambda: site.task_events())
+            await trio.sleep(moment)
+            (start,), owner = site.task_events(), site.owner_of("a")
+            site.partition_worker(start.worker, reachable_from=owner)
+            site.partition_node(owner)
+            site.partition_store(owner)
+            if not is_listed:
+                site.vm_list.remove(start.worker)
+            await trio.sleep(50)
+            self.assertNotEqual(owner, site.owner_of("a"))
+            self.assertEqual([start], self.starts(site, site.history.calls[0].job))
+            site.heal(owner)
+            site.heal_store(owner)
+        self.assertLessEqual(self.outcomes(site), {"succeeded", "may-have-run"})
--- a/packages/mimosapoint/src/mimosapoint/testing/_freeze.py
+++ b/packages/mimosapoint/src/mimosapoint/testing/_freeze.py
@@ -48,10 +48,12 @@
     :param port: the wrapped port.
     :param freeze_control: frozen state of the node.
     :ivar error: error that every call raises while it is set, to simulate a partition.
+    :ivar errors_by_target: the same for calls whose first argument is the key.
     """
 
     def __init__(self, port: Any, freeze_control: FreezeControl):
         self.error: Exception | None = None
+        self.errors_by_target: dict[object, Exception] = {}
         self._port = port
         self._freeze_control = freeze_control
 
@@ -63,9 +65,12 @@
             if action is not None:
                 action()
             await self._freeze_control.wait()
-            if self.error is not None:
+            error = self.error
+            if self.errors_by_target and error is None:
+                error = self.errors_by_target.get(args[0])
+            if error is not None:
                 await trio.lowlevel.checkpoint()
-                raise self.error
+                raise error
             try:
                 return await method(*args)
             finally:
--- a/packages/mimosapoint/src/mimosapoint/testing/site.py
+++ b/packages/mimosapoint/src/mimosapoint/testing/site.py
@@ -8,7 +8,12 @@
 import trio
 
 from mimosapoint.configuration import Capacity, Configuration, Patch, Service, Workspace, Zone
-from mimosapoint.errors import BadRequest, MimosapointError, StoreUnavailable
+from mimosapoint.errors import (
+    BadRequest,
+    MimosapointError,
+    StoreUnavailable,
+    WorkerUnreachable,
+)
 from mimosapoint.memory import (
     MemoryStore,
     MemoryVmList,
@@ -50,6 +55,7 @@
     :param core: the node.
     :param freeze_control: freezes its calls and its clock.
     :param store: its port to the store.
+    :param workers: its port to the workers.
     :param telemetry: its telemetry.
     :param scope: cancel scope of the node; cancelling it kills the node.
     :param incarnation: number of this incarnation, unique over all nodes of the site.
@@ -60,6 +66,7 @@
     core: NodeCore
     freeze_control: FreezeControl
     store: FreezablePort
+    workers: FreezablePort
     telemetry: MemoryTelemetry
     scope: trio.CancelScope
     incarnation: int
@@ -137,9 +144,10 @@
         vm = self.vms_by_id[node]
         dispatcher, control, telemetry = Dispatcher(), FreezeControl(), MemoryTelemetry(strict=True)
         store = FreezablePort(self.store, control)
+        workers = FreezablePort(MemoryWorkers(self.workers_by_address), control)
         adapters = Adapters(
             store=store,
-            workers=FreezablePort(MemoryWorkers(self.workers_by_address), control),
+            workers=workers,
             vm_list=self.vm_list,
             peers=LoopbackPeers(vm.address, self.network),
             dispatcher=dispatcher,
@@ -151,8 +159,9 @@
         self._start_count += 1
         self.network.join(vm.address, dispatcher)
         scope = await self._nursery.start(self._run, core)
-        site_node = SiteNode(vm, core, control, store, telemetry, scope, self._start_count)
-        self.nodes_by_id[node] = site_node
+        self.nodes_by_id[node] = SiteNode(
+            vm, core, control, store, workers, telemetry, scope, self._start_count
+        )
 
     async def _run(self, core: NodeCore, task_status: trio.TaskStatus) -> None:
         with trio.CancelScope() as scope:
@@ -196,6 +205,13 @@
             self.network.cut(self.vms_by_id[node].address, self.vms_by_id[other].address)
         self._partitioned_nodes.add(node)
 
+    def partition_worker(self, worker: str, reachable_from: str) -> None:
+        """Partition a worker from all nodes but one."""
+        error = WorkerUnreachable("cut off")
+        for id, node in self.nodes_by_id.items():
+            if id != reachable_from:
+                node.workers.errors_by_target[self.vms_by_id[worker].address] = error
+
     def partition_store(self, node: str) -> None:
         """Partition a node from the store."""
         self.nodes_by_id[node].store.error = StoreUnavailable("cut off")
