Retry on a new connection after a long poll without a reply

Jobs stood still for 2.6 to 5.1 s when all connections to workers and the store went silent twice, though no lease lapsed.

Cause: after a late call the pool trusted connections that had carried a reply since that call was sent. A long poll is out for up to 1 s, and replies to starts arrive meanwhile; a connection that went silent after such a reply was taken for the retry, which waits 1.6 s with its longer patience.

Change: a connection is trusted if it has carried a reply since the late one was due, not since its call was sent. For calls that the server does not hold back this is the same time.

--- a/packages/mimosapoint-node/src/mimosapoint_node/platform/_connection_pool.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/platform/_connection_pool.py
@@ -49,12 +49,16 @@
     received_bytes: int = 0
     began_at: float = math.inf
 
+    @property
+    def due_at(self) -> float:
+        """Time from which the server does not hold back the reply, in seconds of trio's clock."""
+        return self.sent_at + self.server_wait.total_seconds()
+
     def is_silent(self) -> bool:
         """Return whether the reply is late enough to doubt the connection."""
         if self.began_at < math.inf:
             return False
-        latest = self.sent_at + (self.server_wait + SILENCE).total_seconds()
-        return trio.current_time() >= latest
+        return trio.current_time() >= self.due_at + SILENCE.total_seconds()
 
     def record(self, received_bytes: int = 0) -> None:
         """Record that the reply has begun, or that a part of its body has arrived."""
@@ -85,10 +89,10 @@
     The pool of httpcore checks every connection, with a system call each, at every request; here
     a request checks only the connection that it takes.
 
-    All open connections to an address may go silent at once while new ones work. Once a call has
-    been without a reply for :data:`SILENCE`, idle connections that have carried none since it was
-    sent are not used again. So a call after a silent one gets a new connection, however many there
-    were.
+    All open connections to an address may go silent at once while new ones work. Once a reply is
+    late by :data:`SILENCE`, idle connections that have carried none since it was due are not used
+    again: a long poll does not tell when its connection went silent. So a call after a silent one
+    gets a new connection, however many there were.
 
     :param address: ``IP:port``.
     :param limit: largest number of connections.
@@ -168,9 +172,9 @@
         return httpcore.AsyncHTTPConnection(self._origin)
 
     def _update_trust(self) -> None:
-        """Distrust connections that have carried no reply since a call that is silent now."""
-        sent_times = (call.sent_at for call in self._calls if call.is_silent())
-        self._trusted_since = max((self._trusted_since, *sent_times))
+        """Distrust connections that have carried no reply since one was due that is late now."""
+        due_times = (call.due_at for call in self._calls if call.is_silent())
+        self._trusted_since = max((self._trusted_since, *due_times))
 
     async def _release(self, connection: httpcore.AsyncHTTPConnection) -> None:
         """Keep the connection for reuse, and close those that were idle for too long."""
--- a/packages/mimosapoint-node/src/mimosapoint_node/platform/tests/test_silent_connections.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/platform/tests/test_silent_connections.py
@@ -12,6 +12,7 @@
 
 CONNECTIONS = 16
 TIMEOUT = timedelta(milliseconds=400)
+LONG_POLL = timedelta(milliseconds=500)
 
 
 class SilencingServer:
@@ -66,9 +67,9 @@
 
         trio.run(run)
 
-    async def open_connections(self, client, address):
+    async def open_connections(self, client, address, count=CONNECTIONS):
         async with trio.open_nursery() as nursery:
-            for _ in range(CONNECTIONS):
+            for _ in range(count):
                 nursery.start_soon(client.call, "GET", address, "/")
 
     # Guards against calls that take one silent connection after the other, each for a timeout.
@@ -103,6 +104,29 @@
         with trio.move_on_after(0.2 if is_given_up else 10), suppress(WorkerUnreachable):
             await client.call("GET", address, "/")
 
+    # Guards against a silent connection that is used again as it had carried a reply after a long
+    # poll was sent, which was silent, too.
+    def test_a_reply_beside_a_long_poll_does_not_prove_a_connection(self):
+        async def test(client, address, server):
+            for is_given_up in (True, False):
+                async with trio.open_nursery() as nursery:
+                    server.delay = 10
+                    nursery.start_soon(self.poll_silent, client, address, is_given_up)
+                    await trio.sleep(0.05)
+                    server.delay = 0.02
+                    for _ in range(2):
+                        await self.open_connections(client, address, CONNECTIONS - 1)
+                    server.silence()
+                with trio.fail_after(0.2):
+                    await client.call("GET", address, "/")
+
+        self.run_with_server(test)
+
+    async def poll_silent(self, client, address, is_given_up):
+        with trio.move_on_after(LONG_POLL.total_seconds() + 0.2 if is_given_up else 10):
+            with suppress(WorkerUnreachable):
+                await client.call("GET", address, "/", extra_time=LONG_POLL)
+
     # Guards against handshakes for each call to a server that holds back replies, or that is slow
     # now and then.
     def test_connections_that_carry_replies_are_used_again(self):
