Split the faults of cells in memory by concern

Change: the faults of nodes and store, of workers and of callers have modules of their own, each with its registry.

--- a/packages/mimosapoint/src/mimosapoint/cell/tests/_recorded_site.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/_recorded_site.py
@@ -23,6 +23,7 @@
     StoreUnavailable,
     Unauthenticated,
 )
+from mimosapoint.memory import MemoryRunWorker
 from mimosapoint.testing._freeze import FreezablePort, FreezeControl
 from mimosapoint.testing.cell_history import (
     AuthenticationObservation,
@@ -37,6 +38,7 @@
     PlannedStopObservation,
     SubmissionObservation,
     SubmissionOutcome,
+    WorkerCrashObservation,
     WorkerDrain,
     ZoneWithdrawal,
 )
@@ -161,6 +163,19 @@
     def any_worker(self):
         return self.random.choice(list(self.workers.workers_by_address.values()))
 
+    def choose_workers(self) -> list[MemoryRunWorker]:
+        """Return all workers, or some of them."""
+        workers = list(self.workers.workers_by_address.values())
+        some = self.random.randint(1, len(workers) - 1)
+        return self.random.sample(workers, self.random.choice((some, len(workers))))
+
+    async def crash_worker(self, worker: MemoryRunWorker) -> None:
+        """Let a worker crash, and register its next incarnation."""
+        crash = WorkerCrashObservation(worker.registration.id, trio.current_time())
+        self.history.worker_crashes.append(crash)
+        await worker.crash()
+        self.register(worker, born=worker.born)
+
     def withdraw(self, zone: str) -> ZoneWithdrawal:
         """Withdraw a zone."""
         self.store.put(f"op/out/{zone}", b"{}")
