Log why runs are over also if the session of their worker ends first

Operators may not find why a task of an earlier owner was started again.

Cause: the session of a worker that has left, or whose lease is over, ends in its own task. If that comes before the next decision, the worker counted as known there, without the event worker-known-unheard.

Change: both places resolve the worker in one way.

Evidence: the plays of test_the_task_of_a_worker_that_has_left_starts_under_the_next_owner now expect the event; 6 of 6 failed before and pass. 40 tests of recovery, failover and restarted workers pass.

--- a/packages/mimosapoint/src/mimosapoint/cell/fleet.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/fleet.py
@@ -15,7 +15,7 @@
 from mimosapoint.cell.freshness import Freshness
 from mimosapoint.cell.keys import ROSTER_KEY
 from mimosapoint.cell.owned_entry import OwnedEntry
-from mimosapoint.cell.recovery.inherited_workers import InheritedWorkers
+from mimosapoint.cell.recovery.inherited_workers import InheritedWorkers, log_without_report
 from mimosapoint.cell.settings import CellSettings
 from mimosapoint.cell.store_availability import StoreAvailability
 from mimosapoint.cell.worker_lease import unknown_lease_time
@@ -65,6 +65,7 @@
         self._decoder = dependencies.worker_decoder
         self._clock = dependencies.clock
         self._settings = settings
+        self._telemetry = dependencies.telemetry
         self._freshness = Freshness(self._clock, settings)
         self._roster_entry = OwnedEntry(self._store, ROSTER_KEY, ownership)
         self._departures = DepartureProver(dependencies, settings)
@@ -98,16 +99,22 @@
         candidates = self.sessions_by_id if inherited.has_unlisted else inherited.capacity_by_id
         for worker_id in list(candidates):
             session = self.sessions_by_id[worker_id]
-            if session.runs_known(now) and worker_id in inherited:
-                inherited.resolve(worker_id)
-                # The first report has an event of its own, with what it lists.
-                if not session.synced:
-                    _log_without_report(session, now, telemetry)
+            if session.runs_known(now):
+                self._resolve(session, now, telemetry)
         times = [self.runs_known_by(worker) for worker in inherited.capacity_by_id]
         if inherited.has_unlisted:
             times.append(self.unlisted_runs_until)
         return min(times, default=None)
 
+    def _resolve(self, session: WorkerSession, now: datetime, telemetry: Telemetry) -> None:
+        """Resolve a worker whose runs are known, if it is one of earlier owners."""
+        if session.id not in self.inherited:
+            return
+        self.inherited.resolve(session.id)
+        # The first report has an event of its own, with what it lists.
+        if not session.synced:
+            log_without_report(session, now, telemetry)
+
     def runs_known_by(self, worker_id: str) -> datetime:
         """Return the time at which the lease of a worker of earlier owners has expired."""
         return self.sessions_by_id[worker_id].lease.expires_at
@@ -265,7 +272,7 @@
                 await trio.sleep(self._settings.registration_poll.total_seconds())
             # Removed before the session ends, so that no decision uses a session that ends.
             del self.sessions_by_id[session.id]
-            self.inherited.resolve(session.id)
+            self._resolve(session, self._clock.now(), self._telemetry)
             self._revisions_by_worker.pop(session.id, None)
             self.first_generation = max(self.first_generation, session.tokens.generation + 1)
             nursery.cancel_scope.cancel()
@@ -366,22 +373,6 @@
     return registration.id, registration.address
 
 
-def _log_without_report(session: WorkerSession, now: datetime, telemetry: Telemetry) -> None:
-    """Log that no run is left on a worker of earlier owners, and from what this follows."""
-    has_left = session.presence.has_left(now)
-    reason = "replaced" if session.is_replaced else "left" if has_left else "lease-over"
-    telemetry.event(
-        "worker-known-unheard",
-        worker=session.id,
-        reason=reason,
-        address=session.registration.address,
-        born=session.registration.born,
-        registered=session.presence.is_registered,
-        absent=session.presence.is_absent,
-        epoch=session.tokens.epoch,
-    )
-
-
 def _decode_roster(value: bytes) -> tuple[tuple[WorkerRegistration, ...], list[str]]:
     """Return the readable workers of a roster, and the errors of the others."""
     try:
--- a/packages/mimosapoint/src/mimosapoint/cell/recovery/inherited_workers.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/recovery/inherited_workers.py
@@ -2,11 +2,18 @@
 
 from __future__ import annotations
 
+from datetime import datetime
+from typing import TYPE_CHECKING
+
 import attrs
 
+from mimosapoint.ports import Telemetry
 from mimosapoint.workload import ResourceAmounts
 
-__all__ = ["InheritedWorkers"]
+if TYPE_CHECKING:
+    from mimosapoint.cell.worker_session import WorkerSession
+
+__all__ = ["InheritedWorkers", "log_without_report"]
 
 
 @attrs.define
@@ -47,3 +54,19 @@
         if self.has_unlisted:
             return None
         return sum(self.capacity_by_id.values(), ResourceAmounts())
+
+
+def log_without_report(session: WorkerSession, now: datetime, telemetry: Telemetry) -> None:
+    """Log that no run is left on a worker of earlier owners, and from what this follows."""
+    has_left = session.presence.has_left(now)
+    reason = "replaced" if session.is_replaced else "left" if has_left else "lease-over"
+    telemetry.event(
+        "worker-known-unheard",
+        worker=session.id,
+        reason=reason,
+        address=session.registration.address,
+        born=session.registration.born,
+        registered=session.presence.is_registered,
+        absent=session.presence.is_absent,
+        epoch=session.tokens.epoch,
+    )
--- a/packages/mimosapoint/src/mimosapoint/cell/recovery/tests/test_departed_workers.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/recovery/tests/test_departed_workers.py
@@ -53,6 +53,16 @@
         self.assertEqual([RunEnd.LOST, None], [run.end for run in site.runs("a")])
         self.assertEqual([], site.violations())
 
+    def logged_reasons(self, site, worker):
+        """Return why the runs of a worker counted as over without a report."""
+        events = [event for node in site.nodes for event in node.telemetry.events]
+        return [
+            event.fields["reason"]
+            for event in events
+            if event.name == "worker-known-unheard"
+            and event.fields["worker"] == worker.registration.id
+        ]
+
     # Guards against a task that stands still for 11 s, the longest lease, as the next owner waits
     # for a worker that has left.
     async def test_the_task_of_a_worker_that_has_left_starts_under_the_next_owner(self):
@@ -68,6 +78,7 @@
                         if seconds < 0:
                             self.remove(site, worker)
                         await self.assert_starts_again(site)
+                        self.assertEqual(["left"], self.logged_reasons(site, worker))
 
     # A crash looks like a worker that is cut off and refused, whose run may go on.
     async def test_a_worker_that_crashed_and_stays_away_is_known_once_its_lease_is_over(self):
