Put workers out of sight of a new owner in the soak

The soak missed the tasks that ran twice after a change of owner. It never refused a connection to a process that lives, never removed a worker's entry, and its runs of 0.7 s ended before a takeover.

Seeds from 7000 to 7999 have runs of 4 to 16 s, workers that report every 1.5 s and whose entries are removed 4.5 s after the last report, proxies between nodes, and two faults: workers lose the store, then refuse connections, then the owner is killed or suspended; and workers restart under their ids at other addresses, whose earlier ones refuse or have another worker, before the same. Cuts overlap with them in half of the seeds. Other seeds stay as they are.

--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -45,6 +45,7 @@
     failed: bool = False,
     earlier: str = "",
     nodes: int = DEPLOYMENT_NODES,
+    upgrade: bool = True,
 ) -> None:
     """Run seeds and exit with code 1 when a promise was violated.
 
@@ -55,12 +56,14 @@
     :param earlier: checkout of an earlier build; all nodes start with it and are upgraded one after
         the other during the faults.
     :param nodes: nodes of the sites of seeds from 5000 on, for a machine that bears fewer.
+    :param upgrade: whether nodes of the earlier build are upgraded; with ``--noupgrade`` only the
+        earlier build runs.
     """
     earlier_build = Path(earlier).resolve() if earlier else None
     seeds_run = seeds_failed = 0
     for seed in choose_seeds(seeds, first, seconds, failed):
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-        result = trio.run(run_seed, seed, folder, earlier_build, nodes)
+        result = trio.run(run_seed, seed, folder, earlier_build, nodes, upgrade)
         verdict = "broken" if result.violations else "kept"
         print(
             f"seed={seed} {verdict} accepted={result.accepted} lag={result.lag:.2f}"
--- a/tools/soak/addresses.py
+++ b/tools/soak/addresses.py
@@ -3,7 +3,7 @@
 import os
 import socket
 
-__all__ = ["free_addresses"]
+__all__ = ["free_addresses", "host_of", "proxies_host"]
 
 ADDRESS_NAMES = (
     "callers_address",
@@ -14,6 +14,19 @@
 )
 """Settings of a node that name the addresses at which it listens."""
 
+PROXIES_NUMBER = 249
+
+
+def host_of(number: int) -> str:
+    """Return the loopback IP of a node of this process."""
+    process = os.getpid()
+    return f"127.{1 + process // 256 % 254}.{process % 256}.{number + 1}"
+
+
+def proxies_host() -> str:
+    """Return a loopback IP of this process that no node has."""
+    return host_of(PROXIES_NUMBER)
+
 
 def free_addresses(number: int) -> dict[str, str]:
     """Return free addresses by setting, on a loopback IP of its own for each process and node.
@@ -22,8 +35,7 @@
 
     :param number: number of the node.
     """
-    process = os.getpid()
-    host = f"127.{1 + process // 256 % 254}.{process % 256}.{number + 1}"
+    host = host_of(number)
     sockets = [socket.socket() for _ in ADDRESS_NAMES]
     try:
         for each in sockets:
--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -35,6 +35,16 @@
     {"count": 2, "cpu": 1000, "mem_mb": 500, "gpu": 8, "gang": True, "rack_local": True},
 )
 
+LONG_RUN_STEPS = (
+    {"count": 3, "cpu": 2000, "mem_mb": 500},
+    {"count": 4, "cpu": 1000, "mem_mb": 500, "saves_progress": True},
+    {"count": 2, "cpu": 2000, "mem_mb": 500, "gpu": 2, "gang": True},
+)
+LONG_RUN_SECONDS = (4.0, 16.0)
+"""Run times, of which most outlast a takeover; the longest outlast the lease of their worker."""
+
+LONG_RUN_JOBS_PER_WORKER_SECOND = 0.12
+
 
 @attrs.define
 class Callers:
@@ -60,10 +70,13 @@
     async def submit_until(self, finished: trio.Event) -> None:
         """Submit jobs until an event, each from a separate task, and from one task at each node.
 
-        At a site of the size of a deployment the latter read states in place of most submissions.
+        At a site with long runs the latter read states in place of most submissions.
         """
-        jobs_per_second = JOBS_PER_WORKER_SECOND * self.site.profile.workers
-        rate = jobs_per_second if self.site.profile.is_deployment else SUBMISSIONS_PER_SECOND
+        profile = self.site.profile
+        rate = SUBMISSIONS_PER_SECOND
+        if profile.has_long_runs:
+            share = LONG_RUN_JOBS_PER_WORKER_SECOND if profile.has_cuts else JOBS_PER_WORKER_SECOND
+            rate = share * profile.workers
         async with trio.open_nursery() as nursery:
             for node in range(len(self.site.addresses)):
                 nursery.start_soon(self._stay_at, node, finished)
@@ -97,7 +110,7 @@
     async def _stay_at(self, node: int, finished: trio.Event) -> None:
         """Submit through one node only, over connections that stay open until its process ends."""
         while not finished.is_set():
-            if self.site.profile.is_deployment:
+            if self.site.profile.has_long_runs:
                 await self._read_any(node)
             else:
                 await self._submit(node)
@@ -148,6 +161,9 @@
     def _choose_steps(self) -> list[dict[str, Any]]:
         if self.site.profile.is_deployment:
             return job_steps(self.random)
+        if self.site.profile.has_cuts:
+            estimate_ms = int(1000 * self.random.uniform(*LONG_RUN_SECONDS))
+            return [{**self.random.choice(LONG_RUN_STEPS), "estimate_ms": estimate_ms}]
         steps = [self.random.choice(STEPS)]
         if self.random.random() < 0.3:
             steps.append({**self.random.choice(STEPS), "after": [0]})
--- a/tools/soak/profile.py
+++ b/tools/soak/profile.py
@@ -13,10 +13,12 @@
     "FAST_LINK_MBPS",
     "FIRST_CHANGES_SEED",
     "FIRST_CRASH_SEED",
+    "FIRST_CUT_SEED",
     "FIRST_DEPLOYMENT_SEED",
     "FIRST_OUTAGE_SEED",
     "FIRST_QUOTA_SEED",
     "FIRST_SILENCE_SEED",
+    "LAST_CUT_SEED",
     "Profile",
     "profile_of",
 ]
@@ -44,6 +46,16 @@
 FIRST_SILENCE_SEED = 6000
 """First seed in which all open connections to the store and to workers go silent at one moment."""
 
+FIRST_CUT_SEED = 7000
+"""First seed in which connections are refused, reset or cut in one way while workers lose the
+store, move or go on without their owner, during long runs."""
+
+LAST_CUT_SEED = 7999
+"""Last such seed; seeds above it have sites of the size of a deployment."""
+
+CUT_NODES = (4, 8)
+CUT_WORKERS = 10
+
 SMALL_CORES = 0.5
 LARGE_CORES = 2.0
 LARGE_SITE_INTERVAL = 10
@@ -91,12 +103,12 @@
     @property
     def has_quota(self) -> bool:
         """Whether the workspace has a weight and a cap, which changes."""
-        return self.seed >= FIRST_QUOTA_SEED
+        return self.seed >= FIRST_QUOTA_SEED and not self.has_cuts
 
     @property
     def has_crashes(self) -> bool:
         """Whether tasks and other causes crash workers, and capacities change."""
-        return self.seed >= FIRST_CRASH_SEED
+        return self.seed >= FIRST_CRASH_SEED and not self.has_cuts
 
     @property
     def has_outages(self) -> bool:
@@ -106,7 +118,17 @@
     @property
     def is_deployment(self) -> bool:
         """Whether the site has the size of a deployment, and faults come in phases."""
-        return self.seed >= FIRST_DEPLOYMENT_SEED
+        return self.seed >= FIRST_DEPLOYMENT_SEED and not self.has_cuts
+
+    @property
+    def has_cuts(self) -> bool:
+        """Whether connections are cut in all ways, and workers are out of sight of a new owner."""
+        return FIRST_CUT_SEED <= self.seed <= LAST_CUT_SEED
+
+    @property
+    def has_long_runs(self) -> bool:
+        """Whether runs take as long as their jobs estimate, and callers submit fewer jobs."""
+        return self.is_deployment or self.has_cuts
 
     @property
     def slowest_bytes_per_second(self) -> float:
@@ -123,6 +145,9 @@
     cores = SMALL_CORES if seed >= FIRST_SMALL_SEED and seed % 2 else 1.0
     if seed < FIRST_CHANGES_SEED:
         return Profile(seed, cores, 6, dict.fromkeys(range(3), FAST_LINK_MBPS))
+    if FIRST_CUT_SEED <= seed <= LAST_CUT_SEED:
+        nodes = Random(seed).randint(*CUT_NODES)
+        return Profile(seed, cores, CUT_WORKERS, dict.fromkeys(range(nodes), FAST_LINK_MBPS))
     nodes, workers = (16, 12) if seed % LARGE_SITE_INTERVAL == 0 else (4, 6)
     random = Random(seed)
     if seed >= FIRST_DEPLOYMENT_SEED:
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -17,7 +17,7 @@
 from tools.soak.final_checks import check_nodes, wait_ready
 from tools.soak.profile import DEPLOYMENT_NODES, profile_of
 from tools.soak.reads import StateReads
-from tools.soak.schedule import inject_faults, inject_phases
+from tools.soak.schedule import inject_cuts, inject_faults, inject_phases
 from tools.soak.site import SoakSite
 from tools.soak.usage import Usage
 
@@ -30,7 +30,7 @@
 """Time after the last fault and change, in addition to the time that the links need, after which
 every node must serve callers."""
 
-DEPLOYMENT_JOBS_END_SECONDS = 60.0
+LONG_JOBS_END_SECONDS = 60.0
 
 ENDED = ("complete", "cancelled")
 
@@ -60,12 +60,14 @@
     folder: Path,
     earlier_build: Path | None = None,
     nodes: int = DEPLOYMENT_NODES,
+    upgrade: bool = True,
 ) -> Result:
     """Run one seed.
 
     :param folder: folder for settings and logs.
     :param earlier_build: checkout of a build from which the nodes are upgraded during the faults.
     :param nodes: nodes of a site of the size of a deployment.
+    :param upgrade: whether nodes of the earlier build are upgraded.
     """
     random = Random(seed)
     profile = profile_of(seed, nodes)
@@ -85,10 +87,12 @@
                     reads = StateReads(callers, Random(seed + 2))
                     background.start_soon(reads.read_until, finished)
                 async with trio.open_nursery() as disturbances:
-                    if earlier_build is not None:
+                    if earlier_build is not None and upgrade:
                         disturbances.start_soon(_upgrade_nodes, site)
                     if profile.is_deployment:
                         disturbances.start_soon(inject_phases, site, random, injected)
+                    elif profile.has_cuts:
+                        disturbances.start_soon(inject_cuts, site, random, injected)
                     else:
                         disturbances.start_soon(
                             inject_faults, site, random, FAULT_SECONDS, injected
@@ -135,8 +139,8 @@
     """Wait until all accepted jobs have ended; return one line for each that has not."""
     unfinished_jobs = set(callers.accepted_at_by_job)
     states: dict[str, str] = {}
-    is_deployment = callers.site.profile.is_deployment
-    seconds = DEPLOYMENT_JOBS_END_SECONDS if is_deployment else JOBS_END_SECONDS
+    has_long_runs = callers.site.profile.has_long_runs
+    seconds = LONG_JOBS_END_SECONDS if has_long_runs else JOBS_END_SECONDS
     with trio.move_on_after(seconds):
         while unfinished_jobs:
             for job in sorted(unfinished_jobs):
--- a/tools/soak/schedule.py
+++ b/tools/soak/schedule.py
@@ -8,12 +8,13 @@
 import trio
 
 from tools.soak.changes import GROWTH
+from tools.soak.cut_faults import CUTS, UNSEEN_FAULTS
 from tools.soak.deployment import phases_of
 from tools.soak.deployment_faults import PLANNED_DEPLOYMENT_FAULTS
 from tools.soak.faults import OUTAGE_FAULTS, fault_names, faults_by_name
 from tools.soak.site import SoakSite
 
-__all__ = ["inject", "inject_faults", "inject_phases"]
+__all__ = ["inject", "inject_cuts", "inject_faults", "inject_phases"]
 
 PLANNED_FAULTS = frozenset(
     ("change-cap", "replace-key", "rolling-stop", "stop-node", *PLANNED_DEPLOYMENT_FAULTS)
@@ -25,6 +26,29 @@
 OUTAGE_GAP_SECONDS = (1.0, 7.0)
 """Time from the begin of an outage in which the owner is lost to the next; they may overlap."""
 
+CUT_GAP_SECONDS = (0.5, 3.0)
+CUT_SERIES_SECONDS = 6.0
+
+
+async def inject_cuts(site: SoakSite, random: Random, injected: list[str]) -> None:
+    """Put workers out of sight of a new owner, and return once all faults are over.
+
+    Four seeds of eight have a series of cuts beside that, which often hide it.
+
+    :param injected: receives the names of the faults.
+    """
+    async with trio.open_nursery() as nursery:
+
+        def start(name: str) -> None:
+            injected.append(name)
+            nursery.start_soon(inject, site, name, Random(random.random()))
+
+        start(UNSEEN_FAULTS[site.profile.seed // 2 % len(UNSEEN_FAULTS)])
+        with trio.move_on_after(CUT_SERIES_SECONDS):
+            while site.profile.seed & 4:
+                await trio.sleep(random.uniform(*CUT_GAP_SECONDS))
+                start(random.choice(CUTS))
+
 
 async def inject_faults(
     site: SoakSite, random: Random, seconds: float, injected: list[str]
--- a/tools/soak/site.py
+++ b/tools/soak/site.py
@@ -33,17 +33,19 @@
     worker_entry,
 )
 
-from tools.soak.addresses import free_addresses
+from tools.soak.addresses import free_addresses, proxies_host
 from tools.soak.configurations import CAPS, POOL, Configurations
 from tools.soak.deployment import DEPLOYMENT_CAPS, WORKSPACES
 from tools.soak.disturbances import Disturbance, PlannedWork
 from tools.soak.link import Link
 from tools.soak.log import SoakLog
+from tools.soak.node_links import AddressRewritingStore
 from tools.soak.outages import StoreOutages
 from tools.soak.plain_server import serve_plain
 from tools.soak.profile import Profile
-from tools.soak.proxy import Proxy
+from tools.soak.proxy import LOOPBACK, Proxy
 from tools.soak.usage import Usage
+from tools.soak.worker_reports import WorkerReports
 from tools.soak.zones import Zones
 
 __all__ = ["CONFIGURATION_MS", "START_GAP_SECONDS", "SoakSite"]
@@ -93,7 +95,11 @@
         self.log = SoakLog(folder / "soak.log")
         self.usage = Usage()
         self.nursery = nursery
-        self.store = MemoryTransactionStore(TrioClock())
+        self.store = (
+            AddressRewritingStore(TrioClock())
+            if profile.has_cuts
+            else MemoryTransactionStore(TrioClock())
+        )
         self.configurations = Configurations(self.store)
         self.zones = Zones(self.store)
         self.simulation = RunSimulation(
@@ -101,12 +107,14 @@
             nursery,
             RUN_TIME,
             max_lease=profile.max_lease,
-            follows_estimates=profile.is_deployment,
+            follows_estimates=profile.has_long_runs,
         )
         self.jobs = _JobsFromStore(self.store)
         self.workers: list[MemoryRunWorker] = []
         self.worker_proxies: list[Proxy] = []
+        self.worker_reports = WorkerReports(self.store, self.workers, self.worker_proxies)
         self.store_proxies: list[Proxy] = []
+        self.node_proxies: list[list[Proxy]] = []
         self.store_outages = StoreOutages(self.store_proxies)
         self.owner: int | None = None
         self.crashing_job_periods = 0
@@ -139,11 +147,14 @@
                 store_port = await self._serve(store)
                 await trio.sleep(START_GAP_SECONDS)
             self.store_proxies.append(await self._proxy(store_port, Link(mbps * 1e6 / 8)))
-            self._write_settings(number, mbps)
+            address_by_name = self._write_settings(number, mbps)
+            if self.profile.has_cuts:
+                await self._add_node_proxies(address_by_name)
             self.processes.append(None)
             self._start_locks.append(trio.Lock())
             await self.start_node(number)
-        self.nursery.start_soon(self._write_heartbeats)
+        reports = self.worker_reports.run if self.profile.has_cuts else self._write_heartbeats
+        self.nursery.start_soon(reports)
         self.nursery.start_soon(self._follow_owner)
         self.nursery.start_soon(self.log.run_lag_probe)
         self.nursery.start_soon(self.log.run_wait_probe, self._process_ids)
@@ -183,7 +194,7 @@
     def _settings_path(self, number: int) -> Path:
         return self.folder / f"node-{number}.yaml"
 
-    def _write_settings(self, number: int, mbps: float) -> None:
+    def _write_settings(self, number: int, mbps: float) -> dict[str, str]:
         address_by_name = free_addresses(number)
         if not self.profile.has_changes:
             del address_by_name["peers_address"]
@@ -198,6 +209,17 @@
             f"store_address: {self.store_proxies[number].address}\n"
             f"bounds: {{configuration_ms: {CONFIGURATION_MS}, worker_lease_ms: {lease_ms}}}\n"
         )
+        return address_by_name
+
+    async def _add_node_proxies(self, address_by_name: dict[str, str]) -> None:
+        """Add the proxies through which other nodes reach a node."""
+        proxies = []
+        for name in ("nodes_address", "peers_address"):
+            host, _, port = address_by_name[name].rpartition(":")
+            proxy = await self._proxy(int(port), target_host=host)
+            self.store.proxies_by_address[address_by_name[name].encode()] = proxy.address.encode()
+            proxies.append(proxy)
+        self.node_proxies.append(proxies)
 
     async def signal_node(self, number: int, name: str) -> None:
         """Send a signal to the process of a node, if it runs.
@@ -271,15 +293,26 @@
         self.worker_proxies.append(await self._proxy(port))
 
     async def _serve(self, app: object) -> int:
-        if self.profile.is_deployment:
+        if self.profile.has_long_runs:
             address = await self.nursery.start(serve_plain, app)
             return int(address.rpartition(":")[2])
         serving = partial(serve, app, "127.0.0.1:0", HttpLimits(), trio.Event(), MemoryTelemetry())
         address = await self.nursery.start(serving)
         return int(address.rpartition(":")[2])
 
-    async def _proxy(self, port: int, link: Link | None = None) -> Proxy:
-        proxy = Proxy(port, link or Link())
+    async def move_worker(self, number: int) -> Proxy:
+        """Restart a worker under its id at another address; return the proxy of the earlier one."""
+        worker, earlier = self.workers[number], self.worker_proxies[number]
+        self.worker_proxies[number] = await self._proxy(earlier.target)
+        worker.restart(worker.born + 1)
+        self.worker_reports.report(number)
+        return earlier
+
+    async def _proxy(
+        self, port: int, link: Link | None = None, target_host: str = LOOPBACK
+    ) -> Proxy:
+        host = proxies_host() if self.profile.has_cuts else LOOPBACK
+        proxy = Proxy(port, link or Link(), host=host, target_host=target_host)
         await self.nursery.start(proxy.run)
         return proxy
 
