Prove no departure on a platform that states no interval of status reports

Cause: an empty MIMOSAPOINT_STATUS_REPORT_MS, as of a platform that states no interval, left the default of 1.5 s. Where workers report more often than each second, two of these intervals are as long as the silence after which an entry is removed, so that a removal by silence would count as a departure. Found by the review, by reading.

Change: an empty variable is 0, which proves nothing; the next owner waits for the lease. Without the variable the settings file counts.

--- a/packages/mimosapoint/src/mimosapoint/cell/settings.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/settings.py
@@ -62,7 +62,7 @@
         on; shorter than the time within which a configuration must be in force.
     :param registration_poll: interval between reads of the workers' registrations.
     :param status_report_interval: interval at which workers report to the store, as the platform
-        states it; it removes the entry of a worker that was silent for three of them.
+        states it, 0 if not known; it removes the entry of a worker that was silent for three.
     :param missing_grace: time for which a worker without a registration is kept; registrations
         reappear within two seconds of a store outage.
     :param patience_step: time by which an owner waits longer for the reply to a renewal after each
