Let failed reads of histories end the bounds on revisions too

Cause: a failed read of the history of an entry showed an outage as the reads of the operators' entries and of the registrations do, and did not begin the bounds anew. Found by the review, by reading.

--- a/packages/mimosapoint/src/mimosapoint/cell/fleet.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/fleet.py
@@ -250,6 +250,7 @@
                     availability.record_success()
             except (StoreUnavailable, StoreTimeout) as error:
                 availability.record_failure(error)
+                self._revision_times.record_failure()
             await trio.sleep(self._settings.registration_poll.total_seconds())
 
     def _unexplained_absences(self) -> list[WorkerSession]:
