Test that connections of silent callers end at a node

The test opens as many as the node takes, one in each stage of a request, and lets them go silent: others are refused until the timeouts, and served after them. No fault was found.

--- a/packages/mimosapoint-node/src/mimosapoint_node/http/tests/test_server.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/http/tests/test_server.py
@@ -75,6 +75,47 @@
                         self.assertEqual(200, reply[0])
                         await trio.sleep(0.1)
 
+    # Guards against connections of callers that went silent without closing them, which are kept
+    # while those of others are refused.
+    async def test_connections_of_silent_callers_end_at_their_timeouts(self):
+        stages = (
+            b"",
+            b"GET /half",
+            b"POST /v1/jobs HTTP/1.1\r\nhost: x\r\ncontent-length: 9\r\n\r\n{",
+            b"GET /healthz HTTP/1.1\r\nhost: x\r\n\r\n",
+            b"GET /v1/jobs?workspace=w HTTP/1.1\r\nhost: x\r\n\r\n",
+            b"POST /v1/jobs?wait=0.5 HTTP/1.1\r\nhost: x\r\nidempotency-key: a\r\n"
+            b"content-length: %d\r\n\r\n%b" % (len(job_body()), job_body()),
+            b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + b"\0\0\0\4\0\0\0\0\0",
+        )
+        half = timedelta(seconds=0.5)
+        limits = HttpLimits(
+            connections=len(stages),
+            max_wait=half,
+            body_timeout=half,
+            idle_timeout=half,
+            send_timeout=half,
+        )
+        async with AppFixture(limits).served() as node:
+            await node.call(*JOBS, job_body(), key())
+            node.jobs.end("mvd-centro~1-a", Succeeded(("x" * 20_000_000,)))
+            node.jobs.ended, node.jobs.call_started = trio.Event(), trio.Event()
+            host, port = node.address.split(":")
+            silent = [await trio.open_tcp_stream(host, int(port)) for _ in stages]
+            for stream, sent in zip(silent, stages):
+                await stream.send_all(sent)
+            await node.jobs.call_started.wait()
+            with self.assertRaises((httpcore.NetworkError, httpcore.RemoteProtocolError)):
+                await node.call("GET", "/healthz")
+            await trio.sleep(2)
+            connected = [await trio.open_tcp_stream(host, int(port)) for _ in stages]
+            for stream in connected:
+                await stream.send_all(b"GET /healthz HTTP/1.1\r\nhost: x\r\n\r\n")
+                with trio.fail_after(5):
+                    self.assertEqual(b"HTTP/1.1 200", (await stream.receive_some())[:12])
+            for stream in silent + connected:
+                await stream.aclose()
+
     async def test_malformed_and_slow_requests_are_ended(self):
         limits = HttpLimits(
             header_bytes=2000,
