Test the command line with servers whose connections go silent

A silent connection, from the start or after a reply that asks for a repetition, is replaced, and a submission is repeated with the same key; a command ends with exit code 4 if each connection is silent. No fault was found.

--- a/packages/mimosapoint-cli/src/mimosapoint_cli/tests/test_core.py
+++ b/packages/mimosapoint-cli/src/mimosapoint_cli/tests/test_core.py
@@ -1,8 +1,10 @@
 """Tests of usage, servers and exit codes."""
 
+from contextlib import asynccontextmanager
 from functools import partial
 from pathlib import Path
 from tempfile import TemporaryDirectory
+from unittest import mock
 
 import trio
 from mimosapoint.errors import OutcomeUnknown
@@ -38,6 +40,16 @@
     ("job list --server 127.0.0.1:x,", "not IP:port"),
 )
 
+REPLY_TIMEOUT = "mimosapoint_cli.client.REPLY_TIMEOUT_SECONDS"
+
+
+def _reply(status, body):
+    return b"HTTP/1.1 %d x\r\ncontent-length: %d\r\n\r\n%b" % (status, len(body), body)
+
+
+NO_JOBS = _reply(200, b'{"jobs":[]}')
+NOT_OWNER = _reply(503, b'{"code":"not-cell-owner"}')
+
 BAD_FILES = (b"\xff\xfe\xfa", b"a: [", b"[1]", b"shape: 3", b"{1: 2}", b"")
 
 
@@ -99,16 +111,51 @@
             self.assertEqual(4, (await self.run_command(SUBMIT, node))[0])
 
     async def test_a_server_that_does_not_reply_in_json(self):
-        async def send_text(stream):
-            async with stream:
-                await stream.receive_some()
-                await stream.send_all(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nhi")
+        async with self.scripted_server([[_reply(200, b"hi")]]) as (address, _):
+            code, _, err = await self.run_command(f"job list --server {address}")
+            self.assertEqual(3, code)
+            self.assertIn("not JSON", err)
+
+    # Guards against a command that waits without end for a connection that went silent, or gives up
+    # although a new one works.
+    async def test_a_silent_connection_is_replaced(self):
+        cases = {
+            "from the start": ([[], [NO_JOBS]], 0),
+            "after a reply that asks for a repetition": ([[NOT_OWNER], [NO_JOBS]], 0),
+            "each": ([[], [], []], 4),
+        }
+        for name, (connections, expected) in cases.items():
+            with self.subTest(silent=name), mock.patch(REPLY_TIMEOUT, 0.3):
+                async with self.scripted_server(connections) as (address, received):
+                    code, _, err = await self.run_command(f"job list --server {address}")
+                    self.assertEqual(expected, code, err)
+                    self.assertEqual(len(connections), len(received))
+
+    # Guards against a second job, as the first server may have the submission and is silent.
+    async def test_a_submission_after_a_silent_server_has_the_same_key(self):
+        async with app_fixture().served() as node, self.scripted_server([[]]) as (silent, received):
+            self.environment["MIMOSAPOINT_SERVER"] = f"{silent},{node.address}"
+            with mock.patch(REPLY_TIMEOUT, 0.3):
+                self.assertEqual(0, (await self.run_command(SUBMIT))[0])
+            (request,) = node.jobs.requests
+            self.assertIn(request.idempotency_key.encode(), received[0])
+
+    @asynccontextmanager
+    async def scripted_server(self, connections):
+        """Serve the replies given for each connection, which is silent after its last reply."""
+        received = []
+
+        async def handle(stream):
+            number = len(received)
+            received.append(b"")
+            replies = list(connections[number])
+            async for part in stream:
+                received[number] += part
+                if replies:
+                    await stream.send_all(replies.pop(0))
 
         async with trio.open_nursery() as nursery:
-            serve = partial(trio.serve_tcp, send_text, 0, host="127.0.0.1")
+            serve = partial(trio.serve_tcp, handle, 0, host="127.0.0.1")
             listeners = await nursery.start(serve)
-            port = listeners[0].socket.getsockname()[1]
-            code, _, err = await self.run_command(f"job list --server 127.0.0.1:{port}")
-            self.assertEqual(3, code)
-            self.assertIn("not JSON", err)
+            yield f"127.0.0.1:{listeners[0].socket.getsockname()[1]}", received
             nursery.cancel_scope.cancel()
