Open another channel after a late reply unless one came just before

Found on a related path of the silent connections: a call between nodes of the zone form that waits for longer keeps its channel after its deadline if another call on it had a reply in the meantime, however early. If the connection went silent after that reply, the next call is lost as well.

Change: a channel is kept if it has carried a reply since the call began and in the last 0.15 s of it. No call between nodes is a long poll that ends at its deadline.

Measured: test_a_reply_beside_a_slow_call_does_not_prove_a_channel failed before (the next call had no reply within 1 s) and passes; the 20 tests of the channels and of the calls between nodes pass.

--- a/packages/mimosapoint-node/src/mimosapoint_node/grpc_peers/_channels.py
+++ b/packages/mimosapoint-node/src/mimosapoint_node/grpc_peers/_channels.py
@@ -3,6 +3,7 @@
 import math
 from collections.abc import Iterator
 from contextlib import contextmanager
+from datetime import timedelta
 
 import attrs
 import grpc
@@ -13,6 +14,10 @@
 
 __all__ = ["ChannelPool", "DeadlineExceeded"]
 
+SILENCE = timedelta(milliseconds=150)
+"""Time without a reply after which a channel may be silent once a call on it has had none; a
+sound channel that is replaced costs a handshake."""
+
 
 class DeadlineExceeded(PeerUnreachable):
     """The peer did not reply in the time of the call."""
@@ -39,7 +44,8 @@
 
     The connection of a channel may go silent without a reset, which keepalive shows after seconds
     only. A call without a reply in its time lets the next one open another channel, unless the
-    channel has carried a reply meanwhile.
+    channel has carried a reply within :data:`SILENCE`: an earlier one does not tell whether it
+    went silent after that.
 
     :param settings: settings of the connections.
     """
@@ -69,7 +75,8 @@
             yield pooled.channel
             pooled.replied_at = trio.current_time()
         except DeadlineExceeded:
-            if pooled.replied_at < began_at and self._is_current(address, pooled):
+            trusted_since = max(began_at, trio.current_time() - SILENCE.total_seconds())
+            if pooled.replied_at < trusted_since and self._is_current(address, pooled):
                 del self._channels_by_address[address]
             raise
         finally:
