Play workers that run on out of sight while the owner is lost

The plays did not show the incident of two runs of one task: no fault refused connections to a worker that lives, and none let a worker restart at another address.

Change: three faults let workers lose the store, begin to refuse or reset connections or to lose replies, and then kill the owner; entries of draining workers are removed after 4.5 s of silence, others at once. One restarts workers at other addresses first, with another user at the former one, and one lets a worker leave beside the loss of the owner. Draining workers report each 1.5 s, and each report names the present incarnation, also after a crash that a task caused. The bound of a claim counts from the end of these faults where they last longer than others; that of other plays is as before.

--- a/packages/mimosapoint/src/mimosapoint/cell/tests/_recorded_site.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/_recorded_site.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import AsyncIterator, Iterator
 from contextlib import asynccontextmanager, contextmanager
 from datetime import timedelta
@@ -47,6 +48,12 @@
 ATTEMPTS = (1, 3, 8)
 """Numbers of attempts from which each caller chooses."""
 
+REPORT_SECONDS = 1.5
+"""Interval of the status reports of workers."""
+
+SILENCE_SECONDS = 3 * REPORT_SECONDS
+"""Time from the last report of a worker to the removal of its entry."""
+
 CALL_TIMEOUT = timedelta(seconds=1)
 RETRY_SECONDS = 0.4
 OBSERVATION_SECONDS = 0.15
@@ -95,6 +102,8 @@
         self._reader_random = Random("readers")
         self.store_delay_seconds = 0.0
         self.freeze_controls_by_node: dict[str, FreezeControl] = {}
+        self._reported_at_by_worker: dict[str, float] = {}
+        self._store_losses_by_worker: Counter[str] = Counter()
         super().__init__(nursery, settings)
         self.history.phases = self.phases
         self.history.runs = self.simulation.history
@@ -189,12 +198,48 @@
         if all(w.returned_at or w.zone != withdrawal.zone for w in self.history.withdrawals):
             self.store.apply({}, (), [f"op/out/{withdrawal.zone}"])
 
-    def drain(self, worker) -> WorkerDrain:
+    def register(self, worker: MemoryRunWorker, **changes: Any) -> None:
+        """Let a worker report as its present incarnation, once it has the store."""
+        changes.setdefault("born", worker.born)
+        if self._store_losses_by_worker[worker.registration.id]:
+            worker.registration = attrs.evolve(worker.registration, **changes)
+            return
+        super().register(worker, **changes)
+        self._reported_at_by_worker[worker.registration.id] = trio.current_time()
+
+    async def lose_store(self, worker: MemoryRunWorker) -> None:
+        """Cut a worker off from the store, and remove its entry for its silence.
+
+        The entry of a worker that does not drain is removed at once, to save time.
+        """
+        id = worker.registration.id
+        self._store_losses_by_worker[id] += 1
+        if worker.registration.draining:
+            await trio.sleep_until(self._reported_at_by_worker[id] + SILENCE_SECONDS)
+        if self._store_losses_by_worker[id]:
+            self.unregister(worker)
+
+    def return_store(self, worker: MemoryRunWorker) -> None:
+        """End a loss of the store; without another one the worker registers itself."""
+        self._store_losses_by_worker[worker.registration.id] -= 1
+        self.register(worker, born=worker.born)
+
+    def drain(self, worker: MemoryRunWorker) -> WorkerDrain:
+        """Let a worker report that it drains, and go on reporting."""
         self.register(worker, draining=True)
         drain = WorkerDrain(worker.registration.id, trio.current_time())
         self.history.drains.append(drain)
+        self.nursery.start_soon(self._report_while_draining, worker, drain)
         return drain
 
+    async def _report_while_draining(self, worker: MemoryRunWorker, drain: WorkerDrain) -> None:
+        while drain.returned_at is None:
+            await trio.sleep(REPORT_SECONDS)
+            is_store_up = not (self.store.faults.refuse or self.store.faults.frozen)
+            is_registered = self.store.peek(f"workers/{drain.worker}") is not None
+            if is_store_up and is_registered and worker.registration.draining:
+                self.register(worker)
+
     def end_drain(self, worker, drain: WorkerDrain) -> None:
         drain.returned_at = trio.current_time()
         if all(d.returned_at or d.worker != drain.worker for d in self.history.drains):
--- a/packages/mimosapoint/src/mimosapoint/cell/tests/_worker_faults.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/_worker_faults.py
@@ -7,10 +7,12 @@
 from mimosapoint.cell.tests._fault_registry import FaultRegistry
 from mimosapoint.cell.tests._recorded_site import RecordedSite
 from mimosapoint.cell.tests._site import CAPACITY, RACK_SIZE, SMALL
+from mimosapoint.memory import MemoryRunWorker
+from mimosapoint.memory.run_workers import NetworkFaults
 from mimosapoint.testing.cell_checks import LATE_START_BOUND
 from mimosapoint.workload import ResourceAmounts, Step, TaskId
 
-__all__ = ["worker_faults"]
+__all__ = ["end_worker", "worker_faults"]
 
 worker_faults = FaultRegistry()
 
@@ -134,16 +136,22 @@
     worker = site.any_worker
     drain = site.drain(worker)
     await trio.sleep(min(seconds, NOTICE_SECONDS))
-    faults = site.workers.network_faults_by_address[worker.registration.address]
-    faults.not_listening = True
-    worker.restart(worker.born + 1)
-    site.unregister(worker)
+    faults = end_worker(site, worker)
     await trio.sleep(LATE_START_BOUND + seconds)
     faults.not_listening = False
     site.register(worker, born=worker.born)
     site.end_drain(worker, drain)
 
 
+def end_worker(site: RecordedSite, worker: MemoryRunWorker) -> NetworkFaults:
+    """End a worker as planned, and return the faults at its address, where nothing listens."""
+    faults = site.workers.network_faults_by_address[worker.registration.address]
+    faults.not_listening = True
+    worker.restart(worker.born + 1)
+    site.unregister(worker)
+    return faults
+
+
 @worker_faults.add("worker failing every run")
 async def fail_runs(site: RecordedSite, seconds: float) -> None:
     """Let every run on a worker fail."""
--- a/packages/mimosapoint/src/mimosapoint/cell/tests/test_fault_pairs.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_fault_pairs.py
@@ -6,12 +6,14 @@
 from itertools import combinations_with_replacement
 from random import Random
 
+import attrs
 import trio
 
 from mimosapoint.cell.settings import CellSettings
 from mimosapoint.cell.tests._cell_faults import STOP_BOUND_SECONDS, faults_by_name
 from mimosapoint.cell.tests._recorded_site import open_recorded_site
 from mimosapoint.cell.tests._site import SMALL, WIDE
+from mimosapoint.cell.tests._unseen_worker_faults import unseen_worker_faults
 from mimosapoint.cell.tests._wide_demand import WIDE_SEED, WideDemand
 from mimosapoint.testing import TrioTestCase
 from mimosapoint.testing.cell_checks import (
@@ -37,8 +39,10 @@
 MAX_FAULT_BEGIN_SECONDS = 0.5
 MAX_FAULT_SECONDS = 5.0
 
+RECLAIM_AFTER_FAULTS_SECONDS = LATE_START_BOUND + 2 * RECLAIM_SECONDS
+
 RECLAIM_UNDER_FAULTS_SECONDS = (
-    MAX_FAULT_BEGIN_SECONDS + MAX_FAULT_SECONDS + LATE_START_BOUND + 2 * RECLAIM_SECONDS
+    MAX_FAULT_BEGIN_SECONDS + MAX_FAULT_SECONDS + RECLAIM_AFTER_FAULTS_SECONDS
 )
 """Bound of a reclaim under faults: the end of the longest fault, then the bound for an owner that
 is lost at that moment, then the bound without faults."""
@@ -83,10 +87,23 @@
             await trio.sleep(random.uniform(0, 1))
             await site.call_claim("claim", CLAIM, start_bound_seconds)
             await site.call_cancel("job0", STOP_BOUND_SECONDS)
+        if any(name in unseen_worker_faults.by_name for name in names):
+            extend_claims(site.history)
         await settle(site, WIDE_SETTLE_SECONDS if is_wide else SETTLE_SECONDS)
     return site.history
 
 
+def extend_claims(history):
+    """Let the bounds of claims count from the end of faults that last longer than the others."""
+    until = max(each.ended_at for each in history.disturbances) + RECLAIM_AFTER_FAULTS_SECONDS
+    history.claims = [
+        attrs.evolve(
+            claim, start_bound_seconds=max(claim.start_bound_seconds, until - claim.claimed_at)
+        )
+        for claim in history.claims
+    ]
+
+
 async def submit_borrower(site, number):
     await site.call_submit(f"low{number}", Step(1, WIDE, checkpoints=number % 2 == 0), queue=LOW)
 
--- a/packages/mimosapoint/src/mimosapoint/memory/run_worker.py
+++ b/packages/mimosapoint/src/mimosapoint/memory/run_worker.py
@@ -86,6 +86,7 @@
     :param nursery: nursery of the runs.
     :param run_time: duration of every task, unless estimates are followed.
     :param follows_estimates: whether a task takes as long as its step estimates.
+    :param run_times_by_job: the same for the tasks of some jobs.
     :param stop_time: time that a stop takes.
     :param max_lease: longest lease that a worker grants.
     :param failing_workers: ids of workers on which every run fails at once.
@@ -102,6 +103,7 @@
     clock: Clock
     nursery: trio.Nursery
     run_time: timedelta = timedelta(seconds=2)
+    run_times_by_job: dict[str, timedelta] = attrs.field(factory=dict)
     stop_time: timedelta = STOP_DURATION
     max_lease: timedelta = MAX_LEASE
     failing_workers: set[str] = attrs.field(factory=set)
@@ -280,6 +282,7 @@
     async def _simulate_progress(self, record: RunRecord) -> None:
         follows_estimate = self.simulation.follows_estimates
         run_time = record.step.estimate if follows_estimate else self.simulation.run_time
+        run_time = self.simulation.run_times_by_job.get(record.task.job, run_time)
         total = remaining = run_time.total_seconds()
         while remaining > 0:
             step = min(remaining, PROGRESS_STEP_SECONDS)
--- a/packages/mimosapoint/src/mimosapoint/memory/run_workers.py
+++ b/packages/mimosapoint/src/mimosapoint/memory/run_workers.py
@@ -38,6 +38,8 @@
     :param partitioned: calls do not reach the worker and get no reply.
     :param refused: calls are refused by the worker.
     :param not_listening: connections are refused, as no process listens at the address.
+    :param reset: connections are reset before the worker receives a call.
+    :param loses_replies: calls take effect but get no reply.
     :param start_delay: starts get no reply and take effect after this time.
     :param refuse_starts: starts are refused by the worker.
     :param wrong_incarnation: another incarnation of the worker replies.
@@ -52,6 +54,8 @@
     partitioned: bool = False
     refused: bool = False
     not_listening: bool = False
+    reset: bool = False
+    loses_replies: bool = False
     start_delay: timedelta | None = None
     refuse_starts: bool = False
     wrong_incarnation: bool = False
@@ -84,6 +88,18 @@
         self.workers_by_address[address] = worker
         self.network_faults_by_address[address] = NetworkFaults()
 
+    def move(self, worker: MemoryRunWorker, address: str) -> NetworkFaults:
+        """Let a worker reply at another address only; its registration has to be published again.
+
+        :return: the faults at the former address, at which nothing listens unless they say
+            otherwise.
+        """
+        former_address = worker.registration.address
+        del self.workers_by_address[former_address]
+        self.add_at(address, worker)
+        worker.registration = attrs.evolve(worker.registration, address=address)
+        return self.network_faults_by_address[former_address]
+
     async def renew_lease(
         self, worker: WorkerRegistration, order: RenewLeaseOrder
     ) -> WorkerRunReport:
@@ -96,6 +112,7 @@
         found = await self._connect(worker)
         report = await found.renew_lease(order)
         await self._delay_reply(faults, order)
+        await self._lose_reply(faults)
         if faults.lost_renewal_replies:
             faults.lost_renewal_replies -= 1
             await trio.sleep(TIMEOUT_SECONDS)
@@ -120,6 +137,7 @@
         if faults.refuse_starts:
             raise StartRefused("unhealthy")
         clock_ms = found.start(order)
+        await self._lose_reply(faults)
         if faults.lost_start_replies:
             faults.lost_start_replies -= 1
             await trio.sleep(TIMEOUT_SECONDS)
@@ -129,6 +147,12 @@
     async def stop(self, worker: WorkerRegistration, order: StopOrder) -> None:
         """Stop a run."""
         (await self._connect(worker)).stop(order)
+        await self._lose_reply(self.network_faults_by_address[worker.address])
+
+    async def _lose_reply(self, faults: NetworkFaults) -> None:
+        if faults.loses_replies:
+            await trio.sleep(TIMEOUT_SECONDS)
+            raise WorkerUnreachable("no reply")
 
     async def _delay_reply(self, faults: NetworkFaults, order: RenewLeaseOrder) -> None:
         timeout = timedelta(seconds=TIMEOUT_SECONDS) + order.patience
@@ -140,8 +164,8 @@
         self, worker: WorkerRegistration, order: StartOrder, delay: timedelta
     ) -> None:
         await trio.sleep(delay.total_seconds())
-        found = self.workers_by_address[worker.address]
-        if found.is_down:
+        found = self.workers_by_address.get(worker.address)
+        if found is None or found.is_down:
             return
         try:
             found.start(order)
@@ -155,12 +179,16 @@
             raise WorkerRefused("refused")
         if faults.not_listening:
             raise WorkerNotListening("connection refused")
+        if faults.reset:
+            raise WorkerUnreachable("connection reset")
         if faults.partitioned:
             await trio.sleep(TIMEOUT_SECONDS)
             raise WorkerUnreachable("no reply")
         if faults.wrong_incarnation:
             raise WorkerReplaced("another incarnation replies")
-        found = self.workers_by_address[worker.address]
+        found = self.workers_by_address.get(worker.address)
+        if found is None:
+            raise WorkerNotListening("connection refused")
         if found.is_down:
             raise WorkerUnreachable("connection reset")
         return found
