--- a/packages/mimosapoint/src/mimosapoint/cell/tests/test_broken_versions.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/tests/test_broken_versions.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from mimosapoint.cell import crash_blame
+from mimosapoint.cell import crash_blame, fleet
 from mimosapoint.cell.decisions.crash_suspects import STARTS_TOLERATED
 from mimosapoint.cell.decisions.planner import Planner
 from mimosapoint.cell.gateway import CellGateway
@@ -15,6 +15,7 @@
 from mimosapoint.cell.tests._recorded_site import open_recorded_site
 from mimosapoint.cell.tests._site import SMALL
 from mimosapoint.cell.tests.test_fault_pairs import RECLAIM_UNDER_FAULTS_SECONDS, play
+from mimosapoint.cell.worker_presence import WorkerPresence
 from mimosapoint.errors import JobNotFound
 from mimosapoint.testing import TrioTestCase
 from mimosapoint.testing.cell_checks import check_cell
@@ -23,6 +24,7 @@
 TRUE_REPLIES = "callers get the whole answer to their own request"
 KNOWN_JOBS = "accepted jobs are never lost"
 COUNTED_JOBS = "waiting jobs are counted"
+NO_SECOND_RUN = "non-repeatable work runs at most once"
 NO_STANDSTILL = "no job stands still beside free capacity"
 
 FAULTS_OVER = 14.0
@@ -58,6 +60,18 @@
     )
 
 
+def is_absent_and_refused(presence, now):
+    """Take an absent registration and refused connections for the end of a worker."""
+    since = presence._not_listening_since
+    is_refused = since is not None and now - since >= presence._settings.start_window
+    return presence.is_absent and is_refused
+
+
+def is_same_worker(registration):
+    """Take the incarnations of a worker for one, so that the roster keeps the earlier address."""
+    return registration.id
+
+
 async def not_found(gateway, workspace, job_id, *timeout):
     """Do not find one job after the faults."""
     if job_id == "job3" and trio.current_time() > FAULTS_OVER:
@@ -151,6 +165,17 @@
         )
         self.assertEqual({COUNTED_JOBS}, promises)
 
+    # Guards against plays without workers that run on and look as if they had left.
+    def test_each_conclusion_without_proof_is_found(self):
+        for target, name, broken, fault in (
+            (WorkerPresence, "has_left", is_absent_and_refused, "out of sight, refused"),
+            (fleet, "_incarnation", is_same_worker, "restarted elsewhere"),
+        ):
+            fault = f"workers {fault}, then the owner killed"
+            with self.subTest(name=name):
+                self.assertIn(NO_SECOND_RUN, self.violated(target, name, broken, fault))
+                self.assertEqual(set(), self.violated(target, name, getattr(target, name), fault))
+
     # Guards against checks that are content with the reply of any node.
     def test_a_node_that_does_not_know_a_job_or_does_not_reply_is_found(self):
         for broken, promises in (
