Give the fleet its telemetry once

The recovery passed its telemetry to the fleet, which has the same one since it is constructed by the dependencies. Two methods lose the parameter, the presence of a worker keeps its id private again, and what numbers its absences is described as it is.

--- a/packages/mimosapoint/src/mimosapoint/cell/fleet.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/fleet.py
@@ -83,7 +83,7 @@
         """Return whether the workers' entries were read within the freshness bound."""
         return self._freshness.is_fresh()
 
-    def resolve_inherited(self, now: datetime, telemetry: Telemetry) -> datetime | None:
+    def resolve_inherited(self, now: datetime) -> datetime | None:
         """Resolve the workers of earlier owners whose runs are known by now.
 
         Before the registrations are read, what replies at a stored address may not be the worker.
@@ -99,20 +99,20 @@
         for worker_id in list(candidates):
             session = self.sessions_by_id[worker_id]
             if session.runs_known(now):
-                self._resolve(session, now, telemetry)
+                self._resolve(session, now)
         times = [self.runs_known_by(worker) for worker in inherited.capacity_by_id]
         if inherited.has_unlisted:
             times.append(self.unlisted_runs_until)
         return min(times, default=None)
 
-    def _resolve(self, session: WorkerSession, now: datetime, telemetry: Telemetry) -> None:
+    def _resolve(self, session: WorkerSession, now: datetime) -> None:
         """Resolve a worker whose runs are known, if it is one of earlier owners."""
         if session.id not in self.inherited:
             return
         self.inherited.resolve(session.id)
         # The first report has an event of its own, with what it lists.
         if not session.synced:
-            log_without_report(session, now, telemetry)
+            log_without_report(session, now, self._telemetry)
 
     def runs_known_by(self, worker_id: str) -> datetime:
         """Return the time at which the lease of a worker of earlier owners has expired."""
@@ -233,14 +233,12 @@
                 pause = self._settings.retry_delay
             await trio.sleep(pause.total_seconds())
 
-    async def find_departures(self, telemetry: Telemetry) -> None:
+    async def find_departures(self) -> None:
         """Find out which absent workers of earlier owners have left, until all runs are known.
 
         The registrations are polled meanwhile, as the histories of many workers take long.
-
-        :param telemetry: logs and metrics.
         """
-        availability = StoreAvailability("departures", telemetry)
+        availability = StoreAvailability("departures", self._telemetry)
         while self.inherited:
             try:
                 for session in self._unexplained_absences()[:MAX_HISTORIES_PER_POLL]:
@@ -272,7 +270,7 @@
                 await trio.sleep(self._settings.registration_poll.total_seconds())
             # Removed before the session ends, so that no decision uses a session that ends.
             del self.sessions_by_id[session.id]
-            self._resolve(session, self._clock.now(), self._telemetry)
+            self._resolve(session, self._clock.now())
             self._revisions_by_worker.pop(session.id, None)
             self.first_generation = max(self.first_generation, session.tokens.generation + 1)
             nursery.cancel_scope.cancel()
--- a/packages/mimosapoint/src/mimosapoint/cell/owner.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/owner.py
@@ -162,7 +162,7 @@
                 loaded = await load_jobs(self._dependencies.store, self.job_table, self._telemetry)
             nursery.start_soon(self._session_starter.run, self.fleet)
             await self.fleet.open_roster_sessions(self._open_session)
-            nursery.start_soon(self.fleet.find_departures, self._telemetry)
+            nursery.start_soon(self.fleet.find_departures)
             self.recovery.begin(loaded.has_unreadable)
             self._unreadable_jobs.apply_kept_ends()
             self.loaded.set()
--- a/packages/mimosapoint/src/mimosapoint/cell/recovery/core.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/recovery/core.py
@@ -54,7 +54,7 @@
     sessions_by_id: Mapping[str, WorkerSession]
     unlisted_runs_until: datetime
 
-    def resolve_inherited(self, now: datetime, telemetry: Telemetry) -> datetime | None:
+    def resolve_inherited(self, now: datetime) -> datetime | None:
         """Resolve the inherited workers whose runs are known; return when the next one will be."""
         ...
 
@@ -131,7 +131,7 @@
         """
         if self._is_complete or self._starts is None:
             return None
-        next_at = self._fleet.resolve_inherited(now, self._telemetry)
+        next_at = self._fleet.resolve_inherited(now)
         resolved = self._starts.remove_resolved()
         for each in resolved:
             self._handle_resolved(each)
--- a/packages/mimosapoint/src/mimosapoint/cell/worker_presence.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/worker_presence.py
@@ -14,7 +14,8 @@
 
     ``is_registered`` tells whether the worker has a registration in the store, or had one a moment
     ago, ``is_absent`` whether the last read did not find it, and ``is_history_known`` whether the
-    history of an absent registration was read. ``absence`` numbers the absences.
+    history of an absent registration was read. ``absence`` changes when the registration is found,
+    so that it tells one absence from the next.
 
     :param worker: id of the worker.
     :param clock: clock of the owner.
@@ -27,7 +28,7 @@
         self.is_absent = False
         self.is_history_known = False
         self.absence = 0
-        self.worker = worker
+        self._worker = worker
         self._clock = clock
         self._settings = settings
         self._telemetry = telemetry
@@ -59,7 +60,9 @@
             self._not_listening_since = None
         elif self._not_listening_since is None:
             self._not_listening_since = self._clock.now()
-            self._telemetry.event("worker-not-listening", worker=self.worker, absent=self.is_absent)
+            self._telemetry.event(
+                "worker-not-listening", worker=self._worker, absent=self.is_absent
+            )
 
     def has_left(self, now: datetime) -> bool:
         """Return whether the worker's process has ended, as its registration was removed for that.
