--- a/packages/mimosapoint/src/mimosapoint/cell/recovery/tests/test_unreachable_workers.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/recovery/tests/test_unreachable_workers.py
@@ -6,10 +6,13 @@
 import trio
 
 from mimosapoint.cell import departure_proof
+from mimosapoint.cell.departure_proof import DepartureProver
 from mimosapoint.cell.keys import ROSTER_KEY
+from mimosapoint.cell.revision_times import RevisionTimes
 from mimosapoint.cell.settings import CellSettings
 from mimosapoint.cell.tests._site import SMALL, open_site
 from mimosapoint.codec import decode, encode
+from mimosapoint.errors import StoreUnavailable
 from mimosapoint.testing import TrioTestCase
 from mimosapoint.workload import RunEnd, Step
 
@@ -182,3 +185,20 @@
             await trio.sleep(1)
             self.faults_of(site, worker).partitioned = False
             await self.assert_runs_once(site)
+
+    # Guards against a bound over an outage that only the reads of histories saw.
+    async def test_a_failed_read_of_a_history_ends_the_bounds_on_revisions(self):
+        async def refuse(prover, worker):
+            raise StoreUnavailable("refused")
+
+        async with open_site() as site:
+            worker = await self.start(site)
+            site.unregister(worker)
+            self.faults_of(site, worker).not_listening = True
+            with (
+                mock.patch.object(DepartureProver, "has_left", refuse),
+                mock.patch.object(RevisionTimes, "record_failure") as record_failure,
+            ):
+                site.owner.kill()
+                await trio.sleep(2.5)
+            record_failure.assert_called()
