--- a/packages/mimosapoint/src/mimosapoint/cell/recovery/tests/test_departed_workers.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/recovery/tests/test_departed_workers.py
@@ -21,6 +21,8 @@
 REPORT_SECONDS = 1.5
 """Interval of the workers' status reports."""
 
+WATCH_TIMEOUT = CellSettings().watch_timeout
+
 
 class DepartedWorkerTest(TrioTestCase):
     mock_clock = True
@@ -80,6 +82,21 @@
                         await self.assert_starts_again(site)
                         self.assertEqual(["left"], self.logged_reasons(site, worker))
 
+    # Guards against a departure that is not proven on an idle store, where the watches that tell the
+    # newest revision begin long before the last report and end long after the removal.
+    async def test_a_departure_is_proven_at_each_phase_of_the_watches(self):
+        for step in range(8):
+            async with open_site(settings=CellSettings(watch_timeout=WATCH_TIMEOUT)) as site:
+                await trio.sleep(step * WATCH_TIMEOUT.total_seconds() / 8)
+                worker = await self.start(site)
+                site.register(worker)
+                await trio.sleep(REPORT_SECONDS - 0.1)
+                self.remove(site, worker)
+                site.owner.kill()
+                with self.subTest(step=step):
+                    await self.assert_starts_again(site)
+                    self.assertEqual(["left"], self.logged_reasons(site, worker))
+
     # A crash looks like a worker that is cut off and refused, whose run may go on.
     async def test_a_worker_that_crashed_and_stays_away_is_known_once_its_lease_is_over(self):
         async with open_site() as site:
