--- a/packages/mimosapoint/src/mimosapoint/cell/recovery/tests/test_departed_workers.py
+++ b/packages/mimosapoint/src/mimosapoint/cell/recovery/tests/test_departed_workers.py
@@ -82,7 +82,7 @@
                         await self.assert_starts_again(site)
                         self.assertEqual(["left"], self.logged_reasons(site, worker))
 
-    # Guards against a departure that is not proven on an idle store, where the watches that tell the
+    # Guards against a departure that is not proven on an idle store, as watches that tell the
     # newest revision begin long before the last report and end long after the removal.
     async def test_a_departure_is_proven_at_each_phase_of_the_watches(self):
         for step in range(8):
